--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PY := .venv/bin/python
+BIN := .venv/bin/briarfall
+SEED ?= 1
+SECONDS ?= 30
+
+.PHONY: demo test lint known-red bench soak
+
+.venv/.ready: pyproject.toml
+	python3 -m venv .venv
+	.venv/bin/pip install -q --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+demo: .venv/.ready
+	$(BIN) demo
+
+test: .venv/.ready
+	.venv/bin/behave --no-capture --format progress2 --tags='not @known_red' features
+	$(PY) -m pytest -m 'not known_red'
+
+lint: .venv/.ready
+	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
+
+known-red: .venv/.ready
+	-$(PY) -m pytest -m known_red
+	-.venv/bin/behave --tags=known_red features
+
+bench: .venv/.ready
+	$(BIN) bench all
+
+soak: .venv/.ready
+	$(BIN) bench soak --seed $(SEED) --seconds $(SECONDS)
--- /dev/null
+++ b/src/briarfall/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Edges to outside systems, one abstract class each."""
--- /dev/null
+++ b/src/briarfall/adapters/engine.py
@@ -0,0 +1,341 @@
+"""Model engines: streams of tokens, load reports and orders."""
+
+import abc
+import http.client
+import socket
+
+import msgspec
+from urllib3 import exceptions as urllib3_exceptions
+
+from briarfall import exceptions
+from briarfall import httpclient
+from briarfall import ids
+
+_CALL_TIMEOUT_S = 1.0
+_CHUNK_BYTES = 65_536
+_EVENT_END = b"\n\n"
+_EVENT_START = b"data: "
+
+
+class Hop(msgspec.Struct, frozen=True):
+    """One stage of a route: layers `[start, end)` on one engine.
+
+    Attributes:
+        target: The engine.
+        url: Its base URL.
+        start: First layer to run.
+        end: Layer after the last one to run.
+        kv_from: URL of an engine to import the stream's KV cache from.
+    """
+
+    target: ids.TargetId
+    url: str
+    start: int
+    end: int
+    kv_from: str = ""
+
+
+class GenerateCall(msgspec.Struct):
+    """What the head engine of a route is asked to do.
+
+    Attributes:
+        stream: Identifies the stream over all its attempts.
+        attempt: Number of the attempt, from 1.
+        prompt: The prompt.
+        accepted: Tokens that the caller already has, to be continued.
+        max_tokens: Length of the whole answer, `accepted` included.
+        seed: Seed of the sampler.
+        priority: 0 is the most urgent.
+        deadline_ms: Time the caller will still wait, 0 for no limit.
+        route: All stages in layer order.
+        resume_index: Tokens to take from the engine's own memory of the
+            stream instead of from `accepted`, or -1.
+    """
+
+    stream: str
+    attempt: int
+    prompt: str
+    accepted: list[str]
+    max_tokens: int
+    seed: int
+    priority: int
+    deadline_ms: int
+    route: list[Hop]
+    resume_index: int = -1
+
+
+class Token(msgspec.Struct, array_like=True):
+    """One generated token and where it was computed.
+
+    Attributes:
+        index: Position in the answer, from 0.
+        text: The token's text.
+        attempt: The attempt that computed it.
+        layers: The layer ranges that ran, in order, as `(start, end)`.
+        finish: Why the answer ends with this token, or empty.
+    """
+
+    index: int
+    text: str
+    attempt: int
+    layers: list[tuple[int, int]]
+    finish: str = ""
+
+
+class TokenBatch(msgspec.Struct):
+    """Tokens that an engine sent together, or why the stream ended.
+
+    Attributes:
+        tokens: Tokens in the order of generation.
+        error: Code of a failure that ended the attempt, or empty.
+        target: The target that failed, where it is known.
+        running: Sequences at the head engine, as load information.
+    """
+
+    tokens: list[Token] = []
+    error: str = ""
+    target: str = ""
+    running: int = -1
+
+
+class LoadReport(msgspec.Struct):
+    """Load of an engine, some time ago.
+
+    Attributes:
+        running: Sequences in the current batch.
+        waiting: Sequences that wait for a batch.
+        age_s: Age of the figures, in seconds.
+        leaving: Whether the engine is about to stop.
+    """
+
+    running: int
+    waiting: int
+    age_s: float = 0.0
+    leaving: bool = False
+
+
+class EngineCommand(msgspec.Struct):
+    """An order to an engine; `fence` is the lease's fencing number."""
+
+    fence: int
+    model: str
+    version: str
+    adapter: str = ""
+    role: str = "decode"
+
+
+class EngineState(msgspec.Struct):
+    """What an engine holds, and the highest fencing number it has seen."""
+
+    model: str
+    version: str
+    adapter: str = ""
+    role: str = "decode"
+    fence: int = 0
+    loading: bool = False
+
+
+class CacheEvent(msgspec.Struct):
+    """A prompt prefix that an engine stored or dropped."""
+
+    sequence: int
+    prefix: str
+    stored: bool
+
+
+class EngineStream(abc.ABC):
+    """An open stream of tokens."""
+
+    @abc.abstractmethod
+    def read(self) -> list[TokenBatch] | None:
+        """Waits for batches and returns them, or None at the end.
+
+        Raises:
+            TargetError: The connection broke, or `close` was called.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Ends the stream; may be called from another thread.
+
+        A waiting `read` returns or raises at once.
+        """
+
+    def release(self) -> None:
+        """Frees the connection after `read` has returned None."""
+        self.close()
+
+
+class EngineAdapter(abc.ABC):
+    """One engine."""
+
+    @abc.abstractmethod
+    def generate(self, call: GenerateCall, timeout_s: float) -> EngineStream:
+        """Starts a stream at this engine as the head of the route."""
+
+    @abc.abstractmethod
+    def cancel(self, stream: str) -> None:
+        """Stops all work for a stream on every stage."""
+
+    @abc.abstractmethod
+    def load(self, timeout_s: float) -> LoadReport:
+        """Returns the engine's load report."""
+
+    @abc.abstractmethod
+    def cache_events(self, since: int) -> list[CacheEvent]:
+        """Returns cache events after a sequence number, with gaps."""
+
+    @abc.abstractmethod
+    def command(self, command: EngineCommand) -> EngineState:
+        """Gives an order and returns the state that results.
+
+        Raises:
+            FencedError: The engine has seen a higher fencing number.
+            LimitError: The weight store refused the load for now.
+        """
+
+    @abc.abstractmethod
+    def state(self) -> EngineState:
+        """Returns what the engine holds."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Releases connections."""
+
+
+class HttpEngineStream(EngineStream):
+    """A stream of server-sent events over HTTP."""
+
+    def __init__(self, resp):
+        self._resp = resp
+        self._sock: socket.socket | None = _socket_of(resp)
+        self._buffer = b""
+        self._decoder = msgspec.json.Decoder(TokenBatch)
+
+    def read(self) -> list[TokenBatch] | None:
+        """Reads what has arrived; see the base class."""
+        while True:
+            data = self._receive()
+            if not data:
+                return None
+            self._buffer += data
+            end = self._buffer.rfind(_EVENT_END)
+            if end < 0:
+                continue
+            complete = self._buffer[:end]
+            self._buffer = self._buffer[end + len(_EVENT_END) :]
+            return self._decode(complete)
+
+    def _receive(self) -> bytes:
+        try:
+            return self._resp.read1(_CHUNK_BYTES)
+        except (
+            urllib3_exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+            ValueError,
+            AttributeError,
+        ) as exc:
+            raise exceptions.TargetError(f"stream broke: {exc}") from exc
+
+    def _decode(self, data: bytes) -> list[TokenBatch]:
+        try:
+            return [
+                self._decoder.decode(event[len(_EVENT_START) :])
+                for event in data.split(_EVENT_END)
+            ]
+        except msgspec.DecodeError as exc:
+            raise exceptions.TargetError(f"malformed event: {exc}") from exc
+
+    def close(self) -> None:
+        """Shuts the connection down; the reader then frees it."""
+        if self._sock is None:
+            return
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+    def release(self) -> None:
+        """Frees the connection."""
+        self._resp.close()
+
+
+class HttpEngineAdapter(EngineAdapter):
+    """An engine over HTTP with JSON bodies."""
+
+    def __init__(self, url: str):
+        self._http = httpclient.HttpClient(url)
+
+    def generate(self, call: GenerateCall, timeout_s: float) -> EngineStream:
+        """Starts a stream; see the base class."""
+        resp = self._http.open(
+            "POST",
+            "/generate",
+            body=msgspec.json.encode(call),
+            timeout_s=timeout_s,
+        )
+        if resp.status != 200:
+            resp.close()
+            raise exceptions.TargetError(
+                f"{self._http.base_url}: generate answered {resp.status}",
+                outcome=exceptions.Outcome.NOT_RUN,
+            )
+        return HttpEngineStream(resp)
+
+    def cancel(self, stream: str) -> None:
+        """Cancels a stream; see the base class."""
+        self._http.send("POST", f"/cancel/{stream}", timeout_s=_CALL_TIMEOUT_S)
+
+    def load(self, timeout_s: float) -> LoadReport:
+        """Reads the load report; see the base class."""
+        reply = self._http.send("GET", "/load", timeout_s=timeout_s)
+        return _decode_reply(reply, LoadReport)
+
+    def cache_events(self, since: int) -> list[CacheEvent]:
+        """Reads cache events; see the base class."""
+        reply = self._http.send(
+            "GET", f"/events?since={since}", timeout_s=_CALL_TIMEOUT_S
+        )
+        return _decode_reply(reply, list[CacheEvent])
+
+    def command(self, command: EngineCommand) -> EngineState:
+        """Gives an order; see the base class."""
+        reply = self._http.send(
+            "POST",
+            "/orders",
+            body=msgspec.json.encode(command),
+            timeout_s=_CALL_TIMEOUT_S,
+        )
+        if reply.status == 409:
+            raise exceptions.FencedError(
+                f"{self._http.base_url} refused fence {command.fence}"
+            )
+        if reply.status == 429:
+            raise exceptions.LimitError("the weight store refused the load")
+        return _decode_reply(reply, EngineState)
+
+    def state(self) -> EngineState:
+        """Reads the engine's state; see the base class."""
+        reply = self._http.send("GET", "/state", timeout_s=_CALL_TIMEOUT_S)
+        return _decode_reply(reply, EngineState)
+
+    def close(self) -> None:
+        """Closes pooled connections."""
+        self._http.close()
+
+
+def _decode_reply(reply: httpclient.Reply, kind):
+    if reply.status != 200:
+        raise exceptions.TargetError(f"engine answered {reply.status}")
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.DecodeError as exc:
+        raise exceptions.TargetError(f"malformed answer: {exc}") from exc
+
+
+def _socket_of(resp) -> socket.socket | None:
+    conn = getattr(resp, "connection", None) or getattr(
+        resp, "_connection", None
+    )
+    return getattr(conn, "sock", None)
--- /dev/null
+++ b/src/briarfall/adapters/instancelist.py
@@ -0,0 +1,82 @@
+"""The platform's list of live and leaving instances."""
+
+import abc
+import enum
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall import httpclient
+from briarfall import ids
+
+_TIMEOUT_S = 2.0
+
+
+class ListedState(enum.Enum):
+    """State of an instance or target on the list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class ListedInstance(msgspec.Struct):
+    """One line of the list.
+
+    Attributes:
+        id: Name of an instance of ours or of a target.
+        address: `host:port` of its peer listener; empty for targets.
+        zone: Its availability zone.
+        state: Whether it is about to stop.
+    """
+
+    id: ids.InstanceId
+    address: str
+    zone: ids.ZoneId
+    state: ListedState = ListedState.LIVE
+
+
+class InstanceListAdapter(abc.ABC):
+    """Reads the list."""
+
+    @abc.abstractmethod
+    def fetch(self) -> list[ListedInstance]:
+        """Returns the list, which lags.
+
+        Raises:
+            TargetError: The list did not answer.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Releases connections."""
+
+
+class HttpInstanceListAdapter(InstanceListAdapter):
+    """The list over HTTP as JSON."""
+
+    def __init__(self, url: str):
+        self._http = httpclient.HttpClient(url)
+
+    def fetch(self) -> list[ListedInstance]:
+        """Reads the list; see the base class."""
+        reply = self._http.send("GET", "/instances", timeout_s=_TIMEOUT_S)
+        if reply.status != 200:
+            raise exceptions.TargetError(
+                f"instance list answered {reply.status}"
+            )
+        return msgspec.json.decode(reply.body, type=list[ListedInstance])
+
+    def close(self) -> None:
+        """Closes pooled connections."""
+        self._http.close()
+
+
+class EmptyInstanceListAdapter(InstanceListAdapter):
+    """Stands for a platform without a list; peers come from seeds."""
+
+    def fetch(self) -> list[ListedInstance]:
+        """Returns no instances."""
+        return []
+
+    def close(self) -> None:
+        """Does nothing."""
--- /dev/null
+++ b/src/briarfall/adapters/log.py
@@ -0,0 +1,137 @@
+"""The platform's append-only log service."""
+
+import abc
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall import httpclient
+from briarfall import ids
+
+_APPEND_TIMEOUT_S = 2.0
+_READ_SLACK_S = 2.0
+
+
+class LogRecord(msgspec.Struct):
+    """One record of a stream.
+
+    Attributes:
+        offset: Position in the stream, from 0, without gaps.
+        time_s: Epoch seconds at which the log accepted the record.
+        data: The bytes that were appended.
+    """
+
+    offset: ids.Offset
+    time_s: float
+    data: bytes
+
+
+class LogBatch(msgspec.Struct):
+    """The result of one read.
+
+    Attributes:
+        records: Records in offset order.
+        first: Oldest offset that is still kept.
+        end: Offset that the next appended record will get.
+    """
+
+    records: list[LogRecord]
+    first: int
+    end: int
+
+
+class AppendResult(msgspec.Struct):
+    """The answer to an append."""
+
+    offset: int
+
+
+class LogAdapter(abc.ABC):
+    """Appends to and reads from named streams."""
+
+    @abc.abstractmethod
+    def append(self, stream: str, data: bytes) -> ids.Offset:
+        """Appends one record and returns its offset.
+
+        Raises:
+            LogUnavailableError: The outcome is `unknown` unless the log
+                could not be reached at all.
+        """
+
+    @abc.abstractmethod
+    def read(
+        self, stream: str, start: int, *, limit: int, wait_s: float
+    ) -> LogBatch:
+        """Returns records from `start`, waiting for one up to `wait_s`.
+
+        Raises:
+            LogGapError: Records at `start` are no longer kept.
+            LogUnavailableError: The log did not answer.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Releases connections."""
+
+
+class HttpLogAdapter(LogAdapter):
+    """The log over HTTP with JSON bodies."""
+
+    def __init__(self, url: str):
+        self._http = httpclient.HttpClient(url)
+
+    def append(self, stream: str, data: bytes) -> ids.Offset:
+        """Appends one record; see the base class."""
+        try:
+            reply = self._http.send(
+                "POST",
+                f"/streams/{stream}/records",
+                body=data,
+                timeout_s=_APPEND_TIMEOUT_S,
+            )
+        except exceptions.TargetError as exc:
+            raise exceptions.LogUnavailableError(
+                exc.message, outcome=exc.outcome
+            ) from exc
+        if reply.status != 200:
+            raise exceptions.LogUnavailableError(
+                f"append answered {reply.status}",
+                outcome=_append_outcome(reply.status),
+            )
+        result = msgspec.json.decode(reply.body, type=AppendResult)
+        return ids.Offset(result.offset)
+
+    def read(
+        self, stream: str, start: int, *, limit: int, wait_s: float
+    ) -> LogBatch:
+        """Reads records; see the base class."""
+        path = (
+            f"/streams/{stream}/records"
+            f"?from={start}&limit={limit}&wait_ms={int(wait_s * 1000)}"
+        )
+        try:
+            reply = self._http.send(
+                "GET", path, timeout_s=wait_s + _READ_SLACK_S
+            )
+        except exceptions.TargetError as exc:
+            raise exceptions.LogUnavailableError(exc.message) from exc
+        if reply.status == 410:
+            first = int(reply.headers.get("Log-First", "0"))
+            raise exceptions.LogGapError(
+                f"stream {stream} starts at {first}, not {start}", first
+            )
+        if reply.status != 200:
+            raise exceptions.LogUnavailableError(
+                f"read answered {reply.status}"
+            )
+        return msgspec.json.decode(reply.body, type=LogBatch)
+
+    def close(self) -> None:
+        """Closes pooled connections."""
+        self._http.close()
+
+
+def _append_outcome(status: int) -> exceptions.Outcome:
+    if status in (429, 503):
+        return exceptions.Outcome.NOT_RUN
+    return exceptions.Outcome.UNKNOWN
--- /dev/null
+++ b/src/briarfall/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads, hardware bounds and reports."""
--- /dev/null
+++ b/src/briarfall/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""The catalogue: records, fold, edits and views."""
--- /dev/null
+++ b/src/briarfall/catalogue/entries.py
@@ -0,0 +1,352 @@
+"""The typed values of catalogue entries and their checks."""
+
+import enum
+import fnmatch
+import hashlib
+import hmac
+import re
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall import ids
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}\Z")
+_URL = re.compile(r"https?://[0-9a-fA-F.:\[\]]+:\d+\Z")
+
+
+class Priority(enum.Enum):
+    """Request classes, most urgent first."""
+
+    INTERACTIVE = "interactive"
+    STANDARD = "standard"
+    BATCH = "batch"
+
+
+class TargetState(enum.Enum):
+    """What the catalogue wants of a target."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+
+
+class Entry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Fields that every entry has."""
+
+    owner: str
+
+
+class EngineTarget(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One engine of a model.
+
+    Attributes:
+        id: Unique name of the target.
+        url: Base URL with an IP number.
+        zone: Availability zone.
+        start: First layer that the engine holds.
+        end: Layer after the last one that the engine holds.
+        tokens_per_s: Decode throughput over the whole range at full batch.
+        step_s: Duration of a decode step over the whole range, in seconds.
+        state: Whether the target takes new work.
+        prefill_tokens_per_s: Prompt tokens a second over the range.
+        kv_bytes_per_token: Size of the KV cache for one token, 0 if the
+            engine cannot export it.
+    """
+
+    id: ids.TargetId
+    url: str
+    zone: ids.ZoneId
+    start: int
+    end: int
+    tokens_per_s: float = 1000.0
+    step_s: float = 0.02
+    state: TargetState = TargetState.ACTIVE
+    prefill_tokens_per_s: float = 20_000.0
+    kv_bytes_per_token: float = 0.0
+
+
+class Recovery(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """When a stream counts as stalled.
+
+    Attributes:
+        gap_factor: Multiple of a stream's recent token gap after which its
+            targets are probed.
+        probe_after_s: Least silence before targets are probed, in seconds.
+        stall_after_s: Silence that ends an attempt whatever probes say.
+        first_token_s: The same before the first token of an attempt, on
+            top of a multiple of the expected time.
+        leave_grace_s: Time that a leaving target's streams may run on
+            before they move.
+    """
+
+    gap_factor: float = 6.0
+    probe_after_s: float = 0.25
+    stall_after_s: float = 1.0
+    first_token_s: float = 1.2
+    leave_grace_s: float = 20.0
+
+
+class ModelLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of a model entry.
+
+    Attributes:
+        max_tokens: Longest answer.
+        max_prompt_bytes: Longest prompt.
+        max_attempts: Attempts for one stream, the first included.
+        max_concurrent: Streams on one instance.
+    """
+
+    max_tokens: int = 4096
+    max_prompt_bytes: int = 262_144
+    max_attempts: int = 6
+    max_concurrent: int = 512
+
+
+class Model(Entry, frozen=True, tag="model", tag_field="kind"):
+    """A model whose layers are spread over engines."""
+
+    layers: int
+    targets: list[EngineTarget]
+    limits: ModelLimits = ModelLimits()
+    recovery: Recovery = Recovery()
+    default_class: Priority = Priority.STANDARD
+    policy: str = "flow"
+
+
+class IdempotentRule(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Calls that may be repeated: a method and a path pattern (glob)."""
+
+    method: str
+    path: str
+
+
+class ServiceTarget(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One target of a plain service."""
+
+    id: ids.TargetId
+    url: str
+    zone: ids.ZoneId
+    state: TargetState = TargetState.ACTIVE
+
+
+class Service(Entry, frozen=True, tag="service", tag_field="kind"):
+    """A plain service.
+
+    Attributes:
+        targets: Targets that offer the service.
+        idempotent: Calls that may be repeated.
+        partitions: Number of claim streams; fixed after creation.
+        window_s: Deduplication window of idempotency keys, in seconds.
+        lookup: Path template with `{key}` of an idempotent look-up that
+            answers 200 when the call ran and 404 when it did not.
+        timeout_s: Longest duration of one call, in seconds.
+        max_replay_bytes: Largest answer kept for replay.
+    """
+
+    targets: list[ServiceTarget]
+    idempotent: list[IdempotentRule] = []
+    partitions: int = 4
+    window_s: float = 86_400.0
+    lookup: str = ""
+    timeout_s: float = 10.0
+    max_replay_bytes: int = 65_536
+
+    def is_idempotent(self, method: str, path: str) -> bool:
+        """Returns whether a call may be repeated."""
+        for rule in self.idempotent:
+            if rule.method not in ("*", method):
+                continue
+            if fnmatch.fnmatchcase(path, rule.path):
+                return True
+        return False
+
+
+class ClientLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of a client over all instances."""
+
+    requests_per_s: float = 100.0
+    tokens_per_s: float = 100_000.0
+    concurrency: int = 1000
+
+
+class Client(Entry, frozen=True, tag="client", tag_field="kind"):
+    """A client account; `key_sha256` holds hex digests of its keys."""
+
+    key_sha256: list[str]
+    limits: ClientLimits = ClientLimits()
+    classes: list[Priority] = msgspec.field(
+        default_factory=lambda: list(Priority)
+    )
+
+
+class Role(enum.Enum):
+    """What an operator's key may edit."""
+
+    OPERATOR = "operator"
+    ADMINISTRATOR = "administrator"
+
+
+class Operator(Entry, frozen=True, tag="operator", tag_field="kind"):
+    """An operator account."""
+
+    key_sha256: list[str]
+    role: Role = Role.OPERATOR
+
+
+class ZoneLink(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Delay (seconds) and throughput (bytes a second) between two zones."""
+
+    a: ids.ZoneId
+    b: ids.ZoneId
+    delay_s: float
+    bytes_per_s: float
+
+
+class Topology(Entry, frozen=True, tag="topology", tag_field="kind"):
+    """Links between availability zones."""
+
+    links: list[ZoneLink]
+
+
+class EngineOrder(Entry, frozen=True, tag="engine_order", tag_field="kind"):
+    """Desired state of one engine.
+
+    Attributes:
+        url: Base URL of the engine.
+        model: Model that the engine shall hold.
+        version: Version of the model.
+        adapter: Adapter to load, or empty.
+        role: Role of the engine, such as `decode` or `prefill`.
+        weight_bytes: Bytes to load from the weight store.
+    """
+
+    url: str
+    model: str
+    version: str
+    adapter: str = ""
+    role: str = "decode"
+    weight_bytes: int = 0
+
+
+AnyEntry = Model | Service | Client | Operator | Topology | EngineOrder
+
+
+def parse(raw: bytes) -> AnyEntry:
+    """Returns the checked value of an entry.
+
+    Raises:
+        CatalogueError: The value is malformed; names the field.
+    """
+    try:
+        value = msgspec.json.decode(raw, type=AnyEntry)
+    except msgspec.DecodeError as exc:
+        raise exceptions.CatalogueError(str(exc)) from exc
+    except UnicodeDecodeError as exc:
+        raise exceptions.CatalogueError("value is not UTF-8") from exc
+    check(value)
+    return value
+
+
+def check_name(name: str) -> None:
+    """Refuses a malformed entry name."""
+    if not _NAME.match(name):
+        raise exceptions.CatalogueError(
+            f"entry name {name!r} is malformed",
+            remedy="use 1 to 63 of a-z, 0-9, dot, dash and underscore",
+        )
+
+
+def check(value: AnyEntry) -> None:
+    """Refuses values that are well-formed but inconsistent."""
+    if not value.owner:
+        raise exceptions.CatalogueError("owner is empty")
+    if isinstance(value, Model):
+        _check_model(value)
+    if isinstance(value, Service):
+        _check_service(value)
+    if isinstance(value, Client | Operator):
+        _check_keys(value.key_sha256)
+    if isinstance(value, Client):
+        _check_limits(value.limits)
+    if isinstance(value, Topology):
+        _check_links(value.links)
+
+
+def _check_model(value: Model) -> None:
+    _check_positive("layers", value.layers)
+    _check_targets(value.targets)
+    for field in ("max_tokens", "max_prompt_bytes", "max_attempts"):
+        _check_positive(f"limits.{field}", getattr(value.limits, field))
+    for target in value.targets:
+        if not 0 <= target.start < target.end <= value.layers:
+            raise exceptions.CatalogueError(
+                f"targets[{target.id}]: layers [{target.start}, "
+                f"{target.end}) are not within [0, {value.layers})"
+            )
+        _check_positive(
+            f"targets[{target.id}].tokens_per_s", target.tokens_per_s
+        )
+        _check_positive(f"targets[{target.id}].step_s", target.step_s)
+
+
+def _check_service(value: Service) -> None:
+    _check_targets(value.targets)
+    _check_positive("partitions", value.partitions)
+    _check_positive("window_s", value.window_s)
+    _check_positive("timeout_s", value.timeout_s)
+    if value.lookup and "{key}" not in value.lookup:
+        raise exceptions.CatalogueError("lookup has no {key}")
+
+
+def _check_targets(targets) -> None:
+    seen = set()
+    for target in targets:
+        if target.id in seen:
+            raise exceptions.CatalogueError(f"targets[{target.id}] is twice")
+        seen.add(target.id)
+        if not _URL.match(target.url):
+            raise exceptions.CatalogueError(
+                f"targets[{target.id}].url {target.url!r} is no URL",
+                remedy="use http://<IP number>:<port>",
+            )
+
+
+def _check_keys(digests: list[str]) -> None:
+    for digest in digests:
+        if not re.fullmatch(r"[0-9a-f]{64}", digest):
+            raise exceptions.CatalogueError(
+                "key_sha256 has a value that is no SHA-256 in hex",
+                remedy="use the output of `briarfall key hash`",
+            )
+
+
+def _check_limits(limits: ClientLimits) -> None:
+    _check_positive("limits.requests_per_s", limits.requests_per_s)
+    _check_positive("limits.tokens_per_s", limits.tokens_per_s)
+    _check_positive("limits.concurrency", limits.concurrency)
+
+
+def _check_links(links: list[ZoneLink]) -> None:
+    for link in links:
+        name = f"links[{link.a}-{link.b}]"
+        if link.delay_s < 0:
+            raise exceptions.CatalogueError(f"{name}.delay_s is negative")
+        _check_positive(f"{name}.bytes_per_s", link.bytes_per_s)
+
+
+def _check_positive(field: str, value: float) -> None:
+    if not value > 0:
+        raise exceptions.CatalogueError(f"{field} must be above 0")
+
+
+def hash_key(key: str) -> str:
+    """Returns the digest of a key as entries hold it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def has_key(value: Client | Operator, digest: str) -> bool:
+    """Returns whether `digest` is one of the account's, in constant time."""
+    found = False
+    for known in value.key_sha256:
+        found |= hmac.compare_digest(known, digest)
+    return found
--- /dev/null
+++ b/src/briarfall/catalogue/records.py
@@ -0,0 +1,105 @@
+"""Records of the configuration stream.
+
+The envelope decides acceptance and must never change; the value of an entry
+is judged by the rules of the record's `schema` number.
+"""
+
+import enum
+import hashlib
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall import ids
+
+CONFIG_STREAM = "config"
+SCHEMA = 1
+NO_VALUE = msgspec.Raw(b"null")
+
+
+class Edit(msgspec.Struct, frozen=True, tag="edit", tag_field="record"):
+    """A change of one entry.
+
+    Attributes:
+        id: UUID of the edit; a second record with it has no effect.
+        author: Name of the operator entry, or `bootstrap`.
+        reason: Why, in the operator's words.
+        entry: Name of the changed entry.
+        if_version: Version the edit is based on, 0 for a new entry.
+        value: The new value as JSON, or `null` to delete the entry.
+        schema: Number of the rules that judge the value.
+        time_s: Epoch seconds at which the edit was made.
+    """
+
+    id: ids.EditId
+    author: str
+    reason: str
+    entry: ids.EntryName
+    if_version: int
+    value: msgspec.Raw
+    schema: int = SCHEMA
+    time_s: float = 0.0
+
+    @property
+    def is_delete(self) -> bool:
+        """Whether the edit deletes its entry."""
+        return bytes(self.value) == bytes(NO_VALUE)
+
+
+class EntryState(msgspec.Struct, frozen=True):
+    """An entry as folded: its version is the offset of its edit plus 1."""
+
+    name: ids.EntryName
+    version: int
+    value: msgspec.Raw
+    author: str
+    frozen: bool = False
+
+
+class Snapshot(msgspec.Struct, frozen=True, tag="snapshot", tag_field="record"):
+    """The folded state before offset `covered`."""
+
+    covered: int
+    entries: list[EntryState]
+    edit_ids: list[ids.EditId]
+    digest: str
+
+
+Record = Edit | Snapshot
+
+
+class Verdict(enum.Enum):
+    """What the fold decided about a record."""
+
+    APPLIED = "applied"
+    DUPLICATE = "duplicate"
+    CONFLICT = "conflict"
+    FORBIDDEN = "forbidden"
+    MALFORMED = "malformed"
+    FROZEN = "frozen"
+    IGNORED = "ignored"
+
+
+def encode(record: Record) -> bytes:
+    """Returns the bytes of a record as the log keeps them."""
+    return msgspec.json.encode(record)
+
+
+def decode(data: bytes) -> Record:
+    """Returns the record in `data`.
+
+    Raises:
+        CatalogueError: The data is no record.
+    """
+    try:
+        return msgspec.json.decode(data, type=Record)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise exceptions.CatalogueError(f"no record: {exc}") from exc
+
+
+def digest_state(
+    covered: int, entries: list[EntryState], edit_ids: list[ids.EditId]
+) -> str:
+    """Returns the digest that protects a snapshot."""
+    payload = msgspec.json.encode([covered, entries, edit_ids])
+    return hashlib.sha256(payload).hexdigest()
--- /dev/null
+++ b/src/briarfall/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/briarfall/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Listeners and lifecycle of one instance."""
--- /dev/null
+++ b/src/briarfall/daemon/instance.py
@@ -0,0 +1,475 @@
+"""One instance: builds its parts, starts them and stops them."""
+
+import threading
+import time
+
+from absl import logging
+
+from briarfall import clock as clocks
+from briarfall import httpserver
+from briarfall import metrics as metric_sets
+from briarfall import settings
+from briarfall.adapters import engine as engines
+from briarfall.adapters import instancelist
+from briarfall.adapters import log
+from briarfall.adapters import service as services
+from briarfall.catalogue import commands
+from briarfall.catalogue import entries
+from briarfall.catalogue import follower as followers
+from briarfall.catalogue import queries
+from briarfall.catalogue import snapshots
+from briarfall.daemon import admin
+from briarfall.daemon import completions
+from briarfall.daemon import lifecycle
+from briarfall.daemon import servicecalls
+from briarfall.limits import admission
+from briarfall.limits import clients
+from briarfall.limits import shares
+from briarfall.membership import gossip
+from briarfall.membership import links
+from briarfall.membership import peers
+from briarfall.membership import rendezvous
+from briarfall.membership import sampler
+from briarfall.membership import table as member_tables
+from briarfall.orders import dispatch
+from briarfall.orders import partitions
+from briarfall.orders import sequencer
+from briarfall.pipelines import cursors
+from briarfall.pipelines import planning
+from briarfall.pipelines import poison
+from briarfall.pipelines import policies
+from briarfall.pipelines import relay as relays
+from briarfall.pipelines import streams
+from briarfall.pipelines import targets as target_tables
+
+_SNAPSHOT_SUBJECT = "catalogue snapshot"
+_PARTITION_IDLE_S = 60.0
+_HOUSEKEEPING_S = 1.0
+_ASK_TIMEOUT_S = 1.0
+_READY_POLL_S = 0.05
+
+
+class AdapterCache:
+    """Adapters by URL, made when first needed."""
+
+    def __init__(self, make):
+        self._make = make
+        self._lock = threading.Lock()
+        self._adapters: dict = {}
+
+    def get(self, url: str):
+        """Returns the adapter of a URL."""
+        adapter = self._adapters.get(url)
+        if adapter is None:
+            with self._lock:
+                adapter = self._adapters.get(url)
+                if adapter is None:
+                    adapter = self._make(url)
+                    self._adapters[url] = adapter
+        return adapter
+
+    def close(self) -> None:
+        """Closes all adapters."""
+        with self._lock:
+            for adapter in self._adapters.values():
+                adapter.close()
+            self._adapters.clear()
+
+
+class Gates:
+    """One admission gate for each model."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._gates: dict[str, admission.Gate] = {}
+
+    def get(self, name: str, model: entries.Model) -> admission.Gate:
+        """Returns the gate of a model, with its current limit."""
+        limit = model.limits.max_concurrent
+        with self._lock:
+            gate = self._gates.get(name)
+            if gate is None:
+                gate = admission.Gate(limit)
+                self._gates[name] = gate
+        if gate.limit != limit:
+            gate.set_limit(limit)
+        return gate
+
+
+class Instance:
+    """One entry instance.
+
+    Args:
+        cfg: Its settings.
+        log_adapter: The platform's log; by default as the settings name it.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        log_adapter: log.LogAdapter | None = None,
+    ):
+        self.cfg = cfg
+        self.metrics = metric_sets.Metrics()
+        self.ongoing = lifecycle.Ongoing()
+        self._stopping = threading.Event()
+        self._stopped = threading.Event()
+        self._clock = clocks.Clock()
+        self.log = log_adapter or log.HttpLogAdapter(cfg.log_url)
+        self._build_catalogue()
+        self._build_membership()
+        self._build_pipelines()
+        self._build_orders()
+        self._build_limits()
+        self._build_exchange()
+        self._build_listeners()
+        self._add_gauges()
+
+    def view(self) -> followers.View:
+        """Returns the current catalogue."""
+        return self.follower.view
+
+    @property
+    def caller_url(self) -> str:
+        """Base URL for callers."""
+        return self.caller_server.url
+
+    @property
+    def admin_url(self) -> str:
+        """Base URL for operators."""
+        return self.admin_server.url
+
+    @property
+    def peer_address(self) -> str:
+        """`host:port` for other instances."""
+        return self._listener.address
+
+    def start(self) -> None:
+        """Starts all parts; the instance is ready a little later."""
+        self._listener.start()
+        self.follower.start()
+        self.watchdog.start()
+        self.gossip.start()
+        self.sampler.start()
+        self.limiter.start()
+        self.snapshots.start()
+        self.admin_server.start()
+        self.caller_server.start()
+        threading.Thread(
+            target=self._run_housekeeping, name="housekeeping", daemon=True
+        ).start()
+        logging.info(
+            "started instance=%s callers=%s admin=%s peers=%s",
+            self.cfg.instance,
+            self.caller_url,
+            self.admin_url,
+            self.peer_address,
+        )
+
+    def wait_ready(self, timeout_s: float) -> bool:
+        """Waits until the instance serves callers."""
+        deadline = time.monotonic() + timeout_s
+        if not self.follower.caught_up.wait(timeout_s):
+            return False
+        while self.ongoing.stage is lifecycle.Stage.STARTING:
+            if time.monotonic() > deadline:
+                return False
+            self._stopping.wait(_READY_POLL_S)
+        return True
+
+    def drain(self) -> bool:
+        """Stops as planned; returns whether every request was finished."""
+        deadline = time.monotonic() + self.cfg.drain_grace_s
+        self.ongoing.set_stage(lifecycle.Stage.LEAVING)
+        self.members.announce(state=member_tables.MemberState.LEAVING)
+        # The balancer needs time to see that the instance is not ready.
+        self._stopping.wait(
+            min(self.cfg.drain_notice_s, self.cfg.drain_grace_s)
+        )
+        self.ongoing.set_stage(lifecycle.Stage.DRAINING)
+        is_empty = self.ongoing.wait_empty(
+            max(0.0, deadline - time.monotonic())
+        )
+        is_flushed = self.partitions.flush(
+            max(1.0, deadline - time.monotonic())
+        )
+        logging.info(
+            "drained instance=%s finished=%s flushed=%s",
+            self.cfg.instance,
+            is_empty,
+            is_flushed,
+        )
+        self.stop()
+        return is_empty and is_flushed
+
+    def request_drain(self) -> None:
+        """Starts a planned stop on a thread of its own."""
+        threading.Thread(target=self.drain, name="drain", daemon=True).start()
+
+    def wait_stopped(self, timeout_s: float | None = None) -> bool:
+        """Waits until the instance has stopped."""
+        return self._stopped.wait(timeout_s)
+
+    def pause(self, seconds: float) -> None:
+        """Waits, but not beyond the stop of the instance."""
+        self._stopping.wait(seconds)
+
+    def stop(self) -> None:
+        """Stops all parts at once."""
+        self.ongoing.set_stage(lifecycle.Stage.STOPPED)
+        self._halt()
+        self.caller_server.stop()
+        self.admin_server.stop()
+        self._stopped.set()
+
+    def kill(self) -> None:
+        """Resets every connection and stops, as a crash would."""
+        self.caller_server.cut()
+        self.admin_server.cut()
+        self.ongoing.set_stage(lifecycle.Stage.STOPPED)
+        self._halt()
+        for server in (self.caller_server, self.admin_server):
+            threading.Thread(target=server.stop, daemon=True).start()
+
+    def _halt(self) -> None:
+        self._stopping.set()
+        self.gossip.stop()
+        self.sampler.stop()
+        self.limiter.stop()
+        self.snapshots.stop()
+        self._listener.stop()
+        self.peers.close()
+        self.partitions.stop()
+        self.follower.stop()
+        self.watchdog.stop()
+        self.relay.close()
+
+    def _build_catalogue(self) -> None:
+        cfg = self.cfg
+        self.follower = followers.Follower(
+            self.log, clock=self._clock, on_change=self._on_catalogue
+        )
+        self.editor = commands.Editor(self.log, self.follower)
+        self.queries = queries.Queries(self.follower)
+        self.snapshots = snapshots.SnapshotWriter(
+            self.log,
+            self.follower,
+            interval_s=cfg.snapshot_s,
+            is_writer=lambda: self._is_chosen(_SNAPSHOT_SUBJECT),
+        )
+
+    def _build_membership(self) -> None:
+        cfg = self.cfg
+        self.counters = links.Counters()
+        security = links.Security(_secrets(cfg), cfg.tls)
+        self._handlers = links.Handlers()
+        self._listener = links.LinkListener(
+            cfg.instance, cfg.peer, security, self._handlers, self.counters
+        )
+        me = member_tables.Member(
+            cfg.instance,
+            self._listener.address,
+            cfg.zone,
+            int(time.time() * 1000),
+        )
+        self.members = member_tables.MemberTable(me, self._clock)
+        self.peers = peers.PeerSet(
+            self.members, security, self._handlers, self.counters
+        )
+        self._listing = (
+            instancelist.HttpInstanceListAdapter(cfg.instance_list_url)
+            if cfg.instance_list_url
+            else instancelist.EmptyInstanceListAdapter()
+        )
+
+    def _build_pipelines(self) -> None:
+        cfg = self.cfg
+        self.engines = AdapterCache(engines.HttpEngineAdapter)
+        self.targets = target_tables.TargetTable(
+            self._clock, lambda: len(self.members.live())
+        )
+        self._link_costs: dict = {}
+        self.planner = planning.Planner(self.targets, self._link_cost)
+        self.guard = poison.PoisonGuard(
+            cfg.instance, self._clock, ask=self._ask_suspicion
+        )
+        self.watchdog = streams.Watchdog(self.targets, self.engines.get)
+        self.relay = relays.Relay(
+            self.planner,
+            self.targets,
+            self.watchdog,
+            self.guard,
+            self.engines.get,
+            self._link_cost,
+        )
+        self.codec = cursors.CursorCodec(_secrets(cfg), cfg.cursor_ttl_s)
+
+    def _build_orders(self) -> None:
+        cfg = self.cfg
+        self.services = AdapterCache(services.HttpServiceAdapter)
+        self.partitions = partitions.PartitionSet(self.log, cfg.clock_skew_s)
+        self.sequencer = sequencer.Sequencer(
+            cfg.instance, self.partitions, self.peers
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            cfg.instance,
+            self.sequencer,
+            self.targets,
+            self.services.get,
+            self.members.is_live,
+            cfg.clock_skew_s,
+        )
+
+    def _build_limits(self) -> None:
+        self.limiter = clients.ClientLimiter(
+            self.cfg.instance,
+            self._client_limits,
+            self.members.live,
+            lambda: len(self.members.all()),
+            self.peers,
+            self._clock,
+        )
+        self.gates = Gates()
+        self.estimator = admission.Estimator(self.planner, self.targets)
+
+    def _build_exchange(self) -> None:
+        self.gossip = gossip.Gossip(
+            self.members,
+            self.peers,
+            self.targets,
+            self.guard,
+            self._listing,
+            self.follower,
+            self.cfg.membership,
+        )
+        self.sampler = sampler.Sampler(
+            self.cfg.instance,
+            self.members.live,
+            self.view,
+            self.engines.get,
+            self.targets,
+            self.gossip,
+        )
+        add = self._handlers.add
+        add("gossip", gossip.Exchange, self.gossip.handle_exchange)
+        add("members", str, self.gossip.handle_members)
+        add("poison", poison.Suspicion, self.gossip.handle_suspicion)
+        add("poison.ask", str, self._answer_suspicion)
+        add("catalogue.pull", followers.PullCall, self.follower.handle_pull)
+        add("orders.claim", sequencer.ClaimCall, self.sequencer.handle_claim)
+        add("orders.submit", sequencer.SubmitCall, self.sequencer.handle_submit)
+        add("orders.wait", sequencer.WaitCall, self.sequencer.handle_wait)
+        add("limits.demand", shares.DemandCall, self.limiter.handle_demand)
+
+    def _build_listeners(self) -> None:
+        cfg = self.cfg
+        routes = httpserver.Router()
+        handler = completions.CompletionHandler(self)
+        routes.add("POST", "/v1/completions", handler.handle)
+        calls = servicecalls.ServiceHandler(self)
+        routes.add("*", "/services/{entry}/{path*}", calls.handle)
+        self.caller_server = httpserver.HttpServer(
+            cfg.caller.host,
+            cfg.caller.port,
+            routes.handle,
+            name="callers",
+            max_body=cfg.max_body_bytes,
+            on_error=lambda exc: self.metrics.errors.inc(),
+        )
+        self.admin_server = httpserver.HttpServer(
+            cfg.admin.host,
+            cfg.admin.port,
+            admin.AdminHandler(self).routes().handle,
+            name="admin",
+            on_error=lambda exc: self.metrics.errors.inc(),
+        )
+
+    def _add_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge(
+            "briarfall_ongoing",
+            "Requests in progress.",
+            lambda: self.ongoing.count,
+        )
+        gauge(
+            "briarfall_catalogue_offset",
+            "Catalogue offset in force.",
+            lambda: self.follower.next_offset,
+        )
+        gauge(
+            "briarfall_log_up",
+            "Whether the configuration log answers.",
+            lambda: float(self.follower.log_up),
+        )
+        gauge(
+            "briarfall_instances",
+            "Live instances.",
+            lambda: len(self.members.live()),
+        )
+        gauge(
+            "briarfall_tokens_dropped",
+            "Tokens not accepted: stale, repeated or with a broken trace.",
+            lambda: self.relay.dropped,
+        )
+        gauge(
+            "briarfall_peer_bytes_sent",
+            "Bytes sent to instances.",
+            lambda: self.counters.sent_bytes,
+        )
+        gauge(
+            "briarfall_peer_bytes_received",
+            "Bytes received from instances.",
+            lambda: self.counters.received_bytes,
+        )
+
+    def _on_catalogue(self, view: followers.View) -> None:
+        costs = {}
+        for topology in view.of_kind(entries.Topology).values():
+            for link in topology.links:
+                cost = policies.LinkCost(link.delay_s, link.bytes_per_s)
+                costs[(link.a, link.b)] = cost
+                costs[(link.b, link.a)] = cost
+        self._link_costs = costs
+        self.members.announce(applied=view.offset)
+
+    def _link_cost(self, src: str, dst: str) -> policies.LinkCost:
+        return self._link_costs.get((src, dst)) or policies.LinkCost()
+
+    def _client_limits(self, client: str) -> entries.ClientLimits | None:
+        value = self.view().values.get(client)
+        return value.limits if isinstance(value, entries.Client) else None
+
+    def _is_chosen(self, subject: str) -> bool:
+        chosen = rendezvous.choose(subject, self.members.live())
+        return chosen == self.cfg.instance
+
+    def _ask_suspicion(self, peer: str, fingerprint: str):
+        try:
+            found = self.peers.call(
+                peer,
+                "poison.ask",
+                fingerprint,
+                list[poison.Suspicion],
+                _ASK_TIMEOUT_S,
+            )
+        except Exception as exc:
+            logging.info("suspicion of %s: %s", fingerprint, exc)
+            return None
+        return found[0] if found else None
+
+    def _answer_suspicion(self, fingerprint: str) -> list[poison.Suspicion]:
+        found = self.guard.lookup(fingerprint)
+        return [found] if found else []
+
+    def _run_housekeeping(self) -> None:
+        self.follower.caught_up.wait()
+        if self.ongoing.stage is lifecycle.Stage.STARTING:
+            self.ongoing.set_stage(lifecycle.Stage.READY)
+        while not self._stopping.wait(_HOUSEKEEPING_S):
+            self.partitions.close_idle(_PARTITION_IDLE_S)
+
+
+def _secrets(cfg: settings.Settings) -> list[str]:
+    if cfg.previous_secret:
+        return [cfg.secret, cfg.previous_secret]
+    return [cfg.secret]
--- /dev/null
+++ b/src/briarfall/httpclient.py
@@ -0,0 +1,107 @@
+"""HTTP calls over urllib3 with typed errors and explicit timeouts."""
+
+import msgspec
+import urllib3
+from urllib3 import exceptions as urllib3_exceptions
+
+from briarfall import exceptions
+
+CONNECT_TIMEOUT_S = 1.0
+_POOL_SIZE = 64
+
+
+class Reply(msgspec.Struct):
+    """A complete HTTP response."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str] = {}
+
+
+class HttpClient:
+    """Calls one base URL over pooled connections.
+
+    Args:
+        base_url: Scheme, IP number and port.
+        keep_alive: False opens a connection for each call, which makes a
+            refused connection proof that nothing was sent.
+    """
+
+    def __init__(self, base_url: str, *, keep_alive: bool = True):
+        self.base_url = base_url.rstrip("/")
+        self._headers = {} if keep_alive else {"Connection": "close"}
+        self._keep_alive = keep_alive
+        self._pool = self._new_pool()
+
+    def _new_pool(self):
+        return urllib3.connection_from_url(
+            self.base_url, maxsize=_POOL_SIZE, block=False, retries=False
+        )
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Sends a call and returns the whole response.
+
+        Raises:
+            TargetUnreachableError: No byte can have been sent.
+            TargetError: The call failed; it may have been executed.
+        """
+        resp = self.open(
+            method, path, timeout_s=timeout_s, body=body, headers=headers
+        )
+        try:
+            data = resp.read()
+        except (urllib3_exceptions.HTTPError, OSError) as exc:
+            resp.close()
+            raise exceptions.TargetError(
+                f"{self.base_url}: response cut off: {exc}"
+            ) from exc
+        resp.release_conn()
+        return Reply(resp.status, data, dict(resp.headers))
+
+    def open(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Sends a call and returns the response with its body unread."""
+        pool = self._pool if self._keep_alive else self._new_pool()
+        timeout = urllib3.Timeout(
+            connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
+        )
+        try:
+            return pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers={**self._headers, **(headers or {})},
+                timeout=timeout,
+                preload_content=False,
+                retries=False,
+            )
+        except (
+            urllib3_exceptions.NewConnectionError,
+            urllib3_exceptions.ConnectTimeoutError,
+        ) as exc:
+            raise exceptions.TargetUnreachableError(
+                f"{self.base_url}: cannot connect: {exc}"
+            ) from exc
+        except (urllib3_exceptions.HTTPError, OSError) as exc:
+            raise exceptions.TargetError(
+                f"{self.base_url}: call failed: {exc}"
+            ) from exc
+
+    def close(self) -> None:
+        """Closes pooled connections."""
+        self._pool.close()
--- /dev/null
+++ b/src/briarfall/ids.py
@@ -0,0 +1,15 @@
+"""Identifiers as distinct types, so that a checker can tell them apart."""
+
+import typing
+
+InstanceId = typing.NewType("InstanceId", str)
+ZoneId = typing.NewType("ZoneId", str)
+ClientId = typing.NewType("ClientId", str)
+TargetId = typing.NewType("TargetId", str)
+EntryName = typing.NewType("EntryName", str)
+EditId = typing.NewType("EditId", str)
+RequestId = typing.NewType("RequestId", str)
+IdempotencyKey = typing.NewType("IdempotencyKey", str)
+Nonce = typing.NewType("Nonce", str)
+Offset = typing.NewType("Offset", int)
+Fingerprint = typing.NewType("Fingerprint", str)
--- /dev/null
+++ b/src/briarfall/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits, admission, retries and circuit breaking."""
--- /dev/null
+++ b/src/briarfall/limits/admission.py
@@ -0,0 +1,158 @@
+"""Refuses at once what would miss its deadline, and queues by class."""
+
+import threading
+import time
+
+from briarfall import exceptions
+from briarfall.catalogue import entries
+from briarfall.pipelines import models
+from briarfall.pipelines import planning
+from briarfall.pipelines import policies
+from briarfall.pipelines import targets as target_tables
+
+AGING_S = 5.0
+MAX_WAITING = 64
+_RANKS = {
+    entries.Priority.INTERACTIVE: 0,
+    entries.Priority.STANDARD: 1,
+    entries.Priority.BATCH: 2,
+}
+# Share of the deadline that the estimate may fill; what is left absorbs
+# errors of the estimate, and less urgent classes are shed first.
+_DEADLINE_SHARES = {
+    entries.Priority.INTERACTIVE: 0.85,
+    entries.Priority.STANDARD: 0.75,
+    entries.Priority.BATCH: 0.6,
+}
+
+
+class Estimator:
+    """Estimates how long an answer would take now.
+
+    Args:
+        planner: Plans the route that the answer would take.
+        table: States of the targets.
+    """
+
+    def __init__(
+        self, planner: planning.Planner, table: target_tables.TargetTable
+    ):
+        self._planner = planner
+        self._table = table
+
+    def estimate_s(self, req: models.StreamRequest) -> tuple[float, float]:
+        """Returns the seconds to the first and to the last token."""
+        route_req = policies.RouteRequest(req.model, req.prompt_tokens)
+        route = self._planner.plan(route_req)
+        first_s = self._planner.first_token_s(route_req, route)
+        by_id = {target.id: target for target in req.model.targets}
+        step_s = 0.0
+        slowest_s = 0.0
+        for hop in route:
+            target = by_id[hop.target]
+            load = self._table.load(hop.target) + 1
+            step_s += target.step_s
+            slowest_s = max(slowest_s, load / target.tokens_per_s)
+        gap_s = max(step_s, slowest_s)
+        return first_s, first_s + gap_s * req.max_tokens
+
+    def check(self, req: models.StreamRequest) -> None:
+        """Refuses a request whose answer would come too late.
+
+        Raises:
+            OverloadError: With the time after which to come back.
+        """
+        first_s, total_s = self.estimate_s(req)
+        left_s = req.deadline_s - time.monotonic()
+        share = _DEADLINE_SHARES[req.priority]
+        if total_s <= left_s * share:
+            return
+        raise exceptions.OverloadError(
+            f"the answer would take about {total_s:.1f} s, the deadline "
+            f"leaves {left_s:.1f} s",
+            retry_after_s=min(30.0, max(1.0, total_s - left_s * share)),
+        )
+
+
+class _Waiting:
+    """One request in the queue."""
+
+    def __init__(self, priority: entries.Priority, since_s: float):
+        self.rank = _RANKS[priority]
+        self.since_s = since_s
+        self.admitted = False
+        self.shed = False
+
+    def order(self, now: float) -> float:
+        """Returns the effective rank, which falls with the waiting time."""
+        return self.rank - (now - self.since_s) / AGING_S
+
+
+class Gate:
+    """Lets a number of requests run at once; the others wait by class.
+
+    Args:
+        limit: Requests that run at once.
+        max_waiting: Requests that may wait; beyond it the least urgent
+            one is refused.
+    """
+
+    def __init__(self, limit: int, max_waiting: int = MAX_WAITING):
+        self.limit = limit
+        self._max_waiting = max_waiting
+        self._running = 0
+        self._waiting: list[_Waiting] = []
+        self._changed = threading.Condition()
+
+    def enter(self, priority: entries.Priority, deadline_s: float) -> None:
+        """Waits for a place until a monotonic deadline.
+
+        Raises:
+            OverloadError: The queue is full, or the deadline passed.
+        """
+        now = time.monotonic()
+        with self._changed:
+            if self._running < self.limit and not self._waiting:
+                self._running += 1
+                return
+            waiting = _Waiting(priority, now)
+            self._waiting.append(waiting)
+            self._shed(now)
+            self._changed.wait_for(
+                lambda: waiting.admitted or waiting.shed,
+                max(0.0, deadline_s - now),
+            )
+            if waiting.admitted:
+                return
+            if waiting in self._waiting:
+                self._waiting.remove(waiting)
+        raise exceptions.OverloadError("too many requests wait")
+
+    def leave(self) -> None:
+        """Frees a place for the request with the best effective rank."""
+        with self._changed:
+            self._running -= 1
+            self._admit()
+
+    def set_limit(self, limit: int) -> None:
+        """Changes the number of places."""
+        with self._changed:
+            self.limit = limit
+            self._admit()
+
+    def _admit(self) -> None:
+        now = time.monotonic()
+        while self._waiting and self._running < self.limit:
+            best = min(self._waiting, key=lambda w: w.order(now))
+            self._waiting.remove(best)
+            best.admitted = True
+            self._running += 1
+        self._changed.notify_all()
+
+    def _shed(self, now: float) -> None:
+        if len(self._waiting) <= self._max_waiting:
+            return
+        worst = max(self._waiting, key=lambda w: (w.order(now), w.since_s))
+        worst.shed = True
+        self._waiting.remove(worst)
+        self._changed.notify_all()
--- /dev/null
+++ b/src/briarfall/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Instances, their links, gossip and leases."""
--- /dev/null
+++ b/src/briarfall/membership/gossip.py
@@ -0,0 +1,383 @@
+"""Heartbeats and gossip over a bounded number of links."""
+
+import collections
+import threading
+import time
+
+from absl import logging
+import msgspec
+
+from briarfall import exceptions
+from briarfall.adapters import engine as engines
+from briarfall.adapters import instancelist
+from briarfall.membership import peers as peer_sets
+from briarfall.membership import table as tables
+from briarfall.pipelines import poison
+from briarfall.pipelines import targets as target_tables
+
+_MAX_MEMBERS = 64
+_MAX_LOADS = 16
+_CALL_TIMEOUT_S = 1.0
+_SYNC_INTERVAL_S = 5.0
+_LEAVING_TTL_S = 4.0
+_LEAVING_REPEAT_S = 1.0
+_PULL_LIMIT = 500
+
+
+class LoadDigest(msgspec.Struct, array_like=True):
+    """Load of a target as gossip carries it; the age grows on the way."""
+
+    target: str
+    running: int
+    age_ms: int
+
+
+class LeavingNotice(msgspec.Struct, array_like=True):
+    """A target that some instance has first-hand news of leaving."""
+
+    target: str
+    origin: str
+    sequence: int
+
+
+class Exchange(msgspec.Struct, array_like=True):
+    """One heartbeat: what the receiver may not know yet.
+
+    Attributes:
+        sender: Name of the sending instance.
+        applied: Catalogue offset that the sender has in force.
+        digest: Digest of the sender's member table.
+        members: Members that changed.
+        loads: Loads of targets that changed.
+        leaving: Targets that leave.
+        suspicions: Requests that crash targets.
+    """
+
+    sender: str
+    applied: int
+    digest: int
+    members: list[tables.Member] = []
+    loads: list[LoadDigest] = []
+    leaving: list[LeavingNotice] = []
+    suspicions: list[poison.Suspicion] = []
+
+
+class _Outbox:
+    """What one neighbour has not been told yet; newer news replace older."""
+
+    def __init__(self):
+        self.members: dict[str, tables.Member] = {}
+        self.loads: collections.OrderedDict[str, tuple] = (
+            collections.OrderedDict()
+        )
+        self.leaving: dict[str, LeavingNotice] = {}
+        self.suspicions: dict[str, poison.Suspicion] = {}
+
+
+class Gossip:
+    """Exchanges news with neighbours and watches whether they live.
+
+    Args:
+        members: The member table.
+        peers: Links to peers.
+        table: States of targets.
+        guard: Knows requests that crash targets.
+        listing: The platform's instance list.
+        follower: The catalogue follower.
+        cfg: Timing.
+    """
+
+    def __init__(self, members, peers, table, guard, listing, follower, cfg):
+        self._members: tables.MemberTable = members
+        self._peers: peer_sets.PeerSet = peers
+        self._table: target_tables.TargetTable = table
+        self._guard: poison.PoisonGuard = guard
+        self._listing: instancelist.InstanceListAdapter = listing
+        self._follower = follower
+        self._cfg = cfg
+        self._lock = threading.Lock()
+        self._outboxes: dict[str, _Outbox] = {}
+        self._heard_s: dict[str, float] = {}
+        self._synced_s: dict[str, float] = {}
+        self._mismatches: collections.Counter = collections.Counter()
+        self._leaving: dict[str, tuple[LeavingNotice, float]] = {}
+        self._listed_leaving: set[str] = set()
+        self._sequence = 0
+        self._stopping = threading.Event()
+        self._urgent = threading.Event()
+        members.on_change = self._on_member
+        guard.tell = self._on_suspicion
+
+    def start(self) -> None:
+        """Starts the gossip and the listing thread."""
+        for target in (self._run, self._run_listing):
+            threading.Thread(
+                target=target, name=target.__name__, daemon=True
+            ).start()
+
+    def stop(self) -> None:
+        """Stops both threads."""
+        self._stopping.set()
+        self._urgent.set()
+
+    def neighbours(self) -> list[str]:
+        """Returns the members that this instance keeps links to.
+
+        The members form a ring by name; chords at doubling distances keep
+        the way between any two short with a bounded number of links.
+        """
+        names = [
+            m.id
+            for m in self._members.all()
+            if m.state is not tables.MemberState.DEAD
+        ]
+        names.sort()
+        me = names.index(self._members.me.id)
+        chosen: list[str] = []
+        distance = 1
+        while distance < len(names) and len(chosen) < self._cfg.max_links:
+            peer = names[(me + distance) % len(names)]
+            if peer not in chosen:
+                chosen.append(peer)
+            step = max(2, round(len(names) ** (1 / self._cfg.max_links)))
+            distance *= step
+        return chosen
+
+    def note_load(self, target: str, report: engines.LoadReport) -> None:
+        """Spreads a load report that this instance fetched itself."""
+        taken_s = time.monotonic() - report.age_s
+        running = report.running + report.waiting
+        with self._lock:
+            for outbox in self._outboxes.values():
+                outbox.loads[target] = (running, taken_s)
+        if report.leaving:
+            self._announce_leaving(target)
+
+    def handle_exchange(self, message: Exchange) -> Exchange:
+        """Serves a neighbour's heartbeat."""
+        self._take(message)
+        return self._compose(message.sender, message.digest)
+
+    def handle_members(self, _: str) -> list[tables.Member]:
+        """Serves the whole member table."""
+        return self._members.all()
+
+    def handle_suspicion(self, suspicion: poison.Suspicion) -> None:
+        """Takes urgent news of a request that crashes targets."""
+        if self._guard.learn(suspicion):
+            self._on_suspicion(suspicion)
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            started = time.monotonic()
+            neighbours = self.neighbours()
+            self._trim_outboxes(neighbours)
+            for peer in neighbours:
+                self._beat(peer)
+            self._members.advance(self._cfg.suspect_s)
+            self._expire_leaving()
+            self._peers.close_idle(set(neighbours))
+            spent_s = time.monotonic() - started
+            self._stopping.wait(max(0.0, self._cfg.heartbeat_s - spent_s))
+
+    def _beat(self, peer: str) -> None:
+        message = self._compose(peer, 0)
+        try:
+            answer = self._peers.call(
+                peer, "gossip", message, Exchange, _CALL_TIMEOUT_S
+            )
+        except exceptions.BriarfallError as exc:
+            self._restore(peer, message)
+            self._note_silence(peer, exc)
+            return
+        self._take(answer)
+        self._sync_if_different(peer, answer.digest)
+        self._pull_if_behind(peer, answer.applied)
+
+    def _note_silence(self, peer: str, exc: Exception) -> None:
+        now = time.monotonic()
+        silent_s = now - self._heard_s.setdefault(peer, now)
+        if silent_s > self._cfg.suspect_s:
+            logging.info("peer %s is silent: %s", peer, exc)
+            self._members.suspect(peer)
+
+    def _outbox(self, peer: str) -> _Outbox:
+        outbox = self._outboxes.get(peer)
+        if outbox is None:
+            outbox = self._outboxes.setdefault(peer, _Outbox())
+        return outbox
+
+    def _trim_outboxes(self, neighbours: list[str]) -> None:
+        """Forgets peers that neither side keeps a link to any more."""
+        now = time.monotonic()
+        with self._lock:
+            for peer in list(self._outboxes):
+                if peer in neighbours:
+                    continue
+                heard_s = self._heard_s.get(peer, float("-inf"))
+                if now - heard_s > 2 * self._cfg.suspect_s:
+                    del self._outboxes[peer]
+
+    def _compose(self, peer: str, their_digest: int) -> Exchange:
+        now = time.monotonic()
+        with self._lock:
+            outbox = self._outbox(peer)
+            message = Exchange(
+                self._members.me.id,
+                self._follower.next_offset,
+                self._members.digest(),
+                _drain(outbox.members, _MAX_MEMBERS),
+                [],
+                _drain(outbox.leaving, _MAX_LOADS),
+                _drain(outbox.suspicions, _MAX_LOADS),
+            )
+            while outbox.loads and len(message.loads) < _MAX_LOADS:
+                target, (running, taken_s) = outbox.loads.popitem(last=False)
+                age_ms = int((now - taken_s) * 1000)
+                message.loads.append(LoadDigest(target, running, age_ms))
+        return message
+
+    def _restore(self, peer: str, message: Exchange) -> None:
+        """Keeps news whose delivery failed, unless there are newer ones."""
+        with self._lock:
+            outbox = self._outbox(peer)
+            for member in message.members:
+                outbox.members.setdefault(member.id, member)
+            for notice in message.leaving:
+                outbox.leaving.setdefault(notice.target, notice)
+            for suspicion in message.suspicions:
+                outbox.suspicions.setdefault(suspicion.fingerprint, suspicion)
+
+    def _take(self, message: Exchange) -> None:
+        self._heard_s[message.sender] = time.monotonic()
+        for member in message.members:
+            self._members.learn(member)
+        for digest in message.loads:
+            self._take_load(message.sender, digest)
+        for notice in message.leaving:
+            self._take_leaving(notice)
+        for suspicion in message.suspicions:
+            self.handle_suspicion(suspicion)
+
+    def _take_load(self, sender: str, digest: LoadDigest) -> None:
+        taken_s = time.monotonic() - digest.age_ms / 1000
+        if self._table.status(digest.target).report_s >= taken_s:
+            return
+        self._table.note_gossip(digest.target, digest.running, taken_s)
+        with self._lock:
+            for peer, outbox in self._outboxes.items():
+                if peer != sender:
+                    outbox.loads[digest.target] = (digest.running, taken_s)
+
+    def _take_leaving(self, notice: LeavingNotice) -> None:
+        now = time.monotonic()
+        with self._lock:
+            known = self._leaving.get(notice.target)
+            if known is not None and known[0].origin == notice.origin:
+                if known[0].sequence >= notice.sequence:
+                    return
+            self._leaving[notice.target] = (notice, now + _LEAVING_TTL_S)
+            for outbox in self._outboxes.values():
+                outbox.leaving[notice.target] = notice
+        self._table.set_leaving(notice.target, "gossip", True)
+
+    def _announce_leaving(self, target: str) -> None:
+        with self._lock:
+            known = self._leaving.get(target)
+            if known is not None:
+                left_s = known[1] - time.monotonic()
+                if left_s > _LEAVING_TTL_S - _LEAVING_REPEAT_S:
+                    return
+            self._sequence += 1
+            sequence = self._sequence
+        self._take_leaving(LeavingNotice(target, self._members.me.id, sequence))
+
+    def _expire_leaving(self) -> None:
+        now = time.monotonic()
+        for target in self._listed_leaving:
+            self._announce_leaving(target)
+        with self._lock:
+            gone = [t for t, (_, until) in self._leaving.items() if until < now]
+            for target in gone:
+                del self._leaving[target]
+        for target in gone:
+            self._table.set_leaving(target, "gossip", False)
+
+    def _on_member(self, member: tables.Member) -> None:
+        with self._lock:
+            for outbox in self._outboxes.values():
+                outbox.members[member.id] = member
+
+    def _on_suspicion(self, suspicion: poison.Suspicion) -> None:
+        """Tells neighbours at once; they pass it on."""
+        for peer in self.neighbours():
+            try:
+                self._peers.cast(peer, "poison", suspicion)
+            except exceptions.PeerError:
+                with self._lock:
+                    outbox = self._outbox(peer)
+                    outbox.suspicions[suspicion.fingerprint] = suspicion
+
+    def _sync_if_different(self, peer: str, digest: int) -> None:
+        if digest == self._members.digest():
+            self._mismatches[peer] = 0
+            return
+        self._mismatches[peer] += 1
+        now = time.monotonic()
+        synced_s = self._synced_s.get(peer)
+        if synced_s is not None:
+            if self._mismatches[peer] < 2 or now - synced_s < _SYNC_INTERVAL_S:
+                return
+        self._synced_s[peer] = now
+        try:
+            members = self._peers.call(
+                peer, "members", "", list[tables.Member], _CALL_TIMEOUT_S
+            )
+        except exceptions.BriarfallError:
+            return
+        for member in members:
+            self._members.learn(member)
+
+    def _pull_if_behind(self, peer: str, applied: int) -> None:
+        """Fetches catalogue records that a peer has and the log withholds."""
+        if applied <= self._follower.next_offset:
+            return
+        if self._follower.wait_offset(applied, 0.1):
+            return
+        try:
+            self._follower.pull(
+                lambda method, message, kind: self._peers.call(
+                    peer, method, message, kind, _CALL_TIMEOUT_S
+                ),
+                _PULL_LIMIT,
+            )
+        except exceptions.BriarfallError as exc:
+            logging.info("pull from %s: %s", peer, exc)
+
+    def _run_listing(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                self._read_listing()
+            except exceptions.BriarfallError as exc:
+                logging.log_every_n_seconds(
+                    logging.WARNING, "instance list: %s", 30, exc
+                )
+            self._stopping.wait(self._cfg.poll_s)
+
+    def _read_listing(self) -> None:
+        leaving = set()
+        for listed in self._listing.fetch():
+            if listed.address:
+                self._members.learn_listed(listed)
+            elif listed.state is instancelist.ListedState.LEAVING:
+                leaving.add(listed.id)
+        for target in leaving:
+            self._table.set_leaving(target, "list", True)
+        for target in self._listed_leaving - leaving:
+            self._table.set_leaving(target, "list", False)
+        self._listed_leaving = leaving
+
+
+def _drain(box: dict, limit: int) -> list:
+    keys = list(box)[:limit]
+    return [box.pop(key) for key in keys]
--- /dev/null
+++ b/src/briarfall/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent calls, executed at most once."""
--- /dev/null
+++ b/src/briarfall/orders/sequencer.py
@@ -0,0 +1,203 @@
+"""Takes claims to the instance that groups them for a partition.
+
+The owner saves appends; it does not make claims safe. When it cannot be
+reached, this instance appends by itself, with the same nonce.
+"""
+
+import abc
+import time
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall import hashing
+from briarfall import ids
+from briarfall.catalogue import entries
+from briarfall.membership import rendezvous
+from briarfall.orders import claims
+from briarfall.orders import partitions
+
+_FORWARD_SLACK_S = 0.5
+_OWNER_SHARE = 0.5
+
+
+class ClaimCall(msgspec.Struct):
+    """A claim as it is sent to a partition's owner."""
+
+    service: str
+    partition: int
+    window_s: float
+    claim: claims.Claim
+    timeout_s: float
+
+
+class SubmitCall(msgspec.Struct):
+    """An operation that needs no answer."""
+
+    service: str
+    partition: int
+    window_s: float
+    operation: claims.Operation
+
+
+class WaitCall(msgspec.Struct):
+    """Asks for the state of a key once it is settled."""
+
+    service: str
+    partition: int
+    window_s: float
+    key: str
+    timeout_s: float
+
+
+class WaitResult(msgspec.Struct):
+    """The state of a key."""
+
+    state: claims.ClaimState | None
+
+
+class Directory(abc.ABC):
+    """What the sequencer needs to know and reach among instances."""
+
+    @abc.abstractmethod
+    def live(self) -> list[ids.InstanceId]:
+        """Returns the live instances, this one included."""
+
+    @abc.abstractmethod
+    def call(self, peer: ids.InstanceId, method: str, message, kind, timeout_s):
+        """Calls a peer.
+
+        Raises:
+            PeerError: The peer did not answer.
+        """
+
+
+class AloneDirectory(Directory):
+    """An instance without peers."""
+
+    def __init__(self, instance: ids.InstanceId):
+        self._instance = instance
+
+    def live(self) -> list[ids.InstanceId]:
+        """Returns this instance."""
+        return [self._instance]
+
+    def call(self, peer, method, message, kind, timeout_s):
+        """Refuses, as there is no peer."""
+        raise exceptions.PeerError(f"no peer {peer}")
+
+
+class Sequencer:
+    """Claims keys by way of their partition's owner."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        opened: partitions.PartitionSet,
+        directory: Directory,
+    ):
+        self._instance = instance
+        self._partitions = opened
+        self._directory = directory
+
+    def partition_of(self, service: entries.Service, key: str) -> int:
+        """Returns the partition of a key."""
+        return hashing.digest64(key) % service.partitions
+
+    def owner(self, name: str, number: int) -> ids.InstanceId:
+        """Returns the instance that groups the claims of a partition."""
+        return rendezvous.choose(f"{name}.{number}", self._directory.live())
+
+    def claim(
+        self,
+        name: str,
+        service: entries.Service,
+        claim: claims.Claim,
+        timeout_s: float,
+    ) -> partitions.ClaimResult:
+        """Returns the log's decision on a claim.
+
+        Raises:
+            LogUnavailableError: There is no decision yet.
+        """
+        deadline = time.monotonic() + timeout_s
+        number = self.partition_of(service, claim.key)
+        owner = self.owner(name, number)
+        if owner != self._instance:
+            wait_s = timeout_s * _OWNER_SHARE
+            call = ClaimCall(name, number, service.window_s, claim, wait_s)
+            try:
+                return self._directory.call(
+                    owner,
+                    "orders.claim",
+                    call,
+                    partitions.ClaimResult,
+                    wait_s + _FORWARD_SLACK_S,
+                )
+            except (exceptions.PeerError, exceptions.LogUnavailableError):
+                pass
+        partition = self._partitions.get(name, number, service.window_s)
+        return partition.claim(claim, max(0.0, deadline - time.monotonic()))
+
+    def submit(
+        self,
+        name: str,
+        service: entries.Service,
+        operation: claims.Operation,
+    ) -> None:
+        """Puts an operation on the log in the background."""
+        number = self.partition_of(service, operation.key)
+        owner = self.owner(name, number)
+        if owner != self._instance:
+            call = SubmitCall(name, number, service.window_s, operation)
+            try:
+                self._directory.call(
+                    owner, "orders.submit", call, None, _FORWARD_SLACK_S
+                )
+                return
+            except exceptions.PeerError:
+                pass
+        self._partitions.get(name, number, service.window_s).submit(operation)
+
+    def wait_done(
+        self, name: str, service: entries.Service, key: str, timeout_s: float
+    ) -> claims.ClaimState | None:
+        """Waits for a key's answer and returns the live claim."""
+        number = self.partition_of(service, key)
+        owner = self.owner(name, number)
+        if owner != self._instance:
+            call = WaitCall(name, number, service.window_s, key, timeout_s)
+            try:
+                result = self._directory.call(
+                    owner,
+                    "orders.wait",
+                    call,
+                    WaitResult,
+                    timeout_s + _FORWARD_SLACK_S,
+                )
+                return result.state
+            except exceptions.PeerError:
+                pass
+        partition = self._partitions.get(name, number, service.window_s)
+        return partition.wait_done(key, timeout_s)
+
+    def handle_claim(self, call: ClaimCall) -> partitions.ClaimResult:
+        """Serves another instance's claim."""
+        partition = self._partitions.get(
+            call.service, call.partition, call.window_s
+        )
+        return partition.claim(call.claim, call.timeout_s)
+
+    def handle_submit(self, call: SubmitCall) -> None:
+        """Serves another instance's operation."""
+        partition = self._partitions.get(
+            call.service, call.partition, call.window_s
+        )
+        partition.submit(call.operation)
+
+    def handle_wait(self, call: WaitCall) -> WaitResult:
+        """Serves another instance's wait."""
+        partition = self._partitions.get(
+            call.service, call.partition, call.window_s
+        )
+        return WaitResult(partition.wait_done(call.key, call.timeout_s))
--- /dev/null
+++ b/src/briarfall/pipelines/__init__.py
@@ -0,0 +1,1 @@
+"""Routes over layer ranges and the streams on them."""
--- /dev/null
+++ b/src/briarfall/pipelines/maxflow.py
@@ -0,0 +1,113 @@
+"""Maximum flow over the layer graph, for weights and for the bound.
+
+Follows the reduction of Helix (ASPLOS 2025): each target is an edge between
+an entering and a leaving vertex whose capacity is its throughput.
+"""
+
+import collections
+
+from briarfall.pipelines import graph as graphs
+
+_EPSILON = 1e-9
+
+
+class FlowNetwork:
+    """A network for Dinic's algorithm with float capacities."""
+
+    def __init__(self):
+        self._heads: list[int] = []
+        self._capacity: list[float] = []
+        self._adjacent: dict[object, list[int]] = collections.defaultdict(list)
+
+    def add(self, src, dst, capacity: float) -> int:
+        """Adds an edge and returns its number."""
+        number = len(self._heads)
+        self._heads += [dst, src]
+        self._capacity += [capacity, 0.0]
+        self._adjacent[src].append(number)
+        self._adjacent[dst].append(number + 1)
+        return number
+
+    def flow(self, number: int) -> float:
+        """Returns the flow over an edge after `maximise`."""
+        return self._capacity[number + 1]
+
+    def maximise(self, source, sink) -> float:
+        """Fills the network and returns the total flow."""
+        total = 0.0
+        while True:
+            levels = self._levels(source, sink)
+            if sink not in levels:
+                return total
+            positions = dict.fromkeys(self._adjacent, 0)
+            while True:
+                pushed = self._push(
+                    source, sink, float("inf"), levels, positions
+                )
+                if pushed <= _EPSILON:
+                    break
+                total += pushed
+
+    def _levels(self, source, sink) -> dict:
+        levels = {source: 0}
+        todo = collections.deque([source])
+        while todo:
+            vertex = todo.popleft()
+            for number in self._adjacent[vertex]:
+                head = self._heads[number]
+                if self._capacity[number] > _EPSILON and head not in levels:
+                    levels[head] = levels[vertex] + 1
+                    todo.append(head)
+        return levels
+
+    def _push(self, vertex, sink, limit, levels, positions) -> float:
+        if vertex == sink:
+            return limit
+        edges = self._adjacent[vertex]
+        while positions[vertex] < len(edges):
+            number = edges[positions[vertex]]
+            head = self._heads[number]
+            room = self._capacity[number]
+            if room > _EPSILON and levels.get(head) == levels[vertex] + 1:
+                pushed = self._push(
+                    head, sink, min(limit, room), levels, positions
+                )
+                if pushed > _EPSILON:
+                    self._capacity[number] -= pushed
+                    self._capacity[number ^ 1] += pushed
+                    return pushed
+            positions[vertex] += 1
+        return 0.0
+
+
+class FlowResult:
+    """Maximum flow of a layer graph.
+
+    Attributes:
+        total: Tokens a second that the graph can carry.
+        weights: Flow on each edge, by boundary and target id.
+    """
+
+    def __init__(self, layer_graph: graphs.LayerGraph):
+        network = FlowNetwork()
+        numbers: dict[tuple[int, str], int] = {}
+        targets = {}
+        for edges in layer_graph.edges.values():
+            for edge in edges:
+                targets[edge.target.id] = edge.target
+        for target in targets.values():
+            network.add(
+                ("in", target.id), ("out", target.id), target.tokens_per_s
+            )
+        for boundary, edges in layer_graph.edges.items():
+            for edge in edges:
+                name = edge.target.id
+                numbers[(boundary, name)] = network.add(
+                    boundary, ("in", name), float(1 << 40)
+                )
+        for target in targets.values():
+            network.add(("out", target.id), target.end, float(1 << 40))
+        self.total = network.maximise(0, layer_graph.layers)
+        self.weights = {
+            key: network.flow(number) for key, number in numbers.items()
+        }
--- /dev/null
+++ b/src/briarfall/pipelines/models.py
@@ -0,0 +1,101 @@
+"""Requests and answers of pipelines as plain data."""
+
+import enum
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall import ids
+from briarfall.catalogue import entries
+
+MAX_SEED = 2**31 - 1
+
+
+class CompletionBody(msgspec.Struct, forbid_unknown_fields=False):
+    """The body of `POST /v1/completions`."""
+
+    model: str
+    prompt: str
+    max_tokens: int = 64
+    seed: int | None = None
+    stream: bool = False
+
+
+class StreamRequest(msgspec.Struct):
+    """A completion, prepared once and then sent as attempts.
+
+    Attributes:
+        id: Identifies the stream over all attempts and instances.
+        client: The client account.
+        model_name: Name of the model's entry.
+        model: The entry itself.
+        prompt: The prompt.
+        max_tokens: Length of the answer.
+        seed: Seed of the sampler.
+        priority: The request's class.
+        deadline_s: Monotonic time at which the caller stops waiting.
+        fingerprint: Identifies the client and the body.
+        resume_index: Tokens that the caller has from another instance.
+        resume_digest: Digest of their text.
+        preferred: Targets that served the stream before, in layer order.
+        caller: The caller's socket, or None.
+    """
+
+    id: ids.RequestId
+    client: ids.ClientId
+    model_name: ids.EntryName
+    model: entries.Model
+    prompt: str
+    max_tokens: int
+    seed: int
+    priority: entries.Priority
+    deadline_s: float
+    fingerprint: ids.Fingerprint = ids.Fingerprint("")
+    resume_index: int = 0
+    resume_digest: int = 0
+    preferred: list[str] = []
+    caller: object | None = None
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimated length of the prompt in tokens."""
+        return max(1, self.prompt.count(" ") + 1)
+
+
+class Cause(enum.Enum):
+    """Why an attempt ended before its last token."""
+
+    TARGET_DIED = "target_died"
+    STALLED = "stalled"
+    MOVED = "moved"
+    CALLER_LEFT = "caller_left"
+    DEADLINE = "deadline"
+    BROKEN = "broken"
+
+
+class Recovered(msgspec.Struct):
+    """Timing of one recovery, in seconds from the last accepted token."""
+
+    cause: Cause
+    detect_s: float
+    plan_s: float
+    resume_s: float
+
+
+def parse_body(data: bytes) -> CompletionBody:
+    """Returns the checked body of a completion request.
+
+    Raises:
+        BadRequestError: The body is malformed; names the field.
+    """
+    try:
+        body = msgspec.json.decode(data, type=CompletionBody)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise exceptions.BadRequestError(f"body: {exc}") from exc
+    if not body.prompt:
+        raise exceptions.BadRequestError("prompt is empty")
+    if body.max_tokens < 1:
+        raise exceptions.BadRequestError("max_tokens must be at least 1")
+    if body.seed is not None and not 0 <= body.seed <= MAX_SEED:
+        raise exceptions.BadRequestError(f"seed is not within [0, {MAX_SEED}]")
+    return body
--- /dev/null
+++ b/src/briarfall/pipelines/planning.py
@@ -0,0 +1,103 @@
+"""Plans routes for all models of an instance."""
+
+import random
+import threading
+
+from briarfall import exceptions
+from briarfall.adapters import engine as engines
+from briarfall.catalogue import entries
+from briarfall.pipelines import graph as graphs
+from briarfall.pipelines import policies
+from briarfall.pipelines import targets as target_tables
+
+_MAX_GRAPHS = 64
+
+
+class Planner:
+    """Chooses routes by each model's policy.
+
+    Args:
+        table: States of the targets.
+        links: Cost of the link between two zones.
+        seed: Seed of random choices.
+    """
+
+    def __init__(
+        self,
+        table: target_tables.TargetTable,
+        links=None,
+        seed: int | None = None,
+    ):
+        self._table = table
+        self._links = links or (lambda src, dst: policies.LinkCost())
+        self._rng = random.Random(seed)
+        self._lock = threading.Lock()
+        self._policies: dict[str, policies.RoutePolicy] = {}
+        self._graphs: dict[tuple, graphs.LayerGraph] = {}
+
+    def plan(self, req: policies.RouteRequest) -> list[engines.Hop]:
+        """Returns a route that covers all layers once, in order.
+
+        Raises:
+            NoRouteError: No chain of usable targets covers the layers.
+        """
+        with self._lock:
+            graph = self._graph(req)
+            policy = self._policy(req.model.policy)
+            path = policy.choose(graph, req)
+        if not path:
+            raise exceptions.NoRouteError("no chain of targets")
+        return graphs.to_route(path)
+
+    def first_token_s(
+        self, req: policies.RouteRequest, route: list[engines.Hop]
+    ) -> float:
+        """Returns the expected time to the first token, in seconds."""
+        by_id = {target.id: target for target in req.model.targets}
+        total_s = 0.0
+        for hop in route:
+            target = by_id[hop.target]
+            load = self._table.load(hop.target)
+            rounds = 1 + load / max(1.0, target.tokens_per_s * target.step_s)
+            total_s += target.step_s * rounds
+            total_s += req.prompt_tokens / target.tokens_per_s * 0.1
+        return total_s
+
+    def _graph(self, req: policies.RouteRequest) -> graphs.LayerGraph:
+        allowed = [t for t in req.model.targets if t.id not in req.banned]
+        usable = self._table.usable(allowed)
+        preferred = [t for t in usable if t.id not in req.avoid]
+        staying = [
+            target
+            for target in allowed
+            if self._table.health(target) is not target_tables.Health.LEAVING
+        ]
+        # Each wider pool is used only if the narrower one has no route.
+        for pool in (preferred, usable, staying):
+            graph = self._cached_graph(req.model.layers, pool)
+            if graph.is_routable():
+                return graph
+        raise exceptions.NoRouteError(
+            f"no chain of {len(staying)} usable targets covers "
+            f"{req.model.layers} layers"
+        )
+
+    def _cached_graph(
+        self, layers: int, pool: list[entries.EngineTarget]
+    ) -> graphs.LayerGraph:
+        key = (layers, tuple(pool))
+        graph = self._graphs.get(key)
+        if graph is None:
+            if len(self._graphs) >= _MAX_GRAPHS:
+                self._graphs.clear()
+            graph = graphs.LayerGraph(layers, pool)
+            self._graphs[key] = graph
+        return graph
+
+    def _policy(self, name: str) -> policies.RoutePolicy:
+        policy = self._policies.get(name)
+        if policy is None:
+            kind = policies.policy_class(name)
+            policy = kind(self._table, self._links, self._rng)
+            self._policies[name] = policy
+        return policy
--- /dev/null
+++ b/src/briarfall/pipelines/policies.py
@@ -0,0 +1,217 @@
+"""Ways to choose a route, behind one abstract class."""
+
+import abc
+import itertools
+import random
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall.catalogue import entries
+from briarfall.pipelines import graph as graphs
+from briarfall.pipelines import maxflow
+from briarfall.pipelines import targets as target_tables
+
+_SUSPICION_COST_S = 1.0
+_EXPLORE_WEIGHT = 0.02
+_CANDIDATES = 2
+
+
+class LinkCost(msgspec.Struct, frozen=True):
+    """Delay and throughput between two zones."""
+
+    delay_s: float = 0.0005
+    bytes_per_s: float = 1.25e9
+
+
+class RouteRequest(msgspec.Struct):
+    """What a route is wanted for.
+
+    Attributes:
+        model: The model's entry.
+        prompt_tokens: Length of the prompt.
+        avoid: Targets to be used only if nothing else covers the layers.
+        banned: Targets that must not be used.
+        affinity: Hash of the prompt's prefix, 0 for none.
+    """
+
+    model: entries.Model
+    prompt_tokens: int = 1
+    avoid: frozenset[str] = frozenset()
+    banned: frozenset[str] = frozenset()
+    affinity: int = 0
+
+
+class RoutePolicy(abc.ABC):
+    """Chooses routes for one model on one instance.
+
+    Args:
+        table: States of the targets.
+        links: Cost of the link between two zones.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self, table: target_tables.TargetTable, links, rng: random.Random
+    ):
+        self._table = table
+        self._links = links
+        self._rng = rng
+
+    @abc.abstractmethod
+    def choose(
+        self, graph: graphs.LayerGraph, req: RouteRequest
+    ) -> list[graphs.Edge]:
+        """Returns a path through `graph`, which is routable."""
+
+    def expected_s(
+        self, previous: graphs.Edge | None, edge: graphs.Edge
+    ) -> float:
+        """Returns the expected time of a token on an edge, in seconds."""
+        target = edge.target
+        waiting = self._table.load(target.id) / target.tokens_per_s
+        step_s = max(target.step_s, waiting) * edge.share
+        suspicion = self._table.status(target.id).suspicion
+        link_s = 0.0
+        if previous is not None:
+            link_s = self._links(previous.target.zone, target.zone).delay_s
+        return step_s + link_s + suspicion * _SUSPICION_COST_S
+
+    def _walk(self, graph: graphs.LayerGraph, pick) -> list[graphs.Edge]:
+        """Follows `pick(previous, edges)` from boundary to boundary."""
+        path: list[graphs.Edge] = []
+        boundary = 0
+        while boundary != graph.layers:
+            previous = path[-1] if path else None
+            edge = pick(previous, graph.edges[boundary])
+            path.append(edge)
+            boundary = edge.end
+        return path
+
+
+class RoundRobinPolicy(RoutePolicy):
+    """Takes the targets at each boundary in turn."""
+
+    def __init__(self, table, links, rng):
+        super().__init__(table, links, rng)
+        self._turn = itertools.count(rng.randrange(1024))
+
+    def choose(self, graph, req):
+        """Chooses a path; see the base class."""
+        turn = next(self._turn)
+        return self._walk(graph, lambda _, edges: edges[turn % len(edges)])
+
+
+class LeastLoadedPolicy(RoutePolicy):
+    """Takes the least loaded target at each boundary."""
+
+    def choose(self, graph, req):
+        """Chooses a path; see the base class."""
+
+        def pick(_, edges):
+            return min(edges, key=lambda e: self._table.load(e.target.id))
+
+        return self._walk(graph, pick)
+
+
+class ShortestPolicy(RoutePolicy):
+    """Takes the path of least expected time."""
+
+    def choose(self, graph, req):
+        """Chooses a path; see the base class."""
+        return graph.shortest(self.expected_s)
+
+
+class TwoChoicesPolicy(RoutePolicy):
+    """Compares two random targets at each boundary by expected time."""
+
+    def choose(self, graph, req):
+        """Chooses a path; see the base class."""
+
+        def pick(previous, edges):
+            count = min(_CANDIDATES, len(edges))
+            sample = self._rng.sample(edges, count)
+            return min(sample, key=lambda e: self.expected_s(previous, e))
+
+        return self._walk(graph, pick)
+
+
+class FlowPolicy(RoutePolicy):
+    """Splits streams as the maximum flow does, corrected by load.
+
+    At each boundary the target with the least estimated load for its share
+    of the flow is taken. Own streams count at once, which keeps several
+    instances with lagging reports from choosing the same target.
+    """
+
+    def __init__(self, table, links, rng):
+        super().__init__(table, links, rng)
+        self._flows: dict[tuple, maxflow.FlowResult] = {}
+        self._phase = {}
+
+    def choose(self, graph, req):
+        """Chooses a path; see the base class."""
+        weights = self._weights(graph)
+
+        def pick(previous, edges):
+            return min(edges, key=lambda e: self._cost(previous, e, weights))
+
+        return self._walk(graph, pick)
+
+    def _cost(self, previous, edge: graphs.Edge, weights) -> float:
+        target = edge.target
+        weight = weights[(edge.start, target.id)]
+        weight += _EXPLORE_WEIGHT * target.tokens_per_s
+        status = self._table.status(target.id)
+        own = status.in_flight + 1 + self._phase_of(target.id)
+        link_s = 0.0
+        if previous is not None:
+            link_s = self._links(previous.target.zone, target.zone).delay_s
+        penalty = 1 + status.suspicion * 4
+        penalty *= 1 + link_s / max(target.step_s, 1e-6) * 0.1
+        return own * penalty / weight
+
+    def _phase_of(self, target: str) -> float:
+        # A random fraction for each instance breaks ties differently.
+        phase = self._phase.get(target)
+        if phase is None:
+            phase = self._phase.setdefault(target, self._rng.random())
+        return phase
+
+    def _weights(self, graph: graphs.LayerGraph):
+        key = tuple(
+            (edge.start, edge.target.id, edge.target.tokens_per_s)
+            for edges in graph.edges.values()
+            for edge in edges
+        )
+        result = self._flows.get(key)
+        if result is None:
+            if len(self._flows) > 64:
+                self._flows.clear()
+            result = maxflow.FlowResult(graph)
+            self._flows[key] = result
+        return result.weights
+
+
+POLICIES: dict[str, type[RoutePolicy]] = {
+    "round_robin": RoundRobinPolicy,
+    "least_loaded": LeastLoadedPolicy,
+    "shortest": ShortestPolicy,
+    "two_choices": TwoChoicesPolicy,
+    "flow": FlowPolicy,
+}
+
+
+def policy_class(name: str) -> type[RoutePolicy]:
+    """Returns the policy of a name.
+
+    Raises:
+        CatalogueError: There is no such policy.
+    """
+    found = POLICIES.get(name)
+    if found is None:
+        raise exceptions.CatalogueError(
+            f"policy {name!r} is unknown",
+            remedy=f"use one of: {', '.join(POLICIES)}",
+        )
+    return found
--- /dev/null
+++ b/src/briarfall/pipelines/relay.py
@@ -0,0 +1,430 @@
+"""Runs a stream as attempts until its caller has the whole answer."""
+
+import collections
+import concurrent.futures
+import time
+
+from absl import logging
+
+from briarfall import exceptions
+from briarfall import hashing
+from briarfall.adapters import engine as engines
+from briarfall.catalogue import entries
+from briarfall.pipelines import graph as graphs
+from briarfall.pipelines import models
+from briarfall.pipelines import planning
+from briarfall.pipelines import poison as poisons
+from briarfall.pipelines import policies
+from briarfall.pipelines import streams
+from briarfall.pipelines import targets as target_tables
+
+_GENERATE_TIMEOUT_S = 1.0
+_READ_TIMEOUT_S = 300.0
+_CANCEL_THREADS = 4
+_TRIAL_POLL_S = 0.2
+_PLAN_RETRY_S = 0.1
+_RECOVERIES_KEPT = 10_000
+
+PRIORITY_NUMBERS = {
+    entries.Priority.INTERACTIVE: 0,
+    entries.Priority.STANDARD: 1,
+    entries.Priority.BATCH: 2,
+}
+
+
+class Accepted:
+    """Tokens that were accepted, once each and in order.
+
+    Attributes:
+        texts: Their texts.
+        digest: Digest chained over the texts.
+    """
+
+    def __init__(self):
+        self.texts: list[str] = []
+        self.digest = 0
+        self.dropped = 0
+
+    def take(
+        self,
+        batch: engines.TokenBatch,
+        attempt: int,
+        layers: list[tuple[int, int]],
+    ) -> list[engines.Token]:
+        """Returns the acceptable tokens of a batch, dropping the others.
+
+        Args:
+            batch: What the engine sent.
+            attempt: The current attempt.
+            layers: The complete layer trace of the attempt's route.
+        """
+        taken = []
+        for token in batch.tokens:
+            if (
+                token.index != len(self.texts)
+                or token.attempt != attempt
+                or token.layers != layers
+            ):
+                self.dropped += 1
+                continue
+            self.texts.append(token.text)
+            self.digest = hashing.digest64(token.text, self.digest)
+            taken.append(token)
+        return taken
+
+
+class Relay:
+    """Sends streams to engines and recovers them.
+
+    Args:
+        planner: Chooses routes.
+        table: States of the targets.
+        watchdog: Ends attempts that have stalled.
+        guard: Knows requests that crash targets.
+        connect: Returns the adapter of an engine by URL.
+        links: Returns the link cost between two zones.
+    """
+
+    def __init__(
+        self,
+        planner: planning.Planner,
+        table: target_tables.TargetTable,
+        watchdog: streams.Watchdog,
+        guard: poisons.PoisonGuard,
+        connect,
+        links=None,
+    ):
+        self._planner = planner
+        self._table = table
+        self._watchdog = watchdog
+        self._guard = guard
+        self._connect = connect
+        self._links = links or (lambda src, dst: policies.LinkCost())
+        self._canceller = concurrent.futures.ThreadPoolExecutor(
+            _CANCEL_THREADS, thread_name_prefix="cancel"
+        )
+        self.recoveries: collections.deque[models.Recovered] = (
+            collections.deque(maxlen=_RECOVERIES_KEPT)
+        )
+        self.causes: collections.Counter = collections.Counter()
+        self.tokens = 0
+        self.dropped = 0
+
+    def run(self, req: models.StreamRequest) -> "Run":
+        """Returns an iterator over lists of accepted tokens.
+
+        Raises:
+            PoisonError: The request has crashed two targets.
+        """
+        self._guard.check(req.fingerprint)
+        return Run(self, req)
+
+    def close(self) -> None:
+        """Stops background work."""
+        self._canceller.shutdown(wait=False, cancel_futures=True)
+
+    def cancel(self, route: list[engines.Hop], stream: str) -> None:
+        """Tells the head of a route to stop, in the background."""
+        try:
+            self._canceller.submit(self._cancel, route[0].url, stream)
+        except RuntimeError:
+            return
+
+    def _cancel(self, url: str, stream: str) -> None:
+        try:
+            self._connect(url).cancel(stream)
+        except exceptions.TargetError as exc:
+            logging.debug("cancel of %s: %s", stream, exc)
+
+
+class Run:
+    """One stream on its way; iterate over it once, then close it."""
+
+    def __init__(self, relay: Relay, req: models.StreamRequest):
+        self._relay = relay
+        self._req = req
+        self._active = streams.ActiveStream(req)
+        self._accepted = Accepted()
+        self._attempt = 0
+        self._avoid: set[str] = set()
+        self._old_route: list[engines.Hop] = []
+        self._old_cause: models.Cause | None = None
+        self._skip = 0
+        self._done = False
+        self._started = False
+        self.route: list[engines.Hop] = []
+
+    @property
+    def digest(self) -> int:
+        """Digest of the text accepted so far."""
+        return self._accepted.digest
+
+    @property
+    def index(self) -> int:
+        """Tokens accepted so far."""
+        return len(self._accepted.texts)
+
+    def __iter__(self):
+        """Yields lists of accepted tokens until the last one."""
+        relay = self._relay
+        relay._watchdog.add(self._active)
+        try:
+            while not self._done:
+                yield from self._run_attempt()
+            relay._guard.note_complete(self._req.fingerprint)
+        finally:
+            self._active.detach()
+            relay._watchdog.remove(self._active)
+            relay.dropped += self._accepted.dropped
+            if not self._done:
+                relay._guard.note_left(self._req.fingerprint)
+                if self.route:
+                    relay.cancel(self.route, self._req.id)
+
+    def _run_attempt(self):
+        failed_s = time.monotonic()
+        limit = self._req.model.limits.max_attempts
+        if self._attempt >= limit:
+            raise exceptions.StreamLostError(
+                f"all {limit} attempts failed", outcome=self._outcome()
+            )
+        self._attempt += 1
+        route = self._plan()
+        planned_s = time.monotonic()
+        names = [hop.target for hop in route]
+        suspect = (
+            self._relay._guard.standing(self._req.fingerprint)
+            is poisons.Standing.SUSPECT
+        )
+        if suspect:
+            self._relay._guard.begin_trial(self._req.fingerprint, names)
+        self._relay._table.begin(names)
+        try:
+            yield from self._stream_route(route, failed_s, planned_s)
+        finally:
+            self._relay._table.end(names)
+            if suspect:
+                self._relay._guard.end_trial(self._req.fingerprint, names)
+
+    def _stream_route(self, route, failed_s: float, planned_s: float):
+        stream = self._open(route)
+        if stream is None:
+            return
+        self._started = True
+        layers = graphs.spans(route)
+        names = [hop.target for hop in route]
+        recovering = self._old_cause
+        detect_s = failed_s - self._active.progress_s
+        last_s = self._active.progress_s
+        expected_s = self._relay._planner.first_token_s(
+            self._route_request(), route
+        )
+        self._active.attach(stream, route, expected_s)
+        failure = ""
+        try:
+            while True:
+                batches = stream.read()
+                if batches is None:
+                    break
+                tokens, failure = self._take(batches, layers)
+                if not tokens:
+                    if failure:
+                        break
+                    continue
+                now = time.monotonic()
+                self._active.note_tokens(now)
+                self._relay._table.note_ok(names)
+                if recovering is not None:
+                    self._note_recovery(
+                        recovering, detect_s, planned_s - failed_s, now - last_s
+                    )
+                    recovering = None
+                if tokens[-1].finish:
+                    self._done = True
+                visible = self._drop_known(tokens)
+                if visible:
+                    yield visible
+                if self._done:
+                    return
+        except exceptions.TargetError as exc:
+            logging.debug("attempt %d: %s", self._attempt, exc)
+        finally:
+            cause = self._active.detach()
+            stream.release()
+        self._judge(route, cause, failure)
+
+    def _take(self, batches, layers):
+        tokens: list[engines.Token] = []
+        failure = ""
+        for batch in batches:
+            tokens += self._accepted.take(batch, self._attempt, layers)
+            if batch.error:
+                failure = batch.target
+        self._relay.tokens += len(tokens)
+        return tokens, failure
+
+    def _drop_known(self, tokens):
+        """Drops tokens that the caller had from another instance."""
+        resume = self._req.resume_index
+        if not resume or self.index - len(tokens) >= resume:
+            return tokens
+        if self.index < resume:
+            return []
+        self._check_prefix()
+        return tokens[len(tokens) - (self.index - resume) :]
+
+    def _check_prefix(self) -> None:
+        digest = 0
+        for text in self._accepted.texts[: self._req.resume_index]:
+            digest = hashing.digest64(text, digest)
+        if digest != self._req.resume_digest:
+            raise exceptions.StreamLostError(
+                "the engines did not repeat the answer so far",
+                remedy="send the request again without Last-Event-ID",
+                outcome=exceptions.Outcome.RAN,
+            )
+
+    def _open(self, route) -> engines.EngineStream | None:
+        req = self._req
+        call = engines.GenerateCall(
+            stream=req.id,
+            attempt=self._attempt,
+            prompt=req.prompt,
+            accepted=self._accepted.texts,
+            max_tokens=req.max_tokens,
+            seed=req.seed,
+            priority=PRIORITY_NUMBERS[req.priority],
+            deadline_ms=max(1, int((req.deadline_s - time.monotonic()) * 1000)),
+            route=route,
+        )
+        self.route = route
+        adapter = self._relay._connect(route[0].url)
+        try:
+            return adapter.generate(call, _GENERATE_TIMEOUT_S)
+        except exceptions.TargetUnreachableError:
+            self._judge(route, models.Cause.TARGET_DIED, "", counts=False)
+        except exceptions.TargetError:
+            self._judge(route, models.Cause.STALLED, route[0].target)
+        return None
+
+    def _judge(self, route, cause, failure: str, counts: bool = True) -> None:
+        """Decides what the end of an attempt says about its targets."""
+        relay = self._relay
+        dead = failure or self._active.dead_target
+        self._active.dead_target = ""
+        if cause is None:
+            cause = models.Cause.TARGET_DIED
+            dead = dead or route[0].target
+        elif cause is models.Cause.TARGET_DIED:
+            dead = dead or route[0].target
+        relay.causes[cause] += 1
+        self._old_route, self._old_cause = route, cause
+        logging.info(
+            "attempt ended request=%s client=%s entry=%s attempt=%d "
+            "cause=%s target=%s tokens=%d",
+            self._req.id,
+            self._req.client,
+            self._req.model_name,
+            self._attempt,
+            cause.value,
+            dead,
+            self.index,
+        )
+        if cause is models.Cause.CALLER_LEFT:
+            raise exceptions.StreamLostError(
+                "the caller left", outcome=self._outcome()
+            )
+        if cause is models.Cause.DEADLINE:
+            raise exceptions.DeadlineError(
+                "the deadline passed", outcome=self._outcome()
+            )
+        if cause is models.Cause.MOVED:
+            return
+        relay.cancel(route, self._req.id)
+        if dead:
+            relay._table.note_failure(dead, is_silent=True)
+            self._avoid.add(dead)
+        else:
+            self._avoid.update(hop.target for hop in route)
+        if cause is models.Cause.TARGET_DIED and counts:
+            self._note_death()
+
+    def _note_death(self) -> None:
+        standing = self._relay._guard.note_death(self._req.fingerprint)
+        if standing is poisons.Standing.POISON:
+            raise exceptions.PoisonError(
+                "targets died twice while they ran this request",
+                outcome=exceptions.Outcome.RAN,
+            )
+
+    def _route_request(self) -> policies.RouteRequest:
+        req = self._req
+        return policies.RouteRequest(
+            req.model,
+            req.prompt_tokens,
+            avoid=frozenset(self._avoid),
+        )
+
+    def _plan(self) -> list[engines.Hop]:
+        """Returns a route, waiting for one while the deadline allows."""
+        while True:
+            route_req = self._route_request()
+            guard = self._relay._guard
+            fingerprint = self._req.fingerprint
+            if guard.standing(fingerprint) is poisons.Standing.SUSPECT:
+                route_req.banned = guard.occupied(fingerprint)
+            try:
+                route = self._relay._planner.plan(route_req)
+            except exceptions.NoRouteError:
+                if time.monotonic() + _PLAN_RETRY_S > self._req.deadline_s:
+                    raise
+                guard.wait_free(_PLAN_RETRY_S)
+                if streams.has_left(self._req.caller):
+                    raise
+                continue
+            return self._with_imports(route)
+
+    def _with_imports(self, route):
+        """Adds KV imports where they are cheaper than a prefill."""
+        if self._old_cause not in (models.Cause.MOVED, models.Cause.STALLED):
+            return route
+        by_id = {target.id: target for target in self._req.model.targets}
+        old = {(hop.start, hop.end): hop for hop in self._old_route}
+        positions = self._req.prompt_tokens + self.index
+        result = []
+        for hop in route:
+            before = old.get((hop.start, hop.end))
+            if before is not None and before.target != hop.target:
+                source, target = by_id[before.target], by_id[hop.target]
+                link = self._relay._links(source.zone, target.zone)
+                if is_import_cheaper(source, target, link, positions):
+                    hop = engines.Hop(
+                        hop.target, hop.url, hop.start, hop.end, before.url
+                    )
+            result.append(hop)
+        return result
+
+    def _note_recovery(self, cause, detect_s, plan_s, resume_s) -> None:
+        self._old_cause = None
+        self._relay.recoveries.append(
+            models.Recovered(cause, detect_s, plan_s, resume_s)
+        )
+
+    def _outcome(self) -> exceptions.Outcome:
+        if self._started:
+            return exceptions.Outcome.RAN
+        return exceptions.Outcome.NOT_RUN
+
+
+def is_import_cheaper(
+    source: entries.EngineTarget,
+    target: entries.EngineTarget,
+    link: policies.LinkCost,
+    positions: int,
+) -> bool:
+    """Returns whether a KV import beats running the positions again."""
+    if not source.kv_bytes_per_token or not target.kv_bytes_per_token:
+        return False
+    transfer_s = positions * source.kv_bytes_per_token / link.bytes_per_s
+    prefill_s = positions / target.prefill_tokens_per_s
+    return transfer_s + link.delay_s < prefill_s
--- /dev/null
+++ b/src/briarfall/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, with faults."""
--- /dev/null
+++ b/src/briarfall/standins/fleet.py
@@ -0,0 +1,425 @@
+"""A fleet of engine stand-ins: pipelines over links, each engine on HTTP.
+
+Each engine has a listener of its own; activations between engines travel
+over simulated links inside this process, never by way of the router.
+"""
+
+import queue
+import threading
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall import httpserver
+from briarfall.adapters import engine as engines
+from briarfall.catalogue import entries
+from briarfall.standins import engine
+from briarfall.standins import fabric
+from briarfall.standins import ledger as ledgers
+
+_ACTIVATION_BYTES = 8192
+_KV_BYTES = 32_768
+_TOKEN_BYTES = 64
+_END = None
+
+
+class Fleet:
+    """Engines that form pipelines.
+
+    Args:
+        specs: The engines.
+        scale: Factor on model time, above 1 for slower engines.
+        kv_bytes: Size of the KV cache for one token on one engine.
+    """
+
+    def __init__(
+        self,
+        specs: list[engine.EngineSpec],
+        *,
+        scale: float = 1.0,
+        kv_bytes: float = _KV_BYTES,
+    ):
+        self.timeline = fabric.Timeline(scale)
+        self.links = fabric.Links(self.timeline)
+        self.ledger = ledgers.Ledger()
+        self.engines = {spec.id: engine.Engine(spec, self) for spec in specs}
+        self.fronts: dict[str, EngineFront] = {}
+        self.restart_s = 0.0
+        self.stale_events = False
+        self._kv_bytes = kv_bytes
+
+    def start(self) -> None:
+        """Starts the timeline and every listener."""
+        self.timeline.start()
+        for target, unit in self.engines.items():
+            front = EngineFront(self, unit)
+            front.start()
+            self.fronts[target] = front
+
+    def stop(self) -> None:
+        """Stops everything."""
+        for front in self.fronts.values():
+            front.end_streams()
+            front.server.stop()
+        self.timeline.stop()
+
+    def url(self, target: str) -> str:
+        """Returns the base URL of an engine."""
+        return self.fronts[target].url
+
+    def targets(self, prefix: str = "") -> list[entries.EngineTarget]:
+        """Returns catalogue targets of the engines with an id prefix."""
+        result = []
+        for unit in self.engines.values():
+            spec = unit.spec
+            if not spec.id.startswith(prefix):
+                continue
+            scale = self.timeline.scale
+            result.append(
+                entries.EngineTarget(
+                    id=spec.id,
+                    url=self.url(spec.id),
+                    zone=spec.zone,
+                    start=spec.start,
+                    end=spec.end,
+                    tokens_per_s=spec.tokens_per_s / scale,
+                    step_s=(spec.base_s + spec.item_s) * scale,
+                )
+            )
+        return result
+
+    def kill(self, target: str) -> None:
+        """Kills an engine: its connections reset, its state is gone."""
+        with self.timeline.lock:
+            self.engines[target].die()
+        self.fronts[target].cut()
+
+    def stall(self, target: str) -> None:
+        """Makes an engine silent without closing anything."""
+        with self.timeline.lock:
+            self.engines[target].stall()
+
+    def revive(self, target: str) -> None:
+        """Brings an engine back under the same address."""
+        front = self.fronts[target]
+        with self.timeline.lock:
+            self.engines[target].revive()
+        front.reopen()
+
+    def begin(self, sequence: engine.Sequence) -> None:
+        """Starts a sequence at the head of its route."""
+        with self.timeline.lock:
+            route = sequence.call.route
+            positions = self._positions(sequence)
+            for hop in route:
+                self.ledger.note_start(hop.target, sequence.call.stream)
+            item = engine.WorkItem(sequence, 0, positions)
+            delay_s = self._import_kv(sequence)
+            head = self.engines[route[0].target]
+            self.timeline.at(delay_s, head.enqueue, item)
+
+    def cancel(self, stream: str, attempt: int = 0) -> None:
+        """Stops work for a stream, or for one attempt of it."""
+        with self.timeline.lock:
+            for front in self.fronts.values():
+                front.cancel(stream, attempt)
+            for unit in self.engines.values():
+                unit.drop(stream)
+
+    def forward(self, item: engine.WorkItem, unit: engine.Engine) -> None:
+        """Sends a finished item to the next stage, or emits its token."""
+        sequence = item.sequence
+        route = sequence.call.route
+        positions = item.positions[item.stage]
+        next_stage = item.stage + 1
+        if next_stage < len(route):
+            target = self.engines[route[next_stage].target]
+            item.stage = next_stage
+            size = _ACTIVATION_BYTES * positions
+            self.links.send(
+                unit.spec.zone, target.spec.zone, size, target.enqueue, item
+            )
+            return
+        head = self.engines[route[0].target]
+        token = self._sample(sequence)
+        self.links.send(
+            unit.spec.zone,
+            head.spec.zone,
+            _TOKEN_BYTES,
+            self._deliver,
+            sequence,
+            token,
+            head,
+        )
+
+    def fail(self, sequence: engine.Sequence, code: str, target: str):
+        """Ends a sequence with an error that its head reports."""
+        if sequence.cancelled:
+            return
+        sequence.cancelled = True
+        sequence.emit(engines.TokenBatch(error=code, target=target))
+        sequence.emit(_END)
+
+    def crash(self, unit: engine.Engine, stream: str, item) -> None:
+        """Lets a request kill the engine that ran it."""
+        self.ledger.note_crash(unit.spec.id, stream)
+        unit.die()
+        self.fail(item.sequence, "stage_lost", unit.spec.id)
+        self.fronts[unit.spec.id].cut()
+        if self.restart_s:
+            timer = threading.Timer(self.restart_s, self.revive, [unit.spec.id])
+            timer.daemon = True
+            timer.start()
+
+    def _sample(self, sequence: engine.Sequence) -> engines.Token:
+        call = sequence.call
+        index = sequence.index
+        text = sequence.next_token()
+        layers = [(hop.start, hop.end) for hop in call.route]
+        finish = "length" if sequence.index >= call.max_tokens else ""
+        self.ledger.note_token(
+            ledgers.RanToken(call.stream, call.attempt, index, text, layers)
+        )
+        return engines.Token(index, text, call.attempt, layers, finish)
+
+    def _deliver(self, sequence, token: engines.Token, head) -> None:
+        if sequence.cancelled or head.state is not engine.State.UP:
+            return
+        if self.stale_events:
+            _emit_stale(sequence, token)
+        sequence.emit(
+            engines.TokenBatch(tokens=[token], running=head.running())
+        )
+        if token.finish:
+            sequence.cancelled = True
+            sequence.emit(_END)
+            return
+        positions = [1] * len(sequence.call.route)
+        head.enqueue(engine.WorkItem(sequence, 0, positions))
+
+    def _positions(self, sequence: engine.Sequence) -> list[int]:
+        """Returns the positions that each stage must run first.
+
+        A stage must run what itself or any later stage lacks, because later
+        stages need its activations.
+        """
+        call = sequence.call
+        needed = sequence.context_tokens
+        missing = []
+        for hop in call.route:
+            unit = self.engines[hop.target]
+            held = max(
+                unit.kv.get(call.stream, 0), unit.cached_tokens(call.prompt)
+            )
+            if hop.kv_from:
+                held = max(held, self._held_at(hop.kv_from, call.stream))
+            missing.append(max(1, needed - held))
+        for stage in range(len(missing) - 2, -1, -1):
+            missing[stage] = max(missing[stage], missing[stage + 1])
+        return missing
+
+    def _held_at(self, url: str, stream: str) -> int:
+        unit = self._by_url(url)
+        if unit is None or unit.state is not engine.State.UP:
+            return 0
+        return unit.kv.get(stream, 0)
+
+    def _import_kv(self, sequence: engine.Sequence) -> float:
+        """Returns the duration of KV imports into the route's engines."""
+        longest_s = 0.0
+        for hop in sequence.call.route:
+            if not hop.kv_from:
+                continue
+            held = self._held_at(hop.kv_from, sequence.call.stream)
+            source = self._by_url(hop.kv_from)
+            if source is None or not held:
+                continue
+            target = self.engines[hop.target]
+            target.kv[sequence.call.stream] = held
+            link = self.links.link(source.spec.zone, target.spec.zone)
+            transfer_s = held * self._kv_bytes / link.bytes_per_s
+            cost_s = (transfer_s + link.delay_s) * link.factor
+            longest_s = max(longest_s, cost_s)
+        return longest_s
+
+    def _by_url(self, url: str) -> engine.Engine | None:
+        for target, front in self.fronts.items():
+            if front.url == url:
+                return self.engines[target]
+        return None
+
+
+class EngineFront:
+    """The HTTP listener of one engine."""
+
+    def __init__(self, fleet: Fleet, unit: engine.Engine):
+        self._fleet = fleet
+        self._unit = unit
+        self._open: dict[int, tuple[engine.Sequence, queue.SimpleQueue]] = {}
+        self._revived = threading.Event()
+        self._revived.set()
+        self._port = 0
+        self.server = self._new_server()
+        self._port = self.server.address[1]
+
+    def _new_server(self) -> httpserver.HttpServer:
+        routes = httpserver.Router()
+        routes.add("POST", "/generate", self._handle_generate)
+        routes.add("POST", "/cancel/{stream}", self._handle_cancel)
+        routes.add("GET", "/load", self._handle_load)
+        routes.add("GET", "/events", self._handle_events)
+        routes.add("POST", "/orders", self._handle_order)
+        routes.add("GET", "/state", self._handle_state)
+        routes.add("PUT", "/control/state", self._handle_control)
+        return httpserver.HttpServer(
+            "127.0.0.1", self._port, routes.handle, name=self._unit.spec.id
+        )
+
+    @property
+    def url(self) -> str:
+        """The base URL of the engine."""
+        return f"http://127.0.0.1:{self._port}"
+
+    def start(self) -> None:
+        """Starts listening."""
+        self.server.start()
+        self._port = self.server.address[1]
+
+    def cut(self) -> None:
+        """Resets all connections and stops listening."""
+        server = self.server
+        server.cut()
+        self.end_streams()
+        threading.Thread(target=server.stop, daemon=True).start()
+
+    def reopen(self) -> None:
+        """Listens again under the same address."""
+        if self.server.is_cut:
+            self.server = self._new_server()
+            self.server.start()
+
+    def end_streams(self) -> None:
+        """Ends the responses of all streams without a final event."""
+        with self._fleet.timeline.lock:
+            for sequence, out in self._open.values():
+                sequence.cancelled = True
+                out.put(_END)
+
+    def cancel(self, stream: str, attempt: int) -> None:
+        """Cancels the streams that have this engine as their head."""
+        for sequence, out in self._open.values():
+            call = sequence.call
+            if call.stream != stream or attempt not in (0, call.attempt):
+                continue
+            sequence.cancelled = True
+            out.put(_END)
+
+    def _handle_generate(self, req: httpserver.Request):
+        self._wait_while_stalled()
+        call = _decode(req.body, engines.GenerateCall)
+        for hop in call.route:
+            unit = self._fleet.engines.get(hop.target)
+            if unit is None:
+                raise exceptions.BadRequestError(f"no engine {hop.target}")
+            if not unit.spec.start <= hop.start < hop.end <= unit.spec.end:
+                raise exceptions.BadRequestError(
+                    f"{hop.target} does not hold [{hop.start}, {hop.end})"
+                )
+        out: queue.SimpleQueue = queue.SimpleQueue()
+        sequence = engine.Sequence(call, out.put)
+        with self._fleet.timeline.lock:
+            self._open[id(sequence)] = (sequence, out)
+        self._fleet.begin(sequence)
+        headers = [("Content-Type", "text/event-stream")]
+        return httpserver.Response(200, self._stream(sequence, out), headers)
+
+    def _stream(self, sequence: engine.Sequence, out: queue.SimpleQueue):
+        encode = msgspec.json.encode
+        try:
+            while True:
+                batch = out.get()
+                if batch is _END:
+                    return
+                batches = [batch]
+                while not out.empty():
+                    batches.append(out.get())
+                ended = _END in batches
+                yield b"".join(
+                    b"data: %b\n\n" % encode(item)
+                    for item in batches
+                    if item is not _END
+                )
+                if ended:
+                    return
+        finally:
+            with self._fleet.timeline.lock:
+                sequence.cancelled = True
+                self._open.pop(id(sequence), None)
+
+    def _handle_cancel(self, req: httpserver.Request):
+        self._fleet.cancel(req.params["stream"])
+        return httpserver.json_response({})
+
+    def _handle_load(self, req: httpserver.Request):
+        self._wait_while_stalled()
+        with self._fleet.timeline.lock:
+            return httpserver.json_response(self._unit.load())
+
+    def _handle_events(self, req: httpserver.Request):
+        since = int(req.query.get("since", "0"))
+        with self._fleet.timeline.lock:
+            return httpserver.json_response(self._unit.events(since))
+
+    def _handle_order(self, req: httpserver.Request):
+        order = _decode(req.body, engines.EngineCommand)
+        with self._fleet.timeline.lock:
+            return httpserver.json_response(self._unit.command(order))
+
+    def _handle_state(self, req: httpserver.Request):
+        with self._fleet.timeline.lock:
+            return httpserver.json_response(self._unit.held)
+
+    def _handle_control(self, req: httpserver.Request):
+        wanted = _decode(req.body, Control)
+        actions = {
+            "kill": self._fleet.kill,
+            "stall": self._fleet.stall,
+            "revive": self._fleet.revive,
+        }
+        if wanted.action not in actions:
+            raise exceptions.BadRequestError(f"no action {wanted.action!r}")
+        target = self._unit.spec.id
+        threading.Timer(0.01, actions[wanted.action], [target]).start()
+        return httpserver.json_response(wanted)
+
+    def _wait_while_stalled(self) -> None:
+        pause = threading.Event()
+        for _ in range(200):
+            if self._unit.state is not engine.State.STALLED:
+                return
+            pause.wait(0.05)
+
+
+class Control(msgspec.Struct):
+    """A fault to inject: `kill`, `stall` or `revive`."""
+
+    action: str
+
+
+def _decode(data: bytes, kind):
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.DecodeError as exc:
+        raise exceptions.BadRequestError(str(exc)) from exc
+
+
+def _emit_stale(sequence: engine.Sequence, token: engines.Token) -> None:
+    """Sends what a router must not accept beside the true token."""
+    stale = engines.Token(
+        token.index, "stale ", token.attempt - 1, token.layers
+    )
+    repeated = engines.Token(
+        token.index - 1, "again ", token.attempt, token.layers
+    )
+    gap = engines.Token(token.index, "gap ", token.attempt, token.layers[1:])
+    sequence.emit(engines.TokenBatch(tokens=[stale, repeated, gap]))
--- /dev/null
+++ b/src/briarfall/standins/instancelist.py
@@ -0,0 +1,65 @@
+"""Stand-in for the platform's instance list, with lag."""
+
+import threading
+import time
+
+from briarfall import httpserver
+from briarfall.adapters import instancelist
+from briarfall.standins import faults
+
+
+class InstanceListStandin:
+    """A list whose readers see it as it was some time ago.
+
+    Args:
+        lag_s: Age of what readers see.
+    """
+
+    def __init__(self, lag_s: float = 0.0, port: int = 0):
+        self.gate = faults.FaultGate()
+        self.lag_s = lag_s
+        self._lock = threading.Lock()
+        self._versions: list[tuple[float, dict]] = [(0.0, {})]
+        routes = httpserver.Router()
+        routes.add("GET", "/instances", self._handle_fetch)
+        routes.add("PUT", "/control/faults", self.gate.control)
+        self.server = httpserver.HttpServer(
+            "127.0.0.1", port, routes.handle, name="instances"
+        )
+
+    @property
+    def url(self) -> str:
+        """The base URL of the list."""
+        return self.server.url
+
+    def start(self) -> None:
+        """Starts listening."""
+        self.server.start()
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self.server.stop()
+
+    def put(self, listed: instancelist.ListedInstance) -> None:
+        """Adds or replaces a line."""
+        self._change(lambda lines: lines.__setitem__(listed.id, listed))
+
+    def remove(self, name: str) -> None:
+        """Removes a line."""
+        self._change(lambda lines: lines.pop(name, None))
+
+    def _change(self, change) -> None:
+        with self._lock:
+            lines = dict(self._versions[-1][1])
+            change(lines)
+            self._versions.append((time.monotonic(), lines))
+
+    def _handle_fetch(self, req: httpserver.Request):
+        self.gate.before()
+        limit = time.monotonic() - self.lag_s
+        with self._lock:
+            seen = [
+                lines for made_s, lines in self._versions if made_s <= limit
+            ]
+        lines = seen[-1] if seen else {}
+        return httpserver.json_response(list(lines.values()))
--- /dev/null
+++ b/src/briarfall/standins/log.py
@@ -0,0 +1,130 @@
+"""Stand-in for the platform's append-only log service."""
+
+import threading
+import time
+
+from briarfall import exceptions
+from briarfall import httpserver
+from briarfall.adapters import log
+from briarfall.standins import faults
+
+
+class _Stream:
+    """Records of one stream; `first` is the offset of `records[0]`."""
+
+    def __init__(self):
+        self.first = 0
+        self.records: list[log.LogRecord] = []
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+
+class LogStandin:
+    """Streams in memory behind HTTP.
+
+    Args:
+        retention_s: Age at which records are dropped.
+        port: TCP port, 0 for any.
+    """
+
+    def __init__(self, *, retention_s: float = 3600.0, port: int = 0):
+        self.gate = faults.FaultGate()
+        self.retention_s = retention_s
+        self.appends = 0
+        self._streams: dict[str, _Stream] = {}
+        self._changed = threading.Condition()
+        routes = httpserver.Router()
+        path = "/streams/{stream}/records"
+        routes.add("POST", path, self._handle_append)
+        routes.add("GET", path, self._handle_read)
+        routes.add("PUT", "/control/faults", self.gate.control)
+        self.server = httpserver.HttpServer(
+            "127.0.0.1", port, routes.handle, name="log"
+        )
+
+    def start(self) -> None:
+        """Starts listening."""
+        self.server.start()
+
+    def stop(self) -> None:
+        """Stops listening and wakes waiting readers."""
+        self.gate.set(down=True)
+        with self._changed:
+            self._changed.notify_all()
+        self.server.stop()
+
+    def put(self, stream: str, data: bytes, time_s: float = 0.0) -> int:
+        """Appends a record without going through HTTP."""
+        with self._changed:
+            target = self._streams.setdefault(stream, _Stream())
+            offset = target.end
+            accepted_s = time_s or time.time()
+            target.records.append(log.LogRecord(offset, accepted_s, data))
+            self.appends += 1
+            self._changed.notify_all()
+        return offset
+
+    def records(self, stream: str) -> list[log.LogRecord]:
+        """Returns the kept records of a stream."""
+        with self._changed:
+            target = self._streams.get(stream)
+            return list(target.records) if target else []
+
+    def streams(self) -> list[str]:
+        """Returns the names of all streams."""
+        with self._changed:
+            return sorted(self._streams)
+
+    def forget(self, stream: str, before: int) -> None:
+        """Drops records below an offset, as retention would."""
+        with self._changed:
+            target = self._streams.setdefault(stream, _Stream())
+            drop = max(0, min(before, target.end) - target.first)
+            del target.records[:drop]
+            target.first += drop
+
+    def _expire(self, stream: str) -> None:
+        oldest_s = time.time() - self.retention_s
+        target = self._streams.setdefault(stream, _Stream())
+        drop = 0
+        for record in target.records:
+            if record.time_s >= oldest_s:
+                break
+            drop += 1
+        del target.records[:drop]
+        target.first += drop
+
+    def _handle_append(self, req: httpserver.Request):
+        self.gate.before()
+        offset = self.put(req.params["stream"], req.body)
+        self.gate.after()
+        return httpserver.json_response(log.AppendResult(offset))
+
+    def _handle_read(self, req: httpserver.Request):
+        self.gate.before()
+        stream = req.params["stream"]
+        start = int(req.query.get("from", "0"))
+        limit = int(req.query.get("limit", "1000"))
+        wait_s = int(req.query.get("wait_ms", "0")) / 1000
+        with self._changed:
+            self._expire(stream)
+            target = self._streams[stream]
+            if start < target.first:
+                return _gone(target.first)
+            self._changed.wait_for(
+                lambda: target.end > start or self.gate.faults.down, wait_s
+            )
+            begin = max(0, start - target.first)
+            records = target.records[begin : begin + limit]
+            batch = log.LogBatch(records, target.first, target.end)
+        self.gate.before()
+        return httpserver.json_response(batch)
+
+
+def _gone(first: int) -> httpserver.Response:
+    exc = exceptions.LogGapError(f"stream starts at {first}", first)
+    resp = httpserver.error_response(exc)
+    resp.headers.append(("Log-First", str(first)))
+    return resp
--- /dev/null
+++ b/src/briarfall/standins/orders.py
@@ -0,0 +1,98 @@
+"""Stand-in for an order application: counts how often each key ran."""
+
+import collections
+import threading
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall import httpserver
+from briarfall.standins import faults
+
+
+class OrderReply(msgspec.Struct):
+    """The answer to an order."""
+
+    number: int
+    key: str
+    target: str
+
+
+class OrderLedger:
+    """Runs of every key over all targets of the application."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self.runs: collections.Counter = collections.Counter()
+        self.replies: dict[str, OrderReply] = {}
+
+    def run(self, key: str, target: str) -> OrderReply:
+        """Executes an order; the application itself checks nothing."""
+        with self._lock:
+            self.runs[key] += 1
+            reply = OrderReply(sum(self.runs.values()), key, target)
+            self.replies[key] = reply
+            return reply
+
+
+class OrderStandin:
+    """One target of the application.
+
+    Args:
+        name: Target id.
+        ledger: Shared by all targets.
+    """
+
+    def __init__(self, name: str, ledger: OrderLedger, port: int = 0):
+        self.name = name
+        self.gate = faults.FaultGate()
+        self._ledger = ledger
+        routes = httpserver.Router()
+        routes.add("POST", "/orders", self._handle_order)
+        routes.add("GET", "/orders/{key}", self._handle_lookup)
+        routes.add("GET", "/history/{asset}", self._handle_history)
+        routes.add("PUT", "/control/faults", self.gate.control)
+        self.server = httpserver.HttpServer(
+            "127.0.0.1", port, routes.handle, name=name
+        )
+
+    @property
+    def url(self) -> str:
+        """The base URL of the target."""
+        return self.server.url
+
+    def start(self) -> None:
+        """Starts listening."""
+        self.server.start()
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self.server.stop()
+
+    def _handle_order(self, req: httpserver.Request):
+        self.gate.before()
+        key = req.header("Idempotency-Key")
+        if not key:
+            raise exceptions.BadRequestError("Idempotency-Key is missing")
+        reply = self._ledger.run(key, self.name)
+        self._lose_answer(req)
+        return httpserver.json_response(reply, 201)
+
+    def _lose_answer(self, req: httpserver.Request) -> None:
+        """Breaks the connection after the order has run."""
+        try:
+            self.gate.after()
+        except exceptions.BriarfallError:
+            httpserver.reset(req.environ[httpserver.SOCKET_KEY])
+            raise
+
+    def _handle_lookup(self, req: httpserver.Request):
+        reply = self._ledger.replies.get(req.params["key"])
+        if reply is None:
+            raise exceptions.NotFoundError("no such order")
+        return httpserver.json_response(reply)
+
+    def _handle_history(self, req: httpserver.Request):
+        self.gate.before()
+        asset = req.params["asset"]
+        return httpserver.json_response({"asset": asset, "target": self.name})
