--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	$(BIN) demo
 
 test: .venv/.ready
-	.venv/bin/behave --no-capture --format progress2 --tags='not @known_red' features
+	.venv/bin/behave --no-capture --logging-level=ERROR --format progress2 --tags='not @known_red' features
 	$(PY) -m pytest -m 'not known_red'
 
 lint: .venv/.ready
--- /dev/null
+++ b/features/world.py
@@ -0,0 +1,216 @@
+"""What the steps of a scenario share: a platform, callers and answers."""
+
+import json
+import random
+import threading
+import time
+
+import urllib3
+
+from briarfall.bench import checks
+from briarfall.bench import load
+from briarfall.catalogue import entries
+from briarfall.orders import keys
+from briarfall.pipelines import targets
+from briarfall.standins import engine
+from briarfall.standins import platform
+
+LAYERS = 24
+TOKENS = 24
+WAIT_S = 15.0
+ZONES = ("suva", "nausori", "lautoka")
+
+
+def wait_until(condition, timeout_s=WAIT_S):
+    deadline = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline:
+            return False
+        time.sleep(0.01)
+    return True
+
+
+def specs(fencing=True):
+    result = []
+    for zone in ZONES:
+        result.append(
+            engine.EngineSpec(f"draft-{zone}-a", zone, 0, 12, fencing=fencing)
+        )
+        result.append(
+            engine.EngineSpec(
+                f"draft-{zone}-b", zone, 12, 24, "b", fencing=fencing
+            )
+        )
+    return result
+
+
+class Answer:
+    """A draft that runs in the background."""
+
+    def __init__(self, session, prompt, seed, tokens, **options):
+        self.prompt, self.seed, self.tokens = prompt, seed, tokens
+        self.result = None
+        self.session = session
+        self.options = options
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _run(self):
+        self.result = load.draft(
+            self.session,
+            "draft",
+            self.prompt,
+            max_tokens=self.tokens,
+            seed=self.seed,
+            **self.options,
+        )
+
+    def wait(self):
+        self.thread.join(60)
+        assert self.result is not None, "the draft did not end"
+        return self.result
+
+    def is_whole(self):
+        result = self.wait()
+        expected = checks.expected_text(self.prompt, self.seed, self.tokens)
+        return result.code == "ok" and result.text == expected
+
+
+class World:
+    """One scenario's platform."""
+
+    def __init__(self):
+        self.platform = None
+        self.http = urllib3.PoolManager(retries=False, timeout=20)
+        self.rng = random.Random(5)
+        self.answers = []
+        self.replies = []
+        self.versions = {}
+        self.keys = []
+
+    def start(self, instances=3, fencing=True, **service):
+        part = platform.Platform(specs(fencing))
+        self.platform = part
+        part.start()
+        part.put_accounts()
+        self.versions["draft"] = part.put("draft", self.model())
+        self.versions["booking"] = part.put("booking", part.service(**service))
+        for _ in range(instances):
+            part.add_instance()
+        assert part.wait_ready(), "the instances are not ready"
+        assert wait_until(
+            lambda: all(
+                len(i.members.live()) == instances for i in part.instances
+            )
+        ), "the instances do not know each other"
+
+    def close(self):
+        if self.platform:
+            self.platform.stop()
+        self.http.clear()
+
+    def model(self, **changes):
+        return self.platform.model("draft", LAYERS, **changes)
+
+    def put_model(self, **changes):
+        model = self.model(**changes)
+        self.versions["draft"] = self.platform.put(
+            "draft", model, if_version=self.versions["draft"]
+        )
+
+    def session(self, first=0, client="tuvatu"):
+        from briarfall import sessions
+
+        urls = [i.caller_url for i in self.platform.instances]
+        urls = urls[first:] + urls[:first]
+        return sessions.Session(urls, platform.client_key(client))
+
+    def draft(self, tokens=TOKENS, first=0, client="tuvatu", **options):
+        prompt = load.prompt_of(self.rng, 20)
+        seed = self.rng.randrange(1 << 30)
+        answer = Answer(
+            self.session(first, client), prompt, seed, tokens, **options
+        )
+        self.answers.append(answer)
+        return answer
+
+    def order(
+        self, key=None, body=b"{}", instance=0, deadline_ms=4000, **headers
+    ):
+        """Books an order with a plain client and returns its response."""
+        key = key or keys.new_key()
+        self.keys.append(key)
+        url = self.platform.instances[instance].caller_url
+        try:
+            resp = self.http.request(
+                "POST",
+                f"{url}/services/booking/orders",
+                body=body,
+                headers={
+                    "Authorization": "Bearer tuvatu-key",
+                    "Idempotency-Key": key,
+                    "X-Deadline-Ms": str(deadline_ms),
+                    **headers,
+                },
+            )
+        except urllib3.exceptions.HTTPError:
+            resp = None
+        self.replies.append((key, resp))
+        return resp
+
+    def admin(self, method, path, body=None, instance=0, key="admin-key"):
+        url = self.platform.instances[instance].admin_url
+        return self.http.request(
+            method,
+            url + path,
+            body=None if body is None else json.dumps(body),
+            headers={"Authorization": f"Bearer {key}"},
+        )
+
+    def outcome_of(self, resp):
+        if resp is None:
+            return "lost"
+        if resp.status < 300:
+            return "answered"
+        return json.loads(resp.data)["error"]["outcome"]
+
+    def leave_target(self, target):
+        items = []
+        for item in self.model().targets:
+            if item.id == target:
+                item = entries.EngineTarget(
+                    **{
+                        **{f: getattr(item, f) for f in item.__struct_fields__},
+                        "state": entries.TargetState.LEAVING,
+                    }
+                )
+            items.append(item)
+        self.put_model(targets=items)
+
+    def all_see_leaving(self, target):
+        """Returns whether every instance knows that a target leaves."""
+        for inst in self.platform.instances:
+            model = inst.view().values["draft"]
+            (item,) = [t for t in model.targets if t.id == target]
+            if inst.targets.health(item) is not targets.Health.LEAVING:
+                return False
+        return True
+
+    def check_ledger(self):
+        promise = checks.check_layers(self.platform.fleet.ledger, {})
+        assert promise.held, promise.detail
+        twice = [k for k, n in self.platform.order_ledger.runs.items() if n > 1]
+        assert not twice, f"ran twice: {twice}"
+        for key, resp in self.replies:
+            runs = self.platform.order_ledger.runs[key]
+            if self.outcome_of(resp) == "answered":
+                assert runs == 1, f"{key} was answered and ran {runs} times"
+
+    def check_not_run(self):
+        """Checks that the last answer for a key did not deny a run."""
+        last = dict(self.replies)
+        for key, resp in last.items():
+            if self.outcome_of(resp) != "not_run":
+                continue
+            runs = self.platform.order_ledger.runs[key]
+            assert runs == 0, f"{key} was reported as not run and ran"
--- a/src/briarfall/adapters/engine.py
+++ b/src/briarfall/adapters/engine.py
@@ -12,6 +12,7 @@
 from briarfall import ids
 
 _CALL_TIMEOUT_S = 1.0
+_STREAM_TIMEOUT_S = 300.0
 _CHUNK_BYTES = 65_536
 _EVENT_END = b"\n\n"
 _EVENT_START = b"data: "
@@ -174,8 +175,11 @@
         """Starts a stream at this engine as the head of the route."""
 
     @abc.abstractmethod
-    def cancel(self, stream: str) -> None:
-        """Stops all work for a stream on every stage."""
+    def cancel(self, stream: str, attempt: int) -> None:
+        """Stops work for a stream's attempts up to `attempt`.
+
+        A later attempt may already run when the cancellation arrives.
+        """
 
     @abc.abstractmethod
     def load(self, timeout_s: float) -> LoadReport:
@@ -209,6 +213,8 @@
     def __init__(self, resp):
         self._resp = resp
         self._sock: socket.socket | None = _socket_of(resp)
+        if self._sock is not None:
+            self._sock.settimeout(_STREAM_TIMEOUT_S)
         self._buffer = b""
         self._decoder = msgspec.json.Decoder(TokenBatch)
 
@@ -283,9 +289,13 @@
             )
         return HttpEngineStream(resp)
 
-    def cancel(self, stream: str) -> None:
+    def cancel(self, stream: str, attempt: int) -> None:
         """Cancels a stream; see the base class."""
-        self._http.send("POST", f"/cancel/{stream}", timeout_s=_CALL_TIMEOUT_S)
+        self._http.send(
+            "POST",
+            f"/cancel/{stream}?attempt={attempt}",
+            timeout_s=_CALL_TIMEOUT_S,
+        )
 
     def load(self, timeout_s: float) -> LoadReport:
         """Reads the load report; see the base class."""
--- a/src/briarfall/catalogue/follower.py
+++ b/src/briarfall/catalogue/follower.py
@@ -211,6 +211,8 @@
                 self._recover_gap(exc.first)
             except exceptions.LogUnavailableError as exc:
                 self.log_up = False
+                if self._stopping.is_set():
+                    return
                 logging.log_every_n_seconds(
                     logging.WARNING, "configuration log: %s", 10, exc
                 )
--- /dev/null
+++ b/src/briarfall/cli/experiments.py
@@ -0,0 +1,153 @@
+"""`briarfall demo`, `standin` and `bench`."""
+
+import json as jsonlib
+import pathlib
+
+from briarfall.cli import console
+
+
+def demo(*, keep: bool = False) -> int:
+    """Shows the whole path in one process and checks every promise.
+
+    Args:
+        keep: Leave everything running and print curl lines that work.
+    """
+    from briarfall.bench import demo as demos
+
+    return demos.run(keep=keep)
+
+
+def standin(name: str, *, port: int = 0, seconds: float = 3600.0) -> None:
+    """Runs one stand-in by itself.
+
+    Args:
+        name: `log`, `instances`, `weights`, `orders` or `engines`.
+        port: TCP port, 0 for any.
+        seconds: Time after which it stops by itself.
+    """
+    from briarfall.standins import single
+
+    single.run(name, port, seconds)
+
+
+def _finish(name: str, report, out: str) -> None:
+    text = jsonlib.dumps(report, indent=2)
+    if out:
+        pathlib.Path(out).write_text(text + "\n")
+    for key, value in report.items():
+        if isinstance(value, list) and value and isinstance(value[0], dict):
+            print(f"\n{name}: {key}")
+            console.show_table(value)
+            continue
+        print(f"{key}: {value}")
+
+
+def throughput(
+    *, seconds: float = 8.0, routers: list[int] | None = None, out: str = ""
+) -> None:
+    """Measures tokens a second as a share of the bound, for each policy.
+
+    Args:
+        seconds: Duration of each measurement.
+        routers: Numbers of instances.
+        out: File for the report as JSON.
+    """
+    from briarfall.bench import throughput as bench
+
+    _finish("throughput", bench.run(seconds, routers or [1, 4, 16]), out)
+
+
+def recovery(*, rounds: int = 6, out: str = "") -> None:
+    """Measures detection, planning and first resumed token by fault.
+
+    Args:
+        rounds: Deaths of each kind.
+        out: File for the report as JSON.
+    """
+    from briarfall.bench import recovery as bench
+
+    _finish("recovery", bench.run(rounds), out)
+
+
+def relay(*, seconds: float = 8.0, out: str = "") -> None:
+    """Measures what a token costs the relay, and the delay it adds.
+
+    Args:
+        seconds: Duration of each measurement.
+        out: File for the report as JSON.
+    """
+    from briarfall.bench import relay as bench
+
+    _finish("relay", bench.run(seconds), out)
+
+
+def control(*, seconds: float = 10.0, out: str = "") -> None:
+    """Measures what control costs an instance, by instances and engines.
+
+    Args:
+        seconds: Duration of each measurement.
+        out: File for the report as JSON.
+    """
+    from briarfall.bench import control as bench
+
+    _finish("control", bench.run(seconds), out)
+
+
+def orders(*, seconds: float = 6.0, out: str = "") -> None:
+    """Measures orders a second, their delay and the log's appends.
+
+    Args:
+        seconds: Duration of each measurement.
+        out: File for the report as JSON.
+    """
+    from briarfall.bench import orders as bench
+
+    _finish("orders", bench.run(seconds), out)
+
+
+def edits(*, count: int = 40, out: str = "") -> None:
+    """Measures the time from an accepted edit to the last instance.
+
+    Args:
+        count: Edits in each condition.
+        out: File for the report as JSON.
+    """
+    from briarfall.bench import edits as bench
+
+    _finish("edits", bench.run(count), out)
+
+
+def overload(*, seconds: float = 6.0, out: str = "") -> None:
+    """Measures goodput by class at multiples of the capacity.
+
+    Args:
+        seconds: Duration of each measurement.
+        out: File for the report as JSON.
+    """
+    from briarfall.bench import overload as bench
+
+    _finish("overload", bench.run(seconds), out)
+
+
+def soak(*, seed: int = 1, seconds: float = 30.0) -> int:
+    """Runs random faults from a seed and checks the ledgers.
+
+    Args:
+        seed: Seed of the faults and the workload.
+        seconds: Duration.
+    """
+    from briarfall.bench import soak as bench
+
+    return bench.run(seed, seconds)
+
+
+BENCHES = {
+    "throughput": throughput,
+    "recovery": recovery,
+    "relay": relay,
+    "control": control,
+    "orders": orders,
+    "edits": edits,
+    "overload": overload,
+    "soak": soak,
+}
--- /dev/null
+++ b/src/briarfall/cli/serve.py
@@ -0,0 +1,104 @@
+"""`briarfall serve`, `check`, `status`, `drain` and `key`."""
+
+import secrets
+import signal
+import threading
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall import logs
+from briarfall import settings
+from briarfall.catalogue import entries
+from briarfall.cli import catalogue
+from briarfall.cli import console
+
+_KEY_BYTES = 32
+
+
+def serve(config: str, *, verbose: bool = True) -> None:
+    """Runs an instance until SIGTERM or SIGINT, then stops as planned.
+
+    Args:
+        config: JSON file with the settings.
+        verbose: Log requests and edits, not only warnings.
+    """
+    from briarfall.daemon import instance
+
+    cfg = settings.load(config)
+    logs.configure(cfg.instance, as_json=cfg.json_logs, verbose=verbose)
+    inst = instance.Instance(cfg)
+    asked = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: asked.set())
+    inst.start()
+    print(f"callers {inst.caller_url} admin {inst.admin_url}", flush=True)
+    while not asked.wait(1.0):
+        if inst.wait_stopped(0):
+            return
+    inst.drain()
+
+
+def check(*, config: str = "", entries_file: str = "") -> None:
+    """Checks a settings file, a catalogue file, or both.
+
+    Args:
+        config: JSON file with settings.
+        entries_file: JSON file with one entry, or entries by name.
+    """
+    if not config and not entries_file:
+        raise exceptions.SettingsError(
+            "nothing to check", remedy="use --config or --entries-file"
+        )
+    if config:
+        cfg = settings.load(config)
+        print(f"settings of {cfg.instance} are valid")
+    if entries_file:
+        print(f"{catalogue.check_file(entries_file)} valid")
+
+
+def status(
+    *,
+    admin_url: str = catalogue.DEFAULT_ADMIN_URL,
+    key_file: str = "",
+    json: bool = False,
+) -> None:
+    """Shows what an instance sees: targets, peers, offsets, streams.
+
+    Args:
+        admin_url: Administration URL of the instance.
+        key_file: File with the operator's key.
+        json: Print JSON.
+    """
+    with console.operator_session(admin_url, key_file) as session:
+        reply = session.send("GET", "/status")
+    console.show(msgspec.json.decode(reply.body), as_json=json)
+
+
+def drain(
+    *, admin_url: str = catalogue.DEFAULT_ADMIN_URL, key_file: str = ""
+) -> None:
+    """Asks an instance to finish its work and stop.
+
+    Args:
+        admin_url: Administration URL of the instance.
+        key_file: File with the operator's key.
+    """
+    with console.operator_session(admin_url, key_file) as session:
+        session.send("POST", "/drain")
+    print("draining")
+
+
+def new_key() -> None:
+    """Prints a new random key."""
+    print(secrets.token_urlsafe(_KEY_BYTES))
+
+
+def hash_key(file: str) -> None:
+    """Prints the digest of a key, as entries hold it.
+
+    Args:
+        file: File with the key, or `-` for standard input.
+    """
+    key = console.read_file(file).decode().strip()
+    print(entries.hash_key(key))
--- a/src/briarfall/daemon/instance.py
+++ b/src/briarfall/daemon/instance.py
@@ -41,6 +41,7 @@
 from briarfall.pipelines import relay as relays
 from briarfall.pipelines import streams
 from briarfall.pipelines import targets as target_tables
+from briarfall.pipelines import trials
 
 _SNAPSHOT_SUBJECT = "catalogue snapshot"
 _PARTITION_IDLE_S = 60.0
@@ -293,12 +294,14 @@
         self.guard = poison.PoisonGuard(
             cfg.instance, self._clock, ask=self._ask_suspicion
         )
+        self.trials = trials.TrialDirectory(cfg.instance, self.peers)
         self.watchdog = streams.Watchdog(self.targets, self.engines.get)
         self.relay = relays.Relay(
             self.planner,
             self.targets,
             self.watchdog,
             self.guard,
+            self.trials,
             self.engines.get,
             self._link_cost,
         )
@@ -355,6 +358,9 @@
         add("members", str, self.gossip.handle_members)
         add("poison", poison.Suspicion, self.gossip.handle_suspicion)
         add("poison.ask", str, self._answer_suspicion)
+        table = self.trials.table
+        add("trials.reserve", trials.ReserveCall, table.reserve)
+        add("trials.release", trials.ReleaseCall, table.release)
         add("catalogue.pull", followers.PullCall, self.follower.handle_pull)
         add("orders.claim", sequencer.ClaimCall, self.sequencer.handle_claim)
         add("orders.submit", sequencer.SubmitCall, self.sequencer.handle_submit)
--- a/src/briarfall/httpserver.py
+++ b/src/briarfall/httpserver.py
@@ -17,6 +17,7 @@
 
 MAX_BODY_BYTES = 1 << 20
 MAX_HEADER_BYTES = 16 << 10
+_READ_FACTOR = 4
 SOCKET_KEY = "briarfall.socket"
 _MIN_THREADS = 1
 _MAX_THREADS = 1024
@@ -139,6 +140,30 @@
         self._threads.append(worker)
 
 
+class _HttpRequest(cheroot_server.HTTPRequest):
+    """Reports malformed HTTP with the same error body as everything else."""
+
+    def simple_response(self, status, msg=""):
+        number = int(str(status)[:3])
+        kind = exceptions.BadRequestError
+        if number in (413, 414):
+            kind = exceptions.TooLargeError
+        resp = error_response(kind(msg or str(status)[4:]))
+        lines = [f"HTTP/1.1 {number} {_reason(number)}"]
+        lines += [f"{name}: {value}" for name, value in resp.headers]
+        lines += [f"Content-Length: {len(resp.body)}", "Connection: close"]
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        self.close_connection = True
+        try:
+            self.conn.wfile.write(head.encode("latin-1") + resp.body)
+        except OSError:
+            pass
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    RequestHandlerClass = _HttpRequest
+
+
 class _Gateway(wsgi.Gateway_10):
     """Adds the caller's socket, so that a departed caller is noticed."""
 
@@ -148,6 +173,15 @@
         return environ
 
 
+class _Server(wsgi.Server):
+    """Lets a restarted process take the address of its predecessor."""
+
+    @staticmethod
+    def bind_socket(socket_, bind_addr):
+        socket_.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return wsgi.Server.bind_socket(socket_, bind_addr)
+
+
 class HttpServer:
     """A listener that serves one handler, one thread per connection."""
 
@@ -165,7 +199,7 @@
         self._name = name
         self._max_body = max_body
         self._on_error = on_error
-        self._server = wsgi.Server(
+        self._server = _Server(
             (host, port),
             self._application,
             numthreads=_MIN_THREADS,
@@ -178,7 +212,10 @@
         )
         self._server.gateway = _Gateway
         self._server.keep_alive_conn_limit = None
-        self._server.max_request_body_size = max_body
+        self._server.ConnectionClass = _Connection
+        # The handler refuses smaller excesses; this bounds what is read of
+        # a refused body.
+        self._server.max_request_body_size = _READ_FACTOR * max_body
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.error_log = self._log_server_error
         self._thread: threading.Thread | None = None
--- a/src/briarfall/limits/admission.py
+++ b/src/briarfall/limits/admission.py
@@ -12,7 +12,7 @@
 
 AGING_S = 5.0
 MAX_WAITING = 64
-_RANKS = {
+RANKS = {
     entries.Priority.INTERACTIVE: 0,
     entries.Priority.STANDARD: 1,
     entries.Priority.BATCH: 2,
@@ -78,7 +78,7 @@
     """One request in the queue."""
 
     def __init__(self, priority: entries.Priority, since_s: float):
-        self.rank = _RANKS[priority]
+        self.rank = RANKS[priority]
         self.since_s = since_s
         self.admitted = False
         self.shed = False
--- a/src/briarfall/logs.py
+++ b/src/briarfall/logs.py
@@ -38,5 +38,7 @@
     handler.use_absl_log_file = lambda *args, **kwargs: None
     logging.set_verbosity(logging.INFO if verbose else logging.WARNING)
     logging.set_stderrthreshold("debug")
+    std_logging.getLogger("websockets").setLevel(std_logging.WARNING)
+    std_logging.getLogger("urllib3").setLevel(std_logging.ERROR)
     if as_json:
         handler.setFormatter(JsonFormatter(instance))
--- a/src/briarfall/membership/links.py
+++ b/src/briarfall/membership/links.py
@@ -1,6 +1,7 @@
 """Authenticated links between instances: websockets that carry CBOR."""
 
 import concurrent.futures
+import contextlib
 import enum
 import hmac
 import itertools
@@ -331,8 +332,9 @@
     Raises:
         PeerError: The peer cannot be reached or is not one of ours.
     """
+    stack = contextlib.ExitStack()
     try:
-        socket = ws_client.connect(
+        opening = ws_client.connect(
             f"{security.scheme}://{address}",
             ssl=security.context(server=False),
             compression=None,
@@ -342,6 +344,7 @@
             close_timeout=0.2,
             proxy=None,
         )
+        socket = stack.enter_context(opening)
     except (OSError, TimeoutError, ws_exceptions.WebSocketException) as exc:
         raise exceptions.PeerError(f"{address}: {exc}") from exc
     try:
--- a/src/briarfall/orders/partitions.py
+++ b/src/briarfall/orders/partitions.py
@@ -161,6 +161,8 @@
                 self.appends += 1
                 return
             except exceptions.LogUnavailableError as exc:
+                if self._stopping.is_set():
+                    return
                 logging.log_every_n_seconds(
                     logging.WARNING, "claims on %s: %s", 10, self.stream, exc
                 )
--- a/src/briarfall/pipelines/poison.py
+++ b/src/briarfall/pipelines/poison.py
@@ -1,7 +1,8 @@
 """Requests that crash the targets that run them.
 
-A request in flight at a death is a suspect; suspects then run without any
-other suspect on their targets, so that a second death names the culprit.
+A request in flight at a death is a suspect. Suspects run without any other
+suspect on their targets until they have passed the point of the death, so
+that a second death names the culprit.
 """
 
 import enum
@@ -33,7 +34,7 @@
         fingerprint: Identifies client and body.
         deaths: Deaths at which the request was in flight.
         trial_at: Instance that runs it now, or empty.
-        cleared: Whether it has run to its end since.
+        cleared: Whether it has passed the point of the death since.
     """
 
     fingerprint: str
@@ -59,7 +60,6 @@
         self.tell = tell or (lambda suspicion: None)
         self.ask = ask or (lambda peer, fingerprint: None)
         self._known: dict[str, tuple[Suspicion, float]] = {}
-        self._on_target: dict[str, str] = {}
         self._changed = threading.Condition()
 
     def standing(self, fingerprint: str) -> Standing:
@@ -99,34 +99,6 @@
                 "targets died twice while they ran this request"
             )
 
-    def begin_trial(self, fingerprint: str, targets: list[str]) -> None:
-        """Reserves targets for a suspect among all suspects."""
-        with self._changed:
-            for target in targets:
-                self._on_target[target] = fingerprint
-
-    def end_trial(self, fingerprint: str, targets: list[str]) -> None:
-        """Frees the targets again."""
-        with self._changed:
-            for target in targets:
-                if self._on_target.get(target) == fingerprint:
-                    del self._on_target[target]
-            self._changed.notify_all()
-
-    def occupied(self, fingerprint: str) -> frozenset[str]:
-        """Returns targets that run another suspect."""
-        with self._changed:
-            return frozenset(
-                target
-                for target, other in self._on_target.items()
-                if other != fingerprint
-            )
-
-    def wait_free(self, timeout_s: float) -> None:
-        """Waits until a suspect has left its targets."""
-        with self._changed:
-            self._changed.wait(timeout_s)
-
     def note_death(self, fingerprint: str) -> Standing:
         """Counts a death at which the request was in flight."""
         with self._changed:
@@ -137,8 +109,8 @@
         self.tell(suspicion)
         return self.standing(fingerprint)
 
-    def note_complete(self, fingerprint: str) -> None:
-        """Clears a suspect that has run to its end."""
+    def note_passed(self, fingerprint: str) -> None:
+        """Clears a suspect that ran beyond the point of the death."""
         with self._changed:
             found = self._known.get(fingerprint)
             if found is None or found[0].cleared:
--- a/src/briarfall/pipelines/relay.py
+++ b/src/briarfall/pipelines/relay.py
@@ -17,12 +17,15 @@
 from briarfall.pipelines import policies
 from briarfall.pipelines import streams
 from briarfall.pipelines import targets as target_tables
+from briarfall.pipelines import trials as trial_directories
 
 _GENERATE_TIMEOUT_S = 1.0
-_READ_TIMEOUT_S = 300.0
 _CANCEL_THREADS = 4
-_TRIAL_POLL_S = 0.2
-_PLAN_RETRY_S = 0.1
+_TRIAL_RETRY_S = 0.01
+_PLAN_RETRY_S = 0.05
+# An engine may have computed one token that did not arrive, and died on the
+# next one.
+_TRIAL_TOKENS = 2
 _RECOVERIES_KEPT = 10_000
 
 PRIORITY_NUMBERS = {
@@ -81,6 +84,7 @@
         table: States of the targets.
         watchdog: Ends attempts that have stalled.
         guard: Knows requests that crash targets.
+        trials: Keeps suspects apart.
         connect: Returns the adapter of an engine by URL.
         links: Returns the link cost between two zones.
     """
@@ -91,6 +95,7 @@
         table: target_tables.TargetTable,
         watchdog: streams.Watchdog,
         guard: poisons.PoisonGuard,
+        trials: trial_directories.TrialDirectory,
         connect,
         links=None,
     ):
@@ -98,6 +103,7 @@
         self._table = table
         self._watchdog = watchdog
         self._guard = guard
+        self._trials = trials
         self._connect = connect
         self._links = links or (lambda src, dst: policies.LinkCost())
         self._canceller = concurrent.futures.ThreadPoolExecutor(
@@ -123,16 +129,19 @@
         """Stops background work."""
         self._canceller.shutdown(wait=False, cancel_futures=True)
 
-    def cancel(self, route: list[engines.Hop], stream: str) -> None:
+    def cancel(
+        self, route: list[engines.Hop], stream: str, attempt: int
+    ) -> None:
         """Tells the head of a route to stop, in the background."""
+        url = route[0].url
         try:
-            self._canceller.submit(self._cancel, route[0].url, stream)
+            self._canceller.submit(self._cancel, url, stream, attempt)
         except RuntimeError:
             return
 
-    def _cancel(self, url: str, stream: str) -> None:
+    def _cancel(self, url: str, stream: str, attempt: int) -> None:
         try:
-            self._connect(url).cancel(stream)
+            self._connect(url).cancel(stream, attempt)
         except exceptions.TargetError as exc:
             logging.debug("cancel of %s: %s", stream, exc)
 
@@ -149,7 +158,9 @@
         self._avoid: set[str] = set()
         self._old_route: list[engines.Hop] = []
         self._old_cause: models.Cause | None = None
-        self._skip = 0
+        self._dead_before: set[str] = set()
+        self._trial_until: int | None = None
+        self._suspect_layer = 0
         self._done = False
         self._started = False
         self.route: list[engines.Hop] = []
@@ -171,7 +182,6 @@
         try:
             while not self._done:
                 yield from self._run_attempt()
-            relay._guard.note_complete(self._req.fingerprint)
         finally:
             self._active.detach()
             relay._watchdog.remove(self._active)
@@ -179,7 +189,7 @@
             if not self._done:
                 relay._guard.note_left(self._req.fingerprint)
                 if self.route:
-                    relay.cancel(self.route, self._req.id)
+                    relay.cancel(self.route, self._req.id, self._attempt)
 
     def _run_attempt(self):
         failed_s = time.monotonic()
@@ -192,19 +202,14 @@
         route = self._plan()
         planned_s = time.monotonic()
         names = [hop.target for hop in route]
-        suspect = (
-            self._relay._guard.standing(self._req.fingerprint)
-            is poisons.Standing.SUSPECT
-        )
-        if suspect:
-            self._relay._guard.begin_trial(self._req.fingerprint, names)
-        self._relay._table.begin(names)
+        table = self._relay._table
+        self._dead_before = {name for name in names if table.is_ejected(name)}
+        table.begin(names)
         try:
             yield from self._stream_route(route, failed_s, planned_s)
         finally:
-            self._relay._table.end(names)
-            if suspect:
-                self._relay._guard.end_trial(self._req.fingerprint, names)
+            table.end(names)
+            self._end_trial()
 
     def _stream_route(self, route, failed_s: float, planned_s: float):
         stream = self._open(route)
@@ -241,6 +246,8 @@
                     recovering = None
                 if tokens[-1].finish:
                     self._done = True
+                if self._trial_until is not None:
+                    self._pass_trial()
                 visible = self._drop_known(tokens)
                 if visible:
                     yield visible
@@ -302,12 +309,13 @@
         try:
             return adapter.generate(call, _GENERATE_TIMEOUT_S)
         except exceptions.TargetUnreachableError:
-            self._judge(route, models.Cause.TARGET_DIED, "", counts=False)
+            self._dead_before.add(route[0].target)
+            self._judge(route, models.Cause.TARGET_DIED, "")
         except exceptions.TargetError:
             self._judge(route, models.Cause.STALLED, route[0].target)
         return None
 
-    def _judge(self, route, cause, failure: str, counts: bool = True) -> None:
+    def _judge(self, route, cause, failure: str) -> None:
         """Decides what the end of an attempt says about its targets."""
         relay = self._relay
         dead = failure or self._active.dead_target
@@ -340,13 +348,14 @@
             )
         if cause is models.Cause.MOVED:
             return
-        relay.cancel(route, self._req.id)
+        relay.cancel(route, self._req.id, self._attempt)
         if dead:
             relay._table.note_failure(dead, is_silent=True)
             self._avoid.add(dead)
         else:
             self._avoid.update(hop.target for hop in route)
-        if cause is models.Cause.TARGET_DIED and counts:
+        if cause is models.Cause.TARGET_DIED and dead not in self._dead_before:
+            self._suspect_layer = _start_of(route, dead)
             self._note_death()
 
     def _note_death(self) -> None:
@@ -367,22 +376,66 @@
 
     def _plan(self) -> list[engines.Hop]:
         """Returns a route, waiting for one while the deadline allows."""
+        standing = self._relay._guard.standing(self._req.fingerprint)
+        is_suspect = standing is poisons.Standing.SUSPECT
         while True:
-            route_req = self._route_request()
-            guard = self._relay._guard
-            fingerprint = self._req.fingerprint
-            if guard.standing(fingerprint) is poisons.Standing.SUSPECT:
-                route_req.banned = guard.occupied(fingerprint)
             try:
-                route = self._relay._planner.plan(route_req)
+                if is_suspect:
+                    return self._plan_trial()
+                route = self._relay._planner.plan(self._route_request())
+                return self._with_imports(route)
             except exceptions.NoRouteError:
                 if time.monotonic() + _PLAN_RETRY_S > self._req.deadline_s:
                     raise
-                guard.wait_free(_PLAN_RETRY_S)
                 if streams.has_left(self._req.caller):
                     raise
+                time.sleep(_PLAN_RETRY_S)
+
+    def _plan_trial(self) -> list[engines.Hop]:
+        """Returns a route on which no other suspect runs."""
+        req, relay = self._req, self._relay
+        occupied: list[str] = []
+        while time.monotonic() < req.deadline_s:
+            dead = {
+                target.id
+                for target in req.model.targets
+                if relay._table.is_ejected(target.id)
+            }
+            route_req = self._route_request()
+            route_req.banned = frozenset(dead.union(occupied))
+            try:
+                route = relay._planner.plan(route_req)
+            except exceptions.NoRouteError:
+                if not occupied:
+                    raise
+                occupied = []
+                time.sleep(_TRIAL_RETRY_S)
                 continue
-            return self._with_imports(route)
+            # Targets of the layers before the dead one have run the request
+            # and live.
+            names = [h.target for h in route if h.end > self._suspect_layer]
+            occupied = relay._trials.reserve(
+                req.model_name, req.fingerprint, names
+            )
+            if not occupied:
+                self._trial_until = self.index + _TRIAL_TOKENS
+                return self._with_imports(route)
+        raise exceptions.DeadlineError(
+            "the deadline passed", outcome=self._outcome()
+        )
+
+    def _pass_trial(self) -> None:
+        """Clears this request once it is beyond the point of the death."""
+        if not self._done and self.index < self._trial_until:
+            return
+        self._relay._guard.note_passed(self._req.fingerprint)
+        self._end_trial()
+
+    def _end_trial(self) -> None:
+        if self._trial_until is None:
+            return
+        self._trial_until = None
+        self._relay._trials.release(self._req.model_name, self._req.fingerprint)
 
     def _with_imports(self, route):
         """Adds KV imports where they are cheaper than a prefill."""
@@ -416,6 +469,14 @@
         return exceptions.Outcome.NOT_RUN
 
 
+def _start_of(route: list[engines.Hop], target: str) -> int:
+    """Returns the first layer that a target runs on a route."""
+    for hop in route:
+        if hop.target == target:
+            return hop.start
+    return 0
+
+
 def is_import_cheaper(
     source: entries.EngineTarget,
     target: entries.EngineTarget,
--- a/src/briarfall/pipelines/streams.py
+++ b/src/briarfall/pipelines/streams.py
@@ -1,5 +1,6 @@
 """Open streams of an instance and the watchdog over them."""
 
+import select
 import socket
 import threading
 import time
@@ -40,7 +41,7 @@
         self.expected_first_s = 0.0
         self.cause: models.Cause | None = None
         self.dead_target = ""
-        self.probing = False
+        self.probed_s = 0.0
         self.leaving_since_s = 0.0
         self._stream: engines.EngineStream | None = None
         self._lock = threading.Lock()
@@ -56,7 +57,7 @@
             self.route = route
             self.expected_first_s = expected_first_s
             self.waits_first = True
-            self.probing = False
+            self.probed_s = 0.0
             self.leaving_since_s = 0.0
             self.progress_s = time.monotonic()
             self._stream = stream
@@ -170,8 +171,9 @@
             )
             stream.end(models.Cause.STALLED)
             return
-        if silent_s > probe_s and not stream.probing and stream.route:
-            stream.probing = True
+        since_probe_s = now - max(stream.probed_s, stream.progress_s)
+        if silent_s > probe_s and since_probe_s > probe_s:
+            stream.probed_s = now
             for hop in stream.route:
                 threading.Thread(
                     target=self._probe,
@@ -191,7 +193,6 @@
             # A probe that this instance itself delayed proves nothing.
             took_s = time.monotonic() - started
             if took_s > 2 * _PROBE_TIMEOUT_S + TICK_S:
-                stream.probing = False
                 return
             self._table.note_failure(hop.target, is_silent=True)
             dead = isinstance(exc, exceptions.TargetUnreachableError)
@@ -235,9 +236,10 @@
     if sock is None:
         return False
     try:
-        data = sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
+        poller = select.poll()
+        poller.register(sock, select.POLLIN | select.POLLRDHUP)
+        if not poller.poll(0):
+            return False
+        return not sock.recv(1, socket.MSG_PEEK)
     except (OSError, ValueError):
         return True
-    return not data
--- a/src/briarfall/pipelines/targets.py
+++ b/src/briarfall/pipelines/targets.py
@@ -168,6 +168,10 @@
             return Health.EJECTED
         return Health.UP
 
+    def is_ejected(self, target: str) -> bool:
+        """Returns whether a target has failed just now."""
+        return self.status(target).ejected_until_s > self._clock.now()
+
     def usable(self, targets: list) -> list:
         """Returns targets for new work; ejection never empties the pool.
 
--- /dev/null
+++ b/src/briarfall/sessions.py
@@ -0,0 +1,259 @@
+"""A client of briarfall for callers and operators."""
+
+import collections.abc
+
+import msgspec
+from urllib3 import exceptions as urllib3_exceptions
+
+from briarfall import exceptions
+from briarfall import httpclient
+from briarfall import httpserver
+from briarfall.orders import keys
+
+DEFAULT_TIMEOUT_S = 30.0
+_MAX_RECONNECTS = 5
+_KINDS: dict[str, type[exceptions.BriarfallError]] = {}
+
+
+class Draft(msgspec.Struct):
+    """A whole answer."""
+
+    text: str
+    request: str = ""
+    tokens: int = 0
+
+
+class Event(msgspec.Struct):
+    """A piece of a streamed answer; `id` is where to resume after it."""
+
+    id: str
+    text: str
+
+
+class Session:
+    """Calls one or more instances with one account's key.
+
+    Args:
+        urls: Base URLs of instances, or of the balancer in front of them.
+        key: The account's key.
+        timeout_s: Longest wait for an answer or between two events.
+    """
+
+    def __init__(
+        self,
+        urls: str | list[str],
+        key: str = "",
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ):
+        urls = [urls] if isinstance(urls, str) else urls
+        self._clients = [httpclient.HttpClient(url) for url in urls]
+        self._headers = {"Authorization": f"Bearer {key}"} if key else {}
+        self._timeout_s = timeout_s
+
+    def __enter__(self) -> "Session":
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Closes pooled connections."""
+        for client in self._clients:
+            client.close()
+
+    def complete(self, model: str, prompt: str, **options) -> Draft:
+        """Returns a whole answer.
+
+        Args:
+            model: Name of the model's entry.
+            prompt: The prompt.
+            **options: `max_tokens`, `seed`, `deadline_ms`, `priority`.
+        """
+        body, headers = _completion(model, prompt, False, options)
+        reply = self.send("POST", "/v1/completions", body, headers)
+        data = msgspec.json.decode(reply.body)
+        return Draft(
+            data["choices"][0]["text"],
+            data["id"],
+            data["usage"]["completion_tokens"],
+        )
+
+    def stream(
+        self, model: str, prompt: str, *, last_event_id: str = "", **options
+    ) -> collections.abc.Iterator[Event]:
+        """Yields an answer as it is drafted.
+
+        When the connection breaks, the next instance continues the stream
+        after the last event that arrived.
+        """
+        body, headers = _completion(model, prompt, True, options)
+        position = last_event_id
+        for attempt in range(_MAX_RECONNECTS + 1):
+            client = self._clients[attempt % len(self._clients)]
+            if position:
+                headers["Last-Event-ID"] = position
+            try:
+                for event in self._events(client, body, headers):
+                    position = event.id or position
+                    yield event
+                return
+            except exceptions.TargetError as exc:
+                failure = exc
+            except exceptions.StreamLostError as exc:
+                failure = exc
+        raise failure
+
+    def call(
+        self,
+        service: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        method: str = "POST",
+        key: str = "",
+    ) -> httpclient.Reply:
+        """Calls a plain service; makes an idempotency key if none is given.
+
+        A lost connection is retried with the same key, which is safe.
+        """
+        headers = {"Idempotency-Key": key or keys.new_key()}
+        path = f"/services/{service}/{path.lstrip('/')}"
+        return self.send(method, path, body, headers)
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> httpclient.Reply:
+        """Sends a request to the first instance that answers.
+
+        Raises:
+            BriarfallError: The error that the instance reported.
+        """
+        failure: exceptions.BriarfallError | None = None
+        for client in self._clients:
+            try:
+                reply = client.send(
+                    method,
+                    path,
+                    body=body,
+                    headers={**self._headers, **(headers or {})},
+                    timeout_s=self._timeout_s,
+                )
+            except exceptions.TargetError as exc:
+                failure = exc
+                continue
+            if reply.status >= 400:
+                raise error_of(reply)
+            return reply
+        assert failure is not None
+        raise failure
+
+    def _events(self, client, body, headers):
+        resp = client.open(
+            "POST",
+            "/v1/completions",
+            body=body,
+            headers={**self._headers, **headers},
+            timeout_s=self._timeout_s,
+        )
+        try:
+            if resp.status >= 400:
+                data = resp.read()
+                raise error_of(
+                    httpclient.Reply(resp.status, data, dict(resp.headers))
+                )
+            yield from _parse_events(_lines(resp))
+        finally:
+            resp.close()
+
+
+def _completion(model: str, prompt: str, is_streamed: bool, options: dict):
+    options = dict(options)
+    headers = {}
+    deadline_ms = options.pop("deadline_ms", None)
+    priority = options.pop("priority", None)
+    if deadline_ms:
+        headers["X-Deadline-Ms"] = str(deadline_ms)
+    if priority:
+        headers["X-Priority"] = priority
+    body = {
+        "model": model,
+        "prompt": prompt,
+        "stream": is_streamed,
+        **options,
+    }
+    return msgspec.json.encode(body), headers
+
+
+def _lines(resp):
+    rest = b""
+    while True:
+        try:
+            data = resp.read1(65_536)
+        except (urllib3_exceptions.HTTPError, OSError) as exc:
+            raise exceptions.TargetError(f"stream broke: {exc}") from exc
+        if not data:
+            return
+        rest += data
+        *lines, rest = rest.split(b"\n")
+        yield from lines
+
+
+def _parse_events(lines):
+    """Yields events; a stream without a final verdict is an error."""
+    event_id = ""
+    kind = ""
+    for line in lines:
+        if line.startswith(b"id: "):
+            event_id = line[4:].decode()
+        elif line.startswith(b"event: "):
+            kind = line[7:].decode()
+        elif line == b"data: [DONE]":
+            return
+        elif line.startswith(b"data: ") and kind == "error":
+            raise _error_from(line[6:], 0)
+        elif line.startswith(b"data: "):
+            choice = msgspec.json.decode(line[6:])["choices"][0]
+            if choice["text"]:
+                yield Event(event_id, choice["text"])
+    raise exceptions.TargetError("stream ended without a verdict")
+
+
+def error_of(reply: httpclient.Reply) -> exceptions.BriarfallError:
+    """Returns the error that a response reports."""
+    exc = _error_from(reply.body, reply.status)
+    retry_after = reply.headers.get("Retry-After", "")
+    if retry_after.isdigit():
+        exc.retry_after_s = float(retry_after)
+    exc.response = reply
+    return exc
+
+
+def _error_from(data: bytes, status: int) -> exceptions.BriarfallError:
+    try:
+        detail = msgspec.json.decode(data, type=httpserver.ErrorBody).error
+    except msgspec.DecodeError:
+        return exceptions.TargetError(f"status {status}: {data[:200]!r}")
+    kind = _kinds().get(detail.code, exceptions.BriarfallError)
+    exc = kind.__new__(kind)
+    exceptions.BriarfallError.__init__(
+        exc,
+        detail.message,
+        remedy=detail.remedy,
+        outcome=exceptions.Outcome(detail.outcome),
+    )
+    exc.code = detail.code
+    return exc
+
+
+def _kinds() -> dict[str, type[exceptions.BriarfallError]]:
+    if not _KINDS:
+        todo = [exceptions.BriarfallError]
+        while todo:
+            kind = todo.pop()
+            _KINDS[kind.code] = kind
+            todo += kind.__subclasses__()
+    return _KINDS
--- a/src/briarfall/standins/fleet.py
+++ b/src/briarfall/standins/fleet.py
@@ -4,6 +4,7 @@
 over simulated links inside this process, never by way of the router.
 """
 
+import enum
 import queue
 import threading
 
@@ -20,9 +21,20 @@
 _ACTIVATION_BYTES = 8192
 _KV_BYTES = 32_768
 _TOKEN_BYTES = 64
+_STALL_POLL_S = 0.05
+_STALL_POLLS = 200
 _END = None
 
 
+class Step(enum.Enum):
+    """Moments in the life of a stream at which a trap can act."""
+
+    PREFILL = "prefill"
+    FIRST_TOKEN = "first token"
+    MID_ANSWER = "mid-answer"
+    LAST_TOKEN = "last token"
+
+
 class Fleet:
     """Engines that form pipelines.
 
@@ -46,6 +58,7 @@
         self.fronts: dict[str, EngineFront] = {}
         self.restart_s = 0.0
         self.stale_events = False
+        self._traps: list[tuple[Step, object]] = []
         self._kv_bytes = kv_bytes
 
     def start(self) -> None:
@@ -59,8 +72,7 @@
     def stop(self) -> None:
         """Stops everything."""
         for front in self.fronts.values():
-            front.end_streams()
-            front.server.stop()
+            front.close()
         self.timeline.stop()
 
     def url(self, target: str) -> str:
@@ -106,6 +118,17 @@
             self.engines[target].revive()
         front.reopen()
 
+    def set_trap(self, step: Step, action) -> None:
+        """Calls `action(call)` once, when a stream reaches a step."""
+        with self.timeline.lock:
+            self._traps.append((step, action))
+
+    def _spring(self, step: Step, sequence: engine.Sequence) -> None:
+        for trap in list(self._traps):
+            if trap[0] is step:
+                self._traps.remove(trap)
+                trap[1](sequence.call)
+
     def begin(self, sequence: engine.Sequence) -> None:
         """Starts a sequence at the head of its route."""
         with self.timeline.lock:
@@ -117,15 +140,26 @@
             delay_s = self._import_kv(sequence)
             head = self.engines[route[0].target]
             self.timeline.at(delay_s, head.enqueue, item)
+            self._spring(Step.PREFILL, sequence)
 
-    def cancel(self, stream: str, attempt: int = 0) -> None:
-        """Stops work for a stream, or for one attempt of it."""
+    def cancel(self, stream: str, attempt: int) -> None:
+        """Stops work for a stream's attempts up to `attempt`."""
         with self.timeline.lock:
             for front in self.fronts.values():
                 front.cancel(stream, attempt)
             for unit in self.engines.values():
                 unit.drop(stream)
 
+    def running(self) -> set[str]:
+        """Returns the streams that engines work for."""
+        with self.timeline.lock:
+            return {
+                sequence.call.stream
+                for front in self.fronts.values()
+                for sequence in front.sequences()
+                if not sequence.cancelled
+            }
+
     def forward(self, item: engine.WorkItem, unit: engine.Engine) -> None:
         """Sends a finished item to the next stage, or emits its token."""
         sequence = item.sequence
@@ -141,6 +175,9 @@
             )
             return
         head = self.engines[route[0].target]
+        self._spring_token(sequence)
+        if sequence.cancelled:
+            return
         token = self._sample(sequence)
         self.links.send(
             unit.spec.zone,
@@ -152,6 +189,15 @@
             head,
         )
 
+    def _spring_token(self, sequence: engine.Sequence) -> None:
+        index, length = sequence.index, sequence.call.max_tokens
+        if index == 0:
+            self._spring(Step.FIRST_TOKEN, sequence)
+        if index == length // 2:
+            self._spring(Step.MID_ANSWER, sequence)
+        if index == length - 1:
+            self._spring(Step.LAST_TOKEN, sequence)
+
     def fail(self, sequence: engine.Sequence, code: str, target: str):
         """Ends a sequence with an error that its head reports."""
         if sequence.cancelled:
@@ -256,8 +302,7 @@
         self._fleet = fleet
         self._unit = unit
         self._open: dict[int, tuple[engine.Sequence, queue.SimpleQueue]] = {}
-        self._revived = threading.Event()
-        self._revived.set()
+        self._closing = threading.Event()
         self._port = 0
         self.server = self._new_server()
         self._port = self.server.address[1]
@@ -298,6 +343,12 @@
             self.server = self._new_server()
             self.server.start()
 
+    def close(self) -> None:
+        """Ends everything that is open and stops listening."""
+        self._closing.set()
+        self.end_streams()
+        self.server.stop()
+
     def end_streams(self) -> None:
         """Ends the responses of all streams without a final event."""
         with self._fleet.timeline.lock:
@@ -305,11 +356,15 @@
                 sequence.cancelled = True
                 out.put(_END)
 
+    def sequences(self) -> list[engine.Sequence]:
+        """Returns the sequences that have this engine as their head."""
+        return [sequence for sequence, _ in self._open.values()]
+
     def cancel(self, stream: str, attempt: int) -> None:
         """Cancels the streams that have this engine as their head."""
         for sequence, out in self._open.values():
             call = sequence.call
-            if call.stream != stream or attempt not in (0, call.attempt):
+            if call.stream != stream or call.attempt > attempt:
                 continue
             sequence.cancelled = True
             out.put(_END)
@@ -357,7 +412,8 @@
                 self._open.pop(id(sequence), None)
 
     def _handle_cancel(self, req: httpserver.Request):
-        self._fleet.cancel(req.params["stream"])
+        attempt = int(req.query.get("attempt", "1"))
+        self._fleet.cancel(req.params["stream"], attempt)
         return httpserver.json_response({})
 
     def _handle_load(self, req: httpserver.Request):
@@ -393,11 +449,11 @@
         return httpserver.json_response(wanted)
 
     def _wait_while_stalled(self) -> None:
-        pause = threading.Event()
-        for _ in range(200):
+        for _ in range(_STALL_POLLS):
             if self._unit.state is not engine.State.STALLED:
                 return
-            pause.wait(0.05)
+            if self._closing.wait(_STALL_POLL_S):
+                return
 
 
 class Control(msgspec.Struct):
--- a/src/briarfall/standins/log.py
+++ b/src/briarfall/standins/log.py
@@ -27,12 +27,17 @@
     Args:
         retention_s: Age at which records are dropped.
         port: TCP port, 0 for any.
+
+    Attributes:
+        on_append: Called with stream and data after an append has taken
+            effect and before it is answered.
     """
 
     def __init__(self, *, retention_s: float = 3600.0, port: int = 0):
         self.gate = faults.FaultGate()
         self.retention_s = retention_s
         self.appends = 0
+        self.on_append = None
         self._streams: dict[str, _Stream] = {}
         self._changed = threading.Condition()
         routes = httpserver.Router()
@@ -99,6 +104,8 @@
     def _handle_append(self, req: httpserver.Request):
         self.gate.before()
         offset = self.put(req.params["stream"], req.body)
+        if self.on_append:
+            self.on_append(req.params["stream"], req.body)
         self.gate.after()
         return httpserver.json_response(log.AppendResult(offset))
 
--- a/src/briarfall/standins/orders.py
+++ b/src/briarfall/standins/orders.py
@@ -41,11 +41,16 @@
     Args:
         name: Target id.
         ledger: Shared by all targets.
+
+    Attributes:
+        on_run: Called with the key after an order has run and before it is
+            answered.
     """
 
     def __init__(self, name: str, ledger: OrderLedger, port: int = 0):
         self.name = name
         self.gate = faults.FaultGate()
+        self.on_run = None
         self._ledger = ledger
         routes = httpserver.Router()
         routes.add("POST", "/orders", self._handle_order)
@@ -75,6 +80,8 @@
         if not key:
             raise exceptions.BadRequestError("Idempotency-Key is missing")
         reply = self._ledger.run(key, self.name)
+        if self.on_run:
+            self.on_run(key)
         self._lose_answer(req)
         return httpserver.json_response(reply, 201)
 
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,189 @@
+import concurrent.futures
+import threading
+
+import cbor2
+import msgspec
+import pytest
+import trustme
+from websockets.sync import client as ws_client
+
+from briarfall import clock
+from briarfall import exceptions
+from briarfall import settings
+from briarfall.adapters import instancelist
+from briarfall.membership import links
+from briarfall.membership import table as tables
+
+STATES = tables.MemberState
+
+
+def member(name="r2", incarnation=1, sequence=0, state=STATES.ALIVE, **more):
+    return tables.Member(
+        name, "127.0.0.1:1", "suva", incarnation, sequence, state, **more
+    )
+
+
+class TestMemberTable:
+    def _table(self):
+        self.time = clock.ManualClock()
+        return tables.MemberTable(member("r1", 5), self.time)
+
+    def test_newer_word_wins(self):
+        table = self._table()
+        assert table.learn(member(sequence=2))
+        assert not table.learn(member(sequence=1))
+        assert table.learn(member(incarnation=2))
+        assert table.get("r2").incarnation == 2
+
+    def test_suspect_becomes_dead(self):
+        table = self._table()
+        table.learn(member())
+        table.suspect("r2")
+        assert table.live() == ["r1"]
+        assert table.is_live("r2")
+        self.time.advance(5.0)
+        table.advance(4.0)
+        assert not table.is_live("r2")
+
+    def test_suspect_refutes(self):
+        table = self._table()
+        said = member("r1", 5, state=STATES.SUSPECT)
+        assert table.learn(said)
+        assert table.me.state is STATES.ALIVE
+        assert table.me.version > said.version
+
+    def test_restart_under_the_same_name(self):
+        table = self._table()
+        table.learn(member(state=STATES.DEAD))
+        table.learn(member(incarnation=9))
+        assert table.live() == ["r1", "r2"]
+
+    def test_listing_lags_behind_gossip(self):
+        table = self._table()
+        table.learn(member(state=STATES.DEAD))
+        table.learn_listed(
+            instancelist.ListedInstance("r2", "127.0.0.1:1", "suva")
+        )
+        assert table.live() == ["r1"]
+
+    def test_in_force(self):
+        table = self._table()
+        table.announce(applied=8)
+        table.learn(member(applied=7))
+        assert table.in_force(6) == (2, 2)
+        assert table.in_force(7) == (1, 2)
+
+
+class _Echo(msgspec.Struct):
+    text: str
+
+
+class TestLinks:
+    def _listener(self, security):
+        handlers = links.Handlers()
+        handlers.add("echo", _Echo, lambda message: message)
+        handlers.add("fail", _Echo, self._fail)
+        listener = links.LinkListener(
+            "r1", settings.Listener(), security, handlers, links.Counters()
+        )
+        listener.start()
+        return listener
+
+    def _fail(self, message):
+        raise exceptions.LogUnavailableError(
+            message.text, outcome=exceptions.Outcome.UNKNOWN
+        )
+
+    def _connect(self, listener, security):
+        pool = concurrent.futures.ThreadPoolExecutor(1)
+        return links.connect(
+            "r2",
+            listener.address,
+            security,
+            links.Handlers(),
+            pool,
+            links.Counters(),
+        )
+
+    def test_call(self):
+        security = links.Security(["secret"])
+        listener = self._listener(security)
+        conn = self._connect(listener, security)
+        answer = conn.call("echo", _Echo("hello"), _Echo, 2.0)
+        assert answer.text == "hello"
+        with pytest.raises(exceptions.LogUnavailableError) as info:
+            conn.call("fail", _Echo("x"), _Echo, 2.0)
+        assert info.value.outcome is exceptions.Outcome.UNKNOWN
+        with pytest.raises(exceptions.BadRequestError):
+            conn.call("absent", _Echo("x"), _Echo, 2.0)
+        conn.close()
+        listener.stop()
+
+    def test_wrong_key_is_refused(self):
+        listener = self._listener(links.Security(["secret"]))
+        with pytest.raises(exceptions.PeerError):
+            self._connect(listener, links.Security(["other"]))
+        listener.stop()
+
+    def test_keys_may_overlap_while_they_are_replaced(self):
+        listener = self._listener(links.Security(["new", "old"]))
+        conn = self._connect(listener, links.Security(["old"]))
+        assert conn.call("echo", _Echo("x"), _Echo, 2.0).text == "x"
+        conn.close()
+        listener.stop()
+
+    def test_closed_link_fails_pending_calls(self):
+        security = links.Security(["secret"])
+        listener = self._listener(security)
+        entered, leave = threading.Event(), threading.Event()
+
+        def block(message):
+            entered.set()
+            leave.wait(5)
+            return message
+
+        listener._handlers.add("block", _Echo, block)
+        conn = self._connect(listener, security)
+        threading.Thread(
+            target=lambda: (entered.wait(5), conn.close()), daemon=True
+        ).start()
+        with pytest.raises(exceptions.PeerError):
+            conn.call("block", _Echo("x"), _Echo, 10.0)
+        leave.set()
+        listener.stop()
+
+    @pytest.mark.parametrize(
+        "data", [b"", b"\xff", cbor2.dumps([9, 9]), cbor2.dumps("x"), b"\x9b"]
+    )
+    def test_garbage_is_refused_and_service_goes_on(self, data):
+        security = links.Security(["secret"])
+        listener = self._listener(security)
+        with ws_client.connect(f"ws://{listener.address}", proxy=None) as ws:
+            ws.send(data)
+        conn = self._connect(listener, security)
+        conn._socket.send(data)
+        assert conn.closed.wait(5)
+        conn = self._connect(listener, security)
+        assert conn.call("echo", _Echo("x"), _Echo, 2.0).text == "x"
+        conn.close()
+        listener.stop()
+
+    def test_mutual_tls(self, tmp_path):
+        authority = trustme.CA()
+        security = self._tls(tmp_path, authority, "one")
+        listener = self._listener(security)
+        conn = self._connect(listener, security)
+        assert conn.call("echo", _Echo("x"), _Echo, 2.0).text == "x"
+        stranger = self._tls(tmp_path, trustme.CA(), "two")
+        with pytest.raises(exceptions.PeerError):
+            self._connect(listener, stranger)
+        conn.close()
+        listener.stop()
+
+    def _tls(self, folder, authority, name):
+        cert = authority.issue_cert("127.0.0.1")
+        paths = [str(folder / f"{name}-{part}.pem") for part in "cka"]
+        cert.cert_chain_pems[0].write_to_path(paths[0])
+        cert.private_key_pem.write_to_path(paths[1])
+        authority.cert_pem.write_to_path(paths[2])
+        return links.Security(["secret"], settings.Tls(*paths))
--- /dev/null
+++ b/tests/test_pipelines.py
@@ -0,0 +1,279 @@
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from briarfall import clock
+from briarfall import exceptions
+from briarfall.adapters import engine
+from briarfall.catalogue import entries
+from briarfall.pipelines import cursors
+from briarfall.pipelines import graph
+from briarfall.pipelines import maxflow
+from briarfall.pipelines import planning
+from briarfall.pipelines import poison
+from briarfall.pipelines import policies
+from briarfall.pipelines import relay
+from briarfall.pipelines import targets
+from briarfall.pipelines import trials
+
+URL = "http://127.0.0.1:1"
+
+
+def target(name, start, end, rate=100.0, **changes):
+    return entries.EngineTarget(
+        name, URL, "suva", start, end, tokens_per_s=rate, **changes
+    )
+
+
+def model(items, layers=24, **changes):
+    return entries.Model("tuvatu", layers, items, **changes)
+
+
+class TestLayerGraph:
+    def test_targets_may_start_inside_their_range(self):
+        made = graph.LayerGraph(24, [target("a", 0, 10), target("b", 8, 24)])
+        path = made.shortest(lambda last, edge: 1.0)
+        assert graph.spans(graph.to_route(path)) == [(0, 10), (10, 24)]
+
+    def test_gap_is_not_routable(self):
+        made = graph.LayerGraph(24, [target("a", 0, 10), target("b", 12, 24)])
+        assert not made.is_routable()
+
+    @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+    @hypothesis.given(
+        st.lists(
+            st.tuples(st.integers(0, 11), st.integers(1, 12)).filter(
+                lambda pair: pair[0] < pair[1]
+            ),
+            max_size=8,
+        ),
+        st.sampled_from(list(policies.POLICIES)),
+    )
+    def test_every_policy_covers_all_layers_once(self, ranges, name):
+        items = [target(f"t{i}", a, b) for i, (a, b) in enumerate(ranges)]
+        planner = planning.Planner(targets.TargetTable(), seed=1)
+        req = policies.RouteRequest(model(items, 12, policy=name))
+        try:
+            route = planner.plan(req)
+        except exceptions.NoRouteError:
+            assert not graph.LayerGraph(12, items).is_routable()
+            return
+        assert graph.covers(graph.spans(route), 12)
+
+
+class TestMaxFlow:
+    def test_bottleneck_stage_decides(self):
+        items = [
+            target("a", 0, 12, 100.0),
+            target("b", 0, 12, 50.0),
+            target("c", 12, 24, 120.0),
+        ]
+        result = maxflow.FlowResult(graph.LayerGraph(24, items))
+        assert result.total == pytest.approx(120.0)
+
+    def test_flow_is_conserved(self):
+        items = [
+            target("a", 0, 8, 70.0),
+            target("b", 0, 12, 40.0),
+            target("c", 8, 24, 60.0),
+            target("d", 12, 24, 90.0),
+        ]
+        result = maxflow.FlowResult(graph.LayerGraph(24, items))
+        assert result.total == pytest.approx(100.0)
+        leaving = sum(f for (b, _), f in result.weights.items() if b == 0)
+        assert leaving == pytest.approx(result.total)
+
+
+class TestFlowPolicy:
+    def test_streams_split_like_the_flow(self):
+        items = [target("fast", 0, 24, 300.0), target("slow", 0, 24, 100.0)]
+        table = targets.TargetTable()
+        planner = planning.Planner(table, seed=3)
+        taken = []
+        for _ in range(80):
+            route = planner.plan(policies.RouteRequest(model(items)))
+            taken.append(route[0].target)
+            table.begin([route[0].target])
+        assert 56 <= taken.count("fast") <= 64
+
+
+class TestTargetTable:
+    def test_ejection_never_empties_a_pool(self):
+        table = targets.TargetTable(clock.ManualClock())
+        items = [target(f"t{i}", 0, 24) for i in range(4)]
+        for item in items:
+            table.note_failure(item.id)
+        assert len(table.usable(items)) == 2
+
+    def test_any_source_makes_a_target_leave(self):
+        table = targets.TargetTable()
+        item = target("t", 0, 24)
+        table.set_leaving("t", "list", True)
+        table.set_leaving("t", "engine", False)
+        assert table.health(item) is targets.Health.LEAVING
+        table.set_leaving("t", "list", False)
+        assert table.health(item) is targets.Health.UP
+
+    def test_ejection_ends(self):
+        time = clock.ManualClock()
+        table = targets.TargetTable(time)
+        table.note_failure("t")
+        assert table.is_ejected("t")
+        time.advance(targets.EJECT_S + 0.1)
+        assert not table.is_ejected("t")
+
+    def test_report_after_silence_ends_ejection(self):
+        time = clock.ManualClock()
+        table = targets.TargetTable(time)
+        table.note_failure("t", is_silent=True)
+        table.note_report("t", engine.LoadReport(1, 0, age_s=0.5))
+        assert table.is_ejected("t"), "the report is older than the failure"
+        time.advance(1.0)
+        table.note_report("t", engine.LoadReport(1, 0, age_s=0.5))
+        assert not table.is_ejected("t")
+
+
+class TestAccepted:
+    LAYERS = [(0, 12), (12, 24)]
+
+    def _token(self, index, attempt=2, layers=None):
+        return engine.Token(index, "x ", attempt, layers or self.LAYERS)
+
+    def test_takes_each_index_once_from_the_current_attempt(self):
+        accepted = relay.Accepted()
+        batch = engine.TokenBatch(
+            [
+                self._token(0),
+                self._token(0),
+                self._token(1, attempt=1),
+                self._token(1, layers=[(12, 24)]),
+                self._token(1, layers=[(12, 24), (0, 12)]),
+                self._token(2),
+                self._token(1),
+            ]
+        )
+        taken = accepted.take(batch, 2, self.LAYERS)
+        assert [token.index for token in taken] == [0, 1]
+        assert accepted.dropped == 5
+
+
+class TestCursorCodec:
+    def _codec(self, *secrets, ttl_s=60.0):
+        return cursors.CursorCodec(list(secrets or ["secret"]), ttl_s)
+
+    def _encode(self, codec):
+        cursor = cursors.Cursor("crew", "s1", 7, "f", ["a", "b"])
+        return codec.encode(codec.prefix(cursor), 5, 99).decode()
+
+    def test_round_trip(self):
+        codec = self._codec()
+        cursor = codec.decode(self._encode(codec), "crew", "f")
+        assert (cursor.index, cursor.digest, cursor.seed) == (5, 99, 7)
+
+    def test_previous_secret_is_accepted(self):
+        text = self._encode(self._codec("old"))
+        assert self._codec("new", "old").decode(text, "crew", "f").index == 5
+
+    @pytest.mark.parametrize(
+        ("client", "fingerprint", "ttl_s"),
+        [("other", "f", 60.0), ("crew", "g", 60.0), ("crew", "f", -1.0)],
+    )
+    def test_foreign_and_expired_are_refused(self, client, fingerprint, ttl_s):
+        codec = self._codec(ttl_s=ttl_s)
+        with pytest.raises(exceptions.CursorError):
+            codec.decode(self._encode(codec), client, fingerprint)
+
+    @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+    @hypothesis.given(st.integers(0, 400), st.text(max_size=40))
+    def test_forged_are_refused(self, position, text):
+        codec = self._codec()
+        genuine = self._encode(codec)
+        at = position % len(genuine)
+        changed = "A" if genuine[at] != "A" else "B"
+        forged = genuine[:at] + changed + genuine[at + 1 :]
+        for value in (forged, text):
+            with pytest.raises(exceptions.CursorError):
+                codec.decode(value, "crew", "f")
+
+
+class TestPoisonGuard:
+    def test_second_death_is_poison(self):
+        guard = poison.PoisonGuard("r1")
+        assert guard.note_death("f") is poison.Standing.SUSPECT
+        assert guard.note_death("f") is poison.Standing.POISON
+        with pytest.raises(exceptions.PoisonError):
+            guard.check("f")
+
+    def test_passing_clears(self):
+        guard = poison.PoisonGuard("r1")
+        guard.note_death("f")
+        guard.note_passed("f")
+        assert guard.standing("f") is poison.Standing.CLEAR
+        assert guard.note_death("f") is poison.Standing.SUSPECT
+
+    def test_poison_expires(self):
+        time = clock.ManualClock()
+        guard = poison.PoisonGuard("r1", time)
+        guard.note_death("f")
+        guard.note_death("f")
+        time.advance(601.0)
+        guard.check("f")
+
+    def test_news_are_taken_once(self):
+        guard = poison.PoisonGuard("r1")
+        news = poison.Suspicion("f", 2, "r2")
+        assert guard.learn(news)
+        assert not guard.learn(news)
+        assert not guard.learn(poison.Suspicion("f", 1, "r2"))
+        assert guard.standing("f") is poison.Standing.POISON
+
+    def test_waits_for_the_trial_elsewhere(self):
+        guard = poison.PoisonGuard("r1")
+        guard.ask = lambda peer, name: poison.Suspicion(name, 2, "r2")
+        guard.learn(poison.Suspicion("f", 1, "r2"))
+        with pytest.raises(exceptions.PoisonError):
+            guard.check("f")
+
+
+class TestTrialTable:
+    def test_one_suspect_to_a_target(self):
+        table = trials.TrialTable()
+        assert table.reserve(trials.ReserveCall("f", ["a", "b"])) == []
+        assert table.reserve(trials.ReserveCall("g", ["b"])) == ["a", "b"]
+        assert table.reserve(trials.ReserveCall("g", ["c"])) == []
+        table.release(trials.ReleaseCall("f"))
+        assert table.reserve(trials.ReserveCall("g", ["b"])) == []
+
+    def test_forgotten_reservation_expires(self):
+        time = clock.ManualClock()
+        table = trials.TrialTable(time)
+        table.reserve(trials.ReserveCall("f", ["a"]))
+        time.advance(trials.TRIAL_TTL_S + 1)
+        assert table.reserve(trials.ReserveCall("g", ["a"])) == []
+
+
+class TestImportDecision:
+    @pytest.mark.parametrize(
+        ("bytes_per_s", "cheaper"), [(1e9, True), (1e6, False)]
+    )
+    def test_link_decides(self, bytes_per_s, cheaper):
+        source = target("a", 0, 12, kv_bytes_per_token=32_768.0)
+        link = policies.LinkCost(0.001, bytes_per_s)
+        found = relay.is_import_cheaper(source, source, link, 2000)
+        assert found is cheaper
+
+    def test_engine_without_export(self):
+        source = target("a", 0, 12)
+        link = policies.LinkCost()
+        assert not relay.is_import_cheaper(source, source, link, 2000)
+
+
+class TestPhases:
+    def test_instances_break_ties_differently(self):
+        items = [target(f"t{i}", 0, 24) for i in range(8)]
+        first = set()
+        for seed in range(16):
+            planner = planning.Planner(targets.TargetTable(), seed=seed)
+            route = planner.plan(policies.RouteRequest(model(items)))
+            first.add(route[0].target)
+        assert len(first) > 3
