--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,9 @@
 	-$(PY) -m pytest -m known_red
 	-.venv/bin/behave --tags=known_red features
 
+bench-relay: .venv/.ready
+	scripts/bench-relay.sh --out docs/bench/relay.json
+
 bench: .venv/.ready
 	$(BIN) bench all
 
--- a/features/world.py
+++ b/features/world.py
@@ -7,6 +7,7 @@
 
 import urllib3
 
+from briarfall import exceptions
 from briarfall.bench import checks
 from briarfall.bench import load
 from briarfall.catalogue import entries
@@ -44,6 +45,10 @@
     return result
 
 
+def log_down():
+    return exceptions.LogUnavailableError("the log is down")
+
+
 class Answer:
     """A draft that runs in the background."""
 
@@ -81,6 +86,7 @@
 
     def __init__(self):
         self.platform = None
+        self.store = None
         self.http = urllib3.PoolManager(retries=False, timeout=20)
         self.rng = random.Random(5)
         self.answers = []
@@ -88,7 +94,7 @@
         self.versions = {}
         self.keys = []
 
-    def start(self, instances=3, fencing=True, **service):
+    def start(self, instances=3, fencing=True, settings=None, **service):
         part = platform.Platform(specs(fencing))
         self.platform = part
         part.start()
@@ -96,7 +102,7 @@
         self.versions["draft"] = part.put("draft", self.model())
         self.versions["booking"] = part.put("booking", part.service(**service))
         for _ in range(instances):
-            part.add_instance()
+            part.add_instance(**(settings or {}))
         assert part.wait_ready(), "the instances are not ready"
         assert wait_until(
             lambda: all(
@@ -107,6 +113,8 @@
     def close(self):
         if self.platform:
             self.platform.stop()
+        if self.store:
+            self.store.stop()
         self.http.clear()
 
     def model(self, **changes):
--- a/src/briarfall/adapters/engine.py
+++ b/src/briarfall/adapters/engine.py
@@ -10,9 +10,10 @@
 from briarfall import exceptions
 from briarfall import httpclient
 from briarfall import ids
+from briarfall import sockets
 
 _CALL_TIMEOUT_S = 1.0
-_STREAM_TIMEOUT_S = 300.0
+_STREAM_TIMEOUT_S = 300
 _CHUNK_BYTES = 65_536
 _EVENT_END = b"\n\n"
 _EVENT_START = b"data: "
@@ -214,7 +215,7 @@
         self._resp = resp
         self._sock: socket.socket | None = _socket_of(resp)
         if self._sock is not None:
-            self._sock.settimeout(_STREAM_TIMEOUT_S)
+            sockets.set_kernel_timeout(self._sock, _STREAM_TIMEOUT_S)
         self._buffer = b""
         self._decoder = msgspec.json.Decoder(TokenBatch)
 
--- /dev/null
+++ b/src/briarfall/bench/control.py
@@ -0,0 +1,156 @@
+"""What control costs an instance, by instances and engines."""
+
+import threading
+import time
+
+import msgspec
+
+from briarfall import httpserver
+from briarfall.adapters import engine as engines
+from briarfall.bench import measure
+from briarfall.catalogue import entries
+from briarfall.standins import engine
+from briarfall.standins import platform
+
+_POINTS = (
+    (5, 30),
+    (15, 30),
+    (30, 30),
+    (60, 30),
+    (15, 100),
+    (15, 300),
+    (15, 810),
+)
+_LARGE = (330, 810)
+_TARGET_BYTES_PER_S = 5000.0
+_TARGET_CORE = 0.035
+_TARGET_BYTES = 32e6
+_WARM_UP_S = 6.0
+_EDIT_INTERVAL_S = 1.0
+
+
+class Row(msgspec.Struct):
+    """Cost for one instance."""
+
+    instances: int
+    engines: int
+    bytes_per_s: float
+    core: float
+    resident_mb: float
+    threads: float
+    log_reads_per_s: float
+
+
+class FakeEngines:
+    """One listener that answers load reports for any number of engines."""
+
+    def __init__(self):
+        self.calls = 0
+        routes = httpserver.Router()
+        routes.add("GET", "/load", self._handle_load)
+        self.server = httpserver.HttpServer(
+            "127.0.0.1", 0, routes.handle, name="fakes"
+        )
+
+    def _handle_load(self, req):
+        self.calls += 1
+        running = self.calls % 16
+        return httpserver.json_response(engines.LoadReport(running, 0))
+
+
+def run(seconds: float) -> dict:
+    """Returns the report, with the slopes extended to letter 1's size."""
+    rows = [_measure(i, e, seconds) for i, e in _POINTS]
+    by_instances = [r for r in rows if r.engines == 30]
+    by_engines = [r for r in rows if r.instances == 15]
+    extended = {}
+    for field in ("bytes_per_s", "core", "resident_mb"):
+        extended[field] = _extend(by_instances, by_engines, field)
+    return {
+        "command": "briarfall bench control",
+        "machine": measure.machine(),
+        "rows": msgspec.to_builtins(rows),
+        "at_330_instances_810_engines": extended,
+        "targets": {
+            "bytes_per_s": _TARGET_BYTES_PER_S,
+            "core": _TARGET_CORE,
+            "resident_mb": _TARGET_BYTES / 1e6,
+        },
+    }
+
+
+def _extend(by_instances, by_engines, field: str) -> dict:
+    base, per_instance = measure.slope(
+        [(r.instances, getattr(r, field)) for r in by_instances]
+    )
+    _, per_engine = measure.slope(
+        [(r.engines, getattr(r, field)) for r in by_engines]
+    )
+    instances, count = _LARGE
+    value = base + per_instance * instances + per_engine * (count - 30)
+    return {
+        "base": round(base, 4),
+        "per_instance": round(per_instance, 6),
+        "per_engine": round(per_engine, 6),
+        "value": round(value, 4),
+    }
+
+
+def _measure(instances: int, count: int, seconds: float) -> Row:
+    fakes = FakeEngines()
+    fakes.server.start()
+    part = platform.Platform([engine.EngineSpec("unused", "suva", 0, 1)])
+    part.start()
+    part.put_accounts()
+    targets = [
+        entries.EngineTarget(f"e{i}", fakes.server.url, "suva", 0, 24)
+        for i in range(count)
+    ]
+    part.put("draft", entries.Model("platform", 24, targets))
+    memory = measure.resident_bytes()
+    threads = threading.active_count()
+    from briarfall import settings
+
+    timing = settings.Membership(heartbeat_s=1.0, suspect_s=8.0, poll_s=5.0)
+    for _ in range(instances):
+        part.add_instance(membership=timing)
+    part.wait_ready(60.0)
+    time.sleep(_WARM_UP_S)
+    control = [t for t in threading.enumerate() if _is_control(t)]
+    before = _traffic(part)
+    cpu_before = measure.thread_cpu_s(control)
+    started = time.monotonic()
+    time.sleep(seconds)
+    wall = time.monotonic() - started
+    cpu = measure.thread_cpu_s(control) - cpu_before
+    sent = _traffic(part) - before
+    grown = measure.resident_bytes() - memory
+    grown_threads = threading.active_count() - threads
+    part.stop()
+    fakes.server.stop()
+    row = Row(
+        instances,
+        count,
+        round(sent / wall / instances, 1),
+        round(cpu / wall / instances, 5),
+        round(grown / instances / 1e6, 3),
+        round(grown_threads / instances, 1),
+        0.0,
+    )
+    print(msgspec.to_builtins(row), flush=True)
+    return row
+
+
+def _is_control(thread: threading.Thread) -> bool:
+    names = ("_run", "sampl", "link", "peer", "shares", "catalogue", "config")
+    if thread.name.startswith(names):
+        return True
+    module = getattr(getattr(thread, "_target", None), "__module__", "") or ""
+    return module.startswith(("websockets", "briarfall.membership"))
+
+
+def _traffic(part) -> int:
+    return sum(
+        inst.counters.sent_bytes + inst.counters.received_bytes
+        for inst in part.instances
+    )
--- a/src/briarfall/bench/demo.py
+++ b/src/briarfall/bench/demo.py
@@ -78,9 +78,9 @@
     def steady_share(self) -> float:
         """Returns the throughput now as a share of the bound."""
         ledger = self.platform.fleet.ledger
-        before = _count_tokens(ledger)
+        before = ledger.token_count
         time.sleep(_STEADY_S)
-        rate = (_count_tokens(ledger) - before) / _STEADY_S
+        rate = (ledger.token_count - before) / _STEADY_S
         model = self.platform.model("draft", _LAYERS)
         return (
             rate
@@ -178,10 +178,6 @@
     return 0 if all(item.held for item in scene.promises) else 1
 
 
-def _count_tokens(ledger) -> int:
-    return sum(len(ledger.answer(stream)) for stream in ledger.streams())
-
-
 def _keep(scene: _Scene) -> None:
     inst = scene.platform.instances[0]
     key = platform.client_key("tuvatu")
--- a/src/briarfall/bench/load.py
+++ b/src/briarfall/bench/load.py
@@ -71,6 +71,27 @@
     return result
 
 
+def whole(session: sessions.Session, model: str, prompt: str, **options):
+    """Asks for one draft without streaming."""
+    started = time.monotonic()
+    result = CallResult(
+        model,
+        started_s=started,
+        prompt=prompt,
+        priority=options.get("priority", ""),
+        seed=options.get("seed", 0),
+    )
+    try:
+        draft_result = session.complete(model, prompt, **options)
+        result.text = draft_result.text
+        result.tokens = draft_result.tokens
+    except exceptions.BriarfallError as exc:
+        result.code = exc.code
+        result.outcome = exc.outcome.value
+    result.total_s = time.monotonic() - started
+    return result
+
+
 def prompt_of(rng: random.Random, words: int, prefixes: int = 8) -> str:
     """Returns a prompt that shares its first half with others."""
     prefix = rng.randrange(prefixes)
--- /dev/null
+++ b/src/briarfall/bench/recovery.py
@@ -0,0 +1,263 @@
+"""Time from the loss of a target to the next token at the caller."""
+
+import random
+import time
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall import sessions
+from briarfall.bench import load
+from briarfall.bench import measure
+from briarfall.standins import engine
+from briarfall.standins import fleet
+from briarfall.standins import platform
+
+_LAYERS = 36
+_STREAMS = 24
+_TOKENS = 60
+_SCALE = 2.0
+_SETTLE_S = 1.2
+_SEED = 3
+_TARGET_S = 1.7
+
+
+class Row(msgspec.Struct):
+    """Recovery from one kind of fault, in seconds."""
+
+    fault: str
+    streams: int
+    detect_p50: float
+    plan_p50: float
+    resume_p50: float
+    resume_p95: float
+    resume_p99: float
+    lost: int
+    within_target: bool
+
+
+class BaselineRow(msgspec.Struct):
+    """The same when the caller starts from the beginning."""
+
+    fault: str
+    streams: int
+    resume_p50: float
+    resume_p99: float
+
+
+def run(rounds: int) -> dict:
+    """Returns the report for every kind of fault."""
+    rows = [_measure(fault, rounds) for fault in _FAULTS]
+    baseline = [_measure_baseline(rounds)]
+    return {
+        "command": "briarfall bench recovery",
+        "machine": measure.machine(),
+        "target_s": _TARGET_S,
+        "rows": msgspec.to_builtins(rows),
+        "baseline": msgspec.to_builtins(baseline),
+        "false_detections": _measure_false(rounds),
+    }
+
+
+def _specs() -> list[engine.EngineSpec]:
+    result = []
+    for stage, start in enumerate(range(0, _LAYERS, 12)):
+        for number in range(5):
+            zone = ("suva", "nausori", "lautoka")[number % 3]
+            result.append(
+                engine.EngineSpec(
+                    f"draft-{stage}{number}", zone, start, start + 12
+                )
+            )
+    return result
+
+
+def _build() -> platform.Platform:
+    part = platform.Platform(_specs(), scale=_SCALE)
+    part.start()
+    part.put_accounts()
+    part.put("draft", part.model("draft", _LAYERS))
+    for _ in range(2):
+        part.add_instance()
+    if not part.wait_ready():
+        raise RuntimeError("the instances did not become ready")
+    return part
+
+
+def _kill(part, route, index: int) -> list[str]:
+    part.fleet.kill(route[index].target)
+    return [route[index].target]
+
+
+def _stall(part, route, index: int) -> list[str]:
+    part.fleet.stall(route[index].target)
+    return [route[index].target]
+
+
+def _kill_two(part, route) -> list[str]:
+    return _kill(part, route, 0) + _kill(part, route, 1)
+
+
+def _cut(part, route) -> list[str]:
+    zones = [part.fleet.engines[hop.target].spec.zone for hop in route]
+    part.fleet.links.cut(zones[0], zones[1])
+    return []
+
+
+def _degrade(part, route) -> list[str]:
+    zones = [part.fleet.engines[hop.target].spec.zone for hop in route]
+    part.fleet.links.degrade(zones[0], zones[1], 10.0)
+    return []
+
+
+def _kill_with_replacement(part, route) -> list[str]:
+    victims = _kill(part, route, 2)
+    part.fleet.set_trap(
+        fleet.Step.LAST_TOKEN,
+        lambda call: victims.extend(_kill(part, call.route, 2)),
+    )
+    return victims
+
+
+_FAULTS = {
+    "head reset": lambda part, route: _kill(part, route, 0),
+    "middle reset": lambda part, route: _kill(part, route, 1),
+    "last reset": lambda part, route: _kill(part, route, 2),
+    "two stages reset": _kill_two,
+    "replacement reset too": _kill_with_replacement,
+    "head stalls": lambda part, route: _stall(part, route, 0),
+    "last stalls": lambda part, route: _stall(part, route, 2),
+    "link cut": _cut,
+    "link slows tenfold": _degrade,
+}
+
+
+def _draft_step(part):
+    urls = [inst.caller_url for inst in part.instances]
+
+    def step(number: int, rng: random.Random):
+        key = platform.client_key(platform.CLIENTS[number % 2])
+        with sessions.Session(urls[number % len(urls)], key) as session:
+            return load.draft(
+                session,
+                "draft",
+                load.prompt_of(rng, 24),
+                max_tokens=_TOKENS,
+                seed=rng.randrange(1 << 30),
+            )
+
+    return step
+
+
+def _busy_route(part):
+    """Returns the route of a stream that has been running for a while."""
+    for inst in part.instances:
+        for stream in inst.watchdog.streams():
+            if stream.gap_s and stream.route:
+                return stream.route
+    return None
+
+
+def _measure(fault: str, rounds: int) -> Row:
+    part = _build()
+    workers = load.Workers(_draft_step(part), _STREAMS, _SEED)
+    workers.start()
+    time.sleep(_SETTLE_S)
+    for _ in range(rounds):
+        route = _busy_route(part)
+        if route is None:
+            continue
+        victims = _FAULTS[fault](part, route)
+        time.sleep(2 * _SETTLE_S)
+        for victim in victims:
+            part.fleet.revive(victim)
+        for src in ("suva", "nausori", "lautoka"):
+            for dst in ("suva", "nausori", "lautoka"):
+                part.fleet.links.cut(src, dst, False)
+                part.fleet.links.degrade(src, dst, 1.0)
+        time.sleep(_SETTLE_S)
+    results = workers.stop()
+    recovered = [r for i in part.instances for r in i.relay.recoveries]
+    part.stop()
+    resume = measure.quantiles([r.resume_s for r in recovered])
+    return Row(
+        fault,
+        len(recovered),
+        measure.quantiles([r.detect_s for r in recovered]).p50,
+        measure.quantiles([r.plan_s for r in recovered]).p50,
+        resume.p50,
+        resume.p95,
+        resume.p99,
+        sum(1 for r in results if r.code != "ok"),
+        resume.p99 <= _TARGET_S,
+    )
+
+
+def _measure_baseline(rounds: int) -> BaselineRow:
+    """Callers whose streams end with their target and who start again."""
+    part = _build()
+    model = part.model("draft", _LAYERS)
+    limits = msgspec.structs.replace(model.limits, max_attempts=1)
+    version = part.instances[0].queries.entry("draft").version
+    model = msgspec.structs.replace(model, limits=limits)
+    part.put("draft", model, if_version=version)
+    part.wait_ready()
+    times: list[float] = []
+    urls = [inst.caller_url for inst in part.instances]
+
+    def step(number: int, rng: random.Random):
+        prompt, seed = load.prompt_of(rng, 24), rng.randrange(1 << 30)
+        key = platform.client_key("tuvatu")
+        with sessions.Session(urls[number % 2], key) as session:
+            have, lost_s = 0, None
+            for _ in range(10):
+                count, last_s = 0, time.monotonic()
+                try:
+                    for event in session.stream(
+                        "draft", prompt, max_tokens=_TOKENS, seed=seed
+                    ):
+                        count += len(event.text.split())
+                        last_s = time.monotonic()
+                        if lost_s is not None and count > have:
+                            times.append(last_s - lost_s)
+                            lost_s = None
+                    return
+                except exceptions.BriarfallError:
+                    have = max(have, count)
+                    lost_s = lost_s or last_s
+
+    workers = load.Workers(step, _STREAMS, _SEED)
+    sessions._MAX_RECONNECTS, kept = 0, sessions._MAX_RECONNECTS
+    workers.start()
+    time.sleep(_SETTLE_S)
+    for _ in range(rounds):
+        route = _busy_route(part)
+        if route is None:
+            continue
+        victims = _kill(part, route, 1)
+        time.sleep(2 * _SETTLE_S)
+        for victim in victims:
+            part.fleet.revive(victim)
+        time.sleep(_SETTLE_S)
+    workers.stop()
+    sessions._MAX_RECONNECTS = kept
+    part.stop()
+    found = measure.quantiles(times)
+    return BaselineRow("middle reset", found.count, found.p50, found.p99)
+
+
+def _measure_false(rounds: int) -> dict:
+    """Attempts that ended without a fault, under load."""
+    part = _build()
+    workers = load.Workers(_draft_step(part), 3 * _STREAMS, _SEED)
+    workers.start()
+    time.sleep(4.0 * rounds)
+    results = workers.stop()
+    ended = sum(sum(i.relay.causes.values()) for i in part.instances)
+    part.stop()
+    streams = max(1, len(results))
+    return {
+        "streams": streams,
+        "ended_without_fault": ended,
+        "per_1000_streams": round(1000 * ended / streams, 2),
+    }
--- a/src/briarfall/catalogue/follower.py
+++ b/src/briarfall/catalogue/follower.py
@@ -9,6 +9,7 @@
 from briarfall import clock as clocks
 from briarfall import exceptions
 from briarfall.adapters import log
+from briarfall.adapters import reader
 from briarfall.catalogue import entries
 from briarfall.catalogue import fold
 from briarfall.catalogue import records
@@ -70,7 +71,7 @@
     offset: int = -1
 
 
-class Follower:
+class Follower(reader.StreamReader):
     """Folds the configuration stream on a thread of its own.
 
     Args:
@@ -86,7 +87,7 @@
         clock: clocks.Clock | None = None,
         on_change: collections.abc.Callable[[View], None] | None = None,
     ):
-        self._log = log_adapter
+        super().__init__(log_adapter, records.CONFIG_STREAM)
         self._clock = clock or clocks.Clock()
         self._on_change = on_change
         self._fold = fold.Fold()
@@ -95,24 +96,10 @@
         self._kept: collections.deque[log.LogRecord] = collections.deque(
             maxlen=_KEPT_RECORDS
         )
-        self._stopping = threading.Event()
-        self._thread: threading.Thread | None = None
         self.view = View(0, {}, {})
         self.caught_up = threading.Event()
-        self.log_up = True
         self.last_snapshot_offset = 0
 
-    def start(self) -> None:
-        """Starts following."""
-        self._thread = threading.Thread(
-            target=self._run, name="catalogue", daemon=True
-        )
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stops following."""
-        self._stopping.set()
-
     @property
     def next_offset(self) -> int:
         """Offset of the record that will be folded next."""
@@ -177,7 +164,6 @@
     def offer_snapshot(self, snapshot: records.Snapshot) -> None:
         """Takes over a peer's state if it is further than this one's."""
         self._load(snapshot)
-        self.caught_up.set()
 
     def pull(self, call, limit: int) -> None:
         """Fetches what a peer has folded beyond this instance.
@@ -203,38 +189,18 @@
             return PullResult([], records.encode(self.snapshot()))
         return PullResult([])
 
-    def _run(self) -> None:
-        while not self._stopping.is_set():
-            try:
-                self._follow_once()
-            except exceptions.LogGapError as exc:
-                self._recover_gap(exc.first)
-            except exceptions.LogUnavailableError as exc:
-                self.log_up = False
-                if self._stopping.is_set():
-                    return
-                logging.log_every_n_seconds(
-                    logging.WARNING, "configuration log: %s", 10, exc
-                )
-                self._stopping.wait(_RETRY_S)
-            except Exception:
-                logging.exception("catalogue follower")
-                self._stopping.wait(_RETRY_S)
-
-    def _follow_once(self) -> None:
-        wait_s = _READ_WAIT_S if self.caught_up.is_set() else 0.0
-        batch = self._log.read(
-            records.CONFIG_STREAM,
-            self._fold.next_offset,
-            limit=_READ_LIMIT,
-            wait_s=wait_s,
-        )
-        self.log_up = True
+    def _next_offset(self) -> int:
+        return self._fold.next_offset
+
+    def _wait_s(self) -> float:
+        return _READ_WAIT_S if self.caught_up.is_set() else 0.0
+
+    def _take(self, batch: log.LogBatch) -> None:
         self._apply(batch.records)
         if self._fold.next_offset >= batch.end:
             self.caught_up.set()
 
-    def _recover_gap(self, first: int) -> None:
+    def _take_gap(self, first: int) -> None:
         """Starts from a snapshot that joins the kept records without gap."""
         offset = first
         best: records.Snapshot | None = None
--- a/src/briarfall/cli/experiments.py
+++ b/src/briarfall/cli/experiments.py
@@ -69,16 +69,18 @@
     _finish("recovery", bench.run(rounds), out)
 
 
-def relay(*, seconds: float = 8.0, out: str = "") -> None:
+def relay(url: str, pid: int, *, seconds: float = 8.0, out: str = "") -> None:
     """Measures what a token costs the relay, and the delay it adds.
 
     Args:
+        url: Caller URL of an instance in front of `standin relay-scene`.
+        pid: Process of that instance.
         seconds: Duration of each measurement.
         out: File for the report as JSON.
     """
     from briarfall.bench import relay as bench
 
-    _finish("relay", bench.run(seconds), out)
+    _finish("relay", bench.run(seconds, url, pid), out)
 
 
 def control(*, seconds: float = 10.0, out: str = "") -> None:
--- a/src/briarfall/daemon/completions.py
+++ b/src/briarfall/daemon/completions.py
@@ -19,6 +19,7 @@
 
 DEFAULT_DEADLINE_S = 120.0
 MAX_DEADLINE_S = 3600.0
+_ATTEMPTS_SKIPPED = 1000
 
 
 class Choice(msgspec.Struct):
@@ -102,6 +103,7 @@
             priority=priority,
             deadline_s=time.monotonic() + deadline_s(req),
             fingerprint=fingerprint,
+            affinity=models.prefix_hash(body.prompt),
             caller=req.environ.get(httpserver.SOCKET_KEY),
         )
         if body.seed is not None:
@@ -114,6 +116,8 @@
             stream_req.resume_index = cursor.index
             stream_req.resume_digest = cursor.digest
             stream_req.preferred = cursor.targets
+            # The instance that died may have gone on for a few attempts.
+            stream_req.resume_attempt = cursor.attempt + _ATTEMPTS_SKIPPED
         return stream_req
 
 
@@ -274,6 +278,7 @@
                 req.seed,
                 req.fingerprint,
                 [hop.target for hop in route],
+                self._run.attempt,
             )
         )
 
--- a/src/briarfall/daemon/instance.py
+++ b/src/briarfall/daemon/instance.py
@@ -13,6 +13,7 @@
 from briarfall.adapters import instancelist
 from briarfall.adapters import log
 from briarfall.adapters import service as services
+from briarfall.adapters import weightstore
 from briarfall.catalogue import commands
 from briarfall.catalogue import entries
 from briarfall.catalogue import follower as followers
@@ -22,6 +23,8 @@
 from briarfall.daemon import completions
 from briarfall.daemon import lifecycle
 from briarfall.daemon import servicecalls
+from briarfall.engineorders import leases
+from briarfall.engineorders import reconciler
 from briarfall.limits import admission
 from briarfall.limits import clients
 from briarfall.limits import shares
@@ -121,6 +124,7 @@
         self._build_membership()
         self._build_pipelines()
         self._build_orders()
+        self._build_engine_orders()
         self._build_limits()
         self._build_exchange()
         self._build_listeners()
@@ -154,6 +158,7 @@
         self.sampler.start()
         self.limiter.start()
         self.snapshots.start()
+        self.reconciler.start()
         self.admin_server.start()
         self.caller_server.start()
         threading.Thread(
@@ -236,6 +241,7 @@
         self._stopping.set()
         self.gossip.stop()
         self.sampler.stop()
+        self.reconciler.stop()
         self.limiter.stop()
         self.snapshots.stop()
         self._listener.stop()
@@ -323,6 +329,22 @@
             cfg.clock_skew_s,
         )
 
+    def _build_engine_orders(self) -> None:
+        cfg = self.cfg
+        store = None
+        if cfg.weight_store_url:
+            store = weightstore.HttpWeightStoreAdapter(cfg.weight_store_url)
+        self.leases = leases.LeaseKeeper(cfg.instance, self.log, cfg.lease_s)
+        self.reconciler = reconciler.Reconciler(
+            cfg.instance,
+            self.members.live,
+            self.view,
+            self.leases,
+            self.engines.get,
+            reconciler.WeightPacer(store),
+            cfg.reconcile_s,
+        )
+
     def _build_limits(self) -> None:
         self.limiter = clients.ClientLimiter(
             self.cfg.instance,
--- /dev/null
+++ b/src/briarfall/engineorders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines, given under leases and reconciled."""
--- a/src/briarfall/httpclient.py
+++ b/src/briarfall/httpclient.py
@@ -7,7 +7,7 @@
 from briarfall import exceptions
 
 CONNECT_TIMEOUT_S = 1.0
-_POOL_SIZE = 64
+_POOL_SIZE = 512
 
 
 class Reply(msgspec.Struct):
--- a/src/briarfall/httpserver.py
+++ b/src/briarfall/httpserver.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from briarfall import exceptions
+from briarfall import sockets
 
 MAX_BODY_BYTES = 1 << 20
 MAX_HEADER_BYTES = 16 << 10
@@ -169,7 +170,9 @@
 
     def get_environ(self):
         environ = super().get_environ()
-        environ[SOCKET_KEY] = self.req.conn.socket
+        sock = self.req.conn.socket
+        sockets.set_kernel_timeout(sock, _IO_TIMEOUT_S)
+        environ[SOCKET_KEY] = sock
         return environ
 
 
@@ -252,7 +255,7 @@
         for worker in list(self._server.requests._threads):
             conn = worker.conn
             if conn is not None:
-                reset(conn.socket)
+                sockets.shut(conn.socket)
 
     def _shutdown_listener(self) -> None:
         listener = self._server.socket
@@ -329,15 +332,3 @@
         return exceptions.http.HTTPStatus(status).phrase
     except ValueError:
         return "Unknown"
-
-
-def reset(sock: socket.socket) -> None:
-    """Closes a connection with a reset instead of a regular end."""
-    try:
-        sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
-        )
-        sock.shutdown(socket.SHUT_RDWR)
-        sock.close()
-    except OSError:
-        pass
--- a/src/briarfall/limits/retries.py
+++ b/src/briarfall/limits/retries.py
@@ -4,8 +4,8 @@
 import time
 
 SHARE = 0.1
-RESERVE = 64.0
-_RESERVE_REFILL_PER_S = 2.0
+RESERVE = 256.0
+_RESERVE_REFILL_PER_S = 4.0
 
 
 class RetryBudget:
--- a/src/briarfall/membership/gossip.py
+++ b/src/briarfall/membership/gossip.py
@@ -46,6 +46,7 @@
     Attributes:
         sender: Name of the sending instance.
         applied: Catalogue offset that the sender has in force.
+        is_complete: Whether the sender holds the whole catalogue.
         digest: Digest of the sender's member table.
         members: Members that changed.
         loads: Loads of targets that changed.
@@ -55,6 +56,7 @@
 
     sender: str
     applied: int
+    is_complete: bool
     digest: int
     members: list[tables.Member] = []
     loads: list[LoadDigest] = []
@@ -172,15 +174,15 @@
             started = time.monotonic()
             neighbours = self.neighbours()
             self._trim_outboxes(neighbours)
-            for peer in neighbours:
-                self._beat(peer)
+            answers = [self._beat(peer) for peer in neighbours]
+            self._adopt_catalogue([a for a in answers if a is not None])
             self._members.advance(self._cfg.suspect_s)
             self._expire_leaving()
             self._peers.close_idle(set(neighbours))
             spent_s = time.monotonic() - started
             self._stopping.wait(max(0.0, self._cfg.heartbeat_s - spent_s))
 
-    def _beat(self, peer: str) -> None:
+    def _beat(self, peer: str) -> Exchange | None:
         message = self._compose(peer, 0)
         try:
             answer = self._peers.call(
@@ -189,10 +191,21 @@
         except exceptions.BriarfallError as exc:
             self._restore(peer, message)
             self._note_silence(peer, exc)
-            return
+            return None
         self._take(answer)
         self._sync_if_different(peer, answer.digest)
-        self._pull_if_behind(peer, answer.applied)
+        if answer.is_complete:
+            self._pull_if_behind(peer, answer.applied)
+        return answer
+
+    def _adopt_catalogue(self, answers: list[Exchange]) -> None:
+        """Serves without the log once no reachable peer is further."""
+        if self._follower.caught_up.is_set() or self._follower.log_up:
+            return
+        offsets = [a.applied for a in answers if a.is_complete]
+        if offsets and self._follower.next_offset >= max(offsets):
+            logging.info("catalogue taken from peers while the log is down")
+            self._follower.caught_up.set()
 
     def _note_silence(self, peer: str, exc: Exception) -> None:
         now = time.monotonic()
@@ -205,6 +218,8 @@
         outbox = self._outboxes.get(peer)
         if outbox is None:
             outbox = self._outboxes.setdefault(peer, _Outbox())
+            me = self._members.me
+            outbox.members[me.id] = me
         return outbox
 
     def _trim_outboxes(self, neighbours: list[str]) -> None:
@@ -225,6 +240,7 @@
             message = Exchange(
                 self._members.me.id,
                 self._follower.next_offset,
+                self._follower.caught_up.is_set(),
                 self._members.digest(),
                 _drain(outbox.members, _MAX_MEMBERS),
                 [],
@@ -337,6 +353,16 @@
             return
         for member in members:
             self._members.learn(member)
+        self._push_newer(peer, {m.id: m.version for m in members})
+
+    def _push_newer(self, peer: str, versions: dict[str, tuple]) -> None:
+        """Queues what this instance knows better than a peer."""
+        with self._lock:
+            outbox = self._outbox(peer)
+            for member in self._members.all():
+                known = versions.get(member.id)
+                if known is None or known < member.version:
+                    outbox.members[member.id] = member
 
     def _pull_if_behind(self, peer: str, applied: int) -> None:
         """Fetches catalogue records that a peer has and the log withholds."""
--- a/src/briarfall/orders/dispatch.py
+++ b/src/briarfall/orders/dispatch.py
@@ -12,6 +12,7 @@
 from briarfall import ids
 from briarfall.adapters import service as services
 from briarfall.catalogue import entries
+from briarfall.limits import retries
 from briarfall.orders import claims
 from briarfall.orders import keys
 from briarfall.orders import sequencer as sequencers
@@ -83,6 +84,7 @@
         self._connect = connect
         self._is_live = is_live
         self._skew_s = skew_s
+        self._budget = retries.RetryBudget()
 
     def send(self, req: OrderRequest) -> httpclient.Reply:
         """Sends a call and returns the target's answer.
@@ -96,7 +98,10 @@
 
     def _send_idempotent(self, req: OrderRequest) -> httpclient.Reply:
         failure = None
+        self._budget.note_first()
         for target in self._targets(req.service):
+            if failure is not None and not self._budget.take():
+                break
             left_s = req.left_s()
             if left_s < _MIN_CALL_S:
                 break
--- a/src/briarfall/orders/partitions.py
+++ b/src/briarfall/orders/partitions.py
@@ -8,10 +8,9 @@
 
 from briarfall import exceptions
 from briarfall.adapters import log
+from briarfall.adapters import reader
 from briarfall.orders import claims
 
-_READ_LIMIT = 500
-_READ_WAIT_S = 5.0
 _RETRY_S = 0.1
 _MAX_GROUP = 256
 _GROUP_INTERVAL_S = 0.02
@@ -31,7 +30,7 @@
     covered_since_s: float = 0.0
 
 
-class Partition:
+class Partition(reader.StreamReader):
     """Follows and extends one stream of claims.
 
     Any number of instances may do so at once; the order of the log decides.
@@ -43,29 +42,27 @@
     """
 
     def __init__(self, log_adapter: log.LogAdapter, stream: str, keep_s: float):
-        self.stream = stream
+        super().__init__(log_adapter, stream)
         self.last_used_s = time.monotonic()
         self.appends = 0
-        self._log = log_adapter
         self._fold = claims.ClaimFold(keep_s)
         self._changed = threading.Condition()
         self._queue: list[claims.Operation] = []
         self._queued = threading.Condition()
         self._waiting: dict[str, ClaimResult | None] = {}
-        self._stopping = threading.Event()
         self._is_idle = threading.Event()
         self._is_idle.set()
 
     def start(self) -> None:
         """Starts the reading and the appending thread."""
-        for target in (self._read_loop, self._append_loop):
-            threading.Thread(
-                target=target, name=f"{self.stream}", daemon=True
-            ).start()
+        super().start()
+        threading.Thread(
+            target=self._append_loop, name=f"{self.stream}+", daemon=True
+        ).start()
 
     def stop(self) -> None:
         """Stops both threads; queued operations are dropped."""
-        self._stopping.set()
+        super().stop()
         with self._queued:
             self._queued.notify_all()
         with self._changed:
@@ -168,25 +165,10 @@
                 )
                 self._stopping.wait(_RETRY_S)
 
-    def _read_loop(self) -> None:
-        while not self._stopping.is_set():
-            try:
-                self._read_once()
-            except exceptions.LogGapError as exc:
-                self._restart(exc.first)
-            except exceptions.LogUnavailableError:
-                self._stopping.wait(_RETRY_S)
-            except Exception:
-                logging.exception("partition %s", self.stream)
-                self._stopping.wait(_RETRY_S)
+    def _next_offset(self) -> int:
+        return self._fold.next_offset
 
-    def _read_once(self) -> None:
-        batch = self._log.read(
-            self.stream,
-            self._fold.next_offset,
-            limit=_READ_LIMIT,
-            wait_s=_READ_WAIT_S,
-        )
+    def _take(self, batch: log.LogBatch) -> None:
         if not batch.records:
             return
         with self._changed:
@@ -209,7 +191,7 @@
                 won, state, self._fold.covered_since_s
             )
 
-    def _restart(self, first: int) -> None:
+    def _take_gap(self, first: int) -> None:
         """Starts at the oldest kept record; older keys are unknown."""
         covered_since_s = time.time()
         try:
--- a/src/briarfall/pipelines/cursors.py
+++ b/src/briarfall/pipelines/cursors.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import hashlib
 import hmac
 import struct
 import time
@@ -23,6 +24,7 @@
         seed: Seed of the sampler.
         fingerprint: Fingerprint of the request's body.
         targets: Targets of the route, in layer order.
+        attempt: Number of the attempt.
         index: Tokens that the caller has.
         digest: Digest of their text.
         issued_s: Epoch seconds of issue.
@@ -33,6 +35,7 @@
     seed: int
     fingerprint: str
     targets: list[str]
+    attempt: int = 0
     index: int = 0
     digest: int = 0
     issued_s: int = 0
@@ -47,7 +50,10 @@
     """
 
     def __init__(self, secrets: list[str], ttl_s: float):
-        self._keys = [b"cursor:" + secret.encode() for secret in secrets]
+        self._keys = [
+            hashlib.sha256(b"cursor:" + secret.encode()).digest()
+            for secret in secrets
+        ]
         self._ttl_s = ttl_s
 
     def prefix(self, cursor: Cursor) -> bytes:
@@ -58,6 +64,7 @@
             cursor.seed,
             cursor.fingerprint,
             cursor.targets,
+            cursor.attempt,
         )
         return msgspec.msgpack.encode(fixed)
 
@@ -65,7 +72,7 @@
         """Returns the event id for a position."""
         position = _POSITION.pack(index, digest, int(time.time()))
         payload = position + prefix
-        tag = hmac.digest(self._keys[0], payload, "sha256")[:_TAG_BYTES]
+        tag = _tag(self._keys[0], payload)
         return base64.urlsafe_b64encode(tag + payload)
 
     def decode(self, text: str, client: str, fingerprint: str) -> Cursor:
@@ -78,6 +85,8 @@
             data = base64.urlsafe_b64decode(text.encode("ascii"))
         except (binascii.Error, ValueError) as exc:
             raise exceptions.CursorError("Last-Event-ID is garbled") from exc
+        if base64.urlsafe_b64encode(data).decode() != text:
+            raise exceptions.CursorError("Last-Event-ID is not canonical")
         tag, payload = data[:_TAG_BYTES], data[_TAG_BYTES:]
         if not self._is_signed(tag, payload):
             raise exceptions.CursorError("Last-Event-ID is not ours")
@@ -102,6 +111,11 @@
             return False
         signed = False
         for key in self._keys:
-            expected = hmac.digest(key, payload, "sha256")[:_TAG_BYTES]
-            signed |= hmac.compare_digest(expected, tag)
+            signed |= hmac.compare_digest(_tag(key, payload), tag)
         return signed
+
+
+def _tag(key: bytes, payload: bytes) -> bytes:
+    # Keyed BLAKE2 of short data keeps the interpreter lock, which costs a
+    # token less than the switch between threads that HMAC would cause.
+    return hashlib.blake2b(payload, key=key, digest_size=_TAG_BYTES).digest()
--- a/src/briarfall/pipelines/models.py
+++ b/src/briarfall/pipelines/models.py
@@ -5,9 +5,11 @@
 import msgspec
 
 from briarfall import exceptions
+from briarfall import hashing
 from briarfall import ids
 from briarfall.catalogue import entries
 
+_PREFIX_WORDS = 16
 MAX_SEED = 2**31 - 1
 
 
@@ -37,7 +39,9 @@
         fingerprint: Identifies the client and the body.
         resume_index: Tokens that the caller has from another instance.
         resume_digest: Digest of their text.
+        resume_attempt: Number that this instance's attempts follow.
         preferred: Targets that served the stream before, in layer order.
+        affinity: Hash of the start of the prompt, 0 if it is short.
         caller: The caller's socket, or None.
     """
 
@@ -53,7 +57,9 @@
     fingerprint: ids.Fingerprint = ids.Fingerprint("")
     resume_index: int = 0
     resume_digest: int = 0
+    resume_attempt: int = 0
     preferred: list[str] = []
+    affinity: int = 0
     caller: object | None = None
 
     @property
@@ -82,6 +88,14 @@
     resume_s: float
 
 
+def prefix_hash(prompt: str) -> int:
+    """Returns a hash of the part of a prompt that others may share."""
+    words = prompt.split(maxsplit=_PREFIX_WORDS)
+    if len(words) <= _PREFIX_WORDS:
+        return 0
+    return hashing.digest64(" ".join(words[:_PREFIX_WORDS]))
+
+
 def parse_body(data: bytes) -> CompletionBody:
     """Returns the checked body of a completion request.
 
--- a/src/briarfall/pipelines/policies.py
+++ b/src/briarfall/pipelines/policies.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from briarfall import exceptions
+from briarfall import hashing
 from briarfall.catalogue import entries
 from briarfall.pipelines import graph as graphs
 from briarfall.pipelines import maxflow
@@ -15,6 +16,7 @@
 _SUSPICION_COST_S = 1.0
 _EXPLORE_WEIGHT = 0.02
 _CANDIDATES = 2
+AFFINITY_SLACK = 1.25
 
 
 class LinkCost(msgspec.Struct, frozen=True):
@@ -154,7 +156,18 @@
         weights = self._weights(graph)
 
         def pick(previous, edges):
-            return min(edges, key=lambda e: self._cost(previous, e, weights))
+            costs = [self._cost(previous, edge, weights) for edge in edges]
+            best = min(costs)
+            if not req.affinity:
+                return edges[costs.index(best)]
+            # Bounded load: only targets that are nearly as good may be
+            # preferred for the prompt prefix they have cached.
+            near = [
+                edge
+                for edge, cost in zip(edges, costs, strict=True)
+                if cost <= best * AFFINITY_SLACK
+            ]
+            return max(near, key=lambda e: _affinity(req.affinity, e))
 
         return self._walk(graph, pick)
 
@@ -193,6 +206,11 @@
         return result.weights
 
 
+def _affinity(prefix: int, edge: graphs.Edge) -> int:
+    """Returns the rendezvous score of a prompt prefix on a target."""
+    return hashing.digest64(edge.target.id, prefix)
+
+
 POLICIES: dict[str, type[RoutePolicy]] = {
     "round_robin": RoundRobinPolicy,
     "least_loaded": LeastLoadedPolicy,
--- a/src/briarfall/pipelines/relay.py
+++ b/src/briarfall/pipelines/relay.py
@@ -5,11 +5,14 @@
 import time
 
 from absl import logging
+import msgspec
 
 from briarfall import exceptions
 from briarfall import hashing
+from briarfall import sockets
 from briarfall.adapters import engine as engines
 from briarfall.catalogue import entries
+from briarfall.limits import retries
 from briarfall.pipelines import graph as graphs
 from briarfall.pipelines import models
 from briarfall.pipelines import planning
@@ -23,11 +26,14 @@
 _CANCEL_THREADS = 4
 _TRIAL_RETRY_S = 0.01
 _PLAN_RETRY_S = 0.05
+_BUDGET_RETRY_S = 2.0
+_PROOF_INTERVAL_S = 0.1
 # An engine may have computed one token that did not arrive, and died on the
 # next one.
 _TRIAL_TOKENS = 2
 _RECOVERIES_KEPT = 10_000
 
+UNKNOWN_STREAM = "unknown_stream"
 PRIORITY_NUMBERS = {
     entries.Priority.INTERACTIVE: 0,
     entries.Priority.STANDARD: 1,
@@ -38,16 +44,27 @@
 class Accepted:
     """Tokens that were accepted, once each and in order.
 
+    Args:
+        start: Index of the first token that is expected.
+        digest: Digest of the text before it.
+
     Attributes:
-        texts: Their texts.
-        digest: Digest chained over the texts.
+        texts: Texts of the tokens from `start` on.
+        digest: Digest chained over the whole text.
+        dropped: Tokens that were not accepted.
     """
 
-    def __init__(self):
+    def __init__(self, start: int = 0, digest: int = 0):
+        self.start = start
         self.texts: list[str] = []
-        self.digest = 0
+        self.digest = digest
         self.dropped = 0
 
+    @property
+    def index(self) -> int:
+        """Index of the next token."""
+        return self.start + len(self.texts)
+
     def take(
         self,
         batch: engines.TokenBatch,
@@ -64,7 +81,7 @@
         taken = []
         for token in batch.tokens:
             if (
-                token.index != len(self.texts)
+                token.index != self.index
                 or token.attempt != attempt
                 or token.layers != layers
             ):
@@ -115,6 +132,7 @@
         self.causes: collections.Counter = collections.Counter()
         self.tokens = 0
         self.dropped = 0
+        self.budget = retries.RetryBudget()
 
     def run(self, req: models.StreamRequest) -> "Run":
         """Returns an iterator over lists of accepted tokens.
@@ -123,6 +141,7 @@
             PoisonError: The request has crashed two targets.
         """
         self._guard.check(req.fingerprint)
+        self.budget.note_first()
         return Run(self, req)
 
     def close(self) -> None:
@@ -153,12 +172,16 @@
         self._relay = relay
         self._req = req
         self._active = streams.ActiveStream(req)
-        self._accepted = Accepted()
-        self._attempt = 0
+        self._accepted = Accepted(req.resume_index, req.resume_digest)
+        self._attempt = req.resume_attempt
+        self._last_attempt = req.resume_attempt + req.model.limits.max_attempts
+        self._delivered = req.resume_index
+        self._delivered_digest = req.resume_digest
         self._avoid: set[str] = set()
         self._old_route: list[engines.Hop] = []
         self._old_cause: models.Cause | None = None
         self._dead_before: set[str] = set()
+        self._death_route: set[str] = set()
         self._trial_until: int | None = None
         self._suspect_layer = 0
         self._done = False
@@ -167,13 +190,18 @@
 
     @property
     def digest(self) -> int:
-        """Digest of the text accepted so far."""
-        return self._accepted.digest
+        """Digest of the text that the caller has."""
+        return self._delivered_digest
 
     @property
     def index(self) -> int:
-        """Tokens accepted so far."""
-        return len(self._accepted.texts)
+        """Tokens that the caller has."""
+        return self._delivered
+
+    @property
+    def attempt(self) -> int:
+        """Number of the current attempt."""
+        return self._attempt
 
     def __iter__(self):
         """Yields lists of accepted tokens until the last one."""
@@ -193,13 +221,15 @@
 
     def _run_attempt(self):
         failed_s = time.monotonic()
-        limit = self._req.model.limits.max_attempts
-        if self._attempt >= limit:
+        if self._attempt >= self._last_attempt:
             raise exceptions.StreamLostError(
-                f"all {limit} attempts failed", outcome=self._outcome()
+                "all attempts failed", outcome=self._outcome()
             )
         self._attempt += 1
-        route = self._plan()
+        route = self._preferred_route()
+        if route is None:
+            self._restart_partial()
+            route = self._plan()
         planned_s = time.monotonic()
         names = [hop.target for hop in route]
         table = self._relay._table
@@ -226,6 +256,7 @@
         )
         self._active.attach(stream, route, expected_s)
         failure = ""
+        proved_s = float("-inf")
         try:
             while True:
                 batches = stream.read()
@@ -238,7 +269,9 @@
                     continue
                 now = time.monotonic()
                 self._active.note_tokens(now)
-                self._relay._table.note_ok(names)
+                if now - proved_s > _PROOF_INTERVAL_S:
+                    proved_s = now
+                    self._relay._table.note_route_ok(names)
                 if recovering is not None:
                     self._note_recovery(
                         recovering, detect_s, planned_s - failed_s, now - last_s
@@ -248,7 +281,7 @@
                     self._done = True
                 if self._trial_until is not None:
                     self._pass_trial()
-                visible = self._drop_known(tokens)
+                visible = self._deliver(tokens)
                 if visible:
                     yield visible
                 if self._done:
@@ -266,30 +299,53 @@
         for batch in batches:
             tokens += self._accepted.take(batch, self._attempt, layers)
             if batch.error:
-                failure = batch.target
+                failure = batch.target or batch.error
         self._relay.tokens += len(tokens)
         return tokens, failure
 
-    def _drop_known(self, tokens):
-        """Drops tokens that the caller had from another instance."""
-        resume = self._req.resume_index
-        if not resume or self.index - len(tokens) >= resume:
+    def _deliver(self, tokens: list[engines.Token]) -> list[engines.Token]:
+        """Returns the tokens that the caller does not have yet."""
+        accepted = self._accepted
+        if accepted.index - len(tokens) == self._delivered:
+            self._delivered = accepted.index
+            self._delivered_digest = accepted.digest
             return tokens
-        if self.index < resume:
+        if accepted.index < self._delivered:
             return []
-        self._check_prefix()
-        return tokens[len(tokens) - (self.index - resume) :]
-
-    def _check_prefix(self) -> None:
+        # An answer that was generated again must repeat what the caller has.
         digest = 0
-        for text in self._accepted.texts[: self._req.resume_index]:
+        for text in accepted.texts[: self._delivered]:
             digest = hashing.digest64(text, digest)
-        if digest != self._req.resume_digest:
+        if digest != self._delivered_digest:
             raise exceptions.StreamLostError(
                 "the engines did not repeat the answer so far",
                 remedy="send the request again without Last-Event-ID",
                 outcome=exceptions.Outcome.RAN,
             )
+        fresh = accepted.index - self._delivered
+        self._delivered = accepted.index
+        self._delivered_digest = accepted.digest
+        return tokens[len(tokens) - fresh :] if fresh else []
+
+    def _preferred_route(self) -> list[engines.Hop] | None:
+        """Returns the route whose engines remember the stream, if usable."""
+        req = self._req
+        if not req.preferred or self._attempt > req.resume_attempt + 1:
+            return None
+        targets = [t for t in req.model.targets if t.id in req.preferred]
+        model = msgspec.structs.replace(req.model, targets=targets)
+        route_req = policies.RouteRequest(model, req.prompt_tokens)
+        try:
+            return self._relay._planner.plan(route_req)
+        except exceptions.NoRouteError:
+            return None
+
+    def _restart_partial(self) -> None:
+        """Generates from the beginning if earlier tokens are not known."""
+        if self._accepted.start:
+            dropped = self._accepted.dropped
+            self._accepted = Accepted()
+            self._accepted.dropped = dropped
 
     def _open(self, route) -> engines.EngineStream | None:
         req = self._req
@@ -298,6 +354,7 @@
             attempt=self._attempt,
             prompt=req.prompt,
             accepted=self._accepted.texts,
+            resume_index=self._accepted.start or -1,
             max_tokens=req.max_tokens,
             seed=req.seed,
             priority=PRIORITY_NUMBERS[req.priority],
@@ -346,18 +403,37 @@
             raise exceptions.DeadlineError(
                 "the deadline passed", outcome=self._outcome()
             )
+        if not relay.budget.take():
+            raise exceptions.StreamLostError(
+                "too many streams recover at once",
+                outcome=self._outcome(),
+                retry_after_s=_BUDGET_RETRY_S,
+            )
         if cause is models.Cause.MOVED:
             return
         relay.cancel(route, self._req.id, self._attempt)
+        if dead == UNKNOWN_STREAM:
+            return
         if dead:
             relay._table.note_failure(dead, is_silent=True)
             self._avoid.add(dead)
         else:
             self._avoid.update(hop.target for hop in route)
-        if cause is models.Cause.TARGET_DIED and dead not in self._dead_before:
+        if cause is models.Cause.TARGET_DIED and self._is_new_death(dead):
             self._suspect_layer = _start_of(route, dead)
+            self._death_route = {hop.target for hop in route}
             self._note_death()
 
+    def _is_new_death(self, dead: str) -> bool:
+        """Returns whether the request may be to blame for a death.
+
+        Two targets of one route that die together, as with a rack, count
+        as one death.
+        """
+        if dead in self._dead_before:
+            return False
+        return dead not in self._death_route
+
     def _note_death(self) -> None:
         standing = self._relay._guard.note_death(self._req.fingerprint)
         if standing is poisons.Standing.POISON:
@@ -372,6 +448,7 @@
             req.model,
             req.prompt_tokens,
             avoid=frozenset(self._avoid),
+            affinity=req.affinity,
         )
 
     def _plan(self) -> list[engines.Hop]:
@@ -387,7 +464,7 @@
             except exceptions.NoRouteError:
                 if time.monotonic() + _PLAN_RETRY_S > self._req.deadline_s:
                     raise
-                if streams.has_left(self._req.caller):
+                if sockets.has_left(self._req.caller):
                     raise
                 time.sleep(_PLAN_RETRY_S)
 
@@ -418,7 +495,7 @@
                 req.model_name, req.fingerprint, names
             )
             if not occupied:
-                self._trial_until = self.index + _TRIAL_TOKENS
+                self._trial_until = self._accepted.index + _TRIAL_TOKENS
                 return self._with_imports(route)
         raise exceptions.DeadlineError(
             "the deadline passed", outcome=self._outcome()
@@ -426,7 +503,7 @@
 
     def _pass_trial(self) -> None:
         """Clears this request once it is beyond the point of the death."""
-        if not self._done and self.index < self._trial_until:
+        if not self._done and self._accepted.index < self._trial_until:
             return
         self._relay._guard.note_passed(self._req.fingerprint)
         self._end_trial()
--- a/src/briarfall/pipelines/streams.py
+++ b/src/briarfall/pipelines/streams.py
@@ -1,13 +1,12 @@
 """Open streams of an instance and the watchdog over them."""
 
-import select
-import socket
 import threading
 import time
 
 from absl import logging
 
 from briarfall import exceptions
+from briarfall import sockets
 from briarfall.adapters import engine as engines
 from briarfall.pipelines import models
 from briarfall.pipelines import targets as target_tables
@@ -18,6 +17,9 @@
 _GAP_WEIGHT = 0.2
 _MIN_GAPS = 4.0
 _FIRST_TOKEN_FACTOR = 4.0
+# Silence on a route on which other streams get tokens means waiting for a
+# batch; only much longer silence means that the stream was lost.
+_PROVED_FACTOR = 8.0
 
 
 class ActiveStream:
@@ -154,7 +156,7 @@
             stream.end(models.Cause.DEADLINE)
             return
         if self._ticks % _CALLER_CHECK_TICKS == 0:
-            if has_left(stream.req.caller):
+            if sockets.has_left(stream.req.caller):
                 stream.end(models.Cause.CALLER_LEFT)
                 return
             if self._must_move(stream, now):
@@ -166,11 +168,12 @@
         silent_s = now - stream.progress_s
         probe_s, stall_s = stall_limits(stream)
         if silent_s > stall_s:
-            self._table.note_late(
-                [hop.target for hop in stream.route], stream.progress_s
-            )
-            stream.end(models.Cause.STALLED)
-            return
+            names = [hop.target for hop in stream.route]
+            is_queueing = self._table.is_proved(names, stream.progress_s)
+            if not is_queueing or silent_s > stall_s * _PROVED_FACTOR:
+                self._table.note_late(names, stream.progress_s)
+                stream.end(models.Cause.STALLED)
+                return
         since_probe_s = now - max(stream.probed_s, stream.progress_s)
         if silent_s > probe_s and since_probe_s > probe_s:
             stream.probed_s = now
@@ -229,17 +232,3 @@
         recovery.stall_after_s, 2 * recovery.gap_factor * stream.gap_s
     )
     return probe_s, stall_s
-
-
-def has_left(sock: socket.socket | None) -> bool:
-    """Returns whether the caller behind a socket has closed it."""
-    if sock is None:
-        return False
-    try:
-        poller = select.poll()
-        poller.register(sock, select.POLLIN | select.POLLRDHUP)
-        if not poller.poll(0):
-            return False
-        return not sock.recv(1, socket.MSG_PEEK)
-    except (OSError, ValueError):
-        return True
--- a/src/briarfall/pipelines/targets.py
+++ b/src/briarfall/pipelines/targets.py
@@ -67,6 +67,7 @@
         self._lock = threading.Lock()
         self._states: dict[str, TargetStatus] = {}
         self._leaving: dict[str, set[str]] = {}
+        self._edge_ok_s: dict[tuple[str, str], float] = {}
 
     def status(self, target: str) -> TargetStatus:
         """Returns the state of a target; callers only read it."""
@@ -123,6 +124,28 @@
             state.failures = 0
             state.suspicion *= 1 - _GAP_WEIGHT
 
+    def note_route_ok(self, targets: list[str]) -> None:
+        """Notes a token that passed a whole route and came back."""
+        self.note_ok(targets)
+        now = self._clock.now()
+        for edge in edges_of(targets):
+            self._edge_ok_s[edge] = now
+
+    def is_proved(self, targets: list[str], since_s: float) -> bool:
+        """Returns whether other streams show that a route works.
+
+        Args:
+            targets: The route, in layer order.
+            since_s: Monotonic time after which proof counts.
+        """
+        for target in targets:
+            if self.status(target).last_ok_s <= since_s:
+                return False
+        for edge in edges_of(targets):
+            if self._edge_ok_s.get(edge, float("-inf")) <= since_s:
+                return False
+        return True
+
     def note_late(self, targets: list[str], since_s: float) -> None:
         """Suspects targets that no other stream has shown to be fine."""
         for target in targets:
@@ -207,3 +230,10 @@
             return {
                 t: msgspec.structs.replace(s) for t, s in self._states.items()
             }
+
+
+def edges_of(targets: list[str]) -> list[tuple[str, str]]:
+    """Returns the links that a token crosses, the way back included."""
+    if len(targets) < 2:
+        return []
+    return list(zip(targets, targets[1:] + targets[:1], strict=True))
--- a/src/briarfall/settings.py
+++ b/src/briarfall/settings.py
@@ -63,6 +63,8 @@
         drain_notice_s: Time for the balancer to see that the instance is
             not ready, while it still takes requests.
         snapshot_s: Interval of catalogue snapshots.
+        lease_s: Duration of leases.
+        reconcile_s: Interval of comparing engines with their orders.
         clock_skew_s: Largest difference between any two clocks.
         cursor_ttl_s: Age after which a Last-Event-ID is refused.
         max_body_bytes: Largest request body.
@@ -86,6 +88,8 @@
     drain_grace_s: float = 60.0
     drain_notice_s: float = 2.0
     snapshot_s: float = 300.0
+    lease_s: float = 10.0
+    reconcile_s: float = 2.0
     clock_skew_s: float = 5.0
     cursor_ttl_s: float = 3600.0
     max_body_bytes: int = 1 << 20
@@ -138,7 +142,13 @@
     for name in ("caller", "admin", "peer"):
         _check_listener(name, getattr(cfg, name))
     _check_ports(cfg)
-    for name in ("drain_grace_s", "snapshot_s", "cursor_ttl_s"):
+    for name in (
+        "drain_grace_s",
+        "snapshot_s",
+        "lease_s",
+        "reconcile_s",
+        "cursor_ttl_s",
+    ):
         _check_positive(name, getattr(cfg, name))
     _check_positive("max_body_bytes", cfg.max_body_bytes)
     if not 0 <= cfg.drain_notice_s <= cfg.drain_grace_s:
--- a/src/briarfall/standins/engine.py
+++ b/src/briarfall/standins/engine.py
@@ -13,6 +13,7 @@
 _BLOCK_TOKENS = 16
 _LOAD_SAMPLE_S = 0.1
 _LOAD_SAMPLES = 100
+_MAX_TEXTS = 4096
 
 
 class EngineSpec(msgspec.Struct, frozen=True):
@@ -70,6 +71,7 @@
         self.index = len(call.accepted)
         self.cancelled = False
         self.prompt_tokens = max(1, len(call.prompt.split()))
+        self.texts = list(call.accepted)
         self._chain = hashing.digest64(call.prompt, call.seed)
         for text in call.accepted:
             self._advance(text)
@@ -83,6 +85,7 @@
         """Samples the next token and advances the state."""
         text = _WORDS[self._chain % len(_WORDS)] + " "
         self._advance(text)
+        self.texts.append(text)
         self.index += 1
         return text
 
@@ -115,6 +118,9 @@
         self._batch: list[WorkItem] = []
         self._epoch = 0
         self._serial = 0
+        self._texts: collections.OrderedDict[str, list[str]] = (
+            collections.OrderedDict()
+        )
         self._prefixes: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -161,6 +167,24 @@
             or not item.sequence.cancelled
         ]
 
+    def remember(self, sequence: Sequence, token: engines.Token) -> None:
+        """Keeps the text of a stream that has this engine as its head."""
+        texts = self._texts.get(sequence.call.stream)
+        if texts is None or len(texts) != token.index:
+            texts = list(sequence.texts[: token.index])
+            self._texts[sequence.call.stream] = texts
+            while len(self._texts) > _MAX_TEXTS:
+                self._texts.popitem(last=False)
+        texts.append(token.text)
+
+    def recall(self, call: engines.GenerateCall) -> bool:
+        """Fills in the accepted tokens of a stream that is remembered."""
+        texts = self._texts.get(call.stream, [])
+        if len(texts) < call.resume_index:
+            return False
+        call.accepted = texts[: call.resume_index] + call.accepted
+        return True
+
     def load(self) -> engines.LoadReport:
         """Returns the load as it was `load_lag_s` ago."""
         limit = time.monotonic() - self.spec.load_lag_s
@@ -200,6 +224,7 @@
         """Obeys an order, or refuses an old fencing number."""
         if self.spec.fencing and order.fence < self.held.fence:
             raise exceptions.FencedError(f"seen fence {self.held.fence}")
+        self._fleet.load_weights(self, order)
         self.held = engines.EngineState(
             order.model,
             order.version,
@@ -214,6 +239,7 @@
         self._queue = []
         self._batch = []
         self.kv.clear()
+        self._texts.clear()
         self._prefixes.clear()
         self.state = state
 
--- a/src/briarfall/standins/fleet.py
+++ b/src/briarfall/standins/fleet.py
@@ -21,6 +21,7 @@
 _ACTIVATION_BYTES = 8192
 _KV_BYTES = 32_768
 _TOKEN_BYTES = 64
+_WEIGHT_BYTES = 1_000_000
 _STALL_POLL_S = 0.05
 _STALL_POLLS = 200
 _END = None
@@ -58,6 +59,7 @@
         self.fronts: dict[str, EngineFront] = {}
         self.restart_s = 0.0
         self.stale_events = False
+        self.weight_store = None
         self._traps: list[tuple[Step, object]] = []
         self._kv_bytes = kv_bytes
 
@@ -150,6 +152,18 @@
             for unit in self.engines.values():
                 unit.drop(stream)
 
+    def load_weights(self, unit: engine.Engine, order) -> None:
+        """Fetches weights for an order that changes the model.
+
+        Raises:
+            LimitError: The weight store is busy.
+        """
+        wanted = (order.model, order.version)
+        if self.weight_store is None:
+            return
+        if wanted != (unit.held.model, unit.held.version):
+            self.weight_store.fetch(unit.spec.id, _WEIGHT_BYTES)
+
     def running(self) -> set[str]:
         """Returns the streams that engines work for."""
         with self.timeline.lock:
@@ -233,6 +247,7 @@
             return
         if self.stale_events:
             _emit_stale(sequence, token)
+        head.remember(sequence, token)
         sequence.emit(
             engines.TokenBatch(tokens=[token], running=head.running())
         )
@@ -381,10 +396,16 @@
                     f"{hop.target} does not hold [{hop.start}, {hop.end})"
                 )
         out: queue.SimpleQueue = queue.SimpleQueue()
+        if call.resume_index > 0 and not self._unit.recall(call):
+            out.put(engines.TokenBatch(error="unknown_stream"))
+            out.put(_END)
         sequence = engine.Sequence(call, out.put)
         with self._fleet.timeline.lock:
+            if self._closing.is_set():
+                raise exceptions.NotReadyError("the engine stops")
             self._open[id(sequence)] = (sequence, out)
-        self._fleet.begin(sequence)
+        if out.empty():
+            self._fleet.begin(sequence)
         headers = [("Content-Type", "text/event-stream")]
         return httpserver.Response(200, self._stream(sequence, out), headers)
 
--- a/src/briarfall/standins/ledger.py
+++ b/src/briarfall/standins/ledger.py
@@ -23,6 +23,7 @@
         self._lock = threading.Lock()
         self.tokens: dict[str, list[RanToken]] = collections.defaultdict(list)
         self.starts: dict[str, list[str]] = collections.defaultdict(list)
+        self.token_count = 0
         self.layer_runs = 0
         self.prefill_runs = 0
         self.crashes: list[tuple[str, str]] = []
@@ -32,6 +33,7 @@
         """Notes a token that left a last stage."""
         with self._lock:
             self.tokens[token.stream].append(token)
+            self.token_count += 1
 
     def note_work(
         self, stream: str, layers: int, positions: int, now_s: float
--- a/src/briarfall/standins/log.py
+++ b/src/briarfall/standins/log.py
@@ -12,7 +12,8 @@
 class _Stream:
     """Records of one stream; `first` is the offset of `records[0]`."""
 
-    def __init__(self):
+    def __init__(self, lock: threading.RLock):
+        self.changed = threading.Condition(lock)
         self.first = 0
         self.records: list[log.LogRecord] = []
 
@@ -39,7 +40,7 @@
         self.appends = 0
         self.on_append = None
         self._streams: dict[str, _Stream] = {}
-        self._changed = threading.Condition()
+        self._lock = threading.RLock()
         routes = httpserver.Router()
         path = "/streams/{stream}/records"
         routes.add("POST", path, self._handle_append)
@@ -56,43 +57,51 @@
     def stop(self) -> None:
         """Stops listening and wakes waiting readers."""
         self.gate.set(down=True)
-        with self._changed:
-            self._changed.notify_all()
+        with self._lock:
+            for target in self._streams.values():
+                target.changed.notify_all()
         self.server.stop()
 
     def put(self, stream: str, data: bytes, time_s: float = 0.0) -> int:
         """Appends a record without going through HTTP."""
-        with self._changed:
-            target = self._streams.setdefault(stream, _Stream())
+        with self._lock:
+            target = self._stream(stream)
             offset = target.end
             accepted_s = time_s or time.time()
             target.records.append(log.LogRecord(offset, accepted_s, data))
             self.appends += 1
-            self._changed.notify_all()
+            target.changed.notify_all()
         return offset
 
     def records(self, stream: str) -> list[log.LogRecord]:
         """Returns the kept records of a stream."""
-        with self._changed:
+        with self._lock:
             target = self._streams.get(stream)
             return list(target.records) if target else []
 
     def streams(self) -> list[str]:
         """Returns the names of all streams."""
-        with self._changed:
+        with self._lock:
             return sorted(self._streams)
 
     def forget(self, stream: str, before: int) -> None:
         """Drops records below an offset, as retention would."""
-        with self._changed:
-            target = self._streams.setdefault(stream, _Stream())
+        with self._lock:
+            target = self._stream(stream)
             drop = max(0, min(before, target.end) - target.first)
             del target.records[:drop]
             target.first += drop
 
+    def _stream(self, name: str) -> _Stream:
+        target = self._streams.get(name)
+        if target is None:
+            target = _Stream(self._lock)
+            self._streams[name] = target
+        return target
+
     def _expire(self, stream: str) -> None:
         oldest_s = time.time() - self.retention_s
-        target = self._streams.setdefault(stream, _Stream())
+        target = self._stream(stream)
         drop = 0
         for record in target.records:
             if record.time_s >= oldest_s:
@@ -115,12 +124,12 @@
         start = int(req.query.get("from", "0"))
         limit = int(req.query.get("limit", "1000"))
         wait_s = int(req.query.get("wait_ms", "0")) / 1000
-        with self._changed:
+        with self._lock:
             self._expire(stream)
             target = self._streams[stream]
             if start < target.first:
                 return _gone(target.first)
-            self._changed.wait_for(
+            target.changed.wait_for(
                 lambda: target.end > start or self.gate.faults.down, wait_s
             )
             begin = max(0, start - target.first)
--- a/src/briarfall/standins/orders.py
+++ b/src/briarfall/standins/orders.py
@@ -7,6 +7,7 @@
 
 from briarfall import exceptions
 from briarfall import httpserver
+from briarfall import sockets
 from briarfall.standins import faults
 
 
@@ -90,7 +91,7 @@
         try:
             self.gate.after()
         except exceptions.BriarfallError:
-            httpserver.reset(req.environ[httpserver.SOCKET_KEY])
+            sockets.shut(req.environ[httpserver.SOCKET_KEY])
             raise
 
     def _handle_lookup(self, req: httpserver.Request):
--- a/src/briarfall/standins/platform.py
+++ b/src/briarfall/standins/platform.py
@@ -135,6 +135,18 @@
                 ),
             )
 
+    def order_targets_back(self) -> None:
+        """Starts targets of the order application again after a cut."""
+        for number, part in enumerate(self.orders):
+            if not part.server.is_cut:
+                continue
+            port = part.server.address[1]
+            part.stop()
+            self.orders[number] = orders.OrderStandin(
+                part.name, self.order_ledger, port
+            )
+            self.orders[number].start()
+
     def model(self, name: str, layers: int, **changes) -> entries.Model:
         """Returns the entry of a model on the engines with its prefix."""
         value = entries.Model(
--- a/src/briarfall/standins/single.py
+++ b/src/briarfall/standins/single.py
@@ -8,6 +8,7 @@
 from briarfall.standins import instancelist
 from briarfall.standins import log
 from briarfall.standins import orders
+from briarfall.standins import relayscene
 from briarfall.standins import weightstore
 
 _LAYERS = 24
@@ -48,9 +49,13 @@
             f"{target.id} {target.url} [{target.start}, {target.end})"
             for target in engines.targets()
         ]
+    if name == "relay-scene":
+        scene = relayscene.RelayScene(port)
+        return scene, lambda: [scene.log.server.url]
     raise exceptions.NotFoundError(
         f"no stand-in {name!r}",
-        remedy="use one of: log, instances, weights, orders, engines",
+        remedy="use one of: log, instances, weights, orders, engines, "
+        "relay-scene",
     )
 
 
--- a/src/briarfall/standins/weightstore.py
+++ b/src/briarfall/standins/weightstore.py
@@ -8,6 +8,7 @@
 from briarfall import exceptions
 from briarfall import httpserver
 from briarfall.adapters import weightstore
+from briarfall.limits import buckets
 from briarfall.standins import faults
 
 
@@ -22,14 +23,22 @@
 
     Args:
         bytes_per_s: Rate over all engines.
+        burst_s: Seconds' worth of bytes that may be fetched at once.
     """
 
-    def __init__(self, bytes_per_s: float = 1e9, port: int = 0):
+    def __init__(
+        self,
+        bytes_per_s: float = 1e9,
+        burst_s: float = 1.0,
+        port: int = 0,
+    ):
         self.gate = faults.FaultGate()
         self.bytes_per_s = bytes_per_s
         self.refused = 0
         self.fetched: list[str] = []
-        self._busy_until_s = 0.0
+        self._bucket = buckets.TokenBucket(
+            bytes_per_s, time.monotonic(), burst_s
+        )
         self._lock = threading.Lock()
         routes = httpserver.Router()
         routes.add("GET", "/rate", self._handle_rate)
@@ -59,13 +68,11 @@
         """
         now = time.monotonic()
         with self._lock:
-            if now < self._busy_until_s:
+            if not self._bucket.take(size_bytes, now):
                 self.refused += 1
                 raise exceptions.LimitError("the store is busy")
-            seconds = size_bytes / self.bytes_per_s
-            self._busy_until_s = now + seconds
             self.fetched.append(engine)
-        return seconds
+        return size_bytes / self.bytes_per_s
 
     def _handle_rate(self, req: httpserver.Request):
         self.gate.before()
