--- a/src/briarfall/adapters/engine.py
+++ b/src/briarfall/adapters/engine.py
@@ -5,6 +5,8 @@
 import socket
 
 import msgspec
+import urllib3
+from urllib3 import connection
 from urllib3 import exceptions as urllib3_exceptions
 
 from briarfall import exceptions
@@ -183,8 +185,15 @@
     """One engine."""
 
     @abc.abstractmethod
-    def generate(self, call: GenerateCall, timeout_s: float) -> EngineStream:
-        """Starts a stream at this engine as the head of the route."""
+    def generate(self, call: GenerateCall) -> EngineStream:
+        """Starts a stream at this engine as the head of the route.
+
+        Does not wait for the engine's answer.
+
+        Raises:
+            TargetUnreachableError: No byte can have been sent.
+            TargetError: The connection broke.
+        """
 
     @abc.abstractmethod
     def cancel(self, stream: str, attempt: int) -> None:
@@ -222,13 +231,11 @@
 class HttpEngineStream(EngineStream):
     """A stream of server-sent events over HTTP."""
 
-    def __init__(self, resp):
-        self._resp = resp
-        self._sock: socket.socket | None = _socket_of(resp)
+    def __init__(self, conn: connection.HTTPConnection):
+        self._conn = conn
+        self._sock: socket.socket = conn.sock
+        self._resp: urllib3.BaseHTTPResponse | None = None
         self._body: sockets.ChunkedBody | None = None
-        if self._sock is not None:
-            sockets.set_kernel_timeout(self._sock, _STREAM_TIMEOUT_S)
-            self._body = sockets.take_over(resp, self._sock)
         self._buffer = b""
         self._decoder = msgspec.json.Decoder(TokenBatch)
 
@@ -267,8 +274,21 @@
         self._buffer = self._buffer[end + len(_EVENT_END) :]
         return self._decode(complete)
 
+    def _begin(self) -> None:
+        """Waits for the headers, which may come with the first token."""
+        self._resp = self._conn.getresponse()
+        sockets.set_kernel_timeout(self._sock, _STREAM_TIMEOUT_S)
+        if self._resp.status != 200:
+            raise exceptions.TargetError(
+                f"generate answered {self._resp.status}",
+                outcome=exceptions.Outcome.NOT_RUN,
+            )
+        self._body = sockets.take_over(self._resp, self._sock)
+
     def _receive(self) -> bytes | None:
         try:
+            if self._resp is None:
+                self._begin()
             if self._body is not None:
                 return self._body.receive_some()
             return self._resp.read1(_CHUNK_BYTES)
@@ -292,16 +312,13 @@
 
     def close(self) -> None:
         """Shuts the connection down; the reader then frees it."""
-        if self._sock is None:
-            return
-        try:
-            self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
+        sockets.shut(self._sock)
 
     def release(self) -> None:
         """Frees the connection."""
-        self._resp.close()
+        self._conn.close()
+        if self._resp is not None:
+            self._resp.close()
 
 
 class HttpEngineAdapter(EngineAdapter):
@@ -310,21 +327,11 @@
     def __init__(self, url: str):
         self._http = httpclient.HttpClient(url)
 
-    def generate(self, call: GenerateCall, timeout_s: float) -> EngineStream:
+    def generate(self, call: GenerateCall) -> EngineStream:
         """Starts a stream; see the base class."""
-        resp = self._http.open(
-            "POST",
-            "/generate",
-            body=msgspec.json.encode(call),
-            timeout_s=timeout_s,
-        )
-        if resp.status != 200:
-            resp.close()
-            raise exceptions.TargetError(
-                f"{self._http.base_url}: generate answered {resp.status}",
-                outcome=exceptions.Outcome.NOT_RUN,
-            )
-        return HttpEngineStream(resp)
+        body = msgspec.json.encode(call)
+        conn = self._http.start("POST", "/generate", body, _STREAM_TIMEOUT_S)
+        return HttpEngineStream(conn)
 
     def cancel(self, stream: str, attempt: int) -> None:
         """Cancels a stream; see the base class."""
@@ -379,10 +386,3 @@
         return msgspec.json.decode(reply.body, type=kind)
     except msgspec.DecodeError as exc:
         raise exceptions.TargetError(f"malformed answer: {exc}") from exc
-
-
-def _socket_of(resp) -> socket.socket | None:
-    conn = getattr(resp, "connection", None) or getattr(
-        resp, "_connection", None
-    )
-    return getattr(conn, "sock", None)
--- a/src/briarfall/bench/control.py
+++ b/src/briarfall/bench/control.py
@@ -12,20 +12,15 @@
 from briarfall.standins import engine
 from briarfall.standins import platform
 
-_POINTS = (
-    (5, 30),
-    (15, 30),
-    (30, 30),
-    (60, 30),
-    (15, 100),
-    (15, 300),
-    (15, 810),
-)
+_BY_INSTANCES = ((5, 30), (15, 30), (30, 30), (60, 30))
+_BY_ENGINES = ((60, 100), (60, 300), (60, 810))
+_REAL = (120, 810)
 _LARGE = (330, 810)
 _TARGET_BYTES_PER_S = 5000.0
 _TARGET_CORE = 0.035
 _TARGET_BYTES = 32e6
 _WARM_UP_S = 6.0
+_WARM_UP_PER_INSTANCE_S = 0.25
 _EDIT_INTERVAL_S = 1.0
 
 
@@ -38,7 +33,6 @@
     core: float
     resident_mb: float
     threads: float
-    log_reads_per_s: float
 
 
 class FakeEngines:
@@ -60,12 +54,15 @@
 
 def run(seconds: float) -> dict:
     """Returns the report, with the slopes extended to letter 1's size."""
-    rows = [_measure(i, e, seconds) for i, e in _POINTS]
-    by_instances = [r for r in rows if r.engines == 30]
-    by_engines = [r for r in rows if r.instances == 15]
-    extended = {}
-    for field in ("bytes_per_s", "core", "resident_mb"):
-        extended[field] = _extend(by_instances, by_engines, field)
+    by_instances = [_measure(i, e, seconds) for i, e in _BY_INSTANCES]
+    by_engines = [_measure(i, e, seconds) for i, e in _BY_ENGINES]
+    by_engines.insert(0, by_instances[-1])
+    real = _measure(*_REAL, seconds)
+    rows = by_instances + by_engines[1:] + [real]
+    extended = {
+        field: _extend(by_instances, by_engines, field)
+        for field in ("bytes_per_s", "core", "resident_mb")
+    }
     return {
         "command": "briarfall bench control",
         "machine": measure.machine(),
@@ -115,7 +112,7 @@
     for _ in range(instances):
         part.add_instance(membership=timing)
     part.wait_ready(60.0)
-    time.sleep(_WARM_UP_S)
+    time.sleep(_WARM_UP_S + instances * _WARM_UP_PER_INSTANCE_S)
     control = [t for t in threading.enumerate() if _is_control(t)]
     before = _traffic(part)
     cpu_before = measure.thread_cpu_s(control)
@@ -135,7 +132,6 @@
         round(cpu / wall / instances, 5),
         round(grown / instances / 1e6, 3),
         round(grown_threads / instances, 1),
-        0.0,
     )
     print(msgspec.to_builtins(row), flush=True)
     return row
--- a/src/briarfall/cli/serve.py
+++ b/src/briarfall/cli/serve.py
@@ -10,6 +10,7 @@
 from briarfall import exceptions
 from briarfall import logs
 from briarfall import settings
+from briarfall import sockets
 from briarfall.catalogue import entries
 from briarfall.cli import catalogue
 from briarfall.cli import console
@@ -28,6 +29,7 @@
 
     cfg = settings.load(config)
     logs.configure(cfg.instance, as_json=cfg.json_logs, verbose=verbose)
+    sockets.raise_descriptor_limit()
     inst = instance.Instance(cfg)
     asked = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/src/briarfall/daemon/completions.py
+++ b/src/briarfall/daemon/completions.py
@@ -13,6 +13,7 @@
 from briarfall import ids
 from briarfall.catalogue import entries
 from briarfall.daemon import accounts
+from briarfall.daemon import bodies
 from briarfall.pipelines import cursors
 from briarfall.pipelines import models
 from briarfall.pipelines import pump as pumps
@@ -23,33 +24,6 @@
 _ATTEMPTS_SKIPPED = 1000
 
 
-class Choice(msgspec.Struct):
-    """One answer in a response, or a piece of it in an event."""
-
-    text: str
-    index: int = 0
-    finish_reason: str | None = None
-
-
-class Usage(msgspec.Struct):
-    """Tokens that a request used."""
-
-    prompt_tokens: int
-    completion_tokens: int
-    total_tokens: int
-
-
-class Completion(msgspec.Struct):
-    """The body of a response, in OpenAI's form."""
-
-    id: str
-    model: str
-    created: int
-    choices: list[Choice]
-    usage: Usage | None = None
-    object: str = "text_completion"
-
-
 class CompletionHandler:
     """Serves completions.
 
@@ -214,7 +188,7 @@
             self._lend(steps, None)
         self.finish(None)
         text = "".join([token.text for token in accepted])
-        choice = Choice(text, finish_reason=accepted[-1].finish)
+        choice = bodies.Choice(text, finish_reason=accepted[-1].finish)
         return httpserver.json_response(
             self._completion([choice], self._usage())
         )
@@ -251,12 +225,12 @@
             self._handler._pump.drive(steps, run, sink)
         run.is_lent = False
 
-    def _usage(self) -> Usage:
+    def _usage(self) -> bodies.Usage:
         prompt, answer = self._req.prompt_tokens, self._run.index
-        return Usage(prompt, answer, prompt + answer)
+        return bodies.Usage(prompt, answer, prompt + answer)
 
-    def _completion(self, choices, usage=None) -> Completion:
-        return Completion(
+    def _completion(self, choices, usage=None) -> bodies.Completion:
+        return bodies.Completion(
             self._req.id,
             self._req.model_name,
             self._created_s,
@@ -328,12 +302,12 @@
         text keeps the cost of a token low.
         """
         mark = "\x00"
-        whole = msgspec.json.encode(self._completion([Choice(mark)]))
+        whole = msgspec.json.encode(self._completion([bodies.Choice(mark)]))
         head, tail = whole.split(msgspec.json.encode(mark))
         return head, tail
 
     def _final_event(self) -> bytes:
-        choice = Choice("", finish_reason="length")
+        choice = bodies.Choice("", finish_reason="length")
         final = self._completion([choice], self._usage())
         return b"data: %b\n\ndata: [DONE]\n\n" % msgspec.json.encode(final)
 
--- a/src/briarfall/daemon/instance.py
+++ b/src/briarfall/daemon/instance.py
@@ -21,7 +21,9 @@
 from briarfall.catalogue import snapshots
 from briarfall.daemon import admin
 from briarfall.daemon import completions
+from briarfall.daemon import gauges
 from briarfall.daemon import lifecycle
+from briarfall.daemon import parts
 from briarfall.daemon import servicecalls
 from briarfall.engineorders import leases
 from briarfall.engineorders import reconciler
@@ -30,6 +32,7 @@
 from briarfall.limits import shares
 from briarfall.membership import gossip
 from briarfall.membership import links
+from briarfall.membership import messages
 from briarfall.membership import peers
 from briarfall.membership import rendezvous
 from briarfall.membership import sampler
@@ -54,53 +57,6 @@
 _READY_POLL_S = 0.05
 
 
-class AdapterCache:
-    """Adapters by URL, made when first needed."""
-
-    def __init__(self, make):
-        self._make = make
-        self._lock = threading.Lock()
-        self._adapters: dict = {}
-
-    def get(self, url: str):
-        """Returns the adapter of a URL."""
-        adapter = self._adapters.get(url)
-        if adapter is None:
-            with self._lock:
-                adapter = self._adapters.get(url)
-                if adapter is None:
-                    adapter = self._make(url)
-                    self._adapters[url] = adapter
-        return adapter
-
-    def close(self) -> None:
-        """Closes all adapters."""
-        with self._lock:
-            for adapter in self._adapters.values():
-                adapter.close()
-            self._adapters.clear()
-
-
-class Gates:
-    """One admission gate for each model."""
-
-    def __init__(self):
-        self._lock = threading.Lock()
-        self._gates: dict[str, admission.Gate] = {}
-
-    def get(self, name: str, model: entries.Model) -> admission.Gate:
-        """Returns the gate of a model, with its current limit."""
-        limit = model.limits.max_concurrent
-        with self._lock:
-            gate = self._gates.get(name)
-            if gate is None:
-                gate = admission.Gate(limit)
-                self._gates[name] = gate
-        if gate.limit != limit:
-            gate.set_limit(limit)
-        return gate
-
-
 class Instance:
     """One entry instance.
 
@@ -129,7 +85,7 @@
         self._build_limits()
         self._build_exchange()
         self._build_listeners()
-        self._add_gauges()
+        gauges.add_gauges(self)
 
     def view(self) -> followers.View:
         """Returns the current catalogue."""
@@ -294,7 +250,7 @@
 
     def _build_pipelines(self) -> None:
         cfg = self.cfg
-        self.engines = AdapterCache(engines.HttpEngineAdapter)
+        self.engines = parts.AdapterCache(engines.HttpEngineAdapter)
         self.targets = target_tables.TargetTable(
             self._clock, lambda: len(self.members.live())
         )
@@ -319,7 +275,7 @@
 
     def _build_orders(self) -> None:
         cfg = self.cfg
-        self.services = AdapterCache(services.HttpServiceAdapter)
+        self.services = parts.AdapterCache(services.HttpServiceAdapter)
         self.partitions = partitions.PartitionSet(self.log, cfg.clock_skew_s)
         self.sequencer = sequencer.Sequencer(
             cfg.instance, self.partitions, self.peers
@@ -358,8 +314,10 @@
             self.peers,
             self._clock,
         )
-        self.gates = Gates()
-        self.estimator = admission.Estimator(self.planner)
+        self.gates = parts.Gates()
+        self.estimator = admission.Estimator(
+            self.planner, lambda: len(self.members.live())
+        )
 
     def _build_exchange(self) -> None:
         self.gossip = gossip.Gossip(
@@ -380,7 +338,7 @@
             self.gossip,
         )
         add = self._handlers.add
-        add("gossip", gossip.Exchange, self.gossip.handle_exchange)
+        add("gossip", messages.Exchange, self.gossip.handle_exchange)
         add("members", str, self.gossip.handle_members)
         add("poison", poison.Suspicion, self.gossip.handle_suspicion)
         add("poison.ask", str, self._answer_suspicion)
@@ -416,44 +374,6 @@
             on_error=lambda exc: self.metrics.errors.inc(),
         )
 
-    def _add_gauges(self) -> None:
-        gauge = self.metrics.gauge
-        gauge(
-            "briarfall_ongoing",
-            "Requests in progress.",
-            lambda: self.ongoing.count,
-        )
-        gauge(
-            "briarfall_catalogue_offset",
-            "Catalogue offset in force.",
-            lambda: self.follower.next_offset,
-        )
-        gauge(
-            "briarfall_log_up",
-            "Whether the configuration log answers.",
-            lambda: float(self.follower.log_up),
-        )
-        gauge(
-            "briarfall_instances",
-            "Live instances.",
-            lambda: len(self.members.live()),
-        )
-        gauge(
-            "briarfall_tokens_dropped",
-            "Tokens not accepted: stale, repeated or with a broken trace.",
-            lambda: self.relay.dropped,
-        )
-        gauge(
-            "briarfall_peer_bytes_sent",
-            "Bytes sent to instances.",
-            lambda: self.counters.sent_bytes,
-        )
-        gauge(
-            "briarfall_peer_bytes_received",
-            "Bytes received from instances.",
-            lambda: self.counters.received_bytes,
-        )
-
     def _on_catalogue(self, view: followers.View) -> None:
         costs = {}
         for topology in view.of_kind(entries.Topology).values():
--- a/src/briarfall/exceptions.py
+++ b/src/briarfall/exceptions.py
@@ -268,6 +268,15 @@
     outcome = Outcome.NOT_RUN
 
 
+class LocalLimitError(TargetUnreachableError):
+    """This process has no descriptor or memory left for a connection."""
+
+    code = "local_limit"
+    status = http.HTTPStatus.SERVICE_UNAVAILABLE
+    remedy = "send the request to another instance; raise the open-file limit"
+    retry_after_s = 1.0
+
+
 class PeerError(BriarfallError, ConnectionError):
     """A peer instance did not answer or failed authentication."""
 
--- a/src/briarfall/httpclient.py
+++ b/src/briarfall/httpclient.py
@@ -1,13 +1,18 @@
 """HTTP calls over urllib3 with typed errors and explicit timeouts."""
 
+import errno
+import urllib.parse
+
 import msgspec
 import urllib3
+from urllib3 import connection
 from urllib3 import exceptions as urllib3_exceptions
 
 from briarfall import exceptions
 
 CONNECT_TIMEOUT_S = 1.0
 _POOL_SIZE = 64
+_LOCAL_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM})
 
 
 class Reply(msgspec.Struct):
@@ -97,14 +102,54 @@
             urllib3_exceptions.NewConnectionError,
             urllib3_exceptions.ConnectTimeoutError,
         ) as exc:
-            raise exceptions.TargetUnreachableError(
-                f"{self.base_url}: cannot connect: {exc}"
+            raise _unreachable(self.base_url, exc) from exc
+        except (urllib3_exceptions.HTTPError, OSError) as exc:
+            raise exceptions.TargetError(
+                f"{self.base_url}: call failed: {exc}"
             ) from exc
+
+    def start(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> connection.HTTPConnection:
+        """Sends a call on a connection of its own and does not wait.
+
+        The caller gets the response with `getresponse`, and may end the
+        wait by shutting the connection's socket down. `timeout_s` bounds
+        each read.
+        """
+        parts = urllib.parse.urlsplit(self.base_url)
+        conn = connection.HTTPConnection(
+            parts.hostname, parts.port, timeout=CONNECT_TIMEOUT_S
+        )
+        try:
+            conn.connect()
+        except (urllib3_exceptions.HTTPError, OSError) as exc:
+            raise _unreachable(self.base_url, exc) from exc
+        conn.timeout = timeout_s
+        try:
+            conn.request(method, path, body=body, preload_content=False)
         except (urllib3_exceptions.HTTPError, OSError) as exc:
+            conn.close()
             raise exceptions.TargetError(
                 f"{self.base_url}: call failed: {exc}"
             ) from exc
+        return conn
 
     def close(self) -> None:
         """Closes pooled connections."""
         self._pool.close()
+
+
+def _unreachable(
+    url: str, exc: BaseException
+) -> exceptions.TargetUnreachableError:
+    """Returns the error for a connection that was not made.
+
+    A lack of descriptors here says nothing about the target.
+    """
+    cause: BaseException | None = exc
+    while cause is not None:
+        if getattr(cause, "errno", None) in _LOCAL_ERRNOS:
+            return exceptions.LocalLimitError(f"{url}: {cause}")
+        cause = cause.__cause__ or cause.__context__
+    return exceptions.TargetUnreachableError(f"{url}: cannot connect: {exc}")
--- a/src/briarfall/limits/admission.py
+++ b/src/briarfall/limits/admission.py
@@ -5,12 +5,16 @@
 
 from briarfall import exceptions
 from briarfall.catalogue import entries
+from briarfall.limits import demand
 from briarfall.pipelines import models
 from briarfall.pipelines import planning
 from briarfall.pipelines import policies
 
 AGING_S = 5.0
 MAX_WAITING = 64
+_BUSY = 0.85
+_USABLE = 0.95
+_SHED_RETRY_S = 2.0
 RANKS = {
     entries.Priority.INTERACTIVE: 0,
     entries.Priority.STANDARD: 1,
@@ -30,10 +34,14 @@
 
     Args:
         planner: Plans the route that the answer would take.
+        routers: Returns the number of instances that share the targets.
     """
 
-    def __init__(self, planner: planning.Planner):
+    def __init__(self, planner: planning.Planner, routers):
         self._planner = planner
+        self._routers = routers
+        self._lock = threading.Lock()
+        self._demands: dict[str, demand.ClassDemand] = {}
 
     def estimate_s(self, req: models.StreamRequest) -> tuple[float, float]:
         """Returns the seconds to the first and to the last token."""
@@ -49,17 +57,47 @@
         Raises:
             OverloadError: With the time after which to come back.
         """
-        first_s, total_s = self.estimate_s(req)
-        left_s = req.deadline_s - time.monotonic()
+        now = time.monotonic()
+        classes = self._demand_of(req.model_name, now)
+        classes.note(req.priority, req.max_tokens, now)
+        _, total_s = self.estimate_s(req)
+        left_s = req.deadline_s - now
         share = _DEADLINE_SHARES[req.priority]
-        if total_s <= left_s * share:
+        if total_s > left_s * share:
+            raise exceptions.OverloadError(
+                f"the answer would take about {total_s:.1f} s, the deadline "
+                f"leaves {left_s:.1f} s",
+                retry_after_s=min(30.0, max(1.0, total_s - left_s * share)),
+            )
+        self._check_class(classes, req, now)
+
+    def _check_class(
+        self,
+        classes: demand.ClassDemand,
+        req: models.StreamRequest,
+        now: float,
+    ) -> None:
+        """Holds a class to what more urgent ones leave of busy hardware."""
+        route_req = policies.RouteRequest(req.model, req.prompt_tokens)
+        capacity = self._planner.capacity(route_req)
+        if self._planner.utilisation(route_req) < _BUSY:
+            return
+        own = capacity * _USABLE / max(1, self._routers())
+        if classes.take(req.priority, req.max_tokens, own, now):
             return
         raise exceptions.OverloadError(
-            f"the answer would take about {total_s:.1f} s, the deadline "
-            f"leaves {left_s:.1f} s",
-            retry_after_s=min(30.0, max(1.0, total_s - left_s * share)),
+            f"more urgent classes than {req.priority.value} need the targets",
+            retry_after_s=_SHED_RETRY_S,
         )
 
+    def _demand_of(self, model: str, now: float) -> demand.ClassDemand:
+        with self._lock:
+            found = self._demands.get(model)
+            if found is None:
+                found = demand.ClassDemand(now)
+                self._demands[model] = found
+            return found
+
 
 class _Waiting:
     """One request in the queue."""
--- a/src/briarfall/membership/gossip.py
+++ b/src/briarfall/membership/gossip.py
@@ -5,65 +5,28 @@
 import time
 
 from absl import logging
-import msgspec
 
 from briarfall import exceptions
 from briarfall.adapters import engine as engines
 from briarfall.adapters import instancelist
+from briarfall.membership import messages
 from briarfall.membership import peers as peer_sets
 from briarfall.membership import table as tables
 from briarfall.pipelines import poison
 from briarfall.pipelines import targets as target_tables
 
 _MAX_MEMBERS = 64
-_MAX_LOADS = 16
+_MAX_LOADS = 4
+_MAX_NOTICES = 16
 _CALL_TIMEOUT_S = 1.0
-_SYNC_INTERVAL_S = 5.0
+_SYNC_INTERVAL_S = 10.0
+# News that are still on their way also make digests differ.
+_SYNC_MISMATCHES = 5
 _LEAVING_TTL_S = 4.0
 _LEAVING_REPEAT_S = 1.0
 _PULL_LIMIT = 500
 
 
-class LoadDigest(msgspec.Struct, array_like=True):
-    """Load of a target as gossip carries it; the age grows on the way."""
-
-    target: str
-    running: int
-    age_ms: int
-
-
-class LeavingNotice(msgspec.Struct, array_like=True):
-    """A target that some instance has first-hand news of leaving."""
-
-    target: str
-    origin: str
-    sequence: int
-
-
-class Exchange(msgspec.Struct, array_like=True):
-    """One heartbeat: what the receiver may not know yet.
-
-    Attributes:
-        sender: Name of the sending instance.
-        applied: Catalogue offset that the sender has in force.
-        is_complete: Whether the sender holds the whole catalogue.
-        digest: Digest of the sender's member table.
-        members: Members that changed.
-        loads: Loads of targets that changed.
-        leaving: Targets that leave.
-        suspicions: Requests that crash targets.
-    """
-
-    sender: str
-    applied: int
-    is_complete: bool
-    digest: int
-    members: list[tables.Member] = []
-    loads: list[LoadDigest] = []
-    leaving: list[LeavingNotice] = []
-    suspicions: list[poison.Suspicion] = []
-
-
 class _Outbox:
     """What one neighbour has not been told yet; newer news replace older."""
 
@@ -72,7 +35,7 @@
         self.loads: collections.OrderedDict[str, tuple] = (
             collections.OrderedDict()
         )
-        self.leaving: dict[str, LeavingNotice] = {}
+        self.leaving: dict[str, messages.LeavingNotice] = {}
         self.suspicions: dict[str, poison.Suspicion] = {}
 
 
@@ -102,7 +65,7 @@
         self._heard_s: dict[str, float] = {}
         self._synced_s: dict[str, float] = {}
         self._mismatches: collections.Counter = collections.Counter()
-        self._leaving: dict[str, tuple[LeavingNotice, float]] = {}
+        self._leaving: dict[str, tuple[messages.LeavingNotice, float]] = {}
         self._listed_leaving: set[str] = set()
         self._sequence = 0
         self._stopping = threading.Event()
@@ -155,7 +118,7 @@
         if report.leaving:
             self._announce_leaving(target)
 
-    def handle_exchange(self, message: Exchange) -> Exchange:
+    def handle_exchange(self, message: messages.Exchange) -> messages.Exchange:
         """Serves a neighbour's heartbeat."""
         self._take(message)
         return self._compose(message.sender, message.digest)
@@ -182,11 +145,11 @@
             spent_s = time.monotonic() - started
             self._stopping.wait(max(0.0, self._cfg.heartbeat_s - spent_s))
 
-    def _beat(self, peer: str) -> Exchange | None:
+    def _beat(self, peer: str) -> messages.Exchange | None:
         message = self._compose(peer, 0)
         try:
             answer = self._peers.call(
-                peer, "gossip", message, Exchange, _CALL_TIMEOUT_S
+                peer, "gossip", message, messages.Exchange, _CALL_TIMEOUT_S
             )
         except exceptions.BriarfallError as exc:
             self._restore(peer, message)
@@ -198,7 +161,7 @@
             self._pull_if_behind(peer, answer.applied)
         return answer
 
-    def _adopt_catalogue(self, answers: list[Exchange]) -> None:
+    def _adopt_catalogue(self, answers: list[messages.Exchange]) -> None:
         """Serves without the log once no reachable peer is further."""
         if self._follower.caught_up.is_set() or self._follower.log_up:
             return
@@ -233,27 +196,29 @@
                 if now - heard_s > 2 * self._cfg.suspect_s:
                     del self._outboxes[peer]
 
-    def _compose(self, peer: str, their_digest: int) -> Exchange:
+    def _compose(self, peer: str, their_digest: int) -> messages.Exchange:
         now = time.monotonic()
         with self._lock:
             outbox = self._outbox(peer)
-            message = Exchange(
+            message = messages.Exchange(
                 self._members.me.id,
                 self._follower.next_offset,
                 self._follower.caught_up.is_set(),
                 self._members.digest(),
                 _drain(outbox.members, _MAX_MEMBERS),
                 [],
-                _drain(outbox.leaving, _MAX_LOADS),
-                _drain(outbox.suspicions, _MAX_LOADS),
+                _drain(outbox.leaving, _MAX_NOTICES),
+                _drain(outbox.suspicions, _MAX_NOTICES),
             )
             while outbox.loads and len(message.loads) < _MAX_LOADS:
                 target, (running, taken_s) = outbox.loads.popitem(last=False)
                 age_ms = int((now - taken_s) * 1000)
-                message.loads.append(LoadDigest(target, running, age_ms))
+                message.loads.append(
+                    messages.LoadDigest(target, running, age_ms)
+                )
         return message
 
-    def _restore(self, peer: str, message: Exchange) -> None:
+    def _restore(self, peer: str, message: messages.Exchange) -> None:
         """Keeps news whose delivery failed, unless there are newer ones."""
         with self._lock:
             outbox = self._outbox(peer)
@@ -264,7 +229,7 @@
             for suspicion in message.suspicions:
                 outbox.suspicions.setdefault(suspicion.fingerprint, suspicion)
 
-    def _take(self, message: Exchange) -> None:
+    def _take(self, message: messages.Exchange) -> None:
         self._heard_s[message.sender] = time.monotonic()
         for member in message.members:
             self._members.learn(member)
@@ -275,7 +240,7 @@
         for suspicion in message.suspicions:
             self.handle_suspicion(suspicion)
 
-    def _take_load(self, sender: str, digest: LoadDigest) -> None:
+    def _take_load(self, sender: str, digest: messages.LoadDigest) -> None:
         taken_s = time.monotonic() - digest.age_ms / 1000
         if self._table.status(digest.target).report_s >= taken_s:
             return
@@ -285,7 +250,7 @@
                 if peer != sender:
                     outbox.loads[digest.target] = (digest.running, taken_s)
 
-    def _take_leaving(self, notice: LeavingNotice) -> None:
+    def _take_leaving(self, notice: messages.LeavingNotice) -> None:
         now = time.monotonic()
         with self._lock:
             known = self._leaving.get(notice.target)
@@ -306,7 +271,9 @@
                     return
             self._sequence += 1
             sequence = self._sequence
-        self._take_leaving(LeavingNotice(target, self._members.me.id, sequence))
+        self._take_leaving(
+            messages.LeavingNotice(target, self._members.me.id, sequence)
+        )
 
     def _expire_leaving(self) -> None:
         now = time.monotonic()
@@ -342,7 +309,9 @@
         now = time.monotonic()
         synced_s = self._synced_s.get(peer)
         if synced_s is not None:
-            if self._mismatches[peer] < 2 or now - synced_s < _SYNC_INTERVAL_S:
+            if self._mismatches[peer] < _SYNC_MISMATCHES:
+                return
+            if now - synced_s < _SYNC_INTERVAL_S:
                 return
         self._synced_s[peer] = now
         try:
--- a/src/briarfall/membership/sampler.py
+++ b/src/briarfall/membership/sampler.py
@@ -36,6 +36,8 @@
         self._gossip = gossip
         self._stopping = threading.Event()
         self._turn = 0
+        self._assigned_for: tuple = ()
+        self._assigned: list[entries.EngineTarget] = []
         self._silent: dict[str, int] = {}
         self._pool = concurrent.futures.ThreadPoolExecutor(
             _THREADS, thread_name_prefix="sample"
@@ -53,12 +55,20 @@
     def assigned(self) -> list[entries.EngineTarget]:
         """Returns the targets that this instance polls."""
         live = self._live()
+        view = self._view()
+        # Ranking all pairs of targets and instances is dear, and changes
+        # only with the membership or the catalogue.
+        key = (view.offset, tuple(live))
+        if key == self._assigned_for:
+            return self._assigned
         mine = []
-        for model in self._view().of_kind(entries.Model).values():
+        for model in view.of_kind(entries.Model).values():
             for target in model.targets:
                 chosen = rendezvous.choose_many(target.id, live, _SAMPLERS)
                 if self._instance in chosen:
                     mine.append(target)
+        self._assigned_for = key
+        self._assigned = mine
         return mine
 
     def _run(self) -> None:
@@ -86,6 +96,8 @@
     def _sample(self, target: entries.EngineTarget) -> None:
         try:
             report = self._connect(target.url).load(_TIMEOUT_S)
+        except exceptions.LocalLimitError:
+            return
         except exceptions.TargetUnreachableError:
             self._table.note_failure(target.id, is_silent=True)
             return
--- a/src/briarfall/membership/table.py
+++ b/src/briarfall/membership/table.py
@@ -62,6 +62,7 @@
         self._clock = clock or clocks.Clock()
         self._lock = threading.RLock()
         self._me = me.id
+        self._digest: int | None = None
         self._members: dict[str, Member] = {me.id: me}
         self._since: dict[str, float] = {me.id: self._clock.now()}
         self.on_change = on_change or (lambda member: None)
@@ -133,6 +134,7 @@
                 if member.state is MemberState.SUSPECT and age_s > suspect_s:
                     self._raise(member.id, MemberState.DEAD)
                 if member.state is MemberState.DEAD and age_s > _TOMBSTONE_S:
+                    self._digest = None
                     del self._members[member.id]
                     del self._since[member.id]
 
@@ -147,8 +149,11 @@
     def digest(self) -> int:
         """Returns a digest of everything known."""
         with self._lock:
+            if self._digest is not None:
+                return self._digest
             parts = [f"{m.id}{m.version}{m.applied}" for m in self.all()]
-        return hashing.digest64("|".join(parts))
+            self._digest = hashing.digest64("|".join(parts))
+            return self._digest
 
     def in_force(self, offset: int) -> tuple[int, int]:
         """Returns how many live members have applied `offset`, of how many."""
@@ -182,6 +187,7 @@
         return True
 
     def _store(self, member: Member) -> None:
+        self._digest = None
         self._members[member.id] = member
         self._since[member.id] = self._clock.now()
         self.on_change(member)
--- a/src/briarfall/orders/dispatch.py
+++ b/src/briarfall/orders/dispatch.py
@@ -274,6 +274,8 @@
         self._table.begin([target.id])
         try:
             reply = self._connect(target.url).send(req.call, timeout_s)
+        except exceptions.LocalLimitError:
+            raise
         except exceptions.TargetError:
             self._table.note_failure(target.id)
             raise
--- a/src/briarfall/pipelines/planning.py
+++ b/src/briarfall/pipelines/planning.py
@@ -7,6 +7,7 @@
 from briarfall.adapters import engine as engines
 from briarfall.catalogue import entries
 from briarfall.pipelines import graph as graphs
+from briarfall.pipelines import maxflow
 from briarfall.pipelines import policies
 from briarfall.pipelines import targets as target_tables
 
@@ -34,6 +35,7 @@
         self._lock = threading.Lock()
         self._policies: dict[str, policies.RoutePolicy] = {}
         self._graphs: dict[tuple, graphs.LayerGraph] = {}
+        self._flows: dict[int, maxflow.FlowResult] = {}
 
     def plan(self, req: policies.RouteRequest) -> list[engines.Hop]:
         """Returns a route that covers all layers once, in order.
@@ -63,6 +65,36 @@
             total_s += req.prompt_tokens / target.tokens_per_s * 0.1
         return total_s
 
+    def capacity(self, req: policies.RouteRequest) -> float:
+        """Returns the tokens a second that the usable targets can carry."""
+        with self._lock:
+            return self._flow(req).total
+
+    def utilisation(self, req: policies.RouteRequest) -> float:
+        """Returns how full the targets are, 1 when all batches are full.
+
+        Only targets that the maximum flow uses count, by their flow.
+        """
+        with self._lock:
+            flow = self._flow(req)
+        filled = 0.0
+        total = 0.0
+        by_id = {target.id: target for target in req.model.targets}
+        for (_, name), weight in flow.weights.items():
+            target = by_id[name]
+            slots = max(1.0, target.tokens_per_s * target.step_s)
+            filled += weight * min(1.0, self._table.load(name) / slots)
+            total += weight
+        return filled / total if total else 1.0
+
+    def _flow(self, req: policies.RouteRequest) -> maxflow.FlowResult:
+        graph = self._graph(req)
+        flow = self._flows.get(id(graph))
+        if flow is None:
+            flow = maxflow.FlowResult(graph)
+            self._flows[id(graph)] = flow
+        return flow
+
     def gap_s(
         self, req: policies.RouteRequest, route: list[engines.Hop]
     ) -> float:
@@ -104,6 +136,7 @@
         if graph is None:
             if len(self._graphs) >= _MAX_GRAPHS:
                 self._graphs.clear()
+                self._flows.clear()
             graph = graphs.LayerGraph(layers, pool)
             self._graphs[key] = graph
         return graph
--- a/src/briarfall/pipelines/relay.py
+++ b/src/briarfall/pipelines/relay.py
@@ -13,7 +13,9 @@
 from briarfall.adapters import engine as engines
 from briarfall.catalogue import entries
 from briarfall.limits import retries
+from briarfall.pipelines import acceptance
 from briarfall.pipelines import graph as graphs
+from briarfall.pipelines import kvimports
 from briarfall.pipelines import models
 from briarfall.pipelines import planning
 from briarfall.pipelines import poison as poisons
@@ -23,7 +25,6 @@
 from briarfall.pipelines import targets as target_tables
 from briarfall.pipelines import trials as trial_directories
 
-_GENERATE_TIMEOUT_S = 1.0
 _CANCEL_THREADS = 4
 _TRIAL_RETRY_S = 0.01
 _PLAN_RETRY_S = 0.05
@@ -42,58 +43,6 @@
 }
 
 
-class Accepted:
-    """Tokens that were accepted, once each and in order.
-
-    Args:
-        start: Index of the first token that is expected.
-        digest: Digest of the text before it.
-
-    Attributes:
-        texts: Texts of the tokens from `start` on.
-        digest: Digest chained over the whole text.
-        dropped: Tokens that were not accepted.
-    """
-
-    def __init__(self, start: int = 0, digest: int = 0):
-        self.start = start
-        self.texts: list[str] = []
-        self.digest = digest
-        self.dropped = 0
-
-    @property
-    def index(self) -> int:
-        """Index of the next token."""
-        return self.start + len(self.texts)
-
-    def take(
-        self,
-        batch: engines.TokenBatch,
-        attempt: int,
-        layers: list[tuple[int, int]],
-    ) -> list[engines.Token]:
-        """Returns the acceptable tokens of a batch, dropping the others.
-
-        Args:
-            batch: What the engine sent.
-            attempt: The current attempt.
-            layers: The complete layer trace of the attempt's route.
-        """
-        taken = []
-        for token in batch.tokens:
-            if (
-                token.index != self.index
-                or token.attempt != attempt
-                or token.layers != layers
-            ):
-                self.dropped += 1
-                continue
-            self.texts.append(token.text)
-            self.digest = hashing.digest64(token.text, self.digest)
-            taken.append(token)
-        return taken
-
-
 class Relay:
     """Sends streams to engines and recovers them.
 
@@ -179,7 +128,9 @@
         self._relay = relay
         self._req = req
         self._active = streams.ActiveStream(req)
-        self._accepted = Accepted(req.resume_index, req.resume_digest)
+        self._accepted = acceptance.Accepted(
+            req.resume_index, req.resume_digest
+        )
         self._attempt = req.resume_attempt
         self._last_attempt = req.resume_attempt + req.model.limits.max_attempts
         self._delivered = req.resume_index
@@ -385,7 +336,7 @@
         """Generates from the beginning if earlier tokens are not known."""
         if self._accepted.start:
             dropped = self._accepted.dropped
-            self._accepted = Accepted()
+            self._accepted = acceptance.Accepted()
             self._accepted.dropped = dropped
 
     def _open(self, route) -> engines.EngineStream | None:
@@ -405,7 +356,9 @@
         self.route = route
         adapter = self._relay._connect(route[0].url)
         try:
-            return adapter.generate(call, _GENERATE_TIMEOUT_S)
+            return adapter.generate(call)
+        except exceptions.LocalLimitError:
+            raise
         except exceptions.TargetUnreachableError:
             self._dead_before.add(route[0].target)
             self._judge(route, models.Cause.TARGET_DIED, "")
@@ -556,24 +509,16 @@
         self._relay._trials.release(self._req.model_name, self._req.fingerprint)
 
     def _with_imports(self, route):
-        """Adds KV imports where they are cheaper than a prefill."""
+        """Adds KV imports where an old target still answers."""
         if self._old_cause not in (models.Cause.MOVED, models.Cause.STALLED):
             return route
-        by_id = {target.id: target for target in self._req.model.targets}
-        old = {(hop.start, hop.end): hop for hop in self._old_route}
-        positions = self._req.prompt_tokens + self.index
-        result = []
-        for hop in route:
-            before = old.get((hop.start, hop.end))
-            if before is not None and before.target != hop.target:
-                source, target = by_id[before.target], by_id[hop.target]
-                link = self._relay._links(source.zone, target.zone)
-                if is_import_cheaper(source, target, link, positions):
-                    hop = engines.Hop(
-                        hop.target, hop.url, hop.start, hop.end, before.url
-                    )
-            result.append(hop)
-        return result
+        return kvimports.add_imports(
+            self._req.model,
+            route,
+            self._old_route,
+            self._relay._links,
+            self._req.prompt_tokens + self.index,
+        )
 
     def _note_recovery(self, cause, detect_s, plan_s, resume_s) -> None:
         self._old_cause = None
@@ -593,17 +538,3 @@
         if hop.target == target:
             return hop.start
     return 0
-
-
-def is_import_cheaper(
-    source: entries.EngineTarget,
-    target: entries.EngineTarget,
-    link: policies.LinkCost,
-    positions: int,
-) -> bool:
-    """Returns whether a KV import beats running the positions again."""
-    if not source.kv_bytes_per_token or not target.kv_bytes_per_token:
-        return False
-    transfer_s = positions * source.kv_bytes_per_token / link.bytes_per_s
-    prefill_s = positions / target.prefill_tokens_per_s
-    return transfer_s + link.delay_s < prefill_s
--- a/src/briarfall/pipelines/streams.py
+++ b/src/briarfall/pipelines/streams.py
@@ -1,5 +1,6 @@
 """Open streams of an instance and the watchdog over them."""
 
+import concurrent.futures
 import threading
 import time
 
@@ -15,6 +16,7 @@
 _NOTICED_S = 0.1
 _CALLER_CHECK_TICKS = 4
 _PROBE_TIMEOUT_S = 0.25
+_PROBE_THREADS = 16
 _GAP_WEIGHT = 0.2
 _MIN_GAPS = 4.0
 _FIRST_TOKEN_FACTOR = 4.0
@@ -116,6 +118,10 @@
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self._ticks = 0
+        self._probing: set[str] = set()
+        self._probers = concurrent.futures.ThreadPoolExecutor(
+            _PROBE_THREADS, thread_name_prefix="probe"
+        )
 
     def start(self) -> None:
         """Starts watching on a thread of its own."""
@@ -124,6 +130,7 @@
     def stop(self) -> None:
         """Stops watching."""
         self._stopping.set()
+        self._probers.shutdown(wait=False, cancel_futures=True)
 
     def add(self, stream: ActiveStream) -> None:
         """Starts watching a stream."""
@@ -184,29 +191,45 @@
         if silent_s > probe_s and since_probe_s > probe_s:
             stream.probed_s = now
             for hop in stream.route:
-                threading.Thread(
-                    target=self._probe,
-                    args=(stream, hop),
-                    name="probe",
-                    daemon=True,
-                ).start()
-
-    def _probe(self, stream: ActiveStream, hop: engines.Hop) -> None:
-        progress_s = stream.progress_s
+                self._start_probe(hop)
+
+    def _start_probe(self, hop: engines.Hop) -> None:
+        """Probes a target, once for all streams that wait for it."""
+        with self._lock:
+            if hop.target in self._probing:
+                return
+            self._probing.add(hop.target)
+        try:
+            self._probers.submit(self._probe, hop)
+        except RuntimeError:
+            self._probing.discard(hop.target)
+
+    def _probe(self, hop: engines.Hop) -> None:
         started = time.monotonic()
         try:
             self._connect(hop.url).load(_PROBE_TIMEOUT_S)
+        except exceptions.LocalLimitError:
+            return
         except exceptions.TargetError as exc:
-            if stream.progress_s != progress_s:
-                return
             # A probe that this instance itself delayed proves nothing.
             took_s = time.monotonic() - started
             if took_s > 2 * _PROBE_TIMEOUT_S + TICK_S:
                 return
-            self._table.note_failure(hop.target, is_silent=True)
-            dead = isinstance(exc, exceptions.TargetUnreachableError)
-            cause = models.Cause.TARGET_DIED if dead else models.Cause.STALLED
-            stream.end(cause, hop.target)
+            is_dead = isinstance(exc, exceptions.TargetUnreachableError)
+            self._end_waiting(hop.target, started, is_dead)
+        finally:
+            with self._lock:
+                self._probing.discard(hop.target)
+
+    def _end_waiting(self, target: str, since_s: float, is_dead: bool) -> None:
+        """Ends the attempts that wait for a target which did not answer."""
+        self._table.note_failure(target, is_silent=True)
+        cause = models.Cause.TARGET_DIED if is_dead else models.Cause.STALLED
+        for stream in self.streams():
+            if stream.progress_s >= since_s - _NOTICED_S:
+                continue
+            if any(hop.target == target for hop in stream.route):
+                stream.end(cause, target)
 
     def _must_move(self, stream: ActiveStream, now: float) -> bool:
         leaving = any(
--- a/src/briarfall/sockets.py
+++ b/src/briarfall/sockets.py
@@ -1,5 +1,6 @@
 """Small operations on sockets."""
 
+import resource
 import select
 import socket
 import struct
@@ -20,6 +21,13 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
 
 
+def raise_descriptor_limit() -> int:
+    """Raises the limit of open files as far as allowed, and returns it."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    return hard
+
+
 def shut(sock: socket.socket) -> None:
     """Ends a connection at once in both directions, without a reply."""
     try:
--- a/src/briarfall/standins/fleet.py
+++ b/src/briarfall/standins/fleet.py
@@ -5,26 +5,19 @@
 """
 
 import enum
-import queue
 import threading
 
-import msgspec
-
-from briarfall import exceptions
-from briarfall import httpserver
 from briarfall.adapters import engine as engines
 from briarfall.catalogue import entries
 from briarfall.standins import engine
 from briarfall.standins import fabric
+from briarfall.standins import front
 from briarfall.standins import ledger as ledgers
 
 _ACTIVATION_BYTES = 8192
 _KV_BYTES = 32_768
 _TOKEN_BYTES = 64
 _WEIGHT_BYTES = 1_000_000
-_STALL_POLL_S = 0.05
-_STALL_POLLS = 200
-_END = None
 
 
 class Step(enum.Enum):
@@ -56,7 +49,7 @@
         self.links = fabric.Links(self.timeline)
         self.ledger = ledgers.Ledger()
         self.engines = {spec.id: engine.Engine(spec, self) for spec in specs}
-        self.fronts: dict[str, EngineFront] = {}
+        self.fronts: dict[str, front.EngineFront] = {}
         self.restart_s = 0.0
         self.stale_events = False
         self.weight_store = None
@@ -67,14 +60,14 @@
         """Starts the timeline and every listener."""
         self.timeline.start()
         for target, unit in self.engines.items():
-            front = EngineFront(self, unit)
-            front.start()
-            self.fronts[target] = front
+            surface = front.EngineFront(self, unit)
+            surface.start()
+            self.fronts[target] = surface
 
     def stop(self) -> None:
         """Stops everything."""
-        for front in self.fronts.values():
-            front.close()
+        for surface in self.fronts.values():
+            surface.close()
         self.timeline.stop()
 
     def url(self, target: str) -> str:
@@ -115,10 +108,10 @@
 
     def revive(self, target: str) -> None:
         """Brings an engine back under the same address."""
-        front = self.fronts[target]
+        surface = self.fronts[target]
         with self.timeline.lock:
             self.engines[target].revive()
-        front.reopen()
+        surface.reopen()
 
     def set_trap(self, step: Step, action) -> None:
         """Calls `action(call)` once, when a stream reaches a step."""
@@ -147,8 +140,8 @@
     def cancel(self, stream: str, attempt: int) -> None:
         """Stops work for a stream's attempts up to `attempt`."""
         with self.timeline.lock:
-            for front in self.fronts.values():
-                front.cancel(stream, attempt)
+            for surface in self.fronts.values():
+                surface.cancel(stream, attempt)
             for unit in self.engines.values():
                 unit.drop(stream)
 
@@ -169,8 +162,8 @@
         with self.timeline.lock:
             return {
                 sequence.call.stream
-                for front in self.fronts.values()
-                for sequence in front.sequences()
+                for surface in self.fronts.values()
+                for sequence in surface.sequences()
                 if not sequence.cancelled
             }
 
@@ -218,7 +211,7 @@
             return
         sequence.cancelled = True
         sequence.emit(engines.TokenBatch(error=code, target=target))
-        sequence.emit(_END)
+        sequence.emit(front.END)
 
     def crash(self, unit: engine.Engine, stream: str, item) -> None:
         """Lets a request kill the engine that ran it."""
@@ -253,7 +246,7 @@
         )
         if token.finish:
             sequence.cancelled = True
-            sequence.emit(_END)
+            sequence.emit(front.END)
             return
         positions = [1] * len(sequence.call.route)
         head.enqueue(engine.WorkItem(sequence, 0, positions))
@@ -304,192 +297,12 @@
         return longest_s
 
     def _by_url(self, url: str) -> engine.Engine | None:
-        for target, front in self.fronts.items():
-            if front.url == url:
+        for target, surface in self.fronts.items():
+            if surface.url == url:
                 return self.engines[target]
         return None
 
 
-class EngineFront:
-    """The HTTP listener of one engine."""
-
-    def __init__(self, fleet: Fleet, unit: engine.Engine):
-        self._fleet = fleet
-        self._unit = unit
-        self._open: dict[int, tuple[engine.Sequence, queue.SimpleQueue]] = {}
-        self._closing = threading.Event()
-        self._port = 0
-        self.server = self._new_server()
-        self._port = self.server.address[1]
-
-    def _new_server(self) -> httpserver.HttpServer:
-        routes = httpserver.Router()
-        routes.add("POST", "/generate", self._handle_generate)
-        routes.add("POST", "/cancel/{stream}", self._handle_cancel)
-        routes.add("GET", "/load", self._handle_load)
-        routes.add("GET", "/events", self._handle_events)
-        routes.add("POST", "/orders", self._handle_order)
-        routes.add("GET", "/state", self._handle_state)
-        routes.add("PUT", "/control/state", self._handle_control)
-        return httpserver.HttpServer(
-            "127.0.0.1", self._port, routes.handle, name=self._unit.spec.id
-        )
-
-    @property
-    def url(self) -> str:
-        """The base URL of the engine."""
-        return f"http://127.0.0.1:{self._port}"
-
-    def start(self) -> None:
-        """Starts listening."""
-        self.server.start()
-        self._port = self.server.address[1]
-
-    def cut(self) -> None:
-        """Resets all connections and stops listening."""
-        server = self.server
-        server.cut()
-        self.end_streams()
-        threading.Thread(target=server.stop, daemon=True).start()
-
-    def reopen(self) -> None:
-        """Listens again under the same address."""
-        if self.server.is_cut:
-            self.server = self._new_server()
-            self.server.start()
-
-    def close(self) -> None:
-        """Ends everything that is open and stops listening."""
-        self._closing.set()
-        self.end_streams()
-        self.server.stop()
-
-    def end_streams(self) -> None:
-        """Ends the responses of all streams without a final event."""
-        with self._fleet.timeline.lock:
-            for sequence, out in self._open.values():
-                sequence.cancelled = True
-                out.put(_END)
-
-    def sequences(self) -> list[engine.Sequence]:
-        """Returns the sequences that have this engine as their head."""
-        return [sequence for sequence, _ in self._open.values()]
-
-    def cancel(self, stream: str, attempt: int) -> None:
-        """Cancels the streams that have this engine as their head."""
-        for sequence, out in self._open.values():
-            call = sequence.call
-            if call.stream != stream or call.attempt > attempt:
-                continue
-            sequence.cancelled = True
-            out.put(_END)
-
-    def _handle_generate(self, req: httpserver.Request):
-        self._wait_while_stalled()
-        call = _decode(req.body, engines.GenerateCall)
-        for hop in call.route:
-            unit = self._fleet.engines.get(hop.target)
-            if unit is None:
-                raise exceptions.BadRequestError(f"no engine {hop.target}")
-            if not unit.spec.start <= hop.start < hop.end <= unit.spec.end:
-                raise exceptions.BadRequestError(
-                    f"{hop.target} does not hold [{hop.start}, {hop.end})"
-                )
-        out: queue.SimpleQueue = queue.SimpleQueue()
-        if call.resume_index > 0 and not self._unit.recall(call):
-            out.put(engines.TokenBatch(error="unknown_stream"))
-            out.put(_END)
-        sequence = engine.Sequence(call, out.put)
-        with self._fleet.timeline.lock:
-            if self._closing.is_set():
-                raise exceptions.NotReadyError("the engine stops")
-            self._open[id(sequence)] = (sequence, out)
-        if out.empty():
-            self._fleet.begin(sequence)
-        headers = [("Content-Type", "text/event-stream")]
-        return httpserver.Response(200, self._stream(sequence, out), headers)
-
-    def _stream(self, sequence: engine.Sequence, out: queue.SimpleQueue):
-        encode = msgspec.json.encode
-        try:
-            while True:
-                batch = out.get()
-                if batch is _END:
-                    return
-                batches = [batch]
-                while not out.empty():
-                    batches.append(out.get())
-                ended = _END in batches
-                yield b"".join(
-                    b"data: %b\n\n" % encode(item)
-                    for item in batches
-                    if item is not _END
-                )
-                if ended:
-                    return
-        finally:
-            with self._fleet.timeline.lock:
-                sequence.cancelled = True
-                self._open.pop(id(sequence), None)
-
-    def _handle_cancel(self, req: httpserver.Request):
-        attempt = int(req.query.get("attempt", "1"))
-        self._fleet.cancel(req.params["stream"], attempt)
-        return httpserver.json_response({})
-
-    def _handle_load(self, req: httpserver.Request):
-        self._wait_while_stalled()
-        with self._fleet.timeline.lock:
-            return httpserver.json_response(self._unit.load())
-
-    def _handle_events(self, req: httpserver.Request):
-        since = int(req.query.get("since", "0"))
-        with self._fleet.timeline.lock:
-            return httpserver.json_response(self._unit.events(since))
-
-    def _handle_order(self, req: httpserver.Request):
-        order = _decode(req.body, engines.EngineCommand)
-        with self._fleet.timeline.lock:
-            return httpserver.json_response(self._unit.command(order))
-
-    def _handle_state(self, req: httpserver.Request):
-        with self._fleet.timeline.lock:
-            return httpserver.json_response(self._unit.held)
-
-    def _handle_control(self, req: httpserver.Request):
-        wanted = _decode(req.body, Control)
-        actions = {
-            "kill": self._fleet.kill,
-            "stall": self._fleet.stall,
-            "revive": self._fleet.revive,
-        }
-        if wanted.action not in actions:
-            raise exceptions.BadRequestError(f"no action {wanted.action!r}")
-        target = self._unit.spec.id
-        threading.Timer(0.01, actions[wanted.action], [target]).start()
-        return httpserver.json_response(wanted)
-
-    def _wait_while_stalled(self) -> None:
-        for _ in range(_STALL_POLLS):
-            if self._unit.state is not engine.State.STALLED:
-                return
-            if self._closing.wait(_STALL_POLL_S):
-                return
-
-
-class Control(msgspec.Struct):
-    """A fault to inject: `kill`, `stall` or `revive`."""
-
-    action: str
-
-
-def _decode(data: bytes, kind):
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except msgspec.DecodeError as exc:
-        raise exceptions.BadRequestError(str(exc)) from exc
-
-
 def _emit_stale(sequence: engine.Sequence, token: engines.Token) -> None:
     """Sends what a router must not accept beside the true token."""
     stale = engines.Token(
--- /dev/null
+++ b/src/briarfall/standins/front.py
@@ -0,0 +1,195 @@
+"""The HTTP surface of one engine stand-in."""
+
+import queue
+import threading
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall import httpserver
+from briarfall.adapters import engine as engines
+from briarfall.standins import engine
+
+_STALL_POLL_S = 0.05
+_STALL_POLLS = 200
+END = None
+
+
+class EngineFront:
+    """The HTTP listener of one engine."""
+
+    def __init__(self, fleet, unit: engine.Engine):
+        self._fleet = fleet
+        self._unit = unit
+        self._open: dict[int, tuple[engine.Sequence, queue.SimpleQueue]] = {}
+        self._closing = threading.Event()
+        self._port = 0
+        self.server = self._new_server()
+        self._port = self.server.address[1]
+
+    def _new_server(self) -> httpserver.HttpServer:
+        routes = httpserver.Router()
+        routes.add("POST", "/generate", self._handle_generate)
+        routes.add("POST", "/cancel/{stream}", self._handle_cancel)
+        routes.add("GET", "/load", self._handle_load)
+        routes.add("GET", "/events", self._handle_events)
+        routes.add("POST", "/orders", self._handle_order)
+        routes.add("GET", "/state", self._handle_state)
+        routes.add("PUT", "/control/state", self._handle_control)
+        return httpserver.HttpServer(
+            "127.0.0.1", self._port, routes.handle, name=self._unit.spec.id
+        )
+
+    @property
+    def url(self) -> str:
+        """The base URL of the engine."""
+        return f"http://127.0.0.1:{self._port}"
+
+    def start(self) -> None:
+        """Starts listening."""
+        self.server.start()
+        self._port = self.server.address[1]
+
+    def cut(self) -> None:
+        """Resets all connections and stops listening."""
+        server = self.server
+        server.cut()
+        self.end_streams()
+        threading.Thread(target=server.stop, daemon=True).start()
+
+    def reopen(self) -> None:
+        """Listens again under the same address."""
+        if self.server.is_cut:
+            self.server = self._new_server()
+            self.server.start()
+
+    def close(self) -> None:
+        """Ends everything that is open and stops listening."""
+        self._closing.set()
+        self.end_streams()
+        self.server.stop()
+
+    def end_streams(self) -> None:
+        """Ends the responses of all streams without a final event."""
+        with self._fleet.timeline.lock:
+            for sequence, out in self._open.values():
+                sequence.cancelled = True
+                out.put(END)
+
+    def sequences(self) -> list[engine.Sequence]:
+        """Returns the sequences that have this engine as their head."""
+        return [sequence for sequence, _ in self._open.values()]
+
+    def cancel(self, stream: str, attempt: int) -> None:
+        """Cancels the streams that have this engine as their head."""
+        for sequence, out in self._open.values():
+            call = sequence.call
+            if call.stream != stream or call.attempt > attempt:
+                continue
+            sequence.cancelled = True
+            out.put(END)
+
+    def _handle_generate(self, req: httpserver.Request):
+        self._wait_while_stalled()
+        call = _decode(req.body, engines.GenerateCall)
+        for hop in call.route:
+            unit = self._fleet.engines.get(hop.target)
+            if unit is None:
+                raise exceptions.BadRequestError(f"no engine {hop.target}")
+            if not unit.spec.start <= hop.start < hop.end <= unit.spec.end:
+                raise exceptions.BadRequestError(
+                    f"{hop.target} does not hold [{hop.start}, {hop.end})"
+                )
+        out: queue.SimpleQueue = queue.SimpleQueue()
+        if call.resume_index > 0 and not self._unit.recall(call):
+            out.put(engines.TokenBatch(error="unknown_stream"))
+            out.put(END)
+        sequence = engine.Sequence(call, out.put)
+        with self._fleet.timeline.lock:
+            if self._closing.is_set():
+                raise exceptions.NotReadyError("the engine stops")
+            self._open[id(sequence)] = (sequence, out)
+        if out.empty():
+            self._fleet.begin(sequence)
+        headers = [("Content-Type", "text/event-stream")]
+        return httpserver.Response(200, self._stream(sequence, out), headers)
+
+    def _stream(self, sequence: engine.Sequence, out: queue.SimpleQueue):
+        encode = msgspec.json.encode
+        try:
+            while True:
+                batch = out.get()
+                if batch is END:
+                    return
+                batches = [batch]
+                while not out.empty():
+                    batches.append(out.get())
+                ended = END in batches
+                yield b"".join(
+                    b"data: %b\n\n" % encode(item)
+                    for item in batches
+                    if item is not END
+                )
+                if ended:
+                    return
+        finally:
+            with self._fleet.timeline.lock:
+                sequence.cancelled = True
+                self._open.pop(id(sequence), None)
+
+    def _handle_cancel(self, req: httpserver.Request):
+        attempt = int(req.query.get("attempt", "1"))
+        self._fleet.cancel(req.params["stream"], attempt)
+        return httpserver.json_response({})
+
+    def _handle_load(self, req: httpserver.Request):
+        self._wait_while_stalled()
+        with self._fleet.timeline.lock:
+            return httpserver.json_response(self._unit.load())
+
+    def _handle_events(self, req: httpserver.Request):
+        since = int(req.query.get("since", "0"))
+        with self._fleet.timeline.lock:
+            return httpserver.json_response(self._unit.events(since))
+
+    def _handle_order(self, req: httpserver.Request):
+        order = _decode(req.body, engines.EngineCommand)
+        with self._fleet.timeline.lock:
+            return httpserver.json_response(self._unit.command(order))
+
+    def _handle_state(self, req: httpserver.Request):
+        with self._fleet.timeline.lock:
+            return httpserver.json_response(self._unit.held)
+
+    def _handle_control(self, req: httpserver.Request):
+        wanted = _decode(req.body, Control)
+        actions = {
+            "kill": self._fleet.kill,
+            "stall": self._fleet.stall,
+            "revive": self._fleet.revive,
+        }
+        if wanted.action not in actions:
+            raise exceptions.BadRequestError(f"no action {wanted.action!r}")
+        target = self._unit.spec.id
+        threading.Timer(0.01, actions[wanted.action], [target]).start()
+        return httpserver.json_response(wanted)
+
+    def _wait_while_stalled(self) -> None:
+        for _ in range(_STALL_POLLS):
+            if self._unit.state is not engine.State.STALLED:
+                return
+            if self._closing.wait(_STALL_POLL_S):
+                return
+
+
+class Control(msgspec.Struct):
+    """A fault to inject: `kill`, `stall` or `revive`."""
+
+    action: str
+
+
+def _decode(data: bytes, kind):
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.DecodeError as exc:
+        raise exceptions.BadRequestError(str(exc)) from exc
--- a/src/briarfall/standins/platform.py
+++ b/src/briarfall/standins/platform.py
@@ -4,6 +4,7 @@
 
 from briarfall import ids
 from briarfall import settings
+from briarfall import sockets
 from briarfall.adapters import instancelist as lists
 from briarfall.catalogue import commands
 from briarfall.catalogue import entries
@@ -60,6 +61,7 @@
 
     def start(self) -> None:
         """Starts the stand-ins."""
+        sockets.raise_descriptor_limit()
         for part in (self.log, self.listing, self.fleet, *self.orders):
             part.start()
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,6 +9,7 @@
 from briarfall.limits import admission
 from briarfall.limits import buckets
 from briarfall.limits import clients
+from briarfall.limits import demand
 from briarfall.limits import retries
 from briarfall.limits import shares
 from briarfall.orders import sequencer
@@ -192,3 +193,26 @@
         for _ in range(10):
             budget.note_first()
         assert budget.take()
+
+
+class TestClassDemand:
+    def test_urgent_demand_leaves_the_rest(self):
+        classes = demand.ClassDemand(0.0)
+        urgent, batch = entries.Priority.INTERACTIVE, entries.Priority.BATCH
+        classes.note(urgent, 180.0, 0.0)
+        taken = [classes.take(batch, 16.0, 100.0, 0.0) for _ in range(5)]
+        assert taken == [True, True, False, False, False]
+        assert classes.take(urgent, 16.0, 100.0, 0.0)
+        classes.note(urgent, 40.0, 0.0)
+        assert not classes.take(batch, 16.0, 100.0, 0.0)
+
+    def test_without_urgent_demand_nothing_is_held(self):
+        classes = demand.ClassDemand(0.0)
+        for _ in range(50):
+            assert classes.take(entries.Priority.BATCH, 60.0, 100.0, 0.0)
+
+    def test_old_demand_is_forgotten(self):
+        classes = demand.ClassDemand(0.0)
+        classes.note(entries.Priority.INTERACTIVE, 500.0, 0.0)
+        assert not classes.take(entries.Priority.BATCH, 16.0, 100.0, 0.0)
+        assert classes.take(entries.Priority.BATCH, 16.0, 100.0, 5.0)
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -6,13 +6,15 @@
 from briarfall import exceptions
 from briarfall.adapters import engine
 from briarfall.catalogue import entries
+from briarfall.pipelines import acceptance
 from briarfall.pipelines import cursors
 from briarfall.pipelines import graph
+from briarfall.pipelines import kvimports
 from briarfall.pipelines import maxflow
 from briarfall.pipelines import planning
 from briarfall.pipelines import poison
 from briarfall.pipelines import policies
-from briarfall.pipelines import relay
+from briarfall.pipelines import streams
 from briarfall.pipelines import targets
 from briarfall.pipelines import trials
 
@@ -140,7 +142,7 @@
         return engine.Token(index, "x ", attempt, layers or self.LAYERS)
 
     def test_takes_each_index_once_from_the_current_attempt(self):
-        accepted = relay.Accepted()
+        accepted = acceptance.Accepted()
         batch = engine.TokenBatch(
             [
                 self._token(0),
@@ -259,13 +261,13 @@
     def test_link_decides(self, bytes_per_s, cheaper):
         source = target("a", 0, 12, kv_bytes_per_token=32_768.0)
         link = policies.LinkCost(0.001, bytes_per_s)
-        found = relay.is_import_cheaper(source, source, link, 2000)
+        found = kvimports.is_import_cheaper(source, source, link, 2000)
         assert found is cheaper
 
     def test_engine_without_export(self):
         source = target("a", 0, 12)
         link = policies.LinkCost()
-        assert not relay.is_import_cheaper(source, source, link, 2000)
+        assert not kvimports.is_import_cheaper(source, source, link, 2000)
 
 
 class TestPhases:
@@ -277,3 +279,15 @@
             route = planner.plan(policies.RouteRequest(model(items)))
             first.add(route[0].target)
         assert len(first) > 3
+
+
+class TestProbe:
+    class _Full(engine.HttpEngineAdapter):
+        def load(self, timeout_s):
+            raise exceptions.LocalLimitError("no descriptor left")
+
+    def test_lack_of_descriptors_blames_no_target(self):
+        table = targets.TargetTable()
+        watchdog = streams.Watchdog(table, lambda url: self._Full(URL))
+        watchdog._probe(engine.Hop("t", URL, 0, 24))
+        assert not table.is_ejected("t")
