Prefer the log to peers for the catalogue's history; repair the soak's checks

Change: peers are asked only when the log does not answer, has a gap, or the instance is complete already. The soak folds the log itself as its reference, and an instance that was killed counts as stopped.

--- a/src/briarfall/bench/soak.py
+++ b/src/briarfall/bench/soak.py
@@ -12,6 +12,7 @@
 from briarfall.bench import checks
 from briarfall.bench import load
 from briarfall.catalogue import entries
+from briarfall.catalogue import fold
 from briarfall.catalogue import records
 from briarfall.cli import console
 from briarfall.orders import keys
@@ -198,9 +199,11 @@
         reached = all(i.follower.wait_offset(end, 10.0) for i in live)
         digests = {i.follower.snapshot().digest for i in live}
         lost = 0
+        reader = self._read_log()
+        digests.add(reader.digest())
         trail = {
             (line.entry, line.offset + 1)
-            for line in live[0].follower.audit()
+            for line in reader.audit
             if line.verdict is records.Verdict.APPLIED
         }
         for accepted in self.accepted:
@@ -208,9 +211,17 @@
         return checks.Promise(
             "one catalogue, no accepted edit lost",
             reached and len(digests) == 1 and not lost,
-            f"{len(self.accepted)} accepted, {lost} lost",
+            f"{len(self.accepted)} accepted, {lost} lost, {len(live)} "
+            f"instances, reached {reached}, {len(digests)} states",
         )
 
+    def _read_log(self) -> fold.Fold:
+        """Folds the whole configuration stream anew."""
+        reader = fold.Fold()
+        for record in self.platform.log.records(records.CONFIG_STREAM):
+            reader.apply(record.offset, record.data, record.time_s)
+        return reader
+
 
 def _note(value: int) -> entries.Client:
     limits = entries.ClientLimits(requests_per_s=1.0 + value)
--- a/src/briarfall/catalogue/follower.py
+++ b/src/briarfall/catalogue/follower.py
@@ -96,6 +96,7 @@
         self._kept: collections.deque[log.LogRecord] = collections.deque(
             maxlen=_KEPT_RECORDS
         )
+        self._has_gap = False
         self.view = View(0, {}, {})
         self.caught_up = threading.Event()
         self.last_snapshot_offset = 0
@@ -165,6 +166,12 @@
         """Takes over a peer's state if it is further than this one's."""
         self._load(snapshot)
 
+    def needs_peers(self) -> bool:
+        """Returns whether peers may know what the log does not tell."""
+        if self.caught_up.is_set():
+            return True
+        return self._has_gap or not self.log_up
+
     def pull(self, call, limit: int) -> None:
         """Fetches what a peer has folded beyond this instance.
 
@@ -216,6 +223,7 @@
         if best is not None and best.covered > self._fold.next_offset:
             self._load(best)
             return
+        self._has_gap = True
         logging.log_every_n_seconds(
             logging.ERROR,
             "configuration records before %d are gone and no snapshot "
--- a/src/briarfall/daemon/instance.py
+++ b/src/briarfall/daemon/instance.py
@@ -194,6 +194,7 @@
         self._halt()
         for server in (self.caller_server, self.admin_server):
             threading.Thread(target=server.stop, daemon=True).start()
+        self._stopped.set()
 
     def _halt(self) -> None:
         self._stopping.set()
--- a/src/briarfall/membership/gossip.py
+++ b/src/briarfall/membership/gossip.py
@@ -337,6 +337,9 @@
         """Fetches catalogue records that a peer has and the log withholds."""
         if applied <= self._follower.next_offset:
             return
+        # The log tells more than a peer's snapshot: also the history.
+        if not self._follower.needs_peers():
+            return
         if self._follower.wait_offset(applied, 0.1):
             return
         try:
