--- a/src/briarfall/daemon/completions.py
+++ b/src/briarfall/daemon/completions.py
@@ -18,6 +18,7 @@
 from briarfall.pipelines import models
 from briarfall.pipelines import pump as pumps
 from briarfall.pipelines import relay as relays
+from briarfall.pipelines import runs
 
 DEFAULT_DEADLINE_S = 120.0
 MAX_DEADLINE_S = 3600.0
@@ -108,7 +109,7 @@
         self._started_s = time.monotonic()
         self._created_s = int(time.time())
         self._entered: list = []
-        self._run: relays.Run | None = None
+        self._run: runs.Run | None = None
         self._tokens = None
         self._finished = False
         self.is_chunked = False
