Weigh reports in the flow policy; spread edits at once; count only fresh proof

Cause 2: with the log down for all but one instance an edit went one hop a heartbeat. Change: a new offset starts the next round, and the receiver pulls. Change: only the later half of a silence counts as proof; tests that fail without it. Cause 4: after a refused header the connection was reset while input was unread, so that the caller could lose the error (one of 5 runs of a test). Change: the input is read to its end first.

--- a/src/briarfall/daemon/instance.py
+++ b/src/briarfall/daemon/instance.py
@@ -384,6 +384,7 @@
                 costs[(link.b, link.a)] = cost
         self._link_costs = costs
         self.members.announce(applied=view.offset)
+        self.gossip.wake()
 
     def _link_cost(self, src: str, dst: str) -> policies.LinkCost:
         return self._link_costs.get((src, dst)) or policies.LinkCost()
--- a/src/briarfall/httpserver.py
+++ b/src/briarfall/httpserver.py
@@ -19,6 +19,8 @@
 MAX_BODY_BYTES = 1 << 20
 MAX_HEADER_BYTES = 16 << 10
 _READ_FACTOR = 4
+_DISCARD_BYTES = 1 << 20
+_DISCARD_S = 1.0
 SOCKET_KEY = "briarfall.socket"
 IS_CHUNKED_KEY = "briarfall.is_chunked"
 _MIN_THREADS = 1
@@ -159,7 +161,10 @@
         try:
             self.conn.wfile.write(head.encode("latin-1") + resp.body)
         except OSError:
-            pass
+            return
+        # Unread input would turn the close into a reset, and the caller
+        # would lose the answer.
+        sockets.discard_input(self.conn.socket, _DISCARD_BYTES, _DISCARD_S)
 
 
 class _Connection(cheroot_server.HTTPConnection):
--- a/src/briarfall/membership/gossip.py
+++ b/src/briarfall/membership/gossip.py
@@ -25,6 +25,7 @@
 _LEAVING_TTL_S = 4.0
 _LEAVING_REPEAT_S = 1.0
 _PULL_LIMIT = 500
+_MIN_INTERVAL_S = 0.1
 
 
 class _Outbox:
@@ -85,6 +86,10 @@
         self._stopping.set()
         self._urgent.set()
 
+    def wake(self) -> None:
+        """Starts the next round of heartbeats early, to spread news."""
+        self._urgent.set()
+
     def neighbours(self) -> list[str]:
         """Returns the members that this instance keeps links to.
 
@@ -121,6 +126,14 @@
     def handle_exchange(self, message: messages.Exchange) -> messages.Exchange:
         """Serves a neighbour's heartbeat."""
         self._take(message)
+        if message.is_complete:
+            if message.applied > self._follower.next_offset:
+                threading.Thread(
+                    target=self._pull_if_behind,
+                    args=(message.sender, message.applied),
+                    name="link-pull",
+                    daemon=True,
+                ).start()
         return self._compose(message.sender, message.digest)
 
     def handle_members(self, _: str) -> list[tables.Member]:
@@ -143,7 +156,10 @@
             self._expire_leaving()
             self._peers.close_idle(set(neighbours))
             spent_s = time.monotonic() - started
-            self._stopping.wait(max(0.0, self._cfg.heartbeat_s - spent_s))
+            self._stopping.wait(_MIN_INTERVAL_S)
+            left_s = self._cfg.heartbeat_s - spent_s - _MIN_INTERVAL_S
+            self._urgent.wait(max(0.0, left_s))
+            self._urgent.clear()
 
     def _beat(self, peer: str) -> messages.Exchange | None:
         message = self._compose(peer, 0)
--- a/src/briarfall/pipelines/policies.py
+++ b/src/briarfall/pipelines/policies.py
@@ -143,7 +143,8 @@
 
     At each boundary the target with the least estimated load for its share
     of the flow is taken. Own streams count at once, which keeps several
-    instances with lagging reports from choosing the same target.
+    instances with lagging reports from choosing the same target; reports
+    count as much, because with many instances each has few streams itself.
     """
 
     def __init__(self, table, links, rng):
@@ -177,12 +178,13 @@
         weight += _EXPLORE_WEIGHT * target.tokens_per_s
         status = self._table.status(target.id)
         own = status.in_flight + 1 + self._phase_of(target.id)
+        load = own * self._table.routers() + self._table.load(target.id)
         link_s = 0.0
         if previous is not None:
             link_s = self._links(previous.target.zone, target.zone).delay_s
         penalty = 1 + status.suspicion * 4
         penalty *= 1 + link_s / max(target.step_s, 1e-6) * 0.1
-        return own * penalty / weight
+        return load * penalty / weight
 
     def _phase_of(self, target: str) -> float:
         # A random fraction for each instance breaks ties differently.
--- a/src/briarfall/pipelines/streams.py
+++ b/src/briarfall/pipelines/streams.py
@@ -182,7 +182,10 @@
         probe_s, stall_s = stall_limits(stream)
         if silent_s > stall_s:
             names = [hop.target for hop in stream.route]
-            is_queueing = self._table.is_proved(names, stream.progress_s)
+            # Tokens from just before a cut prove nothing, so only those of
+            # the later half of the silence count.
+            since_s = stream.progress_s + silent_s / 2
+            is_queueing = self._table.is_proved(names, since_s)
             if not is_queueing or silent_s > stall_s * _PROVED_FACTOR:
                 self._table.note_late(names, stream.progress_s)
                 stream.end(models.Cause.STALLED)
--- a/src/briarfall/pipelines/targets.py
+++ b/src/briarfall/pipelines/targets.py
@@ -210,6 +210,10 @@
         needed = int(len(staying) * (1 - MAX_EJECTED_SHARE) + 0.999) - len(up)
         return up + ejected[:needed]
 
+    def routers(self) -> int:
+        """Returns the number of instances that share the targets."""
+        return max(1, self._routers())
+
     def load(self, target: str) -> float:
         """Returns the estimated sequences at a target now.
 
@@ -217,7 +221,7 @@
         suggest, assuming that the others send as much.
         """
         state = self.status(target)
-        own = state.in_flight * max(1, self._routers())
+        own = state.in_flight * self.routers()
         age_s = self._clock.now() - state.report_s
         if age_s >= _REPORT_TTL_S:
             return own
--- a/src/briarfall/sockets.py
+++ b/src/briarfall/sockets.py
@@ -36,6 +36,26 @@
         pass
 
 
+def discard_input(sock: socket.socket, limit: int, seconds: float) -> None:
+    """Ends our side and reads what the other side still sends.
+
+    Args:
+        sock: The socket.
+        limit: Bytes after which to give up.
+        seconds: Longest wait for more input.
+    """
+    try:
+        sock.shutdown(socket.SHUT_WR)
+        sock.settimeout(seconds)
+        while limit > 0:
+            data = sock.recv(_RECEIVE_BYTES)
+            if not data:
+                return
+            limit -= len(data)
+    except OSError:
+        return
+
+
 def has_left(sock: socket.socket | None) -> bool:
     """Returns whether the other side has closed a connection."""
     if sock is None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -44,7 +44,10 @@
     host, port = inst.caller_server.address
     with socket.create_connection((host, port), timeout=10) as sock:
         sock.sendall(data)
-        sock.shutdown(socket.SHUT_WR)
+        try:
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass  # The server has answered and ended the connection.
         answer = b""
         while True:
             part = sock.recv(4096)
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -1,3 +1,5 @@
+import time
+
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -11,6 +13,7 @@
 from briarfall.pipelines import graph
 from briarfall.pipelines import kvimports
 from briarfall.pipelines import maxflow
+from briarfall.pipelines import models
 from briarfall.pipelines import planning
 from briarfall.pipelines import poison
 from briarfall.pipelines import policies
@@ -291,3 +294,50 @@
         watchdog = streams.Watchdog(table, lambda url: self._Full(URL))
         watchdog._probe(engine.Hop("t", URL, 0, 24))
         assert not table.is_ejected("t")
+
+
+class _StreamStub(engine.EngineStream):
+    closed = False
+
+    def read(self):
+        return None
+
+    def close(self):
+        self.closed = True
+
+
+class TestStall:
+    NAMES = ["a", "b"]
+
+    def _waiting(self, silent_s):
+        """Returns a watchdog and a stream that has been silent for a while."""
+        table = targets.TargetTable()
+        watchdog = streams.Watchdog(table, None)
+        watchdog._start_probe = lambda hop: None
+        req = models.StreamRequest(
+            "s", "crew", "m", model([]), "p", 8, 1, "batch", 1e12
+        )
+        stream = streams.ActiveStream(req)
+        stub = _StreamStub()
+        route = [engine.Hop(name, URL, 0, 1) for name in self.NAMES]
+        stream.attach(stub, route, 0.1, 0.02)
+        stream.waits_first = False
+        stream.progress_s = time.monotonic() - silent_s
+        return table, watchdog, stream, stub
+
+    def test_proof_from_before_the_cut_does_not_count(self):
+        table, watchdog, stream, stub = self._waiting(1.5)
+        table.note_route_ok(self.NAMES)
+        watchdog._check_progress(stream, time.monotonic() + 1.5)
+        assert stub.closed and stream.cause is models.Cause.STALLED
+
+    def test_progress_of_others_means_waiting(self):
+        table, watchdog, stream, stub = self._waiting(1.5)
+        table.note_route_ok(self.NAMES)
+        watchdog._check_progress(stream, time.monotonic())
+        assert not stub.closed
+
+    def test_silence_without_proof_is_a_stall(self):
+        _, watchdog, stream, stub = self._waiting(1.5)
+        watchdog._check_progress(stream, time.monotonic())
+        assert stub.closed
