--- a/src/briarfall/standins/front.py
+++ b/src/briarfall/standins/front.py
@@ -12,6 +12,7 @@
 
 _STALL_POLL_S = 0.05
 _STALL_POLLS = 200
+_ACTION_DELAY_S = 0.01
 END = None
 
 
@@ -163,15 +164,26 @@
 
     def _handle_control(self, req: httpserver.Request):
         wanted = _decode(req.body, Control)
+        target = self._unit.spec.id
+        with self._fleet.timeline.lock:
+            if wanted.crash_on is not None:
+                self._unit.crash_on = wanted.crash_on
+            if wanted.leaving is not None:
+                self._unit.leaving = wanted.leaving
+            if wanted.slow_factor is not None:
+                self._unit.slow_factor = wanted.slow_factor
         actions = {
+            "": lambda name: None,
             "kill": self._fleet.kill,
             "stall": self._fleet.stall,
             "revive": self._fleet.revive,
         }
         if wanted.action not in actions:
             raise exceptions.BadRequestError(f"no action {wanted.action!r}")
-        target = self._unit.spec.id
-        threading.Timer(0.01, actions[wanted.action], [target]).start()
+        # The answer must leave before the listener is cut.
+        threading.Timer(
+            _ACTION_DELAY_S, actions[wanted.action], [target]
+        ).start()
         return httpserver.json_response(wanted)
 
     def _wait_while_stalled(self) -> None:
@@ -183,9 +195,19 @@
 
 
 class Control(msgspec.Struct):
-    """A fault to inject: `kill`, `stall` or `revive`."""
-
-    action: str
+    """Faults to inject into an engine.
+
+    Attributes:
+        action: `kill`, `stall`, `revive`, or empty.
+        crash_on: The engine dies when a prompt holds this text.
+        leaving: Whether the load report says that the engine leaves.
+        slow_factor: Factor on the duration of each step.
+    """
+
+    action: str = ""
+    crash_on: str | None = None
+    leaving: bool | None = None
+    slow_factor: float | None = None
 
 
 def _decode(data: bytes, kind):
