Tell running streams which targets have left the catalogue

Cause: a stream keeps the entry that it started with, and only the entry said that a target leaves. A recovery could therefore give new work to a target that had left, and no stream ever moved off one that was marked as leaving in the catalogue. Found by a test of KV imports, which expects one move and saw none. Change: each new catalogue tells the target table which targets leave or are gone. The estimate of the first token uses the entry's prefill rate in place of a fixed factor.

--- a/src/briarfall/daemon/instance.py
+++ b/src/briarfall/daemon/instance.py
@@ -383,6 +383,7 @@
                 costs[(link.a, link.b)] = cost
                 costs[(link.b, link.a)] = cost
         self._link_costs = costs
+        self.targets.note_catalogue(_wanted_targets(view))
         self.members.announce(applied=view.offset)
         self.gossip.wake()
 
@@ -423,6 +424,20 @@
             self.partitions.close_idle(_PARTITION_IDLE_S)
 
 
+def _wanted_targets(view: followers.View) -> dict[str, bool]:
+    """Returns all targets of a catalogue and whether they leave."""
+    wanted: dict[str, bool] = {}
+    pools = [
+        *view.of_kind(entries.Model).values(),
+        *view.of_kind(entries.Service).values(),
+    ]
+    for entry in pools:
+        for target in entry.targets:
+            leaves = target.state is entries.TargetState.LEAVING
+            wanted[target.id] = wanted.get(target.id, False) or leaves
+    return wanted
+
+
 def _secrets(cfg: settings.Settings) -> list[str]:
     if cfg.previous_secret:
         return [cfg.secret, cfg.previous_secret]
--- a/src/briarfall/pipelines/planning.py
+++ b/src/briarfall/pipelines/planning.py
@@ -62,7 +62,7 @@
             load = self._table.load(hop.target)
             rounds = 1 + load / max(1.0, target.tokens_per_s * target.step_s)
             total_s += target.step_s * rounds
-            total_s += req.prompt_tokens / target.tokens_per_s * 0.1
+            total_s += req.prompt_tokens / target.prefill_tokens_per_s
         return total_s
 
     def capacity(self, req: policies.RouteRequest) -> float:
--- a/src/briarfall/pipelines/targets.py
+++ b/src/briarfall/pipelines/targets.py
@@ -67,6 +67,7 @@
         self._lock = threading.Lock()
         self._states: dict[str, TargetStatus] = {}
         self._leaving: dict[str, set[str]] = {}
+        self._in_catalogue: set[str] = set()
         self._edge_ok_s: dict[tuple[str, str], float] = {}
 
     def status(self, target: str) -> TargetStatus:
@@ -177,6 +178,18 @@
             state = self._states.setdefault(target, TargetStatus())
             state.leaving = bool(sources)
 
+    def note_catalogue(self, wanted: dict[str, bool]) -> None:
+        """Takes all targets of the catalogue and whether they leave.
+
+        Streams keep the entry that they started with, so a target that has
+        left the catalogue must be kept from them here.
+        """
+        for target in self._in_catalogue - wanted.keys():
+            self.set_leaving(target, "catalogue", True)
+        for target, leaves in wanted.items():
+            self.set_leaving(target, "catalogue", leaves)
+        self._in_catalogue = set(wanted)
+
     def leaving(self) -> list[str]:
         """Returns the targets that some source says are leaving."""
         with self._lock:
--- a/src/briarfall/standins/fleet.py
+++ b/src/briarfall/standins/fleet.py
@@ -53,6 +53,7 @@
         self.restart_s = 0.0
         self.stale_events = False
         self.weight_store = None
+        self.imports = 0
         self._traps: list[tuple[Step, object]] = []
         self._kv_bytes = kv_bytes
 
@@ -91,6 +92,7 @@
                     end=spec.end,
                     tokens_per_s=spec.tokens_per_s / scale,
                     step_s=(spec.base_s + spec.item_s) * scale,
+                    prefill_tokens_per_s=1 / (spec.prefill_s * scale),
                 )
             )
         return result
@@ -290,6 +292,7 @@
                 continue
             target = self.engines[hop.target]
             target.kv[sequence.call.stream] = held
+            self.imports += 1
             link = self.links.link(source.spec.zone, target.spec.zone)
             transfer_s = held * self._kv_bytes / link.bytes_per_s
             cost_s = (transfer_s + link.delay_s) * link.factor
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -341,3 +341,15 @@
         _, watchdog, stream, stub = self._waiting(1.5)
         watchdog._check_progress(stream, time.monotonic())
         assert stub.closed
+
+
+class TestCatalogueTargets:
+    def test_removed_target_is_kept_from_running_streams(self):
+        table = targets.TargetTable()
+        item = target("t", 0, 24)
+        table.note_catalogue({"t": False})
+        assert table.health(item) is targets.Health.UP
+        table.note_catalogue({})
+        assert table.health(item) is targets.Health.LEAVING
+        table.note_catalogue({"t": False})
+        assert table.health(item) is targets.Health.UP
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,11 +1,18 @@
 import json
 
+import msgspec
 import pytest
 import urllib3
 
+from briarfall import sessions
+from briarfall.bench import checks
+from briarfall.bench import load
+from briarfall.catalogue import entries
+from briarfall.pipelines import models
 from briarfall.standins import engine
 from briarfall.standins import fleet
 from briarfall.standins import log
+from briarfall.standins import platform
 
 
 @pytest.fixture
@@ -52,3 +59,62 @@
         batch = json.loads(urllib3.request("GET", f"{url}?from=1").data)
         assert [record["offset"] for record in batch["records"]] == [1]
         standin.stop()
+
+
+class TestMove:
+    """A stream that leaves a target takes its KV cache along."""
+
+    LAYERS = 8
+    PROMPT = "word " * 200
+
+    def _platform(self, kv_bytes_per_token):
+        specs = [
+            engine.EngineSpec(f"draft-{name}", "suva", start, start + 4)
+            for name, start in (("a", 0), ("b1", 4), ("b2", 4))
+        ]
+        made = platform.Platform(specs)
+        made.start()
+        made.put_accounts()
+        model = made.model(
+            "draft",
+            self.LAYERS,
+            recovery=entries.Recovery(leave_grace_s=0.0),
+        )
+        kept = [
+            msgspec.structs.replace(item, kv_bytes_per_token=kv_bytes_per_token)
+            for item in model.targets
+        ]
+        model = msgspec.structs.replace(model, targets=kept)
+        version = made.put("draft", model)
+        inst = made.add_instance()
+        assert made.wait_ready()
+        return made, inst, model, version
+
+    def _leave(self, made, model, version, call):
+        """Marks the last target of a call's route as leaving."""
+        leaving = entries.TargetState.LEAVING
+        items = [
+            msgspec.structs.replace(item, state=leaving)
+            if item.id == call.route[-1].target
+            else item
+            for item in model.targets
+        ]
+        model = msgspec.structs.replace(model, targets=items)
+        made.put("draft", model, if_version=version)
+
+    @pytest.mark.parametrize(("kv_bytes", "imports"), [(64.0, 1), (0.0, 0)])
+    def test_moves_with_or_without_import(self, kv_bytes, imports):
+        made, inst, model, version = self._platform(kv_bytes)
+        made.fleet.set_trap(
+            fleet.Step.FIRST_TOKEN,
+            lambda call: self._leave(made, model, version, call),
+        )
+        with sessions.Session(inst.caller_url, "tuvatu-key") as session:
+            result = load.draft(
+                session, "draft", self.PROMPT, max_tokens=200, seed=3
+            )
+        expected = checks.expected_text(self.PROMPT, 3, 200)
+        assert (result.code, result.text) == ("ok", expected)
+        assert inst.relay.causes[models.Cause.MOVED] == 1
+        assert made.fleet.imports == imports
+        made.stop()
