Estimate an urgent answer by the urgent load alone

Change: targets count streams by class, and an estimate counts those that would run before the request. The overload bench shares sessions, because at 10 times the capacity its callers took the machine (1.02 cores).

--- a/src/briarfall/bench/overload.py
+++ b/src/briarfall/bench/overload.py
@@ -1,6 +1,7 @@
 """Goodput by class at multiples of the capacity."""
 
 import concurrent.futures
+import functools
 import random
 import time
 
@@ -181,13 +182,18 @@
 
 
 def _call(part, number: int, client: str, priority: str, rng):
-    url = part.instances[number].caller_url
-    with sessions.Session(url, platform.client_key(client)) as session:
-        return load.whole(
-            session,
-            "draft",
-            load.prompt_of(rng, 12),
-            max_tokens=_TOKENS,
-            priority=priority,
-            deadline_ms=int(_DEADLINE_S * 1000),
-        )
+    session = _session(part.instances[number].caller_url, client)
+    return load.whole(
+        session,
+        "draft",
+        load.prompt_of(rng, 12),
+        max_tokens=_TOKENS,
+        priority=priority,
+        deadline_ms=int(_DEADLINE_S * 1000),
+    )
+
+
+@functools.cache
+def _session(url: str, client: str) -> sessions.Session:
+    """Returns a session that all callers of an instance share."""
+    return sessions.Session(url, platform.client_key(client))
--- a/src/briarfall/catalogue/entries.py
+++ b/src/briarfall/catalogue/entries.py
@@ -22,6 +22,11 @@
     STANDARD = "standard"
     BATCH = "batch"
 
+    @property
+    def rank(self) -> int:
+        """Position among the classes, 0 for the most urgent."""
+        return list(Priority).index(self)
+
 
 class TargetState(enum.Enum):
     """What the catalogue wants of a target."""
--- a/src/briarfall/limits/admission.py
+++ b/src/briarfall/limits/admission.py
@@ -15,11 +15,6 @@
 _BUSY = 0.85
 _USABLE = 0.95
 _SHED_RETRY_S = 2.0
-RANKS = {
-    entries.Priority.INTERACTIVE: 0,
-    entries.Priority.STANDARD: 1,
-    entries.Priority.BATCH: 2,
-}
 # Share of the deadline that the estimate may fill; what is left absorbs
 # errors of the estimate, and less urgent classes are shed first.
 _DEADLINE_SHARES = {
@@ -45,7 +40,9 @@
 
     def estimate_s(self, req: models.StreamRequest) -> tuple[float, float]:
         """Returns the seconds to the first and to the last token."""
-        route_req = policies.RouteRequest(req.model, req.prompt_tokens)
+        route_req = policies.RouteRequest(
+            req.model, req.prompt_tokens, rank=req.priority.rank
+        )
         route = self._planner.plan(route_req)
         first_s = self._planner.first_token_s(route_req, route)
         gap_s = self._planner.gap_s(route_req, route)
@@ -103,7 +100,7 @@
     """One request in the queue."""
 
     def __init__(self, priority: entries.Priority, since_s: float):
-        self.rank = RANKS[priority]
+        self.rank = priority.rank
         self.since_s = since_s
         self.admitted = False
         self.shed = False
--- a/src/briarfall/limits/demand.py
+++ b/src/briarfall/limits/demand.py
@@ -71,8 +71,8 @@
             return True
 
     def _more_urgent(self, priority: entries.Priority) -> float:
-        rank = _ORDER.index(priority)
-        return sum(self._rates[other] for other in _ORDER[:rank])
+        ahead = _ORDER[: priority.rank]
+        return sum(self._rates[other] for other in ahead)
 
     def _decay(self, now: float) -> None:
         elapsed_s = max(0.0, now - self._updated_s)
--- a/src/briarfall/pipelines/planning.py
+++ b/src/briarfall/pipelines/planning.py
@@ -59,7 +59,7 @@
         total_s = 0.0
         for hop in route:
             target = by_id[hop.target]
-            load = self._table.load(hop.target)
+            load = self._table.load(hop.target, req.rank)
             rounds = 1 + load / max(1.0, target.tokens_per_s * target.step_s)
             total_s += target.step_s * rounds
             total_s += req.prompt_tokens / target.prefill_tokens_per_s
@@ -104,7 +104,7 @@
         slowest_s = 0.0
         for hop in route:
             target = by_id[hop.target]
-            load = self._table.load(hop.target) + 1
+            load = self._table.load(hop.target, req.rank) + 1
             steps_s += target.step_s
             slowest_s = max(slowest_s, load / target.tokens_per_s)
         return max(steps_s, slowest_s)
--- a/src/briarfall/pipelines/policies.py
+++ b/src/briarfall/pipelines/policies.py
@@ -35,6 +35,7 @@
         avoid: Targets to be used only if nothing else covers the layers.
         banned: Targets that must not be used.
         affinity: Hash of the prompt's prefix, 0 for none.
+        rank: Class of the request, 0 is the most urgent.
     """
 
     model: entries.Model
@@ -42,6 +43,7 @@
     avoid: frozenset[str] = frozenset()
     banned: frozenset[str] = frozenset()
     affinity: int = 0
+    rank: int = target_tables.LAST_RANK
 
 
 class RoutePolicy(abc.ABC):
--- a/src/briarfall/pipelines/runs.py
+++ b/src/briarfall/pipelines/runs.py
@@ -9,7 +9,6 @@
 from briarfall import hashing
 from briarfall import sockets
 from briarfall.adapters import engine as engines
-from briarfall.catalogue import entries
 from briarfall.pipelines import acceptance
 from briarfall.pipelines import graph as graphs
 from briarfall.pipelines import kvimports
@@ -28,11 +27,6 @@
 _TRIAL_TOKENS = 2
 
 UNKNOWN_STREAM = "unknown_stream"
-PRIORITY_NUMBERS = {
-    entries.Priority.INTERACTIVE: 0,
-    entries.Priority.STANDARD: 1,
-    entries.Priority.BATCH: 2,
-}
 
 
 class Run(pumps.Pumped):
@@ -133,11 +127,12 @@
         names = [hop.target for hop in route]
         table = self._relay.table
         self._dead_before = {name for name in names if table.is_ejected(name)}
-        table.begin(names)
+        rank = self._req.priority.rank
+        table.begin(names, rank)
         try:
             yield from self._stream_route(route, failed_s, planned_s)
         finally:
-            table.end(names)
+            table.end(names, rank)
             self._end_trial()
 
     def _stream_route(self, route, failed_s: float, planned_s: float):
@@ -273,7 +268,7 @@
             resume_index=self._accepted.start or -1,
             max_tokens=req.max_tokens,
             seed=req.seed,
-            priority=PRIORITY_NUMBERS[req.priority],
+            priority=req.priority.rank,
             deadline_ms=max(1, int((req.deadline_s - time.monotonic()) * 1000)),
             route=route,
         )
@@ -367,6 +362,7 @@
             req.prompt_tokens,
             avoid=frozenset(self._avoid),
             affinity=req.affinity,
+            rank=req.priority.rank,
         )
 
     def _plan(self) -> list[engines.Hop]:
--- a/src/briarfall/pipelines/targets.py
+++ b/src/briarfall/pipelines/targets.py
@@ -9,6 +9,7 @@
 from briarfall.adapters import engine as engines
 from briarfall.catalogue import entries
 
+LAST_RANK = len(entries.Priority) - 1
 EJECT_S = 2.0
 MAX_EJECT_S = 30.0
 MAX_EJECTED_SHARE = 0.5
@@ -29,6 +30,7 @@
 
     Attributes:
         in_flight: Streams of this instance that use the target.
+        by_rank: The same by class, most urgent first.
         running: Sequences at the target by its newest report.
         report_s: Monotonic time that the report describes.
         ejected_until_s: Monotonic time until which no work is offered.
@@ -42,6 +44,9 @@
     """
 
     in_flight: int = 0
+    by_rank: list[int] = msgspec.field(
+        default_factory=lambda: [0] * (LAST_RANK + 1)
+    )
     running: float = 0.0
     report_s: float = float("-inf")
     ejected_until_s: float = float("-inf")
@@ -78,18 +83,20 @@
                 state = self._states.setdefault(target, TargetStatus())
         return state
 
-    def begin(self, targets: list[str]) -> None:
-        """Counts a stream on each of its targets."""
+    def begin(self, targets: list[str], rank: int = LAST_RANK) -> None:
+        """Counts a stream of a class on each of its targets."""
         with self._lock:
             for target in targets:
                 state = self._states.setdefault(target, TargetStatus())
                 state.in_flight += 1
+                state.by_rank[rank] += 1
 
-    def end(self, targets: list[str]) -> None:
+    def end(self, targets: list[str], rank: int = LAST_RANK) -> None:
         """Takes back what `begin` counted."""
         with self._lock:
             for target in targets:
                 self._states[target].in_flight -= 1
+                self._states[target].by_rank[rank] -= 1
 
     def note_report(self, target: str, report: engines.LoadReport) -> None:
         """Takes a load report if it is newer than the last one."""
@@ -227,19 +234,22 @@
         """Returns the number of instances that share the targets."""
         return max(1, self._routers())
 
-    def load(self, target: str) -> float:
+    def load(self, target: str, rank: int = LAST_RANK) -> float:
         """Returns the estimated sequences at a target now.
 
+        Only classes up to `rank` count, as engines run urgent ones first.
         A report fades with its age towards what this instance's own streams
         suggest, assuming that the others send as much.
         """
         state = self.status(target)
-        own = state.in_flight * self.routers()
+        ahead = sum(state.by_rank[: rank + 1])
+        share = ahead / state.in_flight if state.in_flight else 1.0
+        own = ahead * self.routers()
         age_s = self._clock.now() - state.report_s
         if age_s >= _REPORT_TTL_S:
             return own
         weight = 1 - age_s / _REPORT_TTL_S
-        return weight * state.running + (1 - weight) * own
+        return weight * state.running * share + (1 - weight) * own
 
     def snapshot(self) -> dict[str, TargetStatus]:
         """Returns a copy of all states for reports."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -147,7 +147,7 @@
                 done.append("shed")
 
         thread = threading.Thread(target=run, daemon=True)
-        rank = admission.RANKS[priority]
+        rank = priority.rank
         thread.start()
         while not any(item.rank == rank for item in gate._waiting):
             thread.join(0.005)
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -353,3 +353,17 @@
         assert table.health(item) is targets.Health.LEAVING
         table.note_catalogue({"t": False})
         assert table.health(item) is targets.Health.UP
+
+
+class TestLoad:
+    def test_less_urgent_streams_do_not_count_ahead(self):
+        time_source = clock.ManualClock()
+        table = targets.TargetTable(time_source, lambda: 2)
+        table.begin(["t"], 0)
+        table.begin(["t"], 2)
+        assert table.load("t", 0) == 2.0
+        assert table.load("t") == 4.0
+        table.note_report("t", engine.LoadReport(10, 0))
+        assert table.load("t", 0) == pytest.approx(5.0)
+        table.end(["t"], 2)
+        assert table.load("t") == pytest.approx(10.0)
