Count requests that wait for their first token in admission

Cause: between the check and the first token a request is on no target, so a burst at ten times the capacity was admitted as a whole and missed its deadlines. Change: admitted requests that still wait count, by class.

--- a/src/briarfall/daemon/completions.py
+++ b/src/briarfall/daemon/completions.py
@@ -112,6 +112,7 @@
         self._run: runs.Run | None = None
         self._tokens = None
         self._finished = False
+        self._is_pending = False
         self.is_chunked = False
 
     def respond(self) -> httpserver.Response:
@@ -123,6 +124,7 @@
         self._run = self._handler._relay.run(req)
         self._tokens = iter(self._run)
         first = next(self._tokens)
+        self._end_pending()
         self._handler._metrics.first_token.labels(req.model_name).observe(
             time.monotonic() - self._started_s
         )
@@ -140,6 +142,7 @@
         if self._finished:
             return
         self._finished = True
+        self._end_pending()
         if self._tokens is not None:
             self._tokens.close()
         handler, req = self._handler, self._req
@@ -162,6 +165,11 @@
             time.monotonic() - self._started_s,
         )
 
+    def _end_pending(self) -> None:
+        if self._is_pending:
+            self._is_pending = False
+            self._handler._estimator.note_started(self._req)
+
     def _admit(self) -> None:
         """Passes the limits, or refuses at once."""
         handler, req = self._handler, self._req
@@ -172,6 +180,7 @@
             lambda count: handler._limiter.leave(req.client, count)
         )
         handler._estimator.check(req)
+        self._is_pending = True
         gate = handler._gates.get(req.model_name, req.model)
         gate.enter(req.priority, req.deadline_s)
         self._entered.append(lambda count: gate.leave())
--- a/src/briarfall/limits/admission.py
+++ b/src/briarfall/limits/admission.py
@@ -37,6 +37,7 @@
         self._routers = routers
         self._lock = threading.Lock()
         self._demands: dict[str, demand.ClassDemand] = {}
+        self._pending: dict[str, list[int]] = {}
 
     def estimate_s(self, req: models.StreamRequest) -> tuple[float, float]:
         """Returns the seconds to the first and to the last token."""
@@ -58,6 +59,7 @@
         classes = self._demand_of(req.model_name, now)
         classes.note(req.priority, req.max_tokens, now)
         _, total_s = self.estimate_s(req)
+        total_s += self._pending_s(req)
         left_s = req.deadline_s - now
         share = _DEADLINE_SHARES[req.priority]
         if total_s > left_s * share:
@@ -67,6 +69,30 @@
                 retry_after_s=min(30.0, max(1.0, total_s - left_s * share)),
             )
         self._check_class(classes, req, now)
+        with self._lock:
+            self._pending[req.model_name][req.priority.rank] += 1
+
+    def note_started(self, req: models.StreamRequest) -> None:
+        """Ends what `check` began, when the first token is there or not."""
+        with self._lock:
+            self._pending[req.model_name][req.priority.rank] -= 1
+
+    def _pending_s(self, req: models.StreamRequest) -> float:
+        """Returns the delay by requests that were admitted just before.
+
+        They are not on any target yet, or still wait for their first token;
+        without them a burst would be admitted as a whole.
+        """
+        with self._lock:
+            waiting = self._pending.setdefault(
+                req.model_name, [0] * len(entries.Priority)
+            )
+            ahead = sum(waiting[: req.priority.rank + 1])
+        route_req = policies.RouteRequest(req.model, req.prompt_tokens)
+        capacity = self._planner.capacity(route_req)
+        if capacity <= 0:
+            return 0.0
+        return ahead * self._routers() * req.max_tokens / capacity
 
     def _check_class(
         self,
