--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -116,25 +116,22 @@
     def test_demand_is_granted(self):
         time = clock.ManualClock()
         limiter = self._limiter(time, requests_per_s=100.0)
-        admitted = 0
-        for _ in range(300):
-            try:
-                limiter.enter("crew")
-                limiter.leave("crew", 0)
-                admitted += 1
-            except exceptions.LimitError:
-                pass
-        assert admitted == 50
+        assert self._admitted(limiter) == 50
         limiter.report()
         time.advance(1.0)
+        assert self._admitted(limiter) == 75
+
+    def _admitted(self, limiter):
+        """Returns how many of 300 requests are admitted at once."""
+        count = 0
         for _ in range(300):
             try:
                 limiter.enter("crew")
                 limiter.leave("crew", 0)
-                admitted += 1
+                count += 1
             except exceptions.LimitError:
                 pass
-        assert admitted == 125
+        return count
 
 
 class TestGate:
