Compute a graph's maximum flow once; make seeds work; drop dead code

Cause, found by reading the whole change: - the planner and the flow policy each kept maximum flows of the same graphs, one under a key over all edges that was built for each request, and an admission asked for the graph five times; the flow now belongs to its graph, and admission asks for it once; - the setting seeds was documented and read by nothing: an instance without an instance list never found its peers. It asks the seeds while it knows no other member; a test that fails without it; - a parameter, a cause and an attribute that nothing used are gone.

--- a/src/briarfall/catalogue/follower.py
+++ b/src/briarfall/catalogue/follower.py
@@ -99,7 +99,6 @@
         self._has_gap = False
         self.view = View(0, {}, {})
         self.caught_up = threading.Event()
-        self.last_snapshot_offset = 0
 
     @property
     def next_offset(self) -> int:
@@ -260,7 +259,6 @@
         )
         self._kept.append(record)
         if verdict is records.Verdict.IGNORED:
-            self.last_snapshot_offset = record.offset
             return
         line = self._fold.audit[-1]
         logging.info(
--- a/src/briarfall/daemon/instance.py
+++ b/src/briarfall/daemon/instance.py
@@ -329,6 +329,7 @@
             self._listing,
             self.follower,
             self.cfg.membership,
+            self.cfg.seeds,
         )
         self.sampler = sampler.Sampler(
             self.cfg.instance,
--- a/src/briarfall/limits/admission.py
+++ b/src/briarfall/limits/admission.py
@@ -6,6 +6,7 @@
 from briarfall import exceptions
 from briarfall.catalogue import entries
 from briarfall.limits import demand
+from briarfall.pipelines import maxflow
 from briarfall.pipelines import models
 from briarfall.pipelines import planning
 from briarfall.pipelines import policies
@@ -39,16 +40,6 @@
         self._demands: dict[str, demand.ClassDemand] = {}
         self._pending: dict[str, list[int]] = {}
 
-    def estimate_s(self, req: models.StreamRequest) -> tuple[float, float]:
-        """Returns the seconds to the first and to the last token."""
-        route_req = policies.RouteRequest(
-            req.model, req.prompt_tokens, rank=req.priority.rank
-        )
-        route = self._planner.plan(route_req)
-        first_s = self._planner.first_token_s(route_req, route)
-        gap_s = self._planner.gap_s(route_req, route)
-        return first_s, first_s + gap_s * req.max_tokens
-
     def check(self, req: models.StreamRequest) -> None:
         """Refuses a request whose answer would come too late.
 
@@ -58,8 +49,12 @@
         now = time.monotonic()
         classes = self._demand_of(req.model_name, now)
         classes.note(req.priority, req.max_tokens, now)
-        _, total_s = self.estimate_s(req)
-        total_s += self._pending_s(req)
+        route_req = policies.RouteRequest(
+            req.model, req.prompt_tokens, rank=req.priority.rank
+        )
+        flow = self._planner.flow(route_req)
+        total_s = self._total_s(req, route_req)
+        total_s += self._pending_s(req, flow.total)
         left_s = req.deadline_s - now
         share = _DEADLINE_SHARES[req.priority]
         if total_s > left_s * share:
@@ -68,7 +63,7 @@
                 f"leaves {left_s:.1f} s",
                 retry_after_s=min(30.0, max(1.0, total_s - left_s * share)),
             )
-        self._check_class(classes, req, now)
+        self._check_class(classes, req, route_req, flow)
         with self._lock:
             self._pending[req.model_name][req.priority.rank] += 1
 
@@ -77,7 +72,16 @@
         with self._lock:
             self._pending[req.model_name][req.priority.rank] -= 1
 
-    def _pending_s(self, req: models.StreamRequest) -> float:
+    def _total_s(
+        self, req: models.StreamRequest, route_req: policies.RouteRequest
+    ) -> float:
+        """Returns the seconds to the last token by the load on a route."""
+        route = self._planner.plan(route_req)
+        first_s = self._planner.first_token_s(route_req, route)
+        gap_s = self._planner.gap_s(route_req, route)
+        return first_s + gap_s * req.max_tokens
+
+    def _pending_s(self, req: models.StreamRequest, capacity: float) -> float:
         """Returns the delay by requests that were admitted just before.
 
         They are not on any target yet, or still wait for their first token;
@@ -88,8 +92,6 @@
                 req.model_name, [0] * len(entries.Priority)
             )
             ahead = sum(waiting[: req.priority.rank + 1])
-        route_req = policies.RouteRequest(req.model, req.prompt_tokens)
-        capacity = self._planner.capacity(route_req)
         if capacity <= 0:
             return 0.0
         return ahead * self._routers() * req.max_tokens / capacity
@@ -98,14 +100,14 @@
         self,
         classes: demand.ClassDemand,
         req: models.StreamRequest,
-        now: float,
+        route_req: policies.RouteRequest,
+        flow: maxflow.FlowResult,
     ) -> None:
         """Holds a class to what more urgent ones leave of busy hardware."""
-        route_req = policies.RouteRequest(req.model, req.prompt_tokens)
-        capacity = self._planner.capacity(route_req)
-        if self._planner.utilisation(route_req) < _BUSY:
+        if self._planner.utilisation(route_req, flow) < _BUSY:
             return
-        own = capacity * _USABLE / max(1, self._routers())
+        own = flow.total * _USABLE / max(1, self._routers())
+        now = time.monotonic()
         if classes.take(req.priority, req.max_tokens, own, now):
             return
         raise exceptions.OverloadError(
--- a/src/briarfall/membership/gossip.py
+++ b/src/briarfall/membership/gossip.py
@@ -51,9 +51,12 @@
         listing: The platform's instance list.
         follower: The catalogue follower.
         cfg: Timing.
+        seeds: Addresses to ask while no other member is known.
     """
 
-    def __init__(self, members, peers, table, guard, listing, follower, cfg):
+    def __init__(
+        self, members, peers, table, guard, listing, follower, cfg, seeds=()
+    ):
         self._members: tables.MemberTable = members
         self._peers: peer_sets.PeerSet = peers
         self._table: target_tables.TargetTable = table
@@ -61,6 +64,7 @@
         self._listing: instancelist.InstanceListAdapter = listing
         self._follower = follower
         self._cfg = cfg
+        self._seeds = seeds
         self._lock = threading.Lock()
         self._outboxes: dict[str, _Outbox] = {}
         self._heard_s: dict[str, float] = {}
@@ -134,7 +138,7 @@
                     name="link-pull",
                     daemon=True,
                 ).start()
-        return self._compose(message.sender, message.digest)
+        return self._compose(message.sender)
 
     def handle_members(self, _: str) -> list[tables.Member]:
         """Serves the whole member table."""
@@ -149,6 +153,8 @@
         while not self._stopping.is_set():
             started = time.monotonic()
             neighbours = self.neighbours()
+            if not neighbours:
+                self._ask_seeds()
             self._trim_outboxes(neighbours)
             answers = [self._beat(peer) for peer in neighbours]
             self._adopt_catalogue([a for a in answers if a is not None])
@@ -162,7 +168,7 @@
             self._urgent.clear()
 
     def _beat(self, peer: str) -> messages.Exchange | None:
-        message = self._compose(peer, 0)
+        message = self._compose(peer)
         try:
             answer = self._peers.call(
                 peer, "gossip", message, messages.Exchange, _CALL_TIMEOUT_S
@@ -186,6 +192,22 @@
             logging.info("catalogue taken from peers while the log is down")
             self._follower.caught_up.set()
 
+    def _ask_seeds(self) -> None:
+        """Learns members from the first seed that answers."""
+        for address in self._seeds:
+            if address == self._members.me.address:
+                continue
+            try:
+                found = self._peers.call_address(
+                    address, "members", "", list[tables.Member], _CALL_TIMEOUT_S
+                )
+            except exceptions.BriarfallError as exc:
+                logging.info("seed %s: %s", address, exc)
+                continue
+            for member in found:
+                self._members.learn(member)
+            return
+
     def _note_silence(self, peer: str, exc: Exception) -> None:
         now = time.monotonic()
         silent_s = now - self._heard_s.setdefault(peer, now)
@@ -212,7 +234,7 @@
                 if now - heard_s > 2 * self._cfg.suspect_s:
                     del self._outboxes[peer]
 
-    def _compose(self, peer: str, their_digest: int) -> messages.Exchange:
+    def _compose(self, peer: str) -> messages.Exchange:
         now = time.monotonic()
         with self._lock:
             outbox = self._outbox(peer)
--- a/src/briarfall/membership/peers.py
+++ b/src/briarfall/membership/peers.py
@@ -52,6 +52,18 @@
         """Calls a peer; see the base class."""
         return self._connection(peer).call(method, message, kind, timeout_s)
 
+    def call_address(self, address: str, method, message, kind, timeout_s):
+        """Calls an instance whose name is not known, over a link of its own.
+
+        Raises:
+            PeerError: The instance did not answer.
+        """
+        conn = self._link(address)
+        try:
+            return conn.call(method, message, kind, timeout_s)
+        finally:
+            conn.close()
+
     def cast(self, peer: ids.InstanceId, method: str, message) -> None:
         """Sends to a peer without waiting for an answer."""
         self._connection(peer).cast(method, message)
@@ -89,14 +101,7 @@
 
     def _connect(self, peer: str, address: str) -> links.Connection:
         try:
-            conn = links.connect(
-                self._members.me.id,
-                address,
-                self._security,
-                self._handlers,
-                self._pool,
-                self._counters,
-            )
+            conn = self._link(address)
         except exceptions.PeerError:
             self._failed_s[peer] = time.monotonic()
             raise
@@ -107,3 +112,13 @@
                 return conn
         conn.close()
         return other
+
+    def _link(self, address: str) -> links.Connection:
+        return links.connect(
+            self._members.me.id,
+            address,
+            self._security,
+            self._handlers,
+            self._pool,
+            self._counters,
+        )
--- a/src/briarfall/pipelines/graph.py
+++ b/src/briarfall/pipelines/graph.py
@@ -30,10 +30,16 @@
     Args:
         layers: Number of layers, L; routes lead from boundary 0 to L.
         targets: Targets that may be used.
+
+    Attributes:
+        layers: Number of layers.
+        edges: Edges by the boundary that they start at.
+        flow: The graph's maximum flow, kept by `maxflow.flow_of`.
     """
 
     def __init__(self, layers: int, targets: list[entries.EngineTarget]):
         self.layers = layers
+        self.flow = None
         boundaries = {0} | {target.end for target in targets}
         self.edges: dict[int, list[Edge]] = {b: [] for b in boundaries}
         for target in targets:
--- a/src/briarfall/pipelines/maxflow.py
+++ b/src/briarfall/pipelines/maxflow.py
@@ -80,6 +80,13 @@
         return 0.0
 
 
+def flow_of(layer_graph: graphs.LayerGraph) -> "FlowResult":
+    """Returns the maximum flow of a graph, computed once for each graph."""
+    if layer_graph.flow is None:
+        layer_graph.flow = FlowResult(layer_graph)
+    return layer_graph.flow
+
+
 class FlowResult:
     """Maximum flow of a layer graph.
 
--- a/src/briarfall/pipelines/models.py
+++ b/src/briarfall/pipelines/models.py
@@ -76,7 +76,6 @@
     MOVED = "moved"
     CALLER_LEFT = "caller_left"
     DEADLINE = "deadline"
-    BROKEN = "broken"
 
 
 class Recovered(msgspec.Struct):
--- a/src/briarfall/pipelines/planning.py
+++ b/src/briarfall/pipelines/planning.py
@@ -35,7 +35,6 @@
         self._lock = threading.Lock()
         self._policies: dict[str, policies.RoutePolicy] = {}
         self._graphs: dict[tuple, graphs.LayerGraph] = {}
-        self._flows: dict[int, maxflow.FlowResult] = {}
 
     def plan(self, req: policies.RouteRequest) -> list[engines.Hop]:
         """Returns a route that covers all layers once, in order.
@@ -65,18 +64,18 @@
             total_s += req.prompt_tokens / target.prefill_tokens_per_s
         return total_s
 
-    def capacity(self, req: policies.RouteRequest) -> float:
-        """Returns the tokens a second that the usable targets can carry."""
+    def flow(self, req: policies.RouteRequest) -> maxflow.FlowResult:
+        """Returns the maximum flow over the usable targets."""
         with self._lock:
-            return self._flow(req).total
+            return maxflow.flow_of(self._graph(req))
 
-    def utilisation(self, req: policies.RouteRequest) -> float:
+    def utilisation(
+        self, req: policies.RouteRequest, flow: maxflow.FlowResult
+    ) -> float:
         """Returns how full the targets are, 1 when all batches are full.
 
         Only targets that the maximum flow uses count, by their flow.
         """
-        with self._lock:
-            flow = self._flow(req)
         filled = 0.0
         total = 0.0
         by_id = {target.id: target for target in req.model.targets}
@@ -87,14 +86,6 @@
             total += weight
         return filled / total if total else 1.0
 
-    def _flow(self, req: policies.RouteRequest) -> maxflow.FlowResult:
-        graph = self._graph(req)
-        flow = self._flows.get(id(graph))
-        if flow is None:
-            flow = maxflow.FlowResult(graph)
-            self._flows[id(graph)] = flow
-        return flow
-
     def gap_s(
         self, req: policies.RouteRequest, route: list[engines.Hop]
     ) -> float:
@@ -136,7 +127,6 @@
         if graph is None:
             if len(self._graphs) >= _MAX_GRAPHS:
                 self._graphs.clear()
-                self._flows.clear()
             graph = graphs.LayerGraph(layers, pool)
             self._graphs[key] = graph
         return graph
--- a/src/briarfall/pipelines/policies.py
+++ b/src/briarfall/pipelines/policies.py
@@ -151,12 +151,11 @@
 
     def __init__(self, table, links, rng):
         super().__init__(table, links, rng)
-        self._flows: dict[tuple, maxflow.FlowResult] = {}
         self._phase = {}
 
     def choose(self, graph, req):
         """Chooses a path; see the base class."""
-        weights = self._weights(graph)
+        weights = maxflow.flow_of(graph).weights
 
         def pick(previous, edges):
             costs = [self._cost(previous, edge, weights) for edge in edges]
@@ -195,20 +194,6 @@
             phase = self._phase.setdefault(target, self._rng.random())
         return phase
 
-    def _weights(self, graph: graphs.LayerGraph):
-        key = tuple(
-            (edge.start, edge.target.id, edge.target.tokens_per_s)
-            for edges in graph.edges.values()
-            for edge in edges
-        )
-        result = self._flows.get(key)
-        if result is None:
-            if len(self._flows) > 64:
-                self._flows.clear()
-            result = maxflow.FlowResult(graph)
-            self._flows[key] = result
-        return result.weights
-
 
 def _affinity(prefix: int, edge: graphs.Edge) -> int:
     """Returns the rendezvous score of a prompt prefix on a target."""
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,4 +1,5 @@
 import json
+import time
 
 import msgspec
 import pytest
@@ -118,3 +119,19 @@
         assert inst.relay.causes[models.Cause.MOVED] == 1
         assert made.fleet.imports == imports
         made.stop()
+
+
+class TestSeeds:
+    def test_instances_find_each_other_without_a_list(self):
+        made = platform.Platform([engine.EngineSpec("a", "suva", 0, 4)])
+        made.start()
+        first = made.add_instance(instance_list_url="")
+        second = made.add_instance(
+            instance_list_url="", seeds=["127.0.0.1:1", first.peer_address]
+        )
+        names = ["router-1", "router-2"]
+        deadline = time.monotonic() + 20
+        while [first.members.live(), second.members.live()] != [names] * 2:
+            assert time.monotonic() < deadline
+            first.pause(0.02)
+        made.stop()
