--- /dev/null
+++ b/src/briarfall/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Transparent forwarding of callers' requests to targets."""
--- /dev/null
+++ b/src/briarfall/gateway/calls.py
@@ -0,0 +1,138 @@
+"""One request on its way through the gateway."""
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall.gateway import callers
+from briarfall.gateway import clocks
+from briarfall.gateway import exchange
+from briarfall.gateway import messages
+from briarfall.gateway import names
+from briarfall.gateway import sources
+from briarfall.gateway import views
+
+# The answer must reach the caller before it stops waiting.
+_ANSWER_MARGIN_S = 0.02
+_DEFAULT_TIME_S = 30.0
+
+
+class Call(msgspec.Struct):
+    """A request, the route that it takes, and its limits.
+
+    Attributes:
+        req: The request.
+        conn: The caller's connection.
+        watch: Notices that the caller has left.
+        request_id: Id that targets echo.
+        route: The route.
+        service: Service chosen for it.
+        account: Client account, or None.
+        urgency: Rank, 0 first.
+        deadline_s: Time on the boot clock at which the caller gives up or
+            the route's timeout passes.
+        sends: How often it was sent to a target.
+        runs: How often it may have run.
+        was_cut: Whether a send ended with an unknown outcome.
+    """
+
+    req: messages.CallerRequest
+    conn: callers.CallerConnection
+    watch: exchange.CallerWatch
+    request_id: str
+    route: views.Route
+    service: views.Service
+    account: views.ClientAccount | None
+    urgency: int
+    deadline_s: float
+    sends: int = 0
+    runs: int = 0
+    was_cut: bool = False
+
+    @property
+    def left_s(self) -> float:
+        """Seconds until the deadline."""
+        return self.deadline_s - clocks.boot_s()
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the request arrived."""
+        return clocks.boot_s() - self.req.received_s
+
+    def is_own(self, name: bytes, head: messages.ResponseHead) -> bool:
+        """Whether a response carries this request's id, or none."""
+        echoed = head.header(name)
+        return echoed is None or echoed.decode("latin-1") == self.request_id
+
+
+class RefusedByTargetError(exceptions.TargetError):
+    """A target says that it did not run the request.
+
+    Attributes:
+        head: Its response.
+    """
+
+    code = "refused_by_target"
+    outcome = exceptions.Outcome.NOT_RUN
+
+    def __init__(self, message: str, head: messages.ResponseHead):
+        super().__init__(message)
+        self.head = head
+
+
+def deadline_of(
+    req: messages.CallerRequest, header: bytes, route: views.Route
+) -> float:
+    """Returns the time on the boot clock at which a request is given up."""
+    value = req.header(header)
+    time_s = _DEFAULT_TIME_S
+    if value is not None:
+        try:
+            time_s = float(value) / 1000
+        except ValueError as exc:
+            raise exceptions.BadRequestError(
+                f"{header.decode()} is no number"
+            ) from exc
+    time_s = min(time_s - _ANSWER_MARGIN_S, route.timeout_s)
+    return req.received_s + time_s
+
+
+def headers_for(
+    call: Call,
+    header_names: names.HeaderNames,
+    target: sources.TargetEntry,
+    extra: messages.Headers = (),
+) -> messages.Headers:
+    """Returns the headers of a request for a target."""
+    own = {
+        header_names.time_left,
+        header_names.account_key,
+        header_names.account,
+        header_names.expected_target,
+        header_names.urgency,
+        header_names.chain,
+        b"content-length",
+    }
+    for key, _ in extra:
+        own.add(key)
+    fields = []
+    for key, value in messages.end_to_end(call.req.headers):
+        if key.lower() not in own:
+            fields.append((key, value))
+    left_ms = max(1, int(call.left_s * 1000))
+    fields.append((header_names.time_left, str(left_ms).encode()))
+    fields.append((header_names.expected_target, target.id.encode()))
+    fields.append((header_names.urgency, str(call.urgency).encode()))
+    if call.account is not None:
+        fields.append((header_names.account, call.account.name.encode()))
+    if call.req.body or call.req.method not in (b"GET", b"HEAD"):
+        length = str(len(call.req.body)).encode()
+        fields.append((b"Content-Length", length))
+    fields.extend(extra)
+    return fields
+
+
+def is_refusal(
+    head: messages.ResponseHead, header_names: names.HeaderNames
+) -> bool:
+    """Whether a response says that the target did not run the request."""
+    return head.status == 421 or head.header(header_names.not_run) is not None
--- /dev/null
+++ b/src/briarfall/gateway/exchange.py
@@ -0,0 +1,427 @@
+"""One request and its response on a connection to a target."""
+
+import collections.abc
+import select
+import socket
+import threading
+
+import h11
+
+from briarfall import exceptions
+from briarfall.gateway import clocks
+from briarfall.gateway import messages
+
+_RECEIVE_BYTES = 65_536
+# A target in the same region answers an opening packet within milliseconds.
+CONNECT_TIMEOUT_S = 0.4
+# Used where a target does not say when it closes idle connections.
+_DEFAULT_IDLE_S = 4.0
+# Margin to the target's own idle timeout, against a close that crosses.
+_IDLE_MARGIN_S = 1.0
+_MAX_IDLE_PER_TARGET = 8
+_MAX_FOREIGN_RESPONSES = 4
+
+
+class CallerGoneError(exceptions.BriarfallError, ConnectionError):
+    """The caller closed its connection."""
+
+    code = "caller_gone"
+    remedy = "none; the caller no longer waits"
+
+
+class NotSentError(exceptions.TargetUnreachableError):
+    """Not a byte of the request can have reached the target."""
+
+    code = "not_sent"
+
+
+class BrokenExchangeError(exceptions.TargetError):
+    """The request was sent and the response is missing or damaged.
+
+    Attributes:
+        saw_response: Whether a part of a response had arrived.
+    """
+
+    code = "exchange_broken"
+
+    def __init__(self, message: str, *, saw_response: bool = False, **kwargs):
+        super().__init__(message, **kwargs)
+        self.saw_response = saw_response
+
+
+class TimeUpError(exceptions.DeadlineError):
+    """The time for the response has passed."""
+
+    code = "time_up"
+
+
+class CallerWatch:
+    """Notices that a caller has closed its connection.
+
+    Args:
+        sock: The caller's socket.
+    """
+
+    def __init__(self, sock: socket.socket):
+        self.sock = sock
+        self._events = select.POLLIN | select.POLLRDHUP
+
+    @property
+    def events(self) -> int:
+        """Events to poll for."""
+        return self._events
+
+    def check(self) -> None:
+        """Raises CallerGoneError if the caller has left."""
+        try:
+            data = self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return
+        except OSError as exc:
+            raise CallerGoneError(f"caller's connection: {exc}") from exc
+        if not data:
+            raise CallerGoneError("the caller closed its connection")
+        # The next request waits already; only a hang-up is still of interest.
+        self._events = select.POLLRDHUP
+
+    def pause(self, seconds: float) -> None:
+        """Waits, and raises CallerGoneError if the caller leaves."""
+        poller = select.poll()
+        poller.register(self.sock, self._events)
+        if poller.poll(seconds * 1000):
+            self.check()
+
+
+def keep_alive_s(headers: messages.Headers) -> float:
+    """Returns how long a target keeps an idle connection, in seconds."""
+    value = messages.find(headers, b"keep-alive")
+    if value is None:
+        return _DEFAULT_IDLE_S
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.strip().lower() != b"timeout":
+            continue
+        try:
+            return max(0.0, float(number))
+        except ValueError:
+            return 0.0
+    return _DEFAULT_IDLE_S
+
+
+class TargetConnection:
+    """A connection to one target; one thread uses it at a time."""
+
+    def __init__(self, address: str, timeout_s: float):
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self.is_fresh = True
+        self.idle_since_s = 0.0
+        self.keep_s = _DEFAULT_IDLE_S
+        self._http = h11.Connection(h11.CLIENT)
+        self._poller: select.poll | None = None
+        self._watch: CallerWatch | None = None
+        self._saw_bytes = False
+        try:
+            self.sock = socket.create_connection((host, int(port)), timeout_s)
+        except (OSError, ValueError) as exc:
+            raise NotSentError(f"{address}: cannot connect: {exc}") from exc
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock.settimeout(None)
+
+    def is_usable(self, max_idle_s: float) -> bool:
+        """Whether a kept connection may carry another request."""
+        idle_s = clocks.boot_s() - self.idle_since_s
+        if idle_s > min(max_idle_s, self.keep_s - _IDLE_MARGIN_S):
+            return False
+        poller = select.poll()
+        poller.register(self.sock, select.POLLIN | select.POLLRDHUP)
+        return not poller.poll(0)
+
+    def send(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: messages.Headers,
+        body: bytes,
+        deadline_s: float,
+    ) -> None:
+        """Sends a request whole.
+
+        Raises:
+            BrokenExchangeError: A part may have been sent.
+        """
+        data = self._http.send(
+            h11.Request(method=method, target=target, headers=headers)
+        )
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage())
+        left_s = max(0.001, deadline_s - clocks.boot_s())
+        self.sock.settimeout(left_s)
+        try:
+            self.sock.sendall(data)
+        except OSError as exc:
+            raise BrokenExchangeError(f"{self.address}: send: {exc}") from exc
+        finally:
+            self.sock.settimeout(None)
+
+    def watch(self, watch: CallerWatch | None) -> None:
+        """Sets the caller whose departure ends the exchange."""
+        self._watch = watch
+        self._poller = select.poll()
+        self._poller.register(self.sock, select.POLLIN)
+        if watch is not None:
+            self._poller.register(watch.sock, watch.events)
+
+    def wait(self, until_s: float) -> bool:
+        """Waits for bytes of the target until a time on the boot clock.
+
+        Returns:
+            Whether there are bytes to read.
+
+        Raises:
+            CallerGoneError: The caller has left.
+        """
+        while True:
+            left_s = until_s - clocks.boot_s()
+            if left_s <= 0:
+                return False
+            ready = dict(self._poller.poll(left_s * 1000))
+            watch = self._watch
+            if watch is not None and watch.sock.fileno() in ready:
+                watch.check()
+                self._poller.modify(watch.sock, watch.events)
+            if self.sock.fileno() in ready:
+                return True
+
+    def pump(self) -> None:
+        """Reads once from the socket into the parser."""
+        try:
+            data = self.sock.recv(_RECEIVE_BYTES)
+        except OSError as exc:
+            raise self._broken(f"receive: {exc}") from exc
+        if data:
+            self._saw_bytes = True
+        elif not self._saw_bytes:
+            raise self._broken("closed without a response")
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError as exc:
+            raise self._broken(f"closed: {exc}") from exc
+
+    def next_event(self):
+        """Returns the parser's next event, or None if it needs data."""
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise self._broken(f"bad response: {exc}") from exc
+        if event is h11.NEED_DATA:
+            return None
+        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            raise self._broken("the response ended early")
+        return event
+
+    def _broken(self, text: str) -> BrokenExchangeError:
+        return BrokenExchangeError(
+            f"{self.address}: {text}", saw_response=self._saw_bytes
+        )
+
+    def read_event(self, deadline_s: float):
+        """Returns the parser's next event.
+
+        Raises:
+            TimeUpError: The deadline has passed.
+            BrokenExchangeError: The response is damaged or missing.
+            CallerGoneError: The caller has left.
+        """
+        while True:
+            event = self.next_event()
+            if event is not None:
+                return event
+            if not self.wait(deadline_s):
+                raise TimeUpError(f"{self.address}: no response in time")
+            self.pump()
+
+    def read_head(
+        self, deadline_s: float, is_own: collections.abc.Callable
+    ) -> messages.ResponseHead:
+        """Returns the head of the response to the request that was sent.
+
+        Args:
+            deadline_s: Time on the boot clock.
+            is_own: Tells from a head whether it answers this request; a
+                target may still send a second answer to an earlier one.
+        """
+        for _ in range(_MAX_FOREIGN_RESPONSES):
+            head = self._read_any_head(deadline_s)
+            if is_own(head):
+                return head
+            self._skip_body(deadline_s)
+        raise self._broken("responses of other requests")
+
+    def _read_any_head(self, deadline_s: float) -> messages.ResponseHead:
+        while True:
+            event = self.read_event(deadline_s)
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise self._broken("no response head")
+            headers = list(event.headers.raw_items())
+            return messages.ResponseHead(
+                event.status_code, event.reason, headers
+            )
+
+    def _skip_body(self, deadline_s: float) -> None:
+        """Reads past a response that belongs to another request."""
+        while not isinstance(self.read_event(deadline_s), h11.EndOfMessage):
+            continue
+        rest, is_closed = self._http.trailing_data
+        if is_closed or self._http.their_state is not h11.DONE:
+            raise self._broken("closed after another request's response")
+        # The parser believes that our request has its answer; a new one with
+        # the same state takes the next response.
+        self._http = h11.Connection(h11.CLIENT)
+        self._http.send(
+            h11.Request(method=b"GET", target=b"/", headers=[(b"Host", b"-")])
+        )
+        self._http.send(h11.EndOfMessage())
+        if rest:
+            self._http.receive_data(rest)
+
+    def finish(self, head: messages.ResponseHead) -> bool:
+        """Makes the connection ready for another request, if it can be."""
+        if self._http.their_state is not h11.DONE:
+            return False
+        if self._http.our_state is not h11.DONE:
+            return False
+        rest, is_closed = self._http.trailing_data
+        if rest or is_closed:
+            return False
+        self._http.start_next_cycle()
+        self.keep_s = keep_alive_s(head.headers)
+        self.idle_since_s = clocks.boot_s()
+        self.is_fresh = False
+        self._saw_bytes = False
+        return True
+
+    def close(self) -> None:
+        """Closes the connection; most targets then drop the request."""
+        try:
+            self.sock.close()
+        except OSError:
+            pass
+
+
+class ConnectionPool:
+    """Idle connections to targets, newest first."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._idle: dict[str, list[TargetConnection]] = {}
+        self.opened = 0
+
+    def take(
+        self, address: str, max_idle_s: float, timeout_s: float
+    ) -> TargetConnection:
+        """Returns a kept connection, or a new one.
+
+        Args:
+            address: IP number and port.
+            max_idle_s: Longest idle time of a kept connection; 0 opens one.
+            timeout_s: Bound on opening a connection.
+
+        Raises:
+            NotSentError: The target can't be reached.
+        """
+        while max_idle_s > 0:
+            with self._lock:
+                rows = self._idle.get(address)
+                conn = rows.pop() if rows else None
+            if conn is None:
+                break
+            if conn.is_usable(max_idle_s):
+                return conn
+            conn.close()
+        self.opened += 1
+        return TargetConnection(address, min(timeout_s, CONNECT_TIMEOUT_S))
+
+    def put(self, conn: TargetConnection) -> None:
+        """Keeps a finished connection."""
+        with self._lock:
+            rows = self._idle.setdefault(conn.address, [])
+            rows.append(conn)
+            surplus = rows.pop(0) if len(rows) > _MAX_IDLE_PER_TARGET else None
+        if surplus is not None:
+            surplus.close()
+
+    def close_idle(self) -> None:
+        """Closes connections that have been idle too long to be used."""
+        now_s = clocks.boot_s()
+        stale = []
+        with self._lock:
+            for address, rows in list(self._idle.items()):
+                kept = []
+                for conn in rows:
+                    limit_s = conn.keep_s - _IDLE_MARGIN_S
+                    if now_s - conn.idle_since_s > limit_s:
+                        stale.append(conn)
+                        continue
+                    kept.append(conn)
+                if kept:
+                    self._idle[address] = kept
+                else:
+                    del self._idle[address]
+        for conn in stale:
+            conn.close()
+
+    def drop(self, address: str) -> None:
+        """Closes the idle connections to a target that has gone."""
+        with self._lock:
+            rows = self._idle.pop(address, [])
+        for conn in rows:
+            conn.close()
+
+
+def call(
+    pool: ConnectionPool,
+    address: str,
+    method: str,
+    path: str,
+    body: bytes,
+    timeout_s: float,
+    *,
+    headers: messages.Headers = (),
+    max_idle_s: float = 2.0,
+) -> tuple[messages.ResponseHead, bytes]:
+    """Makes one call of our own and returns the whole response.
+
+    Raises:
+        NotSentError: The target can't be reached.
+        BrokenExchangeError: The call may have been executed.
+        TimeUpError: No answer in time; the call may have been executed.
+    """
+    deadline_s = clocks.boot_s() + timeout_s
+    conn = pool.take(address, max_idle_s, timeout_s)
+    is_done = False
+    try:
+        conn.watch(None)
+        fields = [
+            (b"Host", address.encode()),
+            (b"Content-Length", str(len(body)).encode()),
+            *headers,
+        ]
+        conn.send(method.encode(), path.encode(), fields, body, deadline_s)
+        head = conn.read_head(deadline_s, lambda head: True)
+        chunks = []
+        while True:
+            event = conn.read_event(deadline_s)
+            if isinstance(event, h11.EndOfMessage):
+                break
+            chunks.append(bytes(event.data))
+        is_done = conn.finish(head)
+    finally:
+        if is_done:
+            pool.put(conn)
+        else:
+            conn.close()
+    return head, b"".join(chunks)
--- /dev/null
+++ b/src/briarfall/gateway/front.py
@@ -0,0 +1,200 @@
+"""Serves callers: routes each request and answers every outcome."""
+
+import collections.abc
+import random
+import socket
+
+from absl import logging
+
+from briarfall import exceptions
+from briarfall.gateway import budgets
+from briarfall.gateway import callers
+from briarfall.gateway import calls
+from briarfall.gateway import catalogue
+from briarfall.gateway import exchange
+from briarfall.gateway import messages
+from briarfall.gateway import names
+from briarfall.gateway import plain
+from briarfall.gateway import streams
+from briarfall.gateway import views
+
+_STALE_RETRY_S = 0.5
+# Callers honour a Retry-After up to this part of the time they have left.
+_RETRY_AFTER_SHARE = 0.3
+_IDLE_POLL_S = 0.5
+
+
+class Front:
+    """Handles the connections of callers."""
+
+    def __init__(
+        self,
+        header_names: names.HeaderNames,
+        follower: catalogue.CatalogueFollower,
+        plain_forwarder: plain.PlainForwarder,
+        stream_forwarder: streams.StreamForwarder,
+        budget: budgets.RetryBudget,
+        is_stopping: collections.abc.Callable[[], bool],
+        rng: random.Random,
+    ):
+        self._names = header_names
+        self._follower = follower
+        self._plain = plain_forwarder
+        self._streams = stream_forwarder
+        self._budget = budget
+        self._is_stopping = is_stopping
+        self._rng = rng
+
+    def serve(self, sock: socket.socket) -> None:
+        """Serves a connection until it ends."""
+        limits = views.CallerLimits()
+        if self._follower.view is not None:
+            limits = self._follower.view.limits
+        conn = callers.CallerConnection(sock, limits)
+        linger = False
+        try:
+            while self._wait_for_request(conn):
+                if not self._serve_one(conn):
+                    break
+        except callers.MessageRefusedError as exc:
+            linger = True
+            self._refuse(conn, exc)
+        except exchange.CallerGoneError as exc:
+            logging.debug("caller gone: %s", exc)
+        finally:
+            conn.close(linger=linger)
+
+    def _wait_for_request(self, conn: callers.CallerConnection) -> bool:
+        waited_s = 0.0
+        while waited_s < conn.limits.idle_timeout_s:
+            if conn.wait_readable(_IDLE_POLL_S):
+                return True
+            waited_s += _IDLE_POLL_S
+            if self._is_stopping():
+                return False
+        return False
+
+    def _serve_one(self, conn: callers.CallerConnection) -> bool:
+        """Serves one request; returns whether the connection goes on."""
+        req = conn.read_request()
+        if req is None:
+            return False
+        if self._is_stopping():
+            conn.closes = True
+        try:
+            self._forward(conn, req)
+        except exchange.CallerGoneError:
+            logging.info("caller gone request=%s", self._id_of(req))
+            return False
+        except exceptions.BriarfallError as exc:
+            self._log_failure(req, exc)
+            if conn.has_answered:
+                return False
+            self._answer_error(conn, req, exc)
+        return conn.start_next()
+
+    def _forward(
+        self, conn: callers.CallerConnection, req: messages.CallerRequest
+    ) -> None:
+        view = self._follower.view
+        if view is None:
+            raise exceptions.NotReadyError(
+                "no catalogue yet", retry_after_s=_STALE_RETRY_S
+            )
+        call = self._prepare(conn, req, view)
+        self._budget.note_request()
+        if call.route.kind is views.RouteKind.STREAM and (
+            call.service.model is not None
+        ):
+            self._streams.forward(call)
+        else:
+            self._plain.forward(call)
+
+    def _prepare(
+        self,
+        conn: callers.CallerConnection,
+        req: messages.CallerRequest,
+        view: views.CatalogueView,
+    ) -> calls.Call:
+        is_fresh = self._follower.is_fresh
+        try:
+            route = view.match(req.host, req.path)
+            key = (req.header(self._names.account_key) or b"").decode("latin-1")
+            account = view.account_of(route, key)
+        except (exceptions.NotFoundError, exceptions.AuthenticationError):
+            # An old view may lack a route or a key that is in force by now.
+            if is_fresh:
+                raise
+            raise self._stale() from None
+        if not is_fresh and not route.is_public and view.has_accounts:
+            raise self._stale()
+        service = view.services.get(route.pick_service(self._rng))
+        if service is None:
+            raise exceptions.NoRouteError(
+                f"route {route.name} names an unknown service"
+            )
+        urgency = route.urgency
+        if account is not None and account.urgency is not None:
+            urgency = account.urgency
+        return calls.Call(
+            req=req,
+            conn=conn,
+            watch=exchange.CallerWatch(conn.sock),
+            request_id=self._id_of(req),
+            route=route,
+            service=service,
+            account=account,
+            urgency=urgency,
+            deadline_s=calls.deadline_of(req, self._names.time_left, route),
+        )
+
+    def _stale(self) -> exceptions.NotReadyError:
+        return exceptions.NotReadyError(
+            f"the catalogue is {self._follower.age_s:.1f} s old",
+            retry_after_s=_STALE_RETRY_S,
+        )
+
+    def _id_of(self, req: messages.CallerRequest) -> str:
+        return (req.header(self._names.request_id) or b"").decode("latin-1")
+
+    def _log_failure(
+        self, req: messages.CallerRequest, exc: exceptions.BriarfallError
+    ) -> None:
+        view = self._follower.view
+        logging.warning(
+            "request failed request=%s code=%s outcome=%s version=%s "
+            "view_age_s=%.2f: %s",
+            self._id_of(req),
+            exc.code,
+            exc.outcome.value,
+            view.version if view else None,
+            self._follower.age_s,
+            exc.message,
+        )
+
+    def _answer_error(
+        self,
+        conn: callers.CallerConnection,
+        req: messages.CallerRequest,
+        exc: exceptions.BriarfallError,
+    ) -> None:
+        status = int(exc.status)
+        if exc.outcome is exceptions.Outcome.UNKNOWN and status in (429, 503):
+            status = 502
+        headers = [(b"Content-Type", b"text/plain")]
+        if status in (429, 503):
+            retry_s = exc.retry_after_s or _STALE_RETRY_S
+            headers.append((b"Retry-After", f"{retry_s:.2f}".encode()))
+        conn.answer(status, headers, f"{exc}\n".encode())
+
+    def _refuse(
+        self, conn: callers.CallerConnection, exc: callers.MessageRefusedError
+    ) -> None:
+        logging.warning("message refused status=%d: %s", exc.status, exc)
+        conn.closes = True
+        try:
+            conn.answer(
+                exc.status, [(b"Content-Type", b"text/plain")], b"refused\n"
+            )
+        except (exchange.CallerGoneError, ValueError, RuntimeError) as error:
+            logging.info("refusal not delivered: %s", error)
--- /dev/null
+++ b/src/briarfall/gateway/instance.py
@@ -0,0 +1,254 @@
+"""One gateway instance: its parts, its start and its stop."""
+
+import random
+import socket
+import threading
+
+from absl import logging
+
+from briarfall import exceptions
+from briarfall.gateway import budgets
+from briarfall.gateway import callers
+from briarfall.gateway import catalogue
+from briarfall.gateway import clocks
+from briarfall.gateway import config
+from briarfall.gateway import exchange
+from briarfall.gateway import front
+from briarfall.gateway import listener
+from briarfall.gateway import loads
+from briarfall.gateway import names
+from briarfall.gateway import paths
+from briarfall.gateway import placer
+from briarfall.gateway import plain
+from briarfall.gateway import sources
+from briarfall.gateway import streams
+from briarfall.gateway import targets
+from briarfall.gateway import views
+
+_LIST_TIMEOUT_S = 0.7
+# The balancer asks once a second and needs two refusals; until then it may
+# still send connections.
+_NOTICE_S = 3.0
+# Time that is left for the process to end before it is killed.
+_EXIT_MARGIN_S = 0.4
+_POLL_S = 0.05
+
+
+class Platform:
+    """The platform's side of an instance.
+
+    Attributes:
+        header_names: Header names.
+        ready_path: Path of the balancer's question.
+        catalogue: Where operators publish.
+        targets: Where targets register.
+        lease: Lease for placing layers.
+        instances: Where instances announce themselves.
+        engines: Orders to engines.
+    """
+
+    header_names: names.HeaderNames
+    ready_path: str
+    catalogue: sources.CatalogueSource
+    targets: sources.TargetSource
+    lease: sources.LeaseSource
+    instances: sources.InstanceSource
+    engines: sources.EngineControl
+
+
+class TargetFollower(threading.Thread):
+    """Reads the list of targets at a steady pace."""
+
+    def __init__(
+        self,
+        source: sources.TargetSource,
+        table: targets.TargetTable,
+        pool: exchange.ConnectionPool,
+        period_s: float,
+    ):
+        super().__init__(name="targets", daemon=True)
+        self._source = source
+        self._table = table
+        self._pool = pool
+        self._period_s = period_s
+        self._stopped = threading.Event()
+
+    def run(self) -> None:
+        """Reads until stopped."""
+        while not self._stopped.is_set():
+            started_s = clocks.boot_s()
+            self.step()
+            left_s = self._period_s - (clocks.boot_s() - started_s)
+            self._stopped.wait(max(0.05, left_s))
+
+    def step(self) -> None:
+        """Reads the list once."""
+        sent_s = clocks.boot_s()
+        try:
+            entries = self._source.list_targets(_LIST_TIMEOUT_S)
+        except exceptions.BriarfallError as exc:
+            self._table.lose_source()
+            logging.warning("targets not read: %s", exc)
+            return
+        for gone in self._table.update(entries, sent_s):
+            self._pool.drop(gone.entry.address)
+        self._pool.close_idle()
+
+    def stop(self) -> None:
+        """Ends the thread."""
+        self._stopped.set()
+
+
+class Instance:
+    """A gateway instance.
+
+    Args:
+        cfg: Settings.
+        platform: The platform's side.
+        pool: Connections to targets.
+    """
+
+    def __init__(
+        self,
+        cfg: config.GatewaySettings,
+        platform: Platform,
+        pool: exchange.ConnectionPool,
+    ):
+        rng = random.Random()
+        self._cfg = cfg
+        self._platform = platform
+        self._pool = pool
+        self.loads = loads.LoadTable()
+        self.targets = targets.TargetTable()
+        self.follower = catalogue.CatalogueFollower(
+            platform.catalogue, cfg.key_ttl_s
+        )
+        self.target_follower = TargetFollower(
+            platform.targets,
+            self.targets,
+            pool,
+            min(cfg.leaving_bound_s, cfg.beat_s * 2) * 0.5,
+        )
+        self.lease = placer.Lease(platform.lease, cfg.instance)
+        self.placer = placer.Placer(
+            self.lease, platform.engines, self.follower, self.targets
+        )
+        self.budget = budgets.RetryBudget(
+            cfg.retry_ratio,
+            cfg.retry_window_s,
+            cfg.retry_slack,
+            self._instance_count,
+        )
+        finder = paths.PathFinder(self.loads, cfg.zone, rng)
+        self._front = front.Front(
+            platform.header_names,
+            self.follower,
+            plain.PlainForwarder(
+                platform.header_names,
+                cfg.zone,
+                self.targets,
+                self.loads,
+                pool,
+                self.budget,
+                rng,
+            ),
+            streams.StreamForwarder(
+                platform.header_names,
+                self.targets,
+                self.loads,
+                finder,
+                platform.engines,
+                pool,
+                self.budget,
+            ),
+            self.budget,
+            self._is_past_notice,
+            rng,
+        )
+        self._caller_listener = listener.Listener(
+            cfg.caller.host,
+            cfg.caller.port,
+            self._front.serve,
+            name="callers",
+        )
+        self._status_listener = listener.Listener(
+            cfg.status.host, cfg.status.port, self._serve_status, name="status"
+        )
+        self._stop_asked = threading.Event()
+        self._stop_s = 0.0
+
+    def _instance_count(self) -> int:
+        return 20
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send callers."""
+        if self._stop_asked.is_set():
+            return False
+        return self.follower.is_fresh and self.targets.read_s is not None
+
+    def start(self) -> None:
+        """Starts all threads."""
+        self._status_listener.start()
+        self._caller_listener.start()
+        self.follower.start()
+        self.target_follower.start()
+        self.placer.start()
+        logging.info(
+            "started instance=%s zone=%s", self._cfg.instance, self._cfg.zone
+        )
+
+    def ask_stop(self) -> None:
+        """Begins a planned stop."""
+        self._stop_s = clocks.boot_s()
+        self._stop_asked.set()
+
+    def _is_past_notice(self) -> bool:
+        """Whether connections should close after their answer."""
+        if not self._stop_asked.is_set():
+            return False
+        return clocks.boot_s() - self._stop_s > _NOTICE_S / 2
+
+    def wait_for_stop(self) -> None:
+        """Waits for a planned stop and carries it out."""
+        while not self._stop_asked.wait(3600):
+            continue
+        logging.info("stopping instance=%s", self._cfg.instance)
+        self.placer.stop()
+        deadline_s = self._stop_s + self._cfg.drain_grace_s - _EXIT_MARGIN_S
+        pause = threading.Event()
+        while clocks.boot_s() < deadline_s:
+            is_noticed = clocks.boot_s() - self._stop_s > _NOTICE_S
+            if is_noticed and not self._caller_listener.open_connections:
+                break
+            pause.wait(_POLL_S)
+        self._caller_listener.stop()
+        logging.info(
+            "stopped instance=%s open=%d took_s=%.1f",
+            self._cfg.instance,
+            self._caller_listener.open_connections,
+            clocks.boot_s() - self._stop_s,
+        )
+
+    def _serve_status(self, sock: socket.socket) -> None:
+        """Answers the balancer's question."""
+        conn = callers.CallerConnection(sock, views.CallerLimits())
+        try:
+            while conn.wait_readable(conn.limits.idle_timeout_s):
+                req = conn.read_request()
+                if req is None:
+                    return
+                conn.answer(*self._status(req.path))
+                if not conn.start_next():
+                    return
+        except (callers.MessageRefusedError, exchange.CallerGoneError) as exc:
+            logging.info("status connection ended: %s", exc)
+        finally:
+            conn.close()
+
+    def _status(self, path: str):
+        if path != self._platform.ready_path:
+            return 404, [], b"no such path\n"
+        if self.is_ready:
+            return 200, [], b"ready\n"
+        return 503, [], b"not ready\n"
--- /dev/null
+++ b/src/briarfall/gateway/loads.py
@@ -0,0 +1,111 @@
+"""Requests in flight on targets: our own, and those of other instances."""
+
+import collections.abc
+import threading
+
+import msgspec
+
+from briarfall import ids
+from briarfall.gateway import clocks
+
+# Reports of an instance that has fallen silent say little after this time.
+_REPORT_TTL_S = 2.0
+
+
+class Load(msgspec.Struct):
+    """Work on one target.
+
+    Attributes:
+        streams: Requests in flight.
+        tokens: Tokens in its KV cache, as reserved.
+    """
+
+    streams: int = 0
+    tokens: int = 0
+
+
+class _Report(msgspec.Struct):
+    received_s: float
+    loads: dict[ids.TargetId, Load]
+
+
+class LoadTable:
+    """Own reservations, and the last report of each other instance."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._own: dict[ids.TargetId, Load] = {}
+        self._reports: dict[ids.InstanceId, _Report] = {}
+        self._total: dict[ids.TargetId, Load] = {}
+        self._others: dict[ids.TargetId, Load] = {}
+
+    def reserve(
+        self, targets: collections.abc.Iterable[ids.TargetId], tokens: int
+    ) -> None:
+        """Counts a request on each target of its chain."""
+        with self._lock:
+            for target in targets:
+                load = self._own.setdefault(target, Load())
+                load.streams += 1
+                load.tokens += tokens
+
+    def release(
+        self, targets: collections.abc.Iterable[ids.TargetId], tokens: int
+    ) -> None:
+        """Takes a request off each target of its chain."""
+        with self._lock:
+            for target in targets:
+                load = self._own.get(target)
+                if load is None:
+                    continue
+                load.streams -= 1
+                load.tokens -= tokens
+                if load.streams <= 0:
+                    del self._own[target]
+
+    def own(self) -> dict[ids.TargetId, Load]:
+        """Returns a copy of this instance's reservations."""
+        with self._lock:
+            return {
+                target: Load(load.streams, load.tokens)
+                for target, load in self._own.items()
+            }
+
+    def merge(
+        self, instance: ids.InstanceId, loads: dict[ids.TargetId, Load]
+    ) -> None:
+        """Replaces the report of another instance."""
+        with self._lock:
+            self._reports[instance] = _Report(clocks.boot_s(), loads)
+            self._sum_others()
+
+    def expire(self) -> None:
+        """Drops reports of instances that have fallen silent."""
+        oldest_s = clocks.boot_s() - _REPORT_TTL_S
+        with self._lock:
+            for instance, report in list(self._reports.items()):
+                if report.received_s < oldest_s:
+                    del self._reports[instance]
+            self._sum_others()
+
+    def _sum_others(self) -> None:
+        others: dict[ids.TargetId, Load] = {}
+        for report in self._reports.values():
+            for target, load in report.loads.items():
+                total = others.setdefault(target, Load())
+                total.streams += load.streams
+                total.tokens += load.tokens
+        self._others = others
+
+    def of(self, target: ids.TargetId) -> Load:
+        """Returns the load on a target over all known instances."""
+        with self._lock:
+            own = self._own.get(target)
+            others = self._others.get(target)
+        load = Load()
+        for part in (own, others):
+            if part is None:
+                continue
+            load.streams += part.streams
+            load.tokens += part.tokens
+        return load
--- /dev/null
+++ b/src/briarfall/gateway/messages.py
@@ -0,0 +1,96 @@
+"""HTTP requests and responses as plain data."""
+
+import msgspec
+
+Headers = list[tuple[bytes, bytes]]
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+_CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"expect",
+    )
+)
+
+
+def find(headers: Headers, name: bytes) -> bytes | None:
+    """Returns the value of the first header with a lower-case name."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Returns the headers that pass through a proxy."""
+    named = set()
+    for key, value in headers:
+        if key.lower() != b"connection":
+            continue
+        for token in value.split(b","):
+            named.add(token.strip().lower())
+    kept = []
+    for key, value in headers:
+        lower = key.lower()
+        if lower in _CONNECTION_HEADERS or lower in named:
+            continue
+        kept.append((key, value))
+    return kept
+
+
+class CallerRequest(msgspec.Struct):
+    """One request as a caller sent it, with its whole body.
+
+    Attributes:
+        method: The method, such as b"GET".
+        target: Path and query, unchanged.
+        headers: All headers with the spelling of the caller.
+        body: The decoded body.
+        received_s: Time of the first byte on the boot clock, in seconds.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    received_s: float
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the value of a header given in lower case."""
+        return find(self.headers, name)
+
+    @property
+    def path(self) -> str:
+        """The path without its query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+    @property
+    def host(self) -> str:
+        """The host without a port, in lower case."""
+        value = self.header(b"host") or b""
+        return value.decode("latin-1").partition(":")[0].lower()
+
+
+class ResponseHead(msgspec.Struct):
+    """Status and headers of a target's response."""
+
+    status: int
+    reason: bytes
+    headers: Headers
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the value of a header given in lower case."""
+        return find(self.headers, name)
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the status is 2xx."""
+        return 200 <= self.status < 300
--- /dev/null
+++ b/src/briarfall/gateway/paths.py
@@ -0,0 +1,251 @@
+"""Choice of a chain of engines that covers every layer once."""
+
+import math
+import random
+
+import msgspec
+
+from briarfall import ids
+from briarfall.gateway import loads
+from briarfall.gateway import sources
+from briarfall.gateway import targets
+from briarfall.gateway import views
+
+# Each hop costs a hand-over and a wait for the next pass, in steps.
+_PASS_WAIT = 1.5
+_HOP_MS = 0.3
+# Links between zones are shared by all chains, so a crossing is charged more
+# than its own delay.
+_CROSSING_MS = 500.0
+# Spread of the random factor that keeps instances from choosing alike.
+_NOISE = 0.15
+# Share of the KV cache that new requests may fill; the rest is for answers
+# that grow longer than expected.
+_FILL_LIMIT = 0.92
+_MAX_PARTS = 32
+
+
+class Part(msgspec.Struct, frozen=True):
+    """One engine of a chain and the layers that it runs."""
+
+    target: ids.TargetId
+    address: str
+    zone: ids.ZoneId
+    layers: sources.LayerRange
+
+
+class Chain(msgspec.Struct, frozen=True):
+    """Engines that run all layers in order.
+
+    Attributes:
+        parts: The engines, the head first.
+        cost_ms: Expected time of the whole answer.
+    """
+
+    parts: tuple[Part, ...]
+    cost_ms: float
+
+    @property
+    def head(self) -> Part:
+        """The engine that takes the request and answers it."""
+        return self.parts[0]
+
+    def target_ids(self) -> list[ids.TargetId]:
+        """Returns the ids of all engines."""
+        return [part.target for part in self.parts]
+
+
+class Demand(msgspec.Struct, frozen=True):
+    """What a request asks of engines.
+
+    Attributes:
+        prompt: Prompt tokens.
+        answer: Expected output tokens.
+    """
+
+    prompt: int
+    answer: int
+
+    @property
+    def tokens(self) -> int:
+        """Tokens in the KV cache at the end."""
+        return self.prompt + self.answer
+
+
+def kv_capacity(
+    model: views.ModelLayout, kind: str, layers: sources.LayerRange
+) -> float:
+    """Returns the tokens that an engine holds beside its layers' weights."""
+    hardware = model.kinds.get(kind)
+    if hardware is None or not layers.size:
+        return 0.0
+    free_mb = hardware.memory_mb - layers.size * model.layer_mb
+    token_mb = model.kv_bytes / model.layers * layers.size / 1e6
+    return max(0.0, free_mb / token_mb)
+
+
+def step_time_ms(
+    model: views.ModelLayout, kind: str, layers: int, load: loads.Load
+) -> float:
+    """Returns the time of one step of some layers under a load."""
+    hardware = model.kinds[kind]
+    base_ms = (
+        model.step_ms
+        + model.sequence_ms * load.streams
+        + model.context_ms * load.tokens / 1000
+    )
+    return base_ms * hardware.step_factor * layers / model.layers
+
+
+def read_time_ms(
+    model: views.ModelLayout, kind: str, layers: int, tokens: float
+) -> float:
+    """Returns the time to read prompt tokens through some layers."""
+    hardware = model.kinds[kind]
+    share = layers / model.layers
+    return tokens * 1000 / model.read_per_s * hardware.read_factor * share
+
+
+class _Candidate(msgspec.Struct):
+    """An engine with its cost for this request, by layer."""
+
+    part_of: targets.Target
+    layers: sources.LayerRange
+    layer_ms: float
+
+
+class PathFinder:
+    """Finds cheap chains by the expected time of the whole answer.
+
+    Args:
+        table: Load of all instances.
+        zone: Availability zone of this instance.
+        rng: Source of the noise.
+    """
+
+    def __init__(
+        self, table: loads.LoadTable, zone: ids.ZoneId, rng: random.Random
+    ):
+        self._loads = table
+        self._zone = zone
+        self._rng = rng
+
+    def find(
+        self,
+        model: views.ModelLayout,
+        rows: list[targets.Target],
+        demand: Demand,
+        excluded: frozenset[ids.TargetId] = frozenset(),
+        *,
+        layers: sources.LayerRange | None = None,
+        zone: ids.ZoneId | None = None,
+    ) -> Chain | None:
+        """Returns the cheapest chain with room, or None.
+
+        Args:
+            model: The model's layout.
+            rows: Engines that take new work.
+            demand: What the request asks.
+            excluded: Engines to leave out.
+            layers: Layers to cover; all of the model's by default.
+            zone: Where the request comes from; by default this instance's.
+        """
+        span = layers or sources.LayerRange(0, model.layers)
+        candidates = []
+        for row in rows:
+            if row.id in excluded:
+                continue
+            candidate = self._candidate(model, row, demand)
+            if candidate is not None:
+                candidates.append(candidate)
+        return self._shortest(candidates, demand, span, zone or self._zone)
+
+    def _candidate(
+        self,
+        model: views.ModelLayout,
+        row: targets.Target,
+        demand: Demand,
+    ) -> _Candidate | None:
+        entry = row.entry
+        if entry.layers is None or entry.kind not in model.kinds:
+            return None
+        load = self._loads.of(row.id)
+        room = kv_capacity(model, entry.kind, entry.layers)
+        fill = (load.tokens + demand.tokens) / max(1.0, room)
+        if fill > _FILL_LIMIT:
+            return None
+        step_ms = step_time_ms(model, entry.kind, 1, load)
+        layer_ms = demand.answer * _PASS_WAIT * step_ms
+        layer_ms += read_time_ms(model, entry.kind, 1, demand.prompt)
+        # A nearly full cache makes every later request wait or be refused.
+        layer_ms *= 1 + fill**4
+        layer_ms *= 1 + _NOISE * self._rng.random()
+        return _Candidate(row, entry.layers, layer_ms)
+
+    def _shortest(
+        self,
+        candidates: list[_Candidate],
+        demand: Demand,
+        span: sources.LayerRange,
+        start_zone: ids.ZoneId,
+    ) -> Chain | None:
+        cuts = _cut_points(candidates, span)
+        holders: dict[int, list[_Candidate]] = {}
+        for cut in cuts:
+            holders[cut] = [
+                row
+                for row in candidates
+                if row.layers.first <= cut < row.layers.end
+            ]
+        hop_ms = demand.answer * _HOP_MS
+        # Best known way to reach (layer, zone): cost and the steps to it.
+        best: dict[int, dict[ids.ZoneId, tuple[float, tuple]]] = {
+            cut: {} for cut in cuts
+        }
+        best[span.first] = {start_zone: (0.0, ())}
+        for cut in cuts:
+            for zone, (cost, steps) in best[cut].items():
+                for row in holders[cut]:
+                    entry = row.part_of.entry
+                    base_ms = cost + hop_ms
+                    if entry.zone != zone:
+                        base_ms += _CROSSING_MS
+                    for end in cuts:
+                        if end <= cut or end > row.layers.end:
+                            continue
+                        total = base_ms + row.layer_ms * (end - cut)
+                        known = best[end].get(entry.zone)
+                        if known is None or total < known[0]:
+                            best[end][entry.zone] = (
+                                total,
+                                (steps, row, cut, end),
+                            )
+        return _best_chain(best[span.end])
+
+
+def _cut_points(
+    candidates: list[_Candidate], span: sources.LayerRange
+) -> list[int]:
+    cuts = {span.first, span.end}
+    for row in candidates:
+        cuts.add(row.layers.first)
+        cuts.add(row.layers.end)
+    return sorted(cut for cut in cuts if span.first <= cut <= span.end)
+
+
+def _best_chain(ends: dict[ids.ZoneId, tuple[float, tuple]]) -> Chain | None:
+    cost, steps = min(
+        ends.values(), key=lambda row: row[0], default=(math.inf, ())
+    )
+    parts = []
+    while steps:
+        steps, row, first, end = steps
+        entry = row.part_of.entry
+        layers = sources.LayerRange(first, end)
+        parts.append(Part(entry.id, entry.address, entry.zone, layers))
+    parts.reverse()
+    if not parts or len(parts) > _MAX_PARTS:
+        return None
+    if len({part.target for part in parts}) != len(parts):
+        return None
+    return Chain(tuple(parts), cost)
--- /dev/null
+++ b/src/briarfall/gateway/placement.py
@@ -0,0 +1,121 @@
+"""Choice of layer ranges for empty engines."""
+
+import msgspec
+
+from briarfall import ids
+from briarfall.gateway import paths
+from briarfall.gateway import sources
+from briarfall.gateway import views
+
+# Share of an engine's memory for weights; the rest is KV cache.
+_WEIGHT_SHARE = 0.66
+# A layer that only other zones hold still counts, but little: links between
+# zones carry a small part of the traffic.
+_REMOTE_WEIGHT = 0.15
+
+
+class EngineSlot(msgspec.Struct, frozen=True):
+    """An engine as the planner sees it."""
+
+    id: ids.TargetId
+    zone: ids.ZoneId
+    kind: str
+    layers: sources.LayerRange | None = None
+
+
+class Plan:
+    """Coverage of the layers of one model, and choices that improve it.
+
+    Ranges consist of whole blocks: as many layers as the smallest kind of
+    accelerator can hold. Engines with equal block borders can replace each
+    other in a chain.
+
+    Args:
+        model: The model's layout.
+        engines: All engines; those with layers count as coverage.
+    """
+
+    def __init__(self, model: views.ModelLayout, engines: list[EngineSlot]):
+        self._model = model
+        self._borders = block_borders(model)
+        blocks = len(self._borders) - 1
+        self._cover: dict[ids.ZoneId, list[float]] = {}
+        for engine in engines:
+            self._cover.setdefault(engine.zone, [0.0] * blocks)
+        for engine in engines:
+            if engine.layers is not None:
+                self._add(engine, engine.layers)
+
+    def cover(self, zone: ids.ZoneId) -> list[float]:
+        """Returns the tokens that a zone's engines hold, by block."""
+        return list(self._cover.get(zone, ()))
+
+    def _add(self, engine: EngineSlot, layers: sources.LayerRange) -> None:
+        room = paths.kv_capacity(self._model, engine.kind, layers)
+        cover = self._cover[engine.zone]
+        for block in range(len(cover)):
+            first = self._borders[block]
+            end = self._borders[block + 1]
+            if layers.holds(sources.LayerRange(first, end)):
+                cover[block] += room
+
+    def assign(self, engine: EngineSlot) -> sources.LayerRange | None:
+        """Returns the range that an empty engine helps most, and counts it."""
+        count = block_count(self._model, engine.kind)
+        blocks = len(self._borders) - 1
+        count = min(count, blocks)
+        if count < 1:
+            return None
+        best = None
+        for start in _starts(blocks, count):
+            value = self._need(engine.zone, start, count)
+            if best is None or value > best[0]:
+                best = (value, start)
+        start = best[1]
+        layers = sources.LayerRange(
+            self._borders[start], self._borders[start + count]
+        )
+        self._add(engine, layers)
+        return layers
+
+    def _need(self, zone: ids.ZoneId, start: int, count: int) -> float:
+        """Returns how scarce a window of blocks is, as seen from a zone."""
+        need = 0.0
+        for block in range(start, start + count):
+            have = self._cover[zone][block]
+            for other, cover in self._cover.items():
+                if other != zone:
+                    have += _REMOTE_WEIGHT * cover[block]
+            need += 1.0 / (1000.0 + have) ** 2
+        return need
+
+
+def _starts(blocks: int, count: int) -> list[int]:
+    """Returns the starts of windows, those on multiples of `count` first."""
+    aligned = list(range(0, blocks - count + 1, count))
+    if blocks % count:
+        aligned.append(blocks - count)
+    return aligned
+
+
+def block_count(model: views.ModelLayout, kind: str) -> int:
+    """Returns how many blocks an engine of a kind holds."""
+    hardware = model.kinds.get(kind)
+    if hardware is None:
+        return 0
+    size = _block_size(model)
+    fits = int(hardware.memory_mb * _WEIGHT_SHARE // model.layer_mb)
+    return fits // size
+
+
+def block_borders(model: views.ModelLayout) -> list[int]:
+    """Returns the layers at which blocks begin, and the number of layers."""
+    size = _block_size(model)
+    count = -(-model.layers // size)
+    return [round(i * model.layers / count) for i in range(count + 1)]
+
+
+def _block_size(model: views.ModelLayout) -> int:
+    smallest = min(kind.memory_mb for kind in model.kinds.values())
+    size = int(smallest * _WEIGHT_SHARE // model.layer_mb)
+    return max(1, min(size, model.layers))
--- /dev/null
+++ b/src/briarfall/gateway/streams.py
@@ -0,0 +1,548 @@
+"""Streams over a chain of engines, kept going when an engine fails."""
+
+import enum
+
+from absl import logging
+import h11
+import msgspec
+
+from briarfall import exceptions
+from briarfall import ids
+from briarfall.gateway import budgets
+from briarfall.gateway import calls
+from briarfall.gateway import clocks
+from briarfall.gateway import events
+from briarfall.gateway import exchange
+from briarfall.gateway import loads
+from briarfall.gateway import messages
+from briarfall.gateway import names
+from briarfall.gateway import paths
+from briarfall.gateway import sources
+from briarfall.gateway import targets
+
+_IDLE_S = 30.0
+_MAX_SENDS = 6
+# An engine that was short of memory is left out by new chains this long.
+_FULL_BLOCK_S = 0.15
+# Shortest silence of a stream that starts a search for the failed engine.
+_MIN_SILENCE_S = 0.12
+# Silence beyond this many usual pauses is suspicious.
+_SILENCE_FACTOR = 2.5
+_FIRST_SILENCE_S = 0.3
+_PAUSE_WEIGHT = 0.2
+_REPORT_TIMEOUT_S = 0.1
+_ORDER_TIMEOUT_S = 0.2
+_MAX_REPATHS = 4
+_MAX_SILENCE_CHECKS = 8
+# Interval at which a request waits for room on the engines.
+_ROOM_POLL_S = 0.03
+# Room that does not appear within this part of the aim is not worth waiting.
+_ROOM_WAIT_SHARE = 0.6
+_RETRY_AFTER_S = 0.5
+
+
+class Sequel(enum.Enum):
+    """How one run of a stream ended."""
+
+    COMPLETE = "complete"
+    BROKEN = "broken"
+
+
+class Stream(msgspec.Struct):
+    """The state of one stream.
+
+    Attributes:
+        call: The request.
+        demand: Tokens that it needs.
+        last_id: Number of the last event that the caller has.
+        has_begun: Whether the caller has the head of the answer.
+        pause_s: Usual pause between events.
+        event_s: Time on the boot clock of the last event.
+        excluded: Engines that failed this stream.
+    """
+
+    call: calls.Call
+    demand: paths.Demand
+    last_id: int = 0
+    has_begun: bool = False
+    pause_s: float = 0.0
+    event_s: float = 0.0
+    excluded: set[ids.TargetId] = msgspec.field(default_factory=set)
+
+
+class _Run(msgspec.Struct):
+    """One chain at work on a stream.
+
+    Attributes:
+        chain: The engines.
+        conn: Connection to the head.
+        checks: Searches for a failed engine since the last event.
+        repaths: Changes of the chain.
+        next_check_s: Time on the boot clock of the next search.
+    """
+
+    chain: paths.Chain
+    conn: exchange.TargetConnection
+    checks: int = 0
+    repaths: int = 0
+    next_check_s: float = 0.0
+
+
+class StreamForwarder:
+    """Forwards streams to engines.
+
+    Args:
+        header_names: Header names of the platform.
+        table: Targets.
+        load_table: Loads of all instances.
+        finder: Chooses chains.
+        engines: Reports of and orders to engines.
+        pool: Connections to targets.
+        budget: Bound on repeats.
+    """
+
+    def __init__(
+        self,
+        header_names: names.HeaderNames,
+        table: targets.TargetTable,
+        load_table: loads.LoadTable,
+        finder: paths.PathFinder,
+        engines: sources.EngineControl,
+        pool: exchange.ConnectionPool,
+        budget: budgets.RetryBudget,
+    ):
+        self._names = header_names
+        self._targets = table
+        self._loads = load_table
+        self._finder = finder
+        self._engines = engines
+        self._pool = pool
+        self._budget = budget
+
+    def forward(self, call: calls.Call) -> None:
+        """Runs a stream to its end, over as many chains as it takes.
+
+        Raises:
+            BriarfallError: Nothing was answered to the caller, or the
+                stream ended early and its connection has to be closed.
+        """
+        stream = Stream(call, self._demand(call))
+        last = call.req.header(self._names.last_event)
+        if last is not None and last.isdigit():
+            stream.last_id = int(last)
+        while True:
+            chain = self._wait_for_chain(stream)
+            if call.sends and not self._budget.take_repeat():
+                raise self._give_up(stream, "the retry budget is used up")
+            call.sends += 1
+            try:
+                self._run(stream, chain)
+                return
+            except exchange.NotSentError as exc:
+                self._fail(stream, chain.head.target, exc.message)
+            except calls.RefusedByTargetError as exc:
+                self._note_refusal(stream, chain, exc)
+            except (
+                exchange.BrokenExchangeError,
+                exchange.TimeUpError,
+            ) as exc:
+                self._note_break(stream, chain, exc)
+
+    def _demand(self, call: calls.Call) -> paths.Demand:
+        model = call.service.model
+        prompt = model.usual_prompt
+        answer = model.usual_answer
+        usage = call.req.header(self._names.token_usage)
+        if usage is not None:
+            head, _, tail = usage.partition(b",")
+            if head.strip().isdigit():
+                prompt = int(head)
+            if tail.strip().isdigit():
+                answer = min(answer, int(tail))
+        hint = call.req.header(self._names.length_hint)
+        if hint is not None and hint.strip().isdigit():
+            answer = int(hint)
+        return paths.Demand(int(prompt), int(answer))
+
+    def _wait_for_chain(self, stream: Stream) -> paths.Chain:
+        """Returns a chain with room; waits a little for one."""
+        call = stream.call
+        wait_s = call.route.aim_s * _ROOM_WAIT_SHARE
+        if stream.has_begun:
+            wait_s = call.route.gap_aim_s * 4
+        until_s = clocks.boot_s() + wait_s
+        while True:
+            if call.sends >= _MAX_SENDS or call.left_s <= 0:
+                raise self._give_up(stream, "too many tries")
+            rows = self._targets.usable(call.service.name)
+            chain = self._finder.find(
+                call.service.model,
+                rows,
+                stream.demand,
+                frozenset(stream.excluded),
+            )
+            if chain is not None:
+                return chain
+            if clocks.boot_s() >= until_s:
+                raise self._give_up(stream, "no chain of engines has room")
+            call.watch.pause(_ROOM_POLL_S)
+
+    def _give_up(
+        self, stream: Stream, reason: str
+    ) -> exceptions.BriarfallError:
+        call = stream.call
+        if call.was_cut or stream.has_begun:
+            return exceptions.StreamLostError(reason)
+        return exceptions.OverloadError(
+            reason,
+            outcome=exceptions.Outcome.NOT_RUN,
+            retry_after_s=_RETRY_AFTER_S,
+        )
+
+    def _fail(
+        self, stream: Stream, target_id: ids.TargetId, reason: str
+    ) -> None:
+        stream.excluded.add(target_id)
+        target = self._targets.get(target_id)
+        if target is not None:
+            self._targets.note_failure(target, reason)
+
+    def _note_refusal(
+        self,
+        stream: Stream,
+        chain: paths.Chain,
+        exc: calls.RefusedByTargetError,
+    ) -> None:
+        """Blocks the engine that a refusal names."""
+        address = exc.head.header(self._names.faulty_target)
+        named = None
+        if address is not None:
+            named = self._targets.at(address.decode("latin-1"))
+        target_id = named.id if named is not None else chain.head.target
+        logging.info(
+            "stream refused request=%s status=%d target=%s age_ms=%d",
+            stream.call.request_id,
+            exc.head.status,
+            target_id,
+            stream.call.age_s * 1000,
+        )
+        target = self._targets.get(target_id)
+        if target is None:
+            stream.excluded.add(target_id)
+            return
+        if exc.head.status == 421:
+            self._fail(stream, target_id, "does not hold its layers")
+            return
+        self._targets.block(target, _FULL_BLOCK_S)
+
+    def _note_break(
+        self,
+        stream: Stream,
+        chain: paths.Chain,
+        exc: exceptions.BriarfallError,
+    ) -> None:
+        """Decides whether a broken stream goes on; raises if it does not."""
+        call = stream.call
+        call.was_cut = True
+        call.runs += 1
+        logging.warning(
+            "stream broken request=%s last_event=%d sends=%d age_ms=%d: %s",
+            call.request_id,
+            stream.last_id,
+            call.sends,
+            call.age_s * 1000,
+            exc,
+        )
+        if isinstance(exc, exchange.BrokenExchangeError):
+            self._fail(stream, chain.head.target, exc.message)
+        if not call.route.is_repeatable or call.left_s <= 0:
+            raise exc
+
+    def _run(self, stream: Stream, chain: paths.Chain) -> None:
+        """Runs a stream on one chain until it ends or breaks."""
+        call = stream.call
+        head = chain.head
+        target = self._targets.get(head.target)
+        if target is None:
+            raise exchange.NotSentError(f"{head.target} has gone")
+        conn = self._pool.take(head.address, _IDLE_S, call.left_s)
+        run = _Run(chain, conn)
+        response = None
+        self._loads.reserve(chain.target_ids(), stream.demand.tokens)
+        try:
+            conn.watch(call.watch)
+            conn.send(
+                call.req.method,
+                call.req.target,
+                self._headers(stream, target.entry, chain),
+                call.req.body,
+                call.deadline_s,
+            )
+            stream.event_s = clocks.boot_s()
+            run.next_check_s = stream.event_s + _FIRST_SILENCE_S
+            self._await_bytes(stream, run)
+            response = conn.read_head(
+                call.deadline_s,
+                lambda head: call.is_own(self._names.request_id, head),
+            )
+            if calls.is_refusal(response, self._names):
+                raise calls.RefusedByTargetError(
+                    f"{head.target}: status {response.status}", response
+                )
+            if response.is_success:
+                self._relay_events(stream, run, response)
+            else:
+                self._relay_failure(stream, conn, response)
+            self._targets.note_success(target)
+        finally:
+            self._loads.release(run.chain.target_ids(), stream.demand.tokens)
+            if response is not None and conn.finish(response):
+                self._pool.put(conn)
+            else:
+                conn.close()
+
+    def _headers(
+        self,
+        stream: Stream,
+        target: sources.TargetEntry,
+        chain: paths.Chain,
+    ) -> messages.Headers:
+        parts = [(part.address, part.layers) for part in chain.parts]
+        extra = [(self._names.chain, self._engines.chain(parts))]
+        if stream.last_id:
+            number = str(stream.last_id).encode()
+            extra.append((self._names.last_event, number))
+        return calls.headers_for(stream.call, self._names, target, extra)
+
+    def _relay_failure(
+        self,
+        stream: Stream,
+        conn: exchange.TargetConnection,
+        response: messages.ResponseHead,
+    ) -> None:
+        """Passes an engine's own failure on."""
+        chunks = []
+        while True:
+            event = conn.read_event(stream.call.deadline_s)
+            if isinstance(event, h11.EndOfMessage):
+                break
+            chunks.append(bytes(event.data))
+        if stream.has_begun:
+            raise exchange.BrokenExchangeError(
+                f"{conn.address}: resumed with status {response.status}",
+                saw_response=True,
+            )
+        stream.call.conn.answer(
+            response.status,
+            messages.end_to_end(response.headers),
+            b"".join(chunks),
+        )
+
+    def _relay_events(
+        self, stream: Stream, run: _Run, response: messages.ResponseHead
+    ) -> None:
+        """Passes events on until the stream has ended as complete."""
+        call = stream.call
+        splitter = events.EventSplitter()
+        while True:
+            event = run.conn.next_event()
+            if event is None:
+                self._await_bytes(stream, run)
+                run.conn.pump()
+                continue
+            if isinstance(event, h11.EndOfMessage):
+                break
+            ready = splitter.feed(bytes(event.data))
+            data = self._accept(stream, run, ready)
+            if not data:
+                continue
+            self._begin(stream, response)
+            call.conn.send_data(data)
+        if splitter.rest:
+            raise exchange.BrokenExchangeError(
+                f"{run.conn.address}: ended inside an event", saw_response=True
+            )
+        self._begin(stream, response)
+        call.conn.end()
+
+    def _begin(self, stream: Stream, response: messages.ResponseHead) -> None:
+        if stream.has_begun:
+            return
+        stream.has_begun = True
+        headers = []
+        for key, value in messages.end_to_end(response.headers):
+            # A resumed part may have another length.
+            if key.lower() != b"content-length":
+                headers.append((key, value))
+        stream.call.conn.send_head(response.status, headers)
+
+    def _accept(
+        self, stream: Stream, run: _Run, ready: list[events.Event]
+    ) -> bytes:
+        """Returns the bytes of events that are next in order.
+
+        Raises:
+            BrokenExchangeError: An event is missing.
+        """
+        if not ready:
+            return b""
+        kept = []
+        for event in ready:
+            if event.id is not None:
+                if event.id <= stream.last_id:
+                    continue
+                if stream.last_id and event.id != stream.last_id + 1:
+                    raise exchange.BrokenExchangeError(
+                        f"{run.conn.address}: event {event.id} follows "
+                        f"{stream.last_id}",
+                        saw_response=True,
+                    )
+                stream.last_id = event.id
+            kept.append(event.data)
+        if kept:
+            self._note_progress(stream, run)
+        return b"".join(kept)
+
+    def _note_progress(self, stream: Stream, run: _Run) -> None:
+        now_s = clocks.boot_s()
+        pause_s = now_s - stream.event_s
+        if stream.has_begun:
+            if not stream.pause_s:
+                stream.pause_s = pause_s
+            stream.pause_s += _PAUSE_WEIGHT * (pause_s - stream.pause_s)
+        stream.event_s = now_s
+        run.checks = 0
+        run.next_check_s = now_s + self._silence_s(stream)
+
+    def _silence_s(self, stream: Stream) -> float:
+        return max(_MIN_SILENCE_S, stream.pause_s * _SILENCE_FACTOR)
+
+    def _await_bytes(self, stream: Stream, run: _Run) -> None:
+        """Waits for bytes; mends the chain while there are none."""
+        deadline_s = stream.call.deadline_s
+        while True:
+            until_s = min(deadline_s, run.next_check_s)
+            if run.conn.wait(until_s):
+                return
+            if clocks.boot_s() >= deadline_s:
+                raise exchange.TimeUpError("the stream is out of time")
+            run.checks += 1
+            wait_s = self._silence_s(stream) * 2 ** min(3, run.checks - 1)
+            run.next_check_s = clocks.boot_s() + wait_s
+            if run.checks <= _MAX_SILENCE_CHECKS:
+                self._mend(stream, run)
+
+    def _mend(self, stream: Stream, run: _Run) -> None:
+        """Asks the head which engine the stream waits for, and avoids it."""
+        head = run.chain.head
+        call = stream.call
+        silent_ms = (clocks.boot_s() - stream.event_s) * 1000
+        try:
+            report = self._engines.report(head.address, _REPORT_TIMEOUT_S)
+        except exceptions.BriarfallError as exc:
+            logging.warning(
+                "head silent request=%s target=%s silent_ms=%d: %s",
+                call.request_id,
+                head.target,
+                silent_ms,
+                exc,
+            )
+            raise exchange.BrokenExchangeError(
+                f"{head.address}: silent", saw_response=stream.has_begun
+            ) from exc
+        address = report.stalled.get(call.request_id)
+        logging.info(
+            "stream silent request=%s silent_ms=%d stalled_at=%s check=%d",
+            call.request_id,
+            silent_ms,
+            address,
+            run.checks,
+        )
+        if not address:
+            return
+        culprit = self._targets.at(address)
+        if culprit is not None:
+            self._targets.note_failure(culprit, "a stream waits for it")
+            stream.excluded.add(culprit.id)
+        self._repath(stream, run, address)
+
+    def _repath(self, stream: Stream, run: _Run, address: str) -> None:
+        """Replaces one engine of the chain of a running stream."""
+        call = stream.call
+        if run.repaths >= _MAX_REPATHS:
+            return
+        run.repaths += 1
+        for _ in range(_MAX_REPATHS):
+            chain = self._detour(stream, run.chain, address)
+            if chain is None:
+                logging.warning("no detour request=%s", call.request_id)
+                return
+            parts = [(part.address, part.layers) for part in chain.parts]
+            sent_s = clocks.boot_s()
+            try:
+                answer = self._engines.repath(
+                    chain.head.address,
+                    call.request_id,
+                    self._engines.chain(parts),
+                    _ORDER_TIMEOUT_S,
+                )
+            except exceptions.BriarfallError as exc:
+                logging.warning("repath failed: %s", exc)
+                return
+            logging.info(
+                "repath request=%s around=%s result=%s took_ms=%d",
+                call.request_id,
+                address,
+                answer.result.value,
+                (clocks.boot_s() - sent_s) * 1000,
+            )
+            if answer.result in (
+                sources.OrderResult.BEGUN,
+                sources.OrderResult.HOLDS,
+            ):
+                self._switch(stream, run, chain)
+                return
+            refusing = self._targets.at(answer.address)
+            if refusing is None:
+                return
+            stream.excluded.add(refusing.id)
+
+    def _switch(self, stream: Stream, run: _Run, chain: paths.Chain) -> None:
+        tokens = stream.demand.tokens
+        self._loads.reserve(chain.target_ids(), tokens)
+        self._loads.release(run.chain.target_ids(), tokens)
+        run.chain = chain
+        run.next_check_s = clocks.boot_s() + self._silence_s(stream) * 2
+
+    def _detour(
+        self, stream: Stream, chain: paths.Chain, address: str
+    ) -> paths.Chain | None:
+        """Returns the chain with one engine's layers run by others."""
+        call = stream.call
+        bad = None
+        others = set()
+        for part in chain.parts:
+            if part.address == address:
+                bad = part
+                continue
+            others.add(part.target)
+        if bad is None or bad is chain.head:
+            return None
+        rows = self._targets.usable(call.service.name)
+        middle = self._finder.find(
+            call.service.model,
+            rows,
+            stream.demand,
+            frozenset(stream.excluded | others),
+            layers=bad.layers,
+            zone=bad.zone,
+        )
+        if middle is None:
+            return None
+        parts = []
+        for part in chain.parts:
+            if part is bad:
+                parts.extend(middle.parts)
+                continue
+            parts.append(part)
+        return paths.Chain(tuple(parts), chain.cost_ms)
--- /dev/null
+++ b/src/briarfall/gateway/targets.py
@@ -0,0 +1,176 @@
+"""Targets as this instance believes them to be."""
+
+import threading
+
+from absl import logging
+import msgspec
+
+from briarfall import ids
+from briarfall.gateway import clocks
+from briarfall.gateway import sources
+from briarfall.gateway import views
+
+# The platform re-registers living targets within about this time after its
+# store returns; an entry that is still missing then is gone.
+_REGISTRATION_S = 2.2
+_FIRST_BLOCK_S = 0.5
+_MAX_BLOCK_S = 4.0
+
+
+class Target(msgspec.Struct):
+    """One target and what this instance has seen of it.
+
+    Attributes:
+        entry: The newest entry.
+        beat_s: Time on the boot clock at which its beat last rose.
+        blocked_until_s: Time until which it gets no new requests.
+        failures: Failures in a row.
+    """
+
+    entry: sources.TargetEntry
+    beat_s: float
+    blocked_until_s: float = 0.0
+    failures: int = 0
+
+    @property
+    def id(self) -> ids.TargetId:
+        """Unique id."""
+        return self.entry.id
+
+
+class TargetTable:
+    """All targets, by id."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._targets: dict[ids.TargetId, Target] = {}
+        self._by_address: dict[str, ids.TargetId] = {}
+        self._is_source_lost = False
+        self._regained_s = 0.0
+        self.read_s: float | None = None
+        self.changed = threading.Condition(self._lock)
+
+    def update(
+        self, entries: list[sources.TargetEntry], read_s: float
+    ) -> list[Target]:
+        """Takes over a read of the list.
+
+        Args:
+            entries: All valid entries.
+            read_s: Time on the boot clock at which the read was sent.
+
+        Returns:
+            Targets that have gone.
+        """
+        gone = []
+        with self._lock:
+            if self.read_s is not None and read_s < self.read_s:
+                return gone
+            if self._is_source_lost:
+                self._is_source_lost = False
+                self._regained_s = read_s
+                logging.info("target list regained entries=%d", len(entries))
+            self.read_s = read_s
+            listed = set()
+            for entry in entries:
+                listed.add(entry.id)
+                self._take(entry, read_s)
+            keeps_lapsed = read_s - self._regained_s < _REGISTRATION_S
+            for target in list(self._targets.values()):
+                if target.id in listed:
+                    continue
+                if keeps_lapsed and (
+                    target.entry.state is sources.TargetState.READY
+                ):
+                    continue
+                gone.append(target)
+                del self._targets[target.id]
+                logging.info("target gone target=%s", target.id)
+            self._by_address = {
+                target.entry.address: target.id
+                for target in self._targets.values()
+            }
+            self.changed.notify_all()
+        return gone
+
+    def _take(self, entry: sources.TargetEntry, read_s: float) -> None:
+        known = self._targets.get(entry.id)
+        is_new = known is None
+        if known is not None:
+            is_new = known.entry.started_ms != entry.started_ms
+        if is_new:
+            self._targets[entry.id] = Target(entry, read_s)
+            logging.info(
+                "target found target=%s service=%s zone=%s layers=%s",
+                entry.id,
+                entry.service,
+                entry.zone,
+                entry.layers,
+            )
+            return
+        if known.entry.beat != entry.beat:
+            known.beat_s = read_s
+        if known.entry.state is not entry.state:
+            logging.info(
+                "target state target=%s state=%s", entry.id, entry.state.value
+            )
+        known.entry = entry
+
+    def lose_source(self) -> None:
+        """Notes that the list can't be read; what is known stays."""
+        with self._lock:
+            if not self._is_source_lost:
+                logging.warning("target list lost read_s=%s", self.read_s)
+            self._is_source_lost = True
+
+    def get(self, target: ids.TargetId) -> Target | None:
+        """Returns a target by id."""
+        return self._targets.get(target)
+
+    def at(self, address: str) -> Target | None:
+        """Returns the target at an address."""
+        target = self._by_address.get(address)
+        return self._targets.get(target) if target else None
+
+    def of_service(self, service: views.ServiceName) -> list[Target]:
+        """Returns the targets of a service in any state."""
+        with self._lock:
+            rows = list(self._targets.values())
+        return [row for row in rows if row.entry.service == service]
+
+    def usable(self, service: views.ServiceName) -> list[Target]:
+        """Returns targets that take new work; blocked ones if no other do."""
+        now_s = clocks.boot_s()
+        ready = []
+        free = []
+        for target in self.of_service(service):
+            if target.entry.state is not sources.TargetState.READY:
+                continue
+            ready.append(target)
+            if target.blocked_until_s <= now_s:
+                free.append(target)
+        return free or ready
+
+    def note_failure(self, target: Target, reason: str) -> None:
+        """Keeps new requests away from a target for a growing time."""
+        with self._lock:
+            target.failures += 1
+            block_s = _FIRST_BLOCK_S * 2 ** (target.failures - 1)
+            block_s = min(_MAX_BLOCK_S, block_s)
+            target.blocked_until_s = clocks.boot_s() + block_s
+        logging.warning(
+            "target blocked target=%s for_s=%.1f reason=%s",
+            target.id,
+            block_s,
+            reason,
+        )
+
+    def block(self, target: Target, seconds: float) -> None:
+        """Keeps new requests away from a target for a fixed time."""
+        until_s = clocks.boot_s() + seconds
+        target.blocked_until_s = max(target.blocked_until_s, until_s)
+
+    def note_success(self, target: Target) -> None:
+        """Forgets earlier failures."""
+        target.failures = 0
+        target.blocked_until_s = 0.0
--- /dev/null
+++ b/src/briarfall/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the prepared platform; nothing that decides."""
--- /dev/null
+++ b/src/briarfall/platform/main.py
@@ -0,0 +1,44 @@
+"""Runs a gateway instance on the prepared platform."""
+
+import os
+import pathlib
+import signal
+
+from briarfall import logs
+from briarfall.gateway import exchange
+from briarfall.gateway import instance
+from briarfall.platform import engines
+from briarfall.platform import headers
+from briarfall.platform import settings
+from briarfall.platform import store
+from briarfall.platform import topics
+
+_SETTINGS_VARIABLE = "BRIARFALL_SETTINGS"
+
+
+class StorePlatform(instance.Platform):
+    """The prepared platform: its store, its engines, its names."""
+
+    def __init__(self, address: str, pool: exchange.ConnectionPool):
+        self.header_names = headers.HEADERS
+        self.ready_path = headers.READY_PATH
+        self.catalogue = topics.CatalogueTopic(store.Store(address))
+        self.targets = topics.TargetTopic(store.Store(address))
+        self.lease = topics.LeaseTopic(store.Store(address))
+        self.instances = topics.InstanceTopic(store.Store(address))
+        self.engines = engines.EngineCalls(pool)
+
+
+def run() -> None:
+    """Runs an instance until it is told to stop."""
+    path = os.environ[_SETTINGS_VARIABLE]
+    cfg = settings.parse(pathlib.Path(path).read_bytes())
+    logs.configure(cfg.instance, as_json=True, verbose=True)
+    pool = exchange.ConnectionPool()
+    program = instance.Instance(
+        cfg, StorePlatform(cfg.store_address, pool), pool
+    )
+    signal.signal(signal.SIGTERM, lambda *_: program.ask_stop())
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    program.start()
+    program.wait_for_stop()
--- /dev/null
+++ b/src/briarfall/platform/topics.py
@@ -0,0 +1,224 @@
+"""The topics of the store as the gateway's sources."""
+
+from absl import logging
+import msgspec
+
+from briarfall import exceptions
+from briarfall import ids
+from briarfall.gateway import sources
+from briarfall.gateway import views
+from briarfall.platform import manifest
+from briarfall.platform import store
+
+_OPERATOR_TOPIC = "keyed.op"
+_MANIFEST_KEY = "config"
+_TARGETS_TOPIC = "keyed.servers"
+_INSTANCES_TOPIC = "keyed.briarfall-instances"
+_LEASE_TOPIC = "keyed.briarfall-lease"
+_LEASE_KEY = "placement"
+_STATES = {
+    "ready": sources.TargetState.READY,
+    "draining": sources.TargetState.LEAVING,
+}
+
+
+class CatalogueTopic(sources.CatalogueSource):
+    """The operator's manifest."""
+
+    def __init__(self, client: store.Store):
+        self._store = client
+
+    def read_newest(self, timeout_s: float) -> sources.CatalogueRead:
+        """Returns the newest manifest whole."""
+        records, end = self._store.newest(_OPERATOR_TOPIC, timeout_s)
+        for record in records:
+            if record.key == _MANIFEST_KEY:
+                return sources.CatalogueRead(end, record.value)
+        return sources.CatalogueRead(end, None)
+
+    def wait_newer(
+        self, position: int, wait_s: float, timeout_s: float
+    ) -> sources.CatalogueRead:
+        """Waits for a newer manifest."""
+        records, end = self._store.read(
+            _OPERATOR_TOPIC, position, timeout_s, wait_s=wait_s
+        )
+        raw = None
+        for record in records:
+            keyed = store.split_keyed(record)
+            if keyed.key == _MANIFEST_KEY and keyed.value:
+                raw = keyed.value
+        return sources.CatalogueRead(end, raw)
+
+    def parse(self, raw: bytes) -> views.CatalogueView:
+        """Returns the view of a manifest."""
+        return manifest.parse(raw)
+
+
+class _Layers(msgspec.Struct):
+    first: int | None = msgspec.field(name="from", default=None)
+    # The wire names the end of a range "target".
+    end: int | None = msgspec.field(name="target", default=None)
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    kind: str = ""
+    layers: _Layers | None = None
+    seq: int = 0
+    # Unix milliseconds of the engine's start.
+    born: int = 0
+
+
+def parse_entry(key: str, value: bytes) -> sources.TargetEntry:
+    """Returns the target that an entry names.
+
+    Raises:
+        CatalogueError: The entry can't be read or has unknown words.
+    """
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise exceptions.CatalogueError(f"target {key}: {exc}") from exc
+    state = _STATES.get(entry.state)
+    if state is None:
+        raise exceptions.CatalogueError(
+            f"target {key}: state {entry.state!r} is unknown"
+        )
+    host, _, port = entry.address.rpartition(":")
+    if not host or not port.isdigit():
+        raise exceptions.CatalogueError(
+            f"target {key}: address {entry.address!r} is no address"
+        )
+    return sources.TargetEntry(
+        id=ids.TargetId(key),
+        service=views.ServiceName(entry.service),
+        address=entry.address,
+        zone=ids.ZoneId(entry.zone),
+        state=state,
+        slots=entry.slots,
+        kind=entry.kind,
+        layers=parse_layers(entry.layers),
+        beat=entry.seq,
+        started_ms=entry.born,
+    )
+
+
+def parse_layers(layers: _Layers | None) -> sources.LayerRange | None:
+    """Returns a range of layers, or None if it is empty."""
+    if layers is None or layers.first is None or layers.end is None:
+        return None
+    if layers.end <= layers.first:
+        return None
+    return sources.LayerRange(layers.first, layers.end)
+
+
+class TargetTopic(sources.TargetSource):
+    """The entries of the targets."""
+
+    def __init__(self, client: store.Store):
+        self._store = client
+        self._reported: dict[str, bytes] = {}
+
+    def list_targets(self, timeout_s: float) -> list[sources.TargetEntry]:
+        """Returns all entries that can be read."""
+        records, _ = self._store.newest(_TARGETS_TOPIC, timeout_s)
+        entries = []
+        for record in records:
+            if not record.value:
+                continue
+            try:
+                entries.append(parse_entry(record.key, record.value))
+            except exceptions.CatalogueError as exc:
+                if self._reported.get(record.key) != record.value:
+                    self._reported[record.key] = record.value
+                    logging.warning("entry ignored: %s", exc)
+        return entries
+
+
+class InstanceTopic(sources.InstanceSource):
+    """Where instances announce their address to each other."""
+
+    def __init__(self, client: store.Store):
+        self._store = client
+
+    def announce(
+        self, record: sources.InstanceRecord, timeout_s: float
+    ) -> None:
+        """Publishes an instance."""
+        value = msgspec.json.encode(record)
+        self._store.append(
+            _INSTANCES_TOPIC,
+            store.keyed_record(record.id, value),
+            timeout_s,
+        )
+
+    def list_instances(self, timeout_s: float) -> list[sources.InstanceRecord]:
+        """Returns all announced instances."""
+        records, _ = self._store.newest(_INSTANCES_TOPIC, timeout_s)
+        found = []
+        for record in records:
+            if not record.value:
+                continue
+            try:
+                found.append(
+                    msgspec.json.decode(
+                        record.value, type=sources.InstanceRecord
+                    )
+                )
+            except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+                logging.warning("instance %s ignored: %s", record.key, exc)
+        return found
+
+    def retract(self, instance: ids.InstanceId, timeout_s: float) -> None:
+        """Removes an instance."""
+        self._store.append(
+            _INSTANCES_TOPIC, store.keyed_record(instance, b""), timeout_s
+        )
+
+
+class _Grant(msgspec.Struct):
+    holder: str
+    ttl_s: float
+
+
+class LeaseTopic(sources.LeaseSource):
+    """A lease for placing layers; an offset is the fence number."""
+
+    def __init__(self, client: store.Store):
+        self._store = client
+
+    def read_grant(self, timeout_s: float) -> sources.Grant:
+        """Returns the newest grant."""
+        records, end = self._store.newest(_LEASE_TOPIC, timeout_s)
+        for record in records:
+            if record.key != _LEASE_KEY:
+                continue
+            grant = msgspec.json.decode(record.value, type=_Grant)
+            return sources.Grant(
+                ids.InstanceId(grant.holder), end, grant.ttl_s, end
+            )
+        return sources.Grant(ids.InstanceId(""), end, 0.0, end)
+
+    def take(
+        self,
+        holder: ids.InstanceId,
+        ttl_s: float,
+        end: int,
+        timeout_s: float,
+    ) -> sources.Grant | None:
+        """Appends a grant if nobody else did since `end`."""
+        value = msgspec.json.encode(_Grant(holder, ttl_s))
+        offset = self._store.append(
+            _LEASE_TOPIC,
+            store.keyed_record(_LEASE_KEY, value),
+            timeout_s,
+            at=end,
+        )
+        if offset is None:
+            return None
+        return sources.Grant(holder, offset + 1, ttl_s, offset + 1)
