--- a/src/briarfall/gateway/callers.py
+++ b/src/briarfall/gateway/callers.py
@@ -58,7 +58,7 @@
         """Returns the next request whole, or None if the caller left.
 
         Raises:
-            MessageRefusedError: The request is malformed, too large or too slow.
+            MessageRefusedError: The request is malformed, too large or slow.
         """
         received_s = clocks.boot_s()
         deadline_s = received_s + self.limits.header_timeout_s
@@ -69,7 +69,9 @@
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as exc:
-                raise MessageRefusedError(exc.error_status_hint, str(exc)) from exc
+                raise MessageRefusedError(
+                    exc.error_status_hint, str(exc)
+                ) from exc
             if event is h11.NEED_DATA:
                 if not self._receive(deadline_s, head is not None):
                     return None
@@ -108,7 +110,9 @@
         try:
             data = self.sock.recv(_RECEIVE_BYTES)
         except TimeoutError as exc:
-            raise MessageRefusedError(408, "the request came too slowly") from exc
+            raise MessageRefusedError(
+                408, "the request came too slowly"
+            ) from exc
         except OSError:
             return False
         self._http.receive_data(data)
--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -1,5 +1,6 @@
 """Follows the operator's catalogue and says how fresh the view is."""
 
+import collections.abc
 import threading
 
 from absl import logging
@@ -8,43 +9,58 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import sources
 from briarfall.gateway import views
+from briarfall.gateway import workers
 
 # A waiting read confirms the view when it returns; three of them fit into
 # the shortest time for which keys are good.
 _WAIT_S = 1.2
 _TIMEOUT_S = 0.8
 _RETRY_S = 0.15
+# Age of the view at which an instance that relies on others reads by itself.
+_PEER_PATIENCE_S = 2.6
+_PEER_POLL_S = 0.25
+# Versions that come in quick succession are read together.
+_GATHER_S = 0.08
 # Part of the time for which keys are good that is left for the request to
 # reach its target.
 _KEY_MARGIN_S = 0.6
 
 
-class CatalogueFollower(threading.Thread):
+class CatalogueFollower(workers.Worker):
     """Keeps the newest view of the catalogue.
 
     Args:
         source: Where operators publish.
         key_ttl_s: Age at which keys are no longer accepted, or 0 for never.
+        is_reader: Whether this instance reads the source for others.
     """
 
-    def __init__(self, source: sources.CatalogueSource, key_ttl_s: float):
-        super().__init__(name="catalogue", daemon=True)
+    def __init__(
+        self,
+        source: sources.CatalogueSource,
+        key_ttl_s: float,
+        is_reader: collections.abc.Callable[[], bool],
+    ):
+        super().__init__("catalogue")
         self._source = source
         self._key_ttl_s = key_ttl_s
+        self._is_reader = is_reader
+        self._newer = threading.Event()
+        self._newest_version = -1
         self._position: int | None = None
-        self._confirmed_s: float | None = None
+        self.confirmed_s: float | None = None
         self._is_lost = False
-        self._stopped = threading.Event()
         self.view: views.CatalogueView | None = None
         self.raw = b""
         self.first_view = threading.Event()
+        self._listeners: list[collections.abc.Callable[[], None]] = []
 
     @property
     def age_s(self) -> float:
         """Seconds since the sending of the read that confirmed the view."""
-        if self._confirmed_s is None:
+        if self.confirmed_s is None:
             return float("inf")
-        return clocks.boot_s() - self._confirmed_s
+        return clocks.boot_s() - self.confirmed_s
 
     @property
     def is_fresh(self) -> bool:
@@ -55,33 +71,62 @@
             return True
         return self.age_s < self._key_ttl_s - _KEY_MARGIN_S
 
-    def run(self) -> None:
-        """Follows the source until stopped."""
-        while not self._stopped.is_set():
-            try:
-                self.step()
-            except exceptions.BriarfallError as exc:
-                self._note_lost(exc)
-                self._stopped.wait(_RETRY_S)
-
-    def stop(self) -> None:
-        """Ends the thread."""
-        self._stopped.set()
+    def add_listener(self, listener: collections.abc.Callable[[], None]):
+        """Calls `listener` whenever another version is in force."""
+        self._listeners.append(listener)
 
     def step(self) -> None:
-        """Reads once, and waits for news if there is a view."""
+        """Reads once if this instance should, else waits a little."""
+        try:
+            self._follow()
+        except exceptions.BriarfallError as exc:
+            self._note_lost(exc)
+            self.stopped.wait(_RETRY_S)
+
+    def _follow(self) -> None:
+        if self.view is None or self._position is None:
+            self._read_whole()
+            return
+        if self._newer.is_set():
+            self.stopped.wait(_GATHER_S)
+            self._newer.clear()
+            self._read(0.0)
+            if self._newest_version > self.view.version:
+                # The store does not show yet what another instance has read.
+                self.stopped.wait(_RETRY_S)
+                self._newer.set()
+            return
+        if self._is_reader():
+            self._read(_WAIT_S)
+            return
+        if self.age_s > _PEER_PATIENCE_S:
+            self._read(0.0)
+            return
+        self._newer.wait(_PEER_POLL_S)
+
+    def note_newer(self, version: int) -> None:
+        """Takes in that another instance has a newer version."""
+        self._newest_version = max(self._newest_version, version)
+        self._newer.set()
+
+    def _read_whole(self) -> None:
+        sent_s = clocks.boot_s()
+        read = self._source.read_newest(_TIMEOUT_S)
+        if read.raw is None and self.view is None:
+            self.stopped.wait(_RETRY_S)
+            return
+        self._take(read, sent_s)
+
+    def _read(self, wait_s: float) -> None:
         sent_s = clocks.boot_s()
-        if self._position is None or self.view is None:
-            read = self._source.read_newest(_TIMEOUT_S)
-            if read.raw is None:
-                self._stopped.wait(_RETRY_S)
-        else:
-            try:
-                read = self._source.wait_newer(
-                    self._position, _WAIT_S, _TIMEOUT_S
-                )
-            except exceptions.LogGapError:
-                read = self._source.read_newest(_TIMEOUT_S)
+        try:
+            read = self._source.wait_newer(self._position, wait_s, _TIMEOUT_S)
+        except exceptions.LogGapError:
+            self._read_whole()
+            return
+        self._take(read, sent_s)
+
+    def _take(self, read: sources.CatalogueRead, sent_s: float) -> None:
         if read.raw is not None:
             self.apply(read.raw)
         self._position = read.position
@@ -100,6 +145,8 @@
         self.view = view
         self.raw = raw
         self.first_view.set()
+        for listener in self._listeners:
+            listener()
         logging.info(
             "catalogue in force version=%d routes=%d accounts=%d",
             view.version,
@@ -107,13 +154,25 @@
             len(view.accounts),
         )
 
+    def confirm_from_peer(self, version: int, sent_s: float) -> None:
+        """Takes over that a version was the newest at a time."""
+        if self.view is None:
+            return
+        if version > self.view.version:
+            self.note_newer(version)
+        elif version == self.view.version:
+            self._confirm(sent_s)
+
     def confirm(self, sent_s: float) -> None:
         """Notes that the view was the newest at a time on the boot clock."""
         if self._is_lost:
             self._is_lost = False
             logging.info("catalogue source regained")
-        if self._confirmed_s is None or sent_s > self._confirmed_s:
-            self._confirmed_s = sent_s
+        self._confirm(sent_s)
+
+    def _confirm(self, sent_s: float) -> None:
+        if self.confirmed_s is None or sent_s > self.confirmed_s:
+            self.confirmed_s = sent_s
 
     def _note_lost(self, exc: exceptions.BriarfallError) -> None:
         if not self._is_lost:
--- /dev/null
+++ b/src/briarfall/gateway/following.py
@@ -0,0 +1,137 @@
+"""Follows the list of targets, directly or by way of other instances."""
+
+import collections.abc
+
+from absl import logging
+
+from briarfall import exceptions
+from briarfall.gateway import catalogue
+from briarfall.gateway import clocks
+from briarfall.gateway import exchange
+from briarfall.gateway import peermessages
+from briarfall.gateway import peers
+from briarfall.gateway import sources
+from briarfall.gateway import targets
+from briarfall.gateway import workers
+
+# Instances of a zone that read the store for all of it.
+READERS = 2
+_LIST_TIMEOUT_S = 0.7
+_ASK_TIMEOUT_S = 0.2
+# Part of the bound on leaving targets that a direct read may be old.
+_DIRECT_SHARE = 0.4
+# Part of it that remains for questions to a reader.
+_ASK_SHARE = 0.2
+_OLDEST_SHARE = 0.6
+
+Ask = collections.abc.Callable[
+    [peers.Peer, int, int, float], peermessages.Answer
+]
+
+
+class TargetFollower(workers.Worker):
+    """Keeps the target table fresh.
+
+    A few instances of a zone read the store; the others ask these, and read
+    it themselves when they get no answer that is fresh enough.
+
+    Args:
+        source: Where targets register.
+        table: The table to keep.
+        follower: The catalogue, which readers confirm as well.
+        pool: Connections to targets.
+        peer_table: Other instances.
+        ask: Asks another instance.
+        bound_s: Time after which a leaving target gets no work.
+    """
+
+    def __init__(
+        self,
+        source: sources.TargetSource,
+        table: targets.TargetTable,
+        follower: catalogue.CatalogueFollower,
+        pool: exchange.ConnectionPool,
+        peer_table: peers.PeerTable,
+        ask: Ask,
+        bound_s: float,
+    ):
+        super().__init__("targets")
+        self._source = source
+        self._table = table
+        self._follower = follower
+        self._pool = pool
+        self._peers = peer_table
+        self._ask = ask
+        self._bound_s = bound_s
+        # Lifetime of the reader that the revision belongs to.
+        self._lifetime = 0
+        self._revision = -1
+
+    def step(self) -> None:
+        """Refreshes the table once and waits until the next round."""
+        started_s = clocks.boot_s()
+        share = _DIRECT_SHARE
+        if self._ask_readers():
+            share = _ASK_SHARE
+        else:
+            self.read()
+        self._pool.close_idle()
+        left_s = self._bound_s * share - (clocks.boot_s() - started_s)
+        self.stopped.wait(max(0.05, left_s))
+
+    def read(self) -> None:
+        """Reads the list from its source."""
+        sent_s = clocks.boot_s()
+        try:
+            entries = self._source.list_targets(_LIST_TIMEOUT_S)
+        except exceptions.BriarfallError as exc:
+            self._table.lose_source()
+            logging.warning("targets not read: %s", exc)
+            return
+        self._drop(self._table.update(entries, sent_s))
+
+    def _ask_readers(self) -> bool:
+        """Whether a reader gave an answer that is fresh enough."""
+        if self._table.read_s is None or self._follower.view is None:
+            return False
+        for reader in self._peers.readers(READERS):
+            if reader is None:
+                return False
+            asked_s = clocks.boot_s()
+            try:
+                answer = self._ask(
+                    reader, self._lifetime, self._revision, _ASK_TIMEOUT_S
+                )
+            except exceptions.PeerError as exc:
+                logging.info("reader silent: %s", exc)
+                continue
+            if self._take(answer, asked_s):
+                return True
+        return False
+
+    def _take(self, answer: peermessages.Answer, asked_s: float) -> bool:
+        if answer.catalogue_age_ms >= 0:
+            confirmed_s = asked_s - answer.catalogue_age_ms / 1000
+            self._follower.confirm_from_peer(answer.version, confirmed_s)
+        if answer.targets_age_ms < 0:
+            return False
+        age_s = answer.targets_age_ms / 1000
+        if age_s > self._bound_s * _OLDEST_SHARE:
+            return False
+        if answer.is_partial:
+            # The whole list comes from its source, changes from the reader.
+            self.read()
+            self._lifetime = answer.lifetime
+            self._revision = answer.revision
+            return True
+        read_s = asked_s - age_s
+        if read_s < self._table.read_s:
+            return True
+        self._lifetime = answer.lifetime
+        self._revision = answer.revision
+        self._drop(self._table.update_part(answer.changed, answer.gone, read_s))
+        return True
+
+    def _drop(self, gone: list[targets.Target]) -> None:
+        for target in gone:
+            self._pool.drop(target.entry.address)
--- /dev/null
+++ b/src/briarfall/gateway/gossip.py
@@ -0,0 +1,270 @@
+"""Exchanges datagrams with other instances."""
+
+import queue
+import socket
+import threading
+import time
+
+from absl import logging
+
+from briarfall import exceptions
+from briarfall import ids
+from briarfall.gateway import catalogue
+from briarfall.gateway import clocks
+from briarfall.gateway import loads
+from briarfall.gateway import peermessages
+from briarfall.gateway import peers
+from briarfall.gateway import placer
+from briarfall.gateway import sources
+from briarfall.gateway import targets
+
+# Interval of the status to peers in the zone; chains mostly stay there.
+_NEAR_S = 0.25
+_FAR_S = 1.0
+# Intervals grow with the number of peers, so that the datagrams per second
+# of an instance stay bounded.
+_NEAR_S_PER_PEER = 0.012
+_FAR_S_PER_PEER = 0.03
+# A peer that was announced and is silent may still be starting.
+_SILENT_S = 2.0
+_MAX_DATAGRAM = 65_000
+# Entries that fit into one datagram of an answer.
+_MAX_CHANGED = 60
+_STORE_TIMEOUT_S = 1.0
+_ANNOUNCE_RETRY_S = 1.0
+
+
+class Gossip:
+    """Tells other instances what this one sees, and takes in what they say.
+
+    Args:
+        record: How this instance announces itself.
+        source: Where instances announce themselves.
+        peer_table: Other instances.
+        load_table: Loads of all instances.
+        target_table: Targets.
+        follower: The catalogue.
+        lease: The placement lease.
+    """
+
+    def __init__(
+        self,
+        record: sources.InstanceRecord,
+        source: sources.InstanceSource,
+        peer_table: peers.PeerTable,
+        load_table: loads.LoadTable,
+        target_table: targets.TargetTable,
+        follower: catalogue.CatalogueFollower,
+        lease: placer.Lease,
+    ):
+        self._record = record
+        self._source = source
+        self._peers = peer_table
+        self._loads = load_table
+        self._targets = target_table
+        self._follower = follower
+        self._lease = lease
+        self._lifetime = time.time_ns() // 1_000_000
+        self._wake = threading.Event()
+        self._is_leaving = False
+        self._lock = threading.Lock()
+        self._numbers = 0
+        self._pending: dict[int, queue.SimpleQueue] = {}
+        host, _, port = record.address.rpartition(":")
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.bind((host, int(port)))
+
+    def start(self) -> None:
+        """Starts the threads."""
+        for target in (self._receive_loop, self._send_loop, self._announce):
+            thread = threading.Thread(
+                target=target, name=f"gossip{target.__name__}", daemon=True
+            )
+            thread.start()
+
+    def leave(self) -> None:
+        """Tells the others that this instance stops."""
+        self._is_leaving = True
+        self._wake.set()
+
+    def tell_now(self) -> None:
+        """Sends the status without waiting for its interval."""
+        self._wake.set()
+
+    def ask(
+        self, peer: peers.Peer, lifetime: int, revision: int, timeout_s: float
+    ) -> peermessages.Answer:
+        """Asks a peer how fresh its knowledge is.
+
+        Raises:
+            PeerError: No answer in time.
+        """
+        box: queue.SimpleQueue = queue.SimpleQueue()
+        with self._lock:
+            self._numbers += 1
+            number = self._numbers
+            self._pending[number] = box
+        try:
+            self._send(
+                peermessages.Question(number, lifetime, revision), peer.address
+            )
+            return box.get(timeout=timeout_s)
+        except queue.Empty as exc:
+            raise exceptions.PeerError(f"{peer.id} does not answer") from exc
+        finally:
+            with self._lock:
+                del self._pending[number]
+
+    def _announce(self) -> None:
+        """Publishes this instance and learns of the others, until it works."""
+        while True:
+            try:
+                self._source.announce(self._record, _STORE_TIMEOUT_S)
+                records = self._source.list_instances(_STORE_TIMEOUT_S)
+                break
+            except exceptions.BriarfallError as exc:
+                logging.warning("not announced yet: %s", exc)
+                time.sleep(_ANNOUNCE_RETRY_S)
+        for record in records:
+            self._peers.add(record.id, record.address, record.zone)
+        logging.info("announced peers=%d", len(records) - 1)
+        self._wake.set()
+
+    def _send_loop(self) -> None:
+        sent_s: dict[ids.InstanceId, float] = {}
+        while True:
+            is_urgent = self._wake.wait(_NEAR_S)
+            self._wake.clear()
+            try:
+                self._send_status(sent_s, is_urgent=is_urgent)
+                self._loads.expire()
+                for gone in self._peers.forget_silent():
+                    sent_s.pop(gone, None)
+            except Exception:
+                logging.exception("status not sent")
+
+    def _send_status(
+        self, sent_s: dict[ids.InstanceId, float], *, is_urgent: bool
+    ) -> None:
+        data = peermessages.encode(self._status())
+        rows = self._peers.all()
+        near = sum(1 for row in rows if row.zone == self._record.zone)
+        near_s = max(_NEAR_S, near * _NEAR_S_PER_PEER)
+        far_s = max(_FAR_S, (len(rows) - near) * _FAR_S_PER_PEER)
+        now_s = clocks.boot_s()
+        for peer in rows:
+            interval_s = near_s if peer.zone == self._record.zone else far_s
+            if now_s - max(peer.heard_s, peer.found_s) > _SILENT_S:
+                interval_s = _SILENT_S
+            is_due = now_s - sent_s.get(peer.id, 0.0) >= interval_s * 0.9
+            if is_due or (is_urgent and interval_s < _SILENT_S):
+                sent_s[peer.id] = now_s
+                self._send_bytes(data, peer.address)
+
+    def _status(self) -> peermessages.Status:
+        rows = []
+        for target, load in self._loads.own().items():
+            rows.append(peermessages.LoadRow(target, load.streams, load.tokens))
+        suspicions = []
+        for target, left_s in self._targets.suspicions():
+            suspicions.append(
+                peermessages.Suspicion(
+                    target.id, target.entry.started_ms, int(left_s * 1000)
+                )
+            )
+        view = self._follower.view
+        return peermessages.Status(
+            sender=self._record.id,
+            address=self._record.address,
+            zone=self._record.zone,
+            version=view.version if view else -1,
+            is_leaving=self._is_leaving,
+            loads=rows,
+            suspicions=suspicions,
+            lease_fence=self._lease.fence,
+            lease_left_ms=int(self._lease.left_s * 1000),
+        )
+
+    def _send(self, message, address: tuple[str, int]) -> None:
+        self._send_bytes(peermessages.encode(message), address)
+
+    def _send_bytes(self, data: bytes, address: tuple[str, int]) -> None:
+        try:
+            self._sock.sendto(data, address)
+        except OSError as exc:
+            logging.info("datagram to %s not sent: %s", address, exc)
+
+    def _receive_loop(self) -> None:
+        while True:
+            try:
+                data, address = self._sock.recvfrom(_MAX_DATAGRAM)
+                self._take(peermessages.decode(data), address)
+            except (OSError, exceptions.PeerError) as exc:
+                logging.warning("datagram ignored: %s", exc)
+            except Exception:
+                logging.exception("datagram not handled")
+
+    def _take(
+        self, message: peermessages.Message, address: tuple[str, int]
+    ) -> None:
+        if isinstance(message, peermessages.Status):
+            self._take_status(message)
+            return
+        if isinstance(message, peermessages.Question):
+            self._send(self._answer(message), address)
+            return
+        with self._lock:
+            box = self._pending.get(message.number)
+        if box is not None:
+            box.put(message)
+
+    def _take_status(self, status: peermessages.Status) -> None:
+        peer = self._peers.add(status.sender, status.address, status.zone)
+        if peer is None:
+            return
+        if status.is_leaving:
+            self._peers.remove(status.sender)
+            self._loads.merge(status.sender, {})
+            return
+        now_s = clocks.boot_s()
+        peer.heard_s = now_s
+        if status.lease_left_ms:
+            self._lease.note_other(
+                status.lease_fence, now_s + status.lease_left_ms / 1000
+            )
+        rows = {}
+        for row in status.loads:
+            rows[row.target] = loads.Load(row.streams, row.tokens)
+        self._loads.merge(status.sender, rows)
+        for row in status.suspicions:
+            self._targets.take_suspicion(
+                row.target, row.started_ms, row.left_ms / 1000
+            )
+        view = self._follower.view
+        if status.version > (view.version if view else -1):
+            self._follower.note_newer(status.version)
+
+    def _answer(self, question: peermessages.Question) -> peermessages.Answer:
+        since = question.revision
+        if question.lifetime != self._lifetime:
+            since = -1
+        changes = self._targets.changes_since(since)
+        view = self._follower.view
+        is_partial = len(changes.changed) > _MAX_CHANGED
+        return peermessages.Answer(
+            number=question.number,
+            lifetime=self._lifetime,
+            version=view.version if view else -1,
+            catalogue_age_ms=_age_ms(self._follower.confirmed_s),
+            targets_age_ms=_age_ms(self._targets.read_s),
+            revision=changes.revision,
+            is_partial=is_partial,
+            changed=[] if is_partial else changes.changed,
+            gone=[] if is_partial else changes.gone,
+        )
+
+
+def _age_ms(confirmed_s: float | None) -> int:
+    if confirmed_s is None:
+        return -1
+    return int((clocks.boot_s() - confirmed_s) * 1000) + 1
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -6,18 +6,20 @@
 
 from absl import logging
 
-from briarfall import exceptions
 from briarfall.gateway import budgets
 from briarfall.gateway import callers
 from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
 from briarfall.gateway import config
 from briarfall.gateway import exchange
+from briarfall.gateway import following
 from briarfall.gateway import front
+from briarfall.gateway import gossip
 from briarfall.gateway import listener
 from briarfall.gateway import loads
 from briarfall.gateway import names
 from briarfall.gateway import paths
+from briarfall.gateway import peers
 from briarfall.gateway import placer
 from briarfall.gateway import plain
 from briarfall.gateway import sources
@@ -25,7 +27,6 @@
 from briarfall.gateway import targets
 from briarfall.gateway import views
 
-_LIST_TIMEOUT_S = 0.7
 # The balancer asks once a second and needs two refusals; until then it may
 # still send connections.
 _NOTICE_S = 3.0
@@ -56,49 +57,6 @@
     engines: sources.EngineControl
 
 
-class TargetFollower(threading.Thread):
-    """Reads the list of targets at a steady pace."""
-
-    def __init__(
-        self,
-        source: sources.TargetSource,
-        table: targets.TargetTable,
-        pool: exchange.ConnectionPool,
-        period_s: float,
-    ):
-        super().__init__(name="targets", daemon=True)
-        self._source = source
-        self._table = table
-        self._pool = pool
-        self._period_s = period_s
-        self._stopped = threading.Event()
-
-    def run(self) -> None:
-        """Reads until stopped."""
-        while not self._stopped.is_set():
-            started_s = clocks.boot_s()
-            self.step()
-            left_s = self._period_s - (clocks.boot_s() - started_s)
-            self._stopped.wait(max(0.05, left_s))
-
-    def step(self) -> None:
-        """Reads the list once."""
-        sent_s = clocks.boot_s()
-        try:
-            entries = self._source.list_targets(_LIST_TIMEOUT_S)
-        except exceptions.BriarfallError as exc:
-            self._table.lose_source()
-            logging.warning("targets not read: %s", exc)
-            return
-        for gone in self._table.update(entries, sent_s):
-            self._pool.drop(gone.entry.address)
-        self._pool.close_idle()
-
-    def stop(self) -> None:
-        """Ends the thread."""
-        self._stopped.set()
-
-
 class Instance:
     """A gateway instance.
 
@@ -120,16 +78,33 @@
         self._pool = pool
         self.loads = loads.LoadTable()
         self.targets = targets.TargetTable()
+        self.peers = peers.PeerTable(cfg.instance, cfg.zone)
         self.follower = catalogue.CatalogueFollower(
-            platform.catalogue, cfg.key_ttl_s
+            platform.catalogue, cfg.key_ttl_s, self._is_reader
+        )
+        self.lease = placer.Lease(platform.lease, cfg.instance)
+        self.gossip = gossip.Gossip(
+            sources.InstanceRecord(
+                cfg.instance, f"{cfg.peer.host}:{cfg.peer.port}", cfg.zone
+            ),
+            platform.instances,
+            self.peers,
+            self.loads,
+            self.targets,
+            self.follower,
+            self.lease,
         )
-        self.target_follower = TargetFollower(
+        self.follower.add_listener(self.gossip.tell_now)
+        self.targets.add_listener(self.gossip.tell_now)
+        self.target_follower = following.TargetFollower(
             platform.targets,
             self.targets,
+            self.follower,
             pool,
-            min(cfg.leaving_bound_s, cfg.beat_s * 2) * 0.5,
+            self.peers,
+            self.gossip.ask,
+            cfg.leaving_bound_s,
         )
-        self.lease = placer.Lease(platform.lease, cfg.instance)
         self.placer = placer.Placer(
             self.lease, platform.engines, self.follower, self.targets
         )
@@ -137,7 +112,7 @@
             cfg.retry_ratio,
             cfg.retry_window_s,
             cfg.retry_slack,
-            self._instance_count,
+            lambda: self.peers.instance_count,
         )
         finder = paths.PathFinder(self.loads, cfg.zone, rng)
         self._front = front.Front(
@@ -177,8 +152,8 @@
         self._stop_asked = threading.Event()
         self._stop_s = 0.0
 
-    def _instance_count(self) -> int:
-        return 20
+    def _is_reader(self) -> bool:
+        return None in self.peers.readers(following.READERS)
 
     @property
     def is_ready(self) -> bool:
@@ -193,6 +168,7 @@
         self._caller_listener.start()
         self.follower.start()
         self.target_follower.start()
+        self.gossip.start()
         self.placer.start()
         logging.info(
             "started instance=%s zone=%s", self._cfg.instance, self._cfg.zone
@@ -215,6 +191,7 @@
             continue
         logging.info("stopping instance=%s", self._cfg.instance)
         self.placer.stop()
+        self.gossip.leave()
         deadline_s = self._stop_s + self._cfg.drain_grace_s - _EXIT_MARGIN_S
         pause = threading.Event()
         while clocks.boot_s() < deadline_s:
--- /dev/null
+++ b/src/briarfall/gateway/peermessages.py
@@ -0,0 +1,116 @@
+"""Datagrams between gateway instances."""
+
+import cbor2
+import msgspec
+
+from briarfall import exceptions
+from briarfall import ids
+from briarfall.gateway import sources
+
+
+class LoadRow(msgspec.Struct, array_like=True, frozen=True):
+    """This instance's requests on one target."""
+
+    target: ids.TargetId
+    streams: int
+    tokens: int
+
+
+class Suspicion(msgspec.Struct, array_like=True, frozen=True):
+    """A target that failed, and for how long to avoid it."""
+
+    target: ids.TargetId
+    started_ms: int
+    left_ms: int
+
+
+class Status(
+    msgspec.Struct, array_like=True, frozen=True, tag="s", tag_field="type"
+):
+    """What an instance tells the others at short intervals.
+
+    Attributes:
+        sender: The instance.
+        address: Where it listens for others.
+        zone: Its availability zone.
+        version: Version of its catalogue, or -1.
+        is_leaving: Whether it is stopping.
+        loads: Its requests in flight.
+        suspicions: Targets that failed for it.
+        lease_fence: Fence of its placement lease, or 0.
+        lease_left_ms: How long it holds the lease, or 0.
+    """
+
+    sender: ids.InstanceId
+    address: str
+    zone: ids.ZoneId
+    version: int
+    is_leaving: bool
+    loads: list[LoadRow]
+    suspicions: list[Suspicion]
+    lease_fence: int = 0
+    lease_left_ms: int = 0
+
+
+class Question(
+    msgspec.Struct, array_like=True, frozen=True, tag="q", tag_field="type"
+):
+    """Asks a reader of the store how fresh its knowledge is.
+
+    Attributes:
+        number: Echoed in the answer.
+        lifetime: Lifetime of the reader that `revision` belongs to.
+        revision: Last known revision of the reader's target table.
+    """
+
+    number: int
+    lifetime: int
+    revision: int
+
+
+class Answer(
+    msgspec.Struct, array_like=True, frozen=True, tag="a", tag_field="type"
+):
+    """How fresh a reader's knowledge is.
+
+    Attributes:
+        number: Number of the question.
+        lifetime: The reader's lifetime.
+        version: Version of its catalogue, or -1.
+        catalogue_age_ms: Age of the read that confirmed it, or -1.
+        targets_age_ms: Age of its target list, or -1.
+        revision: Revision of its target table.
+        is_partial: Whether the changes did not fit into a datagram.
+        changed: Entries that changed after the asked revision.
+        gone: Targets that went after it.
+    """
+
+    number: int
+    lifetime: int
+    version: int
+    catalogue_age_ms: int
+    targets_age_ms: int
+    revision: int
+    is_partial: bool
+    changed: list[sources.TargetEntry]
+    gone: list[ids.TargetId]
+
+
+Message = Status | Question | Answer
+
+
+def encode(message: Message) -> bytes:
+    """Returns the datagram of a message."""
+    return cbor2.dumps(msgspec.to_builtins(message))
+
+
+def decode(data: bytes) -> Message:
+    """Returns the message of a datagram.
+
+    Raises:
+        PeerError: The datagram can't be read.
+    """
+    try:
+        return msgspec.convert(cbor2.loads(data), type=Message)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as exc:
+        raise exceptions.PeerError(f"datagram: {exc}") from exc
--- /dev/null
+++ b/src/briarfall/gateway/peers.py
@@ -0,0 +1,118 @@
+"""The other gateway instances, as far as this one has heard of them."""
+
+import threading
+
+from absl import logging
+import msgspec
+import xxhash
+
+from briarfall import ids
+from briarfall.gateway import clocks
+
+# Silence after which an instance counts as gone.
+_ALIVE_S = 2.5
+# Announced instances that stay silent are tried this long.
+_FORGET_S = 60.0
+
+
+class Peer(msgspec.Struct):
+    """Another instance.
+
+    Attributes:
+        id: Its name.
+        address: Host and port for datagrams.
+        zone: Its availability zone.
+        found_s: Time on the boot clock at which it was announced.
+        heard_s: Time of its last datagram, or 0.
+        version: Version of its catalogue.
+    """
+
+    id: ids.InstanceId
+    address: tuple[str, int]
+    zone: ids.ZoneId
+    found_s: float
+    heard_s: float = 0.0
+    version: int = -1
+
+
+class PeerTable:
+    """All known instances but this one.
+
+    Args:
+        instance: Name of this instance.
+        zone: Its availability zone.
+    """
+
+    def __init__(self, instance: ids.InstanceId, zone: ids.ZoneId):
+        self._instance = instance
+        self._zone = zone
+        self._lock = threading.Lock()
+        self._peers: dict[ids.InstanceId, Peer] = {}
+
+    def add(
+        self, peer_id: ids.InstanceId, address: str, zone: ids.ZoneId
+    ) -> Peer | None:
+        """Returns the peer, which is new or may have a new address."""
+        if peer_id == self._instance:
+            return None
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            logging.warning("peer ignored peer=%s address=%s", peer_id, address)
+            return None
+        where = (host, int(port))
+        with self._lock:
+            peer = self._peers.get(peer_id)
+            if peer is None:
+                peer = Peer(peer_id, where, zone, clocks.boot_s())
+                self._peers[peer_id] = peer
+            peer.address = where
+            peer.zone = zone
+            return peer
+
+    def remove(self, peer_id: ids.InstanceId) -> None:
+        """Forgets an instance that leaves."""
+        with self._lock:
+            self._peers.pop(peer_id, None)
+
+    def forget_silent(self) -> list[ids.InstanceId]:
+        """Forgets and returns instances that have been silent for long."""
+        oldest_s = clocks.boot_s() - _FORGET_S
+        gone = []
+        with self._lock:
+            for peer in list(self._peers.values()):
+                if max(peer.found_s, peer.heard_s) < oldest_s:
+                    del self._peers[peer.id]
+                    gone.append(peer.id)
+        return gone
+
+    def all(self) -> list[Peer]:
+        """Returns all peers, also silent ones."""
+        with self._lock:
+            return list(self._peers.values())
+
+    def alive(self) -> list[Peer]:
+        """Returns peers that were heard lately."""
+        oldest_s = clocks.boot_s() - _ALIVE_S
+        return [peer for peer in self.all() if peer.heard_s >= oldest_s]
+
+    @property
+    def instance_count(self) -> int:
+        """Living instances, this one included."""
+        return 1 + len(self.alive())
+
+    def readers(self, count: int) -> list[Peer | None]:
+        """Returns the zone's readers of the store, best first.
+
+        Rendezvous hashing gives instances with the same members the same
+        answer; None stands for this instance.
+        """
+        ranked: list[tuple[int, Peer | None]] = [(_rank(self._instance), None)]
+        for peer in self.alive():
+            if peer.zone == self._zone:
+                ranked.append((_rank(peer.id), peer))
+        ranked.sort(key=lambda row: row[0])
+        return [peer for _, peer in ranked[:count]]
+
+
+def _rank(instance: ids.InstanceId) -> int:
+    return xxhash.xxh64_intdigest(instance.encode())
--- a/src/briarfall/gateway/placer.py
+++ b/src/briarfall/gateway/placer.py
@@ -1,7 +1,5 @@
 """Gives layers to empty engines, under a lease."""
 
-import threading
-
 from absl import logging
 import msgspec
 
@@ -13,9 +11,11 @@
 from briarfall.gateway import sources
 from briarfall.gateway import targets
 from briarfall.gateway import views
+from briarfall.gateway import workers
 
-LEASE_TTL_S = 4.0
-_RENEW_S = 1.5
+LEASE_TTL_S = 3.0
+_RENEW_S = 1.0
+_WATCH_S = 0.5
 _TICK_S = 0.25
 _STORE_TIMEOUT_S = 1.0
 _ORDER_TIMEOUT_S = 0.5
@@ -55,9 +55,10 @@
     def __init__(self, source: sources.LeaseSource, instance: ids.InstanceId):
         self._source = source
         self._instance = instance
-        self._seen: sources.Grant | None = None
-        self._seen_s = 0.0
+        self._grant: sources.Grant | None = None
         self._held_until_s = 0.0
+        # Times on the boot clock at which grants of others lapse, by fence.
+        self._lapses: dict[int, float] = {}
         self.fence = 0
 
     @property
@@ -65,11 +66,28 @@
         """Whether this instance holds the lease."""
         return clocks.boot_s() < self._held_until_s
 
+    @property
+    def left_s(self) -> float:
+        """Seconds for which this instance still holds the lease."""
+        return max(0.0, self._held_until_s - clocks.boot_s())
+
     @property
     def was_held_last(self) -> bool:
         """Whether no newer grant than our own is known."""
         return self.fence > 0
 
+    def note_other(self, fence: int, until_s: float) -> None:
+        """Takes in when another instance says that its grant lapses."""
+        self._lapses = {fence: until_s}
+        if fence > self.fence:
+            self.lose()
+
+    @property
+    def is_held_elsewhere(self) -> bool:
+        """Whether another instance has said that it holds the lease."""
+        now_s = clocks.boot_s()
+        return any(until_s > now_s for until_s in self._lapses.values())
+
     def refresh(self) -> None:
         """Takes, renews or watches the lease.
 
@@ -77,22 +95,22 @@
             LogUnavailableError: The store did not answer.
         """
         sent_s = clocks.boot_s()
-        if self.is_held and self._seen is not None:
-            self._take(self._seen.end, sent_s)
+        if self.is_held and self._grant is not None:
+            self._take(self._grant.end, sent_s)
             return
-        grant = self._source.read_grant(_STORE_TIMEOUT_S)
-        if self._seen is None or grant.fence != self._seen.fence:
-            self._watch(grant, sent_s)
-        age_s = clocks.boot_s() - self._seen_s
-        if grant.holder and age_s <= grant.ttl_s:
+        if self.is_held_elsewhere:
             return
-        self._take(grant.end, sent_s)
-
-    def _watch(self, grant: sources.Grant, now_s: float) -> None:
-        self._seen = grant
-        self._seen_s = now_s
-        if grant.holder != self._instance:
+        grant = self._source.read_grant(_STORE_TIMEOUT_S)
+        if grant.holder != self._instance and grant.fence > self.fence:
             self.lose()
+        if grant.holder:
+            lapse_s = self._lapses.get(grant.fence)
+            if lapse_s is None:
+                lapse_s = sent_s + grant.ttl_s
+                self._lapses = {grant.fence: lapse_s}
+            if clocks.boot_s() <= lapse_s:
+                return
+        self._take(grant.end, sent_s)
 
     def _take(self, end: int, sent_s: float) -> None:
         grant = self._source.take(
@@ -100,12 +118,10 @@
         )
         if grant is None:
             self.lose()
-            self._seen = None
             return
         if not self.fence:
             logging.info("lease taken fence=%d", grant.fence)
-        self._seen = grant
-        self._seen_s = sent_s
+        self._grant = grant
         self._held_until_s = sent_s + LEASE_TTL_S
         self.fence = grant.fence
 
@@ -114,10 +130,11 @@
         if self.fence:
             logging.info("lease lost fence=%d", self.fence)
         self.fence = 0
+        self._grant = None
         self._held_until_s = 0.0
 
 
-class Placer(threading.Thread):
+class Placer(workers.Worker):
     """Keeps every engine loaded while this instance holds the lease.
 
     While the store is away the last holder goes on under its fence: engines
@@ -131,7 +148,7 @@
         follower: catalogue.CatalogueFollower,
         table: targets.TargetTable,
     ):
-        super().__init__(name="placer", daemon=True)
+        super().__init__("placer")
         self._lease = lease
         self._engines = engines
         self._follower = follower
@@ -140,27 +157,22 @@
         self._refresh_s = 0.0
         self._settled_s: float | None = None
         self._known = 0
-        self._stopped = threading.Event()
-
-    def run(self) -> None:
-        """Runs until stopped."""
-        while not self._stopped.wait(_TICK_S):
-            try:
-                self.step()
-            except exceptions.BriarfallError as exc:
-                logging.warning("placer: %s", exc)
-
-    def stop(self) -> None:
-        """Ends the thread."""
-        self._stopped.set()
 
     def step(self) -> None:
+        """Gives the orders that are due, and waits."""
+        try:
+            self.place()
+        except exceptions.BriarfallError as exc:
+            logging.warning("placer: %s", exc)
+        self.stopped.wait(_TICK_S)
+
+    def place(self) -> None:
         """Refreshes the lease if due and gives the orders that are due."""
         if self._follower.view is None:
             return
         now_s = clocks.boot_s()
         if now_s >= self._refresh_s:
-            period_s = _RENEW_S if self._lease.is_held else LEASE_TTL_S / 2
+            period_s = _RENEW_S if self._lease.is_held else _WATCH_S
             self._refresh_s = now_s + period_s
             try:
                 self._lease.refresh()
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -1,5 +1,6 @@
 """Targets as this instance believes them to be."""
 
+import collections.abc
 import threading
 
 from absl import logging
@@ -15,6 +16,8 @@
 _REGISTRATION_S = 2.2
 _FIRST_BLOCK_S = 0.5
 _MAX_BLOCK_S = 4.0
+# Removed targets that are remembered for other instances.
+_MAX_GONE = 200
 
 
 class Target(msgspec.Struct):
@@ -23,13 +26,17 @@
     Attributes:
         entry: The newest entry.
         beat_s: Time on the boot clock at which its beat last rose.
+        revision: Revision of the table at the entry's last change.
+        suspected_until_s: Until when this instance warns others of it.
         blocked_until_s: Time until which it gets no new requests.
         failures: Failures in a row.
     """
 
     entry: sources.TargetEntry
     beat_s: float
+    revision: int = 0
     blocked_until_s: float = 0.0
+    suspected_until_s: float = 0.0
     failures: int = 0
 
     @property
@@ -38,6 +45,20 @@
         return self.entry.id
 
 
+class Changes(msgspec.Struct, frozen=True):
+    """What changed in a table after some revision.
+
+    Attributes:
+        revision: The table's revision.
+        changed: Entries that are new or changed.
+        gone: Targets that were removed.
+    """
+
+    revision: int
+    changed: list[sources.TargetEntry]
+    gone: list[ids.TargetId]
+
+
 class TargetTable:
     """All targets, by id."""
 
@@ -47,8 +68,10 @@
         self._by_address: dict[str, ids.TargetId] = {}
         self._is_source_lost = False
         self._regained_s = 0.0
+        self._revision = 0
+        self._gone: dict[ids.TargetId, int] = {}
+        self._listeners: list[collections.abc.Callable[[], None]] = []
         self.read_s: float | None = None
-        self.changed = threading.Condition(self._lock)
 
     def update(
         self, entries: list[sources.TargetEntry], read_s: float
@@ -84,22 +107,74 @@
                 ):
                     continue
                 gone.append(target)
-                del self._targets[target.id]
-                logging.info("target gone target=%s", target.id)
-            self._by_address = {
-                target.entry.address: target.id
-                for target in self._targets.values()
-            }
-            self.changed.notify_all()
+                self._remove(target.id)
+            self._index()
         return gone
 
+    def update_part(
+        self,
+        changed: list[sources.TargetEntry],
+        gone: list[ids.TargetId],
+        read_s: float,
+    ) -> list[Target]:
+        """Takes over what another instance has read.
+
+        Args:
+            changed: New and changed entries.
+            gone: Targets that were removed.
+            read_s: Time on the boot clock before which the read was made.
+
+        Returns:
+            Targets that have gone.
+        """
+        removed = []
+        with self._lock:
+            self.read_s = read_s
+            for entry in changed:
+                self._take(entry, read_s)
+            for target_id in gone:
+                target = self._targets.get(target_id)
+                if target is None:
+                    continue
+                removed.append(target)
+                self._remove(target_id)
+            self._index()
+        return removed
+
+    def changes_since(self, revision: int) -> Changes:
+        """Returns what changed after a revision; -1 asks for all."""
+        with self._lock:
+            changed = []
+            for target in self._targets.values():
+                if target.revision > revision:
+                    changed.append(target.entry)
+            gone = []
+            for target_id, removed_at in self._gone.items():
+                if removed_at > revision:
+                    gone.append(target_id)
+            return Changes(self._revision, changed, gone)
+
+    def _index(self) -> None:
+        self._by_address = {
+            target.entry.address: target.id for target in self._targets.values()
+        }
+
+    def _remove(self, target_id: ids.TargetId) -> None:
+        del self._targets[target_id]
+        self._revision += 1
+        self._gone[target_id] = self._revision
+        while len(self._gone) > _MAX_GONE:
+            del self._gone[next(iter(self._gone))]
+        logging.info("target gone target=%s", target_id)
+
     def _take(self, entry: sources.TargetEntry, read_s: float) -> None:
         known = self._targets.get(entry.id)
-        is_new = known is None
-        if known is not None:
-            is_new = known.entry.started_ms != entry.started_ms
-        if is_new:
-            self._targets[entry.id] = Target(entry, read_s)
+        if known is None or known.entry.started_ms != entry.started_ms:
+            self._revision += 1
+            self._targets[entry.id] = Target(
+                entry, read_s, revision=self._revision
+            )
+            self._gone.pop(entry.id, None)
             logging.info(
                 "target found target=%s service=%s zone=%s layers=%s",
                 entry.id,
@@ -114,8 +189,42 @@
             logging.info(
                 "target state target=%s state=%s", entry.id, entry.state.value
             )
+        if _differs(known.entry, entry):
+            self._revision += 1
+            known.revision = self._revision
         known.entry = entry
 
+    def add_listener(self, listener: collections.abc.Callable[[], None]):
+        """Calls `listener` whenever this instance suspects a target."""
+        self._listeners.append(listener)
+
+    def suspicions(self) -> list[tuple[Target, float]]:
+        """Returns targets that failed here, and for how long to avoid them."""
+        now_s = clocks.boot_s()
+        rows = []
+        with self._lock:
+            for target in self._targets.values():
+                left_s = target.suspected_until_s - now_s
+                if left_s > 0:
+                    rows.append((target, left_s))
+        return rows
+
+    def take_suspicion(
+        self, target_id: ids.TargetId, started_ms: int, left_s: float
+    ) -> None:
+        """Avoids a target that failed for another instance."""
+        target = self._targets.get(target_id)
+        if target is None or target.entry.started_ms != started_ms:
+            return
+        now_s = clocks.boot_s()
+        if target.blocked_until_s <= now_s:
+            logging.info(
+                "target suspected by a peer target=%s for_s=%.1f",
+                target_id,
+                left_s,
+            )
+        self.block(target, min(left_s, _MAX_BLOCK_S))
+
     def lose_source(self) -> None:
         """Notes that the list can't be read; what is known stays."""
         with self._lock:
@@ -158,6 +267,9 @@
             block_s = _FIRST_BLOCK_S * 2 ** (target.failures - 1)
             block_s = min(_MAX_BLOCK_S, block_s)
             target.blocked_until_s = clocks.boot_s() + block_s
+            target.suspected_until_s = target.blocked_until_s
+        for listener in self._listeners:
+            listener()
         logging.warning(
             "target blocked target=%s for_s=%.1f reason=%s",
             target.id,
@@ -174,3 +286,9 @@
         """Forgets earlier failures."""
         target.failures = 0
         target.blocked_until_s = 0.0
+        target.suspected_until_s = 0.0
+
+
+def _differs(old: sources.TargetEntry, new: sources.TargetEntry) -> bool:
+    """Whether two entries differ in more than their beat."""
+    return msgspec.structs.replace(old, beat=new.beat) != new
--- /dev/null
+++ b/src/briarfall/gateway/workers.py
@@ -0,0 +1,34 @@
+"""Threads that repeat one step until they are stopped."""
+
+import abc
+import threading
+
+from absl import logging
+
+# Pause after an unexpected error, so that it does not fill the logs.
+_ERROR_PAUSE_S = 0.25
+
+
+class Worker(threading.Thread, abc.ABC):
+    """Repeats `step`; an unexpected error is logged and does not end it."""
+
+    def __init__(self, name: str):
+        super().__init__(name=name, daemon=True)
+        self.stopped = threading.Event()
+
+    @abc.abstractmethod
+    def step(self) -> None:
+        """Does one round of work, with its own pause."""
+
+    def run(self) -> None:
+        """Repeats the step until stopped."""
+        while not self.stopped.is_set():
+            try:
+                self.step()
+            except Exception:
+                logging.exception("unexpected error in %s", self.name)
+                self.stopped.wait(_ERROR_PAUSE_S)
+
+    def stop(self) -> None:
+        """Ends the thread after its current step."""
+        self.stopped.set()
