--- a/src/briarfall/gateway/front.py
+++ b/src/briarfall/gateway/front.py
@@ -1,6 +1,5 @@
 """Serves callers: routes each request and answers every outcome."""
 
-import collections.abc
 import random
 import socket
 
@@ -15,10 +14,13 @@
 from briarfall.gateway import messages
 from briarfall.gateway import names
 from briarfall.gateway import plain
+from briarfall.gateway import stopping
 from briarfall.gateway import streams
 from briarfall.gateway import views
 
 _STALE_RETRY_S = 0.5
+# Another instance takes the request at once.
+_MOVE_RETRY_S = 0.05
 # Callers honour a Retry-After up to this part of the time they have left.
 _RETRY_AFTER_SHARE = 0.3
 _IDLE_POLL_S = 0.5
@@ -34,7 +36,7 @@
         plain_forwarder: plain.PlainForwarder,
         stream_forwarder: streams.StreamForwarder,
         budget: budgets.RetryBudget,
-        is_stopping: collections.abc.Callable[[], bool],
+        stop: stopping.PlannedStop,
         rng: random.Random,
     ):
         self._names = header_names
@@ -42,7 +44,7 @@
         self._plain = plain_forwarder
         self._streams = stream_forwarder
         self._budget = budget
-        self._is_stopping = is_stopping
+        self._stop = stop
         self._rng = rng
 
     def serve(self, sock: socket.socket) -> None:
@@ -70,7 +72,7 @@
             if conn.wait_readable(_IDLE_POLL_S):
                 return True
             waited_s += _IDLE_POLL_S
-            if self._is_stopping():
+            if self._stop.closes_connections:
                 return False
         return False
 
@@ -79,7 +81,7 @@
         req = conn.read_request()
         if req is None:
             return False
-        if self._is_stopping():
+        if self._stop.closes_connections:
             conn.closes = True
         try:
             self._forward(conn, req)
@@ -102,6 +104,11 @@
                 "no catalogue yet", retry_after_s=_STALE_RETRY_S
             )
         call = self._prepare(conn, req, view)
+        if not self._stop.takes(call.left_s):
+            raise exceptions.DrainingError(
+                "the instance stops before the answer could be complete",
+                retry_after_s=_MOVE_RETRY_S,
+            )
         self._budget.note_request()
         if call.route.kind is views.RouteKind.STREAM and (
             call.service.model is not None
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -9,7 +9,6 @@
 from briarfall.gateway import budgets
 from briarfall.gateway import callers
 from briarfall.gateway import catalogue
-from briarfall.gateway import clocks
 from briarfall.gateway import config
 from briarfall.gateway import exchange
 from briarfall.gateway import following
@@ -23,15 +22,11 @@
 from briarfall.gateway import placer
 from briarfall.gateway import plain
 from briarfall.gateway import sources
+from briarfall.gateway import stopping
 from briarfall.gateway import streams
 from briarfall.gateway import targets
 from briarfall.gateway import views
 
-# The balancer asks once a second and needs two refusals; until then it may
-# still send connections.
-_NOTICE_S = 3.0
-# Time that is left for the process to end before it is killed.
-_EXIT_MARGIN_S = 0.4
 _POLL_S = 0.05
 
 
@@ -73,6 +68,7 @@
         pool: exchange.ConnectionPool,
     ):
         rng = random.Random()
+        self.stop = stopping.PlannedStop(cfg.drain_grace_s)
         self._cfg = cfg
         self._platform = platform
         self._pool = pool
@@ -137,7 +133,7 @@
                 self.budget,
             ),
             self.budget,
-            self._is_past_notice,
+            self.stop,
             rng,
         )
         self._caller_listener = listener.Listener(
@@ -149,8 +145,6 @@
         self._status_listener = listener.Listener(
             cfg.status.host, cfg.status.port, self._serve_status, name="status"
         )
-        self._stop_asked = threading.Event()
-        self._stop_s = 0.0
 
     def _is_reader(self) -> bool:
         return None in self.peers.readers(following.READERS)
@@ -158,7 +152,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers."""
-        if self._stop_asked.is_set():
+        if self.stop.is_asked:
             return False
         return self.follower.is_fresh and self.targets.read_s is not None
 
@@ -174,37 +168,27 @@
             "started instance=%s zone=%s", self._cfg.instance, self._cfg.zone
         )
 
-    def ask_stop(self) -> None:
-        """Begins a planned stop."""
-        self._stop_s = clocks.boot_s()
-        self._stop_asked.set()
-
-    def _is_past_notice(self) -> bool:
-        """Whether connections should close after their answer."""
-        if not self._stop_asked.is_set():
-            return False
-        return clocks.boot_s() - self._stop_s > _NOTICE_S / 2
-
     def wait_for_stop(self) -> None:
         """Waits for a planned stop and carries it out."""
-        while not self._stop_asked.wait(3600):
-            continue
+        self.stop.wait()
         logging.info("stopping instance=%s", self._cfg.instance)
         self.placer.stop()
         self.gossip.leave()
-        deadline_s = self._stop_s + self._cfg.drain_grace_s - _EXIT_MARGIN_S
         pause = threading.Event()
-        while clocks.boot_s() < deadline_s:
-            is_noticed = clocks.boot_s() - self._stop_s > _NOTICE_S
-            if is_noticed and not self._caller_listener.open_connections:
+        while self.stop.left_s > 0:
+            is_ending = self.stop.phase is stopping.StopPhase.ENDING
+            if is_ending and not self._caller_listener.open_connections:
                 break
             pause.wait(_POLL_S)
         self._caller_listener.stop()
+        # What was accepted meanwhile is still answered.
+        while self._caller_listener.open_connections and self.stop.left_s > 0:
+            pause.wait(_POLL_S)
         logging.info(
-            "stopped instance=%s open=%d took_s=%.1f",
+            "stopped instance=%s open=%d left_s=%.1f",
             self._cfg.instance,
             self._caller_listener.open_connections,
-            clocks.boot_s() - self._stop_s,
+            self.stop.left_s,
         )
 
     def _serve_status(self, sock: socket.socket) -> None:
--- a/src/briarfall/gateway/listener.py
+++ b/src/briarfall/gateway/listener.py
@@ -60,6 +60,9 @@
                     return
                 logging.warning("accept %s: %s", self._label, exc)
                 continue
+            # Counted before its thread runs: a stop must not overlook it.
+            with self._lock:
+                self._open += 1
             thread = threading.Thread(
                 target=self._serve, args=(sock,), daemon=True
             )
@@ -67,19 +70,20 @@
                 thread.start()
             except RuntimeError as exc:
                 logging.error("no thread for a connection: %s", exc)
-                sock.close()
+                self._end(sock)
 
     def _serve(self, sock: socket.socket) -> None:
-        with self._lock:
-            self._open += 1
         try:
             self._handler(sock)
         except Exception:
             logging.exception("unexpected error on %s", self._label)
-            sock.close()
         finally:
-            with self._lock:
-                self._open -= 1
+            self._end(sock)
+
+    def _end(self, sock: socket.socket) -> None:
+        sock.close()
+        with self._lock:
+            self._open -= 1
 
     def stop(self) -> None:
         """Stops accepting."""
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -38,7 +38,7 @@
     program = instance.Instance(
         cfg, StorePlatform(cfg.store_address, pool), pool
     )
-    signal.signal(signal.SIGTERM, lambda *_: program.ask_stop())
+    signal.signal(signal.SIGTERM, lambda *_: program.stop.ask())
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     program.start()
     program.wait_for_stop()
