Find a dead stage by connecting to the engines nobody saw at work

Cause: the head lists a stalled stage 240 to 480 ms after its death, so every stream over it missed its 200 ms pause. Ruled out: waiting for the head's report (its lag is 200 ms).

--- /dev/null
+++ b/src/briarfall/gateway/evidence.py
@@ -0,0 +1,82 @@
+"""Tells dead engines from slow ones while a stream is silent."""
+
+import collections.abc
+import errno
+import select
+import socket
+import threading
+
+from briarfall import ids
+from briarfall.gateway import clocks
+from briarfall.gateway import paths
+
+# A living engine accepts a connection within a few milliseconds.
+_CONNECT_S = 0.03
+# An event proves that its engines worked up to about this long before.
+_TRANSIT_S = 0.03
+
+
+class ProgressTable:
+    """When each engine was last seen at work by any stream of ours."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._seen_s: dict[ids.TargetId, float] = {}
+
+    def note(self, chain: paths.Chain, now_s: float) -> None:
+        """Notes an event that all engines of a chain had a part in."""
+        with self._lock:
+            for part in chain.parts:
+                self._seen_s[part.target] = now_s
+
+    def silent_since(
+        self, chain: paths.Chain, event_s: float
+    ) -> list[paths.Part]:
+        """Returns the engines that nobody saw at work after an event."""
+        with self._lock:
+            silent = []
+            for part in chain.parts:
+                seen_s = self._seen_s.get(part.target, 0.0)
+                if seen_s < event_s + _TRANSIT_S:
+                    silent.append(part)
+            return silent
+
+    def forget(self, target: ids.TargetId) -> None:
+        """Drops a target that has gone."""
+        with self._lock:
+            self._seen_s.pop(target, None)
+
+
+def unreachable(
+    parts: collections.abc.Iterable[paths.Part],
+) -> list[paths.Part]:
+    """Returns the engines that do not accept a connection at once."""
+    pending: dict[int, tuple[socket.socket, paths.Part]] = {}
+    dead = []
+    poller = select.poll()
+    for part in parts:
+        host, _, port = part.address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        code = sock.connect_ex((host, int(port)))
+        if code not in (0, errno.EINPROGRESS):
+            dead.append(part)
+            sock.close()
+            continue
+        pending[sock.fileno()] = (sock, part)
+        poller.register(sock, select.POLLOUT)
+    until_s = clocks.boot_s() + _CONNECT_S
+    while pending:
+        left_s = until_s - clocks.boot_s()
+        if left_s <= 0:
+            break
+        for number, _ in poller.poll(left_s * 1000):
+            sock, part = pending.pop(number)
+            poller.unregister(number)
+            if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                dead.append(part)
+            sock.close()
+    for sock, part in pending.values():
+        dead.append(part)
+        sock.close()
+    return dead
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -12,6 +12,7 @@
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
 from briarfall.gateway import events
+from briarfall.gateway import evidence
 from briarfall.gateway import exchange
 from briarfall.gateway import loads
 from briarfall.gateway import messages
@@ -25,10 +26,12 @@
 # An engine that was short of memory is left out by new chains this long.
 _FULL_BLOCK_S = 0.15
 # Shortest silence of a stream that starts a search for the failed engine.
-_MIN_SILENCE_S = 0.12
+_MIN_SILENCE_S = 0.09
 # Silence beyond this many usual pauses is suspicious.
-_SILENCE_FACTOR = 2.5
-_FIRST_SILENCE_S = 0.3
+_SILENCE_FACTOR = 2.0
+_FIRST_SILENCE_S = 0.15
+# Searches by connecting to engines, before the head is asked.
+_CONNECT_CHECKS = 2
 _PAUSE_WEIGHT = 0.2
 _REPORT_TIMEOUT_S = 0.1
 _ORDER_TIMEOUT_S = 0.2
@@ -118,6 +121,7 @@
         self._engines = engines
         self._pool = pool
         self._budget = budget
+        self._progress = evidence.ProgressTable()
 
     def forward(self, call: calls.Call) -> None:
         """Runs a stream to its end, over as many chains as it takes.
@@ -411,6 +415,7 @@
                 stream.pause_s = pause_s
             stream.pause_s += _PAUSE_WEIGHT * (pause_s - stream.pause_s)
         stream.event_s = now_s
+        self._progress.note(run.chain, now_s)
         run.checks = 0
         run.next_check_s = now_s + self._silence_s(stream)
 
@@ -433,38 +438,66 @@
                 self._mend(stream, run)
 
     def _mend(self, stream: Stream, run: _Run) -> None:
-        """Asks the head which engine the stream waits for, and avoids it."""
-        head = run.chain.head
-        call = stream.call
-        silent_ms = (clocks.boot_s() - stream.event_s) * 1000
-        try:
-            report = self._engines.report(head.address, _REPORT_TIMEOUT_S)
-        except exceptions.BriarfallError as exc:
-            logging.warning(
-                "head silent request=%s target=%s silent_ms=%d: %s",
-                call.request_id,
-                head.target,
-                silent_ms,
-                exc,
-            )
+        """Finds the engine that the stream waits for, and avoids it."""
+        failed = self._find_failed(stream, run)
+        if failed is None:
+            return
+        stream.excluded.add(failed.target)
+        culprit = self._targets.get(failed.target)
+        if culprit is not None:
+            self._targets.note_failure(culprit, "a stream waits for it")
+        if failed is run.chain.head or not stream.has_begun:
             raise exchange.BrokenExchangeError(
-                f"{head.address}: silent", saw_response=stream.has_begun
-            ) from exc
-        address = report.stalled.get(call.request_id)
+                f"{failed.address}: silent", saw_response=stream.has_begun
+            )
+        self._repath(stream, run, failed.address)
+
+    def _find_failed(self, stream: Stream, run: _Run) -> paths.Part | None:
+        """Returns the engine of a silent stream that has failed, if any."""
+        silent_ms = (clocks.boot_s() - stream.event_s) * 1000
+        suspects = self._progress.silent_since(run.chain, stream.event_s)
+        dead = self._known_dead(suspects, stream.event_s)
+        how = "known"
+        if not dead and run.checks <= _CONNECT_CHECKS:
+            dead = evidence.unreachable(suspects)
+            how = "connect"
+        elif not dead:
+            dead = self._ask_head(stream, run)
+            how = "report"
         logging.info(
-            "stream silent request=%s silent_ms=%d stalled_at=%s check=%d",
-            call.request_id,
+            "stream silent request=%s silent_ms=%d pause_ms=%d check=%d "
+            "how=%s suspects=%d failed=%s",
+            stream.call.request_id,
             silent_ms,
-            address,
+            stream.pause_s * 1000,
             run.checks,
+            how,
+            len(suspects),
+            dead[0].target if dead else None,
         )
-        if not address:
-            return
-        culprit = self._targets.at(address)
-        if culprit is not None:
-            self._targets.note_failure(culprit, "a stream waits for it")
-            stream.excluded.add(culprit.id)
-        self._repath(stream, run, address)
+        return dead[0] if dead else None
+
+    def _known_dead(
+        self, suspects: list[paths.Part], event_s: float
+    ) -> list[paths.Part]:
+        """Returns suspects that failed for others after the last event."""
+        found = []
+        for part in suspects:
+            target = self._targets.get(part.target)
+            if target is None or target.failed_s > event_s:
+                found.append(part)
+        return found
+
+    def _ask_head(self, stream: Stream, run: _Run) -> list[paths.Part]:
+        """Returns the engine that the head says it waits for."""
+        head = run.chain.head
+        try:
+            report = self._engines.report(head.address, _REPORT_TIMEOUT_S)
+        except exceptions.BriarfallError as exc:
+            logging.warning("head silent target=%s: %s", head.target, exc)
+            return [head]
+        address = report.stalled.get(stream.call.request_id)
+        return [part for part in run.chain.parts if part.address == address]
 
     def _repath(self, stream: Stream, run: _Run, address: str) -> None:
         """Replaces one engine of the chain of a running stream."""
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -30,6 +30,7 @@
         suspected_until_s: Until when this instance warns others of it.
         blocked_until_s: Time until which it gets no new requests.
         failures: Failures in a row.
+        failed_s: Time of the last failure, here or at a peer.
     """
 
     entry: sources.TargetEntry
@@ -38,6 +39,7 @@
     blocked_until_s: float = 0.0
     suspected_until_s: float = 0.0
     failures: int = 0
+    failed_s: float = 0.0
 
     @property
     def id(self) -> ids.TargetId:
@@ -218,6 +220,7 @@
             return
         now_s = clocks.boot_s()
         if target.blocked_until_s <= now_s:
+            target.failed_s = now_s
             logging.info(
                 "target suspected by a peer target=%s for_s=%.1f",
                 target_id,
@@ -266,7 +269,8 @@
             target.failures += 1
             block_s = _FIRST_BLOCK_S * 2 ** (target.failures - 1)
             block_s = min(_MAX_BLOCK_S, block_s)
-            target.blocked_until_s = clocks.boot_s() + block_s
+            target.failed_s = clocks.boot_s()
+            target.blocked_until_s = target.failed_s + block_s
             target.suspected_until_s = target.blocked_until_s
         for listener in self._listeners:
             listener()
