Let an instance that the store refuses learn the catalogue from its peers

Change: a peer that reaches the store confirms the version (age counted from the question) and hands over the catalogue in compressed parts.

--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -49,7 +49,7 @@
         self._newest_version = -1
         self._position: int | None = None
         self.confirmed_s: float | None = None
-        self._is_lost = False
+        self.is_lost = False
         self.view: views.CatalogueView | None = None
         self.raw = b""
         self.first_view = threading.Event()
@@ -154,6 +154,19 @@
             len(view.accounts),
         )
 
+    def take_from_peer(self, raw: bytes) -> None:
+        """Takes over another instance's catalogue while the source is away."""
+        self.apply(raw)
+        if self._position is None:
+            logging.info("catalogue taken from a peer")
+
+    @property
+    def needs_peer(self) -> bool:
+        """Whether only another instance can provide the newest version."""
+        if self.view is None:
+            return True
+        return self.is_lost and self._newest_version > self.view.version
+
     def confirm_from_peer(self, version: int, sent_s: float) -> None:
         """Takes over that a version was the newest at a time."""
         if self.view is None:
@@ -165,8 +178,8 @@
 
     def confirm(self, sent_s: float) -> None:
         """Notes that the view was the newest at a time on the boot clock."""
-        if self._is_lost:
-            self._is_lost = False
+        if self.is_lost:
+            self.is_lost = False
             logging.info("catalogue source regained")
         self._confirm(sent_s)
 
@@ -175,6 +188,6 @@
             self.confirmed_s = sent_s
 
     def _note_lost(self, exc: exceptions.BriarfallError) -> None:
-        if not self._is_lost:
+        if not self.is_lost:
             logging.warning("catalogue source lost: %s", exc)
-        self._is_lost = True
+        self.is_lost = True
--- a/src/briarfall/gateway/evidence.py
+++ b/src/briarfall/gateway/evidence.py
@@ -41,10 +41,19 @@
                     silent.append(part)
             return silent
 
-    def forget(self, target: ids.TargetId) -> None:
-        """Drops a target that has gone."""
+    def find_dead(self, parts: list[paths.Part]) -> list[paths.Part]:
+        """Returns engines that do not accept a connection at once.
+
+        Those that do count as seen at work, so that streams which fall
+        silent together do not all connect to them.
+        """
+        dead = unreachable(parts)
+        now_s = clocks.boot_s()
         with self._lock:
-            self._seen_s.pop(target, None)
+            for part in parts:
+                if part not in dead:
+                    self._seen_s[part.target] = now_s
+        return dead
 
 
 def unreachable(
--- a/src/briarfall/gateway/following.py
+++ b/src/briarfall/gateway/following.py
@@ -1,6 +1,6 @@
 """Follows the list of targets, directly or by way of other instances."""
 
-import collections.abc
+import typing
 
 from absl import logging
 
@@ -18,15 +18,26 @@
 READERS = 2
 _LIST_TIMEOUT_S = 0.7
 _ASK_TIMEOUT_S = 0.2
+_FETCH_TIMEOUT_S = 0.2
+# Peers that are asked in turn while the store does not answer.
+_MAX_ASKED = 3
 # Part of the bound on leaving targets that a direct read may be old.
 _DIRECT_SHARE = 0.4
 # Part of it that remains for questions to a reader.
 _ASK_SHARE = 0.2
 _OLDEST_SHARE = 0.6
 
-Ask = collections.abc.Callable[
-    [peers.Peer, int, int, float], peermessages.Answer
-]
+
+class PeerLink(typing.Protocol):
+    """Questions to other instances."""
+
+    def ask(
+        self, peer: peers.Peer, lifetime: int, revision: int, timeout_s: float
+    ) -> peermessages.Answer:
+        """Asks how fresh a peer's knowledge is."""
+
+    def fetch_catalogue(self, peer: peers.Peer, timeout_s: float) -> bytes:
+        """Returns a peer's catalogue in the platform's format."""
 
 
 class TargetFollower(workers.Worker):
@@ -41,7 +52,7 @@
         follower: The catalogue, which readers confirm as well.
         pool: Connections to targets.
         peer_table: Other instances.
-        ask: Asks another instance.
+        link: Asks other instances.
         bound_s: Time after which a leaving target gets no work.
     """
 
@@ -52,7 +63,7 @@
         follower: catalogue.CatalogueFollower,
         pool: exchange.ConnectionPool,
         peer_table: peers.PeerTable,
-        ask: Ask,
+        link: PeerLink,
         bound_s: float,
     ):
         super().__init__("targets")
@@ -61,7 +72,7 @@
         self._follower = follower
         self._pool = pool
         self._peers = peer_table
-        self._ask = ask
+        self._link = link
         self._bound_s = bound_s
         # Lifetime of the reader that the revision belongs to.
         self._lifetime = 0
@@ -71,39 +82,59 @@
         """Refreshes the table once and waits until the next round."""
         started_s = clocks.boot_s()
         share = _DIRECT_SHARE
-        if self._ask_readers():
+        if self._ask_readers() or not self.read():
             share = _ASK_SHARE
-        else:
-            self.read()
         self._pool.close_idle()
         left_s = self._bound_s * share - (clocks.boot_s() - started_s)
         self.stopped.wait(max(0.05, left_s))
 
-    def read(self) -> None:
-        """Reads the list from its source."""
+    def read(self) -> bool:
+        """Reads the list from its source, or else learns it from peers.
+
+        Returns:
+            Whether the source answered.
+        """
         sent_s = clocks.boot_s()
         try:
             entries = self._source.list_targets(_LIST_TIMEOUT_S)
         except exceptions.BriarfallError as exc:
-            self._table.lose_source()
-            logging.warning("targets not read: %s", exc)
-            return
+            if self._peers.reaches_store:
+                logging.warning("targets not read: %s", exc)
+            self._peers.reaches_store = False
+            if not self._ask(self._peers.informed(_MAX_ASKED)):
+                self._table.lose_source()
+            return False
+        self._peers.reaches_store = True
         self._drop(self._table.update(entries, sent_s))
+        if self._follower.is_lost:
+            self._ask(self._peers.informed(_MAX_ASKED))
+        return True
 
     def _ask_readers(self) -> bool:
         """Whether a reader gave an answer that is fresh enough."""
+        if not self._peers.reaches_store:
+            return False
         if self._table.read_s is None or self._follower.view is None:
             return False
-        for reader in self._peers.readers(READERS):
-            if reader is None:
-                return False
+        readers = self._peers.readers(READERS)
+        if None in readers:
+            return False
+        return self._ask(readers)
+
+    def _ask(self, rows: list[peers.Peer]) -> bool:
+        """Whether one of some peers gave an answer that is fresh enough."""
+        for peer in rows:
             asked_s = clocks.boot_s()
             try:
-                answer = self._ask(
-                    reader, self._lifetime, self._revision, _ASK_TIMEOUT_S
+                answer = self._link.ask(
+                    peer, self._lifetime, self._revision, _ASK_TIMEOUT_S
                 )
+                if self._follower.needs_peer:
+                    self._follower.take_from_peer(
+                        self._link.fetch_catalogue(peer, _FETCH_TIMEOUT_S)
+                    )
             except exceptions.PeerError as exc:
-                logging.info("reader silent: %s", exc)
+                logging.info("peer silent: %s", exc)
                 continue
             if self._take(answer, asked_s):
                 return True
@@ -118,6 +149,8 @@
         age_s = answer.targets_age_ms / 1000
         if age_s > self._bound_s * _OLDEST_SHARE:
             return False
+        if answer.is_partial and not self._peers.reaches_store:
+            return False
         if answer.is_partial:
             # The whole list comes from its source, changes from the reader.
             self.read()
@@ -125,7 +158,7 @@
             self._revision = answer.revision
             return True
         read_s = asked_s - age_s
-        if read_s < self._table.read_s:
+        if self._table.read_s is not None and read_s < self._table.read_s:
             return True
         self._lifetime = answer.lifetime
         self._revision = answer.revision
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+import zlib
 
 from absl import logging
 
@@ -28,6 +29,9 @@
 # A peer that was announced and is silent may still be starting.
 _SILENT_S = 2.0
 _MAX_DATAGRAM = 65_000
+# Part of a compressed catalogue that one datagram carries.
+_PART_BYTES = 16_000
+_ZIP_LEVEL = 1
 # Entries that fit into one datagram of an answer.
 _MAX_CHANGED = 60
 _STORE_TIMEOUT_S = 1.0
@@ -69,6 +73,7 @@
         self._is_leaving = False
         self._lock = threading.Lock()
         self._numbers = 0
+        self._packed: tuple[int, bytes] | None = None
         self._pending: dict[int, queue.SimpleQueue] = {}
         host, _, port = record.address.rpartition(":")
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -99,15 +104,49 @@
         Raises:
             PeerError: No answer in time.
         """
+        return self._exchange(
+            peer,
+            lambda number: peermessages.Question(number, lifetime, revision),
+            timeout_s,
+        )
+
+    def fetch_catalogue(self, peer: peers.Peer, timeout_s: float) -> bytes:
+        """Returns the catalogue of a peer in the platform's format.
+
+        Raises:
+            PeerError: No whole catalogue in time.
+        """
+        parts: list[bytes] = []
+        version = None
+        while True:
+            part = len(parts)
+            answer = self._exchange(
+                peer,
+                lambda number, part=part: peermessages.PartQuestion(
+                    number, part
+                ),
+                timeout_s,
+            )
+            if version is not None and answer.version != version:
+                raise exceptions.PeerError(f"{peer.id} has a newer catalogue")
+            version = answer.version
+            parts.append(answer.data)
+            if len(parts) >= answer.count:
+                break
+        try:
+            return zlib.decompress(b"".join(parts))
+        except zlib.error as exc:
+            raise exceptions.PeerError(f"{peer.id}: {exc}") from exc
+
+    def _exchange(self, peer: peers.Peer, build, timeout_s: float):
+        """Sends the message that `build` makes and returns its answer."""
         box: queue.SimpleQueue = queue.SimpleQueue()
         with self._lock:
             self._numbers += 1
             number = self._numbers
             self._pending[number] = box
         try:
-            self._send(
-                peermessages.Question(number, lifetime, revision), peer.address
-            )
+            self._send(build(number), peer.address)
             return box.get(timeout=timeout_s)
         except queue.Empty as exc:
             raise exceptions.PeerError(f"{peer.id} does not answer") from exc
@@ -179,6 +218,9 @@
             zone=self._record.zone,
             version=view.version if view else -1,
             is_leaving=self._is_leaving,
+            reaches_store=(
+                self._peers.reaches_store and not self._follower.is_lost
+            ),
             loads=rows,
             suspicions=suspicions,
             lease_fence=self._lease.fence,
@@ -213,6 +255,9 @@
         if isinstance(message, peermessages.Question):
             self._send(self._answer(message), address)
             return
+        if isinstance(message, peermessages.PartQuestion):
+            self._send(self._part(message), address)
+            return
         with self._lock:
             box = self._pending.get(message.number)
         if box is not None:
@@ -228,6 +273,8 @@
             return
         now_s = clocks.boot_s()
         peer.heard_s = now_s
+        peer.version = status.version
+        peer.reaches_store = status.reaches_store
         if status.lease_left_ms:
             self._lease.note_other(
                 status.lease_fence, now_s + status.lease_left_ms / 1000
@@ -244,6 +291,24 @@
         if status.version > (view.version if view else -1):
             self._follower.note_newer(status.version)
 
+    def _part(
+        self, question: peermessages.PartQuestion
+    ) -> peermessages.PartAnswer:
+        view = self._follower.view
+        if view is None:
+            return peermessages.PartAnswer(question.number, -1, 0, b"")
+        if self._packed is None or self._packed[0] != view.version:
+            raw = self._follower.raw
+            self._packed = (view.version, zlib.compress(raw, _ZIP_LEVEL))
+        version, data = self._packed
+        start = question.part * _PART_BYTES
+        return peermessages.PartAnswer(
+            question.number,
+            version,
+            -(-len(data) // _PART_BYTES),
+            data[start : start + _PART_BYTES],
+        )
+
     def _answer(self, question: peermessages.Question) -> peermessages.Answer:
         since = question.revision
         if question.lifetime != self._lifetime:
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -98,7 +98,7 @@
             self.follower,
             pool,
             self.peers,
-            self.gossip.ask,
+            self.gossip,
             cfg.leaving_bound_s,
         )
         self.placer = placer.Placer(
--- a/src/briarfall/gateway/peermessages.py
+++ b/src/briarfall/gateway/peermessages.py
@@ -35,6 +35,7 @@
         zone: Its availability zone.
         version: Version of its catalogue, or -1.
         is_leaving: Whether it is stopping.
+        reaches_store: Whether its last read of the store succeeded.
         loads: Its requests in flight.
         suspicions: Targets that failed for it.
         lease_fence: Fence of its placement lease, or 0.
@@ -46,6 +47,7 @@
     zone: ids.ZoneId
     version: int
     is_leaving: bool
+    reaches_store: bool
     loads: list[LoadRow]
     suspicions: list[Suspicion]
     lease_fence: int = 0
@@ -96,12 +98,39 @@
     gone: list[ids.TargetId]
 
 
-Message = Status | Question | Answer
+class PartQuestion(
+    msgspec.Struct, array_like=True, frozen=True, tag="c", tag_field="type"
+):
+    """Asks for a part of the compressed catalogue."""
+
+    number: int
+    part: int
+
+
+class PartAnswer(
+    msgspec.Struct, array_like=True, frozen=True, tag="p", tag_field="type"
+):
+    """A part of the compressed catalogue.
+
+    Attributes:
+        number: Number of the question.
+        version: Version of the catalogue, or -1.
+        count: Number of parts.
+        data: The bytes.
+    """
+
+    number: int
+    version: int
+    count: int
+    data: bytes
+
+
+Message = Status | Question | Answer | PartQuestion | PartAnswer
 
 
 def encode(message: Message) -> bytes:
     """Returns the datagram of a message."""
-    return cbor2.dumps(msgspec.to_builtins(message))
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
 def decode(data: bytes) -> Message:
--- a/src/briarfall/gateway/peers.py
+++ b/src/briarfall/gateway/peers.py
@@ -25,6 +25,7 @@
         found_s: Time on the boot clock at which it was announced.
         heard_s: Time of its last datagram, or 0.
         version: Version of its catalogue.
+        reaches_store: Whether its last read of the store succeeded.
     """
 
     id: ids.InstanceId
@@ -33,6 +34,7 @@
     found_s: float
     heard_s: float = 0.0
     version: int = -1
+    reaches_store: bool = False
 
 
 class PeerTable:
@@ -48,6 +50,7 @@
         self._zone = zone
         self._lock = threading.Lock()
         self._peers: dict[ids.InstanceId, Peer] = {}
+        self.reaches_store = True
 
     def add(
         self, peer_id: ids.InstanceId, address: str, zone: ids.ZoneId
@@ -106,13 +109,21 @@
         Rendezvous hashing gives instances with the same members the same
         answer; None stands for this instance.
         """
-        ranked: list[tuple[int, Peer | None]] = [(_rank(self._instance), None)]
+        ranked: list[tuple[int, Peer | None]] = []
+        if self.reaches_store:
+            ranked.append((_rank(self._instance), None))
         for peer in self.alive():
-            if peer.zone == self._zone:
+            if peer.zone == self._zone and peer.reaches_store:
                 ranked.append((_rank(peer.id), peer))
         ranked.sort(key=lambda row: row[0])
         return [peer for _, peer in ranked[:count]]
 
+    def informed(self, count: int) -> list[Peer]:
+        """Returns peers of any zone that reach the store, nearest first."""
+        rows = [peer for peer in self.alive() if peer.reaches_store]
+        rows.sort(key=lambda peer: (peer.zone != self._zone, _rank(peer.id)))
+        return rows[:count]
+
 
 def _rank(instance: ids.InstanceId) -> int:
     return xxhash.xxh64_intdigest(instance.encode())
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -459,7 +459,7 @@
         dead = self._known_dead(suspects, stream.event_s)
         how = "known"
         if not dead and run.checks <= _CONNECT_CHECKS:
-            dead = evidence.unreachable(suspects)
+            dead = self._progress.find_dead(suspects)
             how = "connect"
         elif not dead:
             dead = self._ask_head(stream, run)
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -266,8 +266,10 @@
     def note_failure(self, target: Target, reason: str) -> None:
         """Keeps new requests away from a target for a growing time."""
         with self._lock:
-            target.failures += 1
-            block_s = _FIRST_BLOCK_S * 2 ** (target.failures - 1)
+            # Requests that fail together are one failure of the target.
+            if clocks.boot_s() - target.failed_s > _FIRST_BLOCK_S:
+                target.failures += 1
+            block_s = _FIRST_BLOCK_S * 2 ** max(0, target.failures - 1)
             block_s = min(_MAX_BLOCK_S, block_s)
             target.failed_s = clocks.boot_s()
             target.blocked_until_s = target.failed_s + block_s
