--- a/src/briarfall/gateway/following.py
+++ b/src/briarfall/gateway/following.py
@@ -14,8 +14,9 @@
 from briarfall.gateway import targets
 from briarfall.gateway import workers
 
-# Instances of a zone that read the store for all of it.
-READERS = 2
+# Instances of a zone that read the store for all of it; the next one takes
+# over as soon as it falls silent or loses the store.
+READERS = 1
 _LIST_TIMEOUT_S = 0.7
 _ASK_TIMEOUT_S = 0.2
 _FETCH_TIMEOUT_S = 0.2
@@ -117,9 +118,9 @@
         if self._table.read_s is None or self._follower.view is None:
             return False
         readers = self._peers.readers(READERS)
-        if None in readers:
+        if not readers or None in readers:
             return False
-        return self._ask(readers)
+        return self._ask(readers) or self._ask(self._peers.informed(1))
 
     def _ask(self, rows: list[peers.Peer]) -> bool:
         """Whether one of some peers gave an answer that is fresh enough."""
--- a/src/briarfall/gateway/paths.py
+++ b/src/briarfall/gateway/paths.py
@@ -50,6 +50,13 @@
         """The engine that takes the request and answers it."""
         return self.parts[0]
 
+    def describe(self) -> str:
+        """Returns the engines and their layers for logs."""
+        rows = []
+        for part in self.parts:
+            rows.append(f"{part.target}={part.layers.first}-{part.layers.end}")
+        return ",".join(rows)
+
     def target_ids(self) -> list[ids.TargetId]:
         """Returns the ids of all engines."""
         return [part.target for part in self.parts]
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -414,6 +414,17 @@
             if not stream.pause_s:
                 stream.pause_s = pause_s
             stream.pause_s += _PAUSE_WEIGHT * (pause_s - stream.pause_s)
+        if stream.has_begun and pause_s > stream.call.route.gap_aim_s:
+            logging.info(
+                "stream paused request=%s pause_ms=%d last_event=%d sends=%d "
+                "repaths=%d chain=%s",
+                stream.call.request_id,
+                pause_s * 1000,
+                stream.last_id,
+                stream.call.sends,
+                run.repaths,
+                run.chain.describe(),
+            )
         stream.event_s = now_s
         self._progress.note(run.chain, now_s)
         run.checks = 0
