Stand-ins of the prepared platform; tests of the whole path without the bench

Cause found by a test: an instance whose keys are good for one second never was ready, because the waits were constants of today's sites; they are shares of that time now.

--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -11,19 +11,22 @@
 from briarfall.gateway import views
 from briarfall.gateway import workers
 
-# A waiting read confirms the view when it returns; three of them fit into
-# the shortest time for which keys are good.
-_WAIT_S = 1.2
+# A waiting read confirms the view when it returns; several of them fit into
+# the time for which keys are good.
+_MAX_WAIT_S = 1.2
+_WAIT_SHARE = 0.24
 _TIMEOUT_S = 0.8
 _RETRY_S = 0.15
-# Age of the view at which an instance that relies on others reads by itself.
-_PEER_PATIENCE_S = 2.6
+# Age of the view at which an instance that relies on others reads by itself,
+# as a part of the time for which keys are good.
+_PEER_PATIENCE_SHARE = 0.5
+_MAX_PATIENCE_S = 2.6
 _PEER_POLL_S = 0.25
 # Versions that come in quick succession are read together.
 _GATHER_S = 0.08
 # Part of the time for which keys are good that is left for the request to
 # reach its target.
-_KEY_MARGIN_S = 0.6
+_KEY_MARGIN_SHARE = 0.12
 
 
 class CatalogueFollower(workers.Worker):
@@ -45,6 +48,13 @@
         self._source = source
         self._key_ttl_s = key_ttl_s
         self._is_reader = is_reader
+        self._wait_s = _MAX_WAIT_S
+        self._patience_s = _MAX_PATIENCE_S
+        if key_ttl_s:
+            self._wait_s = min(_MAX_WAIT_S, key_ttl_s * _WAIT_SHARE)
+            self._patience_s = min(
+                _MAX_PATIENCE_S, key_ttl_s * _PEER_PATIENCE_SHARE
+            )
         self._newer = threading.Event()
         self._newest_version = -1
         self._position: int | None = None
@@ -69,7 +79,7 @@
             return False
         if not self._key_ttl_s:
             return True
-        return self.age_s < self._key_ttl_s - _KEY_MARGIN_S
+        return self.age_s < self._key_ttl_s * (1 - _KEY_MARGIN_SHARE)
 
     def add_listener(self, listener: collections.abc.Callable[[], None]):
         """Calls `listener` whenever another version is in force."""
@@ -97,9 +107,9 @@
                 self._newer.set()
             return
         if self._is_reader():
-            self._read(_WAIT_S)
+            self._read(self._wait_s)
             return
-        if self.age_s > _PEER_PATIENCE_S:
+        if self.age_s > self._patience_s:
             self._read(0.0)
             return
         self._newer.wait(_PEER_POLL_S)
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -7,6 +7,7 @@
 import zlib
 
 from absl import logging
+import msgspec
 
 from briarfall import exceptions
 from briarfall import ids
@@ -61,7 +62,6 @@
         follower: catalogue.CatalogueFollower,
         lease: placer.Lease,
     ):
-        self._record = record
         self._source = source
         self._peers = peer_table
         self._loads = load_table
@@ -70,6 +70,7 @@
         self._lease = lease
         self._lifetime = time.time_ns() // 1_000_000
         self._wake = threading.Event()
+        self._closed = threading.Event()
         self._is_leaving = False
         self._lock = threading.Lock()
         self._numbers = 0
@@ -78,6 +79,8 @@
         host, _, port = record.address.rpartition(":")
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind((host, int(port)))
+        bound = "{}:{}".format(*self._sock.getsockname())
+        self._record = msgspec.structs.replace(record, address=bound)
 
     def start(self) -> None:
         """Starts the threads."""
@@ -92,6 +95,17 @@
         self._is_leaving = True
         self._wake.set()
 
+    def close(self) -> None:
+        """Ends the threads at once."""
+        self._closed.set()
+        self._wake.set()
+        try:
+            # Wakes the thread that waits for datagrams.
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self._sock.close()
+
     def tell_now(self) -> None:
         """Sends the status without waiting for its interval."""
         self._wake.set()
@@ -156,22 +170,23 @@
 
     def _announce(self) -> None:
         """Publishes this instance and learns of the others, until it works."""
-        while True:
+        while not self._closed.is_set():
             try:
                 self._source.announce(self._record, _STORE_TIMEOUT_S)
                 records = self._source.list_instances(_STORE_TIMEOUT_S)
-                break
             except exceptions.BriarfallError as exc:
                 logging.warning("not announced yet: %s", exc)
-                time.sleep(_ANNOUNCE_RETRY_S)
-        for record in records:
-            self._peers.add(record.id, record.address, record.zone)
-        logging.info("announced peers=%d", len(records) - 1)
-        self._wake.set()
+                self._closed.wait(_ANNOUNCE_RETRY_S)
+                continue
+            for record in records:
+                self._peers.add(record.id, record.address, record.zone)
+            logging.info("announced peers=%d", len(records) - 1)
+            self._wake.set()
+            return
 
     def _send_loop(self) -> None:
         sent_s: dict[ids.InstanceId, float] = {}
-        while True:
+        while not self._closed.is_set():
             is_urgent = self._wake.wait(_NEAR_S)
             self._wake.clear()
             try:
@@ -237,12 +252,13 @@
             logging.info("datagram to %s not sent: %s", address, exc)
 
     def _receive_loop(self) -> None:
-        while True:
+        while not self._closed.is_set():
             try:
                 data, address = self._sock.recvfrom(_MAX_DATAGRAM)
                 self._take(peermessages.decode(data), address)
             except (OSError, exceptions.PeerError) as exc:
-                logging.warning("datagram ignored: %s", exc)
+                if not self._closed.is_set():
+                    logging.warning("datagram ignored: %s", exc)
             except Exception:
                 logging.exception("datagram not handled")
 
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -149,6 +149,16 @@
     def _is_reader(self) -> bool:
         return None in self.peers.readers(following.READERS)
 
+    @property
+    def caller_address(self) -> tuple[str, int]:
+        """IP number and port for callers."""
+        return self._caller_listener.address
+
+    @property
+    def status_address(self) -> tuple[str, int]:
+        """IP number and port for the balancer's questions."""
+        return self._status_listener.address
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers."""
@@ -191,6 +201,15 @@
             self.stop.left_s,
         )
 
+    def close(self) -> None:
+        """Ends all threads at once, without a planned stop."""
+        self._caller_listener.stop()
+        self._status_listener.stop()
+        self.follower.stop()
+        self.target_follower.stop()
+        self.placer.stop()
+        self.gossip.close()
+
     def _serve_status(self, sock: socket.socket) -> None:
         """Answers the balancer's question."""
         conn = callers.CallerConnection(sock, views.CallerLimits())
--- /dev/null
+++ b/src/briarfall/standins/prepared/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the prepared platform: store, engines, plain services."""
--- /dev/null
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -0,0 +1,155 @@
+"""A small HTTP server that may also break every rule of HTTP on purpose."""
+
+import collections.abc
+import socket
+import struct
+import threading
+
+import msgspec
+
+_RECEIVE_BYTES = 65_536
+_RESET = struct.pack("ii", 1, 0)
+
+
+class RawRequest(msgspec.Struct):
+    """A request as it came over the wire."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """The path without its query."""
+        return self.target.partition("?")[0]
+
+
+class RawConnection:
+    """One connection, with full control over the bytes of the answer."""
+
+    def __init__(self, sock: socket.socket):
+        self.sock = sock
+        self._rest = b""
+
+    def read(self) -> RawRequest | None:
+        """Returns the next request, or None at the end."""
+        while b"\r\n\r\n" not in self._rest:
+            data = self.sock.recv(_RECEIVE_BYTES)
+            if not data:
+                return None
+            self._rest += data
+        head, _, self._rest = self._rest.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        method, target, _ = lines[0].split(" ", 2)
+        headers = {}
+        for line in lines[1:]:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+        length = int(headers.get("content-length", "0"))
+        while len(self._rest) < length:
+            data = self.sock.recv(_RECEIVE_BYTES)
+            if not data:
+                return None
+            self._rest += data
+        body = self._rest[:length]
+        self._rest = self._rest[length:]
+        return RawRequest(method, target, headers, body)
+
+    def send(self, data: bytes) -> None:
+        """Sends bytes as they are."""
+        self.sock.sendall(data)
+
+    def answer(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        """Sends a well-formed response."""
+        self.send(response(status, body, headers))
+
+    def begin_chunks(self, headers: dict[str, str]) -> None:
+        """Sends the head of a response in chunks."""
+        lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        self.send(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
+
+    def chunk(self, data: bytes) -> None:
+        """Sends one chunk; an empty one ends the body."""
+        self.send(b"%x\r\n" % len(data) + data + b"\r\n")
+
+    def reset(self) -> None:
+        """Closes the connection with a reset."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        self.sock.close()
+
+
+def response(
+    status: int, body: bytes = b"", headers: dict[str, str] | None = None
+) -> bytes:
+    """Returns the bytes of a whole response."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+Handler = collections.abc.Callable[[RawConnection, RawRequest], bool]
+
+
+class RawServer:
+    """Serves each connection on a thread; the handler says if it goes on."""
+
+    def __init__(self, handler: Handler):
+        self._handler = handler
+        self._lock = threading.Lock()
+        self._open: set[socket.socket] = set()
+        self.opened = 0
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.port = self._listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            with self._lock:
+                self._open.add(sock)
+                self.opened += 1
+            threading.Thread(
+                target=self._serve, args=(sock,), daemon=True
+            ).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        conn = RawConnection(sock)
+        try:
+            while True:
+                req = conn.read()
+                if req is None or not self._handler(conn, req):
+                    return
+        except OSError:
+            return
+        finally:
+            with self._lock:
+                self._open.discard(sock)
+            sock.close()
+
+    def close(self) -> None:
+        """Closes the listener and resets all connections."""
+        # A shutdown wakes the thread in accept; a close alone does not.
+        try:
+            self._listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self._listener.close()
+        with self._lock:
+            rows = list(self._open)
+        for sock in rows:
+            try:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
--- /dev/null
+++ b/src/briarfall/standins/prepared/services.py
@@ -0,0 +1,305 @@
+"""Stand-ins of plain services and of engines that hold layers."""
+
+import enum
+import json
+import threading
+
+import msgspec
+
+from briarfall.standins.prepared import rawhttp
+from briarfall.standins.prepared import store
+
+_TARGETS = "keyed.servers"
+_STEP_S = 0.004
+_HOLD_S = 10.0
+
+
+class Fault(enum.Enum):
+    """What a service does with requests."""
+
+    NONE = "none"
+    REFUSE = "refuse"
+    FAIL = "fail"
+    RESET_AFTER_RUN = "reset_after_run"
+    CUT_BODY = "cut_body"
+    HANG = "hang"
+    GARBAGE = "garbage"
+    EXTRA_ANSWER = "extra_answer"
+    MISDIRECTED = "misdirected"
+
+
+class RanRequest(msgspec.Struct, frozen=True):
+    """A line of a service's ledger."""
+
+    request_id: str
+    method: str
+    target: str
+    body: bytes
+    headers: dict[str, str]
+
+
+class _Registered:
+    """A target with an entry on the store."""
+
+    def __init__(
+        self,
+        platform: store.StoreStandin,
+        target_id: str,
+        service: str,
+        zone: str,
+    ):
+        self._platform = platform
+        self.id = target_id
+        self.service = service
+        self.zone = zone
+        self.beat = 0
+        self.state = "ready"
+        self.fault = Fault.NONE
+        self.lock = threading.Lock()
+        self.ran: list[RanRequest] = []
+        self.released = threading.Event()
+        self.server = rawhttp.RawServer(self.handle)
+        self.address = self.server.address
+
+    def handle(self, conn, req) -> bool:
+        """Serves one request."""
+        raise NotImplementedError
+
+    def register(self, **extra) -> None:
+        """Writes the entry."""
+        self.beat += 1
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "seq": self.beat,
+            "born": 1,
+            **extra,
+        }
+        self._platform.put(_TARGETS, self.id, entry)
+
+    def leave(self) -> None:
+        """Reports that it leaves."""
+        self.state = "draining"
+        self.register()
+
+    def remove(self) -> None:
+        """Removes the entry."""
+        self._platform.drop(_TARGETS, self.id)
+
+    def close(self) -> None:
+        """Ends it like a crash."""
+        self.released.set()
+        self.server.close()
+
+    def note(self, req: rawhttp.RawRequest) -> None:
+        """Writes the ledger."""
+        row = RanRequest(
+            req.headers.get("x-request-id", ""),
+            req.method,
+            req.target,
+            req.body,
+            req.headers,
+        )
+        with self.lock:
+            self.ran.append(row)
+
+    def ran_ids(self) -> list[str]:
+        """Returns the ids of requests that ran."""
+        with self.lock:
+            return [row.request_id for row in self.ran]
+
+
+class ServiceStandin(_Registered):
+    """A plain service that echoes the body."""
+
+    def __init__(self, platform, target_id, service="desk", zone="z1"):
+        super().__init__(platform, target_id, service, zone)
+        self.register()
+
+    def handle(self, conn, req) -> bool:
+        """Runs a request and answers as the fault says."""
+        request_id = req.headers.get("x-request-id", "")
+        echo = {"X-Request-Id": request_id, "X-Response-Signature": self.id}
+        expected = req.headers.get("x-expect-instance", self.id)
+        if expected != self.id or self.fault is Fault.MISDIRECTED:
+            conn.answer(421, headers={"X-Instance-Id": self.id})
+            return True
+        if self.fault is Fault.REFUSE:
+            conn.answer(503, headers={**echo, "X-Not-Executed": "1"})
+            return True
+        self.note(req)
+        body = b"ran:" + req.body
+        if self.fault is Fault.FAIL:
+            conn.answer(500, b"failed", echo)
+            return True
+        if self.fault is Fault.RESET_AFTER_RUN:
+            conn.reset()
+            return False
+        if self.fault is Fault.HANG:
+            self.released.wait(_HOLD_S)
+            return False
+        if self.fault is Fault.GARBAGE:
+            conn.send(b"\x00\x01 no response\r\n\r\n")
+            return False
+        whole = rawhttp.response(200, body, echo)
+        if self.fault is Fault.CUT_BODY:
+            conn.send(whole[:-2])
+            return False
+        conn.send(whole)
+        if self.fault is Fault.EXTRA_ANSWER:
+            conn.send(whole)
+        return True
+
+
+class EngineStandin(_Registered):
+    """An engine with layers; the first of a chain makes the events.
+
+    Attributes:
+        fleet: All engines by address, to walk a chain.
+        kind: Kind of accelerator.
+        layers: First layer and the end, or None.
+        is_dark: Whether chains over it stand still.
+        breaks_after: Event after which the head resets its stream, or 0.
+        is_torn: Whether such a reset comes in the middle of an event.
+    """
+
+    def __init__(self, platform, target_id, fleet, *, zone="z1", kind="small"):
+        self.fleet = fleet
+        self.kind = kind
+        self.layers: tuple[int, int] | None = None
+        self.fence = 0
+        self.orders: list[dict] = []
+        self.loses_orders = False
+        self.is_dark = False
+        self.breaks_after = 0
+        self.is_torn = False
+        self.events = 12
+        self.paths: dict[str, list[tuple[str, int, int]]] = {}
+        self.made: list[tuple[str, int, str]] = []
+        self.on_event: dict[int, threading.Event] = {}
+        super().__init__(platform, target_id, "pool", zone)
+        fleet[self.address] = self
+        self.register()
+
+    def register(self, **extra) -> None:
+        """Writes the entry with its layers."""
+        layers = None
+        if self.layers is not None:
+            layers = {"from": self.layers[0], "target": self.layers[1]}
+        super().register(kind=self.kind, layers=layers, **extra)
+
+    def go_dark(self) -> None:
+        """Falls silent: chains stand still, connections are refused."""
+        self.is_dark = True
+        self.server.close()
+
+    def handle(self, conn, req) -> bool:
+        """Serves orders, reports and streams."""
+        if req.path == "/v1/order":
+            return self._order(conn, json.loads(req.body))
+        if req.path == "/v1/report":
+            return self._report(conn)
+        expected = req.headers.get("x-expect-instance", self.id)
+        if expected != self.id or self.fault is Fault.MISDIRECTED:
+            conn.answer(421, headers={"X-Instance-Id": self.id})
+            return True
+        return self._stream(conn, req)
+
+    def _order(self, conn, order: dict) -> bool:
+        with self.lock:
+            self.orders.append(order)
+        if order["op"] == "repath":
+            known = order["id"] in self.paths
+            if known:
+                self.paths[order["id"]] = _parse(order["path"])
+            conn.answer(200 if known else 404)
+            return True
+        if order.get("fence", 0) < self.fence:
+            conn.answer(412)
+            return True
+        self.fence = order.get("fence", 0)
+        self.layers = (order["from"], order["target"])
+        self.register()
+        if self.loses_orders:
+            conn.reset()
+            return False
+        conn.answer(202)
+        return True
+
+    def _report(self, conn) -> bool:
+        stalled = []
+        for request_id, path in list(self.paths.items()):
+            fault = self._fault_on(path)
+            if fault:
+                stalled.append({"id": request_id, "address": fault})
+        body = {"busy": False, "seq": len(self.orders), "stalled": stalled}
+        conn.answer(200, json.dumps(body).encode())
+        return True
+
+    def _fault_on(self, path) -> str:
+        for address, _, _ in path:
+            engine = self.fleet.get(address)
+            if engine is None or engine.is_dark:
+                return address
+        return ""
+
+    def _stream(self, conn, req) -> bool:
+        request_id = req.headers["x-request-id"]
+        path = _parse(req.headers["x-hop-count"])
+        echo = {"X-Request-Id": request_id, "X-Response-Signature": self.id}
+        if self.fault is Fault.REFUSE:
+            extra = {"X-Not-Executed": "1", "At-Server": self.address}
+            conn.answer(503, headers={**echo, **extra})
+            return True
+        for address, first, end in path:
+            engine = self.fleet[address]
+            held = engine.layers or (0, 0)
+            if not held[0] <= first < end <= held[1]:
+                conn.answer(421, headers={"At-Server": address})
+                return True
+        self.note(req)
+        self.paths[request_id] = path
+        conn.begin_chunks(echo)
+        start = int(req.headers.get("last-event-id", "0"))
+        try:
+            return self._make_events(conn, request_id, start)
+        finally:
+            self.paths.pop(request_id, None)
+
+    def _make_events(self, conn, request_id: str, start: int) -> bool:
+        for number in range(start + 1, self.events + 1):
+            while self._fault_on(self.paths[request_id]):
+                if self.released.wait(_STEP_S):
+                    conn.reset()
+                    return False
+            self.released.wait(_STEP_S)
+            path = self.paths[request_id]
+            text = ",".join(f"{a}={f}-{e}" for a, f, e in path)
+            with self.lock:
+                self.made.append((request_id, number, text))
+            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            if self.breaks_after and number > self.breaks_after:
+                if self.is_torn:
+                    conn.chunk(event[:5])
+                conn.reset()
+                return False
+            conn.chunk(event)
+            mark = self.on_event.get(number)
+            if mark is not None:
+                mark.set()
+        conn.chunk(b"")
+        return True
+
+
+def _parse(header: str) -> list[tuple[str, int, int]]:
+    rows = []
+    for row in header.split(","):
+        address, _, layers = row.partition("=")
+        first, _, end = layers.partition("-")
+        rows.append((address, int(first), int(end)))
+    return rows
--- /dev/null
+++ b/tests/preparedworld.py
@@ -0,0 +1,247 @@
+"""A prepared platform of stand-ins with gateway instances in front."""
+
+import contextlib
+import http.client
+import threading
+import time
+
+from briarfall import ids
+from briarfall import settings
+from briarfall.gateway import config
+from briarfall.gateway import exchange
+from briarfall.gateway import instance
+from briarfall.platform import main
+from briarfall.standins.prepared import services
+from briarfall.standins.prepared import store
+
+WAIT_S = 20.0
+KEY = "key-1"
+HOST = "shop.example"
+
+
+def until(condition, what: str) -> None:
+    """Waits for a condition that another thread brings about."""
+    deadline_s = time.monotonic() + WAIT_S
+    pause = threading.Event()
+    while not condition():
+        if time.monotonic() > deadline_s:
+            raise AssertionError(f"not within {WAIT_S} s: {what}")
+        pause.wait(0.01)
+
+
+def route(name: str, prefix: str, kind: str, service: str, **extra) -> dict:
+    """Returns a route of the operator's manifest."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 3000,
+        "slo_ms": 500,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        **extra,
+    }
+
+
+ENGINE = {
+    "slots": 8,
+    "kv_token_bytes": 8000,
+    "step_ms": 1.0,
+    "per_seq_ms": 0.01,
+    "context_per_k": 0.01,
+    "read_per_s": 100000.0,
+    "loads_at_once": 5,
+    "layers": 8,
+    "layer_mb": 10.0,
+    "act_bytes": 10,
+    "pipe_mbps": 1000.0,
+    "models": [{"name": "m", "load_s": 1.0}],
+    "usual": {"prompt": 20, "answer": 20},
+    "kinds": [
+        {"name": "small", "mb": 62.0, "pace": 2.0, "read_x": 1.0},
+        {"name": "large", "mb": 124.0, "pace": 1.0, "read_x": 1.0},
+    ],
+}
+
+
+def manifest(version: int, *, keys=(KEY,), routes=None) -> dict:
+    """Returns a whole manifest."""
+    if routes is None:
+        routes = [
+            route("orders", "/orders/", "mutating", "desk"),
+            route("views", "/views/", "idempotent", "desk"),
+            route(
+                "drafts",
+                "/drafts/",
+                "streaming",
+                "pool",
+                resumable=True,
+                gap_aim_ms=200,
+                timeout_ms=20000,
+            ),
+        ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "desk", "max_conns": 100},
+            {"name": "pool", "max_conns": 100, "engine": ENGINE},
+            {"name": "other", "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 8192,
+            "max_body_bytes": 65536,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "crew", "api_keys": list(keys)}],
+    }
+
+
+class World:
+    """Stand-ins and instances of one test."""
+
+    def __init__(self):
+        self.store = store.StoreStandin()
+        self.fleet = {}
+        self.instances: list[instance.Instance] = []
+        self._closers = [self.store.close]
+        self.publish(manifest(1))
+
+    def publish(self, value: dict) -> None:
+        """Writes a manifest as the operator does."""
+        self.store.put("keyed.op", "config", value)
+
+    def service(self, target_id: str, service="desk", zone="z1"):
+        """Starts a plain service."""
+        target = services.ServiceStandin(self.store, target_id, service, zone)
+        self._closers.append(target.close)
+        return target
+
+    def engine(self, target_id: str, *, zone="z1", kind="small"):
+        """Starts an empty engine."""
+        target = services.EngineStandin(
+            self.store, target_id, self.fleet, zone=zone, kind=kind
+        )
+        self._closers.append(target.close)
+        return target
+
+    def instance(self, name="i1", zone="z1", **extra) -> instance.Instance:
+        """Starts a gateway instance and waits until it is ready."""
+        local = settings.Listener("127.0.0.1", 0)
+        cfg = config.GatewaySettings(
+            instance=ids.InstanceId(name),
+            zone=ids.ZoneId(zone),
+            caller=local,
+            status=local,
+            peer=local,
+            store_address=self.store.address,
+            retry_slack=100.0,
+            **extra,
+        )
+        pool = exchange.ConnectionPool()
+        inst = instance.Instance(
+            cfg, main.StorePlatform(cfg.store_address, pool), pool
+        )
+        inst.start()
+        self.instances.append(inst)
+        self._closers.append(inst.close)
+        until(lambda: inst.is_ready, f"{name} is ready")
+        return inst
+
+    def wait_for_targets(self, *rows) -> None:
+        """Waits until all instances know some targets."""
+        for inst in self.instances:
+            for row in rows:
+                until(
+                    lambda inst=inst, row=row: (
+                        inst.targets.get(row.id) is not None
+                    ),
+                    f"{row.id} is known",
+                )
+
+    def wait_for_layers(self) -> None:
+        """Waits until all instances know all engines with their layers."""
+        for inst in self.instances:
+            for engine in self.fleet.values():
+                until(
+                    lambda inst=inst, engine=engine: _has_layers(
+                        inst, engine.id
+                    ),
+                    f"{engine.id} has layers",
+                )
+
+    def close(self) -> None:
+        """Ends everything."""
+        for closer in reversed(self._closers):
+            closer()
+
+
+def _has_layers(inst: instance.Instance, target_id: str) -> bool:
+    target = inst.targets.get(target_id)
+    return target is not None and target.entry.layers is not None
+
+
+@contextlib.contextmanager
+def world():
+    """Returns a world that is closed at the end."""
+    scene = World()
+    try:
+        yield scene
+    finally:
+        scene.close()
+
+
+class Answer:
+    """A whole response to a caller."""
+
+    def __init__(self, resp: http.client.HTTPResponse):
+        self.status = resp.status
+        self.headers = dict(resp.getheaders())
+        self.error: Exception | None = None
+        try:
+            self.body = resp.read()
+        except http.client.HTTPException as exc:
+            self.body = b""
+            self.error = exc
+
+
+def call(
+    inst: instance.Instance,
+    path: str,
+    *,
+    method="GET",
+    body=b"",
+    request_id="r1",
+    key=KEY,
+    deadline_ms=3000,
+    **headers,
+) -> Answer:
+    """Sends a request as a caller and returns the answer."""
+    host, port = inst.caller_address
+    conn = http.client.HTTPConnection(host, port, timeout=WAIT_S)
+    fields = {
+        "Host": HOST,
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": str(deadline_ms),
+    }
+    if key:
+        fields["X-Api-Key"] = key
+    for name, value in headers.items():
+        fields[name.replace("_", "-")] = value
+    try:
+        conn.request(method, path, body=body, headers=fields)
+        return Answer(conn.getresponse())
+    finally:
+        conn.close()
+
+
+def event_ids(body: bytes) -> list[int]:
+    """Returns the numbers of a stream's events."""
+    found = []
+    for line in body.splitlines():
+        if line.startswith(b"id: "):
+            found.append(int(line[4:]))
+    return found
--- /dev/null
+++ b/tests/test_gateway_paths.py
@@ -0,0 +1,375 @@
+"""The whole path over stand-ins of the prepared platform."""
+
+import pytest
+
+from briarfall.standins.prepared import services
+from tests import preparedworld
+
+
+@pytest.fixture
+def world():
+    with preparedworld.world() as scene:
+        yield scene
+
+
+class TestPlainCalls:
+    def test_forwards_unchanged_and_sets_its_own_headers(self, world):
+        desk = world.service("d1")
+        inst = world.instance()
+        answer = preparedworld.call(
+            inst,
+            "/orders/new?x=1",
+            method="POST",
+            body=b"two liners",
+            X_Tenant="somebody",
+            X_Expect_Instance="forged",
+            X_Other="kept",
+        )
+        assert answer.status == 200
+        assert answer.body == b"ran:two liners"
+        assert answer.headers["X-Response-Signature"] == "d1"
+        ran = desk.ran[0]
+        assert ran.method == "POST"
+        assert ran.target == "/orders/new?x=1"
+        assert ran.headers["x-tenant"] == "crew"
+        assert ran.headers["x-expect-instance"] == "d1"
+        assert ran.headers["x-other"] == "kept"
+        assert "x-api-key" not in ran.headers
+        assert int(ran.headers["x-deadline-ms"]) <= 3000
+
+    def test_longest_prefix_wins_and_unknown_is_404(self, world):
+        desk = world.service("d1")
+        other = world.service("o1", "other")
+        rows = [
+            preparedworld.route("a", "/a/", "idempotent", "desk"),
+            preparedworld.route("ab", "/a/b/", "idempotent", "other"),
+        ]
+        world.publish(preparedworld.manifest(2, routes=rows))
+        inst = world.instance()
+        world.wait_for_targets(desk, other)
+        assert preparedworld.call(inst, "/a/b/c").status == 200
+        assert other.ran_ids() == ["r1"]
+        assert preparedworld.call(inst, "/ab").status == 404
+
+    def test_unknown_key_is_refused_and_public_route_needs_none(self, world):
+        desk = world.service("d1")
+        rows = [
+            preparedworld.route("p", "/p/", "idempotent", "desk", public=True),
+            preparedworld.route("k", "/k/", "idempotent", "desk"),
+        ]
+        world.publish(preparedworld.manifest(2, routes=rows))
+        inst = world.instance()
+        assert preparedworld.call(inst, "/k/x", key="no").status == 401
+        assert preparedworld.call(inst, "/p/x", key="").status == 200
+        assert len(desk.ran) == 1
+        assert "x-tenant" not in desk.ran[0].headers
+
+    def test_keeps_the_target_connection(self, world):
+        desk = world.service("d1")
+        inst = world.instance()
+        for number in range(5):
+            preparedworld.call(inst, "/views/x", request_id=f"r{number}")
+        assert len(desk.ran) == 5
+        assert desk.server.opened == 1
+
+
+class TestAtMostOnce:
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            services.Fault.RESET_AFTER_RUN,
+            services.Fault.CUT_BODY,
+            services.Fault.GARBAGE,
+        ],
+    )
+    def test_unknown_outcome_is_neither_repeated_nor_denied(self, world, fault):
+        rows = [world.service("d1"), world.service("d2")]
+        for row in rows:
+            row.fault = fault
+        inst = world.instance()
+        world.wait_for_targets(*rows)
+        answer = preparedworld.call(
+            inst, "/orders/new", method="POST", body=b"x"
+        )
+        assert answer.status in (502, 504)
+        assert sum(len(row.ran) for row in rows) == 1
+
+    def test_refused_call_goes_to_another_target(self, world):
+        rows = [world.service("d1"), world.service("d2")]
+        rows[0].fault = services.Fault.REFUSE
+        inst = world.instance()
+        world.wait_for_targets(*rows)
+        for number in range(6):
+            answer = preparedworld.call(
+                inst,
+                "/orders/new",
+                method="POST",
+                body=b"x",
+                request_id=f"r{number}",
+            )
+            assert answer.status == 200
+        assert rows[0].ran == []
+        assert len(rows[1].ran) == 6
+
+    def test_reused_address_does_not_run_it(self, world):
+        rows = [world.service("d1"), world.service("d2")]
+        rows[0].fault = services.Fault.MISDIRECTED
+        inst = world.instance()
+        world.wait_for_targets(*rows)
+        answer = preparedworld.call(
+            inst, "/orders/new", method="POST", body=b"x"
+        )
+        assert answer.status == 200
+        assert rows[0].ran == []
+
+    def test_all_refuse_is_a_true_503_with_retry_after(self, world):
+        desk = world.service("d1")
+        desk.fault = services.Fault.REFUSE
+        inst = world.instance()
+        answer = preparedworld.call(
+            inst, "/orders/new", method="POST", body=b"x"
+        )
+        assert answer.status == 503
+        assert float(answer.headers["Retry-After"]) > 0
+        assert desk.ran == []
+
+    def test_hanging_target_ends_in_504_at_the_deadline(self, world):
+        desk = world.service("d1")
+        desk.fault = services.Fault.HANG
+        inst = world.instance()
+        answer = preparedworld.call(
+            inst, "/orders/new", method="POST", body=b"x", deadline_ms=400
+        )
+        assert answer.status == 504
+        assert len(desk.ran) == 1
+
+
+class TestRepeatableCalls:
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            services.Fault.RESET_AFTER_RUN,
+            services.Fault.CUT_BODY,
+            services.Fault.GARBAGE,
+            services.Fault.FAIL,
+            services.Fault.HANG,
+        ],
+    )
+    def test_goes_on_at_another_target(self, world, fault):
+        rows = [world.service("d1"), world.service("d2")]
+        rows[0].fault = fault
+        inst = world.instance()
+        world.wait_for_targets(*rows)
+        for number in range(4):
+            answer = preparedworld.call(
+                inst, "/views/x", request_id=f"r{number}", deadline_ms=1500
+            )
+            assert answer.status == 200
+            assert answer.body == b"ran:"
+
+    def test_extra_answer_never_reaches_the_next_caller(self, world):
+        desk = world.service("d1")
+        desk.fault = services.Fault.EXTRA_ANSWER
+        inst = world.instance()
+        for number in range(4):
+            answer = preparedworld.call(
+                inst,
+                "/views/x",
+                method="POST",
+                body=b"%d" % number,
+                request_id=f"r{number}",
+            )
+            assert answer.body == b"ran:%d" % number
+
+    def test_all_failing_passes_the_targets_own_failure_on(self, world):
+        rows = [world.service("d1"), world.service("d2")]
+        for row in rows:
+            row.fault = services.Fault.FAIL
+        inst = world.instance()
+        world.wait_for_targets(*rows)
+        answer = preparedworld.call(inst, "/views/x")
+        assert answer.status == 500
+        assert answer.headers["X-Response-Signature"] in ("d1", "d2")
+
+
+class TestStreams:
+    def _start(self, world, count=4, **extra):
+        engines = [world.engine(f"e{n}", **extra) for n in range(count)]
+        inst = world.instance()
+        world.wait_for_layers()
+        return engines, inst
+
+    def _draft(self, inst, **extra):
+        return preparedworld.call(
+            inst,
+            "/drafts/new",
+            method="POST",
+            body=b"notes",
+            deadline_ms=20000,
+            X_Token_Usage="20,20",
+            **extra,
+        )
+
+    def test_every_layer_once_in_order_for_each_event(self, world):
+        engines, inst = self._start(world)
+        answer = self._draft(inst)
+        assert answer.status == 200
+        assert preparedworld.event_ids(answer.body) == list(range(1, 13))
+        for engine in engines:
+            for _, _, path in engine.made:
+                edge = 0
+                for row in path.split(","):
+                    first, _, end = row.partition("=")[2].partition("-")
+                    assert int(first) == edge
+                    edge = int(end)
+                assert edge == 8
+
+    @pytest.mark.parametrize("is_torn", [False, True])
+    def test_reset_head_goes_on_elsewhere_without_a_seam(self, world, is_torn):
+        engines, inst = self._start(world, 6)
+        for engine in engines:
+            engine.breaks_after = 5
+            engine.is_torn = is_torn
+        heads = [e for e in engines if e.layers[0] == 0]
+        for engine in heads[1:]:
+            engine.breaks_after = 0
+        answer = self._draft(inst)
+        assert answer.error is None
+        assert preparedworld.event_ids(answer.body) == list(range(1, 13))
+
+    def test_dead_middle_stage_is_replaced_while_it_runs(self, world):
+        engines, inst = self._start(world, 6)
+        for engine in engines:
+            engine.events = 40
+            engine.on_event[5] = preparedworld.threading.Event()
+        marks = [engine.on_event[5] for engine in engines]
+        answers = []
+        thread = preparedworld.threading.Thread(
+            target=lambda: answers.append(self._draft(inst))
+        )
+        thread.start()
+        preparedworld.until(
+            lambda: any(mark.is_set() for mark in marks), "event 5"
+        )
+        head = next(e for e in engines if e.on_event[5].is_set())
+        victim = world.fleet[head.paths["r1"][1][0]]
+        victim.go_dark()
+        thread.join(preparedworld.WAIT_S)
+        assert answers[0].error is None
+        assert preparedworld.event_ids(answers[0].body) == list(range(1, 41))
+        repaths = [o for o in head.orders if o["op"] == "repath"]
+        assert len(repaths) >= 1
+        assert [run for run in head.ran_ids()] == ["r1"]
+
+    def test_engines_without_room_are_a_true_503(self, world):
+        engines, inst = self._start(world)
+        for engine in engines:
+            engine.fault = services.Fault.REFUSE
+        answer = self._draft(inst)
+        assert answer.status == 503
+        assert float(answer.headers["Retry-After"]) > 0
+        assert all(engine.ran == [] for engine in engines)
+
+
+class TestPlacement:
+    def test_one_holder_covers_all_layers_in_each_zone(self, world):
+        for zone in ("z1", "z2"):
+            for number in range(3):
+                world.engine(f"{zone}-e{number}", zone=zone)
+        world.instance("i1", "z1")
+        world.instance("i2", "z2")
+        world.wait_for_layers()
+        for zone in ("z1", "z2"):
+            held = set()
+            for engine in world.fleet.values():
+                if engine.zone == zone:
+                    held.update(range(*engine.layers))
+            assert held == set(range(8))
+
+    def test_restarted_engine_is_loaded_again(self, world):
+        engine = world.engine("e0")
+        world.engine("e1")
+        world.instance()
+        world.wait_for_layers()
+        engine.layers = None
+        engine.fence = 0
+        engine.register(born=2)
+        preparedworld.until(
+            lambda: engine.layers is not None, "layers after a restart"
+        )
+
+
+class TestFreshness:
+    def test_new_manifest_is_in_force_and_never_reverts(self, world):
+        world.service("d1")
+        inst = world.instance()
+        world.publish(preparedworld.manifest(5, keys=("key-2",)))
+        preparedworld.until(
+            lambda: (
+                preparedworld.call(inst, "/views/x", key="key-2").status == 200
+            ),
+            "version 5",
+        )
+        world.publish(preparedworld.manifest(3))
+        assert preparedworld.call(inst, "/views/x").status == 401
+        assert inst.follower.view.version == 5
+
+    def test_forgotten_history_is_read_from_the_newest(self, world):
+        world.service("d1")
+        inst = world.instance()
+        world.store.forget("keyed.op")
+        world.publish(preparedworld.manifest(7))
+        preparedworld.until(
+            lambda: inst.follower.view.version == 7, "version 7"
+        )
+
+    def test_keys_are_refused_once_the_view_is_old(self, world):
+        desk = world.service("d1")
+        inst = world.instance(key_ttl_s=1.0)
+        world.store.status = 503
+        preparedworld.until(lambda: not inst.is_ready, "not ready")
+        ran = len(desk.ran)
+        answer = preparedworld.call(inst, "/views/x")
+        assert answer.status == 503
+        assert len(desk.ran) == ran
+        world.store.status = 0
+        preparedworld.until(lambda: inst.is_ready, "ready again")
+        assert preparedworld.call(inst, "/views/x").status == 200
+
+    def test_leaving_target_gets_no_new_calls(self, world):
+        rows = [world.service("d1"), world.service("d2")]
+        inst = world.instance()
+        world.wait_for_targets(*rows)
+        rows[0].leave()
+        preparedworld.until(
+            lambda: inst.targets.get("d1").entry.state.value == "leaving",
+            "d1 leaves",
+        )
+        for number in range(8):
+            preparedworld.call(inst, "/views/x", request_id=f"r{number}")
+        assert rows[0].ran == []
+
+    def test_entries_that_cannot_be_read_name_no_target(self, world):
+        desk = world.service("d1")
+        world.store.put("keyed.servers", "bad-1", b"\xff\x00no json")
+        world.store.put("keyed.servers", "bad-2", {"service": "desk"})
+        entry = {
+            "service": "desk",
+            "address": "127.0.0.1:1",
+            "zone": "z1",
+            "state": "dancing",
+        }
+        world.store.put("keyed.servers", "bad-3", entry)
+        inst = world.instance()
+        assert preparedworld.call(inst, "/views/x").status == 200
+        assert inst.targets.get("bad-3") is None
+        assert len(desk.ran) == 1
+
+
+class TestPlannedStop:
+    def test_not_ready_at_once_and_serves_on(self, world):
+        world.service("d1")
+        inst = world.instance()
+        inst.stop.ask()
+        assert not inst.is_ready
+        assert preparedworld.call(inst, "/views/x").status == 200
