--- a/src/briarfall/gateway/paths.py
+++ b/src/briarfall/gateway/paths.py
@@ -18,7 +18,10 @@
 # than its own delay.
 _CROSSING_MS = 500.0
 # Spread of the random factor that keeps instances from choosing alike.
-_NOISE = 0.15
+NOISE = 0.15
+# After a failure many streams look for another engine within milliseconds,
+# before instances can tell each other what they chose.
+RECOVERY_NOISE = 1.5
 # Share of the KV cache that new requests may fill; the rest is for answers
 # that grow longer than expected.
 _FILL_LIMIT = 0.92
@@ -146,6 +149,7 @@
         *,
         layers: sources.LayerRange | None = None,
         zone: ids.ZoneId | None = None,
+        noise: float = NOISE,
     ) -> Chain | None:
         """Returns the cheapest chain with room, or None.
 
@@ -156,13 +160,14 @@
             excluded: Engines to leave out.
             layers: Layers to cover; all of the model's by default.
             zone: Where the request comes from; by default this instance's.
+            noise: Spread of the random factor on costs.
         """
         span = layers or sources.LayerRange(0, model.layers)
         candidates = []
         for row in rows:
             if row.id in excluded:
                 continue
-            candidate = self._candidate(model, row, demand)
+            candidate = self._candidate(model, row, demand, noise)
             if candidate is not None:
                 candidates.append(candidate)
         return self._shortest(candidates, demand, span, zone or self._zone)
@@ -172,6 +177,7 @@
         model: views.ModelLayout,
         row: targets.Target,
         demand: Demand,
+        noise: float,
     ) -> _Candidate | None:
         entry = row.entry
         if entry.layers is None or entry.kind not in model.kinds:
@@ -186,7 +192,7 @@
         layer_ms += read_time_ms(model, entry.kind, 1, demand.prompt)
         # A nearly full cache makes every later request wait or be refused.
         layer_ms *= 1 + fill**4
-        layer_ms *= 1 + _NOISE * self._rng.random()
+        layer_ms *= 1 + noise * self._rng.random()
         return _Candidate(row, entry.layers, layer_ms)
 
     def _shortest(
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -184,6 +184,7 @@
                 rows,
                 stream.demand,
                 frozenset(stream.excluded),
+                noise=paths.RECOVERY_NOISE if call.was_cut else paths.NOISE,
             )
             if chain is not None:
                 return chain
@@ -580,6 +581,7 @@
             frozenset(stream.excluded | others),
             layers=bad.layers,
             zone=bad.zone,
+            noise=paths.RECOVERY_NOISE,
         )
         if middle is None:
             return None
--- /dev/null
+++ b/tests/test_gateway_decisions.py
@@ -0,0 +1,630 @@
+"""Decisions of the gateway, without a network."""
+
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from briarfall import exceptions
+from briarfall import ids
+from briarfall.gateway import budgets
+from briarfall.gateway import catalogue
+from briarfall.gateway import clocks
+from briarfall.gateway import events
+from briarfall.gateway import evidence
+from briarfall.gateway import loads
+from briarfall.gateway import paths
+from briarfall.gateway import peermessages
+from briarfall.gateway import peers
+from briarfall.gateway import placement
+from briarfall.gateway import placer
+from briarfall.gateway import sources
+from briarfall.gateway import stopping
+from briarfall.gateway import targets
+from briarfall.gateway import views
+
+MODEL = views.ModelLayout(
+    layers=80,
+    layer_mb=1750.0,
+    kv_bytes=1_836_000,
+    step_ms=1.02,
+    sequence_ms=0.0143,
+    context_ms=0.0191,
+    read_per_s=105_000,
+    slots=96,
+    usual_prompt=774,
+    usual_answer=200,
+    activation_bytes=91_800,
+    pipe_mbps=26_000,
+    load_s=14.0,
+    loads_at_once=5,
+    kinds={
+        "a100": views.HardwareKind(72_000, 2.4, 3.2),
+        "l40s": views.HardwareKind(43_200, 5.6, 2.7),
+        "l4": views.HardwareKind(21_600, 16.0, 8.2),
+    },
+)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """A boot clock that only moves when told to."""
+
+    class _Clock:
+        now_s = 1000.0
+
+    monkeypatch.setattr(clocks, "boot_s", lambda: _Clock.now_s)
+    yield _Clock
+    _Clock.now_s = 1000.0
+
+
+def entry(target_id, zone="z1", kind="l4", layers=None, **extra):
+    span = sources.LayerRange(*layers) if layers else None
+    return sources.TargetEntry(
+        id=ids.TargetId(target_id),
+        service=views.ServiceName("pool"),
+        address=f"10.0.0.1:{8000 + hash(target_id) % 1000}",
+        zone=ids.ZoneId(zone),
+        state=sources.TargetState.READY,
+        kind=kind,
+        layers=span,
+        **extra,
+    )
+
+
+def target(target_id, **extra):
+    return targets.Target(entry(target_id, **extra), 0.0)
+
+
+class TestPathChoice:
+    def finder(self, table=None, zone="z1"):
+        return paths.PathFinder(
+            table or loads.LoadTable(), ids.ZoneId(zone), random.Random(5)
+        )
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["z1", "z2"]),
+                st.sampled_from(["a100", "l40s", "l4"]),
+                st.integers(0, 9),
+                st.integers(1, 3),
+            ),
+            min_size=4,
+            max_size=30,
+        )
+    )
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    def test_chain_covers_each_layer_once_in_order(self, rows):
+        engines = []
+        for number, (zone, kind, block, count) in enumerate(rows):
+            end = min(80, (block + count) * 8)
+            engines.append(
+                target(
+                    f"e{number}", zone=zone, kind=kind, layers=(block * 8, end)
+                )
+            )
+        chain = self.finder().find(MODEL, engines, paths.Demand(700, 200))
+        if chain is None:
+            return
+        edge = 0
+        for part in chain.parts:
+            assert part.layers.first == edge
+            edge = part.layers.end
+        assert edge == 80
+        assert len(set(chain.target_ids())) == len(chain.parts)
+
+    def test_stays_in_its_zone_where_that_covers_all(self):
+        engines = []
+        for zone, kind in (("z1", "l4"), ("z2", "l40s")):
+            for block in range(10):
+                engines.append(
+                    target(
+                        f"{zone}-{block}",
+                        zone=zone,
+                        kind=kind,
+                        layers=(block * 8, block * 8 + 8),
+                    )
+                )
+        chain = self.finder().find(MODEL, engines, paths.Demand(700, 200))
+        assert {part.zone for part in chain.parts} == {"z1"}
+
+    def test_avoids_an_engine_without_room(self):
+        table = loads.LoadTable()
+        engines = []
+        for name in ("full", "free"):
+            for block in range(10):
+                engines.append(
+                    target(f"{name}-{block}", layers=(block * 8, block * 8 + 8))
+                )
+        table.reserve([ids.TargetId("full-3")], 40_000)
+        chain = self.finder(table).find(MODEL, engines, paths.Demand(700, 200))
+        assert "full-3" not in chain.target_ids()
+
+    def test_no_chain_if_a_layer_is_missing(self):
+        engines = [target("a", kind="a100", layers=(0, 24))]
+        chain = self.finder().find(MODEL, engines, paths.Demand(700, 200))
+        assert chain is None
+
+    def test_many_instances_spread_over_equal_engines(self):
+        engines = []
+        for copy in range(4):
+            for block in range(10):
+                engines.append(
+                    target(f"{copy}-{block}", layers=(block * 8, block * 8 + 8))
+                )
+        counts = {}
+        for seed in range(80):
+            finder = paths.PathFinder(
+                loads.LoadTable(), ids.ZoneId("z1"), random.Random(seed)
+            )
+            chain = finder.find(MODEL, engines, paths.Demand(700, 200))
+            head = chain.head.target
+            counts[head] = counts.get(head, 0) + 1
+        assert len(counts) == 4
+        assert max(counts.values()) < 40
+
+    def test_detour_covers_only_the_missing_layers(self):
+        engines = [
+            target("a", kind="a100", layers=(0, 24)),
+            target("b", layers=(8, 16)),
+            target("c", layers=(16, 24)),
+        ]
+        chain = self.finder().find(
+            MODEL,
+            engines,
+            paths.Demand(700, 200),
+            frozenset([ids.TargetId("a")]),
+            layers=sources.LayerRange(8, 24),
+        )
+        assert chain.target_ids() == ["b", "c"]
+
+
+class TestPlacementPlan:
+    def fleet(self, zones=("s", "n", "l")):
+        counts = {"a100": 1, "l40s": 3, "l4": 6}
+        rows = []
+        for zone in zones:
+            for kind, count in counts.items():
+                for number in range(count):
+                    rows.append(
+                        placement.EngineSlot(
+                            ids.TargetId(f"{zone}-{kind}-{number}"),
+                            ids.ZoneId(zone),
+                            kind,
+                        )
+                    )
+        return rows
+
+    def test_each_zone_covers_all_layers_by_itself(self):
+        rows = self.fleet()
+        plan = placement.Plan(MODEL, rows)
+        for row in rows:
+            plan.assign(row)
+        for zone in ("s", "n", "l"):
+            assert min(plan.cover(ids.ZoneId(zone))) > 0
+
+    @given(
+        st.lists(
+            st.sampled_from(["a100", "l40s", "l4"]), min_size=1, max_size=60
+        )
+    )
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    def test_no_engine_holds_more_than_its_memory(self, kinds):
+        rows = []
+        for number, kind in enumerate(kinds):
+            rows.append(
+                placement.EngineSlot(
+                    ids.TargetId(f"e{number}"), ids.ZoneId("z"), kind
+                )
+            )
+        plan = placement.Plan(MODEL, rows)
+        for row in rows:
+            layers = plan.assign(row)
+            used_mb = layers.size * MODEL.layer_mb
+            assert used_mb < MODEL.kinds[row.kind].memory_mb
+            assert 0 <= layers.first < layers.end <= MODEL.layers
+            assert paths.kv_capacity(MODEL, row.kind, layers) > 0
+
+    def test_a_lost_range_is_filled_first(self):
+        rows = self.fleet(("s",))
+        plan = placement.Plan(MODEL, rows)
+        placed = []
+        for row in rows:
+            layers = plan.assign(row)
+            placed.append(
+                placement.EngineSlot(row.id, row.zone, row.kind, layers)
+            )
+        gap = sources.LayerRange(32, 40)
+        kept = []
+        for row in placed:
+            if not row.layers.holds(gap):
+                kept.append(row)
+        empty = placement.EngineSlot(ids.TargetId("new"), ids.ZoneId("s"), "l4")
+        plan = placement.Plan(MODEL, [*kept, empty])
+        assert plan.assign(empty).holds(gap)
+
+    def test_unknown_kind_gets_nothing(self):
+        row = placement.EngineSlot(ids.TargetId("x"), ids.ZoneId("z"), "tpu")
+        plan = placement.Plan(MODEL, [row])
+        assert plan.assign(row) is None
+
+
+class TestRetryBudget:
+    @given(
+        requests=st.integers(0, 60),
+        instances=st.integers(1, 300),
+        slack=st.integers(0, 600),
+    )
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    def test_all_instances_together_stay_within(
+        self, requests, instances, slack
+    ):
+        budget = budgets.RetryBudget(0.2, 10.0, slack, lambda: instances)
+        for _ in range(requests):
+            budget.note_request()
+        taken = 0
+        while budget.take_repeat():
+            taken += 1
+        # Each instance may round its part up by less than one repeat.
+        assert (taken - 1) * instances < 0.2 * requests * instances + slack
+
+    def test_old_repeats_leave_the_window(self, clock):
+        budget = budgets.RetryBudget(0.0, 10.0, 2.0, lambda: 1)
+        assert budget.take_repeat()
+        assert budget.take_repeat()
+        assert not budget.take_repeat()
+        clock.now_s += 10.1
+        assert budget.take_repeat()
+
+
+class TestEventSplitter:
+    @given(
+        count=st.integers(0, 8),
+        cuts=st.lists(st.integers(1, 40), max_size=12),
+    )
+    @settings(max_examples=80, deadline=None, derandomize=True)
+    def test_any_cut_gives_the_same_whole_events(self, count, cuts):
+        whole = b"".join(
+            b"id: %d\ndata: a\ndata: b\n\n" % n for n in range(1, count + 1)
+        )
+        splitter = events.EventSplitter()
+        found = []
+        rest = whole
+        for cut in cuts:
+            found += splitter.feed(rest[:cut])
+            rest = rest[cut:]
+        found += splitter.feed(rest)
+        assert [event.id for event in found] == list(range(1, count + 1))
+        assert b"".join(event.data for event in found) == whole
+        assert splitter.rest == b""
+
+    def test_half_an_event_is_kept_back(self):
+        splitter = events.EventSplitter()
+        assert splitter.feed(b"id: 1\ndata: x\n\nid: 2\nda")[0].id == 1
+        assert splitter.rest == b"id: 2\nda"
+
+
+class _CatalogueStandin(sources.CatalogueSource):
+    def __init__(self):
+        self.reads = []
+
+    def read_newest(self, timeout_s):
+        return self.reads.pop(0)
+
+    def wait_newer(self, position, wait_s, timeout_s):
+        return self.reads.pop(0)
+
+    def parse(self, raw):
+        if raw == b"bad":
+            raise exceptions.CatalogueError("cannot be read")
+        return views.build_view(
+            int(raw),
+            [],
+            [],
+            {},
+            has_accounts=True,
+            limits=views.CallerLimits(),
+        )
+
+
+class TestCatalogueFreshness:
+    def follower(self, *raws):
+        source = _CatalogueStandin()
+        for number, raw in enumerate(raws):
+            source.reads.append(sources.CatalogueRead(number, raw))
+        return catalogue.CatalogueFollower(source, 5.0, lambda: True)
+
+    def test_age_counts_from_the_sending_of_the_read(self, clock):
+        follower = self.follower(b"1")
+        follower.step()
+        assert follower.is_fresh
+        clock.now_s += 4.3
+        assert follower.is_fresh
+        clock.now_s += 0.2
+        assert not follower.is_fresh
+
+    def test_versions_never_fall(self, clock):
+        follower = self.follower(b"5", b"3", None)
+        follower.step()
+        follower.step()
+        assert follower.view.version == 5
+
+    def test_unreadable_version_keeps_the_last_good_one(self, clock):
+        follower = self.follower(b"5", b"bad")
+        follower.step()
+        follower.step()
+        assert follower.view.version == 5
+
+    def test_peer_confirms_only_the_same_version(self, clock):
+        follower = self.follower(b"5")
+        follower.step()
+        clock.now_s += 3
+        follower.confirm_from_peer(4, clock.now_s)
+        assert follower.age_s == 3
+        follower.confirm_from_peer(5, clock.now_s - 1)
+        assert follower.age_s == 1
+        follower.confirm_from_peer(5, clock.now_s - 2)
+        assert follower.age_s == 1
+
+    def test_newer_version_at_a_peer_confirms_nothing(self, clock):
+        follower = self.follower(b"5")
+        follower.step()
+        clock.now_s += 3
+        follower.confirm_from_peer(6, clock.now_s)
+        assert follower.age_s == 3
+
+
+class TestTargetTable:
+    def test_entry_that_lapsed_with_its_source_is_kept_a_little(self, clock):
+        table = targets.TargetTable()
+        table.update([entry("a")], clock.now_s)
+        table.lose_source()
+        clock.now_s += 5
+        table.update([], clock.now_s)
+        assert table.get("a") is not None
+        clock.now_s += 3
+        table.update([], clock.now_s)
+        assert table.get("a") is None
+
+    def test_missing_entry_is_gone_at_once_otherwise(self, clock):
+        table = targets.TargetTable()
+        table.update([entry("a")], clock.now_s)
+        clock.now_s += 5
+        table.update([], clock.now_s)
+        assert table.get("a") is None
+
+    def test_older_read_changes_nothing(self, clock):
+        table = targets.TargetTable()
+        table.update([entry("a")], clock.now_s)
+        table.update([], clock.now_s - 1)
+        assert table.get("a") is not None
+
+    def test_new_lifetime_forgets_failures(self, clock):
+        table = targets.TargetTable()
+        table.update([entry("a", started_ms=1)], clock.now_s)
+        table.note_failure(table.get("a"), "reset")
+        assert table.get("a").blocked_until_s > clock.now_s
+        clock.now_s += 1
+        table.update([entry("a", started_ms=2)], clock.now_s)
+        assert table.get("a").blocked_until_s == 0
+
+    def test_blocked_targets_are_used_if_there_are_no_others(self, clock):
+        table = targets.TargetTable()
+        table.update([entry("a"), entry("b")], clock.now_s)
+        table.note_failure(table.get("a"), "reset")
+        usable = table.usable(views.ServiceName("pool"))
+        assert [row.id for row in usable] == ["b"]
+        table.note_failure(table.get("b"), "reset")
+        assert len(table.usable(views.ServiceName("pool"))) == 2
+
+    def test_failures_of_one_moment_count_once(self, clock):
+        table = targets.TargetTable()
+        table.update([entry("a")], clock.now_s)
+        for _ in range(5):
+            table.note_failure(table.get("a"), "reset")
+        assert table.get("a").blocked_until_s == clock.now_s + 0.5
+
+    def test_changes_reach_a_table_that_asks(self, clock):
+        reader = targets.TargetTable()
+        other = targets.TargetTable()
+        reader.update([entry("a"), entry("b")], clock.now_s)
+        changes = reader.changes_since(-1)
+        other.update_part(changes.changed, changes.gone, clock.now_s)
+        assert other.get("a") is not None
+        clock.now_s += 3
+        reader.update([entry("b", layers=(0, 8))], clock.now_s)
+        later = reader.changes_since(changes.revision)
+        assert [row.id for row in later.changed] == ["b"]
+        assert later.gone == ["a"]
+        other.update_part(later.changed, later.gone, clock.now_s)
+        assert other.get("a") is None
+        assert other.get("b").entry.layers.end == 8
+
+    def test_a_beat_alone_is_no_change(self, clock):
+        table = targets.TargetTable()
+        table.update([entry("a", beat=1)], clock.now_s)
+        before = table.changes_since(-1).revision
+        table.update([entry("a", beat=2)], clock.now_s)
+        assert table.changes_since(before).changed == []
+
+
+class TestLoads:
+    def test_reports_of_others_add_up_and_expire(self, clock):
+        table = loads.LoadTable()
+        table.reserve(["a"], 100)
+        table.merge("i2", {"a": loads.Load(2, 50)})
+        table.merge("i3", {"a": loads.Load(1, 25)})
+        assert table.of("a") == loads.Load(4, 175)
+        table.merge("i2", {})
+        assert table.of("a") == loads.Load(2, 125)
+        clock.now_s += 60
+        table.expire()
+        assert table.of("a") == loads.Load(1, 100)
+        table.release(["a"], 100)
+        assert table.of("a") == loads.Load()
+
+
+class TestProgress:
+    def test_only_engines_without_progress_are_suspects(self):
+        progress = evidence.ProgressTable()
+        rows = []
+        for name, first in (("a", 0), ("b", 8), ("c", 16)):
+            rows.append(
+                paths.Part(
+                    name,
+                    "10.0.0.1:1",
+                    "z",
+                    sources.LayerRange(first, first + 8),
+                )
+            )
+        mine = paths.Chain(tuple(rows), 0.0)
+        other = paths.Chain(tuple(rows[:2]), 0.0)
+        progress.note(mine, 10.0)
+        progress.note(other, 10.1)
+        suspects = progress.silent_since(mine, 10.0)
+        assert [part.target for part in suspects] == ["c"]
+
+
+class _LeaseStandin(sources.LeaseSource):
+    def __init__(self):
+        self.holder = ""
+        self.end = 0
+        self.ttl_s = 0.0
+
+    def read_grant(self, timeout_s):
+        return sources.Grant(self.holder, self.end, self.ttl_s, self.end)
+
+    def take(self, holder, ttl_s, end, timeout_s):
+        if end != self.end:
+            return None
+        self.holder = holder
+        self.ttl_s = ttl_s
+        self.end += 1
+        return sources.Grant(holder, self.end, ttl_s, self.end)
+
+
+class TestLease:
+    def test_only_one_holds_and_fences_grow(self, clock):
+        source = _LeaseStandin()
+        first = placer.Lease(source, "i1")
+        second = placer.Lease(source, "i2")
+        first.refresh()
+        second.refresh()
+        assert first.is_held and not second.is_held
+        fence = first.fence
+        clock.now_s += placer.LEASE_TTL_S + 0.1
+        second.refresh()
+        assert second.is_held and second.fence > fence
+
+    def test_holder_that_was_away_finds_itself_replaced(self, clock):
+        source = _LeaseStandin()
+        first = placer.Lease(source, "i1")
+        second = placer.Lease(source, "i2")
+        first.refresh()
+        second.refresh()
+        clock.now_s += placer.LEASE_TTL_S + 0.1
+        second.refresh()
+        assert not first.is_held
+        first.refresh()
+        assert first.fence == 0
+        assert second.is_held
+
+    def test_word_of_the_holder_spares_the_store(self, clock):
+        source = _LeaseStandin()
+        first = placer.Lease(source, "i1")
+        first.refresh()
+        second = placer.Lease(source, "i2")
+        second.note_other(first.fence, clock.now_s + first.left_s)
+        source.read_grant = None
+        second.refresh()
+        assert not second.is_held
+
+    def test_lapse_told_by_the_holder_lets_another_take_over(self, clock):
+        source = _LeaseStandin()
+        first = placer.Lease(source, "i1")
+        first.refresh()
+        second = placer.Lease(source, "i2")
+        second.note_other(first.fence, clock.now_s + first.left_s)
+        clock.now_s += placer.LEASE_TTL_S + 0.1
+        second.refresh()
+        assert second.is_held
+
+
+class TestPeers:
+    def test_all_members_agree_on_the_reader_of_a_zone(self, clock):
+        tables = {}
+        for name in ("i1", "i2", "i3"):
+            tables[name] = peers.PeerTable(name, "z")
+        for name, table in tables.items():
+            for other in tables:
+                peer = table.add(other, "10.0.0.1:7000", "z")
+                if peer is not None:
+                    peer.heard_s = clock.now_s
+                    peer.reaches_store = True
+            assert len(table.all()) == 2
+            assert table.instance_count == 3, name
+        chosen = set()
+        for name, table in tables.items():
+            reader = table.readers(1)[0]
+            chosen.add(name if reader is None else reader.id)
+        assert len(chosen) == 1
+
+    def test_reader_that_lost_the_store_is_replaced(self, clock):
+        table = peers.PeerTable("i1", "z")
+        peer = table.add("i2", "10.0.0.1:7000", "z")
+        peer.heard_s = clock.now_s
+        peer.reaches_store = True
+        table.reaches_store = False
+        assert table.readers(1) == [peer]
+        peer.reaches_store = False
+        assert table.readers(1) == []
+
+    @pytest.mark.parametrize("data", [b"", b"\xff\xff", b"\x83aq\x01", b"0"])
+    def test_bad_datagrams_are_typed_errors(self, data):
+        with pytest.raises(exceptions.PeerError):
+            peermessages.decode(data)
+
+    def test_messages_survive_the_wire(self):
+        rows = [
+            peermessages.Status(
+                "i1",
+                "10.0.0.1:7000",
+                "z",
+                4,
+                False,
+                True,
+                [peermessages.LoadRow("a", 1, 900)],
+                [peermessages.Suspicion("b", 3, 500)],
+                7,
+                1500,
+            ),
+            peermessages.Question(1, 2, 3),
+            peermessages.Answer(
+                1, 2, 3, 4, 5, 6, False, [entry("a", layers=(0, 8))], ["b"]
+            ),
+            peermessages.PartQuestion(1, 0),
+            peermessages.PartAnswer(1, 2, 3, b"\x00\xff"),
+        ]
+        for row in rows:
+            assert peermessages.decode(peermessages.encode(row)) == row
+
+
+class TestPlannedStop:
+    def test_phases_and_what_is_still_taken(self, clock):
+        stop = stopping.PlannedStop(8.0)
+        assert stop.takes(100)
+        stop.ask()
+        assert stop.phase is stopping.StopPhase.NOTICE
+        assert not stop.closes_connections
+        clock.now_s += 2
+        assert stop.closes_connections
+        assert stop.takes(20)
+        clock.now_s += 2
+        assert stop.phase is stopping.StopPhase.ENDING
+        assert not stop.takes(20)
+        assert stop.takes(0.8)
+        clock.now_s += 3
+        assert not stop.takes(0.8)
