Refresh the target table by its age, not by the pace of questions

A test with readers that fall silent fails before and passes after. Ruled out: the wire (0.4 ms) and the choice (the target is checked when chosen).

--- a/src/briarfall/gateway/following.py
+++ b/src/briarfall/gateway/following.py
@@ -18,7 +18,7 @@
 # over as soon as it falls silent or loses the store.
 READERS = 1
 _LIST_TIMEOUT_S = 0.7
-_ASK_TIMEOUT_S = 0.2
+_ASK_TIMEOUT_S = 0.12
 _FETCH_TIMEOUT_S = 0.2
 # Peers that are asked in turn while the store does not answer.
 _MAX_ASKED = 3
@@ -26,7 +26,11 @@
 _DIRECT_SHARE = 0.4
 # Part of it that remains for questions to a reader.
 _ASK_SHARE = 0.2
-_OLDEST_SHARE = 0.6
+_OLDEST_SHARE = 0.5
+# Part of it at which the table is refreshed, whatever its source: the rest is
+# for readers that do not answer and for requests on their way.
+_REFRESH_SHARE = 0.6
+_MIN_PAUSE_S = 0.05
 
 
 class PeerLink(typing.Protocol):
@@ -87,7 +91,13 @@
             share = _ASK_SHARE
         self._pool.close_idle()
         left_s = self._bound_s * share - (clocks.boot_s() - started_s)
-        self.stopped.wait(max(0.05, left_s))
+        left_s = min(left_s, self._bound_s * _REFRESH_SHARE - self._age_s())
+        self.stopped.wait(max(_MIN_PAUSE_S, left_s))
+
+    def _age_s(self) -> float:
+        if self._table.read_s is None:
+            return 0.0
+        return clocks.boot_s() - self._table.read_s
 
     def read(self) -> bool:
         """Reads the list from its source, or else learns it from peers.
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -14,6 +14,8 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import events
 from briarfall.gateway import evidence
+from briarfall.gateway import exchange
+from briarfall.gateway import following
 from briarfall.gateway import loads
 from briarfall.gateway import paths
 from briarfall.gateway import peermessages
@@ -628,3 +630,82 @@
         assert stop.takes(0.8)
         clock.now_s += 3
         assert not stop.takes(0.8)
+
+
+class _LateTargets(sources.TargetSource):
+    """A list whose reads are counted."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.read_s = []
+
+    def list_targets(self, timeout_s):
+        self.read_s.append(self.clock.now_s)
+        return [entry("a")]
+
+
+class _OldReader:
+    """A reader whose knowledge is as old as just accepted."""
+
+    def __init__(self, clock, age_s):
+        self.clock = clock
+        self.age_s = age_s
+        self.is_silent = False
+
+    def ask(self, peer, lifetime, revision, timeout_s):
+        if self.is_silent:
+            self.clock.now_s += timeout_s
+            raise exceptions.PeerError("silent")
+        return peermessages.Answer(
+            1, 1, 1, 100, int(self.age_s * 1000), 1, False, [], []
+        )
+
+
+class TestTargetFollowing:
+    BOUND_S = 2.0
+
+    def follow(self, clock, monkeypatch, link, table):
+        source = _LateTargets(clock)
+        members = peers.PeerTable("i1", "z")
+        for name in ("i2", "i3", "i4", "i5", "i6", "i7", "i8"):
+            peer = members.add(name, "10.0.0.1:7000", "z")
+            peer.heard_s = float("inf")
+            peer.reaches_store = True
+        follower = TestCatalogueFreshness().follower(b"1")
+        follower.step()
+        worker = following.TargetFollower(
+            source,
+            table,
+            follower,
+            exchange.ConnectionPool(),
+            members,
+            link,
+            self.BOUND_S,
+        )
+        monkeypatch.setattr(
+            members, "readers", lambda count: members.all()[:count]
+        )
+
+        def wait(seconds):
+            clock.now_s += seconds
+
+        monkeypatch.setattr(worker.stopped, "wait", wait)
+        return worker, source
+
+    @pytest.mark.parametrize("age_s", [0.0, 0.5, 0.99, 1.0, 1.19, 1.5])
+    def test_table_never_grows_older_than_the_bound(
+        self, clock, monkeypatch, age_s
+    ):
+        table = targets.TargetTable()
+        link = _OldReader(clock, age_s)
+        worker, source = self.follow(clock, monkeypatch, link, table)
+        worker.read()
+        for number in range(24):
+            # Readers fall silent at the worst moment.
+            link.is_silent = number % 6 == 5
+            read_s = table.read_s
+            worker.step()
+            oldest_s = max([clock.now_s, *source.read_s[-1:]]) - read_s
+            if link.is_silent:
+                oldest_s = source.read_s[-1] - read_s
+            assert oldest_s < self.BOUND_S * 0.8
