--- a/src/briarfall/gateway/paths.py
+++ b/src/briarfall/gateway/paths.py
@@ -16,7 +16,7 @@
 _HOP_MS = 0.3
 # Links between zones are shared by all chains, so a crossing is charged more
 # than its own delay.
-_CROSSING_MS = 500.0
+_CROSSING_MS = 2000.0
 # Spread of the random factor that keeps instances from choosing alike.
 NOISE = 0.15
 # After a failure many streams look for another engine within milliseconds,
