--- a/src/briarfall/gateway/callers.py
+++ b/src/briarfall/gateway/callers.py
@@ -41,6 +41,7 @@
         self.limits = limits
         self.closes = False
         self.has_answered = False
+        self.head_sent_s = 0.0
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
@@ -132,6 +133,7 @@
             limit_s = int(self.limits.idle_timeout_s)
             fields.append((b"Keep-Alive", b"timeout=%d" % limit_s))
         self.has_answered = True
+        self.head_sent_s = clocks.boot_s()
         self._send(h11.Response(status_code=status, headers=fields, reason=b""))
 
     def send_data(self, data: bytes) -> None:
@@ -155,6 +157,7 @@
         if self.closes:
             fields.append((b"Connection", b"close"))
         self.has_answered = True
+        self.head_sent_s = clocks.boot_s()
         data = self._http.send(
             h11.Response(status_code=status, headers=fields, reason=b"")
         )
--- a/src/briarfall/gateway/following.py
+++ b/src/briarfall/gateway/following.py
@@ -91,14 +91,10 @@
             share = _ASK_SHARE
         self._pool.close_idle()
         left_s = self._bound_s * share - (clocks.boot_s() - started_s)
-        left_s = min(left_s, self._bound_s * _REFRESH_SHARE - self._age_s())
+        oldest_s = self._bound_s * _REFRESH_SHARE
+        left_s = min(left_s, oldest_s - self._table.age_s())
         self.stopped.wait(max(_MIN_PAUSE_S, left_s))
 
-    def _age_s(self) -> float:
-        if self._table.read_s is None:
-            return 0.0
-        return clocks.boot_s() - self._table.read_s
-
     def read(self) -> bool:
         """Reads the list from its source, or else learns it from peers.
 
--- a/src/briarfall/gateway/front.py
+++ b/src/briarfall/gateway/front.py
@@ -12,6 +12,7 @@
 from briarfall.gateway import catalogue
 from briarfall.gateway import exchange
 from briarfall.gateway import messages
+from briarfall.gateway import metrics
 from briarfall.gateway import names
 from briarfall.gateway import plain
 from briarfall.gateway import stopping
@@ -24,6 +25,8 @@
 # Callers honour a Retry-After up to this part of the time they have left.
 _RETRY_AFTER_SHARE = 0.3
 _IDLE_POLL_S = 0.5
+# Share of the requests that went well which are logged.
+_SUCCESS_SAMPLE = 0.1
 
 
 class Front:
@@ -37,6 +40,7 @@
         stream_forwarder: streams.StreamForwarder,
         budget: budgets.RetryBudget,
         stop: stopping.PlannedStop,
+        counters: metrics.Metrics,
         rng: random.Random,
     ):
         self._names = header_names
@@ -45,6 +49,7 @@
         self._streams = stream_forwarder
         self._budget = budget
         self._stop = stop
+        self._metrics = counters
         self._rng = rng
 
     def serve(self, sock: socket.socket) -> None:
@@ -110,6 +115,16 @@
                 retry_after_s=_MOVE_RETRY_S,
             )
         self._budget.note_request()
+        outcome = "answered"
+        try:
+            self._send(call)
+        except exceptions.BriarfallError as exc:
+            outcome = exc.code
+            raise
+        finally:
+            self._note_outcome(call, outcome)
+
+    def _send(self, call: calls.Call) -> None:
         if call.route.kind is views.RouteKind.STREAM and (
             call.service.model is not None
         ):
@@ -117,6 +132,33 @@
         else:
             self._plain.forward(call)
 
+    def _note_outcome(self, call: calls.Call, outcome: str) -> None:
+        """Counts a request, and logs it unless all went well."""
+        route = call.route
+        self._metrics.count(
+            "briarfall_requests", route.name, route.kind.value, outcome
+        )
+        first_s = call.conn.head_sent_s - call.req.received_s
+        if call.conn.has_answered:
+            self._metrics.observe(
+                "briarfall_answer_seconds", first_s, route.name
+            )
+        is_plain_success = outcome == "answered" and call.sends == 1
+        if is_plain_success and self._rng.random() > _SUCCESS_SAMPLE:
+            return
+        logging.info(
+            "request done request=%s route=%s outcome=%s sends=%d runs=%d "
+            "age_ms=%d version=%s view_age_ms=%d",
+            call.request_id,
+            route.name,
+            outcome,
+            call.sends,
+            call.runs,
+            call.age_s * 1000,
+            self._follower.view.version,
+            self._follower.age_s * 1000,
+        )
+
     def _prepare(
         self,
         conn: callers.CallerConnection,
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -16,6 +16,7 @@
 from briarfall.gateway import gossip
 from briarfall.gateway import listener
 from briarfall.gateway import loads
+from briarfall.gateway import metrics
 from briarfall.gateway import names
 from briarfall.gateway import paths
 from briarfall.gateway import peers
@@ -28,6 +29,7 @@
 from briarfall.gateway import views
 
 _POLL_S = 0.05
+METRICS_PATH = "/metrics"
 
 
 class Platform:
@@ -72,6 +74,7 @@
         self._cfg = cfg
         self._platform = platform
         self._pool = pool
+        self.metrics = metrics.Metrics()
         self.loads = loads.LoadTable()
         self.targets = targets.TargetTable()
         self.peers = peers.PeerTable(cfg.instance, cfg.zone)
@@ -131,11 +134,14 @@
                 platform.engines,
                 pool,
                 self.budget,
+                self.metrics,
             ),
             self.budget,
             self.stop,
+            self.metrics,
             rng,
         )
+        self._add_gauges()
         self._caller_listener = listener.Listener(
             cfg.caller.host,
             cfg.caller.port,
@@ -226,7 +232,48 @@
         finally:
             conn.close()
 
+    def _add_gauges(self) -> None:
+        gauges = [
+            (
+                "briarfall_catalogue_age_seconds",
+                "Age of the read that confirmed the catalogue.",
+                lambda: self.follower.age_s,
+            ),
+            (
+                "briarfall_catalogue_version",
+                "Version of the catalogue in force.",
+                lambda: (
+                    self.follower.view.version if self.follower.view else -1
+                ),
+            ),
+            (
+                "briarfall_targets_age_seconds",
+                "Age of the list of targets.",
+                self.targets.age_s,
+            ),
+            (
+                "briarfall_instances",
+                "Living instances, this one included.",
+                lambda: self.peers.instance_count,
+            ),
+            (
+                "briarfall_lease_held",
+                "Whether this instance places layers.",
+                lambda: float(self.lease.is_held),
+            ),
+            (
+                "briarfall_open_connections",
+                "Connections of callers.",
+                lambda: self._caller_listener.open_connections,
+            ),
+        ]
+        for name, text, read in gauges:
+            self.metrics.add_gauge(name, text, read)
+
     def _status(self, path: str):
+        if path == METRICS_PATH:
+            kind = [(b"Content-Type", b"text/plain; version=0.0.4")]
+            return 200, kind, self.metrics.expose()
         if path != self._platform.ready_path:
             return 404, [], b"no such path\n"
         if self.is_ready:
--- /dev/null
+++ b/src/briarfall/gateway/metrics.py
@@ -0,0 +1,138 @@
+"""Counters, histograms and gauges of a gateway instance.
+
+Values are kept in plain dictionaries; the library that writes them out is
+imported at the first scrape, since a start has no time for it.
+"""
+
+import bisect
+import collections.abc
+import threading
+
+import msgspec
+
+# Upper bounds of histogram buckets, in seconds.
+_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+# Sets of labels beyond this number are counted together.
+_MAX_SERIES = 400
+_OTHER = "other"
+
+Labels = tuple[str, ...]
+
+
+class _Histogram(msgspec.Struct):
+    counts: list[int]
+    total: float = 0.0
+
+
+class _Family(msgspec.Struct):
+    help: str
+    labels: Labels
+    counters: dict[Labels, int] = {}
+    histograms: dict[Labels, _Histogram] = {}
+
+
+class Metrics:
+    """All metrics of one instance."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._counters: dict[str, _Family] = {}
+        self._histograms: dict[str, _Family] = {}
+        self._gauges: dict[str, tuple[str, collections.abc.Callable]] = {}
+        self._add_counter(
+            "briarfall_requests", "Requests.", ("route", "kind", "outcome")
+        )
+        self._add_counter(
+            "briarfall_sends", "Sends to targets.", ("service", "outcome")
+        )
+        self._add_counter("briarfall_repaths", "Changed chains.", ("result",))
+        self._add_histogram(
+            "briarfall_answer_seconds",
+            "Time to the first byte of the answer.",
+            ("route",),
+        )
+        self._add_histogram(
+            "briarfall_detection_seconds",
+            "Silence after which a failed engine was found.",
+            ("how",),
+        )
+        self._add_histogram(
+            "briarfall_repath_seconds", "Time to change a chain.", ()
+        )
+
+    def _add_counter(self, name: str, text: str, labels: Labels) -> None:
+        self._counters[name] = _Family(text, labels)
+
+    def _add_histogram(self, name: str, text: str, labels: Labels) -> None:
+        self._histograms[name] = _Family(text, labels)
+
+    def add_gauge(
+        self, name: str, text: str, read: collections.abc.Callable[[], float]
+    ) -> None:
+        """Adds a gauge whose value is read when it is scraped."""
+        self._gauges[name] = (text, read)
+
+    def count(self, name: str, *labels: str) -> None:
+        """Raises a counter by one."""
+        with self._lock:
+            counters = self._counters[name].counters
+            key = _bounded(counters, labels)
+            counters[key] = counters.get(key, 0) + 1
+
+    def observe(self, name: str, seconds: float, *labels: str) -> None:
+        """Adds a value to a histogram."""
+        with self._lock:
+            histograms = self._histograms[name].histograms
+            key = _bounded(histograms, labels)
+            row = histograms.get(key)
+            if row is None:
+                row = _Histogram([0] * (len(_BUCKETS_S) + 1))
+                histograms[key] = row
+            row.counts[bisect.bisect_left(_BUCKETS_S, seconds)] += 1
+            row.total += seconds
+
+    def collect(self):
+        """Yields all metrics as the library's families."""
+        from prometheus_client import core
+
+        with self._lock:
+            for name, family in self._counters.items():
+                rows = core.CounterMetricFamily(
+                    name, family.help, labels=family.labels
+                )
+                for labels, value in family.counters.items():
+                    rows.add_metric(labels, value)
+                yield rows
+            for name, family in self._histograms.items():
+                rows = core.HistogramMetricFamily(
+                    name, family.help, labels=family.labels
+                )
+                for labels, row in family.histograms.items():
+                    rows.add_metric(labels, _cumulative(row), row.total)
+                yield rows
+        for name, (text, read) in self._gauges.items():
+            yield core.GaugeMetricFamily(name, text, value=read())
+
+    def expose(self) -> bytes:
+        """Returns all metrics in the text format."""
+        import prometheus_client
+
+        registry = prometheus_client.CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return prometheus_client.generate_latest(registry)
+
+
+def _bounded(known: dict[Labels, object], labels: Labels) -> Labels:
+    if labels in known or len(known) < _MAX_SERIES:
+        return labels
+    return (_OTHER,) * len(labels)
+
+
+def _cumulative(row: _Histogram) -> list[tuple[str, float]]:
+    bounds = [str(bound) for bound in _BUCKETS_S] + ["+Inf"]
+    total = 0
+    buckets = []
+    for bound, count in zip(bounds, row.counts, strict=True):
+        total += count
+        buckets.append((bound, total))
+    return buckets
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -16,6 +16,7 @@
 from briarfall.gateway import exchange
 from briarfall.gateway import loads
 from briarfall.gateway import messages
+from briarfall.gateway import metrics
 from briarfall.gateway import names
 from briarfall.gateway import paths
 from briarfall.gateway import sources
@@ -102,6 +103,7 @@
         engines: Reports of and orders to engines.
         pool: Connections to targets.
         budget: Bound on repeats.
+        counters: Metrics.
     """
 
     def __init__(
@@ -113,7 +115,9 @@
         engines: sources.EngineControl,
         pool: exchange.ConnectionPool,
         budget: budgets.RetryBudget,
+        counters: metrics.Metrics,
     ):
+        self._metrics = counters
         self._names = header_names
         self._targets = table
         self._loads = load_table
@@ -487,6 +491,10 @@
             len(suspects),
             dead[0].target if dead else None,
         )
+        if dead:
+            self._metrics.observe(
+                "briarfall_detection_seconds", silent_ms / 1000, how
+            )
         return dead[0] if dead else None
 
     def _known_dead(
@@ -541,6 +549,10 @@
                 answer.result.value,
                 (clocks.boot_s() - sent_s) * 1000,
             )
+            self._metrics.count("briarfall_repaths", answer.result.value)
+            self._metrics.observe(
+                "briarfall_repath_seconds", clocks.boot_s() - sent_s
+            )
             if answer.result in (
                 sources.OrderResult.BEGUN,
                 sources.OrderResult.HOLDS,
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -235,6 +235,12 @@
                 logging.warning("target list lost read_s=%s", self.read_s)
             self._is_source_lost = True
 
+    def age_s(self) -> float:
+        """Returns the age of the list in seconds."""
+        if self.read_s is None:
+            return float("inf")
+        return clocks.boot_s() - self.read_s
+
     def get(self, target: ids.TargetId) -> Target | None:
         """Returns a target by id."""
         return self._targets.get(target)
--- a/src/briarfall/logs.py
+++ b/src/briarfall/logs.py
@@ -2,11 +2,18 @@
 
 import json
 import logging as std_logging
+import os
+import queue
 import re
+import threading
 
 from absl import logging
 
-_FIELD = re.compile(r"\b([a-z_]+)=(\S+)")
+_FIELD = re.compile(r"\b([a-z_]+)=(\S+?)(?=[:,;]?(?:\s|$))")
+# Lines that wait to be written; more are dropped and counted.
+_QUEUE_LINES = 2000
+# Lines below a warning that one second may bring; more are dropped.
+_LINES_PER_S = 200
 
 
 class JsonFormatter(std_logging.Formatter):
@@ -42,3 +49,79 @@
     std_logging.getLogger("urllib3").setLevel(std_logging.ERROR)
     if as_json:
         handler.setFormatter(JsonFormatter(instance))
+
+
+class BoundedHandler(std_logging.Handler):
+    """Writes lines on a thread of its own and drops what is too much.
+
+    A reader that stops blocks that thread only, never a caller of the log.
+
+    Args:
+        descriptor: File descriptor to write to.
+        formatter: Makes lines of records.
+    """
+
+    def __init__(self, descriptor: int, formatter: std_logging.Formatter):
+        super().__init__()
+        self.setFormatter(formatter)
+        self._descriptor = descriptor
+        self._queue: queue.Queue = queue.Queue(_QUEUE_LINES)
+        self._second = 0
+        self._count = 0
+        self.dropped = 0
+        threading.Thread(
+            target=self._write_loop, name="log", daemon=True
+        ).start()
+
+    def emit(self, record: std_logging.LogRecord) -> None:
+        """Queues a record unless there are too many."""
+        second = int(record.created)
+        if second != self._second:
+            self._second = second
+            self._count = 0
+        self._count += 1
+        is_urgent = record.levelno >= std_logging.WARNING
+        if self._count > _LINES_PER_S and not is_urgent:
+            self.dropped += 1
+            return
+        try:
+            self._queue.put_nowait(record)
+        except queue.Full:
+            self.dropped += 1
+
+    def _write_loop(self) -> None:
+        reported = 0
+        while True:
+            record = self._queue.get()
+            line = self.format(record)
+            if self.dropped > reported:
+                reported = self.dropped
+                line = f'{{"message": "log lines dropped={reported}"}}\n{line}'
+            try:
+                _write_all(self._descriptor, f"{line}\n".encode())
+            except OSError:
+                # Nobody reads; the lines are counted as dropped.
+                self.dropped += 1
+            self._queue.task_done()
+
+    def flush(self) -> None:
+        """Does nothing: a flush must not wait for the reader."""
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    while data:
+        data = data[os.write(descriptor, data) :]
+
+
+def configure_bounded(instance: str) -> BoundedHandler:
+    """Sends all logs as bounded JSON lines to standard output."""
+    handler = BoundedHandler(1, JsonFormatter(instance))
+    root = std_logging.getLogger()
+    for old in list(root.handlers):
+        root.removeHandler(old)
+    root.addHandler(handler)
+    logger = logging.get_absl_logger()
+    logger.handlers.clear()
+    logger.propagate = True
+    logging.set_verbosity(logging.INFO)
+    return handler
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -33,7 +33,7 @@
     """Runs an instance until it is told to stop."""
     path = os.environ[_SETTINGS_VARIABLE]
     cfg = settings.parse(pathlib.Path(path).read_bytes())
-    logs.configure(cfg.instance, as_json=True, verbose=True)
+    logs.configure_bounded(cfg.instance)
     pool = exchange.ConnectionPool()
     program = instance.Instance(
         cfg, StorePlatform(cfg.store_address, pool), pool
