--- /dev/null
+++ b/src/briarfall/gateway/crashes.py
@@ -0,0 +1,91 @@
+"""Finds requests that crash the targets that run them."""
+
+import threading
+
+import msgspec
+import xxhash
+
+from briarfall import ids
+from briarfall.gateway import calls
+from briarfall.gateway import clocks
+
+# Targets that a request may have crashed before it is refused. An innocent
+# request that shares a target with a harmful one is there once or twice.
+_MAX_CRASHES = 3
+_MEMORY_S = 60.0
+# Crashes are told to other instances this long.
+_TELL_S = 3.0
+_MAX_TOLD = 40
+
+
+class Crash(msgspec.Struct, array_like=True, frozen=True):
+    """A target that crashed while it ran a request.
+
+    Attributes:
+        fingerprint: Hash of the request.
+        target: The target.
+        started_ms: Lifetime of the target.
+    """
+
+    fingerprint: str
+    target: ids.TargetId
+    started_ms: int
+
+
+def fingerprint(call: calls.Call) -> str:
+    """Returns a hash that a request keeps when its caller sends it again."""
+    account = call.account.name if call.account is not None else ""
+    digest = xxhash.xxh64(account.encode())
+    for part in (call.req.method, call.req.target, call.req.body):
+        digest.update(b"\0" + part)
+    return digest.hexdigest()
+
+
+class CrashTable:
+    """Crashes by request, here and at other instances."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._seen_s: dict[Crash, float] = {}
+        self._own: dict[Crash, float] = {}
+
+    def note(self, crash: Crash) -> None:
+        """Notes a crash that this instance saw."""
+        now_s = clocks.boot_s()
+        with self._lock:
+            self._forget(now_s)
+            self._seen_s[crash] = now_s
+            self._own[crash] = now_s
+
+    def take(self, rows: list[Crash]) -> None:
+        """Takes in crashes that another instance saw."""
+        now_s = clocks.boot_s()
+        with self._lock:
+            for crash in rows:
+                self._seen_s.setdefault(crash, now_s)
+
+    def told(self) -> list[Crash]:
+        """Returns own crashes that others should hear of."""
+        now_s = clocks.boot_s()
+        with self._lock:
+            rows = []
+            for crash, seen_s in self._own.items():
+                if now_s - seen_s < _TELL_S:
+                    rows.append(crash)
+            return rows[-_MAX_TOLD:]
+
+    def is_harmful(self, request: str) -> bool:
+        """Whether a request has crashed too many targets."""
+        oldest_s = clocks.boot_s() - _MEMORY_S
+        with self._lock:
+            count = 0
+            for crash, seen_s in self._seen_s.items():
+                if crash.fingerprint == request and seen_s > oldest_s:
+                    count += 1
+            return count >= _MAX_CRASHES
+
+    def _forget(self, now_s: float) -> None:
+        for table in (self._seen_s, self._own):
+            for crash, seen_s in list(table.items()):
+                if now_s - seen_s > _MEMORY_S:
+                    del table[crash]
--- a/src/briarfall/gateway/front.py
+++ b/src/briarfall/gateway/front.py
@@ -228,7 +228,8 @@
         exc: exceptions.BriarfallError,
     ) -> None:
         status = int(exc.status)
-        if exc.outcome is exceptions.Outcome.UNKNOWN and status in (429, 503):
+        may_have_run = exc.outcome is not exceptions.Outcome.NOT_RUN
+        if may_have_run and status not in (502, 504):
             status = 502
         headers = [(b"Content-Type", b"text/plain")]
         if status in (429, 503):
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -13,6 +13,7 @@
 from briarfall import ids
 from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
+from briarfall.gateway import crashes
 from briarfall.gateway import loads
 from briarfall.gateway import peermessages
 from briarfall.gateway import peers
@@ -50,6 +51,7 @@
         target_table: Targets.
         follower: The catalogue.
         lease: The placement lease.
+        crash_table: Requests that crashed their targets.
     """
 
     def __init__(
@@ -61,7 +63,9 @@
         target_table: targets.TargetTable,
         follower: catalogue.CatalogueFollower,
         lease: placer.Lease,
+        crash_table: crashes.CrashTable,
     ):
+        self._crashes = crash_table
         self._source = source
         self._peers = peer_table
         self._loads = load_table
@@ -238,6 +242,7 @@
             ),
             loads=rows,
             suspicions=suspicions,
+            crashes=self._crashes.told(),
             lease_fence=self._lease.fence,
             lease_left_ms=int(self._lease.left_s * 1000),
         )
@@ -299,6 +304,7 @@
         for row in status.loads:
             rows[row.target] = loads.Load(row.streams, row.tokens)
         self._loads.merge(status.sender, rows)
+        self._crashes.take(status.crashes)
         for row in status.suspicions:
             self._targets.take_suspicion(
                 row.target, row.started_ms, row.left_ms / 1000
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -10,6 +10,7 @@
 from briarfall.gateway import callers
 from briarfall.gateway import catalogue
 from briarfall.gateway import config
+from briarfall.gateway import crashes
 from briarfall.gateway import exchange
 from briarfall.gateway import following
 from briarfall.gateway import front
@@ -75,6 +76,7 @@
         self._platform = platform
         self._pool = pool
         self.metrics = metrics.Metrics()
+        self.crashes = crashes.CrashTable()
         self.loads = loads.LoadTable()
         self.targets = targets.TargetTable()
         self.peers = peers.PeerTable(cfg.instance, cfg.zone)
@@ -92,6 +94,7 @@
             self.targets,
             self.follower,
             self.lease,
+            self.crashes,
         )
         self.follower.add_listener(self.gossip.tell_now)
         self.targets.add_listener(self.gossip.tell_now)
@@ -135,6 +138,7 @@
                 pool,
                 self.budget,
                 self.metrics,
+                self.crashes,
             ),
             self.budget,
             self.stop,
--- a/src/briarfall/gateway/peermessages.py
+++ b/src/briarfall/gateway/peermessages.py
@@ -5,6 +5,7 @@
 
 from briarfall import exceptions
 from briarfall import ids
+from briarfall.gateway import crashes
 from briarfall.gateway import sources
 
 
@@ -38,6 +39,7 @@
         reaches_store: Whether its last read of the store succeeded.
         loads: Its requests in flight.
         suspicions: Targets that failed for it.
+        crashes: Requests that crashed targets at it lately.
         lease_fence: Fence of its placement lease, or 0.
         lease_left_ms: How long it holds the lease, or 0.
     """
@@ -50,6 +52,7 @@
     reaches_store: bool
     loads: list[LoadRow]
     suspicions: list[Suspicion]
+    crashes: list[crashes.Crash]
     lease_fence: int = 0
     lease_left_ms: int = 0
 
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -11,6 +11,7 @@
 from briarfall.gateway import budgets
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
+from briarfall.gateway import crashes
 from briarfall.gateway import events
 from briarfall.gateway import evidence
 from briarfall.gateway import exchange
@@ -104,6 +105,7 @@
         pool: Connections to targets.
         budget: Bound on repeats.
         counters: Metrics.
+        crash_table: Requests that crashed their targets.
     """
 
     def __init__(
@@ -116,8 +118,10 @@
         pool: exchange.ConnectionPool,
         budget: budgets.RetryBudget,
         counters: metrics.Metrics,
+        crash_table: crashes.CrashTable,
     ):
         self._metrics = counters
+        self._crashes = crash_table
         self._names = header_names
         self._targets = table
         self._loads = load_table
@@ -138,7 +142,12 @@
         last = call.req.header(self._names.last_event)
         if last is not None and last.isdigit():
             stream.last_id = int(last)
+        request = crashes.fingerprint(call)
         while True:
+            if self._crashes.is_harmful(request):
+                raise exceptions.PoisonError(
+                    "the request has crashed the engines that ran it"
+                )
             chain = self._wait_for_chain(stream)
             if call.sends and not self._budget.take_repeat():
                 raise self._give_up(stream, "the retry budget is used up")
@@ -263,10 +272,22 @@
             exc,
         )
         if isinstance(exc, exchange.BrokenExchangeError):
+            self._note_crash(call, chain.head)
             self._fail(stream, chain.head.target, exc.message)
         if not call.route.is_repeatable or call.left_s <= 0:
             raise exc
 
+    def _note_crash(self, call: calls.Call, head: paths.Part) -> None:
+        """Counts a crash if the head does not accept connections."""
+        target = self._targets.get(head.target)
+        if target is None or not evidence.unreachable([head]):
+            return
+        self._crashes.note(
+            crashes.Crash(
+                crashes.fingerprint(call), head.target, target.entry.started_ms
+            )
+        )
+
     def _run(self, stream: Stream, chain: paths.Chain) -> None:
         """Runs a stream on one chain until it ends or breaks."""
         call = stream.call
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -166,6 +166,7 @@
         is_dark: Whether chains over it stand still.
         breaks_after: Event after which the head resets its stream, or 0.
         is_torn: Whether such a reset comes in the middle of an event.
+        crashes: Whether it dies as soon as it runs a request.
     """
 
     def __init__(self, platform, target_id, fleet, *, zone="z1", kind="small"):
@@ -178,6 +179,7 @@
         self.is_dark = False
         self.breaks_after = 0
         self.is_torn = False
+        self.crashes = False
         self.events = 12
         self.paths: dict[str, list[tuple[str, int, int]]] = {}
         self.made: list[tuple[str, int, str]] = []
@@ -263,6 +265,10 @@
                 conn.answer(421, headers={"At-Server": address})
                 return True
         self.note(req)
+        if self.crashes:
+            self.close()
+            conn.reset()
+            return False
         self.paths[request_id] = path
         conn.begin_chunks(echo)
         start = int(req.headers.get("last-event-id", "0"))
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -12,6 +12,7 @@
 from briarfall.gateway import budgets
 from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
+from briarfall.gateway import crashes
 from briarfall.gateway import events
 from briarfall.gateway import evidence
 from briarfall.gateway import exchange
@@ -600,6 +601,7 @@
                 True,
                 [peermessages.LoadRow("a", 1, 900)],
                 [peermessages.Suspicion("b", 3, 500)],
+                [crashes.Crash("ab", "b", 3)],
                 7,
                 1500,
             ),
@@ -614,6 +616,28 @@
             assert peermessages.decode(peermessages.encode(row)) == row
 
 
+class TestCrashes:
+    def test_refused_after_three_targets_here_or_at_peers(self, clock):
+        table = crashes.CrashTable()
+        table.note(crashes.Crash("f", "a", 1))
+        table.note(crashes.Crash("f", "a", 1))
+        table.take([crashes.Crash("f", "b", 1), crashes.Crash("g", "b", 1)])
+        assert not table.is_harmful("f")
+        table.take([crashes.Crash("f", "a", 2)])
+        assert table.is_harmful("f")
+        assert not table.is_harmful("g")
+        clock.now_s += 61
+        assert not table.is_harmful("f")
+
+    def test_only_own_fresh_crashes_are_told(self, clock):
+        table = crashes.CrashTable()
+        table.note(crashes.Crash("f", "a", 1))
+        table.take([crashes.Crash("f", "b", 1)])
+        assert table.told() == [crashes.Crash("f", "a", 1)]
+        clock.now_s += 4
+        assert table.told() == []
+
+
 class TestPlannedStop:
     def test_phases_and_what_is_still_taken(self, clock):
         stop = stopping.PlannedStop(8.0)
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -270,6 +270,15 @@
         assert float(answer.headers["Retry-After"]) > 0
         assert all(engine.ran == [] for engine in engines)
 
+    def test_request_that_crashes_its_engines_stops_after_three(self, world):
+        engines, inst = self._start(world, 8, kind="large")
+        for engine in engines:
+            engine.crashes = True
+        answer = self._draft(inst)
+        assert answer.status == 502
+        assert "Retry-After" not in answer.headers
+        assert sum(len(engine.ran) for engine in engines) <= 3
+
 
 class TestPlacement:
     def test_one_holder_covers_all_layers_in_each_zone(self, world):
