Spread choices wider until the loads of other instances are known

Change: the random factor on costs is ten times as wide for 1.5 s after a start, as it is for streams that look for another engine after a failure.

--- a/src/briarfall/gateway/paths.py
+++ b/src/briarfall/gateway/paths.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from briarfall import ids
+from briarfall.gateway import clocks
 from briarfall.gateway import loads
 from briarfall.gateway import sources
 from briarfall.gateway import targets
@@ -19,6 +20,8 @@
 _CROSSING_MS = 2000.0
 # Spread of the random factor that keeps instances from choosing alike.
 NOISE = 0.15
+# Time after a start in which the loads of other instances are not known.
+_LEARNING_S = 1.5
 # After a failure many streams look for another engine within milliseconds,
 # before instances can tell each other what they chose.
 RECOVERY_NOISE = 1.5
@@ -139,6 +142,13 @@
         self._loads = table
         self._zone = zone
         self._rng = rng
+        self._started_s = clocks.boot_s()
+
+    def usual_noise(self) -> float:
+        """Returns the spread of the random factor for new requests."""
+        if clocks.boot_s() - self._started_s < _LEARNING_S:
+            return RECOVERY_NOISE
+        return NOISE
 
     def find(
         self,
@@ -149,7 +159,7 @@
         *,
         layers: sources.LayerRange | None = None,
         zone: ids.ZoneId | None = None,
-        noise: float = NOISE,
+        noise: float | None = None,
     ) -> Chain | None:
         """Returns the cheapest chain with room, or None.
 
@@ -160,9 +170,12 @@
             excluded: Engines to leave out.
             layers: Layers to cover; all of the model's by default.
             zone: Where the request comes from; by default this instance's.
-            noise: Spread of the random factor on costs.
+            noise: Spread of the random factor on costs, or None for the
+                usual one.
         """
         span = layers or sources.LayerRange(0, model.layers)
+        if noise is None:
+            noise = self.usual_noise()
         candidates = []
         for row in rows:
             if row.id in excluded:
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -197,7 +197,7 @@
                 rows,
                 stream.demand,
                 frozenset(stream.excluded),
-                noise=paths.RECOVERY_NOISE if call.was_cut else paths.NOISE,
+                noise=paths.RECOVERY_NOISE if call.was_cut else None,
             )
             if chain is not None:
                 return chain
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -141,9 +141,36 @@
             finder = paths.PathFinder(
                 loads.LoadTable(), ids.ZoneId("z1"), random.Random(seed)
             )
-            chain = finder.find(MODEL, engines, paths.Demand(700, 200))
+            chain = finder.find(
+                MODEL, engines, paths.Demand(700, 200), noise=paths.NOISE
+            )
             assert {part.zone for part in chain.parts} == {"z1"}
 
+    def test_spreads_wider_while_loads_of_others_are_unknown(self, clock):
+        engines = []
+        table = loads.LoadTable()
+        for copy in ("busy", "idle"):
+            for block in range(10):
+                name = f"{copy}-{block}"
+                engines.append(target(name, layers=(block * 8, block * 8 + 8)))
+                if copy == "busy":
+                    for _ in range(20):
+                        table.reserve([ids.TargetId(name)], 900)
+
+        def busy_heads(age_s):
+            count = 0
+            for seed in range(100):
+                finder = paths.PathFinder(
+                    table, ids.ZoneId("z1"), random.Random(seed)
+                )
+                clock.now_s += age_s
+                chain = finder.find(MODEL, engines, paths.Demand(700, 200))
+                count += chain.head.target.startswith("busy")
+            return count
+
+        assert busy_heads(0.1) >= 10
+        assert busy_heads(2.0) == 0
+
     def test_crosses_once_where_its_zone_lacks_a_layer(self):
         engines = [row for row in self.mixed_zones() if row.id != "z1-4"]
         chain = self.finder().find(MODEL, engines, paths.Demand(700, 200))
