A fault soak of real gateway processes

Faults from outside: a loopback proxy before the store (delays, resets, refuses, cuts one way, silences), signals (stop, kill, pause, reload), store faults, target and engine faults, racing manifests with revoked keys. Checks from what callers were told and what targets ran.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 SECONDS ?= 30
 
-.PHONY: demo test lint known-red bench soak
+.PHONY: demo test lint known-red bench soak fault-soak
 
 .venv/.ready: pyproject.toml
 	python3 -m venv .venv
@@ -33,3 +33,6 @@
 
 soak: .venv/.ready
 	$(BIN) bench soak --seed $(SEED) --seconds $(SECONDS)
+
+fault-soak: .venv/.ready
+	$(BIN) bench fault-soak --seed $(SEED) --seconds $(SECONDS)
--- /dev/null
+++ b/src/briarfall/bench/faultsoak/processes.py
@@ -0,0 +1,97 @@
+"""Gateway processes that the soak starts, signals and ends."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+_START = pathlib.Path(__file__).parents[4] / "deploy" / "gateway.py"
+_GRACE_S = 8.0
+
+
+class GatewayProcess:
+    """One instance as a process of its own.
+
+    Args:
+        name: Name of the instance.
+        zone: Its availability zone.
+        store: Address of the store, or of a proxy before it.
+        folder: Folder for its settings and logs.
+    """
+
+    def __init__(self, name: str, zone: str, store: str, folder: pathlib.Path):
+        self.name = name
+        front, ready, peer = _free_ports(3)
+        self.front = ("127.0.0.1", front)
+        self.ready = ("127.0.0.1", ready)
+        self._settings = folder / f"{name}.json"
+        self._log = folder / f"{name}.log"
+        self._settings.write_text(
+            json.dumps(
+                {
+                    "node": name,
+                    "zone": zone,
+                    "ip": "127.0.0.1",
+                    "listen": {
+                        "front": f"127.0.0.1:{front}",
+                        "ready": f"127.0.0.1:{ready}",
+                    },
+                    "port_range": [peer, peer + 1],
+                    "platform": {"address": store},
+                    "bounds": {"grace_s": _GRACE_S, "retry_slack": 400},
+                }
+            )
+        )
+        self._process: subprocess.Popen | None = None
+        self.is_paused = False
+
+    def start(self) -> None:
+        """Starts the process."""
+        env = {**os.environ, "BRIARFALL_SETTINGS": str(self._settings)}
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, str(_START)],
+                env=env,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process lives."""
+        return self._process is not None and self._process.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal if the process lives."""
+        if not self.is_running:
+            return
+        self._process.send_signal(number)
+        self.is_paused = number is signal.SIGSTOP
+
+    def wait(self, timeout_s: float = _GRACE_S + 2) -> bool:
+        """Waits for the end; returns whether it came by itself."""
+        try:
+            self._process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.signal(signal.SIGKILL)
+            self._process.wait()
+            return False
+        return True
+
+    def log_text(self) -> str:
+        """Returns what the process has logged."""
+        return self._log.read_text(errors="replace")
+
+
+def _free_ports(count: int) -> list[int]:
+    socks = []
+    for _ in range(count):
+        socks.append(socket.create_server(("127.0.0.1", 0)))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
--- /dev/null
+++ b/src/briarfall/bench/faultsoak/proxy.py
@@ -0,0 +1,105 @@
+"""A loopback proxy whose connections can be harmed."""
+
+import enum
+import socket
+import struct
+import threading
+import time
+
+_RECEIVE_BYTES = 65_536
+_RESET = struct.pack("ii", 1, 0)
+_DELAY_S = 0.25
+_HOLD_POLL_S = 0.02
+
+
+class LinkFault(enum.Enum):
+    """What the proxy does to its connections."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    REFUSE = "refuse"
+    # Bytes towards the target, or back, are held until the fault ends.
+    CUT_THERE = "cut_there"
+    CUT_BACK = "cut_back"
+    SILENT = "silent"
+
+
+class Proxy:
+    """Forwards a loopback port to an address."""
+
+    def __init__(self, address: str):
+        host, _, port = address.rpartition(":")
+        self._target = (host, int(port))
+        self._fault = LinkFault.NONE
+        self._lock = threading.Lock()
+        self._open: set[socket.socket] = set()
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def set_fault(self, fault: LinkFault) -> None:
+        """Harms all connections, present and new, until it is lifted."""
+        self._fault = fault
+        if fault is LinkFault.RESET:
+            with self._lock:
+                rows = list(self._open)
+            for sock in rows:
+                _reset(sock)
+
+    def close(self) -> None:
+        """Ends the proxy."""
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            if self._fault in (LinkFault.REFUSE, LinkFault.RESET):
+                _reset(sock)
+                continue
+            try:
+                other = socket.create_connection(self._target, 1.0)
+            except OSError:
+                _reset(sock)
+                continue
+            other.settimeout(None)
+            with self._lock:
+                self._open.update((sock, other))
+            for source, sink, held in (
+                (sock, other, LinkFault.CUT_THERE),
+                (other, sock, LinkFault.CUT_BACK),
+            ):
+                threading.Thread(
+                    target=self._pump, args=(source, sink, held), daemon=True
+                ).start()
+
+    def _pump(self, source, sink, held: LinkFault) -> None:
+        try:
+            while True:
+                data = source.recv(_RECEIVE_BYTES)
+                if self._fault is LinkFault.DELAY:
+                    time.sleep(_DELAY_S)
+                while self._fault in (held, LinkFault.SILENT):
+                    time.sleep(_HOLD_POLL_S)
+                if not data:
+                    sink.shutdown(socket.SHUT_WR)
+                    return
+                sink.sendall(data)
+        except OSError:
+            _reset(sink)
+            _reset(source)
+        finally:
+            with self._lock:
+                self._open.discard(source)
+
+
+def _reset(sock: socket.socket) -> None:
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+    sock.close()
--- /dev/null
+++ b/src/briarfall/bench/faultsoak/soak.py
@@ -0,0 +1,404 @@
+"""Runs gateway processes under seeded faults and checks the promises."""
+
+import collections
+import pathlib
+import random
+import signal
+import tempfile
+import threading
+import time
+
+from briarfall.bench.faultsoak import callers
+from briarfall.bench.faultsoak import processes
+from briarfall.bench.faultsoak import proxy
+from briarfall.standins.prepared import services
+from briarfall.standins.prepared import store
+
+_INSTANCES = 3
+_CALLERS = 8
+_EVENTS = 24
+_KEY_TTL_S = 5.0
+_READY_S = 20.0
+_RECOVER_S = 12.0
+_MIN_GAP_S = 0.3
+_MAX_GAP_S = 1.2
+_MIN_FAULT_S = 0.5
+_MAX_FAULT_S = 3.0
+_BEAT_S = 1.0
+_ENGINE = {
+    "slots": 32,
+    "kv_token_bytes": 8000,
+    "step_ms": 1.0,
+    "per_seq_ms": 0.01,
+    "context_per_k": 0.01,
+    "read_per_s": 100000.0,
+    "loads_at_once": 5,
+    "layers": 8,
+    "layer_mb": 10.0,
+    "act_bytes": 10,
+    "pipe_mbps": 1000.0,
+    "models": [{"name": "m", "load_s": 1.0}],
+    "usual": {"prompt": 20, "answer": 20},
+    "kinds": [{"name": "small", "mb": 62.0, "pace": 2.0, "read_x": 1.0}],
+}
+
+
+class Soak:
+    """One run with one seed.
+
+    Args:
+        seed: Decides every fault and its time.
+        seconds: Duration of the faults.
+        folder: Folder for settings and logs.
+    """
+
+    def __init__(self, seed: int, seconds: float, folder: pathlib.Path):
+        self._rng = random.Random(seed)
+        self._key_rng = random.Random(seed)
+        self._seconds = seconds
+        self._version = 0
+        self._key_number = 0
+        self._revoked: list[tuple[str, float]] = []
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._threads: list[threading.Thread] = []
+        self.faults: list[str] = []
+        self.store = store.StoreStandin()
+        self._fleet: dict = {}
+        self.desks = []
+        self.engines = []
+        self._publish()
+        for number in range(3):
+            zone = f"z{number % 2}"
+            self.desks.append(
+                services.ServiceStandin(self.store, f"d{number}", "desk", zone)
+            )
+        for number in range(8):
+            engine = services.EngineStandin(
+                self.store, f"e{number}", self._fleet, zone=f"z{number % 2}"
+            )
+            engine.events = _EVENTS
+            self.engines.append(engine)
+        self._links = []
+        self.instances = []
+        for number in range(_INSTANCES):
+            link = proxy.Proxy(self.store.address)
+            self._links.append(link)
+            self.instances.append(
+                processes.GatewayProcess(
+                    f"i{number}", f"z{number % 2}", link.address, folder
+                )
+            )
+
+    def _now(self) -> float:
+        return time.monotonic()
+
+    def _key(self) -> str:
+        return f"key-{self._key_number}"
+
+    def _publish(self) -> None:
+        """Writes a manifest with the current key and the stable one."""
+        self._version += self._rng.randint(1, 3)
+        rows = []
+        for name, kind, service in (
+            ("orders", "mutating", "desk"),
+            ("views", "idempotent", "desk"),
+            ("drafts", "streaming", "pool"),
+        ):
+            rows.append(
+                {
+                    "name": name,
+                    "host": callers.HOST,
+                    "path_prefix": f"/{name}/",
+                    "kind": kind,
+                    "timeout_ms": 10000 if name == "drafts" else 2000,
+                    "slo_ms": 500,
+                    "service": service,
+                    "attempts": 2,
+                    "resumable": name == "drafts",
+                    "gap_aim_ms": 200,
+                }
+            )
+        manifest = {
+            "version": self._version,
+            "routes": rows,
+            "services": [
+                {"name": "desk", "max_conns": 100},
+                {"name": "pool", "max_conns": 100, "engine": _ENGINE},
+            ],
+            "tenants": [{"name": "crew", "api_keys": ["stable", self._key()]}],
+        }
+        self.store.put("keyed.op", "config", manifest)
+
+    def run(self) -> list[str]:
+        """Runs the soak and returns the promises that were broken."""
+        for row in self.instances:
+            row.start()
+        rows = []
+        try:
+            self._threads.append(
+                threading.Thread(target=self._beat_loop, daemon=True)
+            )
+            self._threads[0].start()
+            if not self._wait_served(_READY_S):
+                return ["no request was served after the start"]
+            for number in range(_CALLERS):
+                caller = callers.Caller(
+                    f"c{number}",
+                    self.instances,
+                    self._pick_key,
+                    self._now,
+                    number,
+                )
+                caller.start()
+                rows.append(caller)
+            self._play_faults()
+            broken = []
+            if not self._wait_served(_RECOVER_S):
+                broken.append(f"no recovery within {_RECOVER_S} s")
+            for caller in rows:
+                caller.stop()
+            for caller in rows:
+                caller.join(30)
+            told = [row for caller in rows for row in caller.told]
+            return broken + self.check(told)
+        finally:
+            self._stopped.set()
+            for row in self.instances:
+                row.signal(signal.SIGKILL)
+                if row.is_running:
+                    row.wait()
+
+    def _pick_key(self) -> str:
+        with self._lock:
+            return self._key_rng.choice(["stable", self._key()])
+
+    def _beat_loop(self) -> None:
+        """Renews the entries of living targets."""
+        while not self._stopped.wait(_BEAT_S):
+            for row in [*self.desks, *self.engines]:
+                if not row.released.is_set():
+                    row.register()
+
+    def _wait_served(self, limit_s: float) -> bool:
+        """Whether each kind of request succeeds within a time."""
+        until_s = self._now() + limit_s
+        left = [
+            (row, kind)
+            for row in self.instances
+            for kind in ("orders", "views", "drafts")
+        ]
+        number = 0
+        while left and self._now() < until_s:
+            row, kind = left[0]
+            number += 1
+            probe = callers.Caller("probe", [row], self._key, self._now, 1)
+            told = callers.Told(
+                f"p{self._now()}-{number}", kind, "stable", self._now()
+            )
+            try:
+                probe._send(told)
+            except (OSError, callers.http.client.HTTPException):
+                pass
+            probe._drop()
+            if told.status == 200:
+                left.pop(0)
+                continue
+            self._stopped.wait(0.1)
+        return not left
+
+    def _play_faults(self) -> None:
+        """Starts faults in series; they overlap where one lasts longer."""
+        until_s = self._now() + self._seconds
+        kinds = [
+            self._fault_link,
+            self._fault_store,
+            self._fault_restart,
+            self._fault_kill,
+            self._fault_pause,
+            self._fault_desk,
+            self._fault_engine,
+            self._fault_reload,
+            self._change_manifest,
+            self._change_manifest,
+        ]
+        while self._now() < until_s:
+            kind = self._rng.choice(kinds)
+            fault_s = self._rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S)
+            thread = threading.Thread(
+                target=self._guard, args=(kind, fault_s), daemon=True
+            )
+            thread.start()
+            self._threads.append(thread)
+            time.sleep(self._rng.uniform(_MIN_GAP_S, _MAX_GAP_S))
+        for thread in self._threads[1:]:
+            thread.join(30)
+
+    def _guard(self, kind, fault_s: float) -> None:
+        self.faults.append(f"{kind.__name__} {fault_s:.1f} s")
+        kind(fault_s)
+
+    def _fault_link(self, fault_s: float) -> None:
+        link = self._rng.choice(self._links)
+        faults = [row for row in proxy.LinkFault if row.value != "none"]
+        link.set_fault(self._rng.choice(faults))
+        time.sleep(fault_s)
+        link.set_fault(proxy.LinkFault.NONE)
+
+    def _fault_store(self, fault_s: float) -> None:
+        how = self._rng.choice(["busy", "reset", "lost", "forget"])
+        if how == "forget":
+            self.store.forget("keyed.op")
+            return
+        if how == "lost":
+            self.store.loses_appends = True
+        else:
+            self.store.status = 503 if how == "busy" else -1
+        time.sleep(fault_s)
+        self.store.status = 0
+        self.store.loses_appends = False
+
+    def _take_instance(self) -> processes.GatewayProcess | None:
+        with self._lock:
+            free = [
+                row
+                for row in self.instances
+                if row.is_running and not row.is_paused
+            ]
+            return self._rng.choice(free) if len(free) > 1 else None
+
+    def _fault_restart(self, fault_s: float) -> None:
+        row = self._take_instance()
+        if row is None:
+            return
+        row.signal(signal.SIGTERM)
+        row.wait()
+        row.start()
+
+    def _fault_kill(self, fault_s: float) -> None:
+        row = self._take_instance()
+        if row is None:
+            return
+        row.signal(signal.SIGKILL)
+        row.wait()
+        time.sleep(fault_s / 4)
+        row.start()
+
+    def _fault_pause(self, fault_s: float) -> None:
+        row = self._take_instance()
+        if row is None:
+            return
+        row.signal(signal.SIGSTOP)
+        time.sleep(fault_s * 2)
+        row.signal(signal.SIGCONT)
+
+    def _fault_reload(self, fault_s: float) -> None:
+        row = self._take_instance()
+        if row is not None:
+            row.signal(signal.SIGHUP)
+
+    def _fault_desk(self, fault_s: float) -> None:
+        desk = self._rng.choice(self.desks)
+        faults = [row for row in services.Fault if row.value != "none"]
+        desk.fault = self._rng.choice(faults)
+        time.sleep(fault_s)
+        desk.fault = services.Fault.NONE
+
+    def _fault_engine(self, fault_s: float) -> None:
+        engine = self._rng.choice(self.engines)
+        how = self._rng.choice(["dark", "break", "torn", "refuse"])
+        if how == "dark":
+            engine.is_dark = True
+        elif how == "refuse":
+            engine.fault = services.Fault.REFUSE
+        else:
+            engine.is_torn = how == "torn"
+            engine.breaks_after = self._rng.randint(1, _EVENTS - 1)
+        time.sleep(fault_s)
+        engine.is_dark = False
+        engine.fault = services.Fault.NONE
+        engine.breaks_after = 0
+
+    def _change_manifest(self, fault_s: float) -> None:
+        with self._lock:
+            old = self._key()
+            self._key_number += 1
+            self._publish()
+            self._revoked.append((old, self._now()))
+
+    def check(self, told: list[callers.Told]) -> list[str]:
+        """Returns the promises that were broken."""
+        broken = []
+        runs = collections.Counter()
+        for desk in self.desks:
+            runs.update(desk.ran_ids())
+        heads = collections.Counter()
+        for engine in self.engines:
+            heads.update(engine.ran_ids())
+            broken += _check_layers(engine)
+        revoked = dict(self._revoked)
+        for row in told:
+            count = runs[row.id] + heads[row.id]
+            if row.kind == "orders" and count > 1:
+                broken.append(f"{row.id}: ran {count} times")
+            if row.kind == "orders" and row.status in (408, 421, 429, 503):
+                if count:
+                    broken.append(f"{row.id}: {row.status} although it ran")
+            if row.status == 200 and row.is_whole:
+                broken += _check_body(row)
+            revoked_s = revoked.get(row.key)
+            if revoked_s is not None and count:
+                late_s = row.sent_s - revoked_s
+                if late_s > _KEY_TTL_S:
+                    broken.append(f"{row.id}: key ran {late_s:.1f} s too late")
+        served = sum(1 for row in told if row.status == 200)
+        if served < len(told) / 4:
+            broken.append(f"only {served} of {len(told)} requests served")
+        return broken
+
+
+def _check_body(row: callers.Told) -> list[str]:
+    if row.kind != "drafts":
+        expected = row.id.encode() if row.kind == "orders" else b""
+        if row.body != b"ran:" + expected:
+            return [f"{row.id}: body {row.body[:40]!r}"]
+        return []
+    numbers = []
+    for line in row.body.splitlines():
+        if line.startswith(b"id: "):
+            numbers.append(int(line[4:]))
+    if numbers != list(range(1, _EVENTS + 1)):
+        return [f"{row.id}: events {numbers}"]
+    return []
+
+
+def _check_layers(engine: services.EngineStandin) -> list[str]:
+    for request_id, number, path in engine.made:
+        edge = 0
+        for part in path.split(","):
+            first, _, end = part.partition("=")[2].partition("-")
+            if int(first) != edge:
+                return [f"{request_id}: event {number} on path {path}"]
+            edge = int(end)
+        if edge != _ENGINE["layers"]:
+            return [f"{request_id}: event {number} on path {path}"]
+    return []
+
+
+def run(seed: int, seconds: float, keep: str = "") -> list[str]:
+    """Runs one seed; prints and returns the promises that were broken.
+
+    Args:
+        seed: Decides the faults.
+        seconds: Duration of the faults.
+        keep: Folder that keeps settings and logs, or empty.
+    """
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = pathlib.Path(keep or scratch)
+        folder.mkdir(parents=True, exist_ok=True)
+        soak = Soak(seed, seconds, folder)
+        broken = soak.run()
+        print(f"seed {seed}: {len(soak.faults)} faults, {len(broken)} broken")
+        for line in broken[:20]:
+            print(f"  {line}")
+        return broken
--- a/src/briarfall/cli/experiments.py
+++ b/src/briarfall/cli/experiments.py
@@ -78,6 +78,26 @@
     _finish("recovery", bench.run(rounds), out)
 
 
+def fault_soak(
+    *, seed: int = 1, seeds: int = 1, seconds: float = 10.0, keep: str = ""
+) -> int:
+    """Runs gateway processes under faults and checks the promises.
+
+    Args:
+        seed: First seed; it decides every fault and its time.
+        seeds: Number of seeds, one after the other.
+        seconds: Duration of the faults of one seed.
+        keep: Folder that keeps settings and logs.
+    """
+    from briarfall.bench.faultsoak import soak as bench
+
+    broken = 0
+    for number in range(seed, seed + seeds):
+        folder = f"{keep}/{number}" if keep else ""
+        broken += bool(bench.run(number, seconds, folder))
+    return int(broken > 0)
+
+
 def relay(url: str, pid: int, *, seconds: float = 8.0, out: str = "") -> None:
     """Measures what a token costs the relay, and the delay it adds.
 
@@ -161,4 +181,5 @@
     "edits": edits,
     "overload": overload,
     "soak": soak,
+    "fault-soak": fault_soak,
 }
