--- /dev/null
+++ b/src/briarfall/cli/explaining.py
@@ -0,0 +1,121 @@
+"""`briarfall explain`: one request's decisions from the logs of instances."""
+
+import pathlib
+import sys
+
+import msgspec
+
+from briarfall import exceptions
+
+# Lines that changed what an instance believed shortly before the request.
+_CONTEXT_S = 2.0
+_BELIEFS = (
+    "target blocked",
+    "target suspected",
+    "target gone",
+    "target state",
+    "catalogue source",
+    "catalogue in force",
+    "target list",
+    "targets not read",
+    "lease",
+    "stopping",
+    "started",
+)
+
+
+class LogLine(msgspec.Struct):
+    """One line of an instance's log."""
+
+    time: str = ""
+    level: str = ""
+    instance: str = ""
+    message: str = ""
+    request: str = ""
+    code: str = ""
+    outcome: str = ""
+
+    @property
+    def second(self) -> float:
+        """The time of day in seconds, for distances within a day."""
+        clock, _, millis = self.time.rpartition(" ")[2].partition(",")
+        try:
+            hours, minutes, seconds = clock.split(":")
+            whole = int(hours) * 3600 + int(minutes) * 60 + int(seconds)
+            return whole + int(millis or 0) / 1000
+        except ValueError:
+            return 0.0
+
+
+def read_lines(text: str) -> list[LogLine]:
+    """Returns the log lines of a text; other lines are left out."""
+    found = []
+    for line in text.splitlines():
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            found.append(msgspec.json.decode(line[start:], type=LogLine))
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            continue
+    return found
+
+
+def story(request: str, lines: list[LogLine]) -> list[LogLine]:
+    """Returns a request's lines and the beliefs in force around them."""
+    own = [line for line in lines if line.request == request]
+    if not own:
+        return []
+    places = {line.instance for line in own}
+    first = min(line.second for line in own) - _CONTEXT_S
+    last = max(line.second for line in own)
+    rows = list(own)
+    for line in lines:
+        if line.request or line.instance not in places:
+            continue
+        if not first <= line.second <= last:
+            continue
+        if line.message.startswith(_BELIEFS):
+            rows.append(line)
+    rows.sort(key=lambda line: line.time)
+    return rows
+
+
+def cause(request: str, rows: list[LogLine]) -> str:
+    """Returns the line that names why a request ended as it did."""
+    own = [row for row in rows if row.request == request]
+    for row in reversed(own):
+        if row.message.startswith("request failed"):
+            return f"{row.instance}: {row.message}"
+    for start in ("caller gone", "stream paused", "stream broken"):
+        for row in reversed(own):
+            if row.message.startswith(start):
+                return f"{row.instance}: {row.message}"
+    return f"{own[-1].instance}: {own[-1].message}"
+
+
+def explain(request: str, *logs: str) -> int:
+    """Shows what happened to one request, over all instances.
+
+    Args:
+        request: Request id.
+        logs: Log files of any number of instances; standard input if none.
+    """
+    texts = [pathlib.Path(name).read_text(errors="replace") for name in logs]
+    if not logs:
+        texts = [sys.stdin.read()]
+    lines = []
+    for text in texts:
+        lines.extend(read_lines(text))
+    rows = story(request, lines)
+    if not rows:
+        raise exceptions.NotFoundError(
+            f"no log line names request {request}",
+            remedy="give the logs of all instances of that time; requests "
+            "that went well are logged one in ten",
+        )
+    for row in rows:
+        mark = "*" if row.request == request else " "
+        print(f"{mark} {row.time} {row.instance}: {row.message}")
+    print(f"cause: {cause(request, rows)}")
+    return 0
--- a/src/briarfall/cli/main.py
+++ b/src/briarfall/cli/main.py
@@ -8,6 +8,7 @@
 from briarfall.cli import catalogue
 from briarfall.cli import console
 from briarfall.cli import experiments
+from briarfall.cli import explaining
 from briarfall.cli import serve
 
 COMMANDS = {
@@ -25,6 +26,7 @@
         "diff": catalogue.diff,
         "bootstrap": catalogue.bootstrap,
     },
+    "explain": explaining.explain,
     "demo": experiments.demo,
     "standin": experiments.standin,
     "bench": experiments.BENCHES,
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,90 @@
+"""`briarfall explain` names the cause of three kinds of failed request."""
+
+import logging
+
+import pytest
+
+from briarfall import exceptions
+from briarfall import logs
+from briarfall.cli import explaining
+from briarfall.standins.prepared import services
+from tests import preparedworld
+
+
+class _Recorder(logging.Handler):
+    """Keeps lines as an instance writes them."""
+
+    def __init__(self):
+        super().__init__()
+        self.setFormatter(logs.JsonFormatter("i1"))
+        self.lines = []
+
+    def emit(self, record):
+        self.lines.append(self.format(record))
+
+
+@pytest.fixture
+def recorded(tmp_path):
+    recorder = _Recorder()
+    logger = logging.getLogger("absl")
+    level = logger.level
+    logger.addHandler(recorder)
+    logger.setLevel(logging.INFO)
+    with preparedworld.world() as scene:
+
+        def path():
+            file = tmp_path / "i1.log"
+            file.write_text("\n".join(recorder.lines))
+            return str(file)
+
+        yield scene, path
+    logger.removeHandler(recorder)
+    logger.setLevel(level)
+
+
+class TestExplain:
+    def test_refused_before_it_ran(self, recorded, capsys):
+        scene, path = recorded
+        desk = scene.service("d1")
+        desk.fault = services.Fault.REFUSE
+        inst = scene.instance()
+        preparedworld.call(inst, "/orders/x", method="POST", request_id="abc1")
+        assert explaining.explain("abc1", path()) == 0
+        last = capsys.readouterr().out.splitlines()[-1]
+        assert last.startswith("cause: i1: request failed")
+        assert "outcome=not_run" in last
+
+    def test_broken_in_mid_stream(self, recorded, capsys):
+        scene, path = recorded
+        for number in range(4):
+            engine = scene.engine(f"e{number}")
+            engine.breaks_after = 3
+        inst = scene.instance()
+        scene.wait_for_layers()
+        preparedworld.call(
+            inst,
+            "/drafts/x",
+            method="POST",
+            request_id="abc2",
+            X_Token_Usage="20,20",
+        )
+        explaining.explain("abc2", path())
+        out = capsys.readouterr().out
+        assert "stream broken" in out
+        assert "last_event=3" in out
+
+    def test_unknown_outcome(self, recorded, capsys):
+        scene, path = recorded
+        desk = scene.service("d1")
+        desk.fault = services.Fault.RESET_AFTER_RUN
+        inst = scene.instance()
+        preparedworld.call(inst, "/orders/x", method="POST", request_id="abc3")
+        explaining.explain("abc3", path())
+        last = capsys.readouterr().out.splitlines()[-1]
+        assert "outcome=unknown" in last
+
+    def test_unknown_request_is_a_typed_error(self, tmp_path):
+        file = tmp_path / "empty.log"
+        file.write_text("no json\n{broken\n")
+        with pytest.raises(exceptions.NotFoundError):
+            explaining.explain("abc4", str(file))
