--- a/src/briarfall/gateway/budgets.py
+++ b/src/briarfall/gateway/budgets.py
@@ -36,6 +36,13 @@
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
+    def set_bounds(self, ratio: float, window_s: float, slack: float) -> None:
+        """Changes the bounds; what was counted stays."""
+        with self._lock:
+            self._ratio = ratio
+            self._window_s = window_s
+            self._slack = slack
+
     def note_request(self) -> None:
         """Counts a first send."""
         now_s = clocks.boot_s()
--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -46,15 +46,8 @@
     ):
         super().__init__("catalogue")
         self._source = source
-        self._key_ttl_s = key_ttl_s
         self._is_reader = is_reader
-        self._wait_s = _MAX_WAIT_S
-        self._patience_s = _MAX_PATIENCE_S
-        if key_ttl_s:
-            self._wait_s = min(_MAX_WAIT_S, key_ttl_s * _WAIT_SHARE)
-            self._patience_s = min(
-                _MAX_PATIENCE_S, key_ttl_s * _PEER_PATIENCE_SHARE
-            )
+        self.set_key_ttl(key_ttl_s)
         self._newer = threading.Event()
         self._newest_version = -1
         self._position: int | None = None
@@ -81,6 +74,17 @@
             return True
         return self.age_s < self._key_ttl_s * (1 - _KEY_MARGIN_SHARE)
 
+    def set_key_ttl(self, key_ttl_s: float) -> None:
+        """Changes the age at which keys are no longer accepted."""
+        self._key_ttl_s = key_ttl_s
+        self._wait_s = _MAX_WAIT_S
+        self._patience_s = _MAX_PATIENCE_S
+        if key_ttl_s:
+            self._wait_s = min(_MAX_WAIT_S, key_ttl_s * _WAIT_SHARE)
+            self._patience_s = min(
+                _MAX_PATIENCE_S, key_ttl_s * _PEER_PATIENCE_SHARE
+            )
+
     def add_listener(self, listener: collections.abc.Callable[[], None]):
         """Calls `listener` whenever another version is in force."""
         self._listeners.append(listener)
--- a/src/briarfall/gateway/following.py
+++ b/src/briarfall/gateway/following.py
@@ -83,6 +83,10 @@
         self._lifetime = 0
         self._revision = -1
 
+    def set_bound(self, bound_s: float) -> None:
+        """Changes the time after which a leaving target gets no work."""
+        self._bound_s = bound_s
+
     def step(self) -> None:
         """Refreshes the table once and waits until the next round."""
         started_s = clocks.boot_s()
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -211,6 +211,19 @@
             self.stop.left_s,
         )
 
+    def reload(self, cfg: config.GatewaySettings) -> None:
+        """Puts bounds and times of changed settings in force.
+
+        Addresses, name and zone count only at the next start.
+        """
+        self.follower.set_key_ttl(cfg.key_ttl_s)
+        self.target_follower.set_bound(cfg.leaving_bound_s)
+        self.budget.set_bounds(
+            cfg.retry_ratio, cfg.retry_window_s, cfg.retry_slack
+        )
+        self.stop.set_grace(cfg.drain_grace_s)
+        self._cfg = cfg
+
     def close(self) -> None:
         """Ends all threads at once, without a planned stop."""
         self._caller_listener.stop()
--- a/src/briarfall/gateway/stopping.py
+++ b/src/briarfall/gateway/stopping.py
@@ -35,6 +35,10 @@
         self._asked = threading.Event()
         self._asked_s = 0.0
 
+    def set_grace(self, grace_s: float) -> None:
+        """Changes the time from the signal to the kill."""
+        self._grace_s = grace_s
+
     def ask(self) -> None:
         """Begins the stop."""
         if self._asked.is_set():
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -7,6 +7,7 @@
 from briarfall import logs
 from briarfall.gateway import exchange
 from briarfall.gateway import instance
+from briarfall.gateway import reloading
 from briarfall.platform import engines
 from briarfall.platform import headers
 from briarfall.platform import settings
@@ -39,6 +40,8 @@
         cfg, StorePlatform(cfg.store_address, pool), pool
     )
     signal.signal(signal.SIGTERM, lambda *_: program.stop.ask())
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    watcher = reloading.SettingsWatcher(path, settings.parse, program.reload)
+    signal.signal(signal.SIGHUP, lambda *_: watcher.ask())
     program.start()
+    watcher.start()
     program.wait_for_stop()
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,245 @@
+"""The folder that translates the prepared platform."""
+
+import json
+import threading
+
+import pytest
+
+from briarfall import exceptions
+from briarfall.gateway import reloading
+from briarfall.gateway import sources
+from briarfall.gateway import views
+from briarfall.platform import headers
+from briarfall.platform import manifest
+from briarfall.platform import settings
+from briarfall.platform import store
+from briarfall.platform import topics
+from tests import preparedworld
+
+
+def settings_file(**changes) -> bytes:
+    fields = {
+        "node": "edge-1",
+        "zone": "suva",
+        "ip": "10.1.0.40",
+        "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
+        "port_range": [7340, 7355],
+        "platform": {"address": "10.200.1.7:8223"},
+        "bounds": {"revoke_ms": 5000, "strict_revoke": True, "grace_s": 8},
+        "field_of_the_future": [1],
+    }
+    fields.update(changes)
+    return json.dumps(fields).encode()
+
+
+class TestSettings:
+    def test_words_become_our_fields(self):
+        cfg = settings.parse(settings_file())
+        assert cfg.instance == "edge-1"
+        assert cfg.caller.port == 8227
+        assert cfg.peer.port == 7340
+        assert cfg.key_ttl_s == 5.0
+        assert cfg.drain_grace_s == 8
+
+    def test_keys_need_no_confirmation_where_nobody_asks_for_it(self):
+        cfg = settings.parse(settings_file(bounds={"strict_revoke": False}))
+        assert cfg.key_ttl_s == 0.0
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"node": 3},
+            {"node": ""},
+            {"listen": {"front": "10.1.0.40:8227"}},
+            {"listen": {"front": "nowhere", "ready": "10.1.0.40:1"}},
+            {"platform": {}},
+            {"port_range": "7340"},
+            {"bounds": {"grace_s": 0}},
+            {"bounds": {"retry_ratio": -1}},
+        ],
+    )
+    def test_wrong_fields_are_typed_errors(self, changes):
+        with pytest.raises(exceptions.SettingsError):
+            settings.parse(settings_file(**changes))
+
+    def test_no_json_is_a_typed_error(self):
+        with pytest.raises(exceptions.SettingsError):
+            settings.parse(b"\xff{")
+
+
+class TestReload:
+    def watch(self, tmp_path, applied):
+        path = tmp_path / "node.json"
+        path.write_bytes(settings_file())
+        done = threading.Event()
+
+        def apply(cfg):
+            applied.append(cfg)
+            done.set()
+
+        watcher = reloading.SettingsWatcher(str(path), settings.parse, apply)
+        watcher.ask()
+        return path, watcher
+
+    def test_changed_bounds_are_put_in_force(self, tmp_path):
+        applied = []
+        path, watcher = self.watch(tmp_path, applied)
+        path.write_bytes(settings_file(bounds={"revoke_ms": 4000}))
+        watcher.step()
+        assert applied[0].key_ttl_s == 4.0
+
+    def test_broken_file_changes_nothing(self, tmp_path):
+        applied = []
+        path, watcher = self.watch(tmp_path, applied)
+        path.write_bytes(b"{")
+        watcher.step()
+        assert applied == []
+
+    def test_instance_takes_over_bounds(self, tmp_path):
+        with preparedworld.world() as scene:
+            inst = scene.instance()
+            inst.reload(settings.parse(settings_file(bounds={"grace_s": 3})))
+            inst.stop.ask()
+            assert inst.stop.left_s < 3
+
+
+class TestManifest:
+    def parse(self, **changes):
+        value = preparedworld.manifest(4)
+        value.update(changes)
+        return manifest.parse(json.dumps(value).encode())
+
+    def test_words_become_our_fields(self):
+        view = self.parse()
+        route = view.match("shop.example", "/drafts/x")
+        assert route.kind is views.RouteKind.STREAM
+        assert route.is_repeatable
+        assert route.gap_aim_s == 0.2
+        model = view.services["pool"].model
+        assert model.layers == 8
+        assert model.kinds["large"].memory_mb == 124.0
+
+    def test_stream_that_may_not_be_resumed_runs_once(self):
+        rows = [preparedworld.route("s", "/s/", "streaming", "pool")]
+        view = self.parse(routes=rows)
+        assert not view.match("shop.example", "/s/x").is_repeatable
+
+    def test_split_routes_keep_their_weights(self):
+        row = preparedworld.route("s", "/s/", "idempotent", "desk")
+        del row["service"]
+        row["backends"] = [
+            {"service": "desk", "weight": 90},
+            {"service": "other", "weight": 10},
+        ]
+        route = self.parse(routes=[row]).match("shop.example", "/s/x")
+        assert [share.weight for share in route.shares] == [90, 10]
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"version": "many"},
+            {"routes": [{"name": "x"}]},
+            {"routes": [preparedworld.route("x", "/x/", "dancing", "desk")]},
+        ],
+    )
+    def test_what_cannot_be_read_is_a_typed_error(self, changes):
+        with pytest.raises(exceptions.CatalogueError):
+            self.parse(**changes)
+
+
+class TestEntries:
+    def entry(self, **changes):
+        fields = {
+            "service": "pool",
+            "address": "10.1.64.9:8080",
+            "zone": "suva",
+            "state": "ready",
+            "slots": 96,
+            "seq": 4,
+            "born": 17,
+            "kind": "l4",
+            "layers": {"from": 8, "target": 16, "version": 1},
+        }
+        fields.update(changes)
+        return topics.parse_entry("i-1", json.dumps(fields).encode())
+
+    def test_words_become_our_fields(self):
+        row = self.entry()
+        assert row.layers == sources.LayerRange(8, 16)
+        assert row.state is sources.TargetState.READY
+        assert row.started_ms == 17
+
+    @pytest.mark.parametrize("layers", [None, {}, {"from": 3, "target": 3}])
+    def test_empty_engine_has_no_layers(self, layers):
+        assert self.entry(layers=layers).layers is None
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"service": None},
+            {"address": "here"},
+            {"address": "10.1.64.9:port"},
+            {"state": "sleeping"},
+            {"slots": "many"},
+        ],
+    )
+    def test_bad_fields_are_typed_errors(self, changes):
+        with pytest.raises(exceptions.CatalogueError):
+            self.entry(**changes)
+
+
+class TestChainHeader:
+    def test_lists_addresses_and_layers_in_order(self):
+        parts = [
+            ("10.1.64.9:8080", sources.LayerRange(0, 20)),
+            ("10.2.64.3:8080", sources.LayerRange(20, 80)),
+        ]
+        text = headers.encode_chain(parts)
+        assert text == b"10.1.64.9:8080=0-20,10.2.64.3:8080=20-80"
+
+
+class TestStore:
+    @pytest.fixture
+    def scene(self):
+        with preparedworld.world() as scene:
+            yield scene, store.Store(scene.store.address)
+
+    def test_lost_answer_of_an_append_is_a_typed_error(self, scene):
+        world, client = scene
+        world.store.loses_appends = True
+        with pytest.raises(exceptions.LogUnavailableError):
+            client.append("t", b"x", 1.0)
+        world.store.loses_appends = False
+        records, end = client.read("t", 0, 1.0)
+        assert records == [b"x"]
+        assert end == 1
+
+    def test_append_at_another_end_is_refused(self, scene):
+        _, client = scene
+        assert client.append("t", b"x", 1.0, at=0) == 0
+        assert client.append("t", b"y", 1.0, at=0) is None
+
+    def test_forgotten_records_are_a_gap(self, scene):
+        world, client = scene
+        world.store.append("t", b"x")
+        world.store.forget("t")
+        with pytest.raises(exceptions.LogGapError) as caught:
+            client.read("t", 0, 1.0)
+        assert caught.value.first == 1
+
+    @pytest.mark.parametrize("status", [429, 503, -1])
+    def test_refusals_are_typed_errors(self, scene, status):
+        world, client = scene
+        world.store.status = status
+        with pytest.raises(exceptions.LogUnavailableError):
+            client.newest("keyed.op", 1.0)
+
+    def test_only_one_of_two_takes_the_lease(self, scene):
+        _, client = scene
+        lease = topics.LeaseTopic(client)
+        grant = lease.read_grant(1.0)
+        first = lease.take("i1", 3.0, grant.end, 1.0)
+        assert first is not None
+        assert lease.take("i2", 3.0, grant.end, 1.0) is None
+        again = lease.read_grant(1.0)
+        assert (again.holder, again.fence) == ("i1", first.fence)
