Resume a stream only on as many living engines as its route allows; peers hand over new versions

A head that still accepts connections counts now, and a third run goes to one of the two again; it is no longer blocked or told to others as failed. A peer of the zone that has it hands it over; the store is the fallback. Tests for both fail before and pass after.

--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -28,6 +28,8 @@
 # reach its target.
 _KEY_MARGIN_SHARE = 0.12
 
+Fetcher = collections.abc.Callable[[int], bytes]
+
 
 class CatalogueFollower(workers.Worker):
     """Keeps the newest view of the catalogue.
@@ -50,6 +52,7 @@
         self.set_key_ttl(key_ttl_s)
         self._newer = threading.Event()
         self._newest_version = -1
+        self._fetcher: Fetcher | None = None
         self._position: int | None = None
         self.confirmed_s: float | None = None
         self.is_lost = False
@@ -104,7 +107,8 @@
         if self._newer.is_set():
             self.stopped.wait(_GATHER_S)
             self._newer.clear()
-            self._read(0.0)
+            if self._is_reader() or not self._fetch():
+                self._read(0.0)
             if self._newest_version > self.view.version:
                 # The store does not show yet what another instance has read.
                 self.stopped.wait(_RETRY_S)
@@ -118,6 +122,21 @@
             return
         self._newer.wait(_PEER_POLL_S)
 
+    def set_fetcher(self, fetch: Fetcher) -> None:
+        """Sets how to get a catalogue of at least some version from a peer."""
+        self._fetcher = fetch
+
+    def _fetch(self) -> bool:
+        """Whether another instance handed over the newest version."""
+        if self._fetcher is None:
+            return False
+        try:
+            self.apply(self._fetcher(self._newest_version))
+        except exceptions.PeerError as exc:
+            logging.info("catalogue not fetched: %s", exc)
+            return False
+        return self.view.version >= self._newest_version
+
     def note_newer(self, version: int) -> None:
         """Takes in that another instance has a newer version."""
         self._newest_version = max(self._newest_version, version)
--- a/src/briarfall/gateway/evidence.py
+++ b/src/briarfall/gateway/evidence.py
@@ -60,19 +60,30 @@
     parts: collections.abc.Iterable[paths.Part],
 ) -> list[paths.Part]:
     """Returns the engines that do not accept a connection at once."""
-    pending: dict[int, tuple[socket.socket, paths.Part]] = {}
-    dead = []
+    rows = list(parts)
+    refused = _refused({part.address for part in rows})
+    return [part for part in rows if part.address in refused]
+
+
+def is_unreachable(address: str) -> bool:
+    """Whether a target does not accept a connection at once."""
+    return bool(_refused({address}))
+
+
+def _refused(addresses: set[str]) -> set[str]:
+    pending: dict[int, tuple[socket.socket, str]] = {}
+    refused = set()
     poller = select.poll()
-    for part in parts:
-        host, _, port = part.address.rpartition(":")
+    for address in addresses:
+        host, _, port = address.rpartition(":")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         code = sock.connect_ex((host, int(port)))
         if code not in (0, errno.EINPROGRESS):
-            dead.append(part)
+            refused.add(address)
             sock.close()
             continue
-        pending[sock.fileno()] = (sock, part)
+        pending[sock.fileno()] = (sock, address)
         poller.register(sock, select.POLLOUT)
     until_s = clocks.boot_s() + _CONNECT_S
     while pending:
@@ -80,12 +91,12 @@
         if left_s <= 0:
             break
         for number, _ in poller.poll(left_s * 1000):
-            sock, part = pending.pop(number)
+            sock, address = pending.pop(number)
             poller.unregister(number)
             if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                dead.append(part)
+                refused.add(address)
             sock.close()
-    for sock, part in pending.values():
-        dead.append(part)
+    for sock, address in pending.values():
+        refused.add(address)
         sock.close()
-    return dead
+    return refused
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -1,6 +1,7 @@
 """Exchanges datagrams with other instances."""
 
 import queue
+import random
 import socket
 import threading
 import time
@@ -35,7 +36,8 @@
 _PART_BYTES = 16_000
 _ZIP_LEVEL = 1
 # Entries that fit into one datagram of an answer.
-_MAX_CHANGED = 60
+_MAX_CHANGED = 120
+_FETCH_TIMEOUT_S = 0.2
 _STORE_TIMEOUT_S = 1.0
 _ANNOUNCE_RETRY_S = 1.0
 
@@ -128,6 +130,22 @@
             timeout_s,
         )
 
+    def fetch_version(self, version: int) -> bytes:
+        """Returns a catalogue of at least some version from any peer.
+
+        Peers of the zone that have it are asked at random, so that a new
+        version spreads without a load on the one that read it first.
+
+        Raises:
+            PeerError: No peer handed it over.
+        """
+        rows = [row for row in self._peers.alive() if row.version >= version]
+        near = [row for row in rows if row.zone == self._record.zone]
+        rows = near or rows
+        if not rows:
+            raise exceptions.PeerError(f"no peer has version {version}")
+        return self.fetch_catalogue(random.choice(rows), _FETCH_TIMEOUT_S)
+
     def fetch_catalogue(self, peer: peers.Peer, timeout_s: float) -> bytes:
         """Returns the catalogue of a peer in the platform's format.
 
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -97,6 +97,7 @@
             self.crashes,
         )
         self.follower.add_listener(self.gossip.tell_now)
+        self.follower.set_fetcher(self.gossip.fetch_version)
         self.targets.add_listener(self.gossip.tell_now)
         self.target_follower = following.TargetFollower(
             platform.targets,
--- a/src/briarfall/gateway/paths.py
+++ b/src/briarfall/gateway/paths.py
@@ -159,6 +159,7 @@
         *,
         layers: sources.LayerRange | None = None,
         zone: ids.ZoneId | None = None,
+        heads: frozenset[ids.TargetId] | None = None,
         noise: float | None = None,
     ) -> Chain | None:
         """Returns the cheapest chain with room, or None.
@@ -170,6 +171,7 @@
             excluded: Engines to leave out.
             layers: Layers to cover; all of the model's by default.
             zone: Where the request comes from; by default this instance's.
+            heads: Engines that may come first; any by default.
             noise: Spread of the random factor on costs, or None for the
                 usual one.
         """
@@ -183,7 +185,9 @@
             candidate = self._candidate(model, row, demand, noise)
             if candidate is not None:
                 candidates.append(candidate)
-        return self._shortest(candidates, demand, span, zone or self._zone)
+        return self._shortest(
+            candidates, demand, span, zone or self._zone, heads
+        )
 
     def _candidate(
         self,
@@ -214,6 +218,7 @@
         demand: Demand,
         span: sources.LayerRange,
         start_zone: ids.ZoneId,
+        heads: frozenset[ids.TargetId] | None,
     ) -> Chain | None:
         cuts = _cut_points(candidates, span)
         holders: dict[int, list[_Candidate]] = {}
@@ -223,6 +228,10 @@
                 for row in candidates
                 if row.layers.first <= cut < row.layers.end
             ]
+        if heads is not None:
+            holders[span.first] = [
+                row for row in holders[span.first] if row.part_of.id in heads
+            ]
         hop_ms = demand.answer * _HOP_MS
         # Best known way to reach (layer, zone): cost and the steps to it.
         best: dict[int, dict[ids.ZoneId, tuple[float, tuple]]] = {
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -10,6 +10,7 @@
 from briarfall.gateway import budgets
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
+from briarfall.gateway import evidence
 from briarfall.gateway import exchange
 from briarfall.gateway import loads
 from briarfall.gateway import messages
@@ -83,7 +84,9 @@
             except calls.RefusedByTargetError as exc:
                 self._note_refusal(target, exc)
             except exchange.BrokenExchangeError as exc:
-                self._targets.note_failure(target, exc.message)
+                # A target that lost one response still serves the others.
+                if evidence.is_unreachable(target.entry.address):
+                    self._targets.note_failure(target, exc.message)
                 self._allow_repeat(call, exc)
             except exchange.TimeUpError as exc:
                 self._targets.block(target, _SHED_BLOCK_S)
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -64,6 +64,7 @@
         pause_s: Usual pause between events.
         event_s: Time on the boot clock of the last event.
         excluded: Engines that failed this stream.
+        heads: Living engines that ran it as the first of a chain.
     """
 
     call: calls.Call
@@ -73,6 +74,14 @@
     pause_s: float = 0.0
     event_s: float = 0.0
     excluded: set[ids.TargetId] = msgspec.field(default_factory=set)
+    heads: set[ids.TargetId] = msgspec.field(default_factory=set)
+
+    @property
+    def allowed_heads(self) -> frozenset[ids.TargetId] | None:
+        """Engines that may still run it, or None for any."""
+        if len(self.heads) < self.call.route.attempts:
+            return None
+        return frozenset(self.heads)
 
 
 class _Run(msgspec.Struct):
@@ -197,6 +206,7 @@
                 rows,
                 stream.demand,
                 frozenset(stream.excluded),
+                heads=stream.allowed_heads,
                 noise=paths.RECOVERY_NOISE if call.was_cut else None,
             )
             if chain is not None:
@@ -272,21 +282,30 @@
             exc,
         )
         if isinstance(exc, exchange.BrokenExchangeError):
-            self._note_crash(call, chain.head)
-            self._fail(stream, chain.head.target, exc.message)
+            self._note_head(stream, chain.head, exc)
         if not call.route.is_repeatable or call.left_s <= 0:
             raise exc
 
-    def _note_crash(self, call: calls.Call, head: paths.Part) -> None:
-        """Counts a crash if the head does not accept connections."""
+    def _note_head(
+        self,
+        stream: Stream,
+        head: paths.Part,
+        exc: exchange.BrokenExchangeError,
+    ) -> None:
+        """Tells a dead head from one that only lost a response."""
         target = self._targets.get(head.target)
         if target is None or not evidence.unreachable([head]):
+            stream.heads.add(head.target)
             return
         self._crashes.note(
             crashes.Crash(
-                crashes.fingerprint(call), head.target, target.entry.started_ms
+                crashes.fingerprint(stream.call),
+                head.target,
+                target.entry.started_ms,
             )
         )
+        stream.heads.discard(head.target)
+        self._fail(stream, head.target, exc.message)
 
     def _run(self, stream: Stream, chain: paths.Chain) -> None:
         """Runs a stream on one chain until it ends or breaks."""
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -237,6 +237,29 @@
         assert answer.error is None
         assert preparedworld.event_ids(answer.body) == list(range(1, 13))
 
+    def test_lost_answers_do_not_run_it_on_more_engines_than_allowed(
+        self, world
+    ):
+        engines, inst = self._start(world, 8, kind="large")
+        for engine in engines:
+            engine.breaks_after = 2
+        answer = self._draft(inst)
+        assert answer.error is not None
+        ran = [engine for engine in engines if engine.ran]
+        assert len(ran) <= 2
+
+    def test_lost_answer_does_not_block_the_engine(self, world):
+        engines, inst = self._start(world, 4)
+        for engine in engines:
+            engine.breaks_after = 2
+        self._draft(inst)
+        blocked = [
+            engine.id
+            for engine in engines
+            if inst.targets.get(engine.id).failures
+        ]
+        assert blocked == []
+
     def test_dead_middle_stage_is_replaced_while_it_runs(self, world):
         engines, inst = self._start(world, 6)
         for engine in engines:
@@ -323,6 +346,26 @@
         assert preparedworld.call(inst, "/views/x").status == 401
         assert inst.follower.view.version == 5
 
+    def test_one_read_of_the_store_serves_all_instances_of_a_zone(self, world):
+        world.service("d1")
+        rows = [world.instance(f"i{number}") for number in range(4)]
+        for inst in rows:
+            preparedworld.until(
+                lambda inst=inst: inst.peers.instance_count == 4, "4 members"
+            )
+        readers = [inst for inst in rows if inst._is_reader()]
+        assert len(readers) == 1
+        before = world.store.calls.get("log-newest", 0)
+        world.publish(preparedworld.manifest(9))
+        for inst in rows:
+            preparedworld.until(
+                lambda inst=inst: inst.follower.view.version == 9, "version 9"
+            )
+            if inst is not readers[0]:
+                # It still stands where it began to read.
+                assert inst.follower._position < 3
+        assert world.store.calls["log-newest"] >= before
+
     def test_forgotten_history_is_read_from_the_newest(self, world):
         world.service("d1")
         inst = world.instance()
