--- a/src/briarfall/standins/prepared/store.py
+++ b/src/briarfall/standins/prepared/store.py
@@ -19,6 +19,7 @@
         status: Status of every answer while it is not 0; -1 resets.
         loses_appends: Whether appends are done and not answered.
         calls: Number of calls by name.
+        waiting: Reads that wait for a record.
     """
 
     def __init__(self):
@@ -29,7 +30,7 @@
         self.status = 0
         self.loses_appends = False
         self.calls: dict[str, int] = {}
-        self.refused: set[str] = set()
+        self.waiting = 0
         self._server = rawhttp.RawServer(self._handle)
         self.address = self._server.address
 
@@ -134,7 +135,9 @@
                 left_s = until_s - time.monotonic()
                 if start < first or first + len(rows) > start or left_s <= 0:
                     break
+                self.waiting += 1
                 self._changed.wait(left_s)
+                self.waiting -= 1
             found = rows[start - first :] if start >= first else None
             end = first + len(rows)
         if found is None:
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -355,6 +355,8 @@
             )
         readers = [inst for inst in rows if inst._is_reader()]
         assert len(readers) == 1
+        # What an instance asked while it was alone has come back.
+        preparedworld.until(lambda: world.store.waiting <= 1, "one reader left")
         positions = [inst.follower._position for inst in rows]
         world.publish(preparedworld.manifest(9))
         for inst, position in zip(rows, positions, strict=True):
