--- a/src/briarfall/cli/experiments.py
+++ b/src/briarfall/cli/experiments.py
@@ -89,7 +89,7 @@
         seconds: Duration of the faults of one seed.
         keep: Folder that keeps settings and logs.
     """
-    from briarfall.bench.faultsoak import soak as bench
+    from briarfall.standins.prepared.faultsoak import soak as bench
 
     broken = 0
     for number in range(seed, seed + seeds):
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -15,10 +15,10 @@
 from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
 from briarfall.gateway import crashes
+from briarfall.gateway import leasing
 from briarfall.gateway import loads
 from briarfall.gateway import peermessages
 from briarfall.gateway import peers
-from briarfall.gateway import placer
 from briarfall.gateway import sources
 from briarfall.gateway import targets
 
@@ -64,7 +64,7 @@
         load_table: loads.LoadTable,
         target_table: targets.TargetTable,
         follower: catalogue.CatalogueFollower,
-        lease: placer.Lease,
+        lease: leasing.Lease,
         crash_table: crashes.CrashTable,
     ):
         self._crashes = crash_table
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -15,6 +15,7 @@
 from briarfall.gateway import following
 from briarfall.gateway import front
 from briarfall.gateway import gossip
+from briarfall.gateway import leasing
 from briarfall.gateway import listener
 from briarfall.gateway import loads
 from briarfall.gateway import metrics
@@ -83,7 +84,7 @@
         self.follower = catalogue.CatalogueFollower(
             platform.catalogue, cfg.key_ttl_s, self._is_reader
         )
-        self.lease = placer.Lease(platform.lease, cfg.instance)
+        self.lease = leasing.Lease(platform.lease, cfg.instance)
         self.gossip = gossip.Gossip(
             sources.InstanceRecord(
                 cfg.instance, f"{cfg.peer.host}:{cfg.peer.port}", cfg.zone
--- /dev/null
+++ b/src/briarfall/gateway/mending.py
@@ -0,0 +1,214 @@
+"""Finds the engine that a silent stream waits for, and replaces it."""
+
+from absl import logging
+
+from briarfall import exceptions
+from briarfall.gateway import clocks
+from briarfall.gateway import evidence
+from briarfall.gateway import exchange
+from briarfall.gateway import loads
+from briarfall.gateway import metrics
+from briarfall.gateway import paths
+from briarfall.gateway import sources
+from briarfall.gateway import streamstate
+from briarfall.gateway import targets
+
+# Searches by connecting to engines, before the head is asked.
+_CONNECT_CHECKS = 2
+_REPORT_TIMEOUT_S = 0.1
+_ORDER_TIMEOUT_S = 0.2
+_MAX_REPATHS = 4
+
+
+class StreamMender:
+    """Changes chains of running streams.
+
+    Args:
+        table: Targets.
+        load_table: Loads of all instances.
+        finder: Chooses chains.
+        engines: Reports of and orders to engines.
+        counters: Metrics.
+    """
+
+    def __init__(
+        self,
+        table: targets.TargetTable,
+        load_table: loads.LoadTable,
+        finder: paths.PathFinder,
+        engines: sources.EngineControl,
+        counters: metrics.Metrics,
+    ):
+        self._targets = table
+        self._loads = load_table
+        self._finder = finder
+        self._engines = engines
+        self._metrics = counters
+        self._progress = evidence.ProgressTable()
+
+    def note_progress(self, chain: paths.Chain, now_s: float) -> None:
+        """Notes an event that all engines of a chain had a part in."""
+        self._progress.note(chain, now_s)
+
+    def mend(self, stream: streamstate.Stream, run: streamstate.Run) -> None:
+        """Finds the engine that the stream waits for, and avoids it."""
+        failed = self._find_failed(stream, run)
+        if failed is None:
+            return
+        stream.excluded.add(failed.target)
+        culprit = self._targets.get(failed.target)
+        if culprit is not None:
+            self._targets.note_failure(culprit, "a stream waits for it")
+        if failed is run.chain.head or not stream.has_begun:
+            raise exchange.BrokenExchangeError(
+                f"{failed.address}: silent", saw_response=stream.has_begun
+            )
+        self._repath(stream, run, failed.address)
+
+    def _find_failed(
+        self, stream: streamstate.Stream, run: streamstate.Run
+    ) -> paths.Part | None:
+        """Returns the engine of a silent stream that has failed, if any."""
+        silent_ms = (clocks.boot_s() - stream.event_s) * 1000
+        suspects = self._progress.silent_since(run.chain, stream.event_s)
+        dead = self._known_dead(suspects, stream.event_s)
+        how = "known"
+        if not dead and run.checks <= _CONNECT_CHECKS:
+            dead = self._progress.find_dead(suspects)
+            how = "connect"
+        elif not dead:
+            dead = self._ask_head(stream, run)
+            how = "report"
+        logging.info(
+            "stream silent request=%s silent_ms=%d pause_ms=%d check=%d "
+            "how=%s suspects=%d failed=%s",
+            stream.call.request_id,
+            silent_ms,
+            stream.pause_s * 1000,
+            run.checks,
+            how,
+            len(suspects),
+            dead[0].target if dead else None,
+        )
+        if dead:
+            self._metrics.observe(
+                "briarfall_detection_seconds", silent_ms / 1000, how
+            )
+        return dead[0] if dead else None
+
+    def _known_dead(
+        self, suspects: list[paths.Part], event_s: float
+    ) -> list[paths.Part]:
+        """Returns suspects that failed for others after the last event."""
+        found = []
+        for part in suspects:
+            target = self._targets.get(part.target)
+            if target is None or target.failed_s > event_s:
+                found.append(part)
+        return found
+
+    def _ask_head(
+        self, stream: streamstate.Stream, run: streamstate.Run
+    ) -> list[paths.Part]:
+        """Returns the engine that the head says it waits for."""
+        head = run.chain.head
+        try:
+            report = self._engines.report(head.address, _REPORT_TIMEOUT_S)
+        except exceptions.BriarfallError as exc:
+            logging.warning("head silent target=%s: %s", head.target, exc)
+            return [head]
+        address = report.stalled.get(stream.call.request_id)
+        return [part for part in run.chain.parts if part.address == address]
+
+    def _repath(
+        self, stream: streamstate.Stream, run: streamstate.Run, address: str
+    ) -> None:
+        """Replaces one engine of the chain of a running stream."""
+        call = stream.call
+        if run.repaths >= _MAX_REPATHS:
+            return
+        run.repaths += 1
+        for _ in range(_MAX_REPATHS):
+            chain = self._detour(stream, run.chain, address)
+            if chain is None:
+                logging.warning("no detour request=%s", call.request_id)
+                return
+            parts = [(part.address, part.layers) for part in chain.parts]
+            sent_s = clocks.boot_s()
+            try:
+                answer = self._engines.repath(
+                    chain.head.address,
+                    call.request_id,
+                    self._engines.chain(parts),
+                    _ORDER_TIMEOUT_S,
+                )
+            except exceptions.BriarfallError as exc:
+                logging.warning("repath failed: %s", exc)
+                return
+            logging.info(
+                "repath request=%s around=%s result=%s took_ms=%d",
+                call.request_id,
+                address,
+                answer.result.value,
+                (clocks.boot_s() - sent_s) * 1000,
+            )
+            self._metrics.count("briarfall_repaths", answer.result.value)
+            self._metrics.observe(
+                "briarfall_repath_seconds", clocks.boot_s() - sent_s
+            )
+            if answer.result in (
+                sources.OrderResult.BEGUN,
+                sources.OrderResult.HOLDS,
+            ):
+                self._switch(stream, run, chain)
+                return
+            refusing = self._targets.at(answer.address)
+            if refusing is None:
+                return
+            stream.excluded.add(refusing.id)
+
+    def _switch(
+        self,
+        stream: streamstate.Stream,
+        run: streamstate.Run,
+        chain: paths.Chain,
+    ) -> None:
+        tokens = stream.demand.tokens
+        self._loads.reserve(chain.target_ids(), tokens)
+        self._loads.release(run.chain.target_ids(), tokens)
+        run.chain = chain
+        run.next_check_s = clocks.boot_s() + stream.silence_s * 2
+
+    def _detour(
+        self, stream: streamstate.Stream, chain: paths.Chain, address: str
+    ) -> paths.Chain | None:
+        """Returns the chain with one engine's layers run by others."""
+        call = stream.call
+        bad = None
+        others = set()
+        for part in chain.parts:
+            if part.address == address:
+                bad = part
+                continue
+            others.add(part.target)
+        if bad is None or bad is chain.head:
+            return None
+        rows = self._targets.usable(call.service.name)
+        middle = self._finder.find(
+            call.service.model,
+            rows,
+            stream.demand,
+            frozenset(stream.excluded | others),
+            layers=bad.layers,
+            zone=bad.zone,
+            noise=paths.RECOVERY_NOISE,
+        )
+        if middle is None:
+            return None
+        parts = []
+        for part in chain.parts:
+            if part is bad:
+                parts.extend(middle.parts)
+                continue
+            parts.append(part)
+        return paths.Chain(tuple(parts), chain.cost_ms)
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -1,10 +1,7 @@
 """Streams over a chain of engines, kept going when an engine fails."""
 
-import enum
-
 from absl import logging
 import h11
-import msgspec
 
 from briarfall import exceptions
 from briarfall import ids
@@ -16,28 +13,20 @@
 from briarfall.gateway import evidence
 from briarfall.gateway import exchange
 from briarfall.gateway import loads
+from briarfall.gateway import mending
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
 from briarfall.gateway import names
 from briarfall.gateway import paths
 from briarfall.gateway import sources
+from briarfall.gateway import streamstate
 from briarfall.gateway import targets
 
 _IDLE_S = 30.0
 _MAX_SENDS = 6
 # An engine that was short of memory is left out by new chains this long.
 _FULL_BLOCK_S = 0.15
-# Shortest silence of a stream that starts a search for the failed engine.
-_MIN_SILENCE_S = 0.09
-# Silence beyond this many usual pauses is suspicious.
-_SILENCE_FACTOR = 2.0
 _FIRST_SILENCE_S = 0.15
-# Searches by connecting to engines, before the head is asked.
-_CONNECT_CHECKS = 2
-_PAUSE_WEIGHT = 0.2
-_REPORT_TIMEOUT_S = 0.1
-_ORDER_TIMEOUT_S = 0.2
-_MAX_REPATHS = 4
 _MAX_SILENCE_CHECKS = 8
 # Interval at which a request waits for room on the engines.
 _ROOM_POLL_S = 0.03
@@ -46,62 +35,6 @@
 _RETRY_AFTER_S = 0.5
 
 
-class Sequel(enum.Enum):
-    """How one run of a stream ended."""
-
-    COMPLETE = "complete"
-    BROKEN = "broken"
-
-
-class Stream(msgspec.Struct):
-    """The state of one stream.
-
-    Attributes:
-        call: The request.
-        demand: Tokens that it needs.
-        last_id: Number of the last event that the caller has.
-        has_begun: Whether the caller has the head of the answer.
-        pause_s: Usual pause between events.
-        event_s: Time on the boot clock of the last event.
-        excluded: Engines that failed this stream.
-        heads: Living engines that ran it as the first of a chain.
-    """
-
-    call: calls.Call
-    demand: paths.Demand
-    last_id: int = 0
-    has_begun: bool = False
-    pause_s: float = 0.0
-    event_s: float = 0.0
-    excluded: set[ids.TargetId] = msgspec.field(default_factory=set)
-    heads: set[ids.TargetId] = msgspec.field(default_factory=set)
-
-    @property
-    def allowed_heads(self) -> frozenset[ids.TargetId] | None:
-        """Engines that may still run it, or None for any."""
-        if len(self.heads) < self.call.route.attempts:
-            return None
-        return frozenset(self.heads)
-
-
-class _Run(msgspec.Struct):
-    """One chain at work on a stream.
-
-    Attributes:
-        chain: The engines.
-        conn: Connection to the head.
-        checks: Searches for a failed engine since the last event.
-        repaths: Changes of the chain.
-        next_check_s: Time on the boot clock of the next search.
-    """
-
-    chain: paths.Chain
-    conn: exchange.TargetConnection
-    checks: int = 0
-    repaths: int = 0
-    next_check_s: float = 0.0
-
-
 class StreamForwarder:
     """Forwards streams to engines.
 
@@ -138,7 +71,9 @@
         self._engines = engines
         self._pool = pool
         self._budget = budget
-        self._progress = evidence.ProgressTable()
+        self._mender = mending.StreamMender(
+            table, load_table, finder, engines, counters
+        )
 
     def forward(self, call: calls.Call) -> None:
         """Runs a stream to its end, over as many chains as it takes.
@@ -147,7 +82,7 @@
             BriarfallError: Nothing was answered to the caller, or the
                 stream ended early and its connection has to be closed.
         """
-        stream = Stream(call, self._demand(call))
+        stream = streamstate.Stream(call, self._demand(call))
         last = call.req.header(self._names.last_event)
         if last is not None and last.isdigit():
             stream.last_id = int(last)
@@ -190,7 +125,7 @@
             answer = int(hint)
         return paths.Demand(int(prompt), int(answer))
 
-    def _wait_for_chain(self, stream: Stream) -> paths.Chain:
+    def _wait_for_chain(self, stream: streamstate.Stream) -> paths.Chain:
         """Returns a chain with room; waits a little for one."""
         call = stream.call
         wait_s = call.route.aim_s * _ROOM_WAIT_SHARE
@@ -216,7 +151,7 @@
             call.watch.pause(_ROOM_POLL_S)
 
     def _give_up(
-        self, stream: Stream, reason: str
+        self, stream: streamstate.Stream, reason: str
     ) -> exceptions.BriarfallError:
         call = stream.call
         if call.was_cut or stream.has_begun:
@@ -228,7 +163,7 @@
         )
 
     def _fail(
-        self, stream: Stream, target_id: ids.TargetId, reason: str
+        self, stream: streamstate.Stream, target_id: ids.TargetId, reason: str
     ) -> None:
         stream.excluded.add(target_id)
         target = self._targets.get(target_id)
@@ -237,7 +172,7 @@
 
     def _note_refusal(
         self,
-        stream: Stream,
+        stream: streamstate.Stream,
         chain: paths.Chain,
         exc: calls.RefusedByTargetError,
     ) -> None:
@@ -265,7 +200,7 @@
 
     def _note_break(
         self,
-        stream: Stream,
+        stream: streamstate.Stream,
         chain: paths.Chain,
         exc: exceptions.BriarfallError,
     ) -> None:
@@ -288,7 +223,7 @@
 
     def _note_head(
         self,
-        stream: Stream,
+        stream: streamstate.Stream,
         head: paths.Part,
         exc: exchange.BrokenExchangeError,
     ) -> None:
@@ -307,7 +242,7 @@
         stream.heads.discard(head.target)
         self._fail(stream, head.target, exc.message)
 
-    def _run(self, stream: Stream, chain: paths.Chain) -> None:
+    def _run(self, stream: streamstate.Stream, chain: paths.Chain) -> None:
         """Runs a stream on one chain until it ends or breaks."""
         call = stream.call
         head = chain.head
@@ -315,7 +250,7 @@
         if target is None:
             raise exchange.NotSentError(f"{head.target} has gone")
         conn = self._pool.take(head.address, _IDLE_S, call.left_s)
-        run = _Run(chain, conn)
+        run = streamstate.Run(chain, conn)
         response = None
         self._loads.reserve(chain.target_ids(), stream.demand.tokens)
         try:
@@ -352,7 +287,7 @@
 
     def _headers(
         self,
-        stream: Stream,
+        stream: streamstate.Stream,
         target: sources.TargetEntry,
         chain: paths.Chain,
     ) -> messages.Headers:
@@ -365,7 +300,7 @@
 
     def _relay_failure(
         self,
-        stream: Stream,
+        stream: streamstate.Stream,
         conn: exchange.TargetConnection,
         response: messages.ResponseHead,
     ) -> None:
@@ -388,7 +323,10 @@
         )
 
     def _relay_events(
-        self, stream: Stream, run: _Run, response: messages.ResponseHead
+        self,
+        stream: streamstate.Stream,
+        run: streamstate.Run,
+        response: messages.ResponseHead,
     ) -> None:
         """Passes events on until the stream has ended as complete."""
         call = stream.call
@@ -414,7 +352,9 @@
         self._begin(stream, response)
         call.conn.end()
 
-    def _begin(self, stream: Stream, response: messages.ResponseHead) -> None:
+    def _begin(
+        self, stream: streamstate.Stream, response: messages.ResponseHead
+    ) -> None:
         if stream.has_begun:
             return
         stream.has_begun = True
@@ -426,7 +366,10 @@
         stream.call.conn.send_head(response.status, headers)
 
     def _accept(
-        self, stream: Stream, run: _Run, ready: list[events.Event]
+        self,
+        stream: streamstate.Stream,
+        run: streamstate.Run,
+        ready: list[events.Event],
     ) -> bytes:
         """Returns the bytes of events that are next in order.
 
@@ -452,13 +395,11 @@
             self._note_progress(stream, run)
         return b"".join(kept)
 
-    def _note_progress(self, stream: Stream, run: _Run) -> None:
+    def _note_progress(
+        self, stream: streamstate.Stream, run: streamstate.Run
+    ) -> None:
         now_s = clocks.boot_s()
-        pause_s = now_s - stream.event_s
-        if stream.has_begun:
-            if not stream.pause_s:
-                stream.pause_s = pause_s
-            stream.pause_s += _PAUSE_WEIGHT * (pause_s - stream.pause_s)
+        pause_s = stream.note_event(now_s)
         if stream.has_begun and pause_s > stream.call.route.gap_aim_s:
             logging.info(
                 "stream paused request=%s pause_ms=%d last_event=%d sends=%d "
@@ -470,15 +411,13 @@
                 run.repaths,
                 run.chain.describe(),
             )
-        stream.event_s = now_s
-        self._progress.note(run.chain, now_s)
+        self._mender.note_progress(run.chain, now_s)
         run.checks = 0
-        run.next_check_s = now_s + self._silence_s(stream)
-
-    def _silence_s(self, stream: Stream) -> float:
-        return max(_MIN_SILENCE_S, stream.pause_s * _SILENCE_FACTOR)
+        run.next_check_s = now_s + stream.silence_s
 
-    def _await_bytes(self, stream: Stream, run: _Run) -> None:
+    def _await_bytes(
+        self, stream: streamstate.Stream, run: streamstate.Run
+    ) -> None:
         """Waits for bytes; mends the chain while there are none."""
         deadline_s = stream.call.deadline_s
         while True:
@@ -488,159 +427,7 @@
             if clocks.boot_s() >= deadline_s:
                 raise exchange.TimeUpError("the stream is out of time")
             run.checks += 1
-            wait_s = self._silence_s(stream) * 2 ** min(3, run.checks - 1)
+            wait_s = stream.silence_s * 2 ** min(3, run.checks - 1)
             run.next_check_s = clocks.boot_s() + wait_s
             if run.checks <= _MAX_SILENCE_CHECKS:
-                self._mend(stream, run)
-
-    def _mend(self, stream: Stream, run: _Run) -> None:
-        """Finds the engine that the stream waits for, and avoids it."""
-        failed = self._find_failed(stream, run)
-        if failed is None:
-            return
-        stream.excluded.add(failed.target)
-        culprit = self._targets.get(failed.target)
-        if culprit is not None:
-            self._targets.note_failure(culprit, "a stream waits for it")
-        if failed is run.chain.head or not stream.has_begun:
-            raise exchange.BrokenExchangeError(
-                f"{failed.address}: silent", saw_response=stream.has_begun
-            )
-        self._repath(stream, run, failed.address)
-
-    def _find_failed(self, stream: Stream, run: _Run) -> paths.Part | None:
-        """Returns the engine of a silent stream that has failed, if any."""
-        silent_ms = (clocks.boot_s() - stream.event_s) * 1000
-        suspects = self._progress.silent_since(run.chain, stream.event_s)
-        dead = self._known_dead(suspects, stream.event_s)
-        how = "known"
-        if not dead and run.checks <= _CONNECT_CHECKS:
-            dead = self._progress.find_dead(suspects)
-            how = "connect"
-        elif not dead:
-            dead = self._ask_head(stream, run)
-            how = "report"
-        logging.info(
-            "stream silent request=%s silent_ms=%d pause_ms=%d check=%d "
-            "how=%s suspects=%d failed=%s",
-            stream.call.request_id,
-            silent_ms,
-            stream.pause_s * 1000,
-            run.checks,
-            how,
-            len(suspects),
-            dead[0].target if dead else None,
-        )
-        if dead:
-            self._metrics.observe(
-                "briarfall_detection_seconds", silent_ms / 1000, how
-            )
-        return dead[0] if dead else None
-
-    def _known_dead(
-        self, suspects: list[paths.Part], event_s: float
-    ) -> list[paths.Part]:
-        """Returns suspects that failed for others after the last event."""
-        found = []
-        for part in suspects:
-            target = self._targets.get(part.target)
-            if target is None or target.failed_s > event_s:
-                found.append(part)
-        return found
-
-    def _ask_head(self, stream: Stream, run: _Run) -> list[paths.Part]:
-        """Returns the engine that the head says it waits for."""
-        head = run.chain.head
-        try:
-            report = self._engines.report(head.address, _REPORT_TIMEOUT_S)
-        except exceptions.BriarfallError as exc:
-            logging.warning("head silent target=%s: %s", head.target, exc)
-            return [head]
-        address = report.stalled.get(stream.call.request_id)
-        return [part for part in run.chain.parts if part.address == address]
-
-    def _repath(self, stream: Stream, run: _Run, address: str) -> None:
-        """Replaces one engine of the chain of a running stream."""
-        call = stream.call
-        if run.repaths >= _MAX_REPATHS:
-            return
-        run.repaths += 1
-        for _ in range(_MAX_REPATHS):
-            chain = self._detour(stream, run.chain, address)
-            if chain is None:
-                logging.warning("no detour request=%s", call.request_id)
-                return
-            parts = [(part.address, part.layers) for part in chain.parts]
-            sent_s = clocks.boot_s()
-            try:
-                answer = self._engines.repath(
-                    chain.head.address,
-                    call.request_id,
-                    self._engines.chain(parts),
-                    _ORDER_TIMEOUT_S,
-                )
-            except exceptions.BriarfallError as exc:
-                logging.warning("repath failed: %s", exc)
-                return
-            logging.info(
-                "repath request=%s around=%s result=%s took_ms=%d",
-                call.request_id,
-                address,
-                answer.result.value,
-                (clocks.boot_s() - sent_s) * 1000,
-            )
-            self._metrics.count("briarfall_repaths", answer.result.value)
-            self._metrics.observe(
-                "briarfall_repath_seconds", clocks.boot_s() - sent_s
-            )
-            if answer.result in (
-                sources.OrderResult.BEGUN,
-                sources.OrderResult.HOLDS,
-            ):
-                self._switch(stream, run, chain)
-                return
-            refusing = self._targets.at(answer.address)
-            if refusing is None:
-                return
-            stream.excluded.add(refusing.id)
-
-    def _switch(self, stream: Stream, run: _Run, chain: paths.Chain) -> None:
-        tokens = stream.demand.tokens
-        self._loads.reserve(chain.target_ids(), tokens)
-        self._loads.release(run.chain.target_ids(), tokens)
-        run.chain = chain
-        run.next_check_s = clocks.boot_s() + self._silence_s(stream) * 2
-
-    def _detour(
-        self, stream: Stream, chain: paths.Chain, address: str
-    ) -> paths.Chain | None:
-        """Returns the chain with one engine's layers run by others."""
-        call = stream.call
-        bad = None
-        others = set()
-        for part in chain.parts:
-            if part.address == address:
-                bad = part
-                continue
-            others.add(part.target)
-        if bad is None or bad is chain.head:
-            return None
-        rows = self._targets.usable(call.service.name)
-        middle = self._finder.find(
-            call.service.model,
-            rows,
-            stream.demand,
-            frozenset(stream.excluded | others),
-            layers=bad.layers,
-            zone=bad.zone,
-            noise=paths.RECOVERY_NOISE,
-        )
-        if middle is None:
-            return None
-        parts = []
-        for part in chain.parts:
-            if part is bad:
-                parts.extend(middle.parts)
-                continue
-            parts.append(part)
-        return paths.Chain(tuple(parts), chain.cost_ms)
+                self._mender.mend(stream, run)
--- /dev/null
+++ b/src/briarfall/gateway/streamstate.py
@@ -0,0 +1,78 @@
+"""The state of a stream and of the chain that works on it."""
+
+import msgspec
+
+from briarfall import ids
+from briarfall.gateway import calls
+from briarfall.gateway import exchange
+from briarfall.gateway import paths
+
+# Shortest silence of a stream that starts a search for the failed engine.
+_MIN_SILENCE_S = 0.09
+# Silence beyond this many usual pauses is suspicious.
+_SILENCE_FACTOR = 2.0
+_PAUSE_WEIGHT = 0.2
+
+
+class Stream(msgspec.Struct):
+    """The state of one stream.
+
+    Attributes:
+        call: The request.
+        demand: Tokens that it needs.
+        last_id: Number of the last event that the caller has.
+        has_begun: Whether the caller has the head of the answer.
+        pause_s: Usual pause between events.
+        event_s: Time on the boot clock of the last event.
+        excluded: Engines that failed this stream.
+        heads: Living engines that ran it as the first of a chain.
+    """
+
+    call: calls.Call
+    demand: paths.Demand
+    last_id: int = 0
+    has_begun: bool = False
+    pause_s: float = 0.0
+    event_s: float = 0.0
+    excluded: set[ids.TargetId] = msgspec.field(default_factory=set)
+    heads: set[ids.TargetId] = msgspec.field(default_factory=set)
+
+    @property
+    def allowed_heads(self) -> frozenset[ids.TargetId] | None:
+        """Engines that may still run it, or None for any."""
+        if len(self.heads) < self.call.route.attempts:
+            return None
+        return frozenset(self.heads)
+
+    @property
+    def silence_s(self) -> float:
+        """Silence after which an engine may have failed."""
+        return max(_MIN_SILENCE_S, self.pause_s * _SILENCE_FACTOR)
+
+    def note_event(self, now_s: float) -> float:
+        """Notes an event and returns the pause before it."""
+        pause_s = now_s - self.event_s
+        self.event_s = now_s
+        if self.has_begun:
+            if not self.pause_s:
+                self.pause_s = pause_s
+            self.pause_s += _PAUSE_WEIGHT * (pause_s - self.pause_s)
+        return pause_s
+
+
+class Run(msgspec.Struct):
+    """One chain at work on a stream.
+
+    Attributes:
+        chain: The engines.
+        conn: Connection to the head.
+        checks: Searches for a failed engine since the last event.
+        repaths: Changes of the chain.
+        next_check_s: Time on the boot clock of the next search.
+    """
+
+    chain: paths.Chain
+    conn: exchange.TargetConnection
+    checks: int = 0
+    repaths: int = 0
+    next_check_s: float = 0.0
--- a/src/briarfall/bench/faultsoak/callers.py
+++ b/src/briarfall/standins/prepared/faultsoak/callers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from briarfall.bench.faultsoak import processes
+from briarfall.standins.prepared.faultsoak import processes
 
 HOST = "soak.example"
 _TIMEOUT_S = 12.0
--- a/src/briarfall/bench/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 
-_START = pathlib.Path(__file__).parents[4] / "deploy" / "gateway.py"
+_START = pathlib.Path(__file__).parents[5] / "deploy" / "gateway.py"
 _GRACE_S = 8.0
 
 
--- a/src/briarfall/bench/faultsoak/proxy.py
+++ b/src/briarfall/standins/prepared/faultsoak/proxy.py
@@ -35,7 +35,8 @@
         self._lock = threading.Lock()
         self._open: set[socket.socket] = set()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
+        port = self._listener.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
         threading.Thread(target=self._accept, daemon=True).start()
 
     def set_fault(self, fault: LinkFault) -> None:
--- a/src/briarfall/bench/faultsoak/soak.py
+++ b/src/briarfall/standins/prepared/faultsoak/soak.py
@@ -8,11 +8,12 @@
 import threading
 import time
 
-from briarfall.bench.faultsoak import callers
-from briarfall.bench.faultsoak import processes
-from briarfall.bench.faultsoak import proxy
+from briarfall.standins.prepared import manifests
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared import store
+from briarfall.standins.prepared.faultsoak import callers
+from briarfall.standins.prepared.faultsoak import processes
+from briarfall.standins.prepared.faultsoak import proxy
 
 _INSTANCES = 3
 _CALLERS = 8
@@ -25,22 +26,6 @@
 _MIN_FAULT_S = 0.5
 _MAX_FAULT_S = 3.0
 _BEAT_S = 1.0
-_ENGINE = {
-    "slots": 32,
-    "kv_token_bytes": 8000,
-    "step_ms": 1.0,
-    "per_seq_ms": 0.01,
-    "context_per_k": 0.01,
-    "read_per_s": 100000.0,
-    "loads_at_once": 5,
-    "layers": 8,
-    "layer_mb": 10.0,
-    "act_bytes": 10,
-    "pipe_mbps": 1000.0,
-    "models": [{"name": "m", "load_s": 1.0}],
-    "usual": {"prompt": 20, "answer": 20},
-    "kinds": [{"name": "small", "mb": 62.0, "pace": 2.0, "read_x": 1.0}],
-}
 
 
 class Soak:
@@ -122,10 +107,7 @@
         manifest = {
             "version": self._version,
             "routes": rows,
-            "services": [
-                {"name": "desk", "max_conns": 100},
-                {"name": "pool", "max_conns": 100, "engine": _ENGINE},
-            ],
+            "services": manifests.SERVICES,
             "tenants": [{"name": "crew", "api_keys": ["stable", self._key()]}],
         }
         self.store.put("keyed.op", "config", manifest)
@@ -380,7 +362,7 @@
             if int(first) != edge:
                 return [f"{request_id}: event {number} on path {path}"]
             edge = int(end)
-        if edge != _ENGINE["layers"]:
+        if edge != manifests.ENGINE["layers"]:
             return [f"{request_id}: event {number} on path {path}"]
     return []
 
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -273,18 +273,20 @@
         conn.begin_chunks(echo)
         start = int(req.headers.get("last-event-id", "0"))
         try:
-            return self._make_events(conn, request_id, start)
+            return self._make_events(conn, request_id, path, start)
         finally:
             self.paths.pop(request_id, None)
 
-    def _make_events(self, conn, request_id: str, start: int) -> bool:
+    def _make_events(self, conn, request_id: str, path, start: int) -> bool:
         for number in range(start + 1, self.events + 1):
-            while self._fault_on(self.paths[request_id]):
+            # An order may have changed the path; a run that the caller's side
+            # has given up goes on as it was.
+            while self._fault_on(self.paths.get(request_id, path)):
                 if self.released.wait(_STEP_S):
                     conn.reset()
                     return False
             self.released.wait(_STEP_S)
-            path = self.paths[request_id]
+            path = self.paths.get(request_id, path)
             text = ",".join(f"{a}={f}-{e}" for a, f, e in path)
             with self.lock:
                 self.made.append((request_id, number, text))
--- a/tests/preparedworld.py
+++ b/tests/preparedworld.py
@@ -11,6 +11,7 @@
 from briarfall.gateway import exchange
 from briarfall.gateway import instance
 from briarfall.platform import main
+from briarfall.standins.prepared import manifests
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared import store
 
@@ -45,27 +46,6 @@
     }
 
 
-ENGINE = {
-    "slots": 8,
-    "kv_token_bytes": 8000,
-    "step_ms": 1.0,
-    "per_seq_ms": 0.01,
-    "context_per_k": 0.01,
-    "read_per_s": 100000.0,
-    "loads_at_once": 5,
-    "layers": 8,
-    "layer_mb": 10.0,
-    "act_bytes": 10,
-    "pipe_mbps": 1000.0,
-    "models": [{"name": "m", "load_s": 1.0}],
-    "usual": {"prompt": 20, "answer": 20},
-    "kinds": [
-        {"name": "small", "mb": 62.0, "pace": 2.0, "read_x": 1.0},
-        {"name": "large", "mb": 124.0, "pace": 1.0, "read_x": 1.0},
-    ],
-}
-
-
 def manifest(version: int, *, keys=(KEY,), routes=None) -> dict:
     """Returns a whole manifest."""
     if routes is None:
@@ -85,11 +65,7 @@
     return {
         "version": version,
         "routes": routes,
-        "services": [
-            {"name": "desk", "max_conns": 100},
-            {"name": "pool", "max_conns": 100, "engine": ENGINE},
-            {"name": "other", "max_conns": 100},
-        ],
+        "services": manifests.SERVICES,
         "limits": {
             "max_header_bytes": 8192,
             "max_body_bytes": 65536,
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from briarfall.bench.faultsoak import callers
-from briarfall.bench.faultsoak import soak
+from briarfall.standins.prepared.faultsoak import callers
+from briarfall.standins.prepared.faultsoak import soak
 
 # Seeds that failed once, with the cause of each.
 REGRESSIONS: dict[int, str] = {}
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -17,12 +17,12 @@
 from briarfall.gateway import evidence
 from briarfall.gateway import exchange
 from briarfall.gateway import following
+from briarfall.gateway import leasing
 from briarfall.gateway import loads
 from briarfall.gateway import paths
 from briarfall.gateway import peermessages
 from briarfall.gateway import peers
 from briarfall.gateway import placement
-from briarfall.gateway import placer
 from briarfall.gateway import sources
 from briarfall.gateway import stopping
 from briarfall.gateway import targets
@@ -559,23 +559,23 @@
 class TestLease:
     def test_only_one_holds_and_fences_grow(self, clock):
         source = _LeaseStandin()
-        first = placer.Lease(source, "i1")
-        second = placer.Lease(source, "i2")
+        first = leasing.Lease(source, "i1")
+        second = leasing.Lease(source, "i2")
         first.refresh()
         second.refresh()
         assert first.is_held and not second.is_held
         fence = first.fence
-        clock.now_s += placer.LEASE_TTL_S + 0.1
+        clock.now_s += leasing.LEASE_TTL_S + 0.1
         second.refresh()
         assert second.is_held and second.fence > fence
 
     def test_holder_that_was_away_finds_itself_replaced(self, clock):
         source = _LeaseStandin()
-        first = placer.Lease(source, "i1")
-        second = placer.Lease(source, "i2")
+        first = leasing.Lease(source, "i1")
+        second = leasing.Lease(source, "i2")
         first.refresh()
         second.refresh()
-        clock.now_s += placer.LEASE_TTL_S + 0.1
+        clock.now_s += leasing.LEASE_TTL_S + 0.1
         second.refresh()
         assert not first.is_held
         first.refresh()
@@ -584,9 +584,9 @@
 
     def test_word_of_the_holder_spares_the_store(self, clock):
         source = _LeaseStandin()
-        first = placer.Lease(source, "i1")
+        first = leasing.Lease(source, "i1")
         first.refresh()
-        second = placer.Lease(source, "i2")
+        second = leasing.Lease(source, "i2")
         second.note_other(first.fence, clock.now_s + first.left_s)
         source.read_grant = None
         second.refresh()
@@ -594,11 +594,11 @@
 
     def test_lapse_told_by_the_holder_lets_another_take_over(self, clock):
         source = _LeaseStandin()
-        first = placer.Lease(source, "i1")
+        first = leasing.Lease(source, "i1")
         first.refresh()
-        second = placer.Lease(source, "i2")
+        second = leasing.Lease(source, "i2")
         second.note_other(first.fence, clock.now_s + first.left_s)
-        clock.now_s += placer.LEASE_TTL_S + 0.1
+        clock.now_s += leasing.LEASE_TTL_S + 0.1
         second.refresh()
         assert second.is_held
 
