Fewer false suspicions and fewer calls to the store with many instances

Change: two connections must fail; several dead engines at once are not told to others; hearsay does not block an engine seen at work within 60 ms; candidates for the lease take turns; a second question goes to another peer. Tests for turns and hearsay.

--- a/src/briarfall/gateway/budgets.py
+++ b/src/briarfall/gateway/budgets.py
@@ -8,7 +8,7 @@
 
 # Part of the shared slack that instances use together; the rest covers
 # instances that do not know of each other yet.
-_SLACK_SHARE = 0.6
+_SLACK_SHARE = 0.85
 
 
 class RetryBudget:
--- a/src/briarfall/gateway/evidence.py
+++ b/src/briarfall/gateway/evidence.py
@@ -11,7 +11,7 @@
 from briarfall.gateway import paths
 
 # A living engine accepts a connection within a few milliseconds.
-_CONNECT_S = 0.03
+_CONNECT_S = 0.02
 # An event proves that its engines worked up to about this long before.
 _TRANSIT_S = 0.03
 
@@ -61,13 +61,22 @@
 ) -> list[paths.Part]:
     """Returns the engines that do not accept a connection at once."""
     rows = list(parts)
-    refused = _refused({part.address for part in rows})
+    refused = _refused_twice({part.address for part in rows})
     return [part for part in rows if part.address in refused]
 
 
 def is_unreachable(address: str) -> bool:
     """Whether a target does not accept a connection at once."""
-    return bool(_refused({address}))
+    return bool(_refused_twice({address}))
+
+
+def _refused_twice(addresses: set[str]) -> set[str]:
+    """Returns addresses that refuse two connections in a row.
+
+    One lost packet must not make a target look dead.
+    """
+    refused = _refused(addresses)
+    return _refused(refused) if refused else refused
 
 
 def _refused(addresses: set[str]) -> set[str]:
--- a/src/briarfall/gateway/following.py
+++ b/src/briarfall/gateway/following.py
@@ -18,8 +18,9 @@
 # over as soon as it falls silent or loses the store.
 READERS = 1
 _LIST_TIMEOUT_S = 0.7
-_ASK_TIMEOUT_S = 0.12
-_FETCH_TIMEOUT_S = 0.2
+# Part of the bound that one question may take.
+_ASK_TIMEOUT_SHARE = 0.08
+_FETCH_TIMEOUT_S = 0.5
 # Peers that are asked in turn while the store does not answer.
 _MAX_ASKED = 3
 # Part of the bound on leaving targets that a direct read may be old.
@@ -130,7 +131,9 @@
         readers = self._peers.readers(READERS)
         if not readers or None in readers:
             return False
-        return self._ask(readers) or self._ask(self._peers.informed(1))
+        return self._ask(readers) or self._ask(
+            self._peers.informed(1, besides=readers)
+        )
 
     def _ask(self, rows: list[peers.Peer]) -> bool:
         """Whether one of some peers gave an answer that is fresh enough."""
@@ -138,7 +141,10 @@
             asked_s = clocks.boot_s()
             try:
                 answer = self._link.ask(
-                    peer, self._lifetime, self._revision, _ASK_TIMEOUT_S
+                    peer,
+                    self._lifetime,
+                    self._revision,
+                    self._bound_s * _ASK_TIMEOUT_SHARE,
                 )
                 if self._follower.needs_peer:
                     self._follower.take_from_peer(
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -33,11 +33,11 @@
 _SILENT_S = 2.0
 _MAX_DATAGRAM = 65_000
 # Part of a compressed catalogue that one datagram carries.
-_PART_BYTES = 16_000
+_PART_BYTES = 8_000
 _ZIP_LEVEL = 1
 # Entries that fit into one datagram of an answer.
 _MAX_CHANGED = 120
-_FETCH_TIMEOUT_S = 0.2
+_FETCH_TIMEOUT_S = 0.5
 _STORE_TIMEOUT_S = 1.0
 _ANNOUNCE_RETRY_S = 1.0
 
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -110,7 +110,11 @@
             cfg.leaving_bound_s,
         )
         self.placer = placer.Placer(
-            self.lease, platform.engines, self.follower, self.targets
+            self.lease,
+            platform.engines,
+            self.follower,
+            self.peers,
+            self.targets,
         )
         self.budget = budgets.RetryBudget(
             cfg.retry_ratio,
--- a/src/briarfall/gateway/leasing.py
+++ b/src/briarfall/gateway/leasing.py
@@ -25,6 +25,7 @@
         self._held_until_s = 0.0
         # Times on the boot clock at which grants of others lapse, by fence.
         self._lapses: dict[int, float] = {}
+        self._created_s = clocks.boot_s()
         self.fence = 0
 
     @property
@@ -54,6 +55,11 @@
         now_s = clocks.boot_s()
         return any(until_s > now_s for until_s in self._lapses.values())
 
+    def lapsed_for_s(self, now_s: float) -> float:
+        """Returns how long no holder is known, as far as others have said."""
+        until_s = max(self._lapses.values(), default=self._created_s)
+        return now_s - until_s
+
     def refresh(self) -> None:
         """Takes, renews or watches the lease.
 
--- a/src/briarfall/gateway/mending.py
+++ b/src/briarfall/gateway/mending.py
@@ -18,6 +18,7 @@
 _REPORT_TIMEOUT_S = 0.1
 _ORDER_TIMEOUT_S = 0.2
 _MAX_REPATHS = 4
+_NEAR_FAULT_S = 0.5
 
 
 class StreamMender:
@@ -49,16 +50,28 @@
     def note_progress(self, chain: paths.Chain, now_s: float) -> None:
         """Notes an event that all engines of a chain had a part in."""
         self._progress.note(chain, now_s)
+        for part in chain.parts:
+            target = self._targets.get(part.target)
+            if target is not None:
+                target.worked_s = now_s
 
     def mend(self, stream: streamstate.Stream, run: streamstate.Run) -> None:
         """Finds the engine that the stream waits for, and avoids it."""
-        failed = self._find_failed(stream, run)
-        if failed is None:
+        dead = self._find_failed(stream, run)
+        if not dead:
             return
-        stream.excluded.add(failed.target)
-        culprit = self._targets.get(failed.target)
-        if culprit is not None:
-            self._targets.note_failure(culprit, "a stream waits for it")
+        for part in dead:
+            stream.excluded.add(part.target)
+            culprit = self._targets.get(part.target)
+            if culprit is None:
+                continue
+            if len(dead) == 1:
+                self._targets.note_failure(culprit, "a stream waits for it")
+            else:
+                # Several at once: the fault is more likely near us, and not
+                # for others to hear of.
+                self._targets.block(culprit, _NEAR_FAULT_S)
+        failed = dead[0]
         if failed is run.chain.head or not stream.has_begun:
             raise exchange.BrokenExchangeError(
                 f"{failed.address}: silent", saw_response=stream.has_begun
@@ -67,8 +80,8 @@
 
     def _find_failed(
         self, stream: streamstate.Stream, run: streamstate.Run
-    ) -> paths.Part | None:
-        """Returns the engine of a silent stream that has failed, if any."""
+    ) -> list[paths.Part]:
+        """Returns the engines of a silent stream that have failed."""
         silent_ms = (clocks.boot_s() - stream.event_s) * 1000
         suspects = self._progress.silent_since(run.chain, stream.event_s)
         dead = self._known_dead(suspects, stream.event_s)
@@ -94,7 +107,7 @@
             self._metrics.observe(
                 "briarfall_detection_seconds", silent_ms / 1000, how
             )
-        return dead[0] if dead else None
+        return dead
 
     def _known_dead(
         self, suspects: list[paths.Part], event_s: float
--- a/src/briarfall/gateway/peers.py
+++ b/src/briarfall/gateway/peers.py
@@ -1,5 +1,7 @@
 """The other gateway instances, as far as this one has heard of them."""
 
+import collections.abc
+import random
 import threading
 
 from absl import logging
@@ -118,12 +120,26 @@
         ranked.sort(key=lambda row: row[0])
         return [peer for _, peer in ranked[:count]]
 
-    def informed(self, count: int) -> list[Peer]:
-        """Returns peers of any zone that reach the store, nearest first."""
-        rows = [peer for peer in self.alive() if peer.reaches_store]
-        rows.sort(key=lambda peer: (peer.zone != self._zone, _rank(peer.id)))
+    def informed(
+        self, count: int, besides: collections.abc.Container[Peer] = ()
+    ) -> list[Peer]:
+        """Returns peers that reach the store, those of the zone first.
+
+        They are taken at random, since many instances may ask at once.
+        """
+        rows = []
+        for peer in self.alive():
+            if peer.reaches_store and peer not in besides:
+                rows.append(peer)
+        random.shuffle(rows)
+        rows.sort(key=lambda peer: peer.zone != self._zone)
         return rows[:count]
 
+    def rank(self) -> int:
+        """Returns how many living peers come before this instance."""
+        own = _rank(self._instance)
+        return sum(1 for peer in self.alive() if _rank(peer.id) < own)
+
 
 def _rank(instance: ids.InstanceId) -> int:
     return xxhash.xxh64_intdigest(instance.encode())
--- a/src/briarfall/gateway/placer.py
+++ b/src/briarfall/gateway/placer.py
@@ -8,6 +8,7 @@
 from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
 from briarfall.gateway import leasing
+from briarfall.gateway import peers
 from briarfall.gateway import placement
 from briarfall.gateway import sources
 from briarfall.gateway import targets
@@ -17,6 +18,11 @@
 _RENEW_S = 1.0
 _WATCH_S = 0.5
 _TICK_S = 0.25
+# Time after a start in which instances learn of each other.
+_MEET_S = 0.3
+# Candidates for a lapsed lease wait so long for each other.
+_TURN_S = 0.25
+_MAX_TURN_S = 6.0
 _STORE_TIMEOUT_S = 1.0
 _ORDER_TIMEOUT_S = 0.5
 # At the first start engines register over some hundred milliseconds; a plan
@@ -56,12 +62,15 @@
         lease: leasing.Lease,
         engines: sources.EngineControl,
         follower: catalogue.CatalogueFollower,
+        peer_table: peers.PeerTable,
         table: targets.TargetTable,
     ):
         super().__init__("placer")
         self._lease = lease
         self._engines = engines
         self._follower = follower
+        self._peers = peer_table
+        self._started_s = clocks.boot_s()
         self._targets = table
         self._assigned: dict[ids.TargetId, Assignment] = {}
         self._refresh_s = 0.0
@@ -81,7 +90,7 @@
         if self._follower.view is None:
             return
         now_s = clocks.boot_s()
-        if now_s >= self._refresh_s:
+        if now_s >= self._refresh_s and self._is_candidate(now_s):
             period_s = _RENEW_S if self._lease.is_held else _WATCH_S
             self._refresh_s = now_s + period_s
             try:
@@ -94,6 +103,19 @@
             if service.model is not None:
                 self._place(service)
 
+    def _is_candidate(self, now_s: float) -> bool:
+        """Whether it is this instance's turn to look at the lease.
+
+        Instances wait one after the other once a lease has lapsed, so that
+        they do not all ask the store for it.
+        """
+        if self._lease.is_held:
+            return True
+        if now_s - self._started_s < _MEET_S:
+            return False
+        turn_s = min(_MAX_TURN_S, self._peers.rank() * _TURN_S)
+        return self._lease.lapsed_for_s(now_s) >= turn_s
+
     def _place(self, service: views.Service) -> None:
         rows = []
         for row in self._targets.of_service(service.name):
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -16,6 +16,8 @@
 _REGISTRATION_S = 2.2
 _FIRST_BLOCK_S = 0.5
 _MAX_BLOCK_S = 4.0
+# A target that was seen at work so lately is not dead, whoever says so.
+_AT_WORK_S = 0.06
 # Removed targets that are remembered for other instances.
 _MAX_GONE = 200
 
@@ -31,6 +33,7 @@
         blocked_until_s: Time until which it gets no new requests.
         failures: Failures in a row.
         failed_s: Time of the last failure, here or at a peer.
+        worked_s: Time at which a stream of ours last saw it at work.
     """
 
     entry: sources.TargetEntry
@@ -40,6 +43,7 @@
     suspected_until_s: float = 0.0
     failures: int = 0
     failed_s: float = 0.0
+    worked_s: float = 0.0
 
     @property
     def id(self) -> ids.TargetId:
@@ -219,6 +223,8 @@
         if target is None or target.entry.started_ms != started_ms:
             return
         now_s = clocks.boot_s()
+        if now_s - target.worked_s < _AT_WORK_S:
+            return
         if target.blocked_until_s <= now_s:
             target.failed_s = now_s
             logging.info(
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -23,6 +23,7 @@
 from briarfall.gateway import peermessages
 from briarfall.gateway import peers
 from briarfall.gateway import placement
+from briarfall.gateway import placer
 from briarfall.gateway import sources
 from briarfall.gateway import stopping
 from briarfall.gateway import targets
@@ -603,6 +604,38 @@
         assert second.is_held
 
 
+class TestTurns:
+    def test_candidates_take_turns_for_a_lapsed_lease(self, clock):
+        turns = []
+        for name in ("i1", "i2", "i3", "i4"):
+            members = peers.PeerTable(name, "z")
+            for other in ("i1", "i2", "i3", "i4"):
+                peer = members.add(other, "10.0.0.1:7000", "z")
+                if peer is not None:
+                    peer.heard_s = clock.now_s + 100
+            lease = leasing.Lease(_LeaseStandin(), name)
+            lease.note_other(5, clock.now_s + 1.0)
+            worker = placer.Placer(
+                lease, None, None, members, targets.TargetTable()
+            )
+            waited_s = 1.0
+            while not worker._is_candidate(clock.now_s + waited_s):
+                waited_s += 0.05
+            turns.append(round(waited_s - 1.0, 2))
+        assert sorted(turns) == [0.0, 0.25, 0.5, 0.75]
+
+
+class TestSuspicions:
+    def test_target_seen_at_work_is_not_blocked_by_hearsay(self, clock):
+        table = targets.TargetTable()
+        table.update([entry("a"), entry("b")], clock.now_s)
+        table.get("a").worked_s = clock.now_s - 0.05
+        table.take_suspicion("a", 0, 2.0)
+        table.take_suspicion("b", 0, 2.0)
+        assert table.get("a").blocked_until_s == 0
+        assert table.get("b").blocked_until_s == clock.now_s + 2.0
+
+
 class TestPeers:
     def test_all_members_agree_on_the_reader_of_a_zone(self, clock):
         tables = {}
