Look at sockets before judging after a stall; back off from a store that fails

When the process woke after its time limit it gave up without looking, though bytes had come and connections had been accepted, and a living head counted as dead. Tests with a clock that jumps fail before and pass after. Failures in a row now double the pause, up to one second.

--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -52,6 +52,8 @@
         self.set_key_ttl(key_ttl_s)
         self._newer = threading.Event()
         self._newest_version = -1
+        # Reads of the source in a row that failed.
+        self._failures = 0
         self._fetcher: Fetcher | None = None
         self._position: int | None = None
         self.confirmed_s: float | None = None
@@ -98,7 +100,8 @@
             self._follow()
         except exceptions.BriarfallError as exc:
             self._note_lost(exc)
-            self.stopped.wait(_RETRY_S)
+            self._failures += 1
+            self.stopped.wait(workers.backoff_s(self._failures))
 
     def _follow(self) -> None:
         if self.view is None or self._position is None:
@@ -211,6 +214,7 @@
 
     def confirm(self, sent_s: float) -> None:
         """Notes that the view was the newest at a time on the boot clock."""
+        self._failures = 0
         if self.is_lost:
             self.is_lost = False
             logging.info("catalogue source regained")
--- a/src/briarfall/gateway/evidence.py
+++ b/src/briarfall/gateway/evidence.py
@@ -96,10 +96,12 @@
         poller.register(sock, select.POLLOUT)
     until_s = clocks.boot_s() + _CONNECT_S
     while pending:
-        left_s = until_s - clocks.boot_s()
-        if left_s <= 0:
+        # A process that had no processor for a while still looks once.
+        left_s = max(0.0, until_s - clocks.boot_s())
+        ready = poller.poll(left_s * 1000)
+        if not ready and clocks.boot_s() >= until_s:
             break
-        for number, _ in poller.poll(left_s * 1000):
+        for number, _ in ready:
             sock, address = pending.pop(number)
             poller.unregister(number)
             if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
--- a/src/briarfall/gateway/exchange.py
+++ b/src/briarfall/gateway/exchange.py
@@ -183,10 +183,11 @@
             CallerGoneError: The caller has left.
         """
         while True:
-            left_s = until_s - clocks.boot_s()
-            if left_s <= 0:
-                return False
+            # A process that had no processor for a while still looks once.
+            left_s = max(0.0, until_s - clocks.boot_s())
             ready = dict(self._poller.poll(left_s * 1000))
+            if not ready and clocks.boot_s() >= until_s:
+                return False
             watch = self._watch
             if watch is not None and watch.sock.fileno() in ready:
                 watch.check()
--- a/src/briarfall/gateway/following.py
+++ b/src/briarfall/gateway/following.py
@@ -83,6 +83,8 @@
         # Lifetime of the reader that the revision belongs to.
         self._lifetime = 0
         self._revision = -1
+        # Reads of the source in a row that failed.
+        self._failures = 0
 
     def set_bound(self, bound_s: float) -> None:
         """Changes the time after which a leaving target gets no work."""
@@ -95,6 +97,9 @@
         if self._ask_readers() or not self.read():
             share = _ASK_SHARE
         self._pool.close_idle()
+        if self._failures:
+            self.stopped.wait(workers.backoff_s(self._failures))
+            return
         left_s = self._bound_s * share - (clocks.boot_s() - started_s)
         oldest_s = self._bound_s * _REFRESH_SHARE
         left_s = min(left_s, oldest_s - self._table.age_s())
@@ -113,10 +118,12 @@
             if self._peers.reaches_store:
                 logging.warning("targets not read: %s", exc)
             self._peers.reaches_store = False
+            self._failures += 1
             if not self._ask(self._peers.informed(_MAX_ASKED)):
                 self._table.lose_source()
             return False
         self._peers.reaches_store = True
+        self._failures = 0
         self._drop(self._table.update(entries, sent_s))
         if self._follower.is_lost:
             self._ask(self._peers.informed(_MAX_ASKED))
--- a/src/briarfall/gateway/placer.py
+++ b/src/briarfall/gateway/placer.py
@@ -74,6 +74,8 @@
         self._targets = table
         self._assigned: dict[ids.TargetId, Assignment] = {}
         self._refresh_s = 0.0
+        # Calls for the lease in a row that failed.
+        self._failures = 0
         self._settled_s: float | None = None
         self._known = 0
 
@@ -95,7 +97,10 @@
             self._refresh_s = now_s + period_s
             try:
                 self._lease.refresh()
+                self._failures = 0
             except exceptions.LogUnavailableError as exc:
+                self._failures += 1
+                self._refresh_s = now_s + workers.backoff_s(self._failures)
                 logging.warning("lease not refreshed: %s", exc)
         if not self._lease.was_held_last:
             return
--- a/src/briarfall/gateway/workers.py
+++ b/src/briarfall/gateway/workers.py
@@ -7,6 +7,15 @@
 
 # Pause after an unexpected error, so that it does not fill the logs.
 _ERROR_PAUSE_S = 0.25
+# Pauses after reads of a source that failed: every call has a price, and a
+# source that comes back is noticed within a second.
+_FIRST_BACKOFF_S = 0.15
+_MAX_BACKOFF_S = 1.0
+
+
+def backoff_s(failures: int) -> float:
+    """Returns the pause after some failures in a row."""
+    return min(_MAX_BACKOFF_S, _FIRST_BACKOFF_S * 2 ** (failures - 1))
 
 
 class Worker(threading.Thread, abc.ABC):
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -1,6 +1,9 @@
 """Decisions of the gateway, without a network."""
 
+import itertools
 import random
+import select
+import socket
 
 from hypothesis import given
 from hypothesis import settings
@@ -539,6 +542,44 @@
         assert [part.target for part in suspects] == ["c"]
 
 
+class TestAfterAStall:
+    """A process that had no processor looks before it judges."""
+
+    @pytest.fixture
+    def listener(self):
+        sock = socket.create_server(("127.0.0.1", 0))
+        yield sock
+        sock.close()
+
+    @pytest.fixture
+    def jumping_clock(self, monkeypatch):
+        """Each look at the clock comes a second later."""
+        ticks = itertools.count(1000)
+        monkeypatch.setattr(clocks, "boot_s", lambda: float(next(ticks)))
+
+    def test_target_that_accepted_meanwhile_is_not_dead(
+        self, listener, jumping_clock
+    ):
+        address = "{}:{}".format(*listener.getsockname())
+        assert not evidence.is_unreachable(address)
+
+    def test_closed_port_is_dead(self, listener):
+        address = "{}:{}".format(*listener.getsockname())
+        listener.close()
+        assert evidence.is_unreachable(address)
+
+    def test_bytes_that_came_meanwhile_are_seen(self, listener, jumping_clock):
+        address = "{}:{}".format(*listener.getsockname())
+        conn = exchange.TargetConnection(address, 5.0)
+        peer, _ = listener.accept()
+        peer.sendall(b"HTTP/1.1 200 OK\r\n")
+        select.select([conn.sock], [], [], 10)
+        conn.watch(None)
+        assert conn.wait(500.0)
+        peer.close()
+        conn.close()
+
+
 class _LeaseStandin(sources.LeaseSource):
     def __init__(self):
         self.holder = ""
