The soak leaves no process behind

Cause: two faults on one instance could each start it; the first process was forgotten and ran on (several were found 23 minutes later and ended by id; they took processor time beside the last measurements). Tests fail before.

--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import sys
+import threading
 
 _START = pathlib.Path(__file__).parents[5] / "deploy" / "gateway.py"
 _GRACE_S = 8.0
@@ -46,10 +47,25 @@
             )
         )
         self._process: subprocess.Popen | None = None
+        self._lock = threading.Lock()
+        self._is_closed = False
         self.is_paused = False
 
     def start(self) -> None:
-        """Starts the process."""
+        """Starts the process unless it runs or is closed."""
+        with self._lock:
+            if not self._is_closed and not self.is_running:
+                self._start()
+
+    def close(self) -> None:
+        """Kills the process, and never starts it again."""
+        with self._lock:
+            self._is_closed = True
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+    def _start(self) -> None:
         env = {**os.environ, "BRIARFALL_SETTINGS": str(self._settings)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
--- a/src/briarfall/standins/prepared/faultsoak/soak.py
+++ b/src/briarfall/standins/prepared/faultsoak/soak.py
@@ -147,9 +147,7 @@
         finally:
             self._stopped.set()
             for row in self.instances:
-                row.signal(signal.SIGKILL)
-                if row.is_running:
-                    row.wait()
+                row.close()
 
     def _pick_key(self) -> str:
         with self._lock:
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from briarfall.standins.prepared.faultsoak import callers
+from briarfall.standins.prepared.faultsoak import processes
 from briarfall.standins.prepared.faultsoak import soak
 
 # Seeds that failed once, with the cause of each.
@@ -17,6 +18,28 @@
         assert soak.run(seed, 6.0, str(tmp_path)) == []
 
 
+class TestGatewayProcess:
+    """No process outlives the soak that started it."""
+
+    @pytest.fixture
+    def row(self, tmp_path):
+        row = processes.GatewayProcess("i0", "z0", "127.0.0.1:1", tmp_path)
+        yield row
+        row.close()
+
+    def test_second_start_leaves_the_first_process(self, row):
+        row.start()
+        first = row._process
+        row.start()
+        assert row._process is first
+
+    def test_closed_process_is_not_started_again(self, row):
+        row.start()
+        row.close()
+        row.start()
+        assert not row.is_running
+
+
 class TestSoakChecks:
     """The checks find what they are meant to find."""
 
