Only a refused connection proves that a head has ended; back off by the size of the zone

Only a port where nothing listens discounts it now. The longest pause grows with the instances of a zone; meanwhile peers are asked.

--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -38,6 +38,7 @@
         source: Where operators publish.
         key_ttl_s: Age at which keys are no longer accepted, or 0 for never.
         is_reader: Whether this instance reads the source for others.
+        instances: Returns how many instances of the zone read it in turn.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         source: sources.CatalogueSource,
         key_ttl_s: float,
         is_reader: collections.abc.Callable[[], bool],
+        instances: collections.abc.Callable[[], int] = lambda: 1,
     ):
         super().__init__("catalogue")
         self._source = source
@@ -55,6 +57,7 @@
         # Reads of the source in a row that failed.
         self._failures = 0
         self._fetcher: Fetcher | None = None
+        self._instances = instances
         self._position: int | None = None
         self.confirmed_s: float | None = None
         self.is_lost = False
@@ -101,7 +104,8 @@
         except exceptions.BriarfallError as exc:
             self._note_lost(exc)
             self._failures += 1
-            self.stopped.wait(workers.backoff_s(self._failures))
+            pause_s = workers.backoff_s(self._failures, self._instances())
+            self.stopped.wait(pause_s)
 
     def _follow(self) -> None:
         if self.view is None or self._position is None:
--- a/src/briarfall/gateway/evidence.py
+++ b/src/briarfall/gateway/evidence.py
@@ -1,6 +1,7 @@
 """Tells dead engines from slow ones while a stream is silent."""
 
 import collections.abc
+import enum
 import errno
 import select
 import socket
@@ -56,32 +57,46 @@
         return dead
 
 
+class Reach(enum.Enum):
+    """How a target answered an attempt to connect."""
+
+    OPEN = "open"
+    # Nothing listens any more: its process has ended.
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 def unreachable(
     parts: collections.abc.Iterable[paths.Part],
 ) -> list[paths.Part]:
     """Returns the engines that do not accept a connection at once."""
     rows = list(parts)
-    refused = _refused_twice({part.address for part in rows})
-    return [part for part in rows if part.address in refused]
+    reached = _connect_twice({part.address for part in rows})
+    return [part for part in rows if reached[part.address] is not Reach.OPEN]
 
 
-def is_unreachable(address: str) -> bool:
-    """Whether a target does not accept a connection at once."""
-    return bool(_refused_twice({address}))
+def reach(address: str) -> Reach:
+    """Returns how a target answers an attempt to connect."""
+    return _connect_twice({address})[address]
 
 
-def _refused_twice(addresses: set[str]) -> set[str]:
-    """Returns addresses that refuse two connections in a row.
+def _connect_twice(addresses: set[str]) -> dict[str, Reach]:
+    """Connects to addresses, once more where that fails.
 
     One lost packet must not make a target look dead.
     """
-    refused = _refused(addresses)
-    return _refused(refused) if refused else refused
+    reached = _connect(addresses)
+    again = {
+        address for address, how in reached.items() if how is not Reach.OPEN
+    }
+    if again:
+        reached.update(_connect(again))
+    return reached
 
 
-def _refused(addresses: set[str]) -> set[str]:
+def _connect(addresses: set[str]) -> dict[str, Reach]:
     pending: dict[int, tuple[socket.socket, str]] = {}
-    refused = set()
+    reached = {}
     poller = select.poll()
     for address in addresses:
         host, _, port = address.rpartition(":")
@@ -89,7 +104,7 @@
         sock.setblocking(False)
         code = sock.connect_ex((host, int(port)))
         if code not in (0, errno.EINPROGRESS):
-            refused.add(address)
+            reached[address] = _reach_of(code)
             sock.close()
             continue
         pending[sock.fileno()] = (sock, address)
@@ -104,10 +119,16 @@
         for number, _ in ready:
             sock, address = pending.pop(number)
             poller.unregister(number)
-            if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                refused.add(address)
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            reached[address] = _reach_of(code)
             sock.close()
     for sock, address in pending.values():
-        refused.add(address)
+        reached[address] = Reach.SILENT
         sock.close()
-    return refused
+    return reached
+
+
+def _reach_of(code: int) -> Reach:
+    if not code:
+        return Reach.OPEN
+    return Reach.REFUSED if code == errno.ECONNREFUSED else Reach.SILENT
--- a/src/briarfall/gateway/following.py
+++ b/src/briarfall/gateway/following.py
@@ -83,8 +83,10 @@
         # Lifetime of the reader that the revision belongs to.
         self._lifetime = 0
         self._revision = -1
-        # Reads of the source in a row that failed.
+        # Reads of the source in a row that failed, and the time on the boot
+        # clock before which it is not tried again.
         self._failures = 0
+        self._next_read_s = 0.0
 
     def set_bound(self, bound_s: float) -> None:
         """Changes the time after which a leaving target gets no work."""
@@ -94,17 +96,21 @@
         """Refreshes the table once and waits until the next round."""
         started_s = clocks.boot_s()
         share = _DIRECT_SHARE
-        if self._ask_readers() or not self.read():
+        if self._is_backing_off(started_s):
+            self._ask(self._peers.informed(1))
+            share = _ASK_SHARE
+        elif self._ask_readers() or not self.read():
             share = _ASK_SHARE
         self._pool.close_idle()
-        if self._failures:
-            self.stopped.wait(workers.backoff_s(self._failures))
-            return
         left_s = self._bound_s * share - (clocks.boot_s() - started_s)
-        oldest_s = self._bound_s * _REFRESH_SHARE
-        left_s = min(left_s, oldest_s - self._table.age_s())
+        if not self._failures:
+            oldest_s = self._bound_s * _REFRESH_SHARE
+            left_s = min(left_s, oldest_s - self._table.age_s())
         self.stopped.wait(max(_MIN_PAUSE_S, left_s))
 
+    def _is_backing_off(self, now_s: float) -> bool:
+        return bool(self._failures) and now_s < self._next_read_s
+
     def read(self) -> bool:
         """Reads the list from its source, or else learns it from peers.
 
@@ -119,6 +125,9 @@
                 logging.warning("targets not read: %s", exc)
             self._peers.reaches_store = False
             self._failures += 1
+            self._next_read_s = clocks.boot_s() + workers.backoff_s(
+                self._failures, self._peers.zone_count()
+            )
             if not self._ask(self._peers.informed(_MAX_ASKED)):
                 self._table.lose_source()
             return False
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -82,7 +82,10 @@
         self.targets = targets.TargetTable()
         self.peers = peers.PeerTable(cfg.instance, cfg.zone)
         self.follower = catalogue.CatalogueFollower(
-            platform.catalogue, cfg.key_ttl_s, self._is_reader
+            platform.catalogue,
+            cfg.key_ttl_s,
+            self._is_reader,
+            self.peers.zone_count,
         )
         self.lease = leasing.Lease(platform.lease, cfg.instance)
         self.gossip = gossip.Gossip(
--- a/src/briarfall/gateway/peers.py
+++ b/src/briarfall/gateway/peers.py
@@ -135,6 +135,10 @@
         rows.sort(key=lambda peer: peer.zone != self._zone)
         return rows[:count]
 
+    def zone_count(self) -> int:
+        """Returns the living instances of the zone, this one included."""
+        return 1 + sum(1 for peer in self.alive() if peer.zone == self._zone)
+
     def rank(self) -> int:
         """Returns how many living peers come before this instance."""
         own = _rank(self._instance)
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -85,7 +85,8 @@
                 self._note_refusal(target, exc)
             except exchange.BrokenExchangeError as exc:
                 # A target that lost one response still serves the others.
-                if evidence.is_unreachable(target.entry.address):
+                reach = evidence.reach(target.entry.address)
+                if reach is not evidence.Reach.OPEN:
                     self._targets.note_failure(target, exc.message)
                 self._allow_repeat(call, exc)
             except exchange.TimeUpError as exc:
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -227,10 +227,20 @@
         head: paths.Part,
         exc: exchange.BrokenExchangeError,
     ) -> None:
-        """Tells a dead head from one that only lost a response."""
-        target = self._targets.get(head.target)
-        if target is None or not evidence.unreachable([head]):
+        """Tells an ended head from one that lost a response or a link."""
+        reach = evidence.reach(head.address)
+        if reach is evidence.Reach.REFUSED:
+            self._note_crash(stream, head)
+        else:
+            # It may live, and counts towards the route's attempts.
             stream.heads.add(head.target)
+        if reach is not evidence.Reach.OPEN:
+            self._fail(stream, head.target, exc.message)
+
+    def _note_crash(self, stream: streamstate.Stream, head: paths.Part) -> None:
+        stream.heads.discard(head.target)
+        target = self._targets.get(head.target)
+        if target is None:
             return
         self._crashes.note(
             crashes.Crash(
@@ -239,8 +249,6 @@
                 target.entry.started_ms,
             )
         )
-        stream.heads.discard(head.target)
-        self._fail(stream, head.target, exc.message)
 
     def _run(self, stream: streamstate.Stream, chain: paths.Chain) -> None:
         """Runs a stream on one chain until it ends or breaks."""
--- a/src/briarfall/gateway/workers.py
+++ b/src/briarfall/gateway/workers.py
@@ -7,15 +7,23 @@
 
 # Pause after an unexpected error, so that it does not fill the logs.
 _ERROR_PAUSE_S = 0.25
-# Pauses after reads of a source that failed: every call has a price, and a
-# source that comes back is noticed within a second.
+# Pauses after reads of a source that failed. Together the instances of a
+# zone notice a source that comes back within a fraction of a second, and tell
+# each other.
 _FIRST_BACKOFF_S = 0.15
 _MAX_BACKOFF_S = 1.0
+_BACKOFF_S_PER_INSTANCE = 0.1
 
 
-def backoff_s(failures: int) -> float:
-    """Returns the pause after some failures in a row."""
-    return min(_MAX_BACKOFF_S, _FIRST_BACKOFF_S * 2 ** (failures - 1))
+def backoff_s(failures: int, instances: int = 1) -> float:
+    """Returns the pause after some failures in a row.
+
+    Args:
+        failures: Failures in a row.
+        instances: Instances that try as well.
+    """
+    longest_s = max(_MAX_BACKOFF_S, instances * _BACKOFF_S_PER_INSTANCE)
+    return min(longest_s, _FIRST_BACKOFF_S * 2 ** min(failures - 1, 10))
 
 
 class Worker(threading.Thread, abc.ABC):
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -561,12 +561,12 @@
         self, listener, jumping_clock
     ):
         address = "{}:{}".format(*listener.getsockname())
-        assert not evidence.is_unreachable(address)
+        assert evidence.reach(address) is evidence.Reach.OPEN
 
     def test_closed_port_is_dead(self, listener):
         address = "{}:{}".format(*listener.getsockname())
         listener.close()
-        assert evidence.is_unreachable(address)
+        assert evidence.reach(address) is evidence.Reach.REFUSED
 
     def test_bytes_that_came_meanwhile_are_seen(self, listener, jumping_clock):
         address = "{}:{}".format(*listener.getsockname())
