--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from briarfall.gateway import evidence
 from briarfall.standins.prepared import services
 from tests import preparedworld
 
@@ -248,6 +249,19 @@
         ran = [engine for engine in engines if engine.ran]
         assert len(ran) <= 2
 
+    def test_head_behind_a_bad_link_still_counts_as_a_run(
+        self, world, monkeypatch
+    ):
+        engines, inst = self._start(world, 8, kind="large")
+        for engine in engines:
+            engine.breaks_after = 2
+        monkeypatch.setattr(
+            evidence, "reach", lambda address: evidence.Reach.SILENT
+        )
+        answer = self._draft(inst)
+        assert answer.error is not None
+        assert len([engine for engine in engines if engine.ran]) <= 2
+
     def test_lost_answer_does_not_block_the_engine(self, world):
         engines, inst = self._start(world, 4)
         for engine in engines:
