--- a/src/briarfall/gateway/callers.py
+++ b/src/briarfall/gateway/callers.py
@@ -119,11 +119,6 @@
         self._http.receive_data(data)
         return bool(data)
 
-    @property
-    def is_http_1_0(self) -> bool:
-        """Whether the caller speaks HTTP/1.0."""
-        return self._http.their_http_version == b"1.0"
-
     def send_head(self, status: int, headers: messages.Headers) -> None:
         """Sends the head of the answer."""
         fields = list(headers)
--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -63,7 +63,6 @@
         self.is_lost = False
         self.view: views.CatalogueView | None = None
         self.raw = b""
-        self.first_view = threading.Event()
         self._listeners: list[collections.abc.Callable[[], None]] = []
 
     @property
@@ -184,7 +183,6 @@
             return
         self.view = view
         self.raw = raw
-        self.first_view.set()
         for listener in self._listeners:
             listener()
         logging.info(
--- a/src/briarfall/gateway/exchange.py
+++ b/src/briarfall/gateway/exchange.py
@@ -289,6 +289,15 @@
         if rest:
             self._http.receive_data(rest)
 
+    def read_body(self, deadline_s: float) -> bytes:
+        """Returns the whole body after a response head."""
+        chunks = []
+        while True:
+            event = self.read_event(deadline_s)
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(chunks)
+            chunks.append(bytes(event.data))
+
     def finish(self, head: messages.ResponseHead) -> bool:
         """Makes the connection ready for another request, if it can be."""
         if self._http.their_state is not h11.DONE:
@@ -413,16 +422,11 @@
         ]
         conn.send(method.encode(), path.encode(), fields, body, deadline_s)
         head = conn.read_head(deadline_s, lambda head: True)
-        chunks = []
-        while True:
-            event = conn.read_event(deadline_s)
-            if isinstance(event, h11.EndOfMessage):
-                break
-            chunks.append(bytes(event.data))
+        data = conn.read_body(deadline_s)
         is_done = conn.finish(head)
     finally:
         if is_done:
             pool.put(conn)
         else:
             conn.close()
-    return head, b"".join(chunks)
+    return head, data
--- a/src/briarfall/gateway/front.py
+++ b/src/briarfall/gateway/front.py
@@ -22,8 +22,6 @@
 _STALE_RETRY_S = 0.5
 # Another instance takes the request at once.
 _MOVE_RETRY_S = 0.05
-# Callers honour a Retry-After up to this part of the time they have left.
-_RETRY_AFTER_SHARE = 0.3
 _IDLE_POLL_S = 0.5
 # Share of the requests that went well which are logged.
 _SUCCESS_SAMPLE = 0.1
--- a/src/briarfall/gateway/placer.py
+++ b/src/briarfall/gateway/placer.py
@@ -23,7 +23,6 @@
 # Candidates for a lapsed lease wait so long for each other.
 _TURN_S = 0.25
 _MAX_TURN_S = 6.0
-_STORE_TIMEOUT_S = 1.0
 _ORDER_TIMEOUT_S = 0.5
 # At the first start engines register over some hundred milliseconds; a plan
 # for all of them is better than one for each as it comes.
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -313,12 +313,7 @@
         response: messages.ResponseHead,
     ) -> None:
         """Passes an engine's own failure on."""
-        chunks = []
-        while True:
-            event = conn.read_event(stream.call.deadline_s)
-            if isinstance(event, h11.EndOfMessage):
-                break
-            chunks.append(bytes(event.data))
+        body = conn.read_body(stream.call.deadline_s)
         if stream.has_begun:
             raise exchange.BrokenExchangeError(
                 f"{conn.address}: resumed with status {response.status}",
@@ -327,7 +322,7 @@
         stream.call.conn.answer(
             response.status,
             messages.end_to_end(response.headers),
-            b"".join(chunks),
+            body,
         )
 
     def _relay_events(
--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -11,7 +11,6 @@
 
 _LENGTH = struct.Struct(">I")
 _POSITIONS = struct.Struct(">QQ")
-_PAGE_KEYS = 500
 # The store answers within milliseconds and closes idle connections late; an
 # idle one that went silent is found by the timeout of the call.
 _MAX_IDLE_S = 3.0
