Keep connections after refusals; events from zero; HEAD; count store calls

Cause: the body of a refusal was left unread, so every 503 of a target cost a new connection; event number 0 was taken for one the caller had already; a body for HEAD raised in the HTTP library. Each has a test that failed.

--- a/src/briarfall/gateway/callers.py
+++ b/src/briarfall/gateway/callers.py
@@ -42,6 +42,8 @@
         self.closes = False
         self.has_answered = False
         self.head_sent_s = 0.0
+        # Answers to HEAD have the headers of a body, and none.
+        self._is_head = False
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
@@ -79,6 +81,7 @@
                 continue
             if isinstance(event, h11.Request):
                 head = event
+                self._is_head = event.method == b"HEAD"
                 # The body may take as long as the caller may stay idle.
                 deadline_s = clocks.boot_s() + self.limits.idle_timeout_s
                 if self._http.they_are_waiting_for_100_continue:
@@ -133,7 +136,8 @@
 
     def send_data(self, data: bytes) -> None:
         """Sends a part of the body."""
-        self._send(h11.Data(data=data))
+        if not self._is_head:
+            self._send(h11.Data(data=data))
 
     def end(self) -> None:
         """Ends the answer as complete."""
@@ -145,9 +149,9 @@
         """Sends a whole answer with one write."""
         fields = []
         for key, value in headers:
-            if key.lower() != b"content-length":
+            if self._is_head or key.lower() != b"content-length":
                 fields.append((key, value))
-        if status not in (204, 304):
+        if status not in (204, 304) and not self._is_head:
             fields.append((b"Content-Length", str(len(body)).encode()))
         if self.closes:
             fields.append((b"Connection", b"close"))
@@ -156,7 +160,7 @@
         data = self._http.send(
             h11.Response(status_code=status, headers=fields, reason=b"")
         )
-        if body:
+        if body and not self._is_head:
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
         self._write(data)
--- a/src/briarfall/gateway/calls.py
+++ b/src/briarfall/gateway/calls.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from briarfall import exceptions
+from briarfall import ids
 from briarfall.gateway import callers
 from briarfall.gateway import clocks
 from briarfall.gateway import exchange
@@ -14,6 +15,8 @@
 # The answer must reach the caller before it stops waiting.
 _ANSWER_MARGIN_S = 0.02
 _DEFAULT_TIME_S = 30.0
+# The body of a refusal is short and follows its head at once.
+_DRAIN_S = 0.02
 
 
 class Call(msgspec.Struct):
@@ -131,8 +134,21 @@
     return fields
 
 
-def is_refusal(
-    head: messages.ResponseHead, header_names: names.HeaderNames
-) -> bool:
-    """Whether a response says that the target did not run the request."""
-    return head.status == 421 or head.header(header_names.not_run) is not None
+def raise_if_refused(
+    conn: exchange.TargetConnection,
+    head: messages.ResponseHead,
+    header_names: names.HeaderNames,
+    target_id: ids.TargetId,
+    deadline_s: float,
+) -> None:
+    """Raises if a response says that the target did not run the request.
+
+    The rest of a refusal is read, so that its connection can be kept.
+
+    Raises:
+        RefusedByTargetError: The target did not run it.
+    """
+    if head.status != 421 and head.header(header_names.not_run) is None:
+        return
+    conn.drain(min(deadline_s, clocks.boot_s() + _DRAIN_S))
+    raise RefusedByTargetError(f"{target_id}: status {head.status}", head)
--- a/src/briarfall/gateway/events.py
+++ b/src/briarfall/gateway/events.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from briarfall import exceptions
+
 _ID = re.compile(rb"^id:[ \t]*(\d+)[ \t]*\r?$", re.MULTILINE)
 _END = re.compile(rb"\r?\n\r?\n")
 
@@ -20,6 +22,47 @@
     data: bytes
 
 
+class EventGapError(exceptions.TargetError):
+    """An event is missing between two that arrived."""
+
+    code = "event_gap"
+
+
+class EventSequence:
+    """Joins the events of several runs into one stream without a seam.
+
+    Args:
+        last_id: Number of the last event that the caller has, or None.
+    """
+
+    def __init__(self, last_id: int | None = None):
+        self.last_id = last_id
+
+    def take(self, ready: list[Event]) -> bytes:
+        """Returns the bytes of the events that are next in order.
+
+        Events that the caller has already are left out.
+
+        Raises:
+            EventGapError: An event is missing.
+        """
+        kept = []
+        for event in ready:
+            if event.id is not None and not self._is_next(event.id):
+                continue
+            kept.append(event.data)
+        return b"".join(kept)
+
+    def _is_next(self, number: int) -> bool:
+        last = self.last_id
+        if last is not None and number <= last:
+            return False
+        if last is not None and number != last + 1:
+            raise EventGapError(f"event {number} follows {last}")
+        self.last_id = number
+        return True
+
+
 class EventSplitter:
     """Collects bytes and returns the events that are whole."""
 
--- a/src/briarfall/gateway/exchange.py
+++ b/src/briarfall/gateway/exchange.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 
+from absl import logging
 import h11
 
 from briarfall import exceptions
@@ -298,6 +299,17 @@
                 return b"".join(chunks)
             chunks.append(bytes(event.data))
 
+    def drain(self, deadline_s: float) -> None:
+        """Reads the rest of a response that nobody needs, if it comes soon.
+
+        Raises:
+            CallerGoneError: The caller has left.
+        """
+        try:
+            self.read_body(deadline_s)
+        except (BrokenExchangeError, TimeUpError) as exc:
+            logging.debug("response not read to its end: %s", exc)
+
     def finish(self, head: messages.ResponseHead) -> bool:
         """Makes the connection ready for another request, if it can be."""
         if self._http.their_state is not h11.DONE:
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -1,5 +1,6 @@
 """One gateway instance: its parts, its start and its stop."""
 
+import collections.abc
 import random
 import socket
 import threading
@@ -27,6 +28,7 @@
 from briarfall.gateway import sources
 from briarfall.gateway import stopping
 from briarfall.gateway import streams
+from briarfall.gateway import summary
 from briarfall.gateway import targets
 from briarfall.gateway import views
 
@@ -45,6 +47,7 @@
         lease: Lease for placing layers.
         instances: Where instances announce themselves.
         engines: Orders to engines.
+        store_calls: Calls to the platform's store.
     """
 
     header_names: names.HeaderNames
@@ -54,6 +57,7 @@
     lease: sources.LeaseSource
     instances: sources.InstanceSource
     engines: sources.EngineControl
+    store_calls: summary.CallCounts
 
 
 class Instance:
@@ -154,7 +158,19 @@
             self.metrics,
             rng,
         )
-        self._add_gauges()
+        gauges = self._gauges()
+        for name, (text, read) in gauges.items():
+            self.metrics.add_gauge(f"briarfall_{name}", text, read)
+        self.metrics.add_counts(
+            "briarfall_store_calls",
+            "Calls to the platform's store.",
+            "call",
+            platform.store_calls.all,
+        )
+        self._summary = summary.SummaryLogger(
+            {name: read for name, (_, read) in gauges.items()},
+            platform.store_calls,
+        )
         self._caller_listener = listener.Listener(
             cfg.caller.host,
             cfg.caller.port,
@@ -193,6 +209,7 @@
         self.target_follower.start()
         self.gossip.start()
         self.placer.start()
+        self._summary.start()
         logging.info(
             "started instance=%s zone=%s", self._cfg.instance, self._cfg.zone
         )
@@ -214,10 +231,10 @@
         while self._caller_listener.open_connections and self.stop.left_s > 0:
             pause.wait(_POLL_S)
         logging.info(
-            "stopped instance=%s open=%d left_s=%.1f",
+            "stopped instance=%s left_s=%.1f %s",
             self._cfg.instance,
-            self._caller_listener.open_connections,
             self.stop.left_s,
+            self._summary.describe(),
         )
 
     def reload(self, cfg: config.GatewaySettings) -> None:
@@ -240,6 +257,7 @@
         self.follower.stop()
         self.target_follower.stop()
         self.placer.stop()
+        self._summary.stop()
         self.gossip.close()
 
     def _serve_status(self, sock: socket.socket) -> None:
@@ -258,43 +276,38 @@
         finally:
             conn.close()
 
-    def _add_gauges(self) -> None:
-        gauges = [
-            (
-                "briarfall_catalogue_age_seconds",
+    def _gauges(
+        self,
+    ) -> dict[str, tuple[str, collections.abc.Callable[[], float]]]:
+        """Returns text and reader of each gauge, by name."""
+        return {
+            "catalogue_age_seconds": (
                 "Age of the read that confirmed the catalogue.",
                 lambda: self.follower.age_s,
             ),
-            (
-                "briarfall_catalogue_version",
+            "catalogue_version": (
                 "Version of the catalogue in force.",
                 lambda: (
                     self.follower.view.version if self.follower.view else -1
                 ),
             ),
-            (
-                "briarfall_targets_age_seconds",
+            "targets_age_seconds": (
                 "Age of the list of targets.",
                 self.targets.age_s,
             ),
-            (
-                "briarfall_instances",
+            "instances": (
                 "Living instances, this one included.",
                 lambda: self.peers.instance_count,
             ),
-            (
-                "briarfall_lease_held",
+            "lease_held": (
                 "Whether this instance places layers.",
                 lambda: float(self.lease.is_held),
             ),
-            (
-                "briarfall_open_connections",
+            "open_connections": (
                 "Connections of callers.",
                 lambda: self._caller_listener.open_connections,
             ),
-        ]
-        for name, text, read in gauges:
-            self.metrics.add_gauge(name, text, read)
+        }
 
     def _status(self, path: str):
         if path == METRICS_PATH:
--- a/src/briarfall/gateway/metrics.py
+++ b/src/briarfall/gateway/metrics.py
@@ -39,6 +39,7 @@
         self._counters: dict[str, _Family] = {}
         self._histograms: dict[str, _Family] = {}
         self._gauges: dict[str, tuple[str, collections.abc.Callable]] = {}
+        self._outside: dict[str, tuple[str, str, collections.abc.Callable]] = {}
         self._add_counter(
             "briarfall_requests", "Requests.", ("route", "kind", "outcome")
         )
@@ -72,6 +73,16 @@
         """Adds a gauge whose value is read when it is scraped."""
         self._gauges[name] = (text, read)
 
+    def add_counts(
+        self,
+        name: str,
+        text: str,
+        label: str,
+        read: collections.abc.Callable[[], dict[str, int]],
+    ) -> None:
+        """Adds counters that are kept elsewhere, by the value of a label."""
+        self._outside[name] = (text, label, read)
+
     def count(self, name: str, *labels: str) -> None:
         """Raises a counter by one."""
         with self._lock:
@@ -110,6 +121,11 @@
                 for labels, row in family.histograms.items():
                     rows.add_metric(labels, _cumulative(row), row.total)
                 yield rows
+        for name, (text, label, read) in self._outside.items():
+            rows = core.CounterMetricFamily(name, text, labels=(label,))
+            for value, count in read().items():
+                rows.add_metric((value,), count)
+            yield rows
         for name, (text, read) in self._gauges.items():
             yield core.GaugeMetricFamily(name, text, value=read())
 
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -158,10 +158,9 @@
                 self._patience_s(call),
                 lambda head: call.is_own(self._names.request_id, head),
             )
-            if calls.is_refusal(head, self._names):
-                raise calls.RefusedByTargetError(
-                    f"{target.id}: status {head.status}", head
-                )
+            calls.raise_if_refused(
+                conn, head, self._names, target.id, call.deadline_s
+            )
             self._relay(call, conn, head)
             self._targets.note_success(target)
         finally:
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -85,7 +85,7 @@
         stream = streamstate.Stream(call, self._demand(call))
         last = call.req.header(self._names.last_event)
         if last is not None and last.isdigit():
-            stream.last_id = int(last)
+            stream.sequence.last_id = int(last)
         request = crashes.fingerprint(call)
         while True:
             if self._crashes.is_harmful(request):
@@ -209,9 +209,9 @@
         call.was_cut = True
         call.runs += 1
         logging.warning(
-            "stream broken request=%s last_event=%d sends=%d age_ms=%d: %s",
+            "stream broken request=%s last_event=%s sends=%d age_ms=%d: %s",
             call.request_id,
-            stream.last_id,
+            stream.sequence.last_id,
             call.sends,
             call.age_s * 1000,
             exc,
@@ -277,10 +277,9 @@
                 call.deadline_s,
                 lambda head: call.is_own(self._names.request_id, head),
             )
-            if calls.is_refusal(response, self._names):
-                raise calls.RefusedByTargetError(
-                    f"{head.target}: status {response.status}", response
-                )
+            calls.raise_if_refused(
+                conn, response, self._names, head.target, call.deadline_s
+            )
             if response.is_success:
                 self._relay_events(stream, run, response)
             else:
@@ -301,8 +300,9 @@
     ) -> messages.Headers:
         parts = [(part.address, part.layers) for part in chain.parts]
         extra = [(self._names.chain, self._engines.chain(parts))]
-        if stream.last_id:
-            number = str(stream.last_id).encode()
+        last_id = stream.sequence.last_id
+        if last_id is not None:
+            number = str(last_id).encode()
             extra.append((self._names.last_event, number))
         return calls.headers_for(stream.call, self._names, target, extra)
 
@@ -379,24 +379,15 @@
         Raises:
             BrokenExchangeError: An event is missing.
         """
-        if not ready:
-            return b""
-        kept = []
-        for event in ready:
-            if event.id is not None:
-                if event.id <= stream.last_id:
-                    continue
-                if stream.last_id and event.id != stream.last_id + 1:
-                    raise exchange.BrokenExchangeError(
-                        f"{run.conn.address}: event {event.id} follows "
-                        f"{stream.last_id}",
-                        saw_response=True,
-                    )
-                stream.last_id = event.id
-            kept.append(event.data)
-        if kept:
+        try:
+            data = stream.sequence.take(ready)
+        except events.EventGapError as exc:
+            raise exchange.BrokenExchangeError(
+                f"{run.conn.address}: {exc.message}", saw_response=True
+            ) from exc
+        if data:
             self._note_progress(stream, run)
-        return b"".join(kept)
+        return data
 
     def _note_progress(
         self, stream: streamstate.Stream, run: streamstate.Run
@@ -405,11 +396,11 @@
         pause_s = stream.note_event(now_s)
         if stream.has_begun and pause_s > stream.call.route.gap_aim_s:
             logging.info(
-                "stream paused request=%s pause_ms=%d last_event=%d sends=%d "
+                "stream paused request=%s pause_ms=%d last_event=%s sends=%d "
                 "repaths=%d chain=%s",
                 stream.call.request_id,
                 pause_s * 1000,
-                stream.last_id,
+                stream.sequence.last_id,
                 stream.call.sends,
                 run.repaths,
                 run.chain.describe(),
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/streamstate.py
@@ -4,6 +4,7 @@
 
 from briarfall import ids
 from briarfall.gateway import calls
+from briarfall.gateway import events
 from briarfall.gateway import exchange
 from briarfall.gateway import paths
 
@@ -20,7 +21,7 @@
     Attributes:
         call: The request.
         demand: Tokens that it needs.
-        last_id: Number of the last event that the caller has.
+        sequence: The events that the caller has.
         has_begun: Whether the caller has the head of the answer.
         pause_s: Usual pause between events.
         event_s: Time on the boot clock of the last event.
@@ -30,7 +31,9 @@
 
     call: calls.Call
     demand: paths.Demand
-    last_id: int = 0
+    sequence: events.EventSequence = msgspec.field(
+        default_factory=events.EventSequence
+    )
     has_begun: bool = False
     pause_s: float = 0.0
     event_s: float = 0.0
--- a/src/briarfall/platform/engines.py
+++ b/src/briarfall/platform/engines.py
@@ -46,7 +46,7 @@
 
 
 class _Model(msgspec.Struct):
-    layers: topics._Layers | None = None
+    layers: topics.LayersField | None = None
 
 
 class _Report(msgspec.Struct):
@@ -55,7 +55,7 @@
     seq: int = 0
     kv_used: int = 0
     kv_total: int = 0
-    layers: topics._Layers | None = None
+    layers: topics.LayersField | None = None
     models: list[_Model] = []
     stalled: list[_Stalled] = []
 
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -8,6 +8,7 @@
 from briarfall.gateway import exchange
 from briarfall.gateway import instance
 from briarfall.gateway import reloading
+from briarfall.gateway import summary
 from briarfall.platform import engines
 from briarfall.platform import headers
 from briarfall.platform import settings
@@ -23,10 +24,15 @@
     def __init__(self, address: str, pool: exchange.ConnectionPool):
         self.header_names = headers.HEADERS
         self.ready_path = headers.READY_PATH
-        self.catalogue = topics.CatalogueTopic(store.Store(address))
-        self.targets = topics.TargetTopic(store.Store(address))
-        self.lease = topics.LeaseTopic(store.Store(address))
-        self.instances = topics.InstanceTopic(store.Store(address))
+        self.store_calls = summary.CallCounts()
+
+        def client(purpose: str) -> store.Store:
+            return store.Store(address, self.store_calls, purpose)
+
+        self.catalogue = topics.CatalogueTopic(client("catalogue"))
+        self.targets = topics.TargetTopic(client("target"))
+        self.lease = topics.LeaseTopic(client("lease"))
+        self.instances = topics.InstanceTopic(client("instance"))
         self.engines = engines.EngineCalls(pool)
 
 
--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -8,6 +8,7 @@
 
 from briarfall import exceptions
 from briarfall.gateway import exchange
+from briarfall.gateway import summary
 
 _LENGTH = struct.Struct(">I")
 _POSITIONS = struct.Struct(">QQ")
@@ -49,10 +50,14 @@
 
     Args:
         address: IP number and port.
+        counts: Counts the calls.
+        purpose: What the calls are for, as their name in the counts.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, counts: summary.CallCounts, purpose: str):
         self._address = address
+        self._counts = counts
+        self._purpose = purpose
         self._pool = exchange.ConnectionPool()
 
     def newest(self, topic: str, timeout_s: float):
@@ -131,6 +136,8 @@
         timeout_s: float,
     ) -> tuple[int, bytes]:
         path = f"/v1/{name}?{urllib.parse.urlencode(args)}"
+        kind = "write" if method == "POST" else "read"
+        self._counts.note(f"{self._purpose}_{kind}s")
         try:
             head, data = exchange.call(
                 self._pool,
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -55,7 +55,9 @@
         return manifest.parse(raw)
 
 
-class _Layers(msgspec.Struct):
+class LayersField(msgspec.Struct):
+    """A range of layers as entries and reports write it."""
+
     first: int | None = msgspec.field(name="from", default=None)
     # The wire names the end of a range "target".
     end: int | None = msgspec.field(name="target", default=None)
@@ -68,7 +70,7 @@
     state: str
     slots: int = 1
     kind: str = ""
-    layers: _Layers | None = None
+    layers: LayersField | None = None
     seq: int = 0
     # Unix milliseconds of the engine's start.
     born: int = 0
@@ -108,7 +110,7 @@
     )
 
 
-def parse_layers(layers: _Layers | None) -> sources.LayerRange | None:
+def parse_layers(layers: LayersField | None) -> sources.LayerRange | None:
     """Returns a range of layers, or None if it is empty."""
     if layers is None or layers.first is None or layers.end is None:
         return None
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -130,7 +130,7 @@
             conn.answer(421, headers={"X-Instance-Id": self.id})
             return True
         if self.fault is Fault.REFUSE:
-            conn.answer(503, headers={**echo, "X-Not-Executed": "1"})
+            conn.answer(503, b"full", {**echo, "X-Not-Executed": "1"})
             return True
         self.note(req)
         body = b"ran:" + req.body
@@ -150,6 +150,8 @@
         if self.fault is Fault.CUT_BODY:
             conn.send(whole[:-2])
             return False
+        if req.method == "HEAD":
+            whole = whole[: -len(body)]
         conn.send(whole)
         if self.fault is Fault.EXTRA_ANSWER:
             conn.send(whole)
@@ -165,6 +167,7 @@
         layers: First layer and the end, or None.
         is_dark: Whether chains over it stand still.
         breaks_after: Event after which the head resets its stream, or 0.
+        first_event: Number of the first event.
         is_torn: Whether such a reset comes in the middle of an event.
         crashes: Whether it dies as soon as it runs a request.
     """
@@ -177,6 +180,7 @@
         self.orders: list[dict] = []
         self.loses_orders = False
         self.is_dark = False
+        self.first_event = 1
         self.breaks_after = 0
         self.is_torn = False
         self.crashes = False
@@ -271,7 +275,8 @@
             return False
         self.paths[request_id] = path
         conn.begin_chunks(echo)
-        start = int(req.headers.get("last-event-id", "0"))
+        last = req.headers.get("last-event-id", str(self.first_event - 1))
+        start = int(last)
         try:
             return self._make_events(conn, request_id, path, start)
         finally:
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -73,6 +73,30 @@
         assert len(desk.ran) == 5
         assert desk.server.opened == 1
 
+    def test_refusal_keeps_the_target_connection(self, world):
+        desk = world.service("d1")
+        desk.fault = services.Fault.REFUSE
+        inst = world.instance()
+        for number in range(4):
+            answer = preparedworld.call(
+                inst, "/views/x", request_id=f"r{number}"
+            )
+            assert answer.status == 503
+        assert desk.ran == []
+        assert desk.server.opened == 1
+
+    @pytest.mark.parametrize("path", ["/views/x", "/unknown/x"])
+    def test_head_request_is_answered_without_a_body(self, world, path):
+        desk = world.service("d1")
+        inst = world.instance()
+        for number in range(2):
+            answer = preparedworld.call(
+                inst, path, method="HEAD", request_id=f"r{number}"
+            )
+            assert answer.status == (200 if path == "/views/x" else 404)
+            assert answer.body == b""
+        assert [row.method for row in desk.ran] in ([], ["HEAD", "HEAD"])
+
 
 class TestAtMostOnce:
     @pytest.mark.parametrize(
@@ -238,6 +262,23 @@
         assert answer.error is None
         assert preparedworld.event_ids(answer.body) == list(range(1, 13))
 
+    def test_events_may_count_from_zero(self, world):
+        engines, inst = self._start(world, 6)
+        for engine in engines:
+            engine.first_event = 0
+            engine.breaks_after = 1
+        heads = [e for e in engines if e.layers[0] == 0]
+        for engine in heads[1:]:
+            engine.breaks_after = 0
+        answer = self._draft(inst)
+        assert answer.error is None
+        assert preparedworld.event_ids(answer.body) == list(range(0, 13))
+
+    def test_caller_resumes_after_an_event_of_its_own(self, world):
+        engines, inst = self._start(world)
+        answer = self._draft(inst, Last_Event_Id="7")
+        assert preparedworld.event_ids(answer.body) == list(range(8, 13))
+
     def test_lost_answers_do_not_run_it_on_more_engines_than_allowed(
         self, world
     ):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 from briarfall import exceptions
 from briarfall.gateway import reloading
 from briarfall.gateway import sources
+from briarfall.gateway import summary
 from briarfall.gateway import views
 from briarfall.platform import headers
 from briarfall.platform import manifest
@@ -202,7 +203,10 @@
     @pytest.fixture
     def scene(self):
         with preparedworld.world() as scene:
-            yield scene, store.Store(scene.store.address)
+            yield (
+                scene,
+                store.Store(scene.store.address, summary.CallCounts(), "test"),
+            )
 
     def test_lost_answer_of_an_append_is_a_typed_error(self, scene):
         world, client = scene
