--- a/src/briarfall/gateway/exchange.py
+++ b/src/briarfall/gateway/exchange.py
@@ -3,7 +3,6 @@
 import collections.abc
 import select
 import socket
-import threading
 
 from absl import logging
 import h11
@@ -19,7 +18,6 @@
 _DEFAULT_IDLE_S = 4.0
 # Margin to the target's own idle timeout, against a close that crosses.
 _IDLE_MARGIN_S = 1.0
-_MAX_IDLE_PER_TARGET = 8
 _MAX_FOREIGN_RESPONSES = 4
 
 
@@ -129,10 +127,19 @@
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock.settimeout(None)
 
+    @property
+    def idle_s(self) -> float:
+        """Seconds since its last response was finished."""
+        return clocks.boot_s() - self.idle_since_s
+
+    @property
+    def has_lapsed(self) -> bool:
+        """Whether its target may close it at any moment."""
+        return self.idle_s > self.keep_s - _IDLE_MARGIN_S
+
     def is_usable(self, max_idle_s: float) -> bool:
         """Whether a kept connection may carry another request."""
-        idle_s = clocks.boot_s() - self.idle_since_s
-        if idle_s > min(max_idle_s, self.keep_s - _IDLE_MARGIN_S):
+        if self.has_lapsed or self.idle_s > max_idle_s:
             return False
         poller = select.poll()
         poller.register(self.sock, select.POLLIN | select.POLLRDHUP)
@@ -332,113 +339,3 @@
             self.sock.close()
         except OSError:
             pass
-
-
-class ConnectionPool:
-    """Idle connections to targets, newest first."""
-
-    def __init__(self):
-        self._lock = threading.Lock()
-        self._idle: dict[str, list[TargetConnection]] = {}
-        self.opened = 0
-
-    def take(
-        self, address: str, max_idle_s: float, timeout_s: float
-    ) -> TargetConnection:
-        """Returns a kept connection, or a new one.
-
-        Args:
-            address: IP number and port.
-            max_idle_s: Longest idle time of a kept connection; 0 opens one.
-            timeout_s: Bound on opening a connection.
-
-        Raises:
-            NotSentError: The target can't be reached.
-        """
-        while max_idle_s > 0:
-            with self._lock:
-                rows = self._idle.get(address)
-                conn = rows.pop() if rows else None
-            if conn is None:
-                break
-            if conn.is_usable(max_idle_s):
-                return conn
-            conn.close()
-        self.opened += 1
-        return TargetConnection(address, min(timeout_s, CONNECT_TIMEOUT_S))
-
-    def put(self, conn: TargetConnection) -> None:
-        """Keeps a finished connection."""
-        with self._lock:
-            rows = self._idle.setdefault(conn.address, [])
-            rows.append(conn)
-            surplus = rows.pop(0) if len(rows) > _MAX_IDLE_PER_TARGET else None
-        if surplus is not None:
-            surplus.close()
-
-    def close_idle(self) -> None:
-        """Closes connections that have been idle too long to be used."""
-        now_s = clocks.boot_s()
-        stale = []
-        with self._lock:
-            for address, rows in list(self._idle.items()):
-                kept = []
-                for conn in rows:
-                    limit_s = conn.keep_s - _IDLE_MARGIN_S
-                    if now_s - conn.idle_since_s > limit_s:
-                        stale.append(conn)
-                        continue
-                    kept.append(conn)
-                if kept:
-                    self._idle[address] = kept
-                else:
-                    del self._idle[address]
-        for conn in stale:
-            conn.close()
-
-    def drop(self, address: str) -> None:
-        """Closes the idle connections to a target that has gone."""
-        with self._lock:
-            rows = self._idle.pop(address, [])
-        for conn in rows:
-            conn.close()
-
-
-def call(
-    pool: ConnectionPool,
-    address: str,
-    method: str,
-    path: str,
-    body: bytes,
-    timeout_s: float,
-    *,
-    headers: messages.Headers = (),
-    max_idle_s: float = 2.0,
-) -> tuple[messages.ResponseHead, bytes]:
-    """Makes one call of our own and returns the whole response.
-
-    Raises:
-        NotSentError: The target can't be reached.
-        BrokenExchangeError: The call may have been executed.
-        TimeUpError: No answer in time; the call may have been executed.
-    """
-    deadline_s = clocks.boot_s() + timeout_s
-    conn = pool.take(address, max_idle_s, timeout_s)
-    is_done = False
-    try:
-        conn.watch(None)
-        fields = [
-            (b"Host", address.encode()),
-            (b"Content-Length", str(len(body)).encode()),
-            *headers,
-        ]
-        conn.send(method.encode(), path.encode(), fields, body, deadline_s)
-        head = conn.read_head(deadline_s, lambda head: True)
-        data = conn.read_body(deadline_s)
-        is_done = conn.finish(head)
-    finally:
-        if is_done:
-            pool.put(conn)
-        else:
-            conn.close()
-    return head, data
--- a/src/briarfall/gateway/following.py
+++ b/src/briarfall/gateway/following.py
@@ -7,7 +7,7 @@
 from briarfall import exceptions
 from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
-from briarfall.gateway import exchange
+from briarfall.gateway import connections
 from briarfall.gateway import peermessages
 from briarfall.gateway import peers
 from briarfall.gateway import sources
@@ -67,7 +67,7 @@
         source: sources.TargetSource,
         table: targets.TargetTable,
         follower: catalogue.CatalogueFollower,
-        pool: exchange.ConnectionPool,
+        pool: connections.ConnectionPool,
         peer_table: peers.PeerTable,
         link: PeerLink,
         bound_s: float,
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -11,6 +11,7 @@
 from briarfall.gateway import callers
 from briarfall.gateway import catalogue
 from briarfall.gateway import config
+from briarfall.gateway import connections
 from briarfall.gateway import crashes
 from briarfall.gateway import exchange
 from briarfall.gateway import following
@@ -73,7 +74,7 @@
         self,
         cfg: config.GatewaySettings,
         platform: Platform,
-        pool: exchange.ConnectionPool,
+        pool: connections.ConnectionPool,
     ):
         rng = random.Random()
         self.stop = stopping.PlannedStop(cfg.drain_grace_s)
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -10,6 +10,7 @@
 from briarfall.gateway import budgets
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
+from briarfall.gateway import connections
 from briarfall.gateway import evidence
 from briarfall.gateway import exchange
 from briarfall.gateway import loads
@@ -41,7 +42,7 @@
         zone: ids.ZoneId,
         table: targets.TargetTable,
         load_table: loads.LoadTable,
-        pool: exchange.ConnectionPool,
+        pool: connections.ConnectionPool,
         budget: budgets.RetryBudget,
         rng: random.Random,
     ):
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -8,6 +8,7 @@
 from briarfall.gateway import budgets
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
+from briarfall.gateway import connections
 from briarfall.gateway import crashes
 from briarfall.gateway import events
 from briarfall.gateway import evidence
@@ -57,7 +58,7 @@
         load_table: loads.LoadTable,
         finder: paths.PathFinder,
         engines: sources.EngineControl,
-        pool: exchange.ConnectionPool,
+        pool: connections.ConnectionPool,
         budget: budgets.RetryBudget,
         counters: metrics.Metrics,
         crash_table: crashes.CrashTable,
--- a/src/briarfall/platform/engines.py
+++ b/src/briarfall/platform/engines.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from briarfall import exceptions
-from briarfall.gateway import exchange
+from briarfall.gateway import connections
 from briarfall.gateway import sources
 from briarfall.platform import headers
 from briarfall.platform import topics
@@ -63,7 +63,7 @@
 class EngineCalls(sources.EngineControl):
     """Orders and reports over HTTP."""
 
-    def __init__(self, pool: exchange.ConnectionPool):
+    def __init__(self, pool: connections.ConnectionPool):
         self._pool = pool
 
     def place(
@@ -100,7 +100,7 @@
 
     def report(self, address: str, timeout_s: float) -> sources.EngineReport:
         """Returns an engine's report."""
-        head, body = exchange.call(
+        head, body = connections.call(
             self._pool, address, "GET", _REPORT_PATH, b"", timeout_s
         )
         if head.status != 200:
@@ -132,7 +132,7 @@
     ) -> tuple[int, bytes]:
         body = msgspec.json.encode(order)
         fields = [(b"Content-Type", b"application/json"), *extra]
-        head, data = exchange.call(
+        head, data = connections.call(
             self._pool,
             address,
             "POST",
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -5,7 +5,7 @@
 import signal
 
 from briarfall import logs
-from briarfall.gateway import exchange
+from briarfall.gateway import connections
 from briarfall.gateway import instance
 from briarfall.gateway import reloading
 from briarfall.gateway import summary
@@ -21,7 +21,7 @@
 class StorePlatform(instance.Platform):
     """The prepared platform: its store, its engines, its names."""
 
-    def __init__(self, address: str, pool: exchange.ConnectionPool):
+    def __init__(self, address: str, pool: connections.ConnectionPool):
         self.header_names = headers.HEADERS
         self.ready_path = headers.READY_PATH
         self.store_calls = summary.CallCounts()
@@ -41,7 +41,7 @@
     path = os.environ[_SETTINGS_VARIABLE]
     cfg = settings.parse(pathlib.Path(path).read_bytes())
     logs.configure_bounded(cfg.instance)
-    pool = exchange.ConnectionPool()
+    pool = connections.ConnectionPool()
     program = instance.Instance(
         cfg, StorePlatform(cfg.store_address, pool), pool
     )
--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from briarfall import exceptions
-from briarfall.gateway import exchange
+from briarfall.gateway import connections
 from briarfall.gateway import summary
 
 _LENGTH = struct.Struct(">I")
@@ -58,7 +58,7 @@
         self._address = address
         self._counts = counts
         self._purpose = purpose
-        self._pool = exchange.ConnectionPool()
+        self._pool = connections.ConnectionPool()
 
     def newest(self, topic: str, timeout_s: float):
         """Returns the newest record of each key and the topic's end."""
@@ -139,7 +139,7 @@
         kind = "write" if method == "POST" else "read"
         self._counts.note(f"{self._purpose}_{kind}s")
         try:
-            head, data = exchange.call(
+            head, data = connections.call(
                 self._pool,
                 self._address,
                 method,
--- a/tests/preparedworld.py
+++ b/tests/preparedworld.py
@@ -8,7 +8,7 @@
 from briarfall import ids
 from briarfall import settings
 from briarfall.gateway import config
-from briarfall.gateway import exchange
+from briarfall.gateway import connections
 from briarfall.gateway import instance
 from briarfall.platform import main
 from briarfall.standins.prepared import manifests
@@ -117,7 +117,7 @@
             retry_slack=100.0,
             **extra,
         )
-        pool = exchange.ConnectionPool()
+        pool = connections.ConnectionPool()
         inst = instance.Instance(
             cfg, main.StorePlatform(cfg.store_address, pool), pool
         )
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -15,6 +15,7 @@
 from briarfall.gateway import budgets
 from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
+from briarfall.gateway import connections
 from briarfall.gateway import crashes
 from briarfall.gateway import events
 from briarfall.gateway import evidence
@@ -822,7 +823,7 @@
             source,
             table,
             follower,
-            exchange.ConnectionPool(),
+            connections.ConnectionPool(),
             members,
             link,
             self.BOUND_S,
