--- /dev/null
+++ b/src/briarfall/gateway/diagnosis.py
@@ -0,0 +1,102 @@
+"""What a failed send of a stream says about the engines of its chain."""
+
+from absl import logging
+
+from briarfall import ids
+from briarfall.gateway import calls
+from briarfall.gateway import crashes
+from briarfall.gateway import evidence
+from briarfall.gateway import exchange
+from briarfall.gateway import names
+from briarfall.gateway import paths
+from briarfall.gateway import streamstate
+from briarfall.gateway import targets
+
+# An engine that was short of memory is left out by new chains this long.
+_FULL_BLOCK_S = 0.15
+
+
+class StreamDiagnosis:
+    """Draws conclusions from failed sends of streams.
+
+    Args:
+        header_names: Header names of the platform.
+        table: Targets.
+        crash_table: Requests that crashed their targets.
+    """
+
+    def __init__(
+        self,
+        header_names: names.HeaderNames,
+        table: targets.TargetTable,
+        crash_table: crashes.CrashTable,
+    ):
+        self._names = header_names
+        self._targets = table
+        self._crashes = crash_table
+
+    def note_failure(
+        self, stream: streamstate.Stream, target_id: ids.TargetId, reason: str
+    ) -> None:
+        """Takes an engine out of a stream, and out of new ones for a while."""
+        stream.excluded.add(target_id)
+        target = self._targets.get(target_id)
+        if target is not None:
+            self._targets.note_failure(target, reason)
+
+    def note_refusal(
+        self,
+        stream: streamstate.Stream,
+        chain: paths.Chain,
+        exc: calls.RefusedByTargetError,
+    ) -> None:
+        """Blocks the engine that a refusal names."""
+        address = exc.head.header(self._names.faulty_target)
+        named = None
+        if address is not None:
+            named = self._targets.at(address.decode("latin-1"))
+        target_id = named.id if named is not None else chain.head.target
+        logging.info(
+            "stream refused request=%s status=%d target=%s age_ms=%d",
+            stream.call.request_id,
+            exc.head.status,
+            target_id,
+            stream.call.age_s * 1000,
+        )
+        target = self._targets.get(target_id)
+        if target is None:
+            stream.excluded.add(target_id)
+            return
+        if exc.head.status == 421:
+            self.note_failure(stream, target_id, "does not hold its layers")
+            return
+        self._targets.block(target, _FULL_BLOCK_S)
+
+    def note_broken_head(
+        self,
+        stream: streamstate.Stream,
+        head: paths.Part,
+        exc: exchange.BrokenExchangeError,
+    ) -> None:
+        """Tells an ended head from one that lost a response or a link."""
+        reach = evidence.reach(head.address)
+        if reach is evidence.Reach.REFUSED:
+            self._note_crash(stream, head)
+        else:
+            # It may live, and counts towards the route's attempts.
+            stream.heads.add(head.target)
+        if reach is not evidence.Reach.OPEN:
+            self.note_failure(stream, head.target, exc.message)
+
+    def _note_crash(self, stream: streamstate.Stream, head: paths.Part) -> None:
+        stream.heads.discard(head.target)
+        target = self._targets.get(head.target)
+        if target is None:
+            return
+        self._crashes.note(
+            crashes.Crash(
+                crashes.fingerprint(stream.call),
+                head.target,
+                target.entry.started_ms,
+            )
+        )
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -4,14 +4,13 @@
 import h11
 
 from briarfall import exceptions
-from briarfall import ids
 from briarfall.gateway import budgets
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
 from briarfall.gateway import connections
 from briarfall.gateway import crashes
+from briarfall.gateway import diagnosis
 from briarfall.gateway import events
-from briarfall.gateway import evidence
 from briarfall.gateway import exchange
 from briarfall.gateway import loads
 from briarfall.gateway import mending
@@ -25,8 +24,6 @@
 
 _IDLE_S = 30.0
 _MAX_SENDS = 6
-# An engine that was short of memory is left out by new chains this long.
-_FULL_BLOCK_S = 0.15
 _FIRST_SILENCE_S = 0.15
 _MAX_SILENCE_CHECKS = 8
 # Interval at which a request waits for room on the engines.
@@ -72,6 +69,9 @@
         self._engines = engines
         self._pool = pool
         self._budget = budget
+        self._diagnosis = diagnosis.StreamDiagnosis(
+            header_names, table, crash_table
+        )
         self._mender = mending.StreamMender(
             table, load_table, finder, engines, counters
         )
@@ -101,9 +101,11 @@
                 self._run(stream, chain)
                 return
             except exchange.NotSentError as exc:
-                self._fail(stream, chain.head.target, exc.message)
+                self._diagnosis.note_failure(
+                    stream, chain.head.target, exc.message
+                )
             except calls.RefusedByTargetError as exc:
-                self._note_refusal(stream, chain, exc)
+                self._diagnosis.note_refusal(stream, chain, exc)
             except (
                 exchange.BrokenExchangeError,
                 exchange.TimeUpError,
@@ -163,42 +165,6 @@
             retry_after_s=_RETRY_AFTER_S,
         )
 
-    def _fail(
-        self, stream: streamstate.Stream, target_id: ids.TargetId, reason: str
-    ) -> None:
-        stream.excluded.add(target_id)
-        target = self._targets.get(target_id)
-        if target is not None:
-            self._targets.note_failure(target, reason)
-
-    def _note_refusal(
-        self,
-        stream: streamstate.Stream,
-        chain: paths.Chain,
-        exc: calls.RefusedByTargetError,
-    ) -> None:
-        """Blocks the engine that a refusal names."""
-        address = exc.head.header(self._names.faulty_target)
-        named = None
-        if address is not None:
-            named = self._targets.at(address.decode("latin-1"))
-        target_id = named.id if named is not None else chain.head.target
-        logging.info(
-            "stream refused request=%s status=%d target=%s age_ms=%d",
-            stream.call.request_id,
-            exc.head.status,
-            target_id,
-            stream.call.age_s * 1000,
-        )
-        target = self._targets.get(target_id)
-        if target is None:
-            stream.excluded.add(target_id)
-            return
-        if exc.head.status == 421:
-            self._fail(stream, target_id, "does not hold its layers")
-            return
-        self._targets.block(target, _FULL_BLOCK_S)
-
     def _note_break(
         self,
         stream: streamstate.Stream,
@@ -218,39 +184,10 @@
             exc,
         )
         if isinstance(exc, exchange.BrokenExchangeError):
-            self._note_head(stream, chain.head, exc)
+            self._diagnosis.note_broken_head(stream, chain.head, exc)
         if not call.route.is_repeatable or call.left_s <= 0:
             raise exc
 
-    def _note_head(
-        self,
-        stream: streamstate.Stream,
-        head: paths.Part,
-        exc: exchange.BrokenExchangeError,
-    ) -> None:
-        """Tells an ended head from one that lost a response or a link."""
-        reach = evidence.reach(head.address)
-        if reach is evidence.Reach.REFUSED:
-            self._note_crash(stream, head)
-        else:
-            # It may live, and counts towards the route's attempts.
-            stream.heads.add(head.target)
-        if reach is not evidence.Reach.OPEN:
-            self._fail(stream, head.target, exc.message)
-
-    def _note_crash(self, stream: streamstate.Stream, head: paths.Part) -> None:
-        stream.heads.discard(head.target)
-        target = self._targets.get(head.target)
-        if target is None:
-            return
-        self._crashes.note(
-            crashes.Crash(
-                crashes.fingerprint(stream.call),
-                head.target,
-                target.entry.started_ms,
-            )
-        )
-
     def _run(self, stream: streamstate.Stream, chain: paths.Chain) -> None:
         """Runs a stream on one chain until it ends or breaks."""
         call = stream.call
