Sum reported loads by what changed

Cause: each of some 120 statuses a second summed the reports of all other instances anew: 0.54 to 0.66 ms with 101 reports of 15 rows, 79 ms a second of an instance that has 84.

--- a/src/briarfall/gateway/loads.py
+++ b/src/briarfall/gateway/loads.py
@@ -36,7 +36,7 @@
         self._lock = threading.Lock()
         self._own: dict[ids.TargetId, Load] = {}
         self._reports: dict[ids.InstanceId, _Report] = {}
-        self._total: dict[ids.TargetId, Load] = {}
+        # Sum of all reports, changed by what a report changes.
         self._others: dict[ids.TargetId, Load] = {}
 
     def reserve(
@@ -76,8 +76,11 @@
     ) -> None:
         """Replaces the report of another instance."""
         with self._lock:
+            known = self._reports.get(instance)
+            if known is not None:
+                self._subtract(known.loads)
             self._reports[instance] = _Report(clocks.boot_s(), loads)
-            self._sum_others()
+            self._add(loads)
 
     def expire(self) -> None:
         """Drops reports of instances that have fallen silent."""
@@ -86,16 +89,26 @@
             for instance, report in list(self._reports.items()):
                 if report.received_s < oldest_s:
                     del self._reports[instance]
-            self._sum_others()
-
-    def _sum_others(self) -> None:
-        others: dict[ids.TargetId, Load] = {}
-        for report in self._reports.values():
-            for target, load in report.loads.items():
-                total = others.setdefault(target, Load())
-                total.streams += load.streams
-                total.tokens += load.tokens
-        self._others = others
+                    self._subtract(report.loads)
+
+    def _add(self, loads: dict[ids.TargetId, Load]) -> None:
+        for target, load in loads.items():
+            total = self._others.get(target)
+            if total is None:
+                total = self._others[target] = Load()
+            total.streams += load.streams
+            total.tokens += load.tokens
+
+    def _subtract(self, loads: dict[ids.TargetId, Load]) -> None:
+        for target, load in loads.items():
+            total = self._others.get(target)
+            if total is None:
+                # The row was zero.
+                continue
+            total.streams -= load.streams
+            total.tokens -= load.tokens
+            if not total.streams and not total.tokens:
+                del self._others[target]
 
     def of(self, target: ids.TargetId) -> Load:
         """Returns the load on a target over all known instances."""
