Let the strongest instances read the store for their zone

Cause: the reader of a zone was chosen by hash alone; on the grown sites most instances have 0.084 cores and 14 Mbit/s, a few 0.5 cores and 200 Mbit/s, and the reader answers 34 others.

--- a/src/briarfall/gateway/config.py
+++ b/src/briarfall/gateway/config.py
@@ -17,6 +17,7 @@
         status: Listener for the balancer's questions and metrics.
         peer: Listener for other instances, TCP and UDP.
         store_address: IP number and port of the platform's store.
+        cores: Processor cores that the instance may use.
         beat_s: Interval at which targets renew their entries.
         key_ttl_s: Age of the catalogue after which no key is accepted, or
             0 if keys need no confirmation.
@@ -35,6 +36,7 @@
     status: settings.Listener
     peer: settings.Listener
     store_address: str
+    cores: float = 1.0
     beat_s: float = 1.2
     key_ttl_s: float = 5.0
     catalogue_bound_s: float = 2.0
@@ -56,6 +58,7 @@
     if not cfg.zone:
         raise exceptions.SettingsError("zone is empty")
     for name in (
+        "cores",
         "beat_s",
         "catalogue_bound_s",
         "leaving_bound_s",
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -201,7 +201,7 @@
                 self._closed.wait(_ANNOUNCE_RETRY_S)
                 continue
             for record in records:
-                self._peers.add(record.id, record.address, record.zone)
+                self._peers.add(record)
             logging.info("announced peers=%d", len(records) - 1)
             self._wake.set()
             return
@@ -263,6 +263,7 @@
             crashes=self._crashes.told(),
             lease_fence=self._lease.fence,
             lease_left_ms=int(self._lease.left_s * 1000),
+            cores=self._record.cores,
         )
 
     def _send(self, message, address: tuple[str, int]) -> None:
@@ -303,7 +304,11 @@
             box.put(message)
 
     def _take_status(self, status: peermessages.Status) -> None:
-        peer = self._peers.add(status.sender, status.address, status.zone)
+        peer = self._peers.add(
+            sources.InstanceRecord(
+                status.sender, status.address, status.zone, status.cores
+            )
+        )
         if peer is None:
             return
         if status.is_leaving:
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -85,7 +85,7 @@
         self.crashes = crashes.CrashTable()
         self.loads = loads.LoadTable()
         self.targets = targets.TargetTable()
-        self.peers = peers.PeerTable(cfg.instance, cfg.zone)
+        self.peers = peers.PeerTable(cfg.instance, cfg.zone, cfg.cores)
         self.follower = catalogue.CatalogueFollower(
             platform.catalogue,
             cfg.key_ttl_s,
@@ -95,7 +95,10 @@
         self.lease = leasing.Lease(platform.lease, cfg.instance)
         self.gossip = gossip.Gossip(
             sources.InstanceRecord(
-                cfg.instance, f"{cfg.peer.host}:{cfg.peer.port}", cfg.zone
+                cfg.instance,
+                f"{cfg.peer.host}:{cfg.peer.port}",
+                cfg.zone,
+                cfg.cores,
             ),
             platform.instances,
             self.peers,
--- a/src/briarfall/gateway/peermessages.py
+++ b/src/briarfall/gateway/peermessages.py
@@ -42,6 +42,7 @@
         crashes: Requests that crashed targets at it lately.
         lease_fence: Fence of its placement lease, or 0.
         lease_left_ms: How long it holds the lease, or 0.
+        cores: Processor cores that it may use.
     """
 
     sender: ids.InstanceId
@@ -55,6 +56,7 @@
     crashes: list[crashes.Crash]
     lease_fence: int = 0
     lease_left_ms: int = 0
+    cores: float = 1.0
 
 
 class Question(
--- a/src/briarfall/gateway/peers.py
+++ b/src/briarfall/gateway/peers.py
@@ -10,6 +10,7 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
+from briarfall.gateway import sources
 
 # Silence after which an instance counts as gone.
 _ALIVE_S = 2.5
@@ -17,6 +18,9 @@
 _FORGET_S = 60.0
 
 
+_Rank = tuple[float, int]
+
+
 class Peer(msgspec.Struct):
     """Another instance.
 
@@ -24,6 +28,7 @@
         id: Its name.
         address: Host and port for datagrams.
         zone: Its availability zone.
+        cores: Processor cores that it may use.
         found_s: Time on the boot clock at which it was announced.
         heard_s: Time of its last datagram, or 0.
         version: Version of its catalogue.
@@ -33,6 +38,7 @@
     id: ids.InstanceId
     address: tuple[str, int]
     zone: ids.ZoneId
+    cores: float
     found_s: float
     heard_s: float = 0.0
     version: int = -1
@@ -45,33 +51,44 @@
     Args:
         instance: Name of this instance.
         zone: Its availability zone.
+        cores: Processor cores that it may use.
     """
 
-    def __init__(self, instance: ids.InstanceId, zone: ids.ZoneId):
+    def __init__(
+        self, instance: ids.InstanceId, zone: ids.ZoneId, cores: float = 1.0
+    ):
+        self._cores = cores
         self._instance = instance
         self._zone = zone
         self._lock = threading.Lock()
         self._peers: dict[ids.InstanceId, Peer] = {}
         self.reaches_store = True
 
-    def add(
-        self, peer_id: ids.InstanceId, address: str, zone: ids.ZoneId
-    ) -> Peer | None:
+    def add(self, record: sources.InstanceRecord) -> Peer | None:
         """Returns the peer, which is new or may have a new address."""
-        if peer_id == self._instance:
+        if record.id == self._instance:
             return None
-        host, _, port = address.rpartition(":")
+        host, _, port = record.address.rpartition(":")
         if not host or not port.isdigit():
-            logging.warning("peer ignored peer=%s address=%s", peer_id, address)
+            logging.warning(
+                "peer ignored peer=%s address=%s", record.id, record.address
+            )
             return None
         where = (host, int(port))
         with self._lock:
-            peer = self._peers.get(peer_id)
+            peer = self._peers.get(record.id)
             if peer is None:
-                peer = Peer(peer_id, where, zone, clocks.boot_s())
-                self._peers[peer_id] = peer
+                peer = Peer(
+                    record.id,
+                    where,
+                    record.zone,
+                    record.cores,
+                    clocks.boot_s(),
+                )
+                self._peers[record.id] = peer
             peer.address = where
-            peer.zone = zone
+            peer.zone = record.zone
+            peer.cores = record.cores
             return peer
 
     def remove(self, peer_id: ids.InstanceId) -> None:
@@ -108,15 +125,16 @@
     def readers(self, count: int) -> list[Peer | None]:
         """Returns the zone's readers of the store, best first.
 
-        Rendezvous hashing gives instances with the same members the same
-        answer; None stands for this instance.
+        The strongest come first, as they answer many others; hashes decide
+        between equals. Instances with the same members get the same answer;
+        None stands for this instance.
         """
-        ranked: list[tuple[int, Peer | None]] = []
+        ranked: list[tuple[_Rank, Peer | None]] = []
         if self.reaches_store:
-            ranked.append((_rank(self._instance), None))
+            ranked.append((_rank(self._instance, self._cores), None))
         for peer in self.alive():
             if peer.zone == self._zone and peer.reaches_store:
-                ranked.append((_rank(peer.id), peer))
+                ranked.append((_rank(peer.id, peer.cores), peer))
         ranked.sort(key=lambda row: row[0])
         return [peer for _, peer in ranked[:count]]
 
@@ -141,9 +159,12 @@
 
     def rank(self) -> int:
         """Returns how many living peers come before this instance."""
-        own = _rank(self._instance)
-        return sum(1 for peer in self.alive() if _rank(peer.id) < own)
+        own = _rank(self._instance, self._cores)
+        before = 0
+        for peer in self.alive():
+            before += _rank(peer.id, peer.cores) < own
+        return before
 
 
-def _rank(instance: ids.InstanceId) -> int:
-    return xxhash.xxh64_intdigest(instance.encode())
+def _rank(instance: ids.InstanceId, cores: float) -> _Rank:
+    return -cores, xxhash.xxh64_intdigest(instance.encode())
--- a/src/briarfall/gateway/sources.py
+++ b/src/briarfall/gateway/sources.py
@@ -175,11 +175,19 @@
 
 
 class InstanceRecord(msgspec.Struct, frozen=True):
-    """An instance as it announces itself to the others."""
+    """An instance as it announces itself to the others.
+
+    Attributes:
+        id: Its name.
+        address: Host and port for datagrams.
+        zone: Its availability zone.
+        cores: Processor cores that it may use.
+    """
 
     id: ids.InstanceId
     address: str
     zone: ids.ZoneId
+    cores: float = 1.0
 
 
 class InstanceSource(abc.ABC):
--- a/src/briarfall/platform/settings.py
+++ b/src/briarfall/platform/settings.py
@@ -27,6 +27,12 @@
     stall_ms: float = 3000
 
 
+class _Limits(msgspec.Struct):
+    cpu_share: float = 1.0
+    # Speed of the core, not their number.
+    cores: float = 1.0
+
+
 class _Store(msgspec.Struct):
     address: str
 
@@ -41,6 +47,7 @@
     port_range: tuple[int, int]
     heartbeat_ms: float = 1200
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def parse(data: bytes) -> config.GatewaySettings:
@@ -67,6 +74,7 @@
         status=_listener("listen.ready", ready),
         peer=settings.Listener(raw.ip, raw.port_range[0]),
         store_address=raw.platform.address,
+        cores=raw.limits.cpu_share * raw.limits.cores,
         beat_s=raw.heartbeat_ms / 1000,
         key_ttl_s=bounds.revoke_ms / 1000 if bounds.strict_revoke else 0.0,
         catalogue_bound_s=bounds.config_ms / 1000,
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -82,6 +82,13 @@
     )
 
 
+def record(name, cores=1.0):
+    """Returns how an instance announces itself."""
+    return sources.InstanceRecord(
+        ids.InstanceId(name), "10.0.0.1:7000", ids.ZoneId("z"), cores
+    )
+
+
 def target(target_id, **extra):
     return targets.Target(entry(target_id, **extra), 0.0)
 
@@ -705,7 +712,7 @@
         for name in ("i1", "i2", "i3", "i4"):
             members = peers.PeerTable(name, "z")
             for other in ("i1", "i2", "i3", "i4"):
-                peer = members.add(other, "10.0.0.1:7000", "z")
+                peer = members.add(record(other))
                 if peer is not None:
                     peer.heard_s = clock.now_s + 100
             lease = leasing.Lease(_LeaseStandin(), name)
@@ -738,7 +745,7 @@
             tables[name] = peers.PeerTable(name, "z")
         for name, table in tables.items():
             for other in tables:
-                peer = table.add(other, "10.0.0.1:7000", "z")
+                peer = table.add(record(other))
                 if peer is not None:
                     peer.heard_s = clock.now_s
                     peer.reaches_store = True
@@ -750,9 +757,21 @@
             chosen.add(name if reader is None else reader.id)
         assert len(chosen) == 1
 
+    def test_strongest_instance_reads_for_the_others(self, clock):
+        cores = {"i1": 0.08, "i2": 0.5, "i3": 0.08, "i4": 0.08}
+        for name, own in cores.items():
+            table = peers.PeerTable(name, "z", own)
+            for other in cores:
+                peer = table.add(record(other, cores[other]))
+                if peer is not None:
+                    peer.heard_s = clock.now_s
+                    peer.reaches_store = True
+            reader = table.readers(1)[0]
+            assert (name if reader is None else reader.id) == "i2"
+
     def test_reader_that_lost_the_store_is_replaced(self, clock):
         table = peers.PeerTable("i1", "z")
-        peer = table.add("i2", "10.0.0.1:7000", "z")
+        peer = table.add(record("i2"))
         peer.heard_s = clock.now_s
         peer.reaches_store = True
         table.reaches_store = False
@@ -867,7 +886,7 @@
         source = _LateTargets(clock)
         members = peers.PeerTable("i1", "z")
         for name in ("i2", "i3", "i4", "i5", "i6", "i7", "i8"):
-            peer = members.add(name, "10.0.0.1:7000", "z")
+            peer = members.add(record(name))
             peer.heard_s = float("inf")
             peer.reaches_store = True
         follower = TestCatalogueFreshness().follower(b"1")
