Encode changes of targets once for all that ask; free the target's connection before the answer

Seen beside load: test_keeps_the_target_connection failed once, because a caller's next request could come before the connection was kept; the connection and the load are now given back before the answer goes out.

--- a/src/briarfall/gateway/following.py
+++ b/src/briarfall/gateway/following.py
@@ -182,20 +182,27 @@
         age_s = answer.targets_age_ms / 1000
         if age_s > self._bound_s * _OLDEST_SHARE:
             return False
-        if answer.is_partial and not self._peers.reaches_store:
+        try:
+            changes = peermessages.decode_changes(answer.changes)
+        except exceptions.PeerError as exc:
+            logging.warning("changes of targets ignored: %s", exc)
+            return False
+        if changes.is_partial and not self._peers.reaches_store:
             return False
-        if answer.is_partial:
+        if changes.is_partial:
             # The whole list comes from its source, changes from the reader.
             self.read()
             self._lifetime = answer.lifetime
-            self._revision = answer.revision
+            self._revision = changes.revision
             return True
         read_s = asked_s - age_s
         if self._table.read_s is not None and read_s < self._table.read_s:
             return True
         self._lifetime = answer.lifetime
-        self._revision = answer.revision
-        self._drop(self._table.update_part(answer.changed, answer.gone, read_s))
+        self._revision = changes.revision
+        self._drop(
+            self._table.update_part(changes.changed, changes.gone, read_s)
+        )
         return True
 
     def _drop(self, gone: list[targets.Target]) -> None:
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -81,6 +81,9 @@
         self._lock = threading.Lock()
         self._numbers = 0
         self._packed: tuple[int, bytes] | None = None
+        # Encoded changes of the target table by the revision asked for.
+        self._changes: dict[int, bytes] = {}
+        self._changes_revision = -1
         self._pending: dict[int, queue.SimpleQueue] = {}
         host, _, port = record.address.rpartition(":")
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -358,21 +361,42 @@
         since = question.revision
         if question.lifetime != self._lifetime:
             since = -1
-        changes = self._targets.changes_since(since)
         view = self._follower.view
-        is_partial = len(changes.changed) > _MAX_CHANGED
         return peermessages.Answer(
             number=question.number,
             lifetime=self._lifetime,
             version=view.version if view else -1,
             catalogue_age_ms=_age_ms(self._follower.confirmed_s),
             targets_age_ms=_age_ms(self._targets.read_s),
-            revision=changes.revision,
-            is_partial=is_partial,
-            changed=[] if is_partial else changes.changed,
-            gone=[] if is_partial else changes.gone,
+            changes=self.packed_changes(since),
         )
 
+    def packed_changes(self, since: int) -> bytes:
+        """Returns the encoded changes of the target table after a revision.
+
+        Most instances of a zone ask for the same changes.
+        """
+        revision = self._targets.revision
+        if self._changes_revision != revision:
+            self._changes_revision = revision
+            self._changes = {}
+        data = self._changes.get(since)
+        if data is not None:
+            return data
+        found = self._targets.changes_since(since)
+        is_partial = len(found.changed) > _MAX_CHANGED
+        data = peermessages.encode(
+            peermessages.TargetChanges(
+                found.revision,
+                is_partial,
+                [] if is_partial else found.changed,
+                [] if is_partial else found.gone,
+            )
+        )
+        if found.revision == revision:
+            self._changes[since] = data
+        return data
+
 
 def _age_ms(confirmed_s: float | None) -> int:
     if confirmed_s is None:
--- a/src/briarfall/gateway/peermessages.py
+++ b/src/briarfall/gateway/peermessages.py
@@ -75,6 +75,22 @@
     revision: int
 
 
+class TargetChanges(msgspec.Struct, array_like=True, frozen=True):
+    """What changed in a reader's target table after some revision.
+
+    Attributes:
+        revision: Revision of the table.
+        is_partial: Whether the changes did not fit into a datagram.
+        changed: Entries that changed.
+        gone: Targets that went.
+    """
+
+    revision: int
+    is_partial: bool
+    changed: list[sources.TargetEntry]
+    gone: list[ids.TargetId]
+
+
 class Answer(
     msgspec.Struct, array_like=True, frozen=True, tag="a", tag_field="type"
 ):
@@ -86,10 +102,7 @@
         version: Version of its catalogue, or -1.
         catalogue_age_ms: Age of the read that confirmed it, or -1.
         targets_age_ms: Age of its target list, or -1.
-        revision: Revision of its target table.
-        is_partial: Whether the changes did not fit into a datagram.
-        changed: Entries that changed after the asked revision.
-        gone: Targets that went after it.
+        changes: Encoded `TargetChanges`; many are asked for the same.
     """
 
     number: int
@@ -97,10 +110,7 @@
     version: int
     catalogue_age_ms: int
     targets_age_ms: int
-    revision: int
-    is_partial: bool
-    changed: list[sources.TargetEntry]
-    gone: list[ids.TargetId]
+    changes: bytes
 
 
 class PartQuestion(
@@ -133,8 +143,8 @@
 Message = Status | Question | Answer | PartQuestion | PartAnswer
 
 
-def encode(message: Message) -> bytes:
-    """Returns the datagram of a message."""
+def encode(message: Message | TargetChanges) -> bytes:
+    """Returns the bytes of a message."""
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
@@ -144,7 +154,20 @@
     Raises:
         PeerError: The datagram can't be read.
     """
+    return _decode(data, Message)
+
+
+def decode_changes(data: bytes) -> TargetChanges:
+    """Returns the changes that an answer carries.
+
+    Raises:
+        PeerError: They can't be read.
+    """
+    return _decode(data, TargetChanges)
+
+
+def _decode(data: bytes, kind):
     try:
-        return msgspec.convert(cbor2.loads(data), type=Message)
+        return msgspec.convert(cbor2.loads(data), type=kind)
     except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as exc:
         raise exceptions.PeerError(f"datagram: {exc}") from exc
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -145,6 +145,7 @@
             entry.address, _ONCE_IDLE_S if is_once else _IDLE_S, call.left_s
         )
         head = None
+        body = None
         self._loads.reserve([target.id], 0)
         try:
             conn.watch(call.watch)
@@ -162,7 +163,7 @@
             calls.raise_if_refused(
                 conn, head, self._names, target.id, call.deadline_s
             )
-            self._relay(call, conn, head)
+            body = self._relay(call, conn, head)
             self._targets.note_success(target)
         finally:
             self._loads.release([target.id], 0)
@@ -170,6 +171,12 @@
                 self._pool.put(conn)
             else:
                 conn.close()
+        # The target and its connection are free before the caller's next
+        # request can come.
+        if body is not None:
+            call.conn.answer(
+                head.status, messages.end_to_end(head.headers), body
+            )
 
     def _patience_s(self, call: calls.Call) -> float:
         """Returns the time on the boot clock until which to wait."""
@@ -187,8 +194,8 @@
         call: calls.Call,
         conn: exchange.TargetConnection,
         head: messages.ResponseHead,
-    ) -> None:
-        """Passes the response on."""
+    ) -> bytes | None:
+        """Returns the body of a response, or passes a long one on."""
         headers = messages.end_to_end(head.headers)
         chunks = []
         size = 0
@@ -208,11 +215,11 @@
                 has_begun = True
         if has_begun:
             call.conn.end()
-            return
+            return None
         if self._should_repeat(call, head):
             call.runs += 1
             raise calls.RefusedByTargetError("failed by its target", head)
-        call.conn.answer(head.status, headers, b"".join(chunks))
+        return b"".join(chunks)
 
     def _should_repeat(
         self, call: calls.Call, head: messages.ResponseHead
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -147,6 +147,11 @@
             self._index()
         return removed
 
+    @property
+    def revision(self) -> int:
+        """Number of changes so far."""
+        return self._revision
+
     def changes_since(self, revision: int) -> Changes:
         """Returns what changed after a revision; -1 asks for all."""
         with self._lock:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -800,14 +800,19 @@
                 1500,
             ),
             peermessages.Question(1, 2, 3),
-            peermessages.Answer(
-                1, 2, 3, 4, 5, 6, False, [entry("a", layers=(0, 8))], ["b"]
-            ),
+            peermessages.Answer(1, 2, 3, 4, 5, b"\x01"),
             peermessages.PartQuestion(1, 0),
             peermessages.PartAnswer(1, 2, 3, b"\x00\xff"),
         ]
         for row in rows:
             assert peermessages.decode(peermessages.encode(row)) == row
+        changes = peermessages.TargetChanges(
+            6, False, [entry("a", layers=(0, 8))], ["b"]
+        )
+        data = peermessages.encode(changes)
+        assert peermessages.decode_changes(data) == changes
+        with pytest.raises(exceptions.PeerError):
+            peermessages.decode_changes(data[:-1])
 
 
 class TestCrashes:
@@ -874,8 +879,14 @@
         if self.is_silent:
             self.clock.now_s += timeout_s
             raise exceptions.PeerError("silent")
+        changes = peermessages.TargetChanges(1, False, [], [])
         return peermessages.Answer(
-            1, 1, 1, 100, int(self.age_s * 1000), 1, False, [], []
+            1,
+            1,
+            1,
+            100,
+            int(self.age_s * 1000),
+            peermessages.encode(changes),
         )
 
 
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -3,6 +3,7 @@
 import pytest
 
 from briarfall.gateway import evidence
+from briarfall.gateway import peermessages
 from briarfall.standins.prepared import services
 from tests import preparedworld
 
@@ -422,6 +423,31 @@
                 # It has not read the store since.
                 assert inst.follower._position == position
 
+    def test_changes_are_encoded_once_for_all_that_ask(
+        self, world, monkeypatch
+    ):
+        for number in range(8):
+            world.engine(f"e{number}")
+        inst = world.instance()
+        world.wait_for_layers()
+        counted = []
+        since = inst.targets.changes_since
+
+        def count(revision):
+            counted.append(revision)
+            return since(revision)
+
+        monkeypatch.setattr(inst.targets, "changes_since", count)
+        found = set()
+        for _ in range(40):
+            found.add(inst.gossip.packed_changes(-1))
+        assert len(counted) <= 2
+        newest = max(
+            map(peermessages.decode_changes, found),
+            key=lambda changes: changes.revision,
+        )
+        assert len(newest.changed) == 8
+
     def test_forgotten_history_is_read_from_the_newest(self, world):
         world.service("d1")
         inst = world.instance()
