--- a/src/briarfall/gateway/following.py
+++ b/src/briarfall/gateway/following.py
@@ -162,6 +162,8 @@
                     self._revision,
                     self._bound_s * _ASK_TIMEOUT_SHARE,
                 )
+                # Its status may still tell an older one.
+                peer.version = max(peer.version, answer.version)
                 if self._follower.needs_peer:
                     self._follower.take_from_peer(
                         self._link.fetch_catalogue(peer, _FETCH_TIMEOUT_S)
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -37,7 +37,10 @@
 _ZIP_LEVEL = 1
 # Entries that fit into one datagram of an answer.
 _MAX_CHANGED = 120
-_FETCH_TIMEOUT_S = 0.5
+# Patience with a peer for each part of its catalogue.
+_FETCH_TIMEOUT_S = 0.25
+# Peers that are asked for a catalogue before the source is.
+_FETCH_TRIES = 3
 _STORE_TIMEOUT_S = 1.0
 _ANNOUNCE_RETRY_S = 1.0
 
@@ -137,7 +140,8 @@
         """Returns a catalogue of at least some version from any peer.
 
         Peers of the zone that have it are asked at random, so that a new
-        version spreads without a load on the one that read it first.
+        version spreads without a load on the one that read it first; strong
+        ones are asked more often.
 
         Raises:
             PeerError: No peer handed it over.
@@ -145,9 +149,19 @@
         rows = [row for row in self._peers.alive() if row.version >= version]
         near = [row for row in rows if row.zone == self._record.zone]
         rows = near or rows
-        if not rows:
-            raise exceptions.PeerError(f"no peer has version {version}")
-        return self.fetch_catalogue(random.choice(rows), _FETCH_TIMEOUT_S)
+        failure = exceptions.PeerError(f"no peer has version {version}")
+        for _ in range(_FETCH_TRIES):
+            if not rows:
+                break
+            weights = [row.cores for row in rows]
+            peer = random.choices(rows, weights)[0]
+            rows.remove(peer)
+            try:
+                return self.fetch_catalogue(peer, _FETCH_TIMEOUT_S)
+            except exceptions.PeerError as exc:
+                logging.info("catalogue not fetched: %s", exc)
+                failure = exc
+        raise failure
 
     def fetch_catalogue(self, peer: peers.Peer, timeout_s: float) -> bytes:
         """Returns the catalogue of a peer in the platform's format.
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -893,6 +893,15 @@
 class TestTargetFollowing:
     BOUND_S = 2.0
 
+    def test_answer_tells_which_version_a_peer_has(self, clock, monkeypatch):
+        link = _OldReader(clock, 0.0)
+        table = targets.TargetTable()
+        worker, _ = self.follow(clock, monkeypatch, link, table)
+        worker.read()
+        worker.step()
+        asked = worker._peers.all()[0]
+        assert asked.version == 1
+
     def follow(self, clock, monkeypatch, link, table):
         source = _LateTargets(clock)
         members = peers.PeerTable("i1", "z")
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from briarfall import exceptions
 from briarfall.gateway import evidence
 from briarfall.gateway import peermessages
 from briarfall.standins.prepared import services
@@ -423,6 +424,32 @@
                 # It has not read the store since.
                 assert inst.follower._position == position
 
+    def test_another_peer_is_asked_where_one_does_not_hand_over(
+        self, world, monkeypatch
+    ):
+        world.service("d1")
+        rows = [world.instance(f"i{number}") for number in range(3)]
+        asking = rows[0].gossip
+        preparedworld.until(
+            lambda: len(rows[0].peers.alive()) == 2, "peers are known"
+        )
+        asked = []
+        fetch = asking.fetch_catalogue
+
+        def fetch_second(peer, timeout_s):
+            asked.append(peer.id)
+            if len(asked) == 1:
+                raise exceptions.PeerError("silent")
+            return fetch(peer, timeout_s)
+
+        monkeypatch.setattr(asking, "fetch_catalogue", fetch_second)
+        preparedworld.until(
+            lambda: all(p.version >= 1 for p in rows[0].peers.alive()),
+            "versions of peers",
+        )
+        assert b'"version"' in asking.fetch_version(1)
+        assert len(set(asked)) == 2
+
     def test_changes_are_encoded_once_for_all_that_ask(
         self, world, monkeypatch
     ):
