Judge silent engines against others that answer

Cause: on grown sites a process whose share of the processor is used up gets nothing for up to 100 ms. Ruled out: slow accepting by engines (others got in within 0.4 ms meanwhile). The patience now counts from the first answer of the batch; a chain without a known living engine adds none to it, and if nobody answers nobody is dead. A failed middle engine no longer blocks the head of a stream that had not begun.

--- a/src/briarfall/gateway/diagnosis.py
+++ b/src/briarfall/gateway/diagnosis.py
@@ -7,6 +7,7 @@
 from briarfall.gateway import crashes
 from briarfall.gateway import evidence
 from briarfall.gateway import exchange
+from briarfall.gateway import mending
 from briarfall.gateway import names
 from briarfall.gateway import paths
 from briarfall.gateway import streamstate
@@ -79,6 +80,12 @@
         exc: exchange.BrokenExchangeError,
     ) -> None:
         """Tells an ended head from one that lost a response or a link."""
+        if isinstance(exc, mending.SilentEngineError):
+            if exc.engine == head and exc.reach is evidence.Reach.REFUSED:
+                self._note_crash(stream, head)
+            else:
+                stream.heads.add(head.target)
+            return
         reach = evidence.reach(head.address)
         if reach is evidence.Reach.REFUSED:
             self._note_crash(stream, head)
--- a/src/briarfall/gateway/evidence.py
+++ b/src/briarfall/gateway/evidence.py
@@ -11,8 +11,12 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import paths
 
-# A living engine accepts a connection within a few milliseconds.
-_CONNECT_S = 0.02
+# Engines answer an attempt to connect within a few milliseconds of each
+# other; one that is so much later than the first is dead.
+_BEHIND_S = 0.02
+# Until the first answer the fault may be here: a process whose share of the
+# processor is used up gets nothing for up to a tenth of a second.
+_NO_ANSWER_S = 0.2
 # An event proves that its engines worked up to about this long before.
 _TRANSIT_S = 0.03
 
@@ -42,18 +46,34 @@
                     silent.append(part)
             return silent
 
-    def find_dead(self, parts: list[paths.Part]) -> list[paths.Part]:
-        """Returns engines that do not accept a connection at once.
+    def find_dead(
+        self, chain: paths.Chain, suspects: list[paths.Part]
+    ) -> dict[paths.Part, "Reach"]:
+        """Returns suspects that accept no connection though others do.
 
-        Those that do count as seen at work, so that streams which fall
+        Those that answer count as seen at work, so that streams which fall
         silent together do not all connect to them.
+
+        Args:
+            chain: The chain; an engine that is no suspect shows whether the
+                fault is here.
+            suspects: The engines to look at.
         """
-        dead = unreachable(parts)
+        addresses = {part.address for part in suspects}
+        for part in chain.parts:
+            if part not in suspects:
+                addresses.add(part.address)
+                break
+        reached = _probe(addresses)
         now_s = clocks.boot_s()
+        dead = {}
         with self._lock:
-            for part in parts:
-                if part not in dead:
+            for part in suspects:
+                how = reached[part.address]
+                if how is Reach.OPEN:
                     self._seen_s[part.target] = now_s
+                elif how is not Reach.UNKNOWN:
+                    dead[part] = how
         return dead
 
 
@@ -64,39 +84,76 @@
     # Nothing listens any more: its process has ended.
     REFUSED = "refused"
     SILENT = "silent"
+    # Nothing answered, so that the fault may be at this instance.
+    UNKNOWN = "unknown"
+
 
+class ProbeRound:
+    """Judges attempts to connect that began together.
 
-def unreachable(
-    parts: collections.abc.Iterable[paths.Part],
-) -> list[paths.Part]:
-    """Returns the engines that do not accept a connection at once."""
-    rows = list(parts)
-    reached = _connect_twice({part.address for part in rows})
-    return [part for part in rows if reached[part.address] is not Reach.OPEN]
+    Args:
+        addresses: The addresses.
+        begun_s: Time on the boot clock at which the attempts began.
+    """
+
+    def __init__(
+        self, addresses: collections.abc.Iterable[str], begun_s: float
+    ):
+        self._pending = set(addresses)
+        self._only = len(self._pending) == 1
+        self._until_s = begun_s + _NO_ANSWER_S
+        self._reached: dict[str, Reach] = {}
+
+    @property
+    def until_s(self) -> float:
+        """Time on the boot clock until which to wait for answers."""
+        return self._until_s
+
+    def note(self, address: str, how: Reach, now_s: float) -> None:
+        """Takes in an answer."""
+        if not self._reached:
+            self._until_s = min(self._until_s, now_s + _BEHIND_S)
+        self._pending.discard(address)
+        self._reached[address] = how
+
+    def verdicts(self) -> dict[str, Reach]:
+        """Returns how each address answered until the end."""
+        found = dict(self._reached)
+        missing = Reach.UNKNOWN
+        if found or self._only:
+            missing = Reach.SILENT
+        for address in self._pending:
+            found[address] = missing
+        return found
 
 
 def reach(address: str) -> Reach:
     """Returns how a target answers an attempt to connect."""
-    return _connect_twice({address})[address]
+    return _probe({address})[address]
 
 
-def _connect_twice(addresses: set[str]) -> dict[str, Reach]:
-    """Connects to addresses, once more where that fails.
+def _probe(addresses: set[str]) -> dict[str, Reach]:
+    """Connects to addresses, once more to those that stay silent.
 
     One lost packet must not make a target look dead.
     """
     reached = _connect(addresses)
-    again = {
-        address for address, how in reached.items() if how is not Reach.OPEN
-    }
-    if again:
+    again = set()
+    answered = None
+    for address, how in reached.items():
+        if how is Reach.SILENT:
+            again.add(address)
+        elif how is Reach.OPEN:
+            answered = address
+    if again and answered is not None:
+        again.add(answered)
         reached.update(_connect(again))
     return reached
 
 
 def _connect(addresses: set[str]) -> dict[str, Reach]:
+    probes = ProbeRound(addresses, clocks.boot_s())
     pending: dict[int, tuple[socket.socket, str]] = {}
-    reached = {}
     poller = select.poll()
     for address in addresses:
         host, _, port = address.rpartition(":")
@@ -104,28 +161,26 @@
         sock.setblocking(False)
         code = sock.connect_ex((host, int(port)))
         if code not in (0, errno.EINPROGRESS):
-            reached[address] = _reach_of(code)
+            probes.note(address, _reach_of(code), clocks.boot_s())
             sock.close()
             continue
         pending[sock.fileno()] = (sock, address)
         poller.register(sock, select.POLLOUT)
-    until_s = clocks.boot_s() + _CONNECT_S
     while pending:
         # A process that had no processor for a while still looks once.
-        left_s = max(0.0, until_s - clocks.boot_s())
+        left_s = max(0.0, probes.until_s - clocks.boot_s())
         ready = poller.poll(left_s * 1000)
-        if not ready and clocks.boot_s() >= until_s:
+        if not ready and clocks.boot_s() >= probes.until_s:
             break
         for number, _ in ready:
             sock, address = pending.pop(number)
             poller.unregister(number)
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            reached[address] = _reach_of(code)
+            probes.note(address, _reach_of(code), clocks.boot_s())
             sock.close()
-    for sock, address in pending.values():
-        reached[address] = Reach.SILENT
+    for sock, _ in pending.values():
         sock.close()
-    return reached
+    return probes.verdicts()
 
 
 def _reach_of(code: int) -> Reach:
--- a/src/briarfall/gateway/mending.py
+++ b/src/briarfall/gateway/mending.py
@@ -15,10 +15,28 @@
 
 # Searches by connecting to engines, before the head is asked.
 _CONNECT_CHECKS = 2
-_REPORT_TIMEOUT_S = 0.1
+# Longer than a process without processor time gets nothing.
+_REPORT_TIMEOUT_S = 0.25
 _ORDER_TIMEOUT_S = 0.2
 _MAX_REPATHS = 4
-_NEAR_FAULT_S = 0.5
+
+
+class SilentEngineError(exchange.BrokenExchangeError):
+    """A run is given up because an engine of its chain is silent.
+
+    Attributes:
+        engine: The engine, which new chains avoid already.
+        reach: How it answers an attempt to connect.
+    """
+
+    code = "engine_silent"
+
+    def __init__(
+        self, engine: paths.Part, reach: evidence.Reach, *, saw_response: bool
+    ):
+        super().__init__(f"{engine.address}: silent", saw_response=saw_response)
+        self.engine = engine
+        self.reach = reach
 
 
 class StreamMender:
@@ -65,29 +83,24 @@
             culprit = self._targets.get(part.target)
             if culprit is None:
                 continue
-            if len(dead) == 1:
-                self._targets.note_failure(culprit, "a stream waits for it")
-            else:
-                # Several at once: the fault is more likely near us, and not
-                # for others to hear of.
-                self._targets.block(culprit, _NEAR_FAULT_S)
-        failed = dead[0]
+            self._targets.note_failure(culprit, "a stream waits for it")
+        failed = next(iter(dead))
         if failed is run.chain.head or not stream.has_begun:
-            raise exchange.BrokenExchangeError(
-                f"{failed.address}: silent", saw_response=stream.has_begun
+            raise SilentEngineError(
+                failed, dead[failed], saw_response=stream.has_begun
             )
         self._repath(stream, run, failed.address)
 
     def _find_failed(
         self, stream: streamstate.Stream, run: streamstate.Run
-    ) -> list[paths.Part]:
+    ) -> dict[paths.Part, evidence.Reach]:
         """Returns the engines of a silent stream that have failed."""
         silent_ms = (clocks.boot_s() - stream.event_s) * 1000
         suspects = self._progress.silent_since(run.chain, stream.event_s)
         dead = self._known_dead(suspects, stream.event_s)
         how = "known"
         if not dead and run.checks <= _CONNECT_CHECKS:
-            dead = self._progress.find_dead(suspects)
+            dead = self._progress.find_dead(run.chain, suspects)
             how = "connect"
         elif not dead:
             dead = self._ask_head(stream, run)
@@ -101,7 +114,7 @@
             run.checks,
             how,
             len(suspects),
-            dead[0].target if dead else None,
+            ",".join(part.target for part in dead) or None,
         )
         if dead:
             self._metrics.observe(
@@ -111,27 +124,31 @@
 
     def _known_dead(
         self, suspects: list[paths.Part], event_s: float
-    ) -> list[paths.Part]:
+    ) -> dict[paths.Part, evidence.Reach]:
         """Returns suspects that failed for others after the last event."""
-        found = []
+        found = {}
         for part in suspects:
             target = self._targets.get(part.target)
             if target is None or target.failed_s > event_s:
-                found.append(part)
+                found[part] = evidence.Reach.UNKNOWN
         return found
 
     def _ask_head(
         self, stream: streamstate.Stream, run: streamstate.Run
-    ) -> list[paths.Part]:
+    ) -> dict[paths.Part, evidence.Reach]:
         """Returns the engine that the head says it waits for."""
         head = run.chain.head
         try:
             report = self._engines.report(head.address, _REPORT_TIMEOUT_S)
         except exceptions.BriarfallError as exc:
             logging.warning("head silent target=%s: %s", head.target, exc)
-            return [head]
+            return {head: evidence.Reach.UNKNOWN}
         address = report.stalled.get(stream.call.request_id)
-        return [part for part in run.chain.parts if part.address == address]
+        found = {}
+        for part in run.chain.parts:
+            if part.address == address:
+                found[part] = evidence.Reach.UNKNOWN
+        return found
 
     def _repath(
         self, stream: streamstate.Stream, run: streamstate.Run, address: str
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -629,6 +629,51 @@
         listener.close()
         assert evidence.reach(address) is evidence.Reach.REFUSED
 
+    def test_answers_of_others_tell_a_dead_engine_from_a_stall(self):
+        probes = evidence.ProbeRound(["a", "b", "c"], 10.0)
+        assert probes.until_s >= 10.1
+        probes.note("a", evidence.Reach.OPEN, 10.1)
+        probes.note("b", evidence.Reach.REFUSED, 10.1)
+        assert 10.1 < probes.until_s < 10.15
+        assert probes.verdicts() == {
+            "a": evidence.Reach.OPEN,
+            "b": evidence.Reach.REFUSED,
+            "c": evidence.Reach.SILENT,
+        }
+
+    def test_nothing_is_known_if_nobody_answers(self):
+        probes = evidence.ProbeRound(["a", "b"], 10.0)
+        assert set(probes.verdicts().values()) == {evidence.Reach.UNKNOWN}
+        alone = evidence.ProbeRound(["a"], 10.0)
+        assert alone.verdicts() == {"a": evidence.Reach.SILENT}
+
+    def test_only_the_engine_that_stays_behind_is_dead(self, listener):
+        silent = socket.create_server(("127.0.0.1", 0), backlog=0)
+        fillers = []
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(silent.getsockname())
+            fillers.append(filler)
+        rows = []
+        for number, sock in enumerate((listener, silent)):
+            rows.append(
+                paths.Part(
+                    f"e{number}",
+                    "{}:{}".format(*sock.getsockname()),
+                    "z",
+                    sources.LayerRange(number * 8, number * 8 + 8),
+                )
+            )
+        chain = paths.Chain(tuple(rows), 0.0)
+        progress = evidence.ProgressTable()
+        dead = {rows[1]: evidence.Reach.SILENT}
+        assert progress.find_dead(chain, rows[1:]) == dead
+        assert progress.find_dead(chain, rows) == dead
+        assert progress.find_dead(paths.Chain((rows[0],), 0.0), rows[:1]) == {}
+        for sock in [silent, *fillers]:
+            sock.close()
+
     def test_bytes_that_came_meanwhile_are_seen(self, listener, jumping_clock):
         address = "{}:{}".format(*listener.getsockname())
         conn = exchange.TargetConnection(address, 5.0)
