--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -4,7 +4,6 @@
 import random
 import socket
 import threading
-import time
 import zlib
 
 from absl import logging
@@ -12,6 +11,7 @@
 
 from briarfall import exceptions
 from briarfall import ids
+from briarfall.gateway import answering
 from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
 from briarfall.gateway import crashes
@@ -32,11 +32,6 @@
 # A peer that was announced and is silent may still be starting.
 _SILENT_S = 2.0
 _MAX_DATAGRAM = 65_000
-# Part of a compressed catalogue that one datagram carries.
-_PART_BYTES = 8_000
-_ZIP_LEVEL = 1
-# Entries that fit into one datagram of an answer.
-_MAX_CHANGED = 120
 # Patience with a peer for each part of its catalogue.
 _FETCH_TIMEOUT_S = 0.25
 # Peers that are asked for a catalogue before the source is.
@@ -77,16 +72,12 @@
         self._targets = target_table
         self._follower = follower
         self._lease = lease
-        self._lifetime = time.time_ns() // 1_000_000
+        self._desk = answering.AnswerDesk(target_table, follower)
         self._wake = threading.Event()
         self._closed = threading.Event()
         self._is_leaving = False
         self._lock = threading.Lock()
         self._numbers = 0
-        self._packed: tuple[int, bytes] | None = None
-        # Encoded changes of the target table by the revision asked for.
-        self._changes: dict[int, bytes] = {}
-        self._changes_revision = -1
         self._pending: dict[int, queue.SimpleQueue] = {}
         host, _, port = record.address.rpartition(":")
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -310,10 +301,10 @@
             self._take_status(message)
             return
         if isinstance(message, peermessages.Question):
-            self._send(self._answer(message), address)
+            self._send(self._desk.answer(message), address)
             return
         if isinstance(message, peermessages.PartQuestion):
-            self._send(self._part(message), address)
+            self._send(self._desk.part(message), address)
             return
         with self._lock:
             box = self._pending.get(message.number)
@@ -352,67 +343,3 @@
         view = self._follower.view
         if status.version > (view.version if view else -1):
             self._follower.note_newer(status.version)
-
-    def _part(
-        self, question: peermessages.PartQuestion
-    ) -> peermessages.PartAnswer:
-        view = self._follower.view
-        if view is None:
-            return peermessages.PartAnswer(question.number, -1, 0, b"")
-        if self._packed is None or self._packed[0] != view.version:
-            raw = self._follower.raw
-            self._packed = (view.version, zlib.compress(raw, _ZIP_LEVEL))
-        version, data = self._packed
-        start = question.part * _PART_BYTES
-        return peermessages.PartAnswer(
-            question.number,
-            version,
-            -(-len(data) // _PART_BYTES),
-            data[start : start + _PART_BYTES],
-        )
-
-    def _answer(self, question: peermessages.Question) -> peermessages.Answer:
-        since = question.revision
-        if question.lifetime != self._lifetime:
-            since = -1
-        view = self._follower.view
-        return peermessages.Answer(
-            number=question.number,
-            lifetime=self._lifetime,
-            version=view.version if view else -1,
-            catalogue_age_ms=_age_ms(self._follower.confirmed_s),
-            targets_age_ms=_age_ms(self._targets.read_s),
-            changes=self.packed_changes(since),
-        )
-
-    def packed_changes(self, since: int) -> bytes:
-        """Returns the encoded changes of the target table after a revision.
-
-        Most instances of a zone ask for the same changes.
-        """
-        revision = self._targets.revision
-        if self._changes_revision != revision:
-            self._changes_revision = revision
-            self._changes = {}
-        data = self._changes.get(since)
-        if data is not None:
-            return data
-        found = self._targets.changes_since(since)
-        is_partial = len(found.changed) > _MAX_CHANGED
-        data = peermessages.encode(
-            peermessages.TargetChanges(
-                found.revision,
-                is_partial,
-                [] if is_partial else found.changed,
-                [] if is_partial else found.gone,
-            )
-        )
-        if found.revision == revision:
-            self._changes[since] = data
-        return data
-
-
-def _age_ms(confirmed_s: float | None) -> int:
-    if confirmed_s is None:
-        return -1
-    return int((clocks.boot_s() - confirmed_s) * 1000) + 1
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -3,6 +3,7 @@
 import pytest
 
 from briarfall import exceptions
+from briarfall.gateway import answering
 from briarfall.gateway import evidence
 from briarfall.gateway import peermessages
 from briarfall.standins.prepared import services
@@ -458,6 +459,7 @@
         inst = world.instance()
         world.wait_for_layers()
         counted = []
+        desk = answering.AnswerDesk(inst.targets, inst.follower)
         since = inst.targets.changes_since
 
         def count(revision):
@@ -467,7 +469,7 @@
         monkeypatch.setattr(inst.targets, "changes_since", count)
         found = set()
         for _ in range(40):
-            found.add(inst.gossip.packed_changes(-1))
+            found.add(desk.packed_changes(-1))
         assert len(counted) <= 2
         newest = max(
             map(peermessages.decode_changes, found),
