Put off the search for a dead engine while the process itself is starved

Cause: streams of a process without processor time fall silent together; each then opened four or five connections to engines that were well (508 in 5 s of one trial). An instance hears from others many times a second; if it has heard nothing for 50 ms the silence says nothing about engines.

--- a/src/briarfall/gateway/evidence.py
+++ b/src/briarfall/gateway/evidence.py
@@ -17,10 +17,48 @@
 # Until the first answer the fault may be here: a process whose share of the
 # processor is used up gets nothing for up to a tenth of a second.
 _NO_ANSWER_S = 0.2
+# Time without any datagram or event after which a process may be starved.
+_STARVED_S = 0.05
+# Datagrams and events per second from which such a time is unusual.
+_BUSY_PER_S = 40
 # An event proves that its engines worked up to about this long before.
 _TRANSIT_S = 0.03
 
 
+class Activity:
+    """When this process last received anything.
+
+    An instance hears from others many times a second. If it has received
+    nothing at all for a while, it had no processor or no network itself, and
+    the silence of a stream says nothing about engines.
+    """
+
+    def __init__(self):
+        self._heard_s = 0.0
+        # What was received in the current second and in the one before.
+        self._second = 0
+        self._count = 0
+        self._count_before = 0
+
+    def note(self) -> None:
+        """Notes that something was received."""
+        self._heard_s = clocks.boot_s()
+        second = int(self._heard_s)
+        if second != self._second:
+            is_next = second == self._second + 1
+            self._count_before = self._count if is_next else 0
+            self._second = second
+            self._count = 0
+        self._count += 1
+
+    @property
+    def is_starved(self) -> bool:
+        """Whether nothing was received lately, and much is otherwise."""
+        if max(self._count, self._count_before) < _BUSY_PER_S:
+            return False
+        return clocks.boot_s() - self._heard_s > _STARVED_S
+
+
 class ProgressTable:
     """When each engine was last seen at work by any stream of ours."""
 
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -15,6 +15,7 @@
 from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
 from briarfall.gateway import crashes
+from briarfall.gateway import evidence
 from briarfall.gateway import leasing
 from briarfall.gateway import loads
 from briarfall.gateway import peermessages
@@ -52,6 +53,7 @@
         follower: The catalogue.
         lease: The placement lease.
         crash_table: Requests that crashed their targets.
+        activity: When this process last received anything.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
         follower: catalogue.CatalogueFollower,
         lease: leasing.Lease,
         crash_table: crashes.CrashTable,
+        activity: evidence.Activity,
     ):
+        self._activity = activity
         self._crashes = crash_table
         self._source = source
         self._peers = peer_table
@@ -287,6 +291,7 @@
         while not self._closed.is_set():
             try:
                 data, address = self._sock.recvfrom(_MAX_DATAGRAM)
+                self._activity.note()
                 self._take(peermessages.decode(data), address)
             except (OSError, exceptions.PeerError) as exc:
                 if not self._closed.is_set():
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -13,6 +13,7 @@
 from briarfall.gateway import config
 from briarfall.gateway import connections
 from briarfall.gateway import crashes
+from briarfall.gateway import evidence
 from briarfall.gateway import exchange
 from briarfall.gateway import following
 from briarfall.gateway import front
@@ -83,6 +84,7 @@
         self._pool = pool
         self.metrics = metrics.Metrics()
         self.crashes = crashes.CrashTable()
+        activity = evidence.Activity()
         self.loads = loads.LoadTable()
         self.targets = targets.TargetTable()
         self.peers = peers.PeerTable(cfg.instance, cfg.zone, cfg.cores)
@@ -107,6 +109,7 @@
             self.follower,
             self.lease,
             self.crashes,
+            activity,
         )
         self.follower.add_listener(self.gossip.tell_now)
         self.follower.set_fetcher(self.gossip.fetch_version)
@@ -156,6 +159,7 @@
                 self.budget,
                 self.metrics,
                 self.crashes,
+                activity,
             ),
             self.budget,
             self.stop,
--- a/src/briarfall/gateway/mending.py
+++ b/src/briarfall/gateway/mending.py
@@ -19,6 +19,9 @@
 _REPORT_TIMEOUT_S = 0.25
 _ORDER_TIMEOUT_S = 0.2
 _MAX_REPATHS = 4
+# A process without processor time gets some again within a tenth of a second.
+_POSTPONE_S = 0.03
+_MAX_POSTPONED = 3
 
 
 class SilentEngineError(exchange.BrokenExchangeError):
@@ -48,6 +51,7 @@
         finder: Chooses chains.
         engines: Reports of and orders to engines.
         counters: Metrics.
+        activity: When this process last received anything.
     """
 
     def __init__(
@@ -57,7 +61,9 @@
         finder: paths.PathFinder,
         engines: sources.EngineControl,
         counters: metrics.Metrics,
+        activity: evidence.Activity,
     ):
+        self._activity = activity
         self._targets = table
         self._loads = load_table
         self._finder = finder
@@ -67,12 +73,21 @@
 
     def note_progress(self, chain: paths.Chain, now_s: float) -> None:
         """Notes an event that all engines of a chain had a part in."""
+        self._activity.note()
         self._progress.note(chain, now_s)
         for part in chain.parts:
             target = self._targets.get(part.target)
             if target is not None:
                 target.worked_s = now_s
 
+    def postpones(self, run: streamstate.Run) -> bool:
+        """Puts off a search while this process may be starved itself."""
+        if run.postponed >= _MAX_POSTPONED or not self._activity.is_starved:
+            return False
+        run.postponed += 1
+        run.next_check_s = clocks.boot_s() + _POSTPONE_S
+        return True
+
     def mend(self, stream: streamstate.Stream, run: streamstate.Run) -> None:
         """Finds the engine that the stream waits for, and avoids it."""
         dead = self._find_failed(stream, run)
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -11,6 +11,7 @@
 from briarfall.gateway import crashes
 from briarfall.gateway import diagnosis
 from briarfall.gateway import events
+from briarfall.gateway import evidence
 from briarfall.gateway import exchange
 from briarfall.gateway import loads
 from briarfall.gateway import mending
@@ -47,6 +48,7 @@
         budget: Bound on repeats.
         counters: Metrics.
         crash_table: Requests that crashed their targets.
+        activity: When this process last received anything.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         budget: budgets.RetryBudget,
         counters: metrics.Metrics,
         crash_table: crashes.CrashTable,
+        activity: evidence.Activity,
     ):
         self._metrics = counters
         self._crashes = crash_table
@@ -74,7 +77,7 @@
             header_names, table, crash_table
         )
         self._mender = mending.StreamMender(
-            table, load_table, finder, engines, counters
+            table, load_table, finder, engines, counters, activity
         )
 
     def forward(self, call: calls.Call) -> None:
@@ -348,6 +351,7 @@
             )
         self._mender.note_progress(run.chain, now_s)
         run.checks = 0
+        run.postponed = 0
         run.next_check_s = now_s + stream.silence_s
 
     def _await_bytes(
@@ -361,6 +365,8 @@
                 return
             if clocks.boot_s() >= deadline_s:
                 raise exchange.TimeUpError("the stream is out of time")
+            if self._mender.postpones(run):
+                continue
             run.checks += 1
             wait_s = stream.silence_s * 2 ** min(3, run.checks - 1)
             run.next_check_s = clocks.boot_s() + wait_s
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/streamstate.py
@@ -71,6 +71,7 @@
         conn: Connection to the head.
         checks: Searches for a failed engine since the last event.
         repaths: Changes of the chain.
+        postponed: Searches put off since the last event.
         next_check_s: Time on the boot clock of the next search.
     """
 
@@ -78,4 +79,5 @@
     conn: exchange.TargetConnection
     checks: int = 0
     repaths: int = 0
+    postponed: int = 0
     next_check_s: float = 0.0
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -9,10 +9,14 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import connections
 from briarfall.gateway import crashes
+from briarfall.gateway import evidence
 from briarfall.gateway import loads
+from briarfall.gateway import mending
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
+from briarfall.gateway import paths
 from briarfall.gateway import streams
+from briarfall.gateway import streamstate
 from briarfall.gateway import targets
 from briarfall.gateway import views
 from briarfall.platform import headers
@@ -63,6 +67,7 @@
             budgets.RetryBudget(0.2, 10.0, 100.0, lambda: 1),
             metrics.Metrics(),
             crashes.CrashTable(),
+            evidence.Activity(),
         )
         route = views.Route(
             "drafts",
@@ -102,3 +107,49 @@
     def test_waiting_takes_few_searches(self, clock):
         searches, _, _ = self.refuse(clock)
         assert searches <= 6
+
+
+class TestStarvedProcess:
+    """A process that hears nothing does not suspect engines at once."""
+
+    def mender(self, activity):
+        return mending.StreamMender(
+            targets.TargetTable(),
+            loads.LoadTable(),
+            _FullEngines(),
+            None,
+            metrics.Metrics(),
+            activity,
+        )
+
+    def test_search_is_put_off_while_nothing_is_received(self, clock):
+        activity = evidence.Activity()
+        mender = self.mender(activity)
+        run = streamstate.Run(paths.Chain((), 0.0), None)
+        for _ in range(100):
+            activity.note()
+            clock.now_s += 0.01
+        clock.now_s += 0.08
+        put_off = 0
+        while mender.postpones(run):
+            put_off += 1
+            assert run.next_check_s > clock.now_s
+            clock.now_s = run.next_check_s
+        assert 0 < put_off * 0.03 <= 0.1
+
+    def test_instance_that_hears_little_searches_at_once(self, clock):
+        activity = evidence.Activity()
+        mender = self.mender(activity)
+        run = streamstate.Run(paths.Chain((), 0.0), None)
+        for _ in range(10):
+            activity.note()
+            clock.now_s += 0.1
+        assert not mender.postpones(run)
+
+    def test_search_begins_at_once_if_others_are_heard(self, clock):
+        activity = evidence.Activity()
+        mender = self.mender(activity)
+        run = streamstate.Run(paths.Chain((), 0.0), None)
+        clock.now_s += 0.09
+        activity.note()
+        assert not mender.postpones(run)
