Blame the engine of the chain, not a new one at its address

The address is looked up in the chain now, and a target whose address a newer one has taken over gets no work at all.

--- a/src/briarfall/gateway/diagnosis.py
+++ b/src/briarfall/gateway/diagnosis.py
@@ -52,11 +52,12 @@
         exc: calls.RefusedByTargetError,
     ) -> None:
         """Blocks the engine that a refusal names."""
+        # Another engine may have taken over the address of one that ended.
         address = exc.head.header(self._names.faulty_target)
         named = None
         if address is not None:
-            named = self._targets.at(address.decode("latin-1"))
-        target_id = named.id if named is not None else chain.head.target
+            named = chain.part_at(address.decode("latin-1"))
+        target_id = (named or chain.head).target
         logging.info(
             "stream refused request=%s status=%d target=%s age_ms=%d",
             stream.call.request_id,
--- a/src/briarfall/gateway/mending.py
+++ b/src/briarfall/gateway/mending.py
@@ -207,10 +207,10 @@
             ):
                 self._switch(stream, run, chain)
                 return
-            refusing = self._targets.at(answer.address)
+            refusing = chain.part_at(answer.address)
             if refusing is None:
                 return
-            stream.excluded.add(refusing.id)
+            stream.excluded.add(refusing.target)
 
     def _switch(
         self,
--- a/src/briarfall/gateway/paths.py
+++ b/src/briarfall/gateway/paths.py
@@ -63,6 +63,13 @@
             rows.append(f"{part.target}={part.layers.first}-{part.layers.end}")
         return ",".join(rows)
 
+    def part_at(self, address: str) -> Part | None:
+        """Returns the engine at an address, or None."""
+        for part in self.parts:
+            if part.address == address:
+                return part
+        return None
+
     def target_ids(self) -> list[ids.TargetId]:
         """Returns the ids of all engines."""
         return [part.target for part in self.parts]
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -71,7 +71,8 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._targets: dict[ids.TargetId, Target] = {}
-        self._by_address: dict[str, ids.TargetId] = {}
+        # The target that started last at each address.
+        self._newest_at: dict[str, ids.TargetId] = {}
         self._is_source_lost = False
         self._regained_s = 0.0
         self._revision = 0
@@ -166,9 +167,10 @@
             return Changes(self._revision, changed, gone)
 
     def _index(self) -> None:
-        self._by_address = {
-            target.entry.address: target.id for target in self._targets.values()
-        }
+        rows = sorted(
+            self._targets.values(), key=lambda row: row.entry.started_ms
+        )
+        self._newest_at = {row.entry.address: row.id for row in rows}
 
     def _remove(self, target_id: ids.TargetId) -> None:
         del self._targets[target_id]
@@ -256,16 +258,21 @@
         """Returns a target by id."""
         return self._targets.get(target)
 
-    def at(self, address: str) -> Target | None:
-        """Returns the target at an address."""
-        target = self._by_address.get(address)
-        return self._targets.get(target) if target else None
-
     def of_service(self, service: views.ServiceName) -> list[Target]:
-        """Returns the targets of a service in any state."""
+        """Returns the targets of a service in any state.
+
+        A target whose address a newer one has taken over has ended, though
+        its entry may still be listed.
+        """
+        found = []
         with self._lock:
-            rows = list(self._targets.values())
-        return [row for row in rows if row.entry.service == service]
+            for row in self._targets.values():
+                entry = row.entry
+                if entry.service != service:
+                    continue
+                if self._newest_at.get(entry.address) == entry.id:
+                    found.append(row)
+        return found
 
     def usable(self, service: views.ServiceName) -> list[Target]:
         """Returns targets that take new work; blocked ones if no other do."""
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -1,5 +1,6 @@
 """Streams that find no engines with room."""
 
+import msgspec
 import pytest
 
 from briarfall import exceptions
@@ -9,6 +10,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import connections
 from briarfall.gateway import crashes
+from briarfall.gateway import diagnosis
 from briarfall.gateway import evidence
 from briarfall.gateway import loads
 from briarfall.gateway import mending
@@ -22,6 +24,34 @@
 from briarfall.platform import headers
 from tests import test_gateway_decisions
 
+AIM_S = 0.5
+
+
+def a_call(now_s, watch=None):
+    """Returns a request for a stream."""
+    route = views.Route(
+        "drafts",
+        "shop.example",
+        "/drafts/",
+        views.RouteKind.STREAM,
+        (),
+        timeout_s=20.0,
+        aim_s=AIM_S,
+    )
+    return calls.Call(
+        req=messages.CallerRequest(b"POST", b"/drafts/x", [], b"", now_s),
+        conn=None,
+        watch=watch,
+        request_id="r1",
+        route=route,
+        service=views.Service(
+            ids.EntryName("pool"), model=test_gateway_decisions.MODEL
+        ),
+        account=None,
+        urgency=1,
+        deadline_s=now_s + 20.0,
+    )
+
 
 class _Watch:
     """A caller that waits; the clock moves with it."""
@@ -53,8 +83,6 @@
 
 
 class TestStreamsWithoutRoom:
-    AIM_S = 0.5
-
     def refuse(self, clock):
         finder = _FullEngines()
         forwarder = streams.StreamForwarder(
@@ -69,30 +97,7 @@
             crashes.CrashTable(),
             evidence.Activity(),
         )
-        route = views.Route(
-            "drafts",
-            "shop.example",
-            "/drafts/",
-            views.RouteKind.STREAM,
-            (),
-            timeout_s=20.0,
-            aim_s=self.AIM_S,
-        )
-        call = calls.Call(
-            req=messages.CallerRequest(
-                b"POST", b"/drafts/x", [], b"", clock.now_s
-            ),
-            conn=None,
-            watch=_Watch(clock),
-            request_id="r1",
-            route=route,
-            service=views.Service(
-                ids.EntryName("pool"), model=test_gateway_decisions.MODEL
-            ),
-            account=None,
-            urgency=1,
-            deadline_s=clock.now_s + 20.0,
-        )
+        call = a_call(clock.now_s, watch=_Watch(clock))
         started_s = clock.now_s
         with pytest.raises(exceptions.OverloadError) as caught:
             forwarder.forward(call)
@@ -100,7 +105,7 @@
 
     def test_refusal_comes_while_the_caller_can_still_be_on_time(self, clock):
         _, waited_s, exc = self.refuse(clock)
-        assert 0 < waited_s < self.AIM_S
+        assert 0 < waited_s < AIM_S
         assert exc.outcome is exceptions.Outcome.NOT_RUN
         assert exc.retry_after_s > 0
 
@@ -153,3 +158,50 @@
         clock.now_s += 0.09
         activity.note()
         assert not mender.postpones(run)
+
+
+class TestReusedAddress:
+    def test_target_whose_address_has_a_newer_one_gets_no_work(self, clock):
+        table = targets.TargetTable()
+        old = test_gateway_decisions.entry("old", layers=(0, 8), started_ms=3)
+        new = msgspec.structs.replace(
+            old,
+            id=ids.TargetId("new"),
+            service=views.ServiceName("desk"),
+            started_ms=5,
+        )
+        table.update([old], clock.now_s)
+        assert [row.id for row in table.usable("pool")] == ["old"]
+        table.update([new, old], clock.now_s + 1)
+        assert table.usable("pool") == []
+        assert [row.id for row in table.usable("desk")] == ["new"]
+
+
+class TestRefusedStream:
+    def test_engine_of_the_chain_is_avoided_though_its_address_has_a_new_one(
+        self, clock
+    ):
+        table = targets.TargetTable()
+        old = test_gateway_decisions.entry("old", layers=(0, 8))
+        new = msgspec.structs.replace(
+            old, id=ids.TargetId("new"), layers=None, started_ms=5
+        )
+        table.update([old, new], clock.now_s)
+        head = paths.Part(old.id, old.address, old.zone, old.layers)
+        judge = diagnosis.StreamDiagnosis(
+            headers.HEADERS, table, crashes.CrashTable()
+        )
+        stream = streamstate.Stream(a_call(clock.now_s), paths.Demand(700, 200))
+        refusal = messages.ResponseHead(
+            421,
+            b"",
+            [(headers.HEADERS.faulty_target, old.address.encode())],
+        )
+        judge.note_refusal(
+            stream,
+            paths.Chain((head,), 0.0),
+            calls.RefusedByTargetError("refused", refusal),
+        )
+        assert stream.excluded == {"old"}
+        assert table.get("old").blocked_until_s > clock.now_s
+        assert table.get("new").blocked_until_s == 0
