--- a/src/briarfall/gateway/mending.py
+++ b/src/briarfall/gateway/mending.py
@@ -104,7 +104,7 @@
             raise SilentEngineError(
                 failed, dead[failed], saw_response=stream.has_begun
             )
-        self._repath(stream, run, failed.address)
+        self._repath(stream, run)
 
     def _find_failed(
         self, stream: streamstate.Stream, run: streamstate.Run
@@ -165,16 +165,14 @@
                 found[part] = evidence.Reach.UNKNOWN
         return found
 
-    def _repath(
-        self, stream: streamstate.Stream, run: streamstate.Run, address: str
-    ) -> None:
-        """Replaces one engine of the chain of a running stream."""
+    def _repath(self, stream: streamstate.Stream, run: streamstate.Run) -> None:
+        """Replaces the failed engines of the chain of a running stream."""
         call = stream.call
         if run.repaths >= _MAX_REPATHS:
             return
         run.repaths += 1
         for _ in range(_MAX_REPATHS):
-            chain = self._detour(stream, run.chain, address)
+            chain = self._detour(stream, run.chain)
             if chain is None:
                 logging.warning("no detour request=%s", call.request_id)
                 return
@@ -191,10 +189,11 @@
                 logging.warning("repath failed: %s", exc)
                 return
             logging.info(
-                "repath request=%s around=%s result=%s took_ms=%d",
+                "repath request=%s chain=%s result=%s refusing=%s took_ms=%d",
                 call.request_id,
-                address,
+                chain.describe(),
                 answer.result.value,
+                answer.address or None,
                 (clocks.boot_s() - sent_s) * 1000,
             )
             self._metrics.count("briarfall_repaths", answer.result.value)
@@ -225,35 +224,33 @@
         run.next_check_s = clocks.boot_s() + stream.silence_s * 2
 
     def _detour(
-        self, stream: streamstate.Stream, chain: paths.Chain, address: str
+        self, stream: streamstate.Stream, chain: paths.Chain
     ) -> paths.Chain | None:
-        """Returns the chain with one engine's layers run by others."""
-        call = stream.call
-        bad = None
-        others = set()
-        for part in chain.parts:
-            if part.address == address:
-                bad = part
-                continue
-            others.add(part.target)
-        if bad is None or bad is chain.head:
+        """Returns the chain with the layers of failed engines run by others."""
+        failed = [
+            part for part in chain.parts if part.target in stream.excluded
+        ]
+        if not failed or chain.head in failed:
             return None
+        call = stream.call
         rows = self._targets.usable(call.service.name)
-        middle = self._finder.find(
-            call.service.model,
-            rows,
-            stream.demand,
-            frozenset(stream.excluded | others),
-            layers=bad.layers,
-            zone=bad.zone,
-            noise=paths.RECOVERY_NOISE,
-        )
-        if middle is None:
-            return None
+        used = set(chain.target_ids()) | stream.excluded
         parts = []
         for part in chain.parts:
-            if part is bad:
-                parts.extend(middle.parts)
+            if part not in failed:
+                parts.append(part)
                 continue
-            parts.append(part)
+            middle = self._finder.find(
+                call.service.model,
+                rows,
+                stream.demand,
+                frozenset(used),
+                layers=part.layers,
+                zone=part.zone,
+                noise=paths.RECOVERY_NOISE,
+            )
+            if middle is None:
+                return None
+            parts.extend(middle.parts)
+            used.update(middle.target_ids())
         return paths.Chain(tuple(parts), chain.cost_ms)
--- a/src/briarfall/standins/prepared/manifests.py
+++ b/src/briarfall/standins/prepared/manifests.py
@@ -20,6 +20,8 @@
         {"name": "large", "mb": 124.0, "pace": 1.0, "read_x": 1.0},
     ],
 }
+# Holds two layers; a chain of such engines has four parts.
+TINY_KIND = {"name": "tiny", "mb": 31.0, "pace": 2.0, "read_x": 1.0}
 SERVICES = [
     {"name": "desk", "max_conns": 100},
     {"name": "pool", "max_conns": 100, "engine": ENGINE},
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -220,11 +220,7 @@
         with self.lock:
             self.orders.append(order)
         if order["op"] == "repath":
-            known = order["id"] in self.paths
-            if known:
-                self.paths[order["id"]] = _parse(order["path"])
-            conn.answer(200 if known else 404)
-            return True
+            return self._change_path(conn, order["id"], _parse(order["path"]))
         if order.get("fence", 0) < self.fence:
             conn.answer(412)
             return True
@@ -237,6 +233,18 @@
         conn.answer(202)
         return True
 
+    def _change_path(self, conn, request_id: str, path) -> bool:
+        if request_id not in self.paths:
+            conn.answer(404)
+            return True
+        missing = self._fault_on(path)
+        if missing:
+            conn.answer(409, json.dumps({"address": missing}).encode())
+            return True
+        self.paths[request_id] = path
+        conn.answer(200)
+        return True
+
     def _report(self, conn) -> bool:
         stalled = []
         for request_id, path in list(self.paths.items()):
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -1,11 +1,14 @@
 """The whole path over stand-ins of the prepared platform."""
 
+import copy
+
 import pytest
 
 from briarfall import exceptions
 from briarfall.gateway import answering
 from briarfall.gateway import evidence
 from briarfall.gateway import peermessages
+from briarfall.standins.prepared import manifests
 from briarfall.standins.prepared import services
 from tests import preparedworld
 
@@ -342,6 +345,34 @@
         assert len(repaths) >= 1
         assert [run for run in head.ran_ids()] == ["r1"]
 
+    def test_two_dead_middle_stages_are_replaced_together(self, world):
+        manifest = copy.deepcopy(preparedworld.manifest(2))
+        pool = manifest["services"][1]
+        pool["engine"]["kinds"].append(manifests.TINY_KIND)
+        world.publish(manifest)
+        engines, inst = self._start(world, 12, kind="tiny")
+        for engine in engines:
+            engine.events = 40
+            engine.on_event[5] = preparedworld.threading.Event()
+        marks = [engine.on_event[5] for engine in engines]
+        answers = []
+        thread = preparedworld.threading.Thread(
+            target=lambda: answers.append(self._draft(inst))
+        )
+        thread.start()
+        preparedworld.until(
+            lambda: any(mark.is_set() for mark in marks), "event 5"
+        )
+        head = next(e for e in engines if e.on_event[5].is_set())
+        victims = [row[0] for row in head.paths["r1"][1:3]]
+        for address in victims:
+            world.fleet[address].go_dark()
+        thread.join(preparedworld.WAIT_S)
+        assert len(victims) == 2
+        assert answers[0].error is None
+        assert preparedworld.event_ids(answers[0].body) == list(range(1, 41))
+        assert [run for run in head.ran_ids()] == ["r1"]
+
     def test_engines_without_room_are_a_true_503(self, world):
         engines, inst = self._start(world)
         for engine in engines:
