--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -107,9 +107,13 @@
             self.stopped.wait(pause_s)
 
     def _follow(self) -> None:
-        if self.view is None or self._position is None:
+        if self._position is None:
             self._read_whole()
             return
+        if self.view is None:
+            # Nothing has been published yet; everyone waits for it.
+            self._read(self._wait_s)
+            return
         if self._newer.is_set():
             self.stopped.wait(_GATHER_S)
             self._newer.clear()
@@ -150,11 +154,7 @@
 
     def _read_whole(self) -> None:
         sent_s = clocks.boot_s()
-        read = self._source.read_newest(_TIMEOUT_S)
-        if read.raw is None and self.view is None:
-            self.stopped.wait(_RETRY_S)
-            return
-        self._take(read, sent_s)
+        self._take(self._source.read_newest(_TIMEOUT_S), sent_s)
 
     def _read(self, wait_s: float) -> None:
         sent_s = clocks.boot_s()
@@ -169,7 +169,9 @@
         if read.raw is not None:
             self.apply(read.raw)
         self._position = read.position
-        self.confirm(sent_s)
+        self._failures = 0
+        if self.view is not None:
+            self.confirm(sent_s)
 
     def apply(self, raw: bytes) -> None:
         """Puts a catalogue in force unless a newer one is."""
--- a/src/briarfall/gateway/peers.py
+++ b/src/briarfall/gateway/peers.py
@@ -14,6 +14,9 @@
 
 # Silence after which an instance counts as gone.
 _ALIVE_S = 2.5
+# An instance that was announced counts as a reader so long without a word,
+# so that not every new instance reads the store until it has met the others.
+_MEET_S = 1.0
 # Announced instances that stay silent are tried this long.
 _FORGET_S = 60.0
 
@@ -117,6 +120,15 @@
         oldest_s = clocks.boot_s() - _ALIVE_S
         return [peer for peer in self.all() if peer.heard_s >= oldest_s]
 
+    def _just_announced(self) -> list[Peer]:
+        """Returns peers that have had no time yet to be heard."""
+        oldest_s = clocks.boot_s() - _MEET_S
+        found = []
+        for peer in self.all():
+            if not peer.heard_s and peer.found_s >= oldest_s:
+                found.append(peer)
+        return found
+
     @property
     def instance_count(self) -> int:
         """Living instances, this one included."""
@@ -135,6 +147,9 @@
         for peer in self.alive():
             if peer.zone == self._zone and peer.reaches_store:
                 ranked.append((_rank(peer.id, peer.cores), peer))
+        for peer in self._just_announced():
+            if peer.zone == self._zone:
+                ranked.append((_rank(peer.id, peer.cores), peer))
         ranked.sort(key=lambda row: row[0])
         return [peer for _, peer in ranked[:count]]
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -425,11 +425,14 @@
 class _CatalogueStandin(sources.CatalogueSource):
     def __init__(self):
         self.reads = []
+        self.waits_s = []
 
     def read_newest(self, timeout_s):
+        self.waits_s.append(0.0)
         return self.reads.pop(0)
 
     def wait_newer(self, position, wait_s, timeout_s):
+        self.waits_s.append(wait_s)
         return self.reads.pop(0)
 
     def parse(self, raw):
@@ -467,6 +470,20 @@
         follower.step()
         assert follower.view.version == 5
 
+    def test_first_version_is_waited_for(self, clock):
+        source = _CatalogueStandin()
+        source.reads = [
+            sources.CatalogueRead(0, None),
+            sources.CatalogueRead(0, None),
+            sources.CatalogueRead(1, b"5"),
+        ]
+        follower = catalogue.CatalogueFollower(source, 5.0, lambda: False)
+        for _ in range(3):
+            assert not follower.is_fresh
+            follower.step()
+        assert follower.is_fresh
+        assert source.waits_s == [0.0, 1.2, 1.2]
+
     def test_unreadable_version_keeps_the_last_good_one(self, clock):
         follower = self.follower(b"5", b"bad")
         follower.step()
@@ -802,6 +819,15 @@
             chosen.add(name if reader is None else reader.id)
         assert len(chosen) == 1
 
+    def test_announced_instance_reads_until_it_should_have_been_heard(
+        self, clock
+    ):
+        table = peers.PeerTable("i1", "z", 0.08)
+        peer = table.add(record("i2", 0.5))
+        assert table.readers(1) == [peer]
+        clock.now_s += 1.1
+        assert table.readers(1) == [None]
+
     def test_strongest_instance_reads_for_the_others(self, clock):
         cores = {"i1": 0.08, "i2": 0.5, "i3": 0.08, "i4": 0.08}
         for name, own in cores.items():
