--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -7,9 +7,19 @@
 
 sys.path[0] = str(pathlib.Path(__file__).resolve().parent.parent / "src")
 
-from briarfall.platform import main  # noqa: E402
+from briarfall.platform import early  # noqa: E402
+
+
+def run() -> None:
+    """Listens at once, then imports and runs the rest."""
+    data = early.read_settings()
+    listeners = early.open_listeners(data)
+    from briarfall.platform import main
 
-if __name__ == "__main__":
     gc.freeze()
-    main.run()
+    main.run(data, listeners)
+
+
+if __name__ == "__main__":
+    run()
     os._exit(0)
--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -11,10 +11,11 @@
 from briarfall.gateway import views
 from briarfall.gateway import workers
 
-# A waiting read confirms the view when it returns; several of them fit into
-# the time for which keys are good.
-_MAX_WAIT_S = 1.2
-_WAIT_SHARE = 0.24
+# A waiting read confirms the view as of its sending, so that the view of a
+# reader grows as old as two of them. Those that ask the reader must not lose
+# patience by that alone.
+_MAX_WAIT_S = 0.8
+_WAIT_SHARE = 0.16
 _TIMEOUT_S = 0.8
 _RETRY_S = 0.15
 # Age of the view at which an instance that relies on others reads by itself,
@@ -39,6 +40,10 @@
         key_ttl_s: Age at which keys are no longer accepted, or 0 for never.
         is_reader: Whether this instance reads the source for others.
         instances: Returns how many instances of the zone read it in turn.
+
+    Attributes:
+        wait_s: How long a reader waits for a newer version.
+        patience_s: Age at which others read the source as well.
     """
 
     def __init__(
@@ -62,6 +67,7 @@
         self.confirmed_s: float | None = None
         self.is_lost = False
         self.view: views.CatalogueView | None = None
+        self.has_view = threading.Event()
         self.raw = b""
         self._listeners: list[collections.abc.Callable[[], None]] = []
 
@@ -84,11 +90,11 @@
     def set_key_ttl(self, key_ttl_s: float) -> None:
         """Changes the age at which keys are no longer accepted."""
         self._key_ttl_s = key_ttl_s
-        self._wait_s = _MAX_WAIT_S
-        self._patience_s = _MAX_PATIENCE_S
+        self.wait_s = _MAX_WAIT_S
+        self.patience_s = _MAX_PATIENCE_S
         if key_ttl_s:
-            self._wait_s = min(_MAX_WAIT_S, key_ttl_s * _WAIT_SHARE)
-            self._patience_s = min(
+            self.wait_s = min(_MAX_WAIT_S, key_ttl_s * _WAIT_SHARE)
+            self.patience_s = min(
                 _MAX_PATIENCE_S, key_ttl_s * _PEER_PATIENCE_SHARE
             )
 
@@ -112,7 +118,7 @@
             return
         if self.view is None:
             # Nothing has been published yet; everyone waits for it.
-            self._read(self._wait_s)
+            self._read(self.wait_s)
             return
         if self._newer.is_set():
             self.stopped.wait(_GATHER_S)
@@ -125,9 +131,9 @@
                 self._newer.set()
             return
         if self._is_reader():
-            self._read(self._wait_s)
+            self._read(self.wait_s)
             return
-        if self.age_s > self._patience_s:
+        if self.age_s > self.patience_s:
             self._read(0.0)
             return
         self._newer.wait(_PEER_POLL_S)
@@ -185,6 +191,7 @@
             return
         self.view = view
         self.raw = raw
+        self.has_view.set()
         for listener in self._listeners:
             listener()
         logging.info(
--- a/src/briarfall/gateway/evidence.py
+++ b/src/briarfall/gateway/evidence.py
@@ -21,6 +21,8 @@
 _STARVED_S = 0.05
 # Datagrams and events per second from which such a time is unusual.
 _BUSY_PER_S = 40
+# So many engines tell a fault of theirs from one of this instance.
+_ENOUGH_ADDRESSES = 3
 # An event proves that its engines worked up to about this long before.
 _TRANSIT_S = 0.03
 
@@ -93,15 +95,15 @@
         silent together do not all connect to them.
 
         Args:
-            chain: The chain; an engine that is no suspect shows whether the
-                fault is here.
+            chain: The chain; where few are suspects, others of it show
+                whether the fault is here.
             suspects: The engines to look at.
         """
         addresses = {part.address for part in suspects}
         for part in chain.parts:
-            if part not in suspects:
-                addresses.add(part.address)
+            if len(addresses) >= _ENOUGH_ADDRESSES:
                 break
+            addresses.add(part.address)
         reached = _probe(addresses)
         now_s = clocks.boot_s()
         dead = {}
--- a/src/briarfall/gateway/front.py
+++ b/src/briarfall/gateway/front.py
@@ -10,6 +10,7 @@
 from briarfall.gateway import callers
 from briarfall.gateway import calls
 from briarfall.gateway import catalogue
+from briarfall.gateway import clocks
 from briarfall.gateway import exchange
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
@@ -17,9 +18,12 @@
 from briarfall.gateway import plain
 from briarfall.gateway import stopping
 from briarfall.gateway import streams
+from briarfall.gateway import targets
 from briarfall.gateway import views
 
 _STALE_RETRY_S = 0.5
+# A starting instance knows catalogue and targets within some milliseconds.
+_START_WAIT_S = 0.5
 # Another instance takes the request at once.
 _MOVE_RETRY_S = 0.05
 _IDLE_POLL_S = 0.5
@@ -34,6 +38,7 @@
         self,
         header_names: names.HeaderNames,
         follower: catalogue.CatalogueFollower,
+        table: targets.TargetTable,
         plain_forwarder: plain.PlainForwarder,
         stream_forwarder: streams.StreamForwarder,
         budget: budgets.RetryBudget,
@@ -43,6 +48,8 @@
     ):
         self._names = header_names
         self._follower = follower
+        self._targets = table
+        self._created_s = clocks.boot_s()
         self._plain = plain_forwarder
         self._streams = stream_forwarder
         self._budget = budget
@@ -101,6 +108,7 @@
     def _forward(
         self, conn: callers.CallerConnection, req: messages.CallerRequest
     ) -> None:
+        self._wait_for_start()
         view = self._follower.view
         if view is None:
             raise exceptions.NotReadyError(
@@ -122,6 +130,13 @@
         finally:
             self._note_outcome(call, outcome)
 
+    def _wait_for_start(self) -> None:
+        """Gives an instance that starts the moment it needs to learn."""
+        until_s = self._created_s + _START_WAIT_S
+        for event in (self._follower.has_view, self._targets.has_entries):
+            if not event.is_set():
+                event.wait(max(0.0, until_s - clocks.boot_s()))
+
     def _send(self, call: calls.Call) -> None:
         if call.route.kind is views.RouteKind.STREAM and (
             call.service.model is not None
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -69,6 +69,7 @@
         cfg: Settings.
         platform: The platform's side.
         pool: Connections to targets.
+        listeners: Sockets that listen already, by IP number and port.
     """
 
     def __init__(
@@ -76,7 +77,9 @@
         cfg: config.GatewaySettings,
         platform: Platform,
         pool: connections.ConnectionPool,
+        listeners: dict[str, socket.socket] | None = None,
     ):
+        listeners = listeners or {}
         rng = random.Random()
         self.stop = stopping.PlannedStop(cfg.drain_grace_s)
         self._cfg = cfg
@@ -140,6 +143,7 @@
         self._front = front.Front(
             platform.header_names,
             self.follower,
+            self.targets,
             plain.PlainForwarder(
                 platform.header_names,
                 cfg.zone,
@@ -184,9 +188,14 @@
             cfg.caller.port,
             self._front.serve,
             name="callers",
+            sock=listeners.get(f"{cfg.caller.host}:{cfg.caller.port}"),
         )
         self._status_listener = listener.Listener(
-            cfg.status.host, cfg.status.port, self._serve_status, name="status"
+            cfg.status.host,
+            cfg.status.port,
+            self._serve_status,
+            name="status",
+            sock=listeners.get(f"{cfg.status.host}:{cfg.status.port}"),
         )
 
     def _is_reader(self) -> bool:
@@ -202,6 +211,11 @@
         """IP number and port for the balancer's questions."""
         return self._status_listener.address
 
+    @property
+    def open_connections(self) -> int:
+        """Connections of callers."""
+        return self._caller_listener.open_connections
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers."""
@@ -313,7 +327,7 @@
             ),
             "open_connections": (
                 "Connections of callers.",
-                lambda: self._caller_listener.open_connections,
+                lambda: self.open_connections,
             ),
         }
 
--- a/src/briarfall/gateway/listener.py
+++ b/src/briarfall/gateway/listener.py
@@ -6,7 +6,8 @@
 
 from absl import logging
 
-_BACKLOG = 1024
+from briarfall.gateway import listening
+
 _ACCEPT_TIMEOUT_S = 0.5
 # Python frames of a connection need little; the default stack is 8 MB.
 _STACK_BYTES = 256 * 1024
@@ -22,17 +23,23 @@
         port: Port, 0 for any.
         handler: Serves one connection and closes it.
         name: Name for logs.
+        sock: A socket that listens there already, or None.
     """
 
-    def __init__(self, host: str, port: int, handler: Handler, *, name: str):
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        handler: Handler,
+        *,
+        name: str,
+        sock: socket.socket | None = None,
+    ):
         super().__init__(name=f"listen-{name}", daemon=True)
         self._handler = handler
         self._label = name
         self._stopped = threading.Event()
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.bind((host, port))
-        self._sock.listen(_BACKLOG)
+        self._sock = sock or listening.open_listener(host, port)
         self._sock.settimeout(_ACCEPT_TIMEOUT_S)
         self._open = 0
         self._lock = threading.Lock()
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/streamstate.py
@@ -8,8 +8,11 @@
 from briarfall.gateway import exchange
 from briarfall.gateway import paths
 
-# Shortest silence of a stream that starts a search for the failed engine.
+# Shortest silence of a stream that starts a search for the failed engine, and
+# the same as a part of the longest pause that is on time: the rest is for the
+# search, the change of the chain and the next event.
 _MIN_SILENCE_S = 0.09
+_SILENCE_SHARE = 0.45
 # Silence beyond this many usual pauses is suspicious.
 _SILENCE_FACTOR = 2.0
 _PAUSE_WEIGHT = 0.2
@@ -50,7 +53,8 @@
     @property
     def silence_s(self) -> float:
         """Silence after which an engine may have failed."""
-        return max(_MIN_SILENCE_S, self.pause_s * _SILENCE_FACTOR)
+        aim_s = self.call.route.gap_aim_s * _SILENCE_SHARE
+        return max(_MIN_SILENCE_S, aim_s, self.pause_s * _SILENCE_FACTOR)
 
     def note_event(self, now_s: float) -> float:
         """Notes an event and returns the pause before it."""
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -79,6 +79,7 @@
         self._gone: dict[ids.TargetId, int] = {}
         self._listeners: list[collections.abc.Callable[[], None]] = []
         self.read_s: float | None = None
+        self.has_entries = threading.Event()
 
     def update(
         self, entries: list[sources.TargetEntry], read_s: float
@@ -116,6 +117,7 @@
                 gone.append(target)
                 self._remove(target.id)
             self._index()
+        self.has_entries.set()
         return gone
 
     def update_part(
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -1,22 +1,21 @@
 """Runs a gateway instance on the prepared platform."""
 
 import os
-import pathlib
 import signal
+import socket
 
 from briarfall import logs
 from briarfall.gateway import connections
 from briarfall.gateway import instance
 from briarfall.gateway import reloading
 from briarfall.gateway import summary
+from briarfall.platform import early
 from briarfall.platform import engines
 from briarfall.platform import headers
 from briarfall.platform import settings
 from briarfall.platform import store
 from briarfall.platform import topics
 
-_SETTINGS_VARIABLE = "BRIARFALL_SETTINGS"
-
 
 class StorePlatform(instance.Platform):
     """The prepared platform: its store, its engines, its names."""
@@ -36,16 +35,21 @@
         self.engines = engines.EngineCalls(pool)
 
 
-def run() -> None:
-    """Runs an instance until it is told to stop."""
-    path = os.environ[_SETTINGS_VARIABLE]
-    cfg = settings.parse(pathlib.Path(path).read_bytes())
+def run(data: bytes, listeners: dict[str, socket.socket]) -> None:
+    """Runs an instance until it is told to stop.
+
+    Args:
+        data: The settings file.
+        listeners: Sockets that listen already, by IP number and port.
+    """
+    cfg = settings.parse(data)
     logs.configure_bounded(cfg.instance)
     pool = connections.ConnectionPool()
     program = instance.Instance(
-        cfg, StorePlatform(cfg.store_address, pool), pool
+        cfg, StorePlatform(cfg.store_address, pool), pool, listeners
     )
     signal.signal(signal.SIGTERM, lambda *_: program.stop.ask())
+    path = os.environ[early.SETTINGS_VARIABLE]
     watcher = reloading.SettingsWatcher(path, settings.parse, program.reload)
     signal.signal(signal.SIGHUP, lambda *_: watcher.ask())
     program.start()
--- a/tests/preparedworld.py
+++ b/tests/preparedworld.py
@@ -104,8 +104,10 @@
         self._closers.append(target.close)
         return target
 
-    def instance(self, name="i1", zone="z1", **extra) -> instance.Instance:
-        """Starts a gateway instance and waits until it is ready."""
+    def starting_instance(
+        self, name="i1", zone="z1", **extra
+    ) -> instance.Instance:
+        """Starts a gateway instance."""
         local = settings.Listener("127.0.0.1", 0)
         cfg = config.GatewaySettings(
             instance=ids.InstanceId(name),
@@ -124,6 +126,11 @@
         inst.start()
         self.instances.append(inst)
         self._closers.append(inst.close)
+        return inst
+
+    def instance(self, name="i1", zone="z1", **extra) -> instance.Instance:
+        """Starts a gateway instance and waits until it is ready."""
+        inst = self.starting_instance(name, zone, **extra)
         until(lambda: inst.is_ready, f"{name} is ready")
         return inst
 
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -8,6 +8,7 @@
 from briarfall.gateway import answering
 from briarfall.gateway import evidence
 from briarfall.gateway import peermessages
+from briarfall.platform import topics
 from briarfall.standins.prepared import manifests
 from briarfall.standins.prepared import services
 from tests import preparedworld
@@ -104,6 +105,41 @@
         assert [row.method for row in desk.ran] in ([], ["HEAD", "HEAD"])
 
 
+class TestStart:
+    def test_early_call_waits_until_the_instance_has_learned(
+        self, world, monkeypatch
+    ):
+        desk = world.service("d1")
+        gate = preparedworld.threading.Event()
+        read = topics.CatalogueTopic.read_newest
+
+        def read_late(topic, timeout_s):
+            gate.wait(preparedworld.WAIT_S)
+            return read(topic, timeout_s)
+
+        monkeypatch.setattr(topics.CatalogueTopic, "read_newest", read_late)
+        inst = world.starting_instance()
+        answers = []
+        thread = preparedworld.threading.Thread(
+            target=lambda: answers.append(preparedworld.call(inst, "/views/x"))
+        )
+        thread.start()
+        preparedworld.until(
+            lambda: inst.open_connections == 1, "the call has come"
+        )
+        gate.set()
+        thread.join(preparedworld.WAIT_S)
+        assert answers[0].status == 200
+        assert len(desk.ran) == 1
+
+    def test_call_is_refused_if_nothing_can_be_learned(self, world):
+        world.store.status = 503
+        inst = world.starting_instance()
+        answer = preparedworld.call(inst, "/views/x")
+        assert answer.status == 503
+        assert float(answer.headers["Retry-After"]) > 0
+
+
 class TestAtMostOnce:
     @pytest.mark.parametrize(
         "fault",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,15 +1,18 @@
 """The folder that translates the prepared platform."""
 
 import json
+import socket
 import threading
 
 import pytest
 
 from briarfall import exceptions
+from briarfall.gateway import listener
 from briarfall.gateway import reloading
 from briarfall.gateway import sources
 from briarfall.gateway import summary
 from briarfall.gateway import views
+from briarfall.platform import early
 from briarfall.platform import headers
 from briarfall.platform import manifest
 from briarfall.platform import settings
@@ -199,6 +202,41 @@
         assert text == b"10.1.64.9:8080=0-20,10.2.64.3:8080=20-80"
 
 
+class TestEarlyListeners:
+    def settings_file(self, sock):
+        host, port = sock.getsockname()
+        listen = {"front": f"{host}:{port}", "ready": "127.0.0.1:0"}
+        return json.dumps({"listen": listen}).encode()
+
+    def test_caller_that_connects_early_is_served_by_the_instance(self):
+        free = socket.create_server(("127.0.0.1", 0))
+        data = self.settings_file(free)
+        free.close()
+        opened = early.open_listeners(data)
+        address, sock = next(iter(opened.items()))
+        host, _, port = address.rpartition(":")
+        caller = socket.create_connection((host, int(port)), 5.0)
+        served = threading.Event()
+
+        def serve(conn):
+            conn.sendall(b"here")
+            served.set()
+
+        row = listener.Listener(host, int(port), serve, name="t", sock=sock)
+        row.start()
+        assert served.wait(20)
+        assert caller.recv(4) == b"here"
+        caller.close()
+        row.stop()
+        opened["127.0.0.1:0"].close()
+
+    @pytest.mark.parametrize(
+        "data", [b"", b"[]", b"{}", b'{"listen": {"front": 5, "ready": "x"}}']
+    )
+    def test_bad_settings_open_nothing(self, data):
+        assert early.open_listeners(data) == {}
+
+
 class TestStore:
     @pytest.fixture
     def scene(self):
