--- a/src/briarfall/cli/explaining.py
+++ b/src/briarfall/cli/explaining.py
@@ -3,9 +3,8 @@
 import pathlib
 import sys
 
-import msgspec
-
 from briarfall import exceptions
+from briarfall.cli import logfiles
 
 # Lines that changed what an instance believed shortly before the request.
 _CONTEXT_S = 2.0
@@ -24,44 +23,9 @@
 )
 
 
-class LogLine(msgspec.Struct):
-    """One line of an instance's log."""
-
-    time: str = ""
-    level: str = ""
-    instance: str = ""
-    message: str = ""
-    request: str = ""
-    code: str = ""
-    outcome: str = ""
-
-    @property
-    def second(self) -> float:
-        """The time of day in seconds, for distances within a day."""
-        clock, _, millis = self.time.rpartition(" ")[2].partition(",")
-        try:
-            hours, minutes, seconds = clock.split(":")
-            whole = int(hours) * 3600 + int(minutes) * 60 + int(seconds)
-            return whole + int(millis or 0) / 1000
-        except ValueError:
-            return 0.0
-
-
-def read_lines(text: str) -> list[LogLine]:
-    """Returns the log lines of a text; other lines are left out."""
-    found = []
-    for line in text.splitlines():
-        start = line.find("{")
-        if start < 0:
-            continue
-        try:
-            found.append(msgspec.json.decode(line[start:], type=LogLine))
-        except (msgspec.DecodeError, UnicodeDecodeError):
-            continue
-    return found
-
-
-def story(request: str, lines: list[LogLine]) -> list[LogLine]:
+def story(
+    request: str, lines: list[logfiles.LogLine]
+) -> list[logfiles.LogLine]:
     """Returns a request's lines and the beliefs in force around them."""
     own = [line for line in lines if line.request == request]
     if not own:
@@ -81,7 +45,7 @@
     return rows
 
 
-def cause(request: str, rows: list[LogLine]) -> str:
+def cause(request: str, rows: list[logfiles.LogLine]) -> str:
     """Returns the line that names why a request ended as it did."""
     own = [row for row in rows if row.request == request]
     for row in reversed(own):
@@ -106,7 +70,7 @@
         texts = [sys.stdin.read()]
     lines = []
     for text in texts:
-        lines.extend(read_lines(text))
+        lines.extend(logfiles.read_lines(text))
     rows = story(request, lines)
     if not rows:
         raise exceptions.NotFoundError(
--- a/src/briarfall/cli/main.py
+++ b/src/briarfall/cli/main.py
@@ -9,7 +9,9 @@
 from briarfall.cli import console
 from briarfall.cli import experiments
 from briarfall.cli import explaining
+from briarfall.cli import gateways
 from briarfall.cli import serve
+from briarfall.cli import timeline
 
 COMMANDS = {
     "serve": serve.serve,
@@ -27,6 +29,8 @@
         "bootstrap": catalogue.bootstrap,
     },
     "explain": explaining.explain,
+    "timeline": timeline.timeline,
+    "gateway-status": gateways.gateway_status,
     "demo": experiments.demo,
     "standin": experiments.standin,
     "bench": experiments.BENCHES,
