Revert "Avoid engines that are slow, by the pace of the streams that cross them"

After three engines of each chain's front are gone the slow paces are mostly load, and leaving engines out loads the others more. Conclusion: paces must be judged against what the load explains, not against the usual pace; reverted until that is built.

--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -18,7 +18,6 @@
 from briarfall.gateway import evidence
 from briarfall.gateway import leasing
 from briarfall.gateway import loads
-from briarfall.gateway import paces
 from briarfall.gateway import peermessages
 from briarfall.gateway import peers
 from briarfall.gateway import sources
@@ -55,7 +54,6 @@
         lease: The placement lease.
         crash_table: Requests that crashed their targets.
         activity: When this process last received anything.
-        pace_table: Engines that are slow.
     """
 
     def __init__(
@@ -69,9 +67,7 @@
         lease: leasing.Lease,
         crash_table: crashes.CrashTable,
         activity: evidence.Activity,
-        pace_table: paces.PaceTable,
     ):
-        self._paces = pace_table
         self._activity = activity
         self._crashes = crash_table
         self._source = source
@@ -280,7 +276,6 @@
             lease_fence=self._lease.fence,
             lease_left_ms=int(self._lease.left_s * 1000),
             cores=self._record.cores,
-            slow=self._paces.told(),
         )
 
     def _send(self, message, address: tuple[str, int]) -> None:
@@ -346,7 +341,6 @@
             rows[row.target] = loads.Load(row.streams, row.tokens)
         self._loads.merge(status.sender, rows)
         self._crashes.take(status.crashes)
-        self._paces.take(status.slow)
         for row in status.suspicions:
             self._targets.take_suspicion(
                 row.target, row.started_ms, row.left_ms / 1000
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -23,7 +23,6 @@
 from briarfall.gateway import loads
 from briarfall.gateway import metrics
 from briarfall.gateway import names
-from briarfall.gateway import paces
 from briarfall.gateway import paths
 from briarfall.gateway import peers
 from briarfall.gateway import placer
@@ -89,7 +88,6 @@
         self.metrics = metrics.Metrics()
         self.crashes = crashes.CrashTable()
         activity = evidence.Activity()
-        pace_table = paces.PaceTable()
         self.loads = loads.LoadTable()
         self.targets = targets.TargetTable()
         self.peers = peers.PeerTable(cfg.instance, cfg.zone, cfg.cores)
@@ -115,7 +113,6 @@
             self.lease,
             self.crashes,
             activity,
-            pace_table,
         )
         self.follower.add_listener(self.gossip.tell_now)
         self.follower.set_fetcher(self.gossip.fetch_version)
@@ -167,7 +164,6 @@
                 self.metrics,
                 self.crashes,
                 activity,
-                pace_table,
             ),
             self.budget,
             self.stop,
--- a/src/briarfall/gateway/mending.py
+++ b/src/briarfall/gateway/mending.py
@@ -221,7 +221,6 @@
         self._loads.reserve(chain.target_ids(), tokens)
         self._loads.release(run.chain.target_ids(), tokens)
         run.chain = chain
-        stream.events = 0
         run.next_check_s = clocks.boot_s() + stream.silence_s * 2
 
     def _detour(
--- a/src/briarfall/gateway/paths.py
+++ b/src/briarfall/gateway/paths.py
@@ -1,6 +1,5 @@
 """Choice of a chain of engines that covers every layer once."""
 
-import collections.abc
 import math
 import random
 
@@ -30,25 +29,15 @@
 # that grow longer than expected.
 _FILL_LIMIT = 0.92
 _MAX_PARTS = 32
-_IDLE = loads.Load()
 
 
 class Part(msgspec.Struct, frozen=True):
-    """One engine of a chain and the layers that it runs.
-
-    Attributes:
-        target: The engine.
-        address: Its IP number and port.
-        zone: Its availability zone.
-        layers: The layers.
-        step_ms: Time of one token through them on an idle engine.
-    """
+    """One engine of a chain and the layers that it runs."""
 
     target: ids.TargetId
     address: str
     zone: ids.ZoneId
     layers: sources.LayerRange
-    step_ms: float = 0.0
 
 
 class Chain(msgspec.Struct, frozen=True):
@@ -143,7 +132,6 @@
     part_of: targets.Target
     layers: sources.LayerRange
     layer_ms: float
-    idle_ms: float
 
 
 class PathFinder:
@@ -180,7 +168,6 @@
         zone: ids.ZoneId | None = None,
         heads: frozenset[ids.TargetId] | None = None,
         noise: float | None = None,
-        slow: collections.abc.Mapping[ids.TargetId, float] | None = None,
     ) -> Chain | None:
         """Returns the cheapest chain with room, or None.
 
@@ -194,7 +181,6 @@
             heads: Engines that may come first; any by default.
             noise: Spread of the random factor on costs, or None for the
                 usual one.
-            slow: How many times slower than usual some engines are.
         """
         span = layers or sources.LayerRange(0, model.layers)
         if noise is None:
@@ -205,11 +191,8 @@
             if row.id in excluded:
                 continue
             candidate = self._candidate(model, row, demand, noise, rooms)
-            if candidate is None:
-                continue
-            if slow and row.id in slow:
-                candidate.layer_ms *= slow[row.id]
-            candidates.append(candidate)
+            if candidate is not None:
+                candidates.append(candidate)
         return self._shortest(
             candidates, demand, span, zone or self._zone, heads
         )
@@ -249,8 +232,7 @@
         # A nearly full cache makes every later request wait or be refused.
         layer_ms *= 1 + fill**4
         layer_ms *= 1 + noise * self._rng.random()
-        idle_ms = step_time_ms(model, entry.kind, 1, _IDLE)
-        return _Candidate(row, entry.layers, layer_ms, idle_ms)
+        return _Candidate(row, entry.layers, layer_ms)
 
     def _shortest(
         self,
@@ -329,8 +311,7 @@
         steps, row, first, end = steps
         entry = row.part_of.entry
         layers = sources.LayerRange(first, end)
-        step_ms = row.idle_ms * layers.size + _HOP_MS
-        parts.append(Part(entry.id, entry.address, entry.zone, layers, step_ms))
+        parts.append(Part(entry.id, entry.address, entry.zone, layers))
     parts.reverse()
     parts = _without_returns(parts)
     if not parts or len(parts) > _MAX_PARTS:
--- a/src/briarfall/gateway/peermessages.py
+++ b/src/briarfall/gateway/peermessages.py
@@ -6,7 +6,6 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import crashes
-from briarfall.gateway import paces
 from briarfall.gateway import sources
 
 
@@ -44,7 +43,6 @@
         lease_fence: Fence of its placement lease, or 0.
         lease_left_ms: How long it holds the lease, or 0.
         cores: Processor cores that it may use.
-        slow: Engines that are slow for it.
     """
 
     sender: ids.InstanceId
@@ -59,7 +57,6 @@
     lease_fence: int = 0
     lease_left_ms: int = 0
     cores: float = 1.0
-    slow: list[paces.SlowTarget] = []
 
 
 class Question(
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -18,7 +18,6 @@
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
 from briarfall.gateway import names
-from briarfall.gateway import paces
 from briarfall.gateway import paths
 from briarfall.gateway import sources
 from briarfall.gateway import streamstate
@@ -34,8 +33,6 @@
 # Room that does not appear within this part of the aim is not worth waiting.
 _ROOM_WAIT_SHARE = 0.6
 _RETRY_AFTER_S = 0.5
-# Events of a run after which its pauses tell the pace of its chain.
-_SETTLED_EVENTS = 3
 
 
 class StreamForwarder:
@@ -52,7 +49,6 @@
         counters: Metrics.
         crash_table: Requests that crashed their targets.
         activity: When this process last received anything.
-        pace_table: Engines that are slow.
     """
 
     def __init__(
@@ -67,9 +63,7 @@
         counters: metrics.Metrics,
         crash_table: crashes.CrashTable,
         activity: evidence.Activity,
-        pace_table: paces.PaceTable,
     ):
-        self._paces = pace_table
         self._metrics = counters
         self._crashes = crash_table
         self._names = header_names
@@ -157,7 +151,6 @@
                 frozenset(stream.excluded),
                 heads=stream.allowed_heads,
                 noise=paths.RECOVERY_NOISE if call.was_cut else None,
-                slow=self._paces.factors(),
             )
             if chain is not None:
                 return chain
@@ -221,7 +214,7 @@
                 call.req.body,
                 call.deadline_s,
             )
-            stream.begin_run(clocks.boot_s())
+            stream.event_s = clocks.boot_s()
             run.next_check_s = stream.event_s + _FIRST_SILENCE_S
             self._await_bytes(stream, run)
             response = conn.read_head(
@@ -357,8 +350,6 @@
                 run.chain.describe(),
             )
         self._mender.note_progress(run.chain, now_s)
-        if stream.events > _SETTLED_EVENTS:
-            self._paces.note(run.chain, stream.pause_s)
         run.checks = 0
         run.postponed = 0
         run.next_check_s = now_s + stream.silence_s
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/streamstate.py
@@ -28,7 +28,6 @@
         has_begun: Whether the caller has the head of the answer.
         pause_s: Usual pause between events.
         event_s: Time on the boot clock of the last event.
-        events: Events of the chain at work so far.
         excluded: Engines that failed this stream.
         heads: Living engines that ran it as the first of a chain.
     """
@@ -41,7 +40,6 @@
     has_begun: bool = False
     pause_s: float = 0.0
     event_s: float = 0.0
-    events: int = 0
     excluded: set[ids.TargetId] = msgspec.field(default_factory=set)
     heads: set[ids.TargetId] = msgspec.field(default_factory=set)
 
@@ -58,18 +56,11 @@
         aim_s = self.call.route.gap_aim_s * _SILENCE_SHARE
         return max(_MIN_SILENCE_S, aim_s, self.pause_s * _SILENCE_FACTOR)
 
-    def begin_run(self, now_s: float) -> None:
-        """Notes that another chain is at work."""
-        self.event_s = now_s
-        self.events = 0
-        self.pause_s = 0.0
-
     def note_event(self, now_s: float) -> float:
         """Notes an event and returns the pause before it."""
         pause_s = now_s - self.event_s
         self.event_s = now_s
-        self.events += 1
-        if self.has_begun and self.events > 1:
+        if self.has_begun:
             if not self.pause_s:
                 self.pause_s = pause_s
             self.pause_s += _PAUSE_WEIGHT * (pause_s - self.pause_s)
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -16,7 +16,6 @@
 from briarfall.gateway import mending
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
-from briarfall.gateway import paces
 from briarfall.gateway import paths
 from briarfall.gateway import streams
 from briarfall.gateway import streamstate
@@ -97,7 +96,6 @@
             metrics.Metrics(),
             crashes.CrashTable(),
             evidence.Activity(),
-            paces.PaceTable(),
         )
         call = a_call(clock.now_s, watch=_Watch(clock))
         started_s = clock.now_s
