--- a/src/briarfall/gateway/evidence.py
+++ b/src/briarfall/gateway/evidence.py
@@ -21,6 +21,9 @@
 _STARVED_S = 0.05
 # Datagrams and events per second from which such a time is unusual.
 _BUSY_PER_S = 40
+# An engine that accepted a connection so lately is not asked again; where many
+# streams are slow at once, asking would only cost their engines time.
+_PROBE_VALID_S = 0.3
 # So many engines tell a fault of theirs from one of this instance.
 _ENOUGH_ADDRESSES = 3
 # An event proves that its engines worked up to about this long before.
@@ -67,6 +70,8 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._seen_s: dict[ids.TargetId, float] = {}
+        # When each engine last accepted a connection.
+        self._probed_s: dict[ids.TargetId, float] = {}
 
     def note(self, chain: paths.Chain, now_s: float) -> None:
         """Notes an event that all engines of a chain had a part in."""
@@ -78,9 +83,12 @@
         self, chain: paths.Chain, event_s: float
     ) -> list[paths.Part]:
         """Returns the engines that nobody saw at work after an event."""
+        oldest_s = clocks.boot_s() - _PROBE_VALID_S
         with self._lock:
             silent = []
             for part in chain.parts:
+                if self._probed_s.get(part.target, 0.0) > oldest_s:
+                    continue
                 seen_s = self._seen_s.get(part.target, 0.0)
                 if seen_s < event_s + _TRANSIT_S:
                     silent.append(part)
@@ -91,8 +99,8 @@
     ) -> dict[paths.Part, "Reach"]:
         """Returns suspects that accept no connection though others do.
 
-        Those that answer count as seen at work, so that streams which fall
-        silent together do not all connect to them.
+        Those that answer are no suspects for a while, so that streams which
+        fall silent together do not all connect to them.
 
         Args:
             chain: The chain; where few are suspects, others of it show
@@ -111,7 +119,7 @@
             for part in suspects:
                 how = reached[part.address]
                 if how is Reach.OPEN:
-                    self._seen_s[part.target] = now_s
+                    self._probed_s[part.target] = now_s
                 elif how is not Reach.UNKNOWN:
                     dead[part] = how
         return dead
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -25,7 +25,9 @@
 
 _IDLE_S = 30.0
 _MAX_SENDS = 6
-_FIRST_SILENCE_S = 0.15
+# Silence before the first event after which an engine may have failed, as a
+# part of the aim.
+_FIRST_SILENCE_SHARE = 0.4
 _MAX_SILENCE_CHECKS = 8
 # First pause of a request that waits for room on the engines; later ones
 # double, so that many waiting requests leave processor time to the others.
@@ -215,7 +217,8 @@
                 call.deadline_s,
             )
             stream.event_s = clocks.boot_s()
-            run.next_check_s = stream.event_s + _FIRST_SILENCE_S
+            first_s = call.route.aim_s * _FIRST_SILENCE_SHARE
+            run.next_check_s = stream.event_s + first_s
             self._await_bytes(stream, run)
             response = conn.read_head(
                 call.deadline_s,
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -631,6 +631,27 @@
         suspects = progress.silent_since(mine, 10.0)
         assert [part.target for part in suspects] == ["c"]
 
+    def test_engine_that_just_accepted_is_not_asked_again(
+        self, clock, monkeypatch
+    ):
+        rows = []
+        for name, first in (("a", 0), ("b", 8)):
+            layers = sources.LayerRange(first, first + 8)
+            rows.append(paths.Part(name, f"10.0.0.{first}:1", "z", layers))
+        chain = paths.Chain(tuple(rows), 0.0)
+        monkeypatch.setattr(
+            evidence,
+            "_probe",
+            lambda addresses: dict.fromkeys(addresses, evidence.Reach.OPEN),
+        )
+        progress = evidence.ProgressTable()
+        assert progress.silent_since(chain, clock.now_s) == rows
+        assert progress.find_dead(chain, rows) == {}
+        clock.now_s += 0.2
+        assert progress.silent_since(chain, clock.now_s) == []
+        clock.now_s += 0.2
+        assert progress.silent_since(chain, clock.now_s) == rows
+
 
 class TestAfterAStall:
     """A process that had no processor looks before it judges."""
