--- a/src/briarfall/cli/experiments.py
+++ b/src/briarfall/cli/experiments.py
@@ -3,6 +3,8 @@
 import json as jsonlib
 import pathlib
 
+import msgspec
+
 from briarfall.cli import console
 
 
@@ -172,7 +174,27 @@
     return bench.run(seed, seconds)
 
 
+def placement(
+    *, engines: int = 86, zones: int = 3, seed: int = 1, out: str = ""
+) -> None:
+    """Compares ways to place layers by what a maximum flow carries.
+
+    Args:
+        engines: Number of engines.
+        zones: Number of availability zones.
+        seed: Seed of the fleet.
+        out: File for the report as JSON.
+    """
+    from briarfall.bench import placements
+
+    rows = [
+        msgspec.to_builtins(row) for row in placements.run(engines, zones, seed)
+    ]
+    _finish("placement", {"placements": rows}, out)
+
+
 BENCHES = {
+    "placement": placement,
     "throughput": throughput,
     "recovery": recovery,
     "relay": relay,
