--- a/features/steps/platform_faults.py
+++ b/features/steps/platform_faults.py
@@ -6,9 +6,9 @@
 from behave import given
 from behave import then
 from behave import when
-from tests import preparedworld
 
 from briarfall.standins.prepared import manifests
+from briarfall.standins.prepared import scenes
 from briarfall.standins.prepared import services
 
 _EVENTS = 30
@@ -17,7 +17,7 @@
 
 def _scene(context):
     if not hasattr(context, "scene"):
-        context.scene = preparedworld.World()
+        context.scene = scenes.World()
         context.add_cleanup(context.scene.close)
     return context.scene
 
@@ -43,7 +43,7 @@
 @given("a prepared platform with {count:d} engines")
 def given_engines(context, count):
     scene = _scene(context)
-    manifest = copy.deepcopy(preparedworld.manifest(2))
+    manifest = copy.deepcopy(scenes.manifest(2))
     kinds = manifest["services"][1]["engine"]["kinds"]
     kinds.append(manifests.TINY_KIND)
     scene.publish(manifest)
@@ -77,7 +77,7 @@
     context.answers = {}
     for number in range(count):
         name = f"order-{number}"
-        context.answers[name] = preparedworld.call(
+        context.answers[name] = scenes.call(
             context.instances[0],
             "/orders/new",
             method="POST",
@@ -118,7 +118,7 @@
     context.answers = {}
     for number in range(count):
         name = f"view-{number}"
-        context.answers[name] = preparedworld.call(
+        context.answers[name] = scenes.call(
             context.instances[0],
             "/views/x",
             method="POST",
@@ -156,7 +156,7 @@
 
 def _strike(context) -> None:
     """Does the fault once the stream has reached its event."""
-    preparedworld.until(
+    scenes.until(
         lambda: any(
             engine.on_event[context.event].is_set()
             for engine in context.engines
@@ -191,7 +191,7 @@
 
 
 def _ask_stream(context, name):
-    return preparedworld.call(
+    return scenes.call(
         context.instances[0],
         "/drafts/new",
         method="POST",
@@ -206,7 +206,7 @@
 def then_stream_whole(context):
     assert context.answer.status == 200
     assert context.answer.error is None
-    ids = preparedworld.event_ids(context.answer.body)
+    ids = scenes.event_ids(context.answer.body)
     assert ids == list(range(1, _EVENTS + 1))
 
 
@@ -239,33 +239,31 @@
     elif fault == "a manifest cannot be read":
         scene.store.put("keyed.op", "config", b"\xff{no manifest")
     elif fault == "a lower version comes":
-        scene.publish(preparedworld.manifest(9))
-        preparedworld.until(
+        scene.publish(scenes.manifest(9))
+        scenes.until(
             lambda: context.instances[0].follower.view.version == 9, "9"
         )
-        scene.publish(preparedworld.manifest(4))
+        scene.publish(scenes.manifest(4))
     else:
         assert fault == "nothing is wrong"
 
 
 @when("the operator takes the key away")
 def when_key_is_taken(context):
-    context.scene.publish(preparedworld.manifest(10, keys=("key-2",)))
+    context.scene.publish(scenes.manifest(10, keys=("key-2",)))
 
 
 @then("the key is refused on time and no later call runs")
 def then_key_refused(context):
     inst = context.instances[0]
     # A view that nobody confirms is no longer good for keys.
-    preparedworld.until(
-        lambda: preparedworld.call(inst, "/views/x").status in (401, 503),
+    scenes.until(
+        lambda: scenes.call(inst, "/views/x").status in (401, 503),
         "the key is refused",
     )
     ran = sum(len(row.ran) for row in context.services)
     for number in range(3):
-        answer = preparedworld.call(
-            inst, "/views/x", request_id=f"late{number}"
-        )
+        answer = scenes.call(inst, "/views/x", request_id=f"late{number}")
         assert answer.status in (401, 503)
     assert sum(len(row.ran) for row in context.services) == ran
     assert inst.follower.view.version in (1, 10)
@@ -291,7 +289,7 @@
     else:
         assert fault == "the store is away a while"
         scene.store.status = 503
-        preparedworld.until(
+        scenes.until(
             lambda: all(row.follower.is_lost for row in context.instances),
             "the store is lost",
         )
@@ -308,7 +306,7 @@
 
 @then("every layer is held again")
 def then_layers_held(context):
-    preparedworld.until(
+    scenes.until(
         lambda: all(row.layers is not None for row in context.engines),
         "every engine has layers",
     )
@@ -342,7 +340,7 @@
         scene.store.put("keyed.servers", "bad", b"\xff")
     context.instances = [scene.starting_instance("i0")]
     if scene.store.status:
-        answer = preparedworld.call(context.instances[0], "/views/x")
+        answer = scenes.call(context.instances[0], "/views/x")
         assert answer.status == 503
         assert float(answer.headers["Retry-After"]) > 0
         scene.store.status = 0
@@ -351,8 +349,8 @@
 @then("it serves as soon as the fault has passed")
 def then_serves(context):
     inst = context.instances[0]
-    preparedworld.until(lambda: inst.is_ready, "ready")
-    assert preparedworld.call(inst, "/views/x").status == 200
+    scenes.until(lambda: inst.is_ready, "ready")
+    assert scenes.call(inst, "/views/x").status == 200
 
 
 @given('"{work}" in progress')
@@ -374,13 +372,13 @@
         thread.start()
     context.work = threads
     inst = context.instances[0]
-    preparedworld.until(
+    scenes.until(
         lambda: inst.open_connections == len(threads), "work has begun"
     )
 
 
 def _order(context) -> None:
-    context.results["order"] = preparedworld.call(
+    context.results["order"] = scenes.call(
         context.instances[0],
         "/orders/new",
         method="POST",
@@ -405,7 +403,7 @@
 @then("the work ends whole")
 def then_work_whole(context):
     for thread in context.work:
-        thread.join(preparedworld.WAIT_S)
+        thread.join(scenes.WAIT_S)
     assert len(context.results) == len(context.work)
     for name, answer in context.results.items():
         if name == "order":
@@ -413,12 +411,12 @@
             assert answer.status == 504
             continue
         assert answer.error is None
-        ids = preparedworld.event_ids(answer.body)
+        ids = scenes.event_ids(answer.body)
         assert ids == list(range(1, _EVENTS + 1))
 
 
 @then("the instance ends in time")
 def then_ends(context):
-    context.stopper.join(preparedworld.WAIT_S)
+    context.stopper.join(scenes.WAIT_S)
     assert not context.stopper.is_alive()
     assert context.instances[0].open_connections == 0
--- a/src/briarfall/cli/experiments.py
+++ b/src/briarfall/cli/experiments.py
@@ -15,8 +15,10 @@
         keep: Leave everything running and print curl lines that work.
     """
     from briarfall.bench import demo as demos
+    from briarfall.bench import gatewaydemo
 
-    return demos.run(keep=keep)
+    code = demos.run(keep=keep)
+    return gatewaydemo.run() or code
 
 
 def standin(name: str, *, port: int = 0, seconds: float = 3600.0) -> None:
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -7,8 +7,8 @@
 from briarfall import exceptions
 from briarfall import logs
 from briarfall.cli import explaining
+from briarfall.standins.prepared import scenes
 from briarfall.standins.prepared import services
-from tests import preparedworld
 
 
 class _Recorder(logging.Handler):
@@ -30,7 +30,7 @@
     level = logger.level
     logger.addHandler(recorder)
     logger.setLevel(logging.INFO)
-    with preparedworld.world() as scene:
+    with scenes.world() as scene:
 
         def path():
             file = tmp_path / "i1.log"
@@ -48,7 +48,7 @@
         desk = scene.service("d1")
         desk.fault = services.Fault.REFUSE
         inst = scene.instance()
-        preparedworld.call(inst, "/orders/x", method="POST", request_id="abc1")
+        scenes.call(inst, "/orders/x", method="POST", request_id="abc1")
         assert explaining.explain("abc1", path()) == 0
         last = capsys.readouterr().out.splitlines()[-1]
         assert last.startswith("cause: i1: request failed")
@@ -61,7 +61,7 @@
             engine.breaks_after = 3
         inst = scene.instance()
         scene.wait_for_layers()
-        preparedworld.call(
+        scenes.call(
             inst,
             "/drafts/x",
             method="POST",
@@ -78,7 +78,7 @@
         desk = scene.service("d1")
         desk.fault = services.Fault.RESET_AFTER_RUN
         inst = scene.instance()
-        preparedworld.call(inst, "/orders/x", method="POST", request_id="abc3")
+        scenes.call(inst, "/orders/x", method="POST", request_id="abc3")
         explaining.explain("abc3", path())
         last = capsys.readouterr().out.splitlines()[-1]
         assert "outcome=unknown" in last
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -1,6 +1,7 @@
 """The whole path over stand-ins of the prepared platform."""
 
 import copy
+import threading
 
 import pytest
 
@@ -10,13 +11,13 @@
 from briarfall.gateway import peermessages
 from briarfall.platform import topics
 from briarfall.standins.prepared import manifests
+from briarfall.standins.prepared import scenes
 from briarfall.standins.prepared import services
-from tests import preparedworld
 
 
 @pytest.fixture
 def world():
-    with preparedworld.world() as scene:
+    with scenes.world() as scene:
         yield scene
 
 
@@ -24,7 +25,7 @@
     def test_forwards_unchanged_and_sets_its_own_headers(self, world):
         desk = world.service("d1")
         inst = world.instance()
-        answer = preparedworld.call(
+        answer = scenes.call(
             inst,
             "/orders/new?x=1",
             method="POST",
@@ -49,26 +50,26 @@
         desk = world.service("d1")
         other = world.service("o1", "other")
         rows = [
-            preparedworld.route("a", "/a/", "idempotent", "desk"),
-            preparedworld.route("ab", "/a/b/", "idempotent", "other"),
+            scenes.route("a", "/a/", "idempotent", "desk"),
+            scenes.route("ab", "/a/b/", "idempotent", "other"),
         ]
-        world.publish(preparedworld.manifest(2, routes=rows))
+        world.publish(scenes.manifest(2, routes=rows))
         inst = world.instance()
         world.wait_for_targets(desk, other)
-        assert preparedworld.call(inst, "/a/b/c").status == 200
+        assert scenes.call(inst, "/a/b/c").status == 200
         assert other.ran_ids() == ["r1"]
-        assert preparedworld.call(inst, "/ab").status == 404
+        assert scenes.call(inst, "/ab").status == 404
 
     def test_unknown_key_is_refused_and_public_route_needs_none(self, world):
         desk = world.service("d1")
         rows = [
-            preparedworld.route("p", "/p/", "idempotent", "desk", public=True),
-            preparedworld.route("k", "/k/", "idempotent", "desk"),
+            scenes.route("p", "/p/", "idempotent", "desk", public=True),
+            scenes.route("k", "/k/", "idempotent", "desk"),
         ]
-        world.publish(preparedworld.manifest(2, routes=rows))
+        world.publish(scenes.manifest(2, routes=rows))
         inst = world.instance()
-        assert preparedworld.call(inst, "/k/x", key="no").status == 401
-        assert preparedworld.call(inst, "/p/x", key="").status == 200
+        assert scenes.call(inst, "/k/x", key="no").status == 401
+        assert scenes.call(inst, "/p/x", key="").status == 200
         assert len(desk.ran) == 1
         assert "x-tenant" not in desk.ran[0].headers
 
@@ -76,7 +77,7 @@
         desk = world.service("d1")
         inst = world.instance()
         for number in range(5):
-            preparedworld.call(inst, "/views/x", request_id=f"r{number}")
+            scenes.call(inst, "/views/x", request_id=f"r{number}")
         assert len(desk.ran) == 5
         assert desk.server.opened == 1
 
@@ -85,9 +86,7 @@
         desk.fault = services.Fault.REFUSE
         inst = world.instance()
         for number in range(4):
-            answer = preparedworld.call(
-                inst, "/views/x", request_id=f"r{number}"
-            )
+            answer = scenes.call(inst, "/views/x", request_id=f"r{number}")
             assert answer.status == 503
         assert desk.ran == []
         assert desk.server.opened == 1
@@ -97,7 +96,7 @@
         desk = world.service("d1")
         inst = world.instance()
         for number in range(2):
-            answer = preparedworld.call(
+            answer = scenes.call(
                 inst, path, method="HEAD", request_id=f"r{number}"
             )
             assert answer.status == (200 if path == "/views/x" else 404)
@@ -110,32 +109,30 @@
         self, world, monkeypatch
     ):
         desk = world.service("d1")
-        gate = preparedworld.threading.Event()
+        gate = threading.Event()
         read = topics.CatalogueTopic.read_newest
 
         def read_late(topic, timeout_s):
-            gate.wait(preparedworld.WAIT_S)
+            gate.wait(scenes.WAIT_S)
             return read(topic, timeout_s)
 
         monkeypatch.setattr(topics.CatalogueTopic, "read_newest", read_late)
         inst = world.starting_instance()
         answers = []
-        thread = preparedworld.threading.Thread(
-            target=lambda: answers.append(preparedworld.call(inst, "/views/x"))
+        thread = threading.Thread(
+            target=lambda: answers.append(scenes.call(inst, "/views/x"))
         )
         thread.start()
-        preparedworld.until(
-            lambda: inst.open_connections == 1, "the call has come"
-        )
+        scenes.until(lambda: inst.open_connections == 1, "the call has come")
         gate.set()
-        thread.join(preparedworld.WAIT_S)
+        thread.join(scenes.WAIT_S)
         assert answers[0].status == 200
         assert len(desk.ran) == 1
 
     def test_call_is_refused_if_nothing_can_be_learned(self, world):
         world.store.status = 503
         inst = world.starting_instance()
-        answer = preparedworld.call(inst, "/views/x")
+        answer = scenes.call(inst, "/views/x")
         assert answer.status == 503
         assert float(answer.headers["Retry-After"]) > 0
 
@@ -155,9 +152,7 @@
             row.fault = fault
         inst = world.instance()
         world.wait_for_targets(*rows)
-        answer = preparedworld.call(
-            inst, "/orders/new", method="POST", body=b"x"
-        )
+        answer = scenes.call(inst, "/orders/new", method="POST", body=b"x")
         assert answer.status in (502, 504)
         assert sum(len(row.ran) for row in rows) == 1
 
@@ -167,7 +162,7 @@
         inst = world.instance()
         world.wait_for_targets(*rows)
         for number in range(6):
-            answer = preparedworld.call(
+            answer = scenes.call(
                 inst,
                 "/orders/new",
                 method="POST",
@@ -183,9 +178,7 @@
         rows[0].fault = services.Fault.MISDIRECTED
         inst = world.instance()
         world.wait_for_targets(*rows)
-        answer = preparedworld.call(
-            inst, "/orders/new", method="POST", body=b"x"
-        )
+        answer = scenes.call(inst, "/orders/new", method="POST", body=b"x")
         assert answer.status == 200
         assert rows[0].ran == []
 
@@ -193,9 +186,7 @@
         desk = world.service("d1")
         desk.fault = services.Fault.REFUSE
         inst = world.instance()
-        answer = preparedworld.call(
-            inst, "/orders/new", method="POST", body=b"x"
-        )
+        answer = scenes.call(inst, "/orders/new", method="POST", body=b"x")
         assert answer.status == 503
         assert float(answer.headers["Retry-After"]) > 0
         assert desk.ran == []
@@ -204,7 +195,7 @@
         desk = world.service("d1")
         desk.fault = services.Fault.HANG
         inst = world.instance()
-        answer = preparedworld.call(
+        answer = scenes.call(
             inst, "/orders/new", method="POST", body=b"x", deadline_ms=400
         )
         assert answer.status == 504
@@ -228,7 +219,7 @@
         inst = world.instance()
         world.wait_for_targets(*rows)
         for number in range(4):
-            answer = preparedworld.call(
+            answer = scenes.call(
                 inst, "/views/x", request_id=f"r{number}", deadline_ms=1500
             )
             assert answer.status == 200
@@ -239,7 +230,7 @@
         desk.fault = services.Fault.EXTRA_ANSWER
         inst = world.instance()
         for number in range(4):
-            answer = preparedworld.call(
+            answer = scenes.call(
                 inst,
                 "/views/x",
                 method="POST",
@@ -254,7 +245,7 @@
             row.fault = services.Fault.FAIL
         inst = world.instance()
         world.wait_for_targets(*rows)
-        answer = preparedworld.call(inst, "/views/x")
+        answer = scenes.call(inst, "/views/x")
         assert answer.status == 500
         assert answer.headers["X-Response-Signature"] in ("d1", "d2")
 
@@ -267,7 +258,7 @@
         return engines, inst
 
     def _draft(self, inst, **extra):
-        return preparedworld.call(
+        return scenes.call(
             inst,
             "/drafts/new",
             method="POST",
@@ -281,7 +272,7 @@
         engines, inst = self._start(world)
         answer = self._draft(inst)
         assert answer.status == 200
-        assert preparedworld.event_ids(answer.body) == list(range(1, 13))
+        assert scenes.event_ids(answer.body) == list(range(1, 13))
         for engine in engines:
             for _, _, path in engine.made:
                 edge = 0
@@ -302,7 +293,7 @@
             engine.breaks_after = 0
         answer = self._draft(inst)
         assert answer.error is None
-        assert preparedworld.event_ids(answer.body) == list(range(1, 13))
+        assert scenes.event_ids(answer.body) == list(range(1, 13))
 
     def test_events_may_count_from_zero(self, world):
         engines, inst = self._start(world, 6)
@@ -314,12 +305,12 @@
             engine.breaks_after = 0
         answer = self._draft(inst)
         assert answer.error is None
-        assert preparedworld.event_ids(answer.body) == list(range(0, 13))
+        assert scenes.event_ids(answer.body) == list(range(0, 13))
 
     def test_caller_resumes_after_an_event_of_its_own(self, world):
         engines, inst = self._start(world)
         answer = self._draft(inst, Last_Event_Id="7")
-        assert preparedworld.event_ids(answer.body) == list(range(8, 13))
+        assert scenes.event_ids(answer.body) == list(range(8, 13))
 
     def test_lost_answers_do_not_run_it_on_more_engines_than_allowed(
         self, world
@@ -361,52 +352,48 @@
         engines, inst = self._start(world, 6)
         for engine in engines:
             engine.events = 40
-            engine.on_event[5] = preparedworld.threading.Event()
+            engine.on_event[5] = threading.Event()
         marks = [engine.on_event[5] for engine in engines]
         answers = []
-        thread = preparedworld.threading.Thread(
+        thread = threading.Thread(
             target=lambda: answers.append(self._draft(inst))
         )
         thread.start()
-        preparedworld.until(
-            lambda: any(mark.is_set() for mark in marks), "event 5"
-        )
+        scenes.until(lambda: any(mark.is_set() for mark in marks), "event 5")
         head = next(e for e in engines if e.on_event[5].is_set())
         victim = world.fleet[head.paths["r1"][1][0]]
         victim.go_dark()
-        thread.join(preparedworld.WAIT_S)
+        thread.join(scenes.WAIT_S)
         assert answers[0].error is None
-        assert preparedworld.event_ids(answers[0].body) == list(range(1, 41))
+        assert scenes.event_ids(answers[0].body) == list(range(1, 41))
         repaths = [o for o in head.orders if o["op"] == "repath"]
         assert len(repaths) >= 1
         assert [run for run in head.ran_ids()] == ["r1"]
 
     def test_two_dead_middle_stages_are_replaced_together(self, world):
-        manifest = copy.deepcopy(preparedworld.manifest(2))
+        manifest = copy.deepcopy(scenes.manifest(2))
         pool = manifest["services"][1]
         pool["engine"]["kinds"].append(manifests.TINY_KIND)
         world.publish(manifest)
         engines, inst = self._start(world, 12, kind="tiny")
         for engine in engines:
             engine.events = 40
-            engine.on_event[5] = preparedworld.threading.Event()
+            engine.on_event[5] = threading.Event()
         marks = [engine.on_event[5] for engine in engines]
         answers = []
-        thread = preparedworld.threading.Thread(
+        thread = threading.Thread(
             target=lambda: answers.append(self._draft(inst))
         )
         thread.start()
-        preparedworld.until(
-            lambda: any(mark.is_set() for mark in marks), "event 5"
-        )
+        scenes.until(lambda: any(mark.is_set() for mark in marks), "event 5")
         head = next(e for e in engines if e.on_event[5].is_set())
         victims = [row[0] for row in head.paths["r1"][1:3]]
         for address in victims:
             world.fleet[address].go_dark()
-        thread.join(preparedworld.WAIT_S)
+        thread.join(scenes.WAIT_S)
         assert len(victims) == 2
         assert answers[0].error is None
-        assert preparedworld.event_ids(answers[0].body) == list(range(1, 41))
+        assert scenes.event_ids(answers[0].body) == list(range(1, 41))
         assert [run for run in head.ran_ids()] == ["r1"]
 
     def test_engines_without_room_are_a_true_503(self, world):
@@ -451,7 +438,7 @@
         engine.layers = None
         engine.fence = 0
         engine.register(born=2)
-        preparedworld.until(
+        scenes.until(
             lambda: engine.layers is not None, "layers after a restart"
         )
 
@@ -460,32 +447,30 @@
     def test_new_manifest_is_in_force_and_never_reverts(self, world):
         world.service("d1")
         inst = world.instance()
-        world.publish(preparedworld.manifest(5, keys=("key-2",)))
-        preparedworld.until(
-            lambda: (
-                preparedworld.call(inst, "/views/x", key="key-2").status == 200
-            ),
+        world.publish(scenes.manifest(5, keys=("key-2",)))
+        scenes.until(
+            lambda: scenes.call(inst, "/views/x", key="key-2").status == 200,
             "version 5",
         )
-        world.publish(preparedworld.manifest(3))
-        assert preparedworld.call(inst, "/views/x").status == 401
+        world.publish(scenes.manifest(3))
+        assert scenes.call(inst, "/views/x").status == 401
         assert inst.follower.view.version == 5
 
     def test_one_read_of_the_store_serves_all_instances_of_a_zone(self, world):
         world.service("d1")
         rows = [world.instance(f"i{number}") for number in range(4)]
         for inst in rows:
-            preparedworld.until(
+            scenes.until(
                 lambda inst=inst: inst.peers.instance_count == 4, "4 members"
             )
         readers = [inst for inst in rows if inst._is_reader()]
         assert len(readers) == 1
         # What an instance asked while it was alone has come back.
-        preparedworld.until(lambda: world.store.waiting <= 1, "one reader left")
+        scenes.until(lambda: world.store.waiting <= 1, "one reader left")
         positions = [inst.follower._position for inst in rows]
-        world.publish(preparedworld.manifest(9))
+        world.publish(scenes.manifest(9))
         for inst, position in zip(rows, positions, strict=True):
-            preparedworld.until(
+            scenes.until(
                 lambda inst=inst: inst.follower.view.version == 9, "version 9"
             )
             if inst is not readers[0]:
@@ -498,9 +483,7 @@
         world.service("d1")
         rows = [world.instance(f"i{number}") for number in range(3)]
         asking = rows[0].gossip
-        preparedworld.until(
-            lambda: len(rows[0].peers.alive()) == 2, "peers are known"
-        )
+        scenes.until(lambda: len(rows[0].peers.alive()) == 2, "peers are known")
         asked = []
         fetch = asking.fetch_catalogue
 
@@ -511,7 +494,7 @@
             return fetch(peer, timeout_s)
 
         monkeypatch.setattr(asking, "fetch_catalogue", fetch_second)
-        preparedworld.until(
+        scenes.until(
             lambda: all(p.version >= 1 for p in rows[0].peers.alive()),
             "versions of peers",
         )
@@ -548,35 +531,33 @@
         world.service("d1")
         inst = world.instance()
         world.store.forget("keyed.op")
-        world.publish(preparedworld.manifest(7))
-        preparedworld.until(
-            lambda: inst.follower.view.version == 7, "version 7"
-        )
+        world.publish(scenes.manifest(7))
+        scenes.until(lambda: inst.follower.view.version == 7, "version 7")
 
     def test_keys_are_refused_once_the_view_is_old(self, world):
         desk = world.service("d1")
         inst = world.instance(key_ttl_s=1.0)
         world.store.status = 503
-        preparedworld.until(lambda: not inst.is_ready, "not ready")
+        scenes.until(lambda: not inst.is_ready, "not ready")
         ran = len(desk.ran)
-        answer = preparedworld.call(inst, "/views/x")
+        answer = scenes.call(inst, "/views/x")
         assert answer.status == 503
         assert len(desk.ran) == ran
         world.store.status = 0
-        preparedworld.until(lambda: inst.is_ready, "ready again")
-        assert preparedworld.call(inst, "/views/x").status == 200
+        scenes.until(lambda: inst.is_ready, "ready again")
+        assert scenes.call(inst, "/views/x").status == 200
 
     def test_leaving_target_gets_no_new_calls(self, world):
         rows = [world.service("d1"), world.service("d2")]
         inst = world.instance()
         world.wait_for_targets(*rows)
         rows[0].leave()
-        preparedworld.until(
+        scenes.until(
             lambda: inst.targets.get("d1").entry.state.value == "leaving",
             "d1 leaves",
         )
         for number in range(8):
-            preparedworld.call(inst, "/views/x", request_id=f"r{number}")
+            scenes.call(inst, "/views/x", request_id=f"r{number}")
         assert rows[0].ran == []
 
     def test_entries_that_cannot_be_read_name_no_target(self, world):
@@ -591,7 +572,7 @@
         }
         world.store.put("keyed.servers", "bad-3", entry)
         inst = world.instance()
-        assert preparedworld.call(inst, "/views/x").status == 200
+        assert scenes.call(inst, "/views/x").status == 200
         assert inst.targets.get("bad-3") is None
         assert len(desk.ran) == 1
 
@@ -602,4 +583,4 @@
         inst = world.instance()
         inst.stop.ask()
         assert not inst.is_ready
-        assert preparedworld.call(inst, "/views/x").status == 200
+        assert scenes.call(inst, "/views/x").status == 200
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,7 +18,7 @@
 from briarfall.platform import settings
 from briarfall.platform import store
 from briarfall.platform import topics
-from tests import preparedworld
+from briarfall.standins.prepared import scenes
 
 
 def settings_file(**changes) -> bytes:
@@ -100,7 +100,7 @@
         assert applied == []
 
     def test_instance_takes_over_bounds(self, tmp_path):
-        with preparedworld.world() as scene:
+        with scenes.world() as scene:
             inst = scene.instance()
             inst.reload(settings.parse(settings_file(bounds={"grace_s": 3})))
             inst.stop.ask()
@@ -109,7 +109,7 @@
 
 class TestManifest:
     def parse(self, **changes):
-        value = preparedworld.manifest(4)
+        value = scenes.manifest(4)
         value.update(changes)
         return manifest.parse(json.dumps(value).encode())
 
@@ -124,12 +124,12 @@
         assert model.kinds["large"].memory_mb == 124.0
 
     def test_stream_that_may_not_be_resumed_runs_once(self):
-        rows = [preparedworld.route("s", "/s/", "streaming", "pool")]
+        rows = [scenes.route("s", "/s/", "streaming", "pool")]
         view = self.parse(routes=rows)
         assert not view.match("shop.example", "/s/x").is_repeatable
 
     def test_split_routes_keep_their_weights(self):
-        row = preparedworld.route("s", "/s/", "idempotent", "desk")
+        row = scenes.route("s", "/s/", "idempotent", "desk")
         del row["service"]
         row["backends"] = [
             {"service": "desk", "weight": 90},
@@ -143,7 +143,7 @@
         [
             {"version": "many"},
             {"routes": [{"name": "x"}]},
-            {"routes": [preparedworld.route("x", "/x/", "dancing", "desk")]},
+            {"routes": [scenes.route("x", "/x/", "dancing", "desk")]},
         ],
     )
     def test_what_cannot_be_read_is_a_typed_error(self, changes):
@@ -240,7 +240,7 @@
 class TestStore:
     @pytest.fixture
     def scene(self):
-        with preparedworld.world() as scene:
+        with scenes.world() as scene:
             yield (
                 scene,
                 store.Store(scene.store.address, summary.CallCounts(), "test"),
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -7,7 +7,7 @@
 from briarfall import exceptions
 from briarfall.cli import gateways
 from briarfall.cli import timeline
-from tests import preparedworld
+from briarfall.standins.prepared import scenes
 
 
 def line(second: float, message: str, instance="i1") -> str:
@@ -50,7 +50,7 @@
 
 class TestGatewayStatus:
     def test_running_instance(self, capsys):
-        with preparedworld.world() as world:
+        with scenes.world() as world:
             inst = world.instance()
             host, port = inst.status_address
             assert gateways.gateway_status(f"{host}:{port}") == 0
