--- a/src/briarfall/cli/explaining.py
+++ b/src/briarfall/cli/explaining.py
@@ -1,8 +1,5 @@
 """`briarfall explain`: one request's decisions from the logs of instances."""
 
-import pathlib
-import sys
-
 from briarfall import exceptions
 from briarfall.cli import logfiles
 
@@ -65,12 +62,7 @@
         request: Request id.
         logs: Log files of any number of instances; standard input if none.
     """
-    texts = [pathlib.Path(name).read_text(errors="replace") for name in logs]
-    if not logs:
-        texts = [sys.stdin.read()]
-    lines = []
-    for text in texts:
-        lines.extend(logfiles.read_lines(text))
+    lines = logfiles.read_files(logs)
     rows = story(request, lines)
     if not rows:
         raise exceptions.NotFoundError(
--- a/src/briarfall/cli/logfiles.py
+++ b/src/briarfall/cli/logfiles.py
@@ -1,5 +1,9 @@
 """Log lines of instances, read back from files."""
 
+import collections.abc
+import pathlib
+import sys
+
 import msgspec
 
 
@@ -26,6 +30,17 @@
             return 0.0
 
 
+def read_files(names: collections.abc.Sequence[str]) -> list[LogLine]:
+    """Returns the log lines of some files; of standard input if none."""
+    texts = [pathlib.Path(name).read_text(errors="replace") for name in names]
+    if not names:
+        texts = [sys.stdin.read()]
+    found = []
+    for text in texts:
+        found.extend(read_lines(text))
+    return found
+
+
 def read_lines(text: str) -> list[LogLine]:
     """Returns the log lines of a text; other lines are left out."""
     found = []
--- a/src/briarfall/cli/timeline.py
+++ b/src/briarfall/cli/timeline.py
@@ -1,8 +1,6 @@
 """`briarfall timeline`: a day from the logs of instances, and its plot."""
 
 import collections
-import pathlib
-import sys
 
 import msgspec
 
@@ -104,12 +102,7 @@
     """
     if interval <= 0:
         raise exceptions.SettingsError("interval must be above 0")
-    texts = [pathlib.Path(name).read_text(errors="replace") for name in logs]
-    if not logs:
-        texts = [sys.stdin.read()]
-    lines = []
-    for text in texts:
-        lines.extend(logfiles.read_lines(text))
+    lines = logfiles.read_files(logs)
     rows = intervals(lines, interval)
     if not rows:
         raise exceptions.NotFoundError(
