--- a/src/briarfall/pipelines/runs.py
+++ b/src/briarfall/pipelines/runs.py
@@ -17,14 +17,11 @@
 from briarfall.pipelines import policies
 from briarfall.pipelines import pump as pumps
 from briarfall.pipelines import streams
+from briarfall.pipelines import suspects
 
-_TRIAL_RETRY_S = 0.01
 _PLAN_RETRY_S = 0.05
 _BUDGET_RETRY_S = 2.0
 _PROOF_INTERVAL_S = 0.1
-# An engine may have computed one token that did not arrive, and died on the
-# next one.
-_TRIAL_TOKENS = 2
 
 UNKNOWN_STREAM = "unknown_stream"
 
@@ -58,7 +55,7 @@
         self._old_cause: models.Cause | None = None
         self._dead_before: set[str] = set()
         self._death_route: set[str] = set()
-        self._trial_until: int | None = None
+        self._trial = suspects.SuspectTrial(relay, req)
         self._suspect_layer = 0
         self._done = False
         self._started = False
@@ -84,7 +81,7 @@
 
     def fileno(self) -> int:
         """Returns the descriptor of the engine's stream, or -1."""
-        if self._stream is None or self._trial_until is not None:
+        if self._stream is None or self._trial.is_open:
             return -1
         return self._stream.fileno()
 
@@ -133,7 +130,7 @@
             yield from self._stream_route(route, failed_s, planned_s)
         finally:
             table.end(names, rank)
-            self._end_trial()
+            self._trial.end()
 
     def _stream_route(self, route, failed_s: float, planned_s: float):
         stream = self._open(route)
@@ -183,8 +180,10 @@
                     recovering = None
                 if tokens[-1].finish:
                     self._done = True
-                if self._trial_until is not None:
-                    self._pass_trial()
+                if self._trial.is_open:
+                    self._trial.note_progress(
+                        self._accepted.index, is_done=self._done
+                    )
                 visible = self._deliver(tokens)
                 if visible:
                     yield visible
@@ -372,7 +371,13 @@
         while True:
             try:
                 if is_suspect:
-                    return self._plan_trial()
+                    route = self._trial.plan(
+                        self._route_request,
+                        self._suspect_layer,
+                        self._accepted.index,
+                        self._outcome(),
+                    )
+                    return self._with_imports(route)
                 route = self._relay.planner.plan(self._route_request())
                 return self._with_imports(route)
             except exceptions.NoRouteError:
@@ -382,52 +387,6 @@
                     raise
                 time.sleep(_PLAN_RETRY_S)
 
-    def _plan_trial(self) -> list[engines.Hop]:
-        """Returns a route on which no other suspect runs."""
-        req, relay = self._req, self._relay
-        occupied: list[str] = []
-        while time.monotonic() < req.deadline_s:
-            dead = {
-                target.id
-                for target in req.model.targets
-                if relay.table.is_ejected(target.id)
-            }
-            route_req = self._route_request()
-            route_req.banned = frozenset(dead.union(occupied))
-            try:
-                route = relay.planner.plan(route_req)
-            except exceptions.NoRouteError:
-                if not occupied:
-                    raise
-                occupied = []
-                time.sleep(_TRIAL_RETRY_S)
-                continue
-            # Targets of the layers before the dead one have run the request
-            # and live.
-            names = [h.target for h in route if h.end > self._suspect_layer]
-            occupied = relay.trials.reserve(
-                req.model_name, req.fingerprint, names
-            )
-            if not occupied:
-                self._trial_until = self._accepted.index + _TRIAL_TOKENS
-                return self._with_imports(route)
-        raise exceptions.DeadlineError(
-            "the deadline passed", outcome=self._outcome()
-        )
-
-    def _pass_trial(self) -> None:
-        """Clears this request once it is beyond the point of the death."""
-        if not self._done and self._accepted.index < self._trial_until:
-            return
-        self._relay.guard.note_passed(self._req.fingerprint)
-        self._end_trial()
-
-    def _end_trial(self) -> None:
-        if self._trial_until is None:
-            return
-        self._trial_until = None
-        self._relay.trials.release(self._req.model_name, self._req.fingerprint)
-
     def _with_imports(self, route):
         """Adds KV imports where an old target still answers."""
         if self._old_cause not in (models.Cause.MOVED, models.Cause.STALLED):
