--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -23,15 +23,11 @@
 from briarfall.gateway import sources
 from briarfall.gateway import targets
 
-# Interval of the status to peers in the zone; chains mostly stay there.
-_NEAR_S = 0.25
-_FAR_S = 1.0
-# Intervals grow with the number of peers, so that the datagrams per second
-# of an instance stay bounded.
-_NEAR_S_PER_PEER = 0.012
-_FAR_S_PER_PEER = 0.03
+# Pause between looks at which peers are due a status.
+_TICK_S = 0.25
 # A peer that was announced and is silent may still be starting.
 _SILENT_S = 2.0
+_SILENT_INTERVALS = 2.0
 _MAX_DATAGRAM = 65_000
 # Patience with a peer for each part of its catalogue.
 _FETCH_TIMEOUT_S = 0.25
@@ -221,7 +217,7 @@
     def _send_loop(self) -> None:
         sent_s: dict[ids.InstanceId, float] = {}
         while not self._closed.is_set():
-            is_urgent = self._wake.wait(_NEAR_S)
+            is_urgent = self._wake.wait(_TICK_S)
             self._wake.clear()
             try:
                 self._send_status(sent_s, is_urgent=is_urgent)
@@ -236,14 +232,12 @@
     ) -> None:
         data = peermessages.encode(self._status())
         rows = self._peers.all()
-        near = sum(1 for row in rows if row.zone == self._record.zone)
-        near_s = max(_NEAR_S, near * _NEAR_S_PER_PEER)
-        far_s = max(_FAR_S, (len(rows) - near) * _FAR_S_PER_PEER)
         now_s = clocks.boot_s()
         for peer in rows:
-            interval_s = near_s if peer.zone == self._record.zone else far_s
-            if now_s - max(peer.heard_s, peer.found_s) > _SILENT_S:
-                interval_s = _SILENT_S
+            interval_s = self._peers.interval_s(peer.zone)
+            silent_s = now_s - max(peer.heard_s, peer.found_s)
+            if silent_s > max(_SILENT_S, interval_s * _SILENT_INTERVALS):
+                interval_s = max(interval_s, _SILENT_S)
             is_due = now_s - sent_s.get(peer.id, 0.0) >= interval_s * 0.9
             if is_due or (is_urgent and interval_s < _SILENT_S):
                 sent_s[peer.id] = now_s
@@ -339,7 +333,8 @@
         rows = {}
         for row in status.loads:
             rows[row.target] = loads.Load(row.streams, row.tokens)
-        self._loads.merge(status.sender, rows)
+        interval_s = self._peers.interval_s(status.zone)
+        self._loads.merge(status.sender, rows, interval_s)
         self._crashes.take(status.crashes)
         for row in status.suspicions:
             self._targets.take_suspicion(
--- a/src/briarfall/gateway/loads.py
+++ b/src/briarfall/gateway/loads.py
@@ -8,8 +8,10 @@
 from briarfall import ids
 from briarfall.gateway import clocks
 
-# Reports of an instance that has fallen silent say little after this time.
+# Reports of an instance that has fallen silent say little after this time, or
+# after so many of its intervals.
 _REPORT_TTL_S = 2.0
+_REPORT_INTERVALS = 2.0
 
 
 class Load(msgspec.Struct):
@@ -25,7 +27,7 @@
 
 
 class _Report(msgspec.Struct):
-    received_s: float
+    until_s: float
     loads: dict[ids.TargetId, Load]
 
 
@@ -72,22 +74,33 @@
             }
 
     def merge(
-        self, instance: ids.InstanceId, loads: dict[ids.TargetId, Load]
+        self,
+        instance: ids.InstanceId,
+        loads: dict[ids.TargetId, Load],
+        interval_s: float = 0.0,
     ) -> None:
-        """Replaces the report of another instance."""
+        """Replaces the report of another instance.
+
+        Args:
+            instance: The instance.
+            loads: Its load on targets.
+            interval_s: Time after which its next report is due.
+        """
+        ttl_s = max(_REPORT_TTL_S, interval_s * _REPORT_INTERVALS)
         with self._lock:
             known = self._reports.get(instance)
             if known is not None:
                 self._subtract(known.loads)
-            self._reports[instance] = _Report(clocks.boot_s(), loads)
+            until_s = clocks.boot_s() + ttl_s
+            self._reports[instance] = _Report(until_s, loads)
             self._add(loads)
 
     def expire(self) -> None:
         """Drops reports of instances that have fallen silent."""
-        oldest_s = clocks.boot_s() - _REPORT_TTL_S
+        now_s = clocks.boot_s()
         with self._lock:
             for instance, report in list(self._reports.items()):
-                if report.received_s < oldest_s:
+                if report.until_s < now_s:
                     del self._reports[instance]
                     self._subtract(report.loads)
 
--- a/src/briarfall/gateway/peers.py
+++ b/src/briarfall/gateway/peers.py
@@ -12,8 +12,16 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import sources
 
-# Silence after which an instance counts as gone.
+# Interval of the status to peers in the zone; chains mostly stay there.
+_NEAR_S = 0.25
+_FAR_S = 1.0
+# Intervals grow with the number of peers, so that the datagrams per second
+# of an instance stay bounded.
+_NEAR_S_PER_PEER = 0.012
+_FAR_S_PER_PEER = 0.03
+# Silence after which an instance counts as gone, at least and in intervals.
 _ALIVE_S = 2.5
+_ALIVE_INTERVALS = 2.5
 # An instance that was announced counts as a reader so long without a word,
 # so that not every new instance reads the store until it has met the others.
 _MEET_S = 1.0
@@ -65,6 +73,8 @@
         self._zone = zone
         self._lock = threading.Lock()
         self._peers: dict[ids.InstanceId, Peer] = {}
+        self._near_s = _NEAR_S
+        self._far_s = _FAR_S
         self.reaches_store = True
 
     def add(self, record: sources.InstanceRecord) -> Peer | None:
@@ -80,7 +90,8 @@
         where = (host, int(port))
         with self._lock:
             peer = self._peers.get(record.id)
-            if peer is None:
+            is_new = peer is None
+            if is_new:
                 peer = Peer(
                     record.id,
                     where,
@@ -92,12 +103,15 @@
             peer.address = where
             peer.zone = record.zone
             peer.cores = record.cores
+            if is_new:
+                self._set_intervals()
             return peer
 
     def remove(self, peer_id: ids.InstanceId) -> None:
         """Forgets an instance that leaves."""
         with self._lock:
             self._peers.pop(peer_id, None)
+            self._set_intervals()
 
     def forget_silent(self) -> list[ids.InstanceId]:
         """Forgets and returns instances that have been silent for long."""
@@ -108,6 +122,8 @@
                 if max(peer.found_s, peer.heard_s) < oldest_s:
                     del self._peers[peer.id]
                     gone.append(peer.id)
+            if gone:
+                self._set_intervals()
         return gone
 
     def all(self) -> list[Peer]:
@@ -115,10 +131,27 @@
         with self._lock:
             return list(self._peers.values())
 
+    def interval_s(self, zone: ids.ZoneId) -> float:
+        """Returns the interval of statuses from and to peers of a zone."""
+        return self._near_s if zone == self._zone else self._far_s
+
+    def _set_intervals(self) -> None:
+        near = 0
+        for peer in self._peers.values():
+            near += peer.zone == self._zone
+        far = len(self._peers) - near
+        self._near_s = max(_NEAR_S, near * _NEAR_S_PER_PEER)
+        self._far_s = max(_FAR_S, far * _FAR_S_PER_PEER)
+
     def alive(self) -> list[Peer]:
         """Returns peers that were heard lately."""
-        oldest_s = clocks.boot_s() - _ALIVE_S
-        return [peer for peer in self.all() if peer.heard_s >= oldest_s]
+        now_s = clocks.boot_s()
+        found = []
+        for peer in self.all():
+            limit_s = self.interval_s(peer.zone) * _ALIVE_INTERVALS
+            if peer.heard_s >= now_s - max(_ALIVE_S, limit_s):
+                found.append(peer)
+        return found
 
     def _just_announced(self) -> list[Peer]:
         """Returns peers that have had no time yet to be heard."""
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from briarfall import exceptions
@@ -861,6 +862,23 @@
         clock.now_s += 1.1
         assert table.readers(1) == [None]
 
+    def test_far_instances_of_a_large_fleet_count_between_their_statuses(
+        self, clock
+    ):
+        table = peers.PeerTable("i0", "z0")
+        for number in range(1, 330):
+            zone = f"z{number % 7}"
+            table.add(
+                msgspec.structs.replace(record(f"i{number}"), zone=zone)
+            ).heard_s = clock.now_s
+        far_s = table.interval_s("z1")
+        clock.now_s += far_s * 0.9
+        # Those of the zone speak more often and are gone by now.
+        near = sum(1 for peer in table.all() if peer.zone == "z0")
+        assert table.instance_count == 330 - near
+        clock.now_s += far_s * 2
+        assert table.instance_count == 1
+
     def test_strongest_instance_reads_for_the_others(self, clock):
         cores = {"i1": 0.08, "i2": 0.5, "i3": 0.08, "i4": 0.08}
         for name, own in cores.items():
--- a/tests/test_gateway_loads.py
+++ b/tests/test_gateway_loads.py
@@ -70,6 +70,18 @@
             load = table.of(target)
             assert (load.streams, load.tokens) == total[target]
 
+    def test_report_lasts_until_the_next_ones_are_overdue(self, monkeypatch):
+        now_s = 100.0
+        monkeypatch.setattr(clocks, "boot_s", lambda: now_s)
+        table = loads.LoadTable()
+        table.merge(INSTANCES[0], report(1), interval_s=8.5)
+        now_s = 116.0
+        table.expire()
+        assert table.of(TARGETS[0]) == loads.Load(1, 700)
+        now_s = 118.0
+        table.expire()
+        assert table.of(TARGETS[0]) == loads.Load()
+
     def test_empty_row_of_a_report_changes_nothing(self):
         table = loads.LoadTable()
         table.merge(INSTANCES[0], {TARGETS[0]: loads.Load()})
