--- a/src/briarfall/cli/experiments.py
+++ b/src/briarfall/cli/experiments.py
@@ -195,8 +195,37 @@
     _finish("placement", {"placements": rows}, out)
 
 
+def path_choice(
+    *,
+    engines: int = 33,
+    instances: int = 20,
+    zones: int = 3,
+    per_s: float = 60.0,
+    seconds: float = 20.0,
+    seed: int = 1,
+    out: str = "",
+) -> None:
+    """Compares ways to choose chains on a simulated fleet.
+
+    Args:
+        engines: Number of engines.
+        instances: Number of gateway instances.
+        zones: Number of availability zones.
+        per_s: Streams a second, over all instances.
+        seconds: Simulated duration.
+        seed: Seed of fleet and load.
+        out: File for the report as JSON.
+    """
+    from briarfall.bench import pathchoices
+
+    rows = pathchoices.run(engines, instances, zones, per_s, seconds, seed)
+    rows = [msgspec.to_builtins(row) for row in rows]
+    _finish("path choice", {"choices": rows}, out)
+
+
 BENCHES = {
     "placement": placement,
+    "path-choice": path_choice,
     "throughput": throughput,
     "recovery": recovery,
     "relay": relay,
