--- a/src/briarfall/cli/explaining.py
+++ b/src/briarfall/cli/explaining.py
@@ -48,6 +48,13 @@
     for row in reversed(own):
         if row.message.startswith("request failed"):
             return f"{row.instance}: {row.message}"
+    for row in reversed(own):
+        status = int(row.status or 0)
+        if row.message.startswith("request done") and status >= 500:
+            return (
+                f"{row.instance}: its target itself answered {status}: "
+                f"{row.message}"
+            )
     for start in ("caller gone", "stream paused", "stream broken"):
         for row in reversed(own):
             if row.message.startswith(start):
@@ -68,7 +75,8 @@
         raise exceptions.NotFoundError(
             f"no log line names request {request}",
             remedy="give the logs of all instances of that time; requests "
-            "that went well are logged one in ten",
+            "that went well are logged one in ten; one that found its instance "
+            "down left no line (see `briarfall timeline`)",
         )
     for row in rows:
         mark = "*" if row.request == request else " "
--- a/src/briarfall/cli/logfiles.py
+++ b/src/briarfall/cli/logfiles.py
@@ -17,6 +17,7 @@
     request: str = ""
     code: str = ""
     outcome: str = ""
+    status: str = ""
 
     @property
     def second(self) -> float:
--- a/src/briarfall/gateway/callers.py
+++ b/src/briarfall/gateway/callers.py
@@ -42,6 +42,8 @@
         self.closes = False
         self.has_answered = False
         self.head_sent_s = 0.0
+        # Status of the newest answer.
+        self.status = 0
         # Answers to HEAD have the headers of a body, and none.
         self._is_head = False
         self._http = h11.Connection(
@@ -130,8 +132,7 @@
         else:
             limit_s = int(self.limits.idle_timeout_s)
             fields.append((b"Keep-Alive", b"timeout=%d" % limit_s))
-        self.has_answered = True
-        self.head_sent_s = clocks.boot_s()
+        self._note_head(status)
         self._send(h11.Response(status_code=status, headers=fields, reason=b""))
 
     def send_data(self, data: bytes) -> None:
@@ -155,8 +156,7 @@
             fields.append((b"Content-Length", str(len(body)).encode()))
         if self.closes:
             fields.append((b"Connection", b"close"))
-        self.has_answered = True
-        self.head_sent_s = clocks.boot_s()
+        self._note_head(status)
         data = self._http.send(
             h11.Response(status_code=status, headers=fields, reason=b"")
         )
@@ -165,6 +165,11 @@
         data += self._http.send(h11.EndOfMessage())
         self._write(data)
 
+    def _note_head(self, status: int) -> None:
+        self.has_answered = True
+        self.head_sent_s = clocks.boot_s()
+        self.status = status
+
     def _send(self, event) -> None:
         data = self._http.send(event)
         if data:
--- a/src/briarfall/gateway/front.py
+++ b/src/briarfall/gateway/front.py
@@ -27,6 +27,8 @@
 # Another instance takes the request at once.
 _MOVE_RETRY_S = 0.05
 _IDLE_POLL_S = 0.5
+# Statuses from here on are failures of the target.
+_FIRST_FAILURE = 500
 # Share of the requests that went well which are logged.
 _SUCCESS_SAMPLE = 0.1
 
@@ -156,15 +158,20 @@
             self._metrics.observe(
                 "briarfall_answer_seconds", first_s, route.name
             )
-        is_plain_success = outcome == "answered" and call.sends == 1
+        is_plain_success = (
+            outcome == "answered"
+            and call.sends == 1
+            and call.conn.status < _FIRST_FAILURE
+        )
         if is_plain_success and self._rng.random() > _SUCCESS_SAMPLE:
             return
         logging.info(
-            "request done request=%s route=%s outcome=%s sends=%d runs=%d "
-            "age_ms=%d version=%s view_age_ms=%d",
+            "request done request=%s route=%s outcome=%s status=%d sends=%d "
+            "runs=%d age_ms=%d version=%s view_age_ms=%d",
             call.request_id,
             route.name,
             outcome,
+            call.conn.status if call.conn.has_answered else 0,
             call.sends,
             call.runs,
             call.age_s * 1000,
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -1,6 +1,7 @@
 """`briarfall explain` names the cause of three kinds of failed request."""
 
 import logging
+import pathlib
 
 import pytest
 
@@ -54,6 +55,20 @@
         assert last.startswith("cause: i1: request failed")
         assert "outcome=not_run" in last
 
+    def test_failure_of_the_target_itself(self, recorded, capsys):
+        scene, path = recorded
+        desk = scene.service("d1")
+        desk.fault = services.Fault.FAIL
+        inst = scene.instance()
+        scenes.call(inst, "/orders/x", method="POST", request_id="abc5")
+        # The line follows the answer.
+        scenes.until(
+            lambda: "abc5" in pathlib.Path(path()).read_text(), "the line"
+        )
+        assert explaining.explain("abc5", path()) == 0
+        last = capsys.readouterr().out.splitlines()[-1]
+        assert last.startswith("cause: i1: its target itself answered 500")
+
     def test_broken_in_mid_stream(self, recorded, capsys):
         scene, path = recorded
         for number in range(4):
