--- a/src/briarfall/bench/gatewaydemo.py
+++ b/src/briarfall/bench/gatewaydemo.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+from absl import logging
 import msgspec
 
 from briarfall.bench import checks
@@ -200,13 +201,19 @@
 def run() -> int:
     """Plays the scene and returns the exit code."""
     started_s = time.monotonic()
-    with scenes.world() as scene:
-        demo = _Demo(scene)
-        demo.start()
-        demo.orders()
-        demo.streams()
-        demo.stop_one()
-        demo.take_key()
+    # The faults are meant; their warnings would hide the table.
+    verbosity = logging.get_verbosity()
+    logging.set_verbosity(logging.ERROR)
+    try:
+        with scenes.world() as scene:
+            demo = _Demo(scene)
+            demo.start()
+            demo.orders()
+            demo.streams()
+            demo.stop_one()
+            demo.take_key()
+    finally:
+        logging.set_verbosity(verbosity)
     print("the prepared platform:")
     console.show_table(msgspec.to_builtins(demo.promises))
     print(f"{time.monotonic() - started_s:.1f} s")
