--- a/features/steps/platform_faults.py
+++ b/features/steps/platform_faults.py
@@ -1,6 +1,5 @@
 """Faults at each step of the gateway's work, over the stand-ins' ledgers."""
 
-import copy
 import threading
 
 from behave import given
@@ -43,10 +42,7 @@
 @given("a prepared platform with {count:d} engines")
 def given_engines(context, count):
     scene = _scene(context)
-    manifest = copy.deepcopy(scenes.manifest(2))
-    kinds = manifest["services"][1]["engine"]["kinds"]
-    kinds.append(manifests.TINY_KIND)
-    scene.publish(manifest)
+    scene.publish(scenes.tiny_kind_manifest(2))
     kind = "tiny" if count > 6 else "small"
     context.engines = [scene.engine(f"e{n}", kind=kind) for n in range(count)]
     for engine in context.engines:
@@ -74,16 +70,21 @@
 
 @when("a caller places {count:d} orders")
 def when_orders(context, count):
+    _call_each(context, "order", count, "/orders/new", deadline_ms=800)
+
+
+def _call_each(context, kind, count, path, **extra) -> None:
+    """Sends requests with bodies of their own; keeps the answers by name."""
     context.answers = {}
     for number in range(count):
-        name = f"order-{number}"
+        name = f"{kind}-{number}"
         context.answers[name] = scenes.call(
             context.instances[0],
-            "/orders/new",
+            path,
             method="POST",
             body=name.encode(),
             request_id=name,
-            deadline_ms=800,
+            **extra,
         )
 
 
@@ -115,16 +116,7 @@
 
 @when("a caller asks for {count:d} views")
 def when_views(context, count):
-    context.answers = {}
-    for number in range(count):
-        name = f"view-{number}"
-        context.answers[name] = scenes.call(
-            context.instances[0],
-            "/views/x",
-            method="POST",
-            body=name.encode(),
-            request_id=name,
-        )
+    _call_each(context, "view", count, "/views/x")
 
 
 @then("every view is answered whole")
@@ -215,12 +207,7 @@
     made = set()
     for engine in context.engines:
         for name, number, path in engine.made:
-            edge = 0
-            for row in path.split(","):
-                first, _, end = row.partition("=")[2].partition("-")
-                assert int(first) == edge
-                edge = int(end)
-            assert edge == _LAYERS
+            assert services.runs_all_layers(path), path
             if name == "stream":
                 made.add(number)
     assert made >= set(range(1, _EVENTS + 1))
@@ -229,7 +216,6 @@
 @when('"{fault}"')
 def when_store_fault(context, fault):
     scene = context.scene
-    context.version = 10
     if fault == "the store refuses every call":
         scene.store.status = 503
     elif fault == "the store resets every call":
--- a/src/briarfall/bench/gatewaydemo.py
+++ b/src/briarfall/bench/gatewaydemo.py
@@ -1,7 +1,6 @@
 """The prepared platform's path in one process, with faults."""
 
 import concurrent.futures
-import copy
 import threading
 import time
 
@@ -11,7 +10,6 @@
 from briarfall.bench import checks
 from briarfall.cli import console
 from briarfall.gateway import instance
-from briarfall.standins.prepared import manifests
 from briarfall.standins.prepared import scenes
 from briarfall.standins.prepared import services
 
@@ -34,10 +32,7 @@
 
     def start(self) -> None:
         scene = self._scene
-        manifest = copy.deepcopy(scenes.manifest(2))
-        kinds = manifest["services"][1]["engine"]["kinds"]
-        kinds.append(manifests.TINY_KIND)
-        scene.publish(manifest)
+        scene.publish(scenes.tiny_kind_manifest(2))
         self._desks = [scene.service(f"desk-{n}") for n in range(3)]
         self._engines = []
         for zone in _ZONES:
@@ -115,7 +110,7 @@
         for engine in self._engines:
             for _, _, text in engine.made:
                 made += 1
-                wrong += not _covers(text)
+                wrong += not services.runs_all_layers(text)
         self._promise(
             "every layer ran once per token, in order",
             not wrong,
@@ -187,17 +182,6 @@
         )
 
 
-def _covers(text: str) -> bool:
-    """Whether a path of the ledger runs all layers once and in order."""
-    edge = 0
-    for row in text.split(","):
-        first, _, end = row.partition("=")[2].partition("-")
-        if int(first) != edge:
-            return False
-        edge = int(end)
-    return edge == manifests.ENGINE["layers"]
-
-
 def run() -> int:
     """Plays the scene and returns the exit code."""
     started_s = time.monotonic()
--- a/src/briarfall/bench/pathchoices.py
+++ b/src/briarfall/bench/pathchoices.py
@@ -193,61 +193,80 @@
     return targets.Target(entry, 0.0)
 
 
-def _play(
-    name: str,
-    fleet: _Fleet,
-    instances: int,
-    zones: int,
-    per_s: float,
-    seconds: float,
-    seed: int,
-) -> ChoiceRow:
-    """Plays one way to choose under a load."""
-    rng = random.Random(seed)
-    tables = [loads.LoadTable() for _ in range(instances)]
-    homes = [ids.ZoneId(f"z{number % zones}") for number in range(instances)]
-    choosers = []
-    for number, table in enumerate(tables):
-        own = random.Random(f"{seed} {number}")
-        choosers.append(CHOOSERS[name](table, homes[number], own))
-    order = itertools.count()
-    ends: list = []
-    now_s = told_s = 0.0
-    streams = refused = late = crossed = 0
-    tokens_ms = []
-    while now_s < seconds:
-        now_s += rng.expovariate(per_s)
-        while ends and ends[0][0] <= now_s:
-            _, _, number, chain = heapq.heappop(ends)
-            tables[number].release(chain.target_ids(), _DEMAND.tokens)
-            fleet.end(chain)
-        if now_s - told_s >= _TELL_S:
-            told_s = now_s
-            _tell(tables)
-        number = rng.randrange(instances)
-        streams += 1
-        chain = choosers[number].choose(fleet.model, fleet.rows)
-        if chain is None or not fleet.begin(chain):
-            refused += 1
-            continue
-        tables[number].reserve(chain.target_ids(), _DEMAND.tokens)
-        token_ms = fleet.token_ms(chain, homes[number])
-        tokens_ms.append(token_ms)
-        late += token_ms * _TOKENS_PER_EVENT > _LONGEST_PAUSE_MS
-        crossed += crossings(chain, homes[number])
+class _Play:
+    """One way to choose chains, under a load."""
+
+    def __init__(self, name: str, fleet: _Fleet, instances: int, zones: int):
+        self._name = name
+        self._fleet = fleet
+        self._tables = [loads.LoadTable() for _ in range(instances)]
+        self._homes = [
+            ids.ZoneId(f"z{number % zones}") for number in range(instances)
+        ]
+        self._order = itertools.count()
+        # Time of the end, a number to order equals, instance and chain.
+        self._ends: list[tuple[float, int, int, paths.Chain]] = []
+        self._streams = 0
+        self._refused = 0
+        self._crossings = 0
+        self._tokens_ms: list[float] = []
+
+    def run(self, per_s: float, seconds: float, seed: int) -> ChoiceRow:
+        """Plays the load and returns what it brought."""
+        rng = random.Random(seed)
+        choosers = []
+        for number, table in enumerate(self._tables):
+            own = random.Random(f"{seed} {number}")
+            chooser = CHOOSERS[self._name](table, self._homes[number], own)
+            choosers.append(chooser)
+        now_s = told_s = 0.0
+        while now_s < seconds:
+            now_s += rng.expovariate(per_s)
+            self._end_until(now_s)
+            if now_s - told_s >= _TELL_S:
+                told_s = now_s
+                _tell(self._tables)
+            number = rng.randrange(len(choosers))
+            chain = choosers[number].choose(self._fleet.model, self._fleet.rows)
+            self._begin(number, chain, now_s)
+        return self._row()
+
+    def _end_until(self, now_s: float) -> None:
+        while self._ends and self._ends[0][0] <= now_s:
+            _, _, number, chain = heapq.heappop(self._ends)
+            self._tables[number].release(chain.target_ids(), _DEMAND.tokens)
+            self._fleet.end(chain)
+
+    def _begin(
+        self, number: int, chain: paths.Chain | None, now_s: float
+    ) -> None:
+        self._streams += 1
+        if chain is None or not self._fleet.begin(chain):
+            self._refused += 1
+            return
+        home = self._homes[number]
+        self._tables[number].reserve(chain.target_ids(), _DEMAND.tokens)
+        token_ms = self._fleet.token_ms(chain, home)
+        self._tokens_ms.append(token_ms)
+        self._crossings += crossings(chain, home)
         end_s = now_s + token_ms * _DEMAND.answer / 1000
-        heapq.heappush(ends, (end_s, next(order), number, chain))
-    tokens_ms.sort()
-    served = max(1, len(tokens_ms))
-    return ChoiceRow(
-        name,
-        streams,
-        round(refused / streams, 3),
-        round(late / served, 3),
-        round(tokens_ms[int(served * 0.5)], 1) if tokens_ms else 0.0,
-        round(tokens_ms[int(served * 0.95)], 1) if tokens_ms else 0.0,
-        round(crossed / served, 2),
-    )
+        heapq.heappush(self._ends, (end_s, next(self._order), number, chain))
+
+    def _row(self) -> ChoiceRow:
+        tokens_ms = sorted(self._tokens_ms)
+        served = max(1, len(tokens_ms))
+        late = 0
+        for token_ms in tokens_ms:
+            late += token_ms * _TOKENS_PER_EVENT > _LONGEST_PAUSE_MS
+        return ChoiceRow(
+            self._name,
+            self._streams,
+            round(self._refused / self._streams, 3),
+            round(late / served, 3),
+            round(tokens_ms[int(served * 0.5)], 1) if tokens_ms else 0.0,
+            round(tokens_ms[int(served * 0.95)], 1) if tokens_ms else 0.0,
+            round(self._crossings / served, 2),
+        )
 
 
 def _tell(tables: list[loads.LoadTable]) -> None:
@@ -271,5 +290,6 @@
     rows = []
     for name in CHOOSERS:
         fleet = _Fleet(model, engines, zones, seed)
-        rows.append(_play(name, fleet, instances, zones, per_s, seconds, seed))
+        play = _Play(name, fleet, instances, zones)
+        rows.append(play.run(per_s, seconds, seed))
     return rows
--- a/src/briarfall/standins/prepared/faultsoak/callers.py
+++ b/src/briarfall/standins/prepared/faultsoak/callers.py
@@ -12,7 +12,6 @@
 HOST = "soak.example"
 _TIMEOUT_S = 12.0
 _PAUSE_S = 0.05
-_STREAM_EVENTS = 40
 
 
 class Told(msgspec.Struct):
--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -98,10 +98,6 @@
             return False
         return True
 
-    def log_text(self) -> str:
-        """Returns what the process has logged."""
-        return self._log.read_text(errors="replace")
-
 
 def _free_ports(count: int) -> list[int]:
     socks = []
--- a/src/briarfall/standins/prepared/faultsoak/soak.py
+++ b/src/briarfall/standins/prepared/faultsoak/soak.py
@@ -354,13 +354,7 @@
 
 def _check_layers(engine: services.EngineStandin) -> list[str]:
     for request_id, number, path in engine.made:
-        edge = 0
-        for part in path.split(","):
-            first, _, end = part.partition("=")[2].partition("-")
-            if int(first) != edge:
-                return [f"{request_id}: event {number} on path {path}"]
-            edge = int(end)
-        if edge != manifests.ENGINE["layers"]:
+        if not services.runs_all_layers(path):
             return [f"{request_id}: event {number} on path {path}"]
     return []
 
--- a/src/briarfall/standins/prepared/scenes.py
+++ b/src/briarfall/standins/prepared/scenes.py
@@ -1,6 +1,7 @@
 """A prepared platform of stand-ins with gateway instances in front."""
 
 import contextlib
+import copy
 import http.client
 import threading
 import time
@@ -76,6 +77,15 @@
     }
 
 
+def tiny_kind_manifest(version: int) -> dict:
+    """Returns a manifest whose smallest engines hold two layers only."""
+    found = copy.deepcopy(manifest(version))
+    for service in found["services"]:
+        if "engine" in service:
+            service["engine"]["kinds"].append(manifests.TINY_KIND)
+    return found
+
+
 class World:
     """Stand-ins and instances of one test."""
 
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from briarfall.standins.prepared import manifests
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import store
 
@@ -323,6 +324,16 @@
         return True
 
 
+def runs_all_layers(path: str) -> bool:
+    """Whether a path of an engine's ledger runs each layer once, in order."""
+    edge = 0
+    for _, first, end in _parse(path):
+        if first != edge:
+            return False
+        edge = end
+    return edge == manifests.ENGINE["layers"]
+
+
 def _parse(header: str) -> list[tuple[str, int, int]]:
     rows = []
     for row in header.split(","):
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -1,6 +1,5 @@
 """The whole path over stand-ins of the prepared platform."""
 
-import copy
 import threading
 
 import pytest
@@ -275,12 +274,8 @@
         assert scenes.event_ids(answer.body) == list(range(1, 13))
         for engine in engines:
             for _, _, path in engine.made:
-                edge = 0
-                for row in path.split(","):
-                    first, _, end = row.partition("=")[2].partition("-")
-                    assert int(first) == edge
-                    edge = int(end)
-                assert edge == 8
+                assert services.runs_all_layers(path), path
+        assert manifests.ENGINE["layers"] == 8
 
     @pytest.mark.parametrize("is_torn", [False, True])
     def test_reset_head_goes_on_elsewhere_without_a_seam(self, world, is_torn):
@@ -348,8 +343,12 @@
         ]
         assert blocked == []
 
-    def test_dead_middle_stage_is_replaced_while_it_runs(self, world):
-        engines, inst = self._start(world, 6)
+    def _draft_while_dark(self, world, engines, inst, count):
+        """Makes middle engines go dark at event 5; the stream stays whole.
+
+        Returns:
+            The head of the chain and the addresses of the dark engines.
+        """
         for engine in engines:
             engine.events = 40
             engine.on_event[5] = threading.Event()
@@ -361,39 +360,27 @@
         thread.start()
         scenes.until(lambda: any(mark.is_set() for mark in marks), "event 5")
         head = next(e for e in engines if e.on_event[5].is_set())
-        victim = world.fleet[head.paths["r1"][1][0]]
-        victim.go_dark()
+        victims = [row[0] for row in head.paths["r1"][1 : 1 + count]]
+        for address in victims:
+            world.fleet[address].go_dark()
         thread.join(scenes.WAIT_S)
         assert answers[0].error is None
         assert scenes.event_ids(answers[0].body) == list(range(1, 41))
+        return head, victims
+
+    def test_dead_middle_stage_is_replaced_while_it_runs(self, world):
+        engines, inst = self._start(world, 6)
+        head, victims = self._draft_while_dark(world, engines, inst, 1)
+        assert len(victims) == 1
         repaths = [o for o in head.orders if o["op"] == "repath"]
         assert len(repaths) >= 1
         assert [run for run in head.ran_ids()] == ["r1"]
 
     def test_two_dead_middle_stages_are_replaced_together(self, world):
-        manifest = copy.deepcopy(scenes.manifest(2))
-        pool = manifest["services"][1]
-        pool["engine"]["kinds"].append(manifests.TINY_KIND)
-        world.publish(manifest)
+        world.publish(scenes.tiny_kind_manifest(2))
         engines, inst = self._start(world, 12, kind="tiny")
-        for engine in engines:
-            engine.events = 40
-            engine.on_event[5] = threading.Event()
-        marks = [engine.on_event[5] for engine in engines]
-        answers = []
-        thread = threading.Thread(
-            target=lambda: answers.append(self._draft(inst))
-        )
-        thread.start()
-        scenes.until(lambda: any(mark.is_set() for mark in marks), "event 5")
-        head = next(e for e in engines if e.on_event[5].is_set())
-        victims = [row[0] for row in head.paths["r1"][1:3]]
-        for address in victims:
-            world.fleet[address].go_dark()
-        thread.join(scenes.WAIT_S)
+        head, victims = self._draft_while_dark(world, engines, inst, 2)
         assert len(victims) == 2
-        assert answers[0].error is None
-        assert scenes.event_ids(answers[0].body) == list(range(1, 41))
         assert [run for run in head.ran_ids()] == ["r1"]
 
     def test_engines_without_room_are_a_true_503(self, world):
