--- a/src/briarfall/gateway/crashes.py
+++ b/src/briarfall/gateway/crashes.py
@@ -1,7 +1,9 @@
 """Finds requests that crash the targets that run them."""
 
+import collections
 import threading
 
+from absl import logging
 import msgspec
 import xxhash
 
@@ -48,6 +50,22 @@
         self._lock = threading.Lock()
         self._seen_s: dict[Crash, float] = {}
         self._own: dict[Crash, float] = {}
+        self._origins: collections.Counter[str] = collections.Counter()
+
+    def origins(self) -> dict[str, int]:
+        """Returns the crashes so far by who saw them: `own` or `peer`."""
+        with self._lock:
+            return dict(self._origins)
+
+    def count(self, request: str) -> int:
+        """Returns the targets that a request is known to have crashed."""
+        oldest_s = clocks.boot_s() - _MEMORY_S
+        with self._lock:
+            found = 0
+            for crash, seen_s in self._seen_s.items():
+                if crash.fingerprint == request and seen_s > oldest_s:
+                    found += 1
+            return found
 
     def note(self, crash: Crash) -> None:
         """Notes a crash that this instance saw."""
@@ -56,13 +74,32 @@
             self._forget(now_s)
             self._seen_s[crash] = now_s
             self._own[crash] = now_s
+            self._origins["own"] += 1
+        logging.warning(
+            "target crashed target=%s lifetime=%d fingerprint=%s crashes=%d",
+            crash.target,
+            crash.started_ms,
+            crash.fingerprint,
+            self.count(crash.fingerprint),
+        )
 
     def take(self, rows: list[Crash]) -> None:
         """Takes in crashes that another instance saw."""
         now_s = clocks.boot_s()
+        new = []
         with self._lock:
             for crash in rows:
-                self._seen_s.setdefault(crash, now_s)
+                if crash not in self._seen_s:
+                    self._seen_s[crash] = now_s
+                    self._origins["peer"] += 1
+                    new.append(crash)
+        for crash in new:
+            logging.info(
+                "crash told by a peer target=%s fingerprint=%s crashes=%d",
+                crash.target,
+                crash.fingerprint,
+                self.count(crash.fingerprint),
+            )
 
     def told(self) -> list[Crash]:
         """Returns own crashes that others should hear of."""
@@ -76,13 +113,7 @@
 
     def is_harmful(self, request: str) -> bool:
         """Whether a request has crashed too many targets."""
-        oldest_s = clocks.boot_s() - _MEMORY_S
-        with self._lock:
-            count = 0
-            for crash, seen_s in self._seen_s.items():
-                if crash.fingerprint == request and seen_s > oldest_s:
-                    count += 1
-            return count >= _MAX_CRASHES
+        return self.count(request) >= _MAX_CRASHES
 
     def _forget(self, now_s: float) -> None:
         for table in (self._seen_s, self._own):
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -179,6 +179,12 @@
             "call",
             platform.store_calls.all,
         )
+        self.metrics.add_counts(
+            "briarfall_target_crashes",
+            "Targets that ended under a request, by who saw it.",
+            "origin",
+            self.crashes.origins,
+        )
         self._summary = summary.SummaryLogger(
             {name: read for name, (_, read) in gauges.items()},
             platform.store_calls,
--- a/src/briarfall/gateway/mending.py
+++ b/src/briarfall/gateway/mending.py
@@ -122,7 +122,7 @@
             how = "report"
         logging.info(
             "stream silent request=%s silent_ms=%d pause_ms=%d check=%d "
-            "how=%s suspects=%d failed=%s",
+            "how=%s suspects=%d failed=%s reach=%s",
             stream.call.request_id,
             silent_ms,
             stream.pause_s * 1000,
@@ -130,6 +130,7 @@
             how,
             len(suspects),
             ",".join(part.target for part in dead) or None,
+            ",".join(reach.value for reach in dead.values()) or None,
         )
         if dead:
             self._metrics.observe(
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -11,6 +11,7 @@
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
 from briarfall.gateway import connections
+from briarfall.gateway import crashes
 from briarfall.gateway import evidence
 from briarfall.gateway import exchange
 from briarfall.gateway import loads
@@ -89,10 +90,10 @@
                 reach = evidence.reach(target.entry.address)
                 if reach is not evidence.Reach.OPEN:
                     self._targets.note_failure(target, exc.message)
-                self._allow_repeat(call, exc)
+                self._allow_repeat(call, target, reach, exc)
             except exchange.TimeUpError as exc:
                 self._targets.block(target, _SHED_BLOCK_S)
-                self._allow_repeat(call, exc)
+                self._allow_repeat(call, target, evidence.Reach.UNKNOWN, exc)
 
     def _pick(
         self, call: calls.Call, tried: set[ids.TargetId]
@@ -122,15 +123,24 @@
         self._targets.block(target, _SHED_BLOCK_S)
 
     def _allow_repeat(
-        self, call: calls.Call, exc: exceptions.BriarfallError
+        self,
+        call: calls.Call,
+        target: targets.Target,
+        reach: evidence.Reach,
+        exc: exceptions.BriarfallError,
     ) -> None:
         """Raises the error if the call may not run once more."""
         call.was_cut = True
         call.runs += 1
         logging.warning(
-            "send failed request=%s sends=%d: %s",
+            "send failed request=%s sends=%d target=%s lifetime=%d reach=%s "
+            "fingerprint=%s: %s",
             call.request_id,
             call.sends,
+            target.id,
+            target.entry.started_ms,
+            reach.value,
+            crashes.fingerprint(call),
             exc,
         )
         if not call.route.is_repeatable or call.runs >= call.route.attempts:
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -96,8 +96,10 @@
         request = crashes.fingerprint(call)
         while True:
             if self._crashes.is_harmful(request):
+                count = self._crashes.count(request)
                 raise exceptions.PoisonError(
-                    "the request has crashed the engines that ran it"
+                    "the request has crashed the engines that ran it: "
+                    f"fingerprint={request} crashes={count}"
                 )
             chain = self._wait_for_chain(stream)
             if call.sends and not self._budget.take_repeat():
@@ -184,11 +186,14 @@
         call.was_cut = True
         call.runs += 1
         logging.warning(
-            "stream broken request=%s last_event=%s sends=%d age_ms=%d: %s",
+            "stream broken request=%s last_event=%s sends=%d age_ms=%d "
+            "fingerprint=%s chain=%s: %s",
             call.request_id,
             stream.sequence.last_id,
             call.sends,
             call.age_s * 1000,
+            crashes.fingerprint(call),
+            chain.describe(),
             exc,
         )
         if isinstance(exc, exchange.BrokenExchangeError):
--- a/src/briarfall/standins/prepared/rawhttp.py
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -105,15 +105,24 @@
         self._lock = threading.Lock()
         self._open: set[socket.socket] = set()
         self.opened = 0
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.port = self._listener.getsockname()[1]
+        self.port = 0
+        self.reopen()
         self.address = f"127.0.0.1:{self.port}"
-        threading.Thread(target=self._accept, daemon=True).start()
 
-    def _accept(self) -> None:
+    def reopen(self) -> None:
+        """Listens, at the port that it had if it had one."""
+        self._listener = socket.create_server(
+            ("127.0.0.1", self.port), backlog=256
+        )
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(
+            target=self._accept, args=(self._listener,), daemon=True
+        ).start()
+
+    def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                sock, _ = self._listener.accept()
+                sock, _ = listener.accept()
             except OSError:
                 return
             with self._lock:
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -27,6 +27,8 @@
     GARBAGE = "garbage"
     EXTRA_ANSWER = "extra_answer"
     MISDIRECTED = "misdirected"
+    CRASH = "crash"
+    CRASH_AND_RESTART = "crash_and_restart"
 
 
 class RanRequest(msgspec.Struct, frozen=True):
@@ -54,6 +56,7 @@
         self.service = service
         self.zone = zone
         self.beat = 0
+        self.born = 1
         self.state = "ready"
         self.fault = Fault.NONE
         self.lock = threading.Lock()
@@ -78,7 +81,7 @@
             "state": self.state,
             "cold_left_ms": 0,
             "seq": self.beat,
-            "born": 1,
+            "born": self.born,
             **extra,
         }
         self._platform.put(_TARGETS, self.id, entry)
@@ -97,6 +100,13 @@
         self.released.set()
         self.server.close()
 
+    def restart(self) -> None:
+        """Starts it again after a crash, as a new lifetime of the same id."""
+        self.released.clear()
+        self.born += 1
+        self.server.reopen()
+        self.register()
+
     def note(self, req: rawhttp.RawRequest) -> None:
         """Writes the ledger."""
         row = RanRequest(
@@ -134,6 +144,12 @@
             conn.answer(503, b"full", {**echo, "X-Not-Executed": "1"})
             return True
         self.note(req)
+        if self.fault in (Fault.CRASH, Fault.CRASH_AND_RESTART):
+            self.close()
+            if self.fault is Fault.CRASH_AND_RESTART:
+                self.restart()
+            conn.reset()
+            return False
         body = b"ran:" + req.body
         if self.fault is Fault.FAIL:
             conn.answer(500, b"failed", echo)
@@ -170,7 +186,10 @@
         breaks_after: Event after which the head resets its stream, or 0.
         first_event: Number of the first event.
         is_torn: Whether such a reset comes in the middle of an event.
-        crashes: Whether it dies as soon as it runs a request.
+        crashes: Whether it dies as soon as it runs a request as the first.
+        crashes_as_part: Whether it dies as soon as it runs a request as
+            another part of a chain.
+        ran_as_part: Ids of requests that ran it as such a part.
         on_event: Set when the event of a number has been sent.
         holds: Waited for after the event of a number.
     """
@@ -187,6 +206,8 @@
         self.breaks_after = 0
         self.is_torn = False
         self.crashes = False
+        self.crashes_as_part = False
+        self.ran_as_part: list[str] = []
         self.events = 12
         self.paths: dict[str, list[tuple[str, int, int]]] = {}
         self.made: list[tuple[str, int, str]] = []
@@ -247,8 +268,24 @@
             return True
         self.paths[request_id] = path
         conn.answer(200)
+        self._run_parts(request_id, path)
         return True
 
+    def _run_parts(self, request_id: str, path) -> None:
+        for address, _, _ in path:
+            engine = self.fleet[address]
+            if engine is not self:
+                engine.run_as_part(request_id)
+
+    def run_as_part(self, request_id: str) -> None:
+        """Runs its layers for a request of another engine."""
+        with self.lock:
+            if request_id in self.ran_as_part:
+                return
+            self.ran_as_part.append(request_id)
+        if self.crashes_as_part:
+            self.go_dark()
+
     def _report(self, conn) -> bool:
         stalled = []
         for request_id, path in list(self.paths.items()):
@@ -286,6 +323,7 @@
             conn.reset()
             return False
         self.paths[request_id] = path
+        self._run_parts(request_id, path)
         conn.begin_chunks(echo)
         last = req.headers.get("last-event-id", str(self.first_event - 1))
         start = int(last)
--- a/src/briarfall/standins/prepared/store.py
+++ b/src/briarfall/standins/prepared/store.py
@@ -79,6 +79,11 @@
             row = self._keyed.get(topic, {}).get(key)
             return row[0] if row else None
 
+    def keys(self, topic: str) -> list[str]:
+        """Returns the keys that have a value."""
+        with self._changed:
+            return list(self._keyed.get(topic, {}))
+
     def _handle(
         self, conn: rawhttp.RawConnection, req: rawhttp.RawRequest
     ) -> bool:
--- /dev/null
+++ b/tests/test_gateway_poison.py
@@ -0,0 +1,149 @@
+"""Requests that crash the targets that run them, over the whole path."""
+
+import pytest
+
+from briarfall.gateway import crashes
+from briarfall.standins.prepared import scenes
+from briarfall.standins.prepared import services
+
+# Crashes after which a request is refused.
+_CRASHES = 3
+_REPEATS = 6
+
+
+@pytest.fixture
+def world():
+    with scenes.world() as scene:
+        yield scene
+
+
+def _desks(world, count=3):
+    """Returns services that crash when they run a request."""
+    rows = []
+    for number in range(count):
+        desk = world.service(f"d{number}")
+        desk.fault = services.Fault.CRASH
+        rows.append(desk)
+    return rows
+
+
+def _wait_until_known(inst, row):
+    scenes.until(
+        lambda: inst.targets.get(row.id).entry.started_ms == row.born,
+        f"{row.id} is known in its newest lifetime",
+    )
+
+
+def _revive(inst, rows):
+    """Starts what has crashed again, and waits until it is known."""
+    for row in rows:
+        if row.released.is_set():
+            row.restart()
+            _wait_until_known(inst, row)
+
+
+def _runs(rows):
+    return sum(len(row.ran) for row in rows)
+
+
+class TestPlainCall:
+    @pytest.mark.known_red
+    @pytest.mark.parametrize(
+        ("path", "method"), [("/views/x", "GET"), ("/orders/x", "POST")]
+    )
+    def test_request_that_crashes_its_services_stops_after_three(
+        self, world, path, method
+    ):
+        desks = _desks(world)
+        inst = world.instance()
+        world.wait_for_targets(*desks)
+        for number in range(_REPEATS):
+            scenes.call(inst, path, method=method, request_id=f"r{number}")
+            _revive(inst, desks)
+        assert _runs(desks) <= _CRASHES
+
+
+class TestQuickRestart:
+    @pytest.mark.known_red
+    def test_service_that_is_back_at_once_still_counts_as_crashed(self, world):
+        desk = world.service("d0")
+        desk.fault = services.Fault.CRASH_AND_RESTART
+        inst = world.instance()
+        world.wait_for_targets(desk)
+        for number in range(_REPEATS):
+            scenes.call(inst, "/views/x", request_id=f"r{number}")
+            _wait_until_known(inst, desk)
+        assert len(desk.ran) <= _CRASHES
+
+
+class TestStream:
+    def _start(self, world):
+        engines = [
+            world.engine(f"e{number}", kind="small") for number in range(10)
+        ]
+        inst = world.instance()
+        world.wait_for_layers()
+        return engines, inst
+
+    @pytest.mark.known_red
+    def test_request_that_crashes_later_stages_stops_after_three(self, world):
+        engines, inst = self._start(world)
+        for engine in engines:
+            engine.crashes_as_part = True
+        for number in range(2):
+            scenes.call(
+                inst,
+                "/drafts/x",
+                method="POST",
+                body=b"a draft",
+                request_id=f"r{number}",
+                deadline_ms=8000,
+            )
+        crashed = [engine for engine in engines if engine.is_dark]
+        assert len(crashed) <= _CRASHES
+
+
+class TestLostKnowledge:
+    """Instances that did not see the crashes refuse the request too."""
+
+    def _crash_three(self, world, inst, desks):
+        for number in range(_CRASHES):
+            scenes.call(
+                inst, "/orders/x", method="POST", request_id=f"r{number}"
+            )
+            _revive(inst, desks)
+        assert _runs(desks) == _CRASHES
+
+    def _assert_refused(self, inst, desks):
+        answer = scenes.call(
+            inst, "/orders/x", method="POST", request_id="late"
+        )
+        assert _runs(desks) == _CRASHES
+        assert answer.status == 422
+
+    @pytest.mark.known_red
+    def test_instance_that_starts_later_learns_from_others(
+        self, world, monkeypatch
+    ):
+        # Whoever was cut off misses the fresh news.
+        monkeypatch.setattr(crashes, "_TELL_S", 0.0)
+        desks = _desks(world)
+        first = world.instance("i1")
+        world.wait_for_targets(*desks)
+        self._crash_three(world, first, desks)
+        late = world.instance("i2")
+        scenes.until(lambda: late.peers.instance_count == 2, "they have met")
+        self._assert_refused(late, desks)
+
+    @pytest.mark.known_red
+    def test_instances_that_were_all_killed_learn_from_the_store(self, world):
+        desks = _desks(world)
+        first = world.instance("i1")
+        world.wait_for_targets(*desks)
+        self._crash_three(world, first, desks)
+        scenes.until(
+            lambda: world.store.keys("keyed.briarfall-poison"),
+            "the request is stored as harmful",
+        )
+        first.close()
+        self._assert_refused(world.instance("i2"), desks)
