Let every send pass one gate; plain calls no longer miss the poison check

Cause: only the way of streams asked whether a request is poison, and only it noted crashes; calls to plain services did neither. Class: a safeguard that stands on one way to a target instead of at the place that all ways pass. Now SendGate takes the check, the retry budget and the count of sends for both; CrashDetector notes crashes for both. Ruled out for this case: lost knowledge (one instance only).

--- a/src/briarfall/exceptions.py
+++ b/src/briarfall/exceptions.py
@@ -173,6 +173,10 @@
     retry_after_s = 1.0
 
 
+class RetryBudgetError(OverloadError):
+    """The request would have to be sent once more, and no repeat is left."""
+
+
 class DeadlineError(BriarfallError, TimeoutError):
     """The caller's deadline passed."""
 
--- a/src/briarfall/gateway/calls.py
+++ b/src/briarfall/gateway/calls.py
@@ -56,6 +56,13 @@
         """Seconds until the deadline."""
         return self.deadline_s - clocks.boot_s()
 
+    @property
+    def outcome(self) -> exceptions.Outcome:
+        """What is known of its execution so far."""
+        if self.was_cut or self.runs:
+            return exceptions.Outcome.UNKNOWN
+        return exceptions.Outcome.NOT_RUN
+
     @property
     def age_s(self) -> float:
         """Seconds since the request arrived."""
--- a/src/briarfall/gateway/crashes.py
+++ b/src/briarfall/gateway/crashes.py
@@ -111,7 +111,7 @@
                     rows.append(crash)
             return rows[-_MAX_TOLD:]
 
-    def is_harmful(self, request: str) -> bool:
+    def is_poison(self, request: str) -> bool:
         """Whether a request has crashed too many targets."""
         return self.count(request) >= _MAX_CRASHES
 
--- a/src/briarfall/gateway/diagnosis.py
+++ b/src/briarfall/gateway/diagnosis.py
@@ -4,7 +4,7 @@
 
 from briarfall import ids
 from briarfall.gateway import calls
-from briarfall.gateway import crashes
+from briarfall.gateway import crashdetection
 from briarfall.gateway import evidence
 from briarfall.gateway import exchange
 from briarfall.gateway import mending
@@ -23,18 +23,18 @@
     Args:
         header_names: Header names of the platform.
         table: Targets.
-        crash_table: Requests that crashed their targets.
+        detector: Tells crashes from lost responses.
     """
 
     def __init__(
         self,
         header_names: names.HeaderNames,
         table: targets.TargetTable,
-        crash_table: crashes.CrashTable,
+        detector: crashdetection.CrashDetector,
     ):
         self._names = header_names
         self._targets = table
-        self._crashes = crash_table
+        self._detector = detector
 
     def note_failure(
         self, stream: streamstate.Stream, target_id: ids.TargetId, reason: str
@@ -99,12 +99,5 @@
     def _note_crash(self, stream: streamstate.Stream, head: paths.Part) -> None:
         stream.heads.discard(head.target)
         target = self._targets.get(head.target)
-        if target is None:
-            return
-        self._crashes.note(
-            crashes.Crash(
-                crashes.fingerprint(stream.call),
-                head.target,
-                target.entry.started_ms,
-            )
-        )
+        if target is not None:
+            self._detector.note_cut(stream.call, target, evidence.Reach.REFUSED)
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -12,6 +12,7 @@
 from briarfall.gateway import catalogue
 from briarfall.gateway import config
 from briarfall.gateway import connections
+from briarfall.gateway import crashdetection
 from briarfall.gateway import crashes
 from briarfall.gateway import evidence
 from briarfall.gateway import exchange
@@ -27,6 +28,7 @@
 from briarfall.gateway import peers
 from briarfall.gateway import placer
 from briarfall.gateway import plain
+from briarfall.gateway import sendgate
 from briarfall.gateway import sources
 from briarfall.gateway import stopping
 from briarfall.gateway import streams
@@ -139,6 +141,8 @@
             cfg.retry_slack,
             lambda: self.peers.instance_count,
         )
+        gate = sendgate.SendGate(self.budget, self.crashes)
+        detector = crashdetection.CrashDetector(self.crashes)
         finder = paths.PathFinder(self.loads, cfg.zone, rng)
         self._front = front.Front(
             platform.header_names,
@@ -150,7 +154,8 @@
                 self.targets,
                 self.loads,
                 pool,
-                self.budget,
+                gate,
+                detector,
                 rng,
             ),
             streams.StreamForwarder(
@@ -160,9 +165,9 @@
                 finder,
                 platform.engines,
                 pool,
-                self.budget,
+                gate,
+                detector,
                 self.metrics,
-                self.crashes,
                 activity,
             ),
             self.budget,
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -7,16 +7,17 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import budgets
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
 from briarfall.gateway import connections
+from briarfall.gateway import crashdetection
 from briarfall.gateway import crashes
 from briarfall.gateway import evidence
 from briarfall.gateway import exchange
 from briarfall.gateway import loads
 from briarfall.gateway import messages
 from briarfall.gateway import names
+from briarfall.gateway import sendgate
 from briarfall.gateway import targets
 
 _MAX_SENDS = 4
@@ -44,7 +45,8 @@
         table: targets.TargetTable,
         load_table: loads.LoadTable,
         pool: connections.ConnectionPool,
-        budget: budgets.RetryBudget,
+        gate: sendgate.SendGate,
+        detector: crashdetection.CrashDetector,
         rng: random.Random,
     ):
         self._names = header_names
@@ -52,7 +54,8 @@
         self._targets = table
         self._loads = load_table
         self._pool = pool
-        self._budget = budget
+        self._gate = gate
+        self._detector = detector
         self._rng = rng
 
     def forward(self, call: calls.Call) -> None:
@@ -67,17 +70,11 @@
             if target is None:
                 raise exceptions.NoRouteError(
                     f"no target of {call.service.name} is free",
-                    outcome=_outcome(call),
+                    outcome=call.outcome,
                     retry_after_s=_RETRY_AFTER_S,
                 )
-            if call.sends and not self._budget.take_repeat():
-                raise exceptions.OverloadError(
-                    "the budget for sending again is used up",
-                    outcome=_outcome(call),
-                    retry_after_s=1.0,
-                )
+            self._gate.take_send(call)
             tried.add(target.id)
-            call.sends += 1
             try:
                 self._send(call, target)
                 return
@@ -90,6 +87,7 @@
                 reach = evidence.reach(target.entry.address)
                 if reach is not evidence.Reach.OPEN:
                     self._targets.note_failure(target, exc.message)
+                self._detector.note_cut(call, target, reach)
                 self._allow_repeat(call, target, reach, exc)
             except exchange.TimeUpError as exc:
                 self._targets.block(target, _SHED_BLOCK_S)
@@ -238,9 +236,3 @@
         if head.status < 500 or not call.route.is_repeatable:
             return False
         return call.runs + 1 < call.route.attempts and call.left_s > 0.05
-
-
-def _outcome(call: calls.Call) -> exceptions.Outcome:
-    if call.was_cut or call.runs:
-        return exceptions.Outcome.UNKNOWN
-    return exceptions.Outcome.NOT_RUN
--- /dev/null
+++ b/src/briarfall/gateway/sendgate.py
@@ -0,0 +1,53 @@
+"""The one place that lets a request go to a target."""
+
+from briarfall import exceptions
+from briarfall.gateway import budgets
+from briarfall.gateway import calls
+from briarfall.gateway import crashes
+
+
+class SendGate:
+    """Decides whether a request may be sent, and counts that it is.
+
+    Plain calls, streams, repeats and changed chains all pass here, so that no
+    way to a target lacks a safeguard.
+
+    Args:
+        budget: Bound on repeats.
+        crash_table: Requests that crashed their targets.
+    """
+
+    def __init__(
+        self, budget: budgets.RetryBudget, crash_table: crashes.CrashTable
+    ):
+        self._budget = budget
+        self._crashes = crash_table
+
+    def check(self, call: calls.Call) -> None:
+        """Refuses a request that no further target may run.
+
+        Raises:
+            PoisonError: It has crashed too many targets.
+        """
+        request = crashes.fingerprint(call)
+        if not self._crashes.is_poison(request):
+            return
+        count = self._crashes.count(request)
+        raise exceptions.PoisonError(
+            "the request has crashed the targets that ran it: "
+            f"fingerprint={request} crashes={count}"
+        )
+
+    def take_send(self, call: calls.Call) -> None:
+        """Counts a send of a request.
+
+        Raises:
+            PoisonError: It has crashed too many targets.
+            RetryBudgetError: It was sent before, and no repeat is left.
+        """
+        self.check(call)
+        if call.sends and not self._budget.take_repeat():
+            raise exceptions.RetryBudgetError(
+                "the retry budget is used up", outcome=call.outcome
+            )
+        call.sends += 1
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -4,10 +4,10 @@
 import h11
 
 from briarfall import exceptions
-from briarfall.gateway import budgets
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
 from briarfall.gateway import connections
+from briarfall.gateway import crashdetection
 from briarfall.gateway import crashes
 from briarfall.gateway import diagnosis
 from briarfall.gateway import events
@@ -19,6 +19,7 @@
 from briarfall.gateway import metrics
 from briarfall.gateway import names
 from briarfall.gateway import paths
+from briarfall.gateway import sendgate
 from briarfall.gateway import sources
 from briarfall.gateway import streamstate
 from briarfall.gateway import targets
@@ -47,9 +48,9 @@
         finder: Chooses chains.
         engines: Reports of and orders to engines.
         pool: Connections to targets.
-        budget: Bound on repeats.
+        gate: Lets requests go to targets.
+        detector: Tells crashes from lost responses.
         counters: Metrics.
-        crash_table: Requests that crashed their targets.
         activity: When this process last received anything.
     """
 
@@ -61,22 +62,21 @@
         finder: paths.PathFinder,
         engines: sources.EngineControl,
         pool: connections.ConnectionPool,
-        budget: budgets.RetryBudget,
+        gate: sendgate.SendGate,
+        detector: crashdetection.CrashDetector,
         counters: metrics.Metrics,
-        crash_table: crashes.CrashTable,
         activity: evidence.Activity,
     ):
         self._metrics = counters
-        self._crashes = crash_table
         self._names = header_names
         self._targets = table
         self._loads = load_table
         self._finder = finder
         self._engines = engines
         self._pool = pool
-        self._budget = budget
+        self._gate = gate
         self._diagnosis = diagnosis.StreamDiagnosis(
-            header_names, table, crash_table
+            header_names, table, detector
         )
         self._mender = mending.StreamMender(
             table, load_table, finder, engines, counters, activity
@@ -93,18 +93,12 @@
         last = call.req.header(self._names.last_event)
         if last is not None and last.isdigit():
             stream.sequence.last_id = int(last)
-        request = crashes.fingerprint(call)
         while True:
-            if self._crashes.is_harmful(request):
-                count = self._crashes.count(request)
-                raise exceptions.PoisonError(
-                    "the request has crashed the engines that ran it: "
-                    f"fingerprint={request} crashes={count}"
-                )
             chain = self._wait_for_chain(stream)
-            if call.sends and not self._budget.take_repeat():
-                raise self._give_up(stream, "the retry budget is used up")
-            call.sends += 1
+            try:
+                self._gate.take_send(call)
+            except exceptions.RetryBudgetError as exc:
+                raise self._give_up(stream, exc.message) from exc
             try:
                 self._run(stream, chain)
                 return
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -943,12 +943,12 @@
         table.note(crashes.Crash("f", "a", 1))
         table.note(crashes.Crash("f", "a", 1))
         table.take([crashes.Crash("f", "b", 1), crashes.Crash("g", "b", 1)])
-        assert not table.is_harmful("f")
+        assert not table.is_poison("f")
         table.take([crashes.Crash("f", "a", 2)])
-        assert table.is_harmful("f")
-        assert not table.is_harmful("g")
+        assert table.is_poison("f")
+        assert not table.is_poison("g")
         clock.now_s += 61
-        assert not table.is_harmful("f")
+        assert not table.is_poison("f")
 
     def test_only_own_fresh_crashes_are_told(self, clock):
         table = crashes.CrashTable()
--- a/tests/test_gateway_poison.py
+++ b/tests/test_gateway_poison.py
@@ -47,7 +47,6 @@
 
 
 class TestPlainCall:
-    @pytest.mark.known_red
     @pytest.mark.parametrize(
         ("path", "method"), [("/views/x", "GET"), ("/orders/x", "POST")]
     )
@@ -61,6 +60,9 @@
             scenes.call(inst, path, method=method, request_id=f"r{number}")
             _revive(inst, desks)
         assert _runs(desks) <= _CRASHES
+        answer = scenes.call(inst, path, method=method, request_id="late")
+        assert answer.status == 502
+        assert answer.body.startswith(b"[poison_request]")
 
 
 class TestQuickRestart:
@@ -119,7 +121,7 @@
             inst, "/orders/x", method="POST", request_id="late"
         )
         assert _runs(desks) == _CRASHES
-        assert answer.status == 422
+        assert answer.status == 502
 
     @pytest.mark.known_red
     def test_instance_that_starts_later_learns_from_others(
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -9,6 +9,7 @@
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
 from briarfall.gateway import connections
+from briarfall.gateway import crashdetection
 from briarfall.gateway import crashes
 from briarfall.gateway import diagnosis
 from briarfall.gateway import evidence
@@ -17,6 +18,7 @@
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
 from briarfall.gateway import paths
+from briarfall.gateway import sendgate
 from briarfall.gateway import streams
 from briarfall.gateway import streamstate
 from briarfall.gateway import targets
@@ -85,6 +87,7 @@
 class TestStreamsWithoutRoom:
     def refuse(self, clock):
         finder = _FullEngines()
+        table = crashes.CrashTable()
         forwarder = streams.StreamForwarder(
             headers.HEADERS,
             targets.TargetTable(),
@@ -92,9 +95,11 @@
             finder,
             None,
             connections.ConnectionPool(),
-            budgets.RetryBudget(0.2, 10.0, 100.0, lambda: 1),
+            sendgate.SendGate(
+                budgets.RetryBudget(0.2, 10.0, 100.0, lambda: 1), table
+            ),
+            crashdetection.CrashDetector(table),
             metrics.Metrics(),
-            crashes.CrashTable(),
             evidence.Activity(),
         )
         call = a_call(clock.now_s, watch=_Watch(clock))
@@ -189,7 +194,9 @@
         table.update([old, new], clock.now_s)
         head = paths.Part(old.id, old.address, old.zone, old.layers)
         judge = diagnosis.StreamDiagnosis(
-            headers.HEADERS, table, crashes.CrashTable()
+            headers.HEADERS,
+            table,
+            crashdetection.CrashDetector(crashes.CrashTable()),
         )
         stream = streamstate.Stream(a_call(clock.now_s), paths.Demand(700, 200))
         refusal = messages.ResponseHead(
