Keep poison requests in the platform's store

Class: knowledge that is lost. Evidence: test_instances_that_were_all_killed_learn_from_the_store, before: nothing was stored, a 4th service would crash; after: refused without a send. Instances that saw a crash of the request write one record, each start reads them once; a store that is away is asked again. Cost: one call a start and one to three for a poison request.

--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -28,6 +28,7 @@
 from briarfall.gateway import peers
 from briarfall.gateway import placer
 from briarfall.gateway import plain
+from briarfall.gateway import poisonkeeping
 from briarfall.gateway import sendgate
 from briarfall.gateway import sources
 from briarfall.gateway import stopping
@@ -51,6 +52,7 @@
         lease: Lease for placing layers.
         instances: Where instances announce themselves.
         engines: Orders to engines.
+        poison: Where poison requests are kept.
         store_calls: Calls to the platform's store.
     """
 
@@ -61,6 +63,7 @@
     lease: sources.LeaseSource
     instances: sources.InstanceSource
     engines: sources.EngineControl
+    poison: sources.PoisonSource
     store_calls: summary.CallCounts
 
 
@@ -119,6 +122,9 @@
         self.follower.add_listener(self.gossip.tell_now)
         self.follower.set_fetcher(self.gossip.fetch_version)
         self.targets.add_listener(self.gossip.tell_now)
+        self._poison_keeper = poisonkeeping.PoisonKeeper(
+            platform.poison, self.crashes
+        )
         self.crashes.add_listener(lambda row: self.gossip.tell_now())
         self.target_follower = following.TargetFollower(
             platform.targets,
@@ -243,6 +249,7 @@
         self.target_follower.start()
         self.gossip.start()
         self.placer.start()
+        self._poison_keeper.start()
         self._summary.start()
         logging.info(
             "started instance=%s zone=%s", self._cfg.instance, self._cfg.zone
@@ -291,6 +298,7 @@
         self.follower.stop()
         self.target_follower.stop()
         self.placer.stop()
+        self._poison_keeper.stop()
         self._summary.stop()
         self.gossip.close()
 
--- a/src/briarfall/gateway/sources.py
+++ b/src/briarfall/gateway/sources.py
@@ -206,6 +206,34 @@
         """Removes an instance that has gone."""
 
 
+class PoisonRecord(msgspec.Struct, frozen=True):
+    """A request that no instance may send to targets.
+
+    Attributes:
+        fingerprint: Hash of the request.
+        until_s: Unix time at which it may be tried again.
+    """
+
+    fingerprint: str
+    until_s: float
+
+
+class PoisonSource(abc.ABC):
+    """Where poison requests are kept while all instances are down."""
+
+    @abc.abstractmethod
+    def publish(self, record: PoisonRecord, timeout_s: float) -> None:
+        """Keeps a record in place of an earlier one of the request."""
+
+    @abc.abstractmethod
+    def list_records(self, timeout_s: float) -> list[PoisonRecord]:
+        """Returns all records."""
+
+    @abc.abstractmethod
+    def retract(self, fingerprint: str, timeout_s: float) -> None:
+        """Removes a record."""
+
+
 class EngineControl(abc.ABC):
     """Orders to and reports of engines."""
 
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -32,6 +32,7 @@
         self.targets = topics.TargetTopic(client("target"))
         self.lease = topics.LeaseTopic(client("lease"))
         self.instances = topics.InstanceTopic(client("instance"))
+        self.poison = topics.PoisonTopic(client("poison"))
         self.engines = engines.EngineCalls(pool)
 
 
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -1,5 +1,7 @@
 """The topics of the store as the gateway's sources."""
 
+import typing
+
 from absl import logging
 import msgspec
 
@@ -15,7 +17,9 @@
 _TARGETS_TOPIC = "keyed.servers"
 _INSTANCES_TOPIC = "keyed.briarfall-instances"
 _LEASE_TOPIC = "keyed.briarfall-lease"
+_POISON_TOPIC = "keyed.briarfall-poison"
 _LEASE_KEY = "placement"
+_Record = typing.TypeVar("_Record")
 _STATES = {
     "ready": sources.TargetState.READY,
     "draining": sources.TargetState.LEAVING,
@@ -162,19 +166,7 @@
     def list_instances(self, timeout_s: float) -> list[sources.InstanceRecord]:
         """Returns all announced instances."""
         records, _ = self._store.newest(_INSTANCES_TOPIC, timeout_s)
-        found = []
-        for record in records:
-            if not record.value:
-                continue
-            try:
-                found.append(
-                    msgspec.json.decode(
-                        record.value, type=sources.InstanceRecord
-                    )
-                )
-            except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-                logging.warning("instance %s ignored: %s", record.key, exc)
-        return found
+        return _decode_all(records, sources.InstanceRecord, "instance")
 
     def retract(self, instance: ids.InstanceId, timeout_s: float) -> None:
         """Removes an instance."""
@@ -183,6 +175,48 @@
         )
 
 
+class PoisonTopic(sources.PoisonSource):
+    """Poison requests, by fingerprint."""
+
+    def __init__(self, client: store.Store):
+        self._store = client
+
+    def publish(self, record: sources.PoisonRecord, timeout_s: float) -> None:
+        """Keeps a record."""
+        value = msgspec.json.encode(record)
+        self._store.append(
+            _POISON_TOPIC,
+            store.keyed_record(record.fingerprint, value),
+            timeout_s,
+        )
+
+    def list_records(self, timeout_s: float) -> list[sources.PoisonRecord]:
+        """Returns all records that can be read."""
+        records, _ = self._store.newest(_POISON_TOPIC, timeout_s)
+        return _decode_all(records, sources.PoisonRecord, "poison request")
+
+    def retract(self, fingerprint: str, timeout_s: float) -> None:
+        """Removes a record."""
+        self._store.append(
+            _POISON_TOPIC, store.keyed_record(fingerprint, b""), timeout_s
+        )
+
+
+def _decode_all(
+    records: list[store.KeyedRecord], kind: type[_Record], what: str
+) -> list[_Record]:
+    """Returns the values of records; one that can't be read is logged."""
+    found = []
+    for record in records:
+        if not record.value:
+            continue
+        try:
+            found.append(msgspec.json.decode(record.value, type=kind))
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            logging.warning("%s %s ignored: %s", what, record.key, exc)
+    return found
+
+
 class _Grant(msgspec.Struct):
     holder: str
     ttl_s: float
--- a/tests/test_gateway_poison.py
+++ b/tests/test_gateway_poison.py
@@ -134,7 +134,6 @@
         scenes.until(lambda: late.peers.instance_count == 2, "they have met")
         self._assert_refused(late, desks)
 
-    @pytest.mark.known_red
     def test_instances_that_were_all_killed_learn_from_the_store(self, world):
         desks = _desks(world)
         first = world.instance("i1")
