Heed targets that say that they leave or want no requests

A response with the platform's leaving notice takes that lifetime out at once here, and at the others with the next status; late or stale entries do not undo it; its connections are closed. A 503 with Retry-After keeps all requests from here away until it is over, plain calls, repeats, first engines of chains; where all want none, callers are refused at once with a Retry-After drawn from the earliest end, spread over half the wait more. SendGate asks both at the moment of the send, so that waiting requests are held back too. Values that are no positive number count as 0, longer than 60 s as 60 s. Split: chainsearch from streams, targetstate and leaving from targets. A start waits its short moment for the kept poison requests too: a test had caught one that was sent 70 ms after the start.

--- a/src/briarfall/bench/pathchoices.py
+++ b/src/briarfall/bench/pathchoices.py
@@ -18,7 +18,7 @@
 from briarfall.gateway import paths
 from briarfall.gateway import placement
 from briarfall.gateway import sources
-from briarfall.gateway import targets
+from briarfall.gateway import targetstate
 from briarfall.gateway import views
 
 _SERVICE = views.ServiceName("pool")
@@ -62,7 +62,7 @@
 
     @abc.abstractmethod
     def choose(
-        self, model: views.ModelLayout, rows: list[targets.Target]
+        self, model: views.ModelLayout, rows: list[targetstate.Target]
     ) -> paths.Chain | None:
         """Returns a chain, or None if it knows of none with room."""
 
@@ -180,7 +180,7 @@
     return count
 
 
-def _target(slot: placement.EngineSlot) -> targets.Target:
+def _target(slot: placement.EngineSlot) -> targetstate.Target:
     entry = sources.TargetEntry(
         id=slot.id,
         service=_SERVICE,
@@ -190,7 +190,7 @@
         kind=slot.kind,
         layers=slot.layers,
     )
-    return targets.Target(entry, 0.0)
+    return targetstate.Target(entry, 0.0)
 
 
 class _Play:
--- a/src/briarfall/gateway/connections.py
+++ b/src/briarfall/gateway/connections.py
@@ -52,6 +52,22 @@
         if surplus is not None:
             surplus.close()
 
+    def give_back(
+        self,
+        conn: exchange.TargetConnection,
+        head: messages.ResponseHead | None,
+    ) -> None:
+        """Keeps a connection whose response is complete, or closes it.
+
+        Args:
+            conn: The connection.
+            head: Head of the response, or None if there was none.
+        """
+        if head is not None and conn.finish(head):
+            self.put(conn)
+        else:
+            conn.close()
+
     def close_idle(self) -> None:
         """Closes connections that have been idle too long to be used."""
         stale = []
@@ -98,7 +114,7 @@
     """
     deadline_s = clocks.boot_s() + timeout_s
     conn = pool.take(address, max_idle_s, timeout_s)
-    is_done = False
+    whole = None
     try:
         conn.watch(None)
         fields = [
@@ -109,10 +125,7 @@
         conn.send(method.encode(), path.encode(), fields, body, deadline_s)
         head = conn.read_head(deadline_s, lambda head: True)
         data = conn.read_body(deadline_s)
-        is_done = conn.finish(head)
+        whole = head
     finally:
-        if is_done:
-            pool.put(conn)
-        else:
-            conn.close()
+        pool.give_back(conn, whole)
     return head, data
--- a/src/briarfall/gateway/following.py
+++ b/src/briarfall/gateway/following.py
@@ -12,6 +12,7 @@
 from briarfall.gateway import peers
 from briarfall.gateway import sources
 from briarfall.gateway import targets
+from briarfall.gateway import targetstate
 from briarfall.gateway import workers
 
 # Instances of a zone that read the store for all of it; the next one takes
@@ -207,6 +208,6 @@
         )
         return True
 
-    def _drop(self, gone: list[targets.Target]) -> None:
+    def _drop(self, gone: list[targetstate.Target]) -> None:
         for target in gone:
             self._pool.drop(target.entry.address)
--- a/src/briarfall/gateway/front.py
+++ b/src/briarfall/gateway/front.py
@@ -2,6 +2,7 @@
 
 import random
 import socket
+import threading
 
 from absl import logging
 
@@ -43,6 +44,7 @@
         table: targets.TargetTable,
         plain_forwarder: plain.PlainForwarder,
         stream_forwarder: streams.StreamForwarder,
+        poison_known: threading.Event,
         budget: budgets.RetryBudget,
         stop: stopping.PlannedStop,
         counters: metrics.Metrics,
@@ -50,7 +52,11 @@
     ):
         self._names = header_names
         self._follower = follower
-        self._targets = table
+        self._learned = (
+            follower.has_view,
+            table.has_entries,
+            poison_known,
+        )
         self._created_s = clocks.boot_s()
         self._plain = plain_forwarder
         self._streams = stream_forwarder
@@ -135,7 +141,7 @@
     def _wait_for_start(self) -> None:
         """Gives an instance that starts the moment it needs to learn."""
         until_s = self._created_s + _START_WAIT_S
-        for event in (self._follower.has_view, self._targets.has_entries):
+        for event in self._learned:
             if not event.is_set():
                 event.wait(max(0.0, until_s - clocks.boot_s()))
 
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -35,6 +35,8 @@
 _FETCH_TRIES = 3
 _STORE_TIMEOUT_S = 1.0
 _ANNOUNCE_RETRY_S = 1.0
+# Targets that leave are told to others at least this long.
+_LEAVING_S = 10.0
 
 
 class Gossip:
@@ -272,6 +274,9 @@
             lease_left_ms=int(self._lease.left_s * 1000),
             cores=self._record.cores,
             poison=self._crashes.told_poison(),
+            leaving_targets=self._targets.told_leaving(
+                max(_LEAVING_S, longest_s * 3)
+            ),
             survived=self._crashes.told_survived(longest_s),
         )
 
@@ -341,6 +346,7 @@
         self._crashes.take_survived(status.survived)
         self._crashes.take(status.crashes)
         self._crashes.take_poison(status.poison)
+        self._targets.take_leaving(status.leaving_targets)
         for row in status.suspicions:
             self._targets.take_suspicion(
                 row.target, row.started_ms, row.left_ms / 1000
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -24,6 +24,7 @@
 from briarfall.gateway import loads
 from briarfall.gateway import metrics
 from briarfall.gateway import names
+from briarfall.gateway import notices
 from briarfall.gateway import paths
 from briarfall.gateway import peers
 from briarfall.gateway import placer
@@ -148,7 +149,10 @@
             cfg.retry_slack,
             lambda: self.peers.instance_count,
         )
-        gate = sendgate.SendGate(self.budget, self.crashes)
+        gate = sendgate.SendGate(self.budget, self.crashes, self.targets)
+        target_notices = notices.TargetNotices(
+            platform.header_names, self.targets, self.metrics
+        )
         detector = crashdetection.CrashDetector(self.crashes, self.targets)
         finder = paths.PathFinder(self.loads, cfg.zone, rng)
         self._front = front.Front(
@@ -163,6 +167,7 @@
                 pool,
                 gate,
                 detector,
+                target_notices,
                 rng,
             ),
             streams.StreamForwarder(
@@ -174,9 +179,12 @@
                 pool,
                 gate,
                 detector,
+                target_notices,
                 self.metrics,
                 activity,
+                rng,
             ),
+            self._poison_keeper.has_read,
             self.budget,
             self.stop,
             self.metrics,
--- a/src/briarfall/gateway/metrics.py
+++ b/src/briarfall/gateway/metrics.py
@@ -47,6 +47,11 @@
             "briarfall_sends", "Sends to targets.", ("service", "outcome")
         )
         self._add_counter("briarfall_repaths", "Changed chains.", ("result",))
+        self._add_counter(
+            "briarfall_target_notices",
+            "Responses whose target leaves or wants no requests for a while.",
+            ("kind",),
+        )
         self._add_histogram(
             "briarfall_answer_seconds",
             "Time to the first byte of the answer.",
--- a/src/briarfall/gateway/names.py
+++ b/src/briarfall/gateway/names.py
@@ -17,6 +17,7 @@
         faulty_target: Address of the target that a refusal is about.
         signature: A target's proof that it made the response.
         not_run: Present if the target did not run the request.
+        leaving: Present if the target takes no new requests.
         load: Running and waiting requests and slots of the target.
         token_usage: Prompt tokens and the limit of output tokens.
         length_hint: Output tokens that the caller expects.
@@ -33,6 +34,7 @@
     faulty_target: bytes
     signature: bytes
     not_run: bytes
+    leaving: bytes
     load: bytes
     token_usage: bytes
     length_hint: bytes
--- a/src/briarfall/gateway/paths.py
+++ b/src/briarfall/gateway/paths.py
@@ -9,7 +9,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import loads
 from briarfall.gateway import sources
-from briarfall.gateway import targets
+from briarfall.gateway import targetstate
 from briarfall.gateway import views
 
 # Each hop costs a hand-over and a wait for the next pass, in steps.
@@ -138,7 +138,7 @@
 class _Candidate(msgspec.Struct):
     """An engine with its cost for this request, by layer."""
 
-    part_of: targets.Target
+    part_of: targetstate.Target
     layers: sources.LayerRange
     layer_ms: float
 
@@ -169,7 +169,7 @@
     def find(
         self,
         model: views.ModelLayout,
-        rows: list[targets.Target],
+        rows: list[targetstate.Target],
         demand: Demand,
         excluded: frozenset[ids.TargetId] = frozenset(),
         *,
@@ -209,7 +209,7 @@
     def _candidate(
         self,
         model: views.ModelLayout,
-        row: targets.Target,
+        row: targetstate.Target,
         demand: Demand,
         noise: float,
         rooms: dict[tuple[str, int], float],
--- a/src/briarfall/gateway/peermessages.py
+++ b/src/briarfall/gateway/peermessages.py
@@ -6,6 +6,7 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import crashes
+from briarfall.gateway import leaving
 from briarfall.gateway import sources
 
 
@@ -44,6 +45,7 @@
         lease_left_ms: How long it holds the lease, or 0.
         cores: Processor cores that it may use.
         poison: Requests that must not be sent.
+        leaving_targets: Targets that said that they take no new requests.
         survived: Fingerprints of requests that ran unharmed after crashes.
     """
 
@@ -61,6 +63,7 @@
     cores: float = 1.0
     poison: list[crashes.PoisonRow] = []
     survived: list[str] = []
+    leaving_targets: list[leaving.Lifetime] = []
 
 
 class Question(
--- a/src/briarfall/gateway/placer.py
+++ b/src/briarfall/gateway/placer.py
@@ -12,6 +12,7 @@
 from briarfall.gateway import placement
 from briarfall.gateway import sources
 from briarfall.gateway import targets
+from briarfall.gateway import targetstate
 from briarfall.gateway import views
 from briarfall.gateway import workers
 
@@ -140,7 +141,7 @@
         return clocks.boot_s() >= self._settled_s
 
     def _plan(
-        self, model: views.ModelLayout, rows: list[targets.Target]
+        self, model: views.ModelLayout, rows: list[targetstate.Target]
     ) -> None:
         """Chooses ranges for engines that have none."""
         empty = []
@@ -191,7 +192,7 @@
                 layers.end,
             )
 
-    def _order_if_due(self, row: targets.Target) -> None:
+    def _order_if_due(self, row: targetstate.Target) -> None:
         assignment = self._assigned.get(row.id)
         if assignment is None or assignment.is_accepted:
             return
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -17,9 +17,12 @@
 from briarfall.gateway import loads
 from briarfall.gateway import messages
 from briarfall.gateway import names
+from briarfall.gateway import notices
+from briarfall.gateway import pauses
 from briarfall.gateway import sendgate
 from briarfall.gateway import sources
 from briarfall.gateway import targets
+from briarfall.gateway import targetstate
 
 _MAX_SENDS = 4
 # A kept connection may be closed by its target while a request is on its
@@ -48,6 +51,7 @@
         pool: connections.ConnectionPool,
         gate: sendgate.SendGate,
         detector: crashdetection.CrashDetector,
+        target_notices: notices.TargetNotices,
         rng: random.Random,
     ):
         self._names = header_names
@@ -57,6 +61,7 @@
         self._pool = pool
         self._gate = gate
         self._detector = detector
+        self._notices = target_notices
         self._rng = rng
 
     def forward(self, call: calls.Call) -> None:
@@ -69,12 +74,12 @@
         while True:
             target = self._pick(call, tried)
             if target is None:
-                raise exceptions.NoRouteError(
-                    f"no target of {call.service.name} is free",
-                    outcome=call.outcome,
-                    retry_after_s=_RETRY_AFTER_S,
-                )
-            self._gate.take_send(call)
+                raise self._no_target(call)
+            try:
+                self._gate.take_send(call, target)
+            except sendgate.TargetAvoidedError as exc:
+                logging.info("chosen anew request=%s: %s", call.request_id, exc)
+                continue
             tried.add(target.id)
             entry = target.entry
             try:
@@ -97,14 +102,28 @@
                 self._detector.note_cut(call, entry.id, entry.started_ms, reach)
                 self._allow_repeat(call, entry, reach, exc)
 
+    def _no_target(self, call: calls.Call) -> exceptions.BriarfallError:
+        wait_s = self._targets.quiet_left_s(call.service.name)
+        if wait_s is not None:
+            return exceptions.OverloadError(
+                f"targets of {call.service.name} want no requests",
+                outcome=call.outcome,
+                retry_after_s=pauses.spread_s(wait_s, self._rng),
+            )
+        return exceptions.NoRouteError(
+            f"no target of {call.service.name} is free",
+            outcome=call.outcome,
+            retry_after_s=_RETRY_AFTER_S,
+        )
+
     def _pick(
         self, call: calls.Call, tried: set[ids.TargetId]
-    ) -> targets.Target | None:
+    ) -> targetstate.Target | None:
         if call.sends >= _MAX_SENDS or call.left_s <= 0:
             return None
         best = None
         for row in self._targets.usable(call.service.name):
-            if row.id in tried:
+            if row.id in tried or row.is_quiet:
                 continue
             load = self._loads.of(row.id)
             cost = load.streams / max(1, row.entry.slots)
@@ -116,7 +135,7 @@
         return best[1] if best else None
 
     def _note_refusal(
-        self, target: targets.Target, exc: calls.RefusedByTargetError
+        self, target: targetstate.Target, exc: calls.RefusedByTargetError
     ) -> None:
         logging.info("refused target=%s status=%d", target.id, exc.head.status)
         if exc.head.status == 421:
@@ -150,7 +169,7 @@
         if call.left_s <= 0:
             raise exc
 
-    def _send(self, call: calls.Call, target: targets.Target) -> None:
+    def _send(self, call: calls.Call, target: targetstate.Target) -> None:
         is_once = not call.route.is_repeatable
         entry = target.entry
         conn = self._pool.take(
@@ -172,6 +191,7 @@
                 self._patience_s(call),
                 lambda head: call.is_own(self._names.request_id, head),
             )
+            self._notices.take(target.lifetime, head)
             calls.raise_if_refused(
                 conn, head, self._names, target.id, call.deadline_s
             )
@@ -180,10 +200,10 @@
             self._gate.note_survived(call)
         finally:
             self._loads.release([target.id], 0)
-            if head is not None and conn.finish(head):
-                self._pool.put(conn)
-            else:
+            if target.is_leaving:
                 conn.close()
+            else:
+                self._pool.give_back(conn, head)
         # The target and its connection are free before the caller's next
         # request can come.
         if body is not None:
--- a/src/briarfall/gateway/poisonkeeping.py
+++ b/src/briarfall/gateway/poisonkeeping.py
@@ -1,6 +1,7 @@
 """Keeps poison requests where a restart of all instances does not lose them."""
 
 import queue
+import threading
 import time
 
 from absl import logging
@@ -21,13 +22,16 @@
     Args:
         source: Where they are kept.
         table: Requests that crashed their targets.
+
+    Attributes:
+        has_read: Set when the kept requests are known.
     """
 
     def __init__(self, source: sources.PoisonSource, table: crashes.CrashTable):
         super().__init__("poison")
         self._source = source
         self._table = table
-        self._has_read = False
+        self.has_read = threading.Event()
         self._failures = 0
         self._waiting: queue.Queue[sources.PoisonRecord] = queue.Queue(
             _MAX_WAITING
@@ -37,9 +41,9 @@
     def step(self) -> None:
         """Reads, or keeps the next record; tries again after a pause."""
         try:
-            if not self._has_read:
+            if not self.has_read.is_set():
                 self._read()
-                self._has_read = True
+                self.has_read.set()
             self._keep_next()
             self._failures = 0
         except exceptions.BriarfallError as exc:
--- a/src/briarfall/gateway/sendgate.py
+++ b/src/briarfall/gateway/sendgate.py
@@ -4,6 +4,15 @@
 from briarfall.gateway import budgets
 from briarfall.gateway import calls
 from briarfall.gateway import crashes
+from briarfall.gateway import targets
+from briarfall.gateway import targetstate
+
+
+class TargetAvoidedError(exceptions.TargetError):
+    """A target that was chosen takes no requests any more."""
+
+    code = "target_avoided"
+    outcome = exceptions.Outcome.NOT_RUN
 
 
 class SendGate:
@@ -15,13 +24,18 @@
     Args:
         budget: Bound on repeats.
         crash_table: Requests that crashed their targets.
+        table: Targets.
     """
 
     def __init__(
-        self, budget: budgets.RetryBudget, crash_table: crashes.CrashTable
+        self,
+        budget: budgets.RetryBudget,
+        crash_table: crashes.CrashTable,
+        table: targets.TargetTable,
     ):
         self._budget = budget
         self._crashes = crash_table
+        self._targets = table
 
     def check(self, call: calls.Call) -> None:
         """Refuses a request that no further target may run.
@@ -46,16 +60,20 @@
         if self._crashes.has_crashes:
             self._crashes.note_survived(crashes.fingerprint(call))
 
-    def take_send(self, call: calls.Call) -> None:
-        """Counts a send of a request.
+    def take_send(self, call: calls.Call, target: targetstate.Target) -> None:
+        """Counts a send of a request to a target.
 
         Raises:
             PoisonError: It has crashed too many targets.
+            TargetAvoidedError: The target takes no requests now.
             RetryBudgetError: It was sent before, and no repeat is left.
         """
         self.check(call)
+        if not target.takes_work or target.is_quiet:
+            raise TargetAvoidedError(f"{target.id}: takes no requests")
         if call.sends and not self._budget.take_repeat():
             raise exceptions.RetryBudgetError(
                 "the retry budget is used up", outcome=call.outcome
             )
+        self._targets.note_send(target)
         call.sends += 1
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -1,10 +1,13 @@
 """Streams over a chain of engines, kept going when an engine fails."""
 
+import random
+
 from absl import logging
 import h11
 
 from briarfall import exceptions
 from briarfall.gateway import calls
+from briarfall.gateway import chainsearch
 from briarfall.gateway import clocks
 from briarfall.gateway import connections
 from briarfall.gateway import crashdetection
@@ -18,24 +21,19 @@
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
 from briarfall.gateway import names
+from briarfall.gateway import notices
 from briarfall.gateway import paths
 from briarfall.gateway import sendgate
 from briarfall.gateway import sources
 from briarfall.gateway import streamstate
 from briarfall.gateway import targets
+from briarfall.gateway import targetstate
 
 _IDLE_S = 30.0
-_MAX_SENDS = 6
 # Silence before the first event after which an engine may have failed, as a
 # part of the aim.
 _FIRST_SILENCE_SHARE = 0.4
 _MAX_SILENCE_CHECKS = 8
-# First pause of a request that waits for room on the engines; later ones
-# double, so that many waiting requests leave processor time to the others.
-_ROOM_PAUSE_S = 0.03
-# Room that does not appear within this part of the aim is not worth waiting.
-_ROOM_WAIT_SHARE = 0.6
-_RETRY_AFTER_S = 0.5
 
 
 class StreamForwarder:
@@ -50,8 +48,10 @@
         pool: Connections to targets.
         gate: Lets requests go to targets.
         detector: Tells crashes from lost responses.
+        target_notices: Takes in what targets say of themselves.
         counters: Metrics.
         activity: When this process last received anything.
+        rng: Spreads the times at which callers come back.
     """
 
     def __init__(
@@ -64,17 +64,20 @@
         pool: connections.ConnectionPool,
         gate: sendgate.SendGate,
         detector: crashdetection.CrashDetector,
+        target_notices: notices.TargetNotices,
         counters: metrics.Metrics,
         activity: evidence.Activity,
+        rng: random.Random,
     ):
         self._metrics = counters
         self._names = header_names
         self._targets = table
         self._loads = load_table
-        self._finder = finder
         self._engines = engines
         self._pool = pool
         self._gate = gate
+        self._notices = target_notices
+        self._search = chainsearch.ChainSearch(table, finder, rng)
         self._diagnosis = diagnosis.StreamDiagnosis(
             header_names, table, detector
         )
@@ -101,13 +104,19 @@
         if last is not None and last.isdigit():
             stream.sequence.last_id = int(last)
         while True:
-            chain = self._wait_for_chain(stream)
+            chain = self._search.wait(stream)
+            target = self._targets.get(chain.head.target)
+            if target is None:
+                continue
             try:
-                self._gate.take_send(call)
+                self._gate.take_send(call, target)
+            except sendgate.TargetAvoidedError as exc:
+                logging.info("chosen anew request=%s: %s", call.request_id, exc)
+                continue
             except exceptions.RetryBudgetError as exc:
-                raise self._give_up(stream, exc.message) from exc
+                raise stream.give_up(exc.message) from exc
             try:
-                self._run(stream, chain)
+                self._run(stream, chain, target)
                 return
             except exchange.NotSentError as exc:
                 self._diagnosis.note_failure(
@@ -137,45 +146,6 @@
             answer = int(hint)
         return paths.Demand(int(prompt), int(answer))
 
-    def _wait_for_chain(self, stream: streamstate.Stream) -> paths.Chain:
-        """Returns a chain with room; waits a little for one."""
-        call = stream.call
-        wait_s = call.route.aim_s * _ROOM_WAIT_SHARE
-        if stream.has_begun:
-            wait_s = call.route.gap_aim_s * 4
-        until_s = clocks.boot_s() + wait_s
-        pause_s = _ROOM_PAUSE_S
-        while True:
-            if call.sends >= _MAX_SENDS or call.left_s <= 0:
-                raise self._give_up(stream, "too many tries")
-            rows = self._targets.usable(call.service.name)
-            chain = self._finder.find(
-                call.service.model,
-                rows,
-                stream.demand,
-                frozenset(stream.excluded),
-                heads=stream.allowed_heads,
-                noise=paths.RECOVERY_NOISE if call.was_cut else None,
-            )
-            if chain is not None:
-                return chain
-            if clocks.boot_s() >= until_s:
-                raise self._give_up(stream, "no chain of engines has room")
-            call.watch.pause(min(pause_s, until_s - clocks.boot_s()))
-            pause_s *= 2
-
-    def _give_up(
-        self, stream: streamstate.Stream, reason: str
-    ) -> exceptions.BriarfallError:
-        call = stream.call
-        if call.was_cut or stream.has_begun:
-            return exceptions.StreamLostError(reason)
-        return exceptions.OverloadError(
-            reason,
-            outcome=exceptions.Outcome.NOT_RUN,
-            retry_after_s=_RETRY_AFTER_S,
-        )
-
     def _note_break(
         self,
         stream: streamstate.Stream,
@@ -202,13 +172,15 @@
         if not call.route.is_repeatable or call.left_s <= 0:
             raise exc
 
-    def _run(self, stream: streamstate.Stream, chain: paths.Chain) -> None:
+    def _run(
+        self,
+        stream: streamstate.Stream,
+        chain: paths.Chain,
+        target: targetstate.Target,
+    ) -> None:
         """Runs a stream on one chain until it ends or breaks."""
         call = stream.call
         head = chain.head
-        target = self._targets.get(head.target)
-        if target is None:
-            raise exchange.NotSentError(f"{head.target} has gone")
         conn = self._pool.take(head.address, _IDLE_S, call.left_s)
         run = streamstate.Run(chain, conn)
         response = None
@@ -231,6 +203,7 @@
                 call.deadline_s,
                 lambda head: call.is_own(self._names.request_id, head),
             )
+            self._notices.take(target.lifetime, response)
             calls.raise_if_refused(
                 conn, response, self._names, head.target, call.deadline_s
             )
@@ -242,10 +215,10 @@
             self._gate.note_survived(call)
         finally:
             self._loads.release(run.chain.target_ids(), stream.demand.tokens)
-            if response is not None and conn.finish(response):
-                self._pool.put(conn)
-            else:
+            if target.is_leaving:
                 conn.close()
+            else:
+                self._pool.give_back(conn, response)
 
     def _headers(
         self,
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/streamstate.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
@@ -19,6 +20,7 @@
 _PAUSE_WEIGHT = 0.2
 # Engines that have worked on a request for so long are not crashed by it.
 _TRIED_S = 1.0
+_RETRY_AFTER_S = 0.5
 
 
 class Stream(msgspec.Struct):
@@ -69,6 +71,16 @@
             return False
         return clocks.boot_s() - self.progress_s > _TRIED_S
 
+    def give_up(self, reason: str) -> exceptions.BriarfallError:
+        """Returns the error that ends the stream for lack of engines."""
+        if self.call.was_cut or self.has_begun:
+            return exceptions.StreamLostError(reason)
+        return exceptions.OverloadError(
+            reason,
+            outcome=exceptions.Outcome.NOT_RUN,
+            retry_after_s=_RETRY_AFTER_S,
+        )
+
     def begin_chain(self) -> None:
         """Notes that other engines begin to run the request."""
         self.progress_s = 0.0
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -8,7 +8,9 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
+from briarfall.gateway import leaving
 from briarfall.gateway import sources
+from briarfall.gateway import targetstate
 from briarfall.gateway import views
 
 # The platform re-registers living targets within about this time after its
@@ -22,35 +24,6 @@
 _MAX_GONE = 200
 
 
-class Target(msgspec.Struct):
-    """One target and what this instance has seen of it.
-
-    Attributes:
-        entry: The newest entry.
-        beat_s: Time on the boot clock at which its beat last rose.
-        revision: Revision of the table at the entry's last change.
-        suspected_until_s: Until when this instance warns others of it.
-        blocked_until_s: Time until which it gets no new requests.
-        failures: Failures in a row.
-        failed_s: Time of the last failure, here or at a peer.
-        worked_s: Time at which a stream of ours last saw it at work.
-    """
-
-    entry: sources.TargetEntry
-    beat_s: float
-    revision: int = 0
-    blocked_until_s: float = 0.0
-    suspected_until_s: float = 0.0
-    failures: int = 0
-    failed_s: float = 0.0
-    worked_s: float = 0.0
-
-    @property
-    def id(self) -> ids.TargetId:
-        """Unique id."""
-        return self.entry.id
-
-
 class Changes(msgspec.Struct, frozen=True):
     """What changed in a table after some revision.
 
@@ -73,7 +46,7 @@
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._targets: dict[ids.TargetId, Target] = {}
+        self._targets: dict[ids.TargetId, targetstate.Target] = {}
         # The target that started last at each address.
         self._newest_at: dict[str, ids.TargetId] = {}
         self._is_source_lost = False
@@ -84,12 +57,13 @@
         self._end_listeners: list[EndListener] = []
         # Lifetimes that ended in the current change of the table.
         self._ended: list[sources.TargetEntry] = []
+        self._leaving = leaving.LeavingLifetimes()
         self.read_s: float | None = None
         self.has_entries = threading.Event()
 
     def update(
         self, entries: list[sources.TargetEntry], read_s: float
-    ) -> list[Target]:
+    ) -> list[targetstate.Target]:
         """Takes over a read of the list.
 
         Args:
@@ -132,7 +106,7 @@
         changed: list[sources.TargetEntry],
         gone: list[ids.TargetId],
         read_s: float,
-    ) -> list[Target]:
+    ) -> list[targetstate.Target]:
         """Takes over what another instance has read.
 
         Args:
@@ -196,9 +170,9 @@
             if known is not None:
                 self._ended.append(known.entry)
             self._revision += 1
-            self._targets[entry.id] = Target(
-                entry, read_s, revision=self._revision
-            )
+            target = targetstate.Target(entry, read_s, revision=self._revision)
+            target.is_leaving = self._leaving.has(target.lifetime)
+            self._targets[entry.id] = target
             self._gone.pop(entry.id, None)
             logging.info(
                 "target found target=%s service=%s zone=%s layers=%s",
@@ -235,7 +209,7 @@
             for listener in self._end_listeners:
                 listener(entry)
 
-    def suspicions(self) -> list[tuple[Target, float]]:
+    def suspicions(self) -> list[tuple[targetstate.Target, float]]:
         """Returns targets that failed here, and for how long to avoid them."""
         now_s = clocks.boot_s()
         rows = []
@@ -265,6 +239,84 @@
             )
         self.block(target, min(left_s, _MAX_BLOCK_S))
 
+    def note_leaving(self, lifetime: leaving.Lifetime) -> None:
+        """Gives no new work to a lifetime that said that it leaves."""
+        if not self._mark_leaving(lifetime):
+            return
+        logging.info(
+            "target leaving by its own word target=%s lifetime=%d "
+            "list_age_ms=%d",
+            lifetime.target,
+            lifetime.started_ms,
+            self.age_s() * 1000,
+        )
+        for listener in self._listeners:
+            listener()
+
+    def take_leaving(self, rows: list[leaving.Lifetime]) -> None:
+        """Gives no new work to lifetimes that leave, as peers say."""
+        for row in rows:
+            if self._mark_leaving(row):
+                logging.info(
+                    "target leaving as a peer says target=%s lifetime=%d",
+                    row.target,
+                    row.started_ms,
+                )
+
+    def _mark_leaving(self, lifetime: leaving.Lifetime) -> bool:
+        """Returns whether that is new."""
+        with self._lock:
+            if not self._leaving.add(lifetime):
+                return False
+            target = self._targets.get(lifetime.target)
+            if target is not None and target.lifetime == lifetime:
+                target.is_leaving = True
+        return True
+
+    def told_leaving(self, for_s: float) -> list[leaving.Lifetime]:
+        """Returns lifetimes of which others should hear that they leave."""
+        with self._lock:
+            return self._leaving.newest(for_s)
+
+    def note_quiet(self, lifetime: leaving.Lifetime, seconds: float) -> None:
+        """Sends nothing to a lifetime for a time that it asked for."""
+        target = self._targets.get(lifetime.target)
+        if target is None or target.lifetime != lifetime:
+            return
+        is_new = not target.is_quiet
+        until_s = clocks.boot_s() + seconds
+        target.quiet_until_s = max(target.quiet_until_s, until_s)
+        if is_new:
+            logging.info(
+                "target wants no requests target=%s for_s=%.2f",
+                target.id,
+                seconds,
+            )
+
+    def note_send(self, target: targetstate.Target) -> None:
+        """Notes that a request goes to a target."""
+        if not target.quiet_until_s:
+            return
+        logging.info(
+            "target takes requests again target=%s after_s=%.2f",
+            target.id,
+            clocks.boot_s() - target.quiet_until_s,
+        )
+        target.quiet_until_s = 0.0
+
+    def quiet_left_s(self, service: views.ServiceName) -> float | None:
+        """Returns when the first quiet target of a service takes requests.
+
+        Returns:
+            Seconds, or None if no target of the service is quiet.
+        """
+        now_s = clocks.boot_s()
+        ends_s = []
+        for target in self.of_service(service):
+            if target.takes_work and target.quiet_until_s > now_s:
+                ends_s.append(target.quiet_until_s)
+        return min(ends_s) - now_s if ends_s else None
+
     def lose_source(self) -> None:
         """Notes that the list can't be read; what is known stays."""
         with self._lock:
@@ -278,11 +330,13 @@
             return float("inf")
         return clocks.boot_s() - self.read_s
 
-    def get(self, target: ids.TargetId) -> Target | None:
+    def get(self, target: ids.TargetId) -> targetstate.Target | None:
         """Returns a target by id."""
         return self._targets.get(target)
 
-    def of_service(self, service: views.ServiceName) -> list[Target]:
+    def of_service(
+        self, service: views.ServiceName
+    ) -> list[targetstate.Target]:
         """Returns the targets of a service in any state.
 
         A target whose address a newer one has taken over has ended, though
@@ -298,20 +352,20 @@
                     found.append(row)
         return found
 
-    def usable(self, service: views.ServiceName) -> list[Target]:
+    def usable(self, service: views.ServiceName) -> list[targetstate.Target]:
         """Returns targets that take new work; blocked ones if no other do."""
         now_s = clocks.boot_s()
         ready = []
         free = []
         for target in self.of_service(service):
-            if target.entry.state is not sources.TargetState.READY:
+            if not target.takes_work:
                 continue
             ready.append(target)
             if target.blocked_until_s <= now_s:
                 free.append(target)
         return free or ready
 
-    def note_failure(self, target: Target, reason: str) -> None:
+    def note_failure(self, target: targetstate.Target, reason: str) -> None:
         """Keeps new requests away from a target for a growing time."""
         with self._lock:
             # Requests that fail together are one failure of the target.
@@ -331,12 +385,12 @@
             reason,
         )
 
-    def block(self, target: Target, seconds: float) -> None:
+    def block(self, target: targetstate.Target, seconds: float) -> None:
         """Keeps new requests away from a target for a fixed time."""
         until_s = clocks.boot_s() + seconds
         target.blocked_until_s = max(target.blocked_until_s, until_s)
 
-    def note_success(self, target: Target) -> None:
+    def note_success(self, target: targetstate.Target) -> None:
         """Forgets earlier failures."""
         target.failures = 0
         target.blocked_until_s = 0.0
--- a/src/briarfall/platform/headers.py
+++ b/src/briarfall/platform/headers.py
@@ -14,6 +14,7 @@
     faulty_target=b"at-server",
     signature=b"x-response-signature",
     not_run=b"x-not-executed",
+    leaving=b"server-leaving",
     load=b"x-server-load",
     token_usage=b"x-token-usage",
     length_hint=b"x-length-hint",
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -3,6 +3,7 @@
 import enum
 import json
 import threading
+import time
 
 import msgspec
 
@@ -41,6 +42,34 @@
     headers: dict[str, str]
 
 
+class Arrival(msgspec.Struct, frozen=True):
+    """A request that reached a target."""
+
+    time_s: float
+    request_id: str
+
+
+class Notice(msgspec.Struct, frozen=True):
+    """What an answer said of its target.
+
+    Attributes:
+        time_s: When it was sent.
+        is_leaving: Whether the target takes no new requests.
+        quiet_s: How long it wants no requests.
+    """
+
+    time_s: float
+    is_leaving: bool
+    quiet_s: float
+
+
+def _seconds(value: str) -> float:
+    try:
+        return float(value)
+    except ValueError:
+        return 0.0
+
+
 class _Registered:
     """A target with an entry on the store."""
 
@@ -59,6 +88,11 @@
         self.born = 1
         self.state = "ready"
         self.fault = Fault.NONE
+        self.says_leaving = False
+        # Value of Retry-After in refusals, or empty.
+        self.retry_after = ""
+        self.arrivals: list[Arrival] = []
+        self.notices: list[Notice] = []
         self.lock = threading.Lock()
         self.ran: list[RanRequest] = []
         self.released = threading.Event()
@@ -119,6 +153,55 @@
         with self.lock:
             self.ran.append(row)
 
+    def note_arrival(self, req: rawhttp.RawRequest) -> None:
+        """Writes down a request, whatever becomes of it."""
+        request_id = req.headers.get("x-request-id", "")
+        with self.lock:
+            self.arrivals.append(Arrival(time.monotonic(), request_id))
+
+    def notice_headers(self, status: int) -> dict[str, str]:
+        """Returns what an answer says of the target, and writes it down."""
+        headers = {}
+        quiet_s = 0.0
+        if self.says_leaving:
+            headers["Server-Leaving"] = "1"
+        if self.retry_after and status == 503:
+            headers["Retry-After"] = self.retry_after
+            quiet_s = _seconds(self.retry_after)
+        if headers:
+            with self.lock:
+                self.notices.append(
+                    Notice(time.monotonic(), self.says_leaving, quiet_s)
+                )
+        return headers
+
+    def arrivals_after_leaving(self, bound_s: float) -> list[str]:
+        """Returns requests that came too late after it said that it leaves."""
+        found = []
+        first_s = min(
+            (row.time_s for row in self.notices if row.is_leaving),
+            default=float("inf"),
+        )
+        for row in self.arrivals:
+            if row.time_s > first_s + bound_s:
+                found.append(row.request_id)
+        return found
+
+    def arrivals_in_quiet(self, grace_s: float) -> list[str]:
+        """Returns the requests that came while it wanted none.
+
+        Args:
+            grace_s: Time after the answer in which more may come.
+        """
+        found = []
+        for row in self.arrivals:
+            for notice in self.notices:
+                after_s = row.time_s - notice.time_s
+                if grace_s < after_s < notice.quiet_s:
+                    found.append(row.request_id)
+                    break
+        return found
+
     def ran_ids(self) -> list[str]:
         """Returns the ids of requests that ran."""
         with self.lock:
@@ -135,14 +218,17 @@
     def handle(self, conn, req) -> bool:
         """Runs a request and answers as the fault says."""
         request_id = req.headers.get("x-request-id", "")
+        self.note_arrival(req)
         echo = {"X-Request-Id": request_id, "X-Response-Signature": self.id}
         expected = req.headers.get("x-expect-instance", self.id)
         if expected != self.id or self.fault is Fault.MISDIRECTED:
             conn.answer(421, headers={"X-Instance-Id": self.id})
             return True
         if self.fault is Fault.REFUSE:
-            conn.answer(503, b"full", {**echo, "X-Not-Executed": "1"})
+            notice = self.notice_headers(503)
+            conn.answer(503, b"full", {**echo, **notice, "X-Not-Executed": "1"})
             return True
+        echo.update(self.notice_headers(200))
         self.note(req)
         if self.fault in (Fault.CRASH, Fault.CRASH_AND_RESTART):
             self.close()
@@ -305,12 +391,15 @@
 
     def _stream(self, conn, req) -> bool:
         request_id = req.headers["x-request-id"]
+        self.note_arrival(req)
         path = _parse(req.headers["x-hop-count"])
         echo = {"X-Request-Id": request_id, "X-Response-Signature": self.id}
         if self.fault is Fault.REFUSE:
             extra = {"X-Not-Executed": "1", "At-Server": self.address}
-            conn.answer(503, headers={**echo, **extra})
+            notice = self.notice_headers(503)
+            conn.answer(503, headers={**echo, **notice, **extra})
             return True
+        echo.update(self.notice_headers(200))
         for address, first, end in path:
             engine = self.fleet[address]
             held = engine.layers or (0, 0)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -33,6 +33,7 @@
 from briarfall.gateway import sources
 from briarfall.gateway import stopping
 from briarfall.gateway import targets
+from briarfall.gateway import targetstate
 from briarfall.gateway import views
 
 MODEL = views.ModelLayout(
@@ -87,7 +88,7 @@
 
 
 def target(target_id, **extra):
-    return targets.Target(entry(target_id, **extra), 0.0)
+    return targetstate.Target(entry(target_id, **extra), 0.0)
 
 
 class TestPathChoice:
--- /dev/null
+++ b/tests/test_gateway_notices.py
@@ -0,0 +1,322 @@
+"""Targets that leave or want no requests for a while, and say so."""
+
+import threading
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from briarfall.gateway import clocks
+from briarfall.gateway import leaving
+from briarfall.gateway import messages
+from briarfall.gateway import notices
+from briarfall.gateway import sources
+from briarfall.gateway import targets
+from briarfall.standins.prepared import scenes
+from briarfall.standins.prepared import services
+from tests import test_gateway_decisions
+
+# Requests that may reach a target while it wants none, and the time after its
+# answer from which they count.
+_MAX_IN_QUIET = 2
+_QUIET_GRACE_S = 0.5
+_DRAFT_MS = 8000
+
+
+@pytest.fixture
+def world():
+    with scenes.world() as scene:
+        yield scene
+
+
+def _refusal(value):
+    return messages.ResponseHead(503, b"", [(b"Retry-After", value)])
+
+
+class TestQuietSeconds:
+    @pytest.mark.parametrize(
+        ("value", "seconds"),
+        [
+            (b"2", 2.0),
+            (b"0.25", 0.25),
+            (b" 1.5 ", 1.5),
+            (b"-3", 0.0),
+            (b"0", 0.0),
+            (b"", 0.0),
+            (b"soon", 0.0),
+            (b"Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
+            (b"nan", 0.0),
+            (b"inf", 0.0),
+            (b"3600", notices.MAX_QUIET_S),
+        ],
+    )
+    def test_each_value_has_a_bounded_reading(self, value, seconds):
+        assert notices.quiet_s(_refusal(value)) == seconds
+
+    @given(st.binary(max_size=40))
+    def test_any_bytes_are_read_within_the_bound(self, value):
+        assert 0 <= notices.quiet_s(_refusal(value)) <= notices.MAX_QUIET_S
+
+    def test_only_a_503_counts(self):
+        head = messages.ResponseHead(500, b"", [(b"Retry-After", b"2")])
+        assert notices.quiet_s(head) == 0.0
+
+
+class TestLeavingLifetime:
+    def table(self, **extra):
+        table = targets.TargetTable()
+        row = test_gateway_decisions.entry("a", started_ms=3, **extra)
+        table.update([row], clocks.boot_s())
+        return table, row
+
+    def usable(self, table):
+        return [row.id for row in table.usable("pool")]
+
+    def test_late_entry_that_calls_it_sound_does_not_undo_it(self, clock):
+        table, row = self.table()
+        table.note_leaving(leaving.Lifetime("a", 3))
+        table.update([row], clock.now_s + 1)
+        assert self.usable(table) == []
+        # It lapses and comes back.
+        table.update([], clock.now_s + 2)
+        table.update([row], clock.now_s + 3)
+        assert self.usable(table) == []
+
+    def test_new_lifetime_starts_clean(self, clock):
+        table, _ = self.table()
+        table.note_leaving(leaving.Lifetime("a", 3))
+        table.note_quiet(leaving.Lifetime("a", 3), 5.0)
+        new = test_gateway_decisions.entry("a", started_ms=4)
+        table.update([new], clock.now_s + 1)
+        assert self.usable(table) == ["a"]
+        assert not table.get("a").is_quiet
+
+    def test_answer_of_an_earlier_lifetime_says_nothing_of_the_new_one(
+        self, clock
+    ):
+        table, _ = self.table()
+        table.note_leaving(leaving.Lifetime("a", 2))
+        table.note_quiet(leaving.Lifetime("a", 2), 5.0)
+        assert self.usable(table) == ["a"]
+        assert not table.get("a").is_quiet
+
+    def test_peers_learn_it_also_before_its_entry(self, clock):
+        table, row = self.table()
+        table.note_leaving(leaving.Lifetime("a", 3))
+        peer = targets.TargetTable()
+        peer.take_leaving(table.told_leaving(10.0))
+        peer.update([row], clock.now_s + 1)
+        assert self.usable(peer) == []
+
+    @settings(max_examples=50)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["listed", "lapsed", "says", "reborn"]),
+                st.sampled_from(list(sources.TargetState)),
+            ),
+            max_size=20,
+        )
+    )
+    def test_lifetime_that_said_so_never_gets_work_again(self, steps):
+        table = targets.TargetTable()
+        started_ms = 1
+        said = set()
+        read_s = clocks.boot_s()
+        for step, state in steps:
+            read_s += 3.0
+            if step == "reborn":
+                started_ms += 1
+            if step == "says":
+                table.note_leaving(leaving.Lifetime("a", started_ms))
+                said.add(started_ms)
+            elif step == "lapsed":
+                table.update([], read_s)
+            else:
+                row = test_gateway_decisions.entry(
+                    "a", started_ms=started_ms, state=state
+                )
+                table.update([row], read_s)
+            known = table.get("a")
+            if known is not None and known.entry.started_ms in said:
+                assert self.usable(table) == []
+
+
+def _cut_off(world, inst):
+    """Takes the store away from all instances."""
+    world.store.status = 503
+    scenes.until(
+        lambda: not inst.peers.reaches_store, "the store is known to be away"
+    )
+
+
+class TestLeavingTarget:
+    @pytest.mark.parametrize("is_cut_off", [False, True])
+    @pytest.mark.parametrize(
+        ("path", "method"), [("/views/x", "GET"), ("/orders/x", "POST")]
+    )
+    def test_call_goes_elsewhere_after_the_answer(
+        self, world, path, method, is_cut_off
+    ):
+        desks = [world.service(f"d{number}") for number in range(2)]
+        inst = world.instance()
+        world.wait_for_targets(*desks)
+        desks[0].says_leaving = True
+        if is_cut_off:
+            _cut_off(world, inst)
+        answers = []
+        for number in range(12):
+            answers.append(
+                scenes.call(inst, path, method=method, request_id=f"r{number}")
+            )
+        assert [row.status for row in answers] == [200] * 12
+        assert len(desks[0].arrivals) <= 1
+        assert desks[0].server.opened <= 1
+
+    def test_other_instances_learn_it(self, world):
+        desks = [world.service(f"d{number}") for number in range(2)]
+        rows = [world.instance(f"i{number}") for number in range(2)]
+        world.wait_for_targets(*desks)
+        for inst in rows:
+            scenes.until(
+                lambda inst=inst: inst.peers.instance_count == 2, "met"
+            )
+        desks[0].says_leaving = True
+        for number in range(8):
+            scenes.call(rows[0], "/views/x", request_id=f"r{number}")
+        assert len(desks[0].arrivals) == 1
+        scenes.until(
+            lambda: rows[1].targets.get("d0").is_leaving, "the peer knows"
+        )
+
+    def test_service_whose_targets_all_leave_is_refused_at_once(self, world):
+        desk = world.service("d0")
+        desk.says_leaving = True
+        inst = world.instance()
+        world.wait_for_targets(desk)
+        assert scenes.call(inst, "/views/x", request_id="r0").status == 200
+        answer = scenes.call(inst, "/views/x", request_id="r1")
+        assert answer.status == 503
+        assert len(desk.arrivals) == 1
+
+    def test_stream_begins_elsewhere_and_the_running_one_ends_whole(
+        self, world
+    ):
+        engines = [world.engine(f"e{number}") for number in range(6)]
+        inst = world.instance()
+        world.wait_for_layers()
+        for engine in engines:
+            engine.says_leaving = engine.layers[0] == 0
+        leaving = [engine for engine in engines if engine.says_leaving]
+        for number in range(len(leaving)):
+            answer = _draft(inst, f"r{number}")
+            assert scenes.event_ids(answer.body) == list(range(1, 13))
+        assert [len(engine.arrivals) for engine in leaving] == [1] * len(
+            leaving
+        )
+
+
+def _draft(inst, request_id):
+    return scenes.call(
+        inst,
+        "/drafts/x",
+        method="POST",
+        request_id=request_id,
+        deadline_ms=_DRAFT_MS,
+    )
+
+
+class TestQuietTarget:
+    @pytest.mark.parametrize("count", [1, 2, 3])
+    @pytest.mark.parametrize(
+        ("path", "method"), [("/views/x", "GET"), ("/orders/x", "POST")]
+    )
+    def test_call_leaves_alone_what_wants_no_requests(
+        self, world, path, method, count
+    ):
+        desks = [world.service(f"d{number}") for number in range(3)]
+        inst = world.instance()
+        world.wait_for_targets(*desks)
+        for desk in desks[:count]:
+            desk.fault = services.Fault.REFUSE
+            desk.retry_after = "60"
+        answers = []
+        for number in range(20):
+            answers.append(
+                scenes.call(inst, path, method=method, request_id=f"r{number}")
+            )
+        for desk in desks[:count]:
+            assert len(desk.arrivals) <= 1
+            assert len(desk.arrivals_in_quiet(0.0)) <= _MAX_IN_QUIET
+        if count < 3:
+            assert [row.status for row in answers] == [200] * 20
+            return
+        for row in answers[1:]:
+            assert row.status == 503
+            assert float(row.headers["Retry-After"]) > 50
+
+    def test_stream_leaves_alone_what_wants_no_requests(self, world):
+        engines = [world.engine(f"e{number}") for number in range(6)]
+        inst = world.instance()
+        world.wait_for_layers()
+        heads = [engine for engine in engines if engine.layers[0] == 0]
+        for engine in heads[:-1]:
+            engine.fault = services.Fault.REFUSE
+            engine.retry_after = "60"
+        for number in range(8):
+            answer = _draft(inst, f"r{number}")
+            assert scenes.event_ids(answer.body) == list(range(1, 13))
+        for engine in heads[:-1]:
+            assert len(engine.arrivals) <= 1
+
+    def test_stream_is_refused_at_once_if_no_engine_wants_it(self, world):
+        engines = [world.engine(f"e{number}") for number in range(4)]
+        inst = world.instance()
+        world.wait_for_layers()
+        for engine in engines:
+            engine.fault = services.Fault.REFUSE
+            engine.retry_after = "60"
+        for number in range(6):
+            answer = _draft(inst, f"r{number}")
+            assert answer.status == 503
+            assert float(answer.headers["Retry-After"]) > 0
+        assert all(len(engine.arrivals) <= 1 for engine in engines)
+        assert float(answer.headers["Retry-After"]) > 50
+
+    def test_waiting_requests_are_held_back_too(self, world):
+        desks = [world.service(f"d{number}") for number in range(2)]
+        inst = world.instance()
+        world.wait_for_targets(*desks)
+        for desk in desks:
+            desk.fault = services.Fault.REFUSE
+            desk.retry_after = "60"
+        answers = []
+        threads = []
+        for number in range(30):
+            thread = threading.Thread(
+                target=lambda number=number: answers.append(
+                    scenes.call(inst, "/views/x", request_id=f"r{number}")
+                )
+            )
+            thread.start()
+            threads.append(thread)
+        for thread in threads:
+            thread.join(scenes.WAIT_S)
+        assert [row.status for row in answers] == [503] * 30
+        for desk in desks:
+            in_quiet = desk.arrivals_in_quiet(_QUIET_GRACE_S)
+            assert len(in_quiet) <= _MAX_IN_QUIET
+
+    def test_target_takes_requests_again_afterwards(self, world):
+        desk = world.service("d0")
+        desk.fault = services.Fault.REFUSE
+        desk.retry_after = "0.3"
+        inst = world.instance()
+        world.wait_for_targets(desk)
+        assert scenes.call(inst, "/views/x", request_id="r0").status == 503
+        desk.fault = services.Fault.NONE
+        scenes.until(
+            lambda: not inst.targets.get("d0").is_quiet, "the quiet is over"
+        )
+        assert scenes.call(inst, "/views/x", request_id="r1").status == 200
--- a/tests/test_gateway_poison.py
+++ b/tests/test_gateway_poison.py
@@ -115,6 +115,7 @@
         assert _runs(desks) == _CRASHES
 
     def _assert_refused(self, inst, desks):
+        scenes.until(lambda: inst.crashes.has_poison, "it has been told")
         answer = scenes.call(
             inst, "/orders/x", method="POST", request_id="late"
         )
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -1,5 +1,7 @@
 """Streams that find no engines with room."""
 
+import random
+
 import msgspec
 import pytest
 
@@ -86,11 +88,15 @@
             None,
             connections.ConnectionPool(),
             sendgate.SendGate(
-                budgets.RetryBudget(0.2, 10.0, 100.0, lambda: 1), table
+                budgets.RetryBudget(0.2, 10.0, 100.0, lambda: 1),
+                table,
+                targets.TargetTable(),
             ),
             crashdetection.CrashDetector(table, targets.TargetTable()),
+            None,
             metrics.Metrics(),
             evidence.Activity(),
+            random.Random(1),
         )
         call = a_call(clock.now_s, watch=_Watch(clock))
         started_s = clock.now_s
