--- a/src/briarfall/standins/prepared/faultsoak/callers.py
+++ b/src/briarfall/standins/prepared/faultsoak/callers.py
@@ -12,6 +12,8 @@
 HOST = "soak.example"
 _TIMEOUT_S = 12.0
 _PAUSE_S = 0.05
+# Pause between sends of a request that crashes services.
+_POISON_PAUSE_S = 0.6
 
 
 class Told(msgspec.Struct):
@@ -25,6 +27,7 @@
         status: Status, or 0 if the connection broke.
         body: Body as far as it arrived.
         is_whole: Whether the body ended as complete.
+        instance: Name of the instance that it was sent to.
     """
 
     id: str
@@ -34,6 +37,7 @@
     status: int = 0
     body: bytes = b""
     is_whole: bool = False
+    instance: str = ""
 
 
 class Caller(threading.Thread):
@@ -46,14 +50,19 @@
         key_of,
         now,
         seed: int,
+        path: str = "",
     ):
         super().__init__(name=name, daemon=True)
         self._instances = rows
         self._key_of = key_of
         self._now = now
+        self._path = path
+        self._kinds = ["views"] if path else ["orders", "views", "drafts"]
+        self._pause_s = _POISON_PAUSE_S if path else _PAUSE_S
         self._rng = random.Random(seed)
         self._stopped = threading.Event()
         self._conn: http.client.HTTPConnection | None = None
+        self._instance = rows[0]
         self.told: list[Told] = []
 
     def stop(self) -> None:
@@ -63,9 +72,9 @@
     def run(self) -> None:
         """Sends one request after the other."""
         number = 0
-        while not self._stopped.wait(_PAUSE_S * self._rng.random()):
+        while not self._stopped.wait(self._pause_s * self._rng.random()):
             number += 1
-            kind = self._rng.choice(["orders", "views", "drafts"])
+            kind = self._rng.choice(self._kinds)
             row = Told(
                 f"{self.name}-{number}", kind, self._key_of(), self._now()
             )
@@ -74,6 +83,8 @@
                 self._send(row)
             except (OSError, http.client.HTTPException):
                 self._drop()
+            if self._path:
+                self._drop()
 
     def _drop(self) -> None:
         if self._conn is not None:
@@ -82,7 +93,8 @@
 
     def _send(self, row: Told) -> None:
         if self._conn is None:
-            host, port = self._rng.choice(self._instances).front
+            self._instance = self._rng.choice(self._instances)
+            host, port = self._instance.front
             self._conn = http.client.HTTPConnection(
                 host, port, timeout=_TIMEOUT_S
             )
@@ -90,10 +102,11 @@
             self._conn.sock.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
             )
+        row.instance = self._instance.name
         method = "GET" if row.kind == "views" else "POST"
         self._conn.request(
             method,
-            f"/{row.kind}/{row.id}",
+            f"/{row.kind}/{self._path or row.id}",
             body=row.id.encode() if method == "POST" else None,
             headers={
                 "Host": HOST,
--- a/src/briarfall/standins/prepared/faultsoak/soak.py
+++ b/src/briarfall/standins/prepared/faultsoak/soak.py
@@ -11,6 +11,7 @@
 from briarfall.standins.prepared import manifests
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared import store
+from briarfall.standins.prepared.faultsoak import bounds
 from briarfall.standins.prepared.faultsoak import callers
 from briarfall.standins.prepared.faultsoak import processes
 from briarfall.standins.prepared.faultsoak import proxy
@@ -26,6 +27,9 @@
 _MIN_FAULT_S = 0.5
 _MAX_FAULT_S = 3.0
 _BEAT_S = 1.0
+_QUIET_S = "1.5"
+# Name and path of the request that crashes services.
+_POISON = "poison"
 
 
 class Soak:
@@ -48,6 +52,7 @@
         self._stopped = threading.Event()
         self._threads: list[threading.Thread] = []
         self.faults: list[str] = []
+        self.disturbed: list[bounds.Disturbance] = []
         self.store = store.StoreStandin()
         self._fleet: dict = {}
         self.desks = []
@@ -55,9 +60,11 @@
         self._publish()
         for number in range(3):
             zone = f"z{number % 2}"
-            self.desks.append(
-                services.ServiceStandin(self.store, f"d{number}", "desk", zone)
+            desk = services.ServiceStandin(
+                self.store, f"d{number}", "desk", zone
             )
+            desk.crash_marker = _POISON
+            self.desks.append(desk)
         for number in range(8):
             engine = services.EngineStandin(
                 self.store, f"e{number}", self._fleet, zone=f"z{number % 2}"
@@ -134,6 +141,16 @@
                 )
                 caller.start()
                 rows.append(caller)
+            poison = callers.Caller(
+                _POISON,
+                self.instances,
+                lambda: "stable",
+                self._now,
+                _CALLERS,
+                path=_POISON,
+            )
+            poison.start()
+            rows.append(poison)
             self._play_faults()
             broken = []
             if not self._wait_served(_RECOVER_S):
@@ -157,7 +174,9 @@
         """Renews the entries of living targets."""
         while not self._stopped.wait(_BEAT_S):
             for row in [*self.desks, *self.engines]:
-                if not row.released.is_set():
+                if row.released.is_set():
+                    row.restart()
+                else:
                     row.register()
 
     def _wait_served(self, limit_s: float) -> bool:
@@ -198,6 +217,8 @@
             self._fault_pause,
             self._fault_desk,
             self._fault_engine,
+            self._fault_quiet,
+            self._fault_leaving,
             self._fault_reload,
             self._change_manifest,
             self._change_manifest,
@@ -251,26 +272,32 @@
         row = self._take_instance()
         if row is None:
             return
+        start_s = self._now()
         row.signal(signal.SIGTERM)
         row.wait()
         row.start()
+        self._note_disturbed(row, start_s)
 
     def _fault_kill(self, fault_s: float) -> None:
         row = self._take_instance()
         if row is None:
             return
+        start_s = self._now()
         row.signal(signal.SIGKILL)
         row.wait()
         time.sleep(fault_s / 4)
         row.start()
+        self._note_disturbed(row, start_s)
 
     def _fault_pause(self, fault_s: float) -> None:
         row = self._take_instance()
         if row is None:
             return
+        start_s = self._now()
         row.signal(signal.SIGSTOP)
         time.sleep(fault_s * 2)
         row.signal(signal.SIGCONT)
+        self._note_disturbed(row, start_s)
 
     def _fault_reload(self, fault_s: float) -> None:
         row = self._take_instance()
@@ -299,6 +326,28 @@
         engine.fault = services.Fault.NONE
         engine.breaks_after = 0
 
+    def _fault_quiet(self, fault_s: float) -> None:
+        target = self._rng.choice([*self.desks, *self.engines])
+        target.retry_after = _QUIET_S
+        target.fault = services.Fault.REFUSE
+        time.sleep(fault_s)
+        target.fault = services.Fault.NONE
+        target.retry_after = ""
+
+    def _fault_leaving(self, fault_s: float) -> None:
+        target = self._rng.choice([*self.desks, *self.engines])
+        target.says_leaving = True
+        time.sleep(bounds.LEAVING_BOUND_S + fault_s)
+        target.close()
+        target.says_leaving = False
+
+    def _note_disturbed(
+        self, row: processes.GatewayProcess, start_s: float
+    ) -> None:
+        self.disturbed.append(
+            bounds.Disturbance(row.name, start_s, self._now())
+        )
+
     def _change_manifest(self, fault_s: float) -> None:
         with self._lock:
             old = self._key()
@@ -331,9 +380,14 @@
                 late_s = row.sent_s - revoked_s
                 if late_s > _KEY_TTL_S:
                     broken.append(f"{row.id}: key ran {late_s:.1f} s too late")
-        served = sum(1 for row in told if row.status == 200)
-        if served < len(told) / 4:
-            broken.append(f"only {served} of {len(told)} requests served")
+        witness = bounds.Witness(told, self.disturbed)
+        for target in [*self.desks, *self.engines]:
+            broken += witness.check(target)
+        broken += witness.check_poison(_POISON, self.desks)
+        usual = [row for row in told if not row.id.startswith(_POISON)]
+        served = sum(1 for row in usual if row.status == 200)
+        if served < len(usual) / 4:
+            broken.append(f"only {served} of {len(usual)} requests served")
         return broken
 
 
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -47,6 +47,7 @@
 
     time_s: float
     request_id: str
+    born: int = 1
 
 
 class Notice(msgspec.Struct, frozen=True):
@@ -54,13 +55,17 @@
 
     Attributes:
         time_s: When it was sent.
+        request_id: The request that was answered.
         is_leaving: Whether the target takes no new requests.
         quiet_s: How long it wants no requests.
+        born: Lifetime of the target.
     """
 
     time_s: float
+    request_id: str
     is_leaving: bool
     quiet_s: float
+    born: int = 1
 
 
 def _seconds(value: str) -> float:
@@ -91,6 +96,9 @@
         self.says_leaving = False
         # Value of Retry-After in refusals, or empty.
         self.retry_after = ""
+        # Requests whose path ends so crash it.
+        self.crash_marker = ""
+        self.crashed_s: list[float] = []
         self.arrivals: list[Arrival] = []
         self.notices: list[Notice] = []
         self.lock = threading.Lock()
@@ -157,9 +165,11 @@
         """Writes down a request, whatever becomes of it."""
         request_id = req.headers.get("x-request-id", "")
         with self.lock:
-            self.arrivals.append(Arrival(time.monotonic(), request_id))
+            self.arrivals.append(
+                Arrival(time.monotonic(), request_id, self.born)
+            )
 
-    def notice_headers(self, status: int) -> dict[str, str]:
+    def notice_headers(self, status: int, request_id: str) -> dict[str, str]:
         """Returns what an answer says of the target, and writes it down."""
         headers = {}
         quiet_s = 0.0
@@ -171,22 +181,16 @@
         if headers:
             with self.lock:
                 self.notices.append(
-                    Notice(time.monotonic(), self.says_leaving, quiet_s)
+                    Notice(
+                        time.monotonic(),
+                        request_id,
+                        self.says_leaving,
+                        quiet_s,
+                        self.born,
+                    )
                 )
         return headers
 
-    def arrivals_after_leaving(self, bound_s: float) -> list[str]:
-        """Returns requests that came too late after it said that it leaves."""
-        found = []
-        first_s = min(
-            (row.time_s for row in self.notices if row.is_leaving),
-            default=float("inf"),
-        )
-        for row in self.arrivals:
-            if row.time_s > first_s + bound_s:
-                found.append(row.request_id)
-        return found
-
     def arrivals_in_quiet(self, grace_s: float) -> list[str]:
         """Returns the requests that came while it wanted none.
 
@@ -225,12 +229,14 @@
             conn.answer(421, headers={"X-Instance-Id": self.id})
             return True
         if self.fault is Fault.REFUSE:
-            notice = self.notice_headers(503)
+            notice = self.notice_headers(503, request_id)
             conn.answer(503, b"full", {**echo, **notice, "X-Not-Executed": "1"})
             return True
-        echo.update(self.notice_headers(200))
+        echo.update(self.notice_headers(200, request_id))
         self.note(req)
-        if self.fault in (Fault.CRASH, Fault.CRASH_AND_RESTART):
+        is_marked = self.crash_marker and req.path.endswith(self.crash_marker)
+        if is_marked or self.fault in (Fault.CRASH, Fault.CRASH_AND_RESTART):
+            self.crashed_s.append(time.monotonic())
             self.close()
             if self.fault is Fault.CRASH_AND_RESTART:
                 self.restart()
@@ -310,6 +316,12 @@
             layers = {"from": self.layers[0], "target": self.layers[1]}
         super().register(kind=self.kind, layers=layers, **extra)
 
+    def restart(self) -> None:
+        """Starts it again, without layers."""
+        self.layers = None
+        self.fence = 0
+        super().restart()
+
     def go_dark(self) -> None:
         """Falls silent: chains stand still, connections are refused."""
         self.is_dark = True
@@ -396,10 +408,10 @@
         echo = {"X-Request-Id": request_id, "X-Response-Signature": self.id}
         if self.fault is Fault.REFUSE:
             extra = {"X-Not-Executed": "1", "At-Server": self.address}
-            notice = self.notice_headers(503)
+            notice = self.notice_headers(503, request_id)
             conn.answer(503, headers={**echo, **notice, **extra})
             return True
-        echo.update(self.notice_headers(200))
+        echo.update(self.notice_headers(200, request_id))
         for address, first, end in path:
             engine = self.fleet[address]
             held = engine.layers or (0, 0)
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from briarfall.standins.prepared import services
+from briarfall.standins.prepared.faultsoak import bounds
 from briarfall.standins.prepared.faultsoak import callers
 from briarfall.standins.prepared.faultsoak import processes
 from briarfall.standins.prepared.faultsoak import soak
@@ -93,3 +95,55 @@
             )
             == []
         )
+
+
+class TestNoticeChecks:
+    """The checks of leaving, quiet and crashing targets find each breach."""
+
+    @pytest.fixture
+    def desk(self, tmp_path: pathlib.Path):
+        scene = soak.Soak(3, 1.0, tmp_path)
+        yield scene.desks[0]
+        scene.store.close()
+
+    def sent(self, desk, request_id, time_s, sent_s=None):
+        desk.arrivals.append(services.Arrival(time_s, request_id))
+        sent_s = time_s if sent_s is None else sent_s
+        return callers.Told(
+            request_id, "views", "stable", sent_s, instance="i0"
+        )
+
+    def witness(self, told, *disturbed):
+        rows = [bounds.Disturbance("i0", *row) for row in disturbed]
+        return bounds.Witness(told, rows)
+
+    def test_request_to_a_leaving_target(self, desk):
+        told = [self.sent(desk, "a", 10.0), self.sent(desk, "b", 13.0)]
+        desk.notices.append(services.Notice(10.0, "a", True, 0.0))
+        assert self.witness(told).check(desk)
+        assert self.witness(told, (11.0, 12.0)).check(desk) == []
+
+    def test_request_to_the_next_lifetime_is_allowed(self, desk):
+        told = [self.sent(desk, "a", 10.0), self.sent(desk, "b", 13.0)]
+        desk.arrivals[1] = services.Arrival(13.0, "b", born=2)
+        desk.notices.append(services.Notice(10.0, "a", True, 0.0))
+        assert self.witness(told).check(desk) == []
+
+    @pytest.mark.parametrize(("count", "is_broken"), [(2, False), (3, True)])
+    def test_requests_to_a_quiet_target(self, desk, count, is_broken):
+        told = [self.sent(desk, "a", 10.0)]
+        for number in range(count):
+            told.append(self.sent(desk, f"b{number}", 11.0))
+        desk.notices.append(services.Notice(10.0, "a", False, 1.5))
+        assert bool(self.witness(told).check(desk)) == is_broken
+
+    @pytest.mark.parametrize(("count", "is_broken"), [(3, False), (4, True)])
+    def test_request_that_crashed_three(self, desk, count, is_broken):
+        desk.crashed_s.extend([1.0, 2.0, 3.0])
+        told = []
+        for number in range(count):
+            told.append(self.sent(desk, f"poison-{number}", 6.5))
+        witness = self.witness(told)
+        assert bool(witness.check_poison("poison", [desk])) == is_broken
+        witness = self.witness(told, (4.0, 5.0))
+        assert witness.check_poison("poison", [desk]) == []
--- /dev/null
+++ b/tests/test_gateway_sendgate.py
@@ -0,0 +1,125 @@
+"""Every way to a target passes the gate."""
+
+import ast
+import pathlib
+import threading
+
+import pytest
+
+import briarfall
+from briarfall import exceptions
+from briarfall.gateway import sendgate
+from briarfall.standins.prepared import scenes
+
+_GATEWAY = pathlib.Path(briarfall.__file__).parent / "gateway"
+# Modules that open an exchange with a target. `connections` makes calls of our
+# own: to the store, and orders and reports to engines.
+_SENDERS = {"connections.py", "plain.py", "streams.py"}
+
+
+@pytest.fixture
+def world():
+    with scenes.world() as scene:
+        yield scene
+
+
+@pytest.fixture
+def closed_gate(monkeypatch):
+    """Refuses every send."""
+
+    def refuse(*args):
+        raise exceptions.PoisonError("closed")
+
+    def close():
+        monkeypatch.setattr(sendgate.SendGate, "check", refuse)
+
+    return close
+
+
+def _calls_of(tree, name):
+    found = []
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.Call):
+            continue
+        func = node.func
+        if isinstance(func, ast.Attribute) and func.attr == name:
+            found.append(func)
+    return found
+
+
+def _takes_connection(tree):
+    for func in _calls_of(tree, "take"):
+        owner = ast.unparse(func.value)
+        if owner in ("pool", "self._pool"):
+            return True
+    return False
+
+
+class TestWaysToTargets:
+    def test_only_known_modules_take_connections_to_targets(self):
+        found = set()
+        for path in _GATEWAY.glob("*.py"):
+            if _takes_connection(ast.parse(path.read_text())):
+                found.add(path.name)
+        assert found == _SENDERS
+
+    @pytest.mark.parametrize("name", sorted(_SENDERS - {"connections.py"}))
+    def test_forwarders_ask_the_gate(self, name):
+        tree = ast.parse((_GATEWAY / name).read_text())
+        owners = [ast.unparse(f.value) for f in _calls_of(tree, "take_send")]
+        assert owners == ["self._gate"]
+
+    def test_changed_chains_ask_the_gate(self):
+        tree = ast.parse((_GATEWAY / "mending.py").read_text())
+        owners = [ast.unparse(f.value) for f in _calls_of(tree, "check")]
+        assert "self._gate" in owners
+
+
+class TestClosedGate:
+    @pytest.mark.parametrize("path", ["/views/x", "/orders/x"])
+    def test_no_call_reaches_a_service(self, world, closed_gate, path):
+        desk = world.service("d0")
+        inst = world.instance()
+        world.wait_for_targets(desk)
+        closed_gate()
+        assert scenes.call(inst, path, method="POST").status == 502
+        assert desk.arrivals == []
+
+    def test_no_stream_reaches_an_engine(self, world, closed_gate):
+        engines = [world.engine(f"e{number}") for number in range(4)]
+        inst = world.instance()
+        world.wait_for_layers()
+        closed_gate()
+        answer = scenes.call(inst, "/drafts/x", method="POST")
+        assert answer.status == 502
+        assert all(engine.arrivals == [] for engine in engines)
+
+    @pytest.mark.parametrize("how", ["head resets", "stage goes dark"])
+    def test_no_stream_is_resumed_or_mended(self, world, closed_gate, how):
+        engines = [world.engine(f"e{number}") for number in range(8)]
+        inst = world.instance()
+        world.wait_for_layers()
+        held = threading.Event()
+        for engine in engines:
+            engine.on_event[5] = threading.Event()
+            engine.holds[5] = held
+            if how == "head resets":
+                engine.breaks_after = 5
+        answers = []
+        thread = threading.Thread(
+            target=lambda: answers.append(
+                scenes.call(inst, "/drafts/x", method="POST", deadline_ms=8000)
+            )
+        )
+        thread.start()
+        marks = [engine.on_event[5] for engine in engines]
+        scenes.until(lambda: any(mark.is_set() for mark in marks), "event 5")
+        head = next(e for e in engines if e.on_event[5].is_set())
+        closed_gate()
+        if how == "stage goes dark":
+            world.fleet[head.paths["r1"][1][0]].go_dark()
+        held.set()
+        thread.join(scenes.WAIT_S)
+        assert answers[0].error is not None
+        assert sum(len(engine.arrivals) for engine in engines) == 1
+        assert [o for o in head.orders if o["op"] == "repath"] == []
