--- a/src/briarfall/gateway/diagnosis.py
+++ b/src/briarfall/gateway/diagnosis.py
@@ -9,6 +9,7 @@
 from briarfall.gateway import exchange
 from briarfall.gateway import mending
 from briarfall.gateway import names
+from briarfall.gateway import notices
 from briarfall.gateway import paths
 from briarfall.gateway import streamstate
 from briarfall.gateway import targets
@@ -72,7 +73,10 @@
         if exc.head.status == 421:
             self.note_failure(stream, target_id, "does not hold its layers")
             return
-        self._targets.block(target, _FULL_BLOCK_S)
+        leaves = exc.head.header(self._names.leaving) is not None
+        self._targets.block(
+            target, notices.UNSURE_BLOCK_S if leaves else _FULL_BLOCK_S
+        )
 
     def note_broken_head(
         self,
--- a/src/briarfall/gateway/mending.py
+++ b/src/briarfall/gateway/mending.py
@@ -180,6 +180,9 @@
     ) -> dict[paths.Part, evidence.Reach]:
         """Returns the engine that the head says it waits for."""
         head = run.chain.head
+        known = self._targets.get(head.target)
+        if known is not None and known.is_quiet:
+            return {}
         try:
             report = self._engines.report(head.address, _REPORT_TIMEOUT_S)
         except exceptions.BriarfallError as exc:
--- a/src/briarfall/gateway/notices.py
+++ b/src/briarfall/gateway/notices.py
@@ -2,14 +2,17 @@
 
 import math
 
-from briarfall.gateway import leaving
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
 from briarfall.gateway import names
 from briarfall.gateway import targets
+from briarfall.gateway import targetstate
 
 # Longer times are taken for mistakes and shortened to this.
 MAX_QUIET_S = 60.0
+# A refusal may name another target than the one that sent it; which of the two
+# leaves is not certain, so that both are avoided for a while only.
+UNSURE_BLOCK_S = 2.0
 
 
 def quiet_s(head: messages.ResponseHead) -> float:
@@ -52,13 +55,26 @@
         self._metrics = counters
 
     def take(
-        self, lifetime: leaving.Lifetime, head: messages.ResponseHead
+        self, target: targetstate.Target, head: messages.ResponseHead
     ) -> None:
-        """Takes in the response of a target to a request of its lifetime."""
+        """Takes in the response of a target."""
+        lifetime = target.lifetime
         if head.header(self._names.leaving) is not None:
             self._metrics.count("briarfall_target_notices", "leaving")
-            self._targets.note_leaving(lifetime)
+            if self._names_another(target, head):
+                self._targets.block(target, UNSURE_BLOCK_S)
+            else:
+                self._targets.note_leaving(lifetime)
         seconds = quiet_s(head)
         if seconds > 0:
             self._metrics.count("briarfall_target_notices", "quiet")
             self._targets.note_quiet(lifetime, seconds)
+
+    def _names_another(
+        self, target: targetstate.Target, head: messages.ResponseHead
+    ) -> bool:
+        """Whether a response is about another target than its sender."""
+        named = head.header(self._names.faulty_target)
+        if named is None:
+            return False
+        return named.decode("latin-1") != target.entry.address
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -191,7 +191,7 @@
                 self._patience_s(call),
                 lambda head: call.is_own(self._names.request_id, head),
             )
-            self._notices.take(target.lifetime, head)
+            self._notices.take(target, head)
             calls.raise_if_refused(
                 conn, head, self._names, target.id, call.deadline_s
             )
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -203,7 +203,7 @@
                 call.deadline_s,
                 lambda head: call.is_own(self._names.request_id, head),
             )
-            self._notices.take(target.lifetime, response)
+            self._notices.take(target, response)
             calls.raise_if_refused(
                 conn, response, self._names, head.target, call.deadline_s
             )
--- a/tests/test_gateway_notices.py
+++ b/tests/test_gateway_notices.py
@@ -10,9 +10,11 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import leaving
 from briarfall.gateway import messages
+from briarfall.gateway import metrics
 from briarfall.gateway import notices
 from briarfall.gateway import sources
 from briarfall.gateway import targets
+from briarfall.platform import headers
 from briarfall.standins.prepared import scenes
 from briarfall.standins.prepared import services
 from tests import test_gateway_decisions
@@ -143,6 +145,33 @@
                 assert self.usable(table) == []
 
 
+class TestNoticeOfARefusal:
+    """Which of two engines a refusal calls leaving is not certain."""
+
+    def take(self, clock, address):
+        table = targets.TargetTable()
+        row = test_gateway_decisions.entry("a", started_ms=3)
+        table.update([row], clock.now_s)
+        reader = notices.TargetNotices(
+            headers.HEADERS, table, metrics.Metrics()
+        )
+        fields = [(headers.HEADERS.leaving, b"1")]
+        if address:
+            fields.append((headers.HEADERS.faulty_target, address.encode()))
+        reader.take(table.get("a"), messages.ResponseHead(503, b"", fields))
+        return table.get("a")
+
+    def test_own_word_holds_for_the_lifetime(self, clock):
+        assert self.take(clock, "").is_leaving
+        own = test_gateway_decisions.entry("a").address
+        assert self.take(clock, own).is_leaving
+
+    def test_word_about_another_keeps_both_away_for_a_while(self, clock):
+        target = self.take(clock, "10.0.0.9:1")
+        assert not target.is_leaving
+        assert target.blocked_until_s == clock.now_s + notices.UNSURE_BLOCK_S
+
+
 def _cut_off(world, inst):
     """Takes the store away from all instances."""
     world.store.status = 503
