Scenarios of targets that leave, want no requests or crash under a request

24 scenarios over the ledgers of the stand-ins, with 1, 2 and all of 3 services and with the store away. The one of crashing services first asked for at most 3 crashes and got 4 once: a service that is back at once is found out with the next read of the list, and a call with two attempts had sent its second by then. The rule bounds the sends after the third crash (3) and that is what it checks now, and besides that nothing is sent from then on.

--- /dev/null
+++ b/features/steps/platform_notices.py
@@ -0,0 +1,170 @@
+"""What targets say of themselves, and requests that crash them."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from briarfall.standins.prepared import scenes
+from briarfall.standins.prepared import services
+
+_QUIET_S = "60"
+_CRASHES = 3
+# The platform's bound on sends after the third crash.
+_MAX_LATER = 3
+_DRAFT_MS = 8000
+
+
+@given("{count:d} services say that they leave")
+def given_leaving(context, count):
+    context.concerned = context.services[:count]
+    for row in context.concerned:
+        row.says_leaving = True
+
+
+@given("{count:d} services want no requests for 60 s")
+def given_quiet(context, count):
+    context.concerned = context.services[:count]
+    for row in context.concerned:
+        _want_no_requests(row)
+
+
+def _want_no_requests(row) -> None:
+    row.fault = services.Fault.REFUSE
+    row.retry_after = _QUIET_S
+
+
+@given('all but one first engine "{notice}"')
+def given_notice_of_heads(context, notice):
+    heads = [row for row in context.engines if row.layers[0] == 0]
+    context.concerned = heads[:-1]
+    for row in context.concerned:
+        if notice == "leave":
+            row.says_leaving = True
+        else:
+            _want_no_requests(row)
+
+
+@given('the store "{state}"')
+def given_store(context, state):
+    if state == "answers":
+        return
+    context.scene.store.status = 503
+    for inst in context.instances:
+        scenes.until(
+            lambda inst=inst: not inst.peers.reaches_store,
+            "the store is known to be away",
+        )
+
+
+@given("the services crash and restart when they run a call")
+def given_crashing(context):
+    for row in context.services:
+        row.fault = services.Fault.CRASH_AND_RESTART
+
+
+@when("a caller sends {count:d} calls by {method}")
+def when_calls(context, count, method):
+    context.answers = []
+    for number in range(count):
+        context.answers.append(_call(context.instances[0], method, number))
+
+
+def _call(inst, method, number):
+    path = "/views/x" if method == "GET" else "/orders/x"
+    return scenes.call(inst, path, method=method, request_id=f"r{number}")
+
+
+@when("a caller asks for {count:d} streams in turn")
+def when_streams(context, count):
+    context.answers = []
+    for number in range(count):
+        answer = scenes.call(
+            context.instances[0],
+            "/drafts/x",
+            method="POST",
+            request_id=f"r{number}",
+            deadline_ms=_DRAFT_MS,
+        )
+        context.answers.append(answer)
+
+
+@when("a caller sends the same call by {method} {count:d} times to each")
+def when_poison(context, method, count):
+    context.method = method
+    number = 0
+    for _ in range(count):
+        for inst in context.instances:
+            _call(inst, method, number)
+            number += 1
+            _wait_for_news(context)
+
+
+def _wait_for_news(context) -> None:
+    """Waits until all instances know the newest lifetimes and crashes."""
+    crashed = sum(len(row.crashed_s) for row in context.services)
+    for inst in context.instances:
+        for row in context.services:
+            scenes.until(
+                lambda inst=inst, row=row: (
+                    inst.targets.get(row.id).entry.started_ms == row.born
+                ),
+                f"{row.id} is known again",
+            )
+        scenes.until(
+            lambda inst=inst: (
+                sum(inst.crashes.origins().values()) >= min(crashed, _CRASHES)
+            ),
+            "the crashes are known",
+        )
+
+
+@then("no service got a request after it had said that it leaves")
+@then("each of these services got one request at most")
+@then("each of these engines got one request at most")
+def then_one_at_most(context):
+    for row in context.concerned:
+        assert len(row.arrivals) <= 1, (row.id, len(row.arrivals))
+
+
+@then("calls fail only if all 3 of the {count:d} services leave")
+@then("calls fail only if all 3 of the {count:d} services want none")
+def then_served(context, count):
+    statuses = [row.status for row in context.answers]
+    if count < 3:
+        assert statuses == [200] * len(statuses), statuses
+        return
+    assert statuses[-1] == 503, statuses
+
+
+@then("a refusal says truthfully when to come back")
+def then_truthful(context):
+    for row in context.answers:
+        if row.status != 503:
+            continue
+        if sum(len(desk.arrivals) for desk in context.concerned) == 3:
+            assert float(row.headers["Retry-After"]) > 0
+    last = context.answers[-1]
+    if last.status == 503:
+        assert float(last.headers["Retry-After"]) > 50
+
+
+@then("all streams are whole")
+def then_whole_streams(context):
+    for row in context.answers:
+        assert scenes.event_ids(row.body) == list(range(1, 31))
+
+
+@then("no more than 3 sends followed the third crash")
+def then_few_sends(context):
+    crashed = sum(len(row.crashed_s) for row in context.services)
+    assert crashed <= _CRASHES + _MAX_LATER, crashed
+
+
+@then("the call is refused from then on")
+def then_refused(context):
+    before = sum(len(row.arrivals) for row in context.services)
+    for number, inst in enumerate(context.instances):
+        answer = _call(inst, context.method, f"late-{number}")
+        assert answer.status == 502
+        assert answer.body.startswith(b"[poison_request]")
+    assert sum(len(row.arrivals) for row in context.services) == before
