--- a/src/briarfall/cli/explaining.py
+++ b/src/briarfall/cli/explaining.py
@@ -10,6 +10,9 @@
     "target suspected",
     "target gone",
     "target state",
+    "target leaving",
+    "target wants no requests",
+    "target takes requests",
     "catalogue source",
     "catalogue in force",
     "target list",
@@ -23,7 +26,11 @@
 def story(
     request: str, lines: list[logfiles.LogLine]
 ) -> list[logfiles.LogLine]:
-    """Returns a request's lines and the beliefs in force around them."""
+    """Returns a request's lines and the beliefs in force around them.
+
+    Crashes under a request that came more than once are told by its
+    fingerprint, whichever of its ids they are logged with.
+    """
     own = [line for line in lines if line.request == request]
     if not own:
         return []
@@ -31,7 +38,13 @@
     first = min(line.second for line in own) - _CONTEXT_S
     last = max(line.second for line in own)
     rows = list(own)
+    fingerprints = {line.fingerprint for line in own} - {""}
     for line in lines:
+        if line.request == request:
+            continue
+        if line.fingerprint in fingerprints:
+            rows.append(line)
+            continue
         if line.request or line.instance not in places:
             continue
         if not first <= line.second <= last:
--- a/src/briarfall/cli/logfiles.py
+++ b/src/briarfall/cli/logfiles.py
@@ -18,6 +18,7 @@
     code: str = ""
     outcome: str = ""
     status: str = ""
+    fingerprint: str = ""
 
     @property
     def second(self) -> float:
--- a/src/briarfall/cli/timeline.py
+++ b/src/briarfall/cli/timeline.py
@@ -17,6 +17,8 @@
     "stream paused": "paused",
     "repath": "repaths",
     "target blocked": "blocked",
+    "target crashed": "crashes",
+    "target wants no requests": "quiet",
     "peer silent": "peers",
 }
 # Changes of what instances believe; each is shown with how many saw it.
@@ -28,6 +30,8 @@
     "catalogue source",
     "target list",
     "target gone",
+    "target leaving",
+    "poison request",
     "lease taken",
     "lease lost",
     "settings",
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -88,6 +88,26 @@
         assert "stream broken" in out
         assert "last_event=3" in out
 
+    def test_poison_request_with_the_crashes_under_its_other_ids(
+        self, recorded, capsys
+    ):
+        scene, path = recorded
+        desk = scene.service("d1")
+        desk.fault = services.Fault.CRASH_AND_RESTART
+        inst = scene.instance()
+        for number in range(4):
+            scenes.call(
+                inst, "/orders/x", method="POST", request_id=f"abc{number}"
+            )
+            scenes.until(
+                lambda: inst.targets.get("d1").entry.started_ms == desk.born,
+                "the next lifetime is known",
+            )
+        explaining.explain("abc3", path())
+        out = capsys.readouterr().out
+        assert out.count("target crashed") == 3
+        assert "cause: i1: request failed request=abc3 code=poison" in out
+
     def test_unknown_outcome(self, recorded, capsys):
         scene, path = recorded
         desk = scene.service("d1")
