--- a/src/briarfall/cli/experiments.py
+++ b/src/briarfall/cli/experiments.py
@@ -164,6 +164,18 @@
     _finish("overload", bench.run(seconds), out)
 
 
+def quiet(*, seed: int = 1, out: str = "") -> None:
+    """Measures what callers get when all targets of a service want quiet.
+
+    Args:
+        seed: Decides which instance each caller asks.
+        out: File for the report as JSON.
+    """
+    from briarfall.bench import quiet as bench
+
+    _finish("quiet", bench.run(seed), out)
+
+
 def soak(*, seed: int = 1, seconds: float = 30.0) -> int:
     """Runs random faults from a seed and checks the ledgers.
 
@@ -233,6 +245,7 @@
     "orders": orders,
     "edits": edits,
     "overload": overload,
+    "quiet": quiet,
     "soak": soak,
     "fault-soak": fault_soak,
 }
--- a/src/briarfall/gateway/chainsearch.py
+++ b/src/briarfall/gateway/chainsearch.py
@@ -87,13 +87,13 @@
     ) -> None:
         """Raises if only engines that want no requests could begin."""
         call = stream.call
-        wait_s = self._targets.quiet_left_s(call.service.name)
-        if wait_s is None or not self._find(stream, rows, stream.allowed_heads):
+        pause = self._targets.quiet_pause(call.service.name)
+        if pause is None or not self._find(stream, rows, stream.allowed_heads):
             return
         raise exceptions.OverloadError(
             "the engines that could begin want no requests",
             outcome=call.outcome,
-            retry_after_s=pauses.spread_s(wait_s, self._rng),
+            retry_after_s=pauses.retry_after_s(pause, self._rng),
         )
 
 
--- a/src/briarfall/gateway/pauses.py
+++ b/src/briarfall/gateway/pauses.py
@@ -2,18 +2,32 @@
 
 import random
 
-# Callers that wait for the same moment come back within this part of the
-# wait after it, and at least within this time.
-_SPREAD_SHARE = 0.5
+import msgspec
+
 _MIN_SPREAD_S = 0.3
+_MAX_SPREAD_S = 5.0
+
+
+class Pause(msgspec.Struct, frozen=True):
+    """A time in which requests can't be served.
+
+    Attributes:
+        left_s: Seconds until its end.
+        length_s: Seconds from its begin to its end.
+    """
+
+    left_s: float
+    length_s: float
+
 
+def retry_after_s(pause: Pause, rng: random.Random) -> float:
+    """Returns when a caller that was refused in a pause should come back.
 
-def spread_s(wait_s: float, rng: random.Random) -> float:
-    """Returns a time to wait that is at least `wait_s` and differs by caller.
+    All that come in the pause come back spread over as long a time after it.
 
     Args:
-        wait_s: Seconds until requests can be served again.
-        rng: Source of the differences.
+        pause: The pause.
+        rng: Source of the differences between callers.
     """
-    longest_s = max(_MIN_SPREAD_S, wait_s * _SPREAD_SHARE)
-    return wait_s + longest_s * rng.random()
+    spread_s = max(_MIN_SPREAD_S, min(_MAX_SPREAD_S, pause.length_s))
+    return pause.left_s + spread_s * rng.random()
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -103,12 +103,12 @@
                 self._allow_repeat(call, entry, reach, exc)
 
     def _no_target(self, call: calls.Call) -> exceptions.BriarfallError:
-        wait_s = self._targets.quiet_left_s(call.service.name)
-        if wait_s is not None:
+        pause = self._targets.quiet_pause(call.service.name)
+        if pause is not None:
             return exceptions.OverloadError(
                 f"targets of {call.service.name} want no requests",
                 outcome=call.outcome,
-                retry_after_s=pauses.spread_s(wait_s, self._rng),
+                retry_after_s=pauses.retry_after_s(pause, self._rng),
             )
         return exceptions.NoRouteError(
             f"no target of {call.service.name} is free",
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -9,6 +9,7 @@
 from briarfall import ids
 from briarfall.gateway import clocks
 from briarfall.gateway import leaving
+from briarfall.gateway import pauses
 from briarfall.gateway import sources
 from briarfall.gateway import targetstate
 from briarfall.gateway import views
@@ -284,7 +285,10 @@
         if target is None or target.lifetime != lifetime:
             return
         is_new = not target.is_quiet
-        until_s = clocks.boot_s() + seconds
+        now_s = clocks.boot_s()
+        if is_new:
+            target.quiet_since_s = now_s
+        until_s = now_s + seconds
         target.quiet_until_s = max(target.quiet_until_s, until_s)
         if is_new:
             logging.info(
@@ -304,18 +308,25 @@
         )
         target.quiet_until_s = 0.0
 
-    def quiet_left_s(self, service: views.ServiceName) -> float | None:
-        """Returns when the first quiet target of a service takes requests.
+    def quiet_pause(self, service: views.ServiceName) -> pauses.Pause | None:
+        """Returns the pause that ends first among the targets of a service.
 
         Returns:
-            Seconds, or None if no target of the service is quiet.
+            The pause, or None if no target of the service is quiet.
         """
         now_s = clocks.boot_s()
-        ends_s = []
+        first = None
         for target in self.of_service(service):
-            if target.takes_work and target.quiet_until_s > now_s:
-                ends_s.append(target.quiet_until_s)
-        return min(ends_s) - now_s if ends_s else None
+            if not target.takes_work or not target.is_quiet:
+                continue
+            if first is None or target.quiet_until_s < first.quiet_until_s:
+                first = target
+        if first is None:
+            return None
+        return pauses.Pause(
+            first.quiet_until_s - now_s,
+            first.quiet_until_s - first.quiet_since_s,
+        )
 
     def lose_source(self) -> None:
         """Notes that the list can't be read; what is known stays."""
--- a/src/briarfall/gateway/targetstate.py
+++ b/src/briarfall/gateway/targetstate.py
@@ -22,6 +22,7 @@
         worked_s: Time at which a stream of ours last saw it at work.
         is_leaving: Whether it said itself that it takes no new requests.
         quiet_until_s: Time until which it wants no requests from here.
+        quiet_since_s: Time at which it said so first.
     """
 
     entry: sources.TargetEntry
@@ -34,6 +35,7 @@
     worked_s: float = 0.0
     is_leaving: bool = False
     quiet_until_s: float = 0.0
+    quiet_since_s: float = 0.0
 
     @property
     def takes_work(self) -> bool:
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -213,10 +213,18 @@
 
 
 class ServiceStandin(_Registered):
-    """A plain service that echoes the body."""
+    """A plain service that echoes the body.
+
+    Attributes:
+        work_s: Time that a request takes.
+        places: Requests that run at once; more are refused. None bounds
+            nothing.
+    """
 
     def __init__(self, platform, target_id, service="desk", zone="z1"):
         super().__init__(platform, target_id, service, zone)
+        self.work_s = 0.0
+        self.places: threading.Semaphore | None = None
         self.register()
 
     def handle(self, conn, req) -> bool:
@@ -228,12 +236,24 @@
         if expected != self.id or self.fault is Fault.MISDIRECTED:
             conn.answer(421, headers={"X-Instance-Id": self.id})
             return True
-        if self.fault is Fault.REFUSE:
+        if self.fault is Fault.REFUSE or not self._take_place():
             notice = self.notice_headers(503, request_id)
             conn.answer(503, b"full", {**echo, **notice, "X-Not-Executed": "1"})
             return True
         echo.update(self.notice_headers(200, request_id))
+        try:
+            return self._serve(conn, req, echo)
+        finally:
+            if self.places is not None:
+                self.places.release()
+
+    def _take_place(self) -> bool:
+        return self.places is None or self.places.acquire(blocking=False)
+
+    def _serve(self, conn, req, echo: dict[str, str]) -> bool:
         self.note(req)
+        if self.work_s:
+            self.released.wait(self.work_s)
         is_marked = self.crash_marker and req.path.endswith(self.crash_marker)
         if is_marked or self.fault in (Fault.CRASH, Fault.CRASH_AND_RESTART):
             self.crashed_s.append(time.monotonic())
--- a/tests/test_gateway_notices.py
+++ b/tests/test_gateway_notices.py
@@ -1,5 +1,7 @@
 """Targets that leave or want no requests for a while, and say so."""
 
+import collections
+import random
 import threading
 
 from hypothesis import given
@@ -12,6 +14,7 @@
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
 from briarfall.gateway import notices
+from briarfall.gateway import pauses
 from briarfall.gateway import sources
 from briarfall.gateway import targets
 from briarfall.platform import headers
@@ -65,6 +68,27 @@
         assert notices.quiet_s(head) == 0.0
 
 
+class TestRetryAfter:
+    @given(
+        st.floats(0.0, 60.0),
+        st.floats(0.0, 60.0),
+        st.randoms(use_true_random=False),
+    )
+    def test_nobody_is_told_to_come_before_the_end(self, left_s, more_s, rng):
+        pause = pauses.Pause(left_s, left_s + more_s)
+        told_s = pauses.retry_after_s(pause, rng)
+        assert left_s <= told_s <= left_s + 5.0
+
+    def test_callers_of_the_whole_pause_come_back_spread_out(self):
+        rng = random.Random(3)
+        slices = collections.Counter()
+        for number in range(2000):
+            left_s = 2.0 * number / 2000
+            told_s = pauses.retry_after_s(pauses.Pause(left_s, 2.0), rng)
+            slices[int((told_s - left_s) / 0.1)] += 1
+        assert max(slices.values()) < 1.5 * 2000 / 20
+
+
 class TestLeavingLifetime:
     def table(self, **extra):
         table = targets.TargetTable()
