Index targets by service; keep the quiet out of the target table

A question for the usable targets of a service went over all targets under the table's lock, twice a dictionary each, and every read of a reader's answer sorted all targets again, also without a change. The table is indexed only when it has changed.

--- a/src/briarfall/gateway/chainsearch.py
+++ b/src/briarfall/gateway/chainsearch.py
@@ -7,6 +7,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import paths
 from briarfall.gateway import pauses
+from briarfall.gateway import quiet
 from briarfall.gateway import streamstate
 from briarfall.gateway import targets
 from briarfall.gateway import targetstate
@@ -87,7 +88,7 @@
     ) -> None:
         """Raises if only engines that want no requests could begin."""
         call = stream.call
-        pause = self._targets.quiet_pause(call.service.name)
+        pause = quiet.first_pause(rows)
         if pause is None or not self._find(stream, rows, stream.allowed_heads):
             return
         raise exceptions.OverloadError(
@@ -101,10 +102,13 @@
     stream: streamstate.Stream, rows: list[targetstate.Target]
 ) -> frozenset[ids.TargetId] | None:
     """Returns the engines that may be sent a stream, or None for any."""
-    quiet = frozenset(row.id for row in rows if row.is_quiet)
-    if not quiet:
+    # Few targets are ever quiet, and each request asks all of them.
+    quiet_ids = frozenset(
+        row.id for row in rows if row.quiet_until_s and row.is_quiet
+    )
+    if not quiet_ids:
         return stream.allowed_heads
     allowed = stream.allowed_heads
     if allowed is None:
         allowed = frozenset(row.id for row in rows)
-    return allowed - quiet
+    return allowed - quiet_ids
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -149,7 +149,7 @@
             cfg.retry_slack,
             lambda: self.peers.instance_count,
         )
-        gate = sendgate.SendGate(self.budget, self.crashes, self.targets)
+        gate = sendgate.SendGate(self.budget, self.crashes)
         target_notices = notices.TargetNotices(
             platform.header_names, self.targets, self.metrics
         )
--- a/src/briarfall/gateway/notices.py
+++ b/src/briarfall/gateway/notices.py
@@ -5,6 +5,7 @@
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
 from briarfall.gateway import names
+from briarfall.gateway import quiet
 from briarfall.gateway import targets
 from briarfall.gateway import targetstate
 
@@ -58,17 +59,16 @@
         self, target: targetstate.Target, head: messages.ResponseHead
     ) -> None:
         """Takes in the response of a target."""
-        lifetime = target.lifetime
         if head.header(self._names.leaving) is not None:
             self._metrics.count("briarfall_target_notices", "leaving")
             if self._names_another(target, head):
                 self._targets.block(target, UNSURE_BLOCK_S)
             else:
-                self._targets.note_leaving(lifetime)
+                self._targets.note_leaving(target.lifetime)
         seconds = quiet_s(head)
         if seconds > 0:
             self._metrics.count("briarfall_target_notices", "quiet")
-            self._targets.note_quiet(lifetime, seconds)
+            quiet.note(target, seconds)
 
     def _names_another(
         self, target: targetstate.Target, head: messages.ResponseHead
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -19,6 +19,7 @@
 from briarfall.gateway import names
 from briarfall.gateway import notices
 from briarfall.gateway import pauses
+from briarfall.gateway import quiet
 from briarfall.gateway import sendgate
 from briarfall.gateway import sources
 from briarfall.gateway import targets
@@ -103,7 +104,8 @@
                 self._allow_repeat(call, entry, reach, exc)
 
     def _no_target(self, call: calls.Call) -> exceptions.BriarfallError:
-        pause = self._targets.quiet_pause(call.service.name)
+        rows = self._targets.of_service(call.service.name)
+        pause = quiet.first_pause(rows)
         if pause is not None:
             return exceptions.OverloadError(
                 f"targets of {call.service.name} want no requests",
@@ -123,7 +125,9 @@
             return None
         best = None
         for row in self._targets.usable(call.service.name):
-            if row.id in tried or row.is_quiet:
+            if row.id in tried:
+                continue
+            if row.quiet_until_s and row.is_quiet:
                 continue
             load = self._loads.of(row.id)
             cost = load.streams / max(1, row.entry.slots)
--- a/src/briarfall/gateway/sendgate.py
+++ b/src/briarfall/gateway/sendgate.py
@@ -4,7 +4,7 @@
 from briarfall.gateway import budgets
 from briarfall.gateway import calls
 from briarfall.gateway import crashes
-from briarfall.gateway import targets
+from briarfall.gateway import quiet
 from briarfall.gateway import targetstate
 
 
@@ -24,18 +24,15 @@
     Args:
         budget: Bound on repeats.
         crash_table: Requests that crashed their targets.
-        table: Targets.
     """
 
     def __init__(
         self,
         budget: budgets.RetryBudget,
         crash_table: crashes.CrashTable,
-        table: targets.TargetTable,
     ):
         self._budget = budget
         self._crashes = crash_table
-        self._targets = table
 
     def check(self, call: calls.Call) -> None:
         """Refuses a request that no further target may run.
@@ -75,5 +72,5 @@
             raise exceptions.RetryBudgetError(
                 "the retry budget is used up", outcome=call.outcome
             )
-        self._targets.note_send(target)
+        quiet.note_send(target)
         call.sends += 1
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -9,7 +9,6 @@
 from briarfall import ids
 from briarfall.gateway import clocks
 from briarfall.gateway import leaving
-from briarfall.gateway import pauses
 from briarfall.gateway import sources
 from briarfall.gateway import targetstate
 from briarfall.gateway import views
@@ -48,8 +47,12 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._targets: dict[ids.TargetId, targetstate.Target] = {}
-        # The target that started last at each address.
-        self._newest_at: dict[str, ids.TargetId] = {}
+        # Replaced as a whole by each change, so that it is read without a
+        # lock.
+        self._by_service: dict[views.ServiceName, list[targetstate.Target]]
+        self._by_service = {}
+        # Revision for which that was made.
+        self._indexed = 0
         self._is_source_lost = False
         self._regained_s = 0.0
         self._revision = 0
@@ -152,10 +155,21 @@
             return Changes(self._revision, changed, gone)
 
     def _index(self) -> None:
+        """Sorts targets by service, without those whose address is taken."""
+        if self._indexed == self._revision:
+            return
+        self._indexed = self._revision
+        newest = {}
         rows = sorted(
             self._targets.values(), key=lambda row: row.entry.started_ms
         )
-        self._newest_at = {row.entry.address: row.id for row in rows}
+        for row in rows:
+            newest[row.entry.address] = row
+        by_service: dict[views.ServiceName, list[targetstate.Target]] = {}
+        for row in self._targets.values():
+            if newest[row.entry.address] is row:
+                by_service.setdefault(row.entry.service, []).append(row)
+        self._by_service = by_service
 
     def _remove(self, target_id: ids.TargetId) -> None:
         self._ended.append(self._targets.pop(target_id).entry)
@@ -279,55 +293,6 @@
         with self._lock:
             return self._leaving.newest(for_s)
 
-    def note_quiet(self, lifetime: leaving.Lifetime, seconds: float) -> None:
-        """Sends nothing to a lifetime for a time that it asked for."""
-        target = self._targets.get(lifetime.target)
-        if target is None or target.lifetime != lifetime:
-            return
-        is_new = not target.is_quiet
-        now_s = clocks.boot_s()
-        if is_new:
-            target.quiet_since_s = now_s
-        until_s = now_s + seconds
-        target.quiet_until_s = max(target.quiet_until_s, until_s)
-        if is_new:
-            logging.info(
-                "target wants no requests target=%s for_s=%.2f",
-                target.id,
-                seconds,
-            )
-
-    def note_send(self, target: targetstate.Target) -> None:
-        """Notes that a request goes to a target."""
-        if not target.quiet_until_s:
-            return
-        logging.info(
-            "target takes requests again target=%s after_s=%.2f",
-            target.id,
-            clocks.boot_s() - target.quiet_until_s,
-        )
-        target.quiet_until_s = 0.0
-
-    def quiet_pause(self, service: views.ServiceName) -> pauses.Pause | None:
-        """Returns the pause that ends first among the targets of a service.
-
-        Returns:
-            The pause, or None if no target of the service is quiet.
-        """
-        now_s = clocks.boot_s()
-        first = None
-        for target in self.of_service(service):
-            if not target.takes_work or not target.is_quiet:
-                continue
-            if first is None or target.quiet_until_s < first.quiet_until_s:
-                first = target
-        if first is None:
-            return None
-        return pauses.Pause(
-            first.quiet_until_s - now_s,
-            first.quiet_until_s - first.quiet_since_s,
-        )
-
     def lose_source(self) -> None:
         """Notes that the list can't be read; what is known stays."""
         with self._lock:
@@ -353,15 +318,7 @@
         A target whose address a newer one has taken over has ended, though
         its entry may still be listed.
         """
-        found = []
-        with self._lock:
-            for row in self._targets.values():
-                entry = row.entry
-                if entry.service != service:
-                    continue
-                if self._newest_at.get(entry.address) == entry.id:
-                    found.append(row)
-        return found
+        return self._by_service.get(service, [])
 
     def usable(self, service: views.ServiceName) -> list[targetstate.Target]:
         """Returns targets that take new work; blocked ones if no other do."""
@@ -369,7 +326,9 @@
         ready = []
         free = []
         for target in self.of_service(service):
-            if not target.takes_work:
+            if target.is_leaving:
+                continue
+            if target.entry.state is not sources.TargetState.READY:
                 continue
             ready.append(target)
             if target.blocked_until_s <= now_s:
--- a/tests/test_gateway_notices.py
+++ b/tests/test_gateway_notices.py
@@ -15,6 +15,7 @@
 from briarfall.gateway import metrics
 from briarfall.gateway import notices
 from briarfall.gateway import pauses
+from briarfall.gateway import quiet
 from briarfall.gateway import sources
 from briarfall.gateway import targets
 from briarfall.platform import headers
@@ -112,7 +113,7 @@
     def test_new_lifetime_starts_clean(self, clock):
         table, _ = self.table()
         table.note_leaving(leaving.Lifetime("a", 3))
-        table.note_quiet(leaving.Lifetime("a", 3), 5.0)
+        quiet.note(table.get("a"), 5.0)
         new = test_gateway_decisions.entry("a", started_ms=4)
         table.update([new], clock.now_s + 1)
         assert self.usable(table) == ["a"]
@@ -122,8 +123,11 @@
         self, clock
     ):
         table, _ = self.table()
-        table.note_leaving(leaving.Lifetime("a", 2))
-        table.note_quiet(leaving.Lifetime("a", 2), 5.0)
+        old = table.get("a")
+        new = test_gateway_decisions.entry("a", started_ms=4)
+        table.update([new], clock.now_s + 1)
+        table.note_leaving(old.lifetime)
+        quiet.note(old, 5.0)
         assert self.usable(table) == ["a"]
         assert not table.get("a").is_quiet
 
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -90,7 +90,6 @@
             sendgate.SendGate(
                 budgets.RetryBudget(0.2, 10.0, 100.0, lambda: 1),
                 table,
-                targets.TargetTable(),
             ),
             crashdetection.CrashDetector(table, targets.TargetTable()),
             None,
