Bound what a target may send: deadlines, bodies, events, interim answers

Callers would have waited past every deadline: a deadline was looked at only while nothing had come, so a target that never stopped held the request (timed out after 20 s with a deadline of 3 s), and a failure's body or an event without end was kept in memory. Now an exchange ends 0.25 s after its deadline whatever comes, a body that is kept whole is bounded (8 MB; 1 MB for a failure of a stream, 64 KB for a refusal), an event by 1 MB, interim answers by 20.

--- a/src/briarfall/gateway/events.py
+++ b/src/briarfall/gateway/events.py
@@ -7,6 +7,7 @@
 from briarfall import exceptions
 
 _ID = re.compile(rb"^id:[ \t]*(\d+)[ \t]*\r?$", re.MULTILINE)
+_MAX_EVENT_BYTES = 2**20
 _END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -28,6 +29,12 @@
     code = "event_gap"
 
 
+class EventTooLongError(exceptions.TargetError):
+    """An event does not end."""
+
+    code = "event_too_long"
+
+
 class EventSequence:
     """Joins the events of several runs into one stream without a seam.
 
@@ -75,7 +82,11 @@
         return self._rest
 
     def feed(self, data: bytes) -> list[Event]:
-        """Adds bytes and returns the events that they complete."""
+        """Adds bytes and returns the events that they complete.
+
+        Raises:
+            EventTooLongError: The last event does not end.
+        """
         buffer = self._rest + data
         events = []
         start = 0
@@ -86,4 +97,6 @@
             number = int(found.group(1)) if found else None
             events.append(Event(number, chunk))
         self._rest = buffer[start:]
+        if len(self._rest) > _MAX_EVENT_BYTES:
+            raise EventTooLongError("an event without end")
         return events
--- a/src/briarfall/gateway/exchange.py
+++ b/src/briarfall/gateway/exchange.py
@@ -19,6 +19,13 @@
 # Margin to the target's own idle timeout, against a close that crosses.
 _IDLE_MARGIN_S = 1.0
 _MAX_FOREIGN_RESPONSES = 4
+_MAX_INTERIM_RESPONSES = 20
+# Longest body that is kept whole; catalogues are the largest.
+_MAX_BODY_BYTES = 8 * 2**20
+# A refusal's body is short.
+_MAX_DRAINED_BYTES = 65_536
+# What has come is still read for so long after a deadline.
+LATE_S = 0.25
 
 
 class CallerGoneError(exceptions.BriarfallError, ConnectionError):
@@ -249,8 +256,18 @@
                 return event
             if not self.wait(deadline_s):
                 raise TimeUpError(f"{self.address}: no response in time")
+            self.check_deadline(deadline_s)
             self.pump()
 
+    def check_deadline(self, deadline_s: float) -> None:
+        """Ends an exchange whose target goes on sending after the deadline.
+
+        Raises:
+            TimeUpError: The deadline has long passed.
+        """
+        if clocks.boot_s() > deadline_s + LATE_S:
+            raise TimeUpError(f"{self.address}: no end of the response in time")
+
     def read_head(
         self, deadline_s: float, is_own: collections.abc.Callable
     ) -> messages.ResponseHead:
@@ -269,9 +286,13 @@
         raise self._broken("responses of other requests")
 
     def _read_any_head(self, deadline_s: float) -> messages.ResponseHead:
+        interim = 0
         while True:
             event = self.read_event(deadline_s)
             if isinstance(event, h11.InformationalResponse):
+                interim += 1
+                if interim > _MAX_INTERIM_RESPONSES:
+                    raise self._broken("interim responses without end")
                 continue
             if not isinstance(event, h11.Response):
                 raise self._broken("no response head")
@@ -297,14 +318,28 @@
         if rest:
             self._http.receive_data(rest)
 
-    def read_body(self, deadline_s: float) -> bytes:
-        """Returns the whole body after a response head."""
+    def read_body(
+        self, deadline_s: float, max_bytes: int = _MAX_BODY_BYTES
+    ) -> bytes:
+        """Returns the whole body after a response head.
+
+        Args:
+            deadline_s: Time on the boot clock.
+            max_bytes: Length beyond which the body is taken for endless.
+
+        Raises:
+            BrokenExchangeError: It is too long, damaged or not complete.
+        """
         chunks = []
+        size = 0
         while True:
             event = self.read_event(deadline_s)
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(chunks)
             chunks.append(bytes(event.data))
+            size += len(event.data)
+            if size > max_bytes:
+                raise self._broken("a body without end")
 
     def drain(self, deadline_s: float) -> None:
         """Reads the rest of a response that nobody needs, if it comes soon.
@@ -313,7 +348,7 @@
             CallerGoneError: The caller has left.
         """
         try:
-            self.read_body(deadline_s)
+            self.read_body(deadline_s, _MAX_DRAINED_BYTES)
         except (BrokenExchangeError, TimeUpError) as exc:
             logging.debug("response not read to its end: %s", exc)
 
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -34,6 +34,8 @@
 # part of the aim.
 _FIRST_SILENCE_SHARE = 0.4
 _MAX_SILENCE_CHECKS = 8
+# An engine's failure is passed on whole up to this length.
+_MAX_FAILURE_BYTES = 2**20
 
 
 class StreamForwarder:
@@ -241,7 +243,7 @@
         response: messages.ResponseHead,
     ) -> None:
         """Passes an engine's own failure on."""
-        body = conn.read_body(stream.call.deadline_s)
+        body = conn.read_body(stream.call.deadline_s, _MAX_FAILURE_BYTES)
         if stream.has_begun:
             raise exchange.BrokenExchangeError(
                 f"{conn.address}: resumed with status {response.status}",
@@ -270,8 +272,7 @@
                 continue
             if isinstance(event, h11.EndOfMessage):
                 break
-            ready = splitter.feed(bytes(event.data))
-            data = self._accept(stream, run, ready)
+            data = self._accept(stream, run, splitter, bytes(event.data))
             if not data:
                 continue
             self._begin(stream, response)
@@ -300,16 +301,17 @@
         self,
         stream: streamstate.Stream,
         run: streamstate.Run,
-        ready: list[events.Event],
+        splitter: events.EventSplitter,
+        received: bytes,
     ) -> bytes:
         """Returns the bytes of events that are next in order.
 
         Raises:
-            BrokenExchangeError: An event is missing.
+            BrokenExchangeError: An event is missing or has no end.
         """
         try:
-            data = stream.sequence.take(ready)
-        except events.EventGapError as exc:
+            data = stream.sequence.take(splitter.feed(received))
+        except (events.EventGapError, events.EventTooLongError) as exc:
             raise exchange.BrokenExchangeError(
                 f"{run.conn.address}: {exc.message}", saw_response=True
             ) from exc
@@ -346,6 +348,7 @@
         while True:
             until_s = min(deadline_s, run.next_check_s)
             if run.conn.wait(until_s):
+                run.conn.check_deadline(deadline_s)
                 return
             if clocks.boot_s() >= deadline_s:
                 raise exchange.TimeUpError("the stream is out of time")
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -28,10 +28,29 @@
     GARBAGE = "garbage"
     EXTRA_ANSWER = "extra_answer"
     MISDIRECTED = "misdirected"
+    ENDLESS_GARBAGE = "endless_garbage"
+    ENDLESS_HEAD = "endless_head"
+    ENDLESS_INTERIM = "endless_interim"
+    ENDLESS_FAILURE = "endless_failure"
     CRASH = "crash"
     CRASH_AND_RESTART = "crash_and_restart"
 
 
+# What comes first, and then again and again until the connection is closed.
+_ENDLESS = {
+    Fault.ENDLESS_GARBAGE: (b"", b"\x00\x01\xff" * 5000),
+    Fault.ENDLESS_HEAD: (
+        b"HTTP/1.1 200 OK\r\n",
+        b"X-Part: %s\r\n" % (b"a" * 900),
+    ),
+    Fault.ENDLESS_INTERIM: (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
+    Fault.ENDLESS_FAILURE: (
+        b"HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1000\r\n" + b"a" * 4096 + b"\r\n",
+    ),
+}
+
+
 class RanRequest(msgspec.Struct, frozen=True):
     """A line of a service's ledger."""
 
@@ -101,6 +120,7 @@
         self.crashed_s: list[float] = []
         self.arrivals: list[Arrival] = []
         self.notices: list[Notice] = []
+        self.sent_bytes = 0
         self.lock = threading.Lock()
         self.ran: list[RanRequest] = []
         self.released = threading.Event()
@@ -142,6 +162,17 @@
         self.released.set()
         self.server.close()
 
+    def send_endless(self, conn: rawhttp.RawConnection) -> None:
+        """Sends what its fault says until the connection is closed."""
+        first, again = _ENDLESS[self.fault]
+        try:
+            conn.send(first)
+            while not self.released.is_set():
+                conn.send(again)
+                self.sent_bytes += len(again)
+        except OSError:
+            return
+
     def restart(self) -> None:
         """Starts it again after a crash, as a new lifetime of the same id."""
         self.released.clear()
@@ -272,6 +303,9 @@
         if self.fault is Fault.HANG:
             self.released.wait(_HOLD_S)
             return False
+        if self.fault in _ENDLESS:
+            self.send_endless(conn)
+            return False
         if self.fault is Fault.GARBAGE:
             conn.send(b"\x00\x01 no response\r\n\r\n")
             return False
@@ -439,6 +473,9 @@
                 conn.answer(421, headers={"At-Server": address})
                 return True
         self.note(req)
+        if self.fault in _ENDLESS:
+            self.send_endless(conn)
+            return False
         if self.crashes:
             self.close()
             conn.reset()
--- /dev/null
+++ b/tests/test_gateway_endless.py
@@ -0,0 +1,67 @@
+"""Targets that send bytes without end."""
+
+import pytest
+
+from briarfall.gateway import events
+from briarfall.standins.prepared import scenes
+from briarfall.standins.prepared import services
+
+ENDLESS = [row for row in services.Fault if row.value.startswith("endless")]
+# Far below what a target could send within a request's time.
+_MAX_BYTES = 64 * 2**20
+
+
+@pytest.fixture
+def world():
+    with scenes.world() as scene:
+        yield scene
+
+
+class TestEndlessAnswer:
+    @pytest.mark.parametrize("fault", ENDLESS[:-1], ids=lambda row: row.value)
+    def test_call_is_answered_by_another_target(self, world, fault):
+        desks = [world.service(f"d{number}") for number in range(2)]
+        inst = world.instance()
+        world.wait_for_targets(*desks)
+        desks[0].fault = fault
+        for number in range(6):
+            answer = scenes.call(inst, "/views/x", request_id=f"r{number}")
+            assert (answer.status, answer.body) == (200, b"ran:")
+        assert desks[0].arrivals
+        assert desks[0].sent_bytes < _MAX_BYTES
+
+    @pytest.mark.parametrize("fault", ENDLESS[:-1], ids=lambda row: row.value)
+    def test_call_that_runs_once_ends_as_unknown(self, world, fault):
+        desk = world.service("d0")
+        desk.fault = fault
+        inst = world.instance()
+        world.wait_for_targets(desk)
+        answer = scenes.call(inst, "/orders/x", method="POST")
+        assert answer.status == 502
+        assert desk.sent_bytes < _MAX_BYTES
+
+    @pytest.mark.parametrize("fault", ENDLESS, ids=lambda row: row.value)
+    def test_stream_is_not_held_to_its_deadline(self, world, fault):
+        engines = [world.engine(f"e{number}") for number in range(8)]
+        inst = world.instance()
+        world.wait_for_layers()
+        heads = [engine for engine in engines if engine.layers[0] == 0]
+        for engine in heads:
+            engine.fault = fault
+        scenes.call(
+            inst,
+            "/drafts/x",
+            method="POST",
+            request_id="r1",
+            deadline_ms=60_000,
+        )
+        assert any(engine.arrivals for engine in heads)
+        assert sum(engine.sent_bytes for engine in heads) < _MAX_BYTES
+
+
+class TestEndlessEvent:
+    def test_event_without_end_is_an_error(self):
+        splitter = events.EventSplitter()
+        with pytest.raises(events.EventTooLongError):
+            for _ in range(1000):
+                splitter.feed(b"data: " + b"a" * 10_000)
