--- a/src/briarfall/cli/experiments.py
+++ b/src/briarfall/cli/experiments.py
@@ -83,7 +83,12 @@
 
 
 def fault_soak(
-    *, seed: int = 1, seeds: int = 1, seconds: float = 10.0, keep: str = ""
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 10.0,
+    instances: int = 3,
+    keep: str = "",
 ) -> int:
     """Runs gateway processes under faults and checks the promises.
 
@@ -91,6 +96,7 @@
         seed: First seed; it decides every fault and its time.
         seeds: Number of seeds, one after the other.
         seconds: Duration of the faults of one seed.
+        instances: Gateway processes to run.
         keep: Folder that keeps settings and logs.
     """
     from briarfall.standins.prepared.faultsoak import soak as bench
@@ -98,7 +104,7 @@
     broken = 0
     for number in range(seed, seed + seeds):
         folder = f"{keep}/{number}" if keep else ""
-        broken += bool(bench.run(number, seconds, folder))
+        broken += bool(bench.run(number, seconds, folder, instances))
     return int(broken > 0)
 
 
--- a/src/briarfall/standins/prepared/faultsoak/soak.py
+++ b/src/briarfall/standins/prepared/faultsoak/soak.py
@@ -1,6 +1,5 @@
 """Runs gateway processes under seeded faults and checks the promises."""
 
-import collections
 import pathlib
 import random
 import signal
@@ -13,6 +12,7 @@
 from briarfall.standins.prepared import store
 from briarfall.standins.prepared.faultsoak import bounds
 from briarfall.standins.prepared.faultsoak import callers
+from briarfall.standins.prepared.faultsoak import checks
 from briarfall.standins.prepared.faultsoak import processes
 from briarfall.standins.prepared.faultsoak import proxy
 
@@ -21,6 +21,7 @@
 _EVENTS = 24
 _KEY_TTL_S = 5.0
 _READY_S = 20.0
+_READY_S_PER_INSTANCE = 0.5
 _RECOVER_S = 12.0
 _MIN_GAP_S = 0.3
 _MAX_GAP_S = 1.2
@@ -39,9 +40,16 @@
         seed: Decides every fault and its time.
         seconds: Duration of the faults.
         folder: Folder for settings and logs.
+        instances: Gateway processes to run.
     """
 
-    def __init__(self, seed: int, seconds: float, folder: pathlib.Path):
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        folder: pathlib.Path,
+        instances: int = _INSTANCES,
+    ):
         self._rng = random.Random(seed)
         self._key_rng = random.Random(seed)
         self._seconds = seconds
@@ -73,7 +81,7 @@
             self.engines.append(engine)
         self._links = []
         self.instances = []
-        for number in range(_INSTANCES):
+        for number in range(instances):
             link = proxy.Proxy(self.store.address)
             self._links.append(link)
             self.instances.append(
@@ -129,7 +137,8 @@
                 threading.Thread(target=self._beat_loop, daemon=True)
             )
             self._threads[0].start()
-            if not self._wait_served(_READY_S):
+            ready_s = _READY_S + len(self.instances) * _READY_S_PER_INSTANCE
+            if not self._wait_served(ready_s):
                 return ["no request was served after the start"]
             for number in range(_CALLERS):
                 caller = callers.Caller(
@@ -357,74 +366,35 @@
 
     def check(self, told: list[callers.Told]) -> list[str]:
         """Returns the promises that were broken."""
-        broken = []
-        runs = collections.Counter()
-        for desk in self.desks:
-            runs.update(desk.ran_ids())
-        heads = collections.Counter()
-        for engine in self.engines:
-            heads.update(engine.ran_ids())
-            broken += _check_layers(engine)
-        revoked = dict(self._revoked)
-        for row in told:
-            count = runs[row.id] + heads[row.id]
-            if row.kind == "orders" and count > 1:
-                broken.append(f"{row.id}: ran {count} times")
-            if row.kind == "orders" and row.status in (408, 421, 429, 503):
-                if count:
-                    broken.append(f"{row.id}: {row.status} although it ran")
-            if row.status == 200 and row.is_whole:
-                broken += _check_body(row)
-            revoked_s = revoked.get(row.key)
-            if revoked_s is not None and count:
-                late_s = row.sent_s - revoked_s
-                if late_s > _KEY_TTL_S:
-                    broken.append(f"{row.id}: key ran {late_s:.1f} s too late")
-        witness = bounds.Witness(told, self.disturbed)
-        for target in [*self.desks, *self.engines]:
-            broken += witness.check(target)
-        broken += witness.check_poison(_POISON, self.desks)
-        usual = [row for row in told if not row.id.startswith(_POISON)]
-        served = sum(1 for row in usual if row.status == 200)
-        if served < len(usual) / 4:
-            broken.append(f"only {served} of {len(usual)} requests served")
-        return broken
-
-
-def _check_body(row: callers.Told) -> list[str]:
-    if row.kind != "drafts":
-        expected = row.id.encode() if row.kind == "orders" else b""
-        if row.body != b"ran:" + expected:
-            return [f"{row.id}: body {row.body[:40]!r}"]
-        return []
-    numbers = []
-    for line in row.body.splitlines():
-        if line.startswith(b"id: "):
-            numbers.append(int(line[4:]))
-    if numbers != list(range(1, _EVENTS + 1)):
-        return [f"{row.id}: events {numbers}"]
-    return []
-
-
-def _check_layers(engine: services.EngineStandin) -> list[str]:
-    for request_id, number, path in engine.made:
-        if not services.runs_all_layers(path):
-            return [f"{request_id}: event {number} on path {path}"]
-    return []
+        return checks.check(
+            checks.Evidence(
+                told,
+                self.desks,
+                self.engines,
+                self._revoked,
+                self.disturbed,
+                _KEY_TTL_S,
+                _EVENTS,
+                _POISON,
+            )
+        )
 
 
-def run(seed: int, seconds: float, keep: str = "") -> list[str]:
+def run(
+    seed: int, seconds: float, keep: str = "", instances: int = _INSTANCES
+) -> list[str]:
     """Runs one seed; prints and returns the promises that were broken.
 
     Args:
         seed: Decides the faults.
         seconds: Duration of the faults.
         keep: Folder that keeps settings and logs, or empty.
+        instances: Gateway processes to run.
     """
     with tempfile.TemporaryDirectory() as scratch:
         folder = pathlib.Path(keep or scratch)
         folder.mkdir(parents=True, exist_ok=True)
-        soak = Soak(seed, seconds, folder)
+        soak = Soak(seed, seconds, folder, instances)
         broken = soak.run()
         print(f"seed {seed}: {len(soak.faults)} faults, {len(broken)} broken")
         for line in broken[:20]:
