--- a/features/steps/platform_faults.py
+++ b/features/steps/platform_faults.py
@@ -6,9 +6,10 @@
 from behave import then
 from behave import when
 
+from briarfall.standins.prepared import engines as engine_standins
 from briarfall.standins.prepared import manifests
+from briarfall.standins.prepared import registered
 from briarfall.standins.prepared import scenes
-from briarfall.standins.prepared import services
 
 _EVENTS = 30
 _LAYERS = 8
@@ -31,12 +32,12 @@
 def given_faulty_services(context, count, fault):
     given_services(context, count)
     for row in context.services:
-        row.fault = services.Fault(fault)
+        row.fault = registered.Fault(fault)
 
 
 @given('the first service "{fault}"')
 def given_one_faulty(context, fault):
-    context.services[0].fault = services.Fault(fault)
+    context.services[0].fault = registered.Fault(fault)
 
 
 @given("a prepared platform with {count:d} engines")
@@ -207,7 +208,7 @@
     made = set()
     for engine in context.engines:
         for name, number, path in engine.made:
-            assert services.runs_all_layers(path), path
+            assert engine_standins.runs_all_layers(path), path
             if name == "stream":
                 made.add(number)
     assert made >= set(range(1, _EVENTS + 1))
@@ -345,7 +346,7 @@
     threads = []
     if work == "an order":
         for row in context.services:
-            row.fault = services.Fault.HANG
+            row.fault = registered.Fault.HANG
         threads.append(threading.Thread(target=_order, args=(context,)))
     else:
         count = 5 if work == "5 streams" else 1
--- a/features/steps/platform_notices.py
+++ b/features/steps/platform_notices.py
@@ -4,8 +4,8 @@
 from behave import then
 from behave import when
 
+from briarfall.standins.prepared import registered
 from briarfall.standins.prepared import scenes
-from briarfall.standins.prepared import services
 
 _QUIET_S = "60"
 _CRASHES = 3
@@ -29,7 +29,7 @@
 
 
 def _want_no_requests(row) -> None:
-    row.fault = services.Fault.REFUSE
+    row.fault = registered.Fault.REFUSE
     row.retry_after = _QUIET_S
 
 
@@ -59,7 +59,7 @@
 @given("the services crash and restart when they run a call")
 def given_crashing(context):
     for row in context.services:
-        row.fault = services.Fault.CRASH_AND_RESTART
+        row.fault = registered.Fault.CRASH_AND_RESTART
 
 
 @when("a caller sends {count:d} calls by {method}")
--- a/src/briarfall/bench/gatewaydemo.py
+++ b/src/briarfall/bench/gatewaydemo.py
@@ -10,8 +10,9 @@
 from briarfall.bench import checks
 from briarfall.cli import console
 from briarfall.gateway import instance
+from briarfall.standins.prepared import engines as engine_standins
+from briarfall.standins.prepared import registered
 from briarfall.standins.prepared import scenes
-from briarfall.standins.prepared import services
 
 _ZONES = ("z1", "z2")
 _ENGINES_PER_ZONE = 8
@@ -55,8 +56,8 @@
 
     def orders(self) -> None:
         """Places orders while one service refuses and one loses answers."""
-        self._desks[0].fault = services.Fault.REFUSE
-        self._desks[1].fault = services.Fault.RESET_AFTER_RUN
+        self._desks[0].fault = registered.Fault.REFUSE
+        self._desks[1].fault = registered.Fault.RESET_AFTER_RUN
         statuses = {}
         for number in range(_ORDERS):
             name = f"order-{number}"
@@ -69,7 +70,7 @@
             )
             statuses[name] = answer.status
         for desk in self._desks:
-            desk.fault = services.Fault.NONE
+            desk.fault = registered.Fault.NONE
         runs = {name: 0 for name in statuses}
         for desk in self._desks:
             for name in desk.ran_ids():
@@ -110,14 +111,14 @@
         for engine in self._engines:
             for _, _, text in engine.made:
                 made += 1
-                wrong += not services.runs_all_layers(text)
+                wrong += not engine_standins.runs_all_layers(text)
         self._promise(
             "every layer ran once per token, in order",
             not wrong,
             f"{made} events of the engines' ledger",
         )
 
-    def _first_at_fault(self) -> services.EngineStandin:
+    def _first_at_fault(self) -> engine_standins.EngineStandin:
         def found():
             for engine in self._engines:
                 if engine.on_event[_FAULT_EVENT].is_set() and engine.paths:
--- a/src/briarfall/bench/quiet.py
+++ b/src/briarfall/bench/quiet.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from briarfall.bench import measure
+from briarfall.standins.prepared import registered
 from briarfall.standins.prepared import scenes
-from briarfall.standins.prepared import services
 
 _TARGETS = 3
 _INSTANCES = 3
@@ -119,11 +119,11 @@
         start_s = time.monotonic()
         for desk in desks:
             desk.retry_after = f"{_QUIET_S}"
-            desk.fault = services.Fault.REFUSE
+            desk.fault = registered.Fault.REFUSE
         time.sleep(_QUIET_S)
         end_s = time.monotonic()
         for desk in desks:
-            desk.fault = services.Fault.NONE
+            desk.fault = registered.Fault.NONE
             desk.retry_after = ""
         player.join()
         load.join()
--- a/src/briarfall/standins/prepared/faultsoak/bounds.py
+++ b/src/briarfall/standins/prepared/faultsoak/bounds.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from briarfall.standins.prepared import registered
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared.faultsoak import callers
 
@@ -54,8 +55,8 @@
         return broken
 
     def _later_arrivals(
-        self, target, notice: services.Notice, instance: str
-    ) -> list[services.Arrival]:
+        self, target, notice: registered.Notice, instance: str
+    ) -> list[registered.Arrival]:
         """Returns what came from an instance after a notice to it."""
         found = []
         for row in target.arrivals:
@@ -71,8 +72,8 @@
     def _check_leaving(
         self,
         target,
-        notice: services.Notice,
-        later: list[services.Arrival],
+        notice: registered.Notice,
+        later: list[registered.Arrival],
     ) -> list[str]:
         broken = []
         for row in later:
@@ -118,7 +119,7 @@
 
 
 def _check_quiet(
-    target, notice: services.Notice, later: list[services.Arrival]
+    target, notice: registered.Notice, later: list[registered.Arrival]
 ) -> list[str]:
     early_s = notice.time_s + QUIET_GRACE_S
     end_s = notice.time_s + notice.quiet_s
--- a/src/briarfall/standins/prepared/faultsoak/checks.py
+++ b/src/briarfall/standins/prepared/faultsoak/checks.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from briarfall.standins.prepared import engines
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared.faultsoak import bounds
 from briarfall.standins.prepared.faultsoak import callers
@@ -25,7 +26,7 @@
 
     told: list[callers.Told]
     desks: list[services.ServiceStandin]
-    engines: list[services.EngineStandin]
+    engines: list[engines.EngineStandin]
     revoked: list[tuple[str, float]]
     disturbed: list[bounds.Disturbance]
     key_ttl_s: float
@@ -84,8 +85,8 @@
     return []
 
 
-def _check_layers(engine: services.EngineStandin) -> list[str]:
+def _check_layers(engine: engines.EngineStandin) -> list[str]:
     for request_id, number, path in engine.made:
-        if not services.runs_all_layers(path):
+        if not engines.runs_all_layers(path):
             return [f"{request_id}: event {number} on path {path}"]
     return []
--- a/src/briarfall/standins/prepared/faultsoak/soak.py
+++ b/src/briarfall/standins/prepared/faultsoak/soak.py
@@ -7,7 +7,9 @@
 import threading
 import time
 
+from briarfall.standins.prepared import engines
 from briarfall.standins.prepared import manifests
+from briarfall.standins.prepared import registered
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared import store
 from briarfall.standins.prepared.faultsoak import bounds
@@ -74,7 +76,7 @@
             desk.crash_marker = _POISON
             self.desks.append(desk)
         for number in range(8):
-            engine = services.EngineStandin(
+            engine = engines.EngineStandin(
                 self.store, f"e{number}", self._fleet, zone=f"z{number % 2}"
             )
             engine.events = _EVENTS
@@ -315,10 +317,10 @@
 
     def _fault_desk(self, fault_s: float) -> None:
         desk = self._rng.choice(self.desks)
-        faults = [row for row in services.Fault if row.value != "none"]
+        faults = [row for row in registered.Fault if row.value != "none"]
         desk.fault = self._rng.choice(faults)
         time.sleep(fault_s)
-        desk.fault = services.Fault.NONE
+        desk.fault = registered.Fault.NONE
 
     def _fault_engine(self, fault_s: float) -> None:
         engine = self._rng.choice(self.engines)
@@ -326,21 +328,21 @@
         if how == "dark":
             engine.is_dark = True
         elif how == "refuse":
-            engine.fault = services.Fault.REFUSE
+            engine.fault = registered.Fault.REFUSE
         else:
             engine.is_torn = how == "torn"
             engine.breaks_after = self._rng.randint(1, _EVENTS - 1)
         time.sleep(fault_s)
         engine.is_dark = False
-        engine.fault = services.Fault.NONE
+        engine.fault = registered.Fault.NONE
         engine.breaks_after = 0
 
     def _fault_quiet(self, fault_s: float) -> None:
         target = self._rng.choice([*self.desks, *self.engines])
         target.retry_after = _QUIET_S
-        target.fault = services.Fault.REFUSE
+        target.fault = registered.Fault.REFUSE
         time.sleep(fault_s)
-        target.fault = services.Fault.NONE
+        target.fault = registered.Fault.NONE
         target.retry_after = ""
 
     def _fault_leaving(self, fault_s: float) -> None:
--- a/src/briarfall/standins/prepared/scenes.py
+++ b/src/briarfall/standins/prepared/scenes.py
@@ -12,6 +12,7 @@
 from briarfall.gateway import connections
 from briarfall.gateway import instance
 from briarfall.platform import main
+from briarfall.standins.prepared import engines
 from briarfall.standins.prepared import manifests
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared import store
@@ -108,7 +109,7 @@
 
     def engine(self, target_id: str, *, zone="z1", kind="small"):
         """Starts an empty engine."""
-        target = services.EngineStandin(
+        target = engines.EngineStandin(
             self.store, target_id, self.fleet, zone=zone, kind=kind
         )
         self._closers.append(target.close)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import pytest
 
 from briarfall.gateway import clocks
+from briarfall.standins.prepared import scenes
 
 
 @pytest.fixture
@@ -14,3 +15,10 @@
 
     monkeypatch.setattr(clocks, "boot_s", lambda: _Clock.now_s)
     return _Clock
+
+
+@pytest.fixture
+def world():
+    """Stand-ins of the prepared platform, closed at the end."""
+    with scenes.world() as scene:
+        yield scene
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -8,8 +8,8 @@
 from briarfall import exceptions
 from briarfall import logs
 from briarfall.cli import explaining
+from briarfall.standins.prepared import registered
 from briarfall.standins.prepared import scenes
-from briarfall.standins.prepared import services
 
 
 class _Recorder(logging.Handler):
@@ -47,7 +47,7 @@
     def test_refused_before_it_ran(self, recorded, capsys):
         scene, path = recorded
         desk = scene.service("d1")
-        desk.fault = services.Fault.REFUSE
+        desk.fault = registered.Fault.REFUSE
         inst = scene.instance()
         scenes.call(inst, "/orders/x", method="POST", request_id="abc1")
         assert explaining.explain("abc1", path()) == 0
@@ -58,7 +58,7 @@
     def test_failure_of_the_target_itself(self, recorded, capsys):
         scene, path = recorded
         desk = scene.service("d1")
-        desk.fault = services.Fault.FAIL
+        desk.fault = registered.Fault.FAIL
         inst = scene.instance()
         scenes.call(inst, "/orders/x", method="POST", request_id="abc5")
         # The line follows the answer.
@@ -93,7 +93,7 @@
     ):
         scene, path = recorded
         desk = scene.service("d1")
-        desk.fault = services.Fault.CRASH_AND_RESTART
+        desk.fault = registered.Fault.CRASH_AND_RESTART
         inst = scene.instance()
         for number in range(4):
             scenes.call(
@@ -111,7 +111,7 @@
     def test_unknown_outcome(self, recorded, capsys):
         scene, path = recorded
         desk = scene.service("d1")
-        desk.fault = services.Fault.RESET_AFTER_RUN
+        desk.fault = registered.Fault.RESET_AFTER_RUN
         inst = scene.instance()
         scenes.call(inst, "/orders/x", method="POST", request_id="abc3")
         explaining.explain("abc3", path())
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from briarfall.standins.prepared import services
+from briarfall.standins.prepared import rawhttp
+from briarfall.standins.prepared import registered
 from briarfall.standins.prepared.faultsoak import bounds
 from briarfall.standins.prepared.faultsoak import callers
 from briarfall.standins.prepared.faultsoak import processes
@@ -61,9 +62,7 @@
         ]
 
     def run_on(self, desk, request_id):
-        req = soak.services.rawhttp.RawRequest(
-            "POST", "/", {"x-request-id": request_id}, b""
-        )
+        req = rawhttp.RawRequest("POST", "/", {"x-request-id": request_id}, b"")
         desk.note(req)
 
     def test_second_run_of_an_order(self, scene):
@@ -107,7 +106,7 @@
         scene.store.close()
 
     def sent(self, desk, request_id, time_s, sent_s=None):
-        desk.arrivals.append(services.Arrival(time_s, request_id))
+        desk.arrivals.append(registered.Arrival(time_s, request_id))
         sent_s = time_s if sent_s is None else sent_s
         return callers.Told(
             request_id, "views", "stable", sent_s, instance="i0"
@@ -119,14 +118,14 @@
 
     def test_request_to_a_leaving_target(self, desk):
         told = [self.sent(desk, "a", 10.0), self.sent(desk, "b", 13.0)]
-        desk.notices.append(services.Notice(10.0, "a", True, 0.0))
+        desk.notices.append(registered.Notice(10.0, "a", True, 0.0))
         assert self.witness(told).check(desk)
         assert self.witness(told, (11.0, 12.0)).check(desk) == []
 
     def test_request_to_the_next_lifetime_is_allowed(self, desk):
         told = [self.sent(desk, "a", 10.0), self.sent(desk, "b", 13.0)]
-        desk.arrivals[1] = services.Arrival(13.0, "b", born=2)
-        desk.notices.append(services.Notice(10.0, "a", True, 0.0))
+        desk.arrivals[1] = registered.Arrival(13.0, "b", born=2)
+        desk.notices.append(registered.Notice(10.0, "a", True, 0.0))
         assert self.witness(told).check(desk) == []
 
     @pytest.mark.parametrize(("count", "is_broken"), [(2, False), (3, True)])
@@ -134,7 +133,7 @@
         told = [self.sent(desk, "a", 10.0)]
         for number in range(count):
             told.append(self.sent(desk, f"b{number}", 11.0))
-        desk.notices.append(services.Notice(10.0, "a", False, 1.5))
+        desk.notices.append(registered.Notice(10.0, "a", False, 1.5))
         assert bool(self.witness(told).check(desk)) == is_broken
 
     @pytest.mark.parametrize(("count", "is_broken"), [(3, False), (4, True)])
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -3,20 +3,14 @@
 import pytest
 
 from briarfall.gateway import events
+from briarfall.standins.prepared import registered
 from briarfall.standins.prepared import scenes
-from briarfall.standins.prepared import services
 
-ENDLESS = [row for row in services.Fault if row.value.startswith("endless")]
+ENDLESS = [row for row in registered.Fault if row.value.startswith("endless")]
 # Far below what a target could send within a request's time.
 _MAX_BYTES = 64 * 2**20
 
 
-@pytest.fixture
-def world():
-    with scenes.world() as scene:
-        yield scene
-
-
 class TestEndlessAnswer:
     @pytest.mark.parametrize("fault", ENDLESS[:-1], ids=lambda row: row.value)
     def test_call_is_answered_by_another_target(self, world, fault):
--- a/tests/test_gateway_notices.py
+++ b/tests/test_gateway_notices.py
@@ -19,8 +19,8 @@
 from briarfall.gateway import sources
 from briarfall.gateway import targets
 from briarfall.platform import headers
+from briarfall.standins.prepared import registered
 from briarfall.standins.prepared import scenes
-from briarfall.standins.prepared import services
 from tests import test_gateway_decisions
 
 # Requests that may reach a target while it wants none, and the time after its
@@ -30,12 +30,6 @@
 _DRAFT_MS = 8000
 
 
-@pytest.fixture
-def world():
-    with scenes.world() as scene:
-        yield scene
-
-
 def _refusal(value):
     return messages.ResponseHead(503, b"", [(b"Retry-After", value)])
 
@@ -296,7 +290,7 @@
         inst = world.instance()
         world.wait_for_targets(*desks)
         for desk in desks[:count]:
-            desk.fault = services.Fault.REFUSE
+            desk.fault = registered.Fault.REFUSE
             desk.retry_after = "60"
         answers = []
         for number in range(20):
@@ -319,7 +313,7 @@
         world.wait_for_layers()
         heads = [engine for engine in engines if engine.layers[0] == 0]
         for engine in heads[:-1]:
-            engine.fault = services.Fault.REFUSE
+            engine.fault = registered.Fault.REFUSE
             engine.retry_after = "60"
         for number in range(8):
             answer = _draft(inst, f"r{number}")
@@ -332,7 +326,7 @@
         inst = world.instance()
         world.wait_for_layers()
         for engine in engines:
-            engine.fault = services.Fault.REFUSE
+            engine.fault = registered.Fault.REFUSE
             engine.retry_after = "60"
         for number in range(6):
             answer = _draft(inst, f"r{number}")
@@ -346,7 +340,7 @@
         inst = world.instance()
         world.wait_for_targets(*desks)
         for desk in desks:
-            desk.fault = services.Fault.REFUSE
+            desk.fault = registered.Fault.REFUSE
             desk.retry_after = "60"
         answers = []
         threads = []
@@ -367,12 +361,12 @@
 
     def test_target_takes_requests_again_afterwards(self, world):
         desk = world.service("d0")
-        desk.fault = services.Fault.REFUSE
+        desk.fault = registered.Fault.REFUSE
         desk.retry_after = "0.3"
         inst = world.instance()
         world.wait_for_targets(desk)
         assert scenes.call(inst, "/views/x", request_id="r0").status == 503
-        desk.fault = services.Fault.NONE
+        desk.fault = registered.Fault.NONE
         scenes.until(
             lambda: not inst.targets.get("d0").is_quiet, "the quiet is over"
         )
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -9,15 +9,10 @@
 from briarfall.gateway import evidence
 from briarfall.gateway import peermessages
 from briarfall.platform import topics
+from briarfall.standins.prepared import engines as engine_standins
 from briarfall.standins.prepared import manifests
+from briarfall.standins.prepared import registered
 from briarfall.standins.prepared import scenes
-from briarfall.standins.prepared import services
-
-
-@pytest.fixture
-def world():
-    with scenes.world() as scene:
-        yield scene
 
 
 class TestPlainCalls:
@@ -82,7 +77,7 @@
 
     def test_refusal_keeps_the_target_connection(self, world):
         desk = world.service("d1")
-        desk.fault = services.Fault.REFUSE
+        desk.fault = registered.Fault.REFUSE
         inst = world.instance()
         for number in range(4):
             answer = scenes.call(inst, "/views/x", request_id=f"r{number}")
@@ -140,9 +135,9 @@
     @pytest.mark.parametrize(
         "fault",
         [
-            services.Fault.RESET_AFTER_RUN,
-            services.Fault.CUT_BODY,
-            services.Fault.GARBAGE,
+            registered.Fault.RESET_AFTER_RUN,
+            registered.Fault.CUT_BODY,
+            registered.Fault.GARBAGE,
         ],
     )
     def test_unknown_outcome_is_neither_repeated_nor_denied(self, world, fault):
@@ -157,7 +152,7 @@
 
     def test_refused_call_goes_to_another_target(self, world):
         rows = [world.service("d1"), world.service("d2")]
-        rows[0].fault = services.Fault.REFUSE
+        rows[0].fault = registered.Fault.REFUSE
         inst = world.instance()
         world.wait_for_targets(*rows)
         for number in range(6):
@@ -174,7 +169,7 @@
 
     def test_reused_address_does_not_run_it(self, world):
         rows = [world.service("d1"), world.service("d2")]
-        rows[0].fault = services.Fault.MISDIRECTED
+        rows[0].fault = registered.Fault.MISDIRECTED
         inst = world.instance()
         world.wait_for_targets(*rows)
         answer = scenes.call(inst, "/orders/new", method="POST", body=b"x")
@@ -183,7 +178,7 @@
 
     def test_all_refuse_is_a_true_503_with_retry_after(self, world):
         desk = world.service("d1")
-        desk.fault = services.Fault.REFUSE
+        desk.fault = registered.Fault.REFUSE
         inst = world.instance()
         answer = scenes.call(inst, "/orders/new", method="POST", body=b"x")
         assert answer.status == 503
@@ -192,7 +187,7 @@
 
     def test_hanging_target_ends_in_504_at_the_deadline(self, world):
         desk = world.service("d1")
-        desk.fault = services.Fault.HANG
+        desk.fault = registered.Fault.HANG
         inst = world.instance()
         answer = scenes.call(
             inst, "/orders/new", method="POST", body=b"x", deadline_ms=400
@@ -205,11 +200,11 @@
     @pytest.mark.parametrize(
         "fault",
         [
-            services.Fault.RESET_AFTER_RUN,
-            services.Fault.CUT_BODY,
-            services.Fault.GARBAGE,
-            services.Fault.FAIL,
-            services.Fault.HANG,
+            registered.Fault.RESET_AFTER_RUN,
+            registered.Fault.CUT_BODY,
+            registered.Fault.GARBAGE,
+            registered.Fault.FAIL,
+            registered.Fault.HANG,
         ],
     )
     def test_goes_on_at_another_target(self, world, fault):
@@ -226,7 +221,7 @@
 
     def test_extra_answer_never_reaches_the_next_caller(self, world):
         desk = world.service("d1")
-        desk.fault = services.Fault.EXTRA_ANSWER
+        desk.fault = registered.Fault.EXTRA_ANSWER
         inst = world.instance()
         for number in range(4):
             answer = scenes.call(
@@ -241,7 +236,7 @@
     def test_all_failing_passes_the_targets_own_failure_on(self, world):
         rows = [world.service("d1"), world.service("d2")]
         for row in rows:
-            row.fault = services.Fault.FAIL
+            row.fault = registered.Fault.FAIL
         inst = world.instance()
         world.wait_for_targets(*rows)
         answer = scenes.call(inst, "/views/x")
@@ -274,7 +269,7 @@
         assert scenes.event_ids(answer.body) == list(range(1, 13))
         for engine in engines:
             for _, _, path in engine.made:
-                assert services.runs_all_layers(path), path
+                assert engine_standins.runs_all_layers(path), path
         assert manifests.ENGINE["layers"] == 8
 
     @pytest.mark.parametrize("is_torn", [False, True])
@@ -386,7 +381,7 @@
     def test_engines_without_room_are_a_true_503(self, world):
         engines, inst = self._start(world)
         for engine in engines:
-            engine.fault = services.Fault.REFUSE
+            engine.fault = registered.Fault.REFUSE
         answer = self._draft(inst)
         assert answer.status == 503
         assert float(answer.headers["Retry-After"]) > 0
--- a/tests/test_gateway_poison.py
+++ b/tests/test_gateway_poison.py
@@ -3,26 +3,20 @@
 import pytest
 
 from briarfall.gateway import crashes
+from briarfall.standins.prepared import registered
 from briarfall.standins.prepared import scenes
-from briarfall.standins.prepared import services
 
 # Crashes after which a request is refused.
 _CRASHES = 3
 _REPEATS = 6
 
 
-@pytest.fixture
-def world():
-    with scenes.world() as scene:
-        yield scene
-
-
 def _desks(world, count=3):
     """Returns services that crash when they run a request."""
     rows = []
     for number in range(count):
         desk = world.service(f"d{number}")
-        desk.fault = services.Fault.CRASH
+        desk.fault = registered.Fault.CRASH
         rows.append(desk)
     return rows
 
@@ -68,7 +62,7 @@
 class TestQuickRestart:
     def test_service_that_is_back_at_once_still_counts_as_crashed(self, world):
         desk = world.service("d0")
-        desk.fault = services.Fault.CRASH_AND_RESTART
+        desk.fault = registered.Fault.CRASH_AND_RESTART
         inst = world.instance()
         world.wait_for_targets(desk)
         for number in range(_REPEATS):
--- a/tests/test_gateway_sendgate.py
+++ b/tests/test_gateway_sendgate.py
@@ -17,12 +17,6 @@
 _SENDERS = {"connections.py", "plain.py", "streams.py"}
 
 
-@pytest.fixture
-def world():
-    with scenes.world() as scene:
-        yield scene
-
-
 @pytest.fixture
 def closed_gate(monkeypatch):
     """Refuses every send."""
