Property test of the quiet at the gate; the same examples in every run

Property tests without settings of their own drew new examples each time and had a deadline of 200 ms an example, so that a busy machine could decide the verdict.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,15 @@
 """Fixtures that several test files share."""
 
+import hypothesis
 import pytest
 
 from briarfall.gateway import clocks
 from briarfall.standins.prepared import scenes
 
+# The same examples in every run, however busy the machine is.
+hypothesis.settings.register_profile("same", derandomize=True, deadline=None)
+hypothesis.settings.load_profile("same")
+
 
 @pytest.fixture
 def clock(monkeypatch):
--- a/tests/test_gateway_sendgate.py
+++ b/tests/test_gateway_sendgate.py
@@ -4,12 +4,20 @@
 import pathlib
 import threading
 
+from hypothesis import given
+from hypothesis import strategies as st
 import pytest
 
 import briarfall
 from briarfall import exceptions
+from briarfall.gateway import budgets
+from briarfall.gateway import clocks
+from briarfall.gateway import crashes
+from briarfall.gateway import quiet
 from briarfall.gateway import sendgate
 from briarfall.standins.prepared import scenes
+from tests import test_gateway_decisions
+from tests import test_gateway_streams
 
 _GATEWAY = pathlib.Path(briarfall.__file__).parent / "gateway"
 # Modules that open an exchange with a target. `connections` makes calls of our
@@ -69,6 +77,42 @@
         assert "self._gate" in owners
 
 
+def _passes(gate, call, target):
+    try:
+        gate.take_send(call, target)
+    except sendgate.TargetAvoidedError:
+        return False
+    return True
+
+
+class TestQuiet:
+    @given(
+        st.lists(
+            st.tuples(
+                st.floats(0.0, 3.0),
+                st.one_of(st.none(), st.floats(0.01, 5.0)),
+            ),
+            max_size=30,
+        )
+    )
+    def test_nothing_passes_before_the_end_of_any_notice(self, steps):
+        clock = [1000.0]
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(clocks, "boot_s", lambda: clock[0])
+            table = crashes.CrashTable()
+            budget = budgets.RetryBudget(0.2, 10.0, 1000.0, lambda: 1)
+            gate = sendgate.SendGate(budget, table)
+            target = test_gateway_decisions.target("a")
+            call = test_gateway_streams.a_call(clock[0])
+            until_s = 0.0
+            for pause_s, quiet_s in steps:
+                clock[0] += pause_s
+                if quiet_s is not None:
+                    quiet.note(target, quiet_s)
+                    until_s = max(until_s, clock[0] + quiet_s)
+                assert _passes(gate, call, target) == (clock[0] >= until_s)
+
+
 class TestClosedGate:
     @pytest.mark.parametrize("path", ["/views/x", "/orders/x"])
     def test_no_call_reaches_a_service(self, world, closed_gate, path):
