--- a/src/briarfall/bench/quiet.py
+++ b/src/briarfall/bench/quiet.py
@@ -34,7 +34,6 @@
     sent_s: float
     took_s: float
     status: int
-    retry_after_s: float
 
 
 class _Wave(msgspec.Struct, frozen=True):
@@ -89,7 +88,7 @@
             except OSError:
                 return
             retry_s = float(answer.headers.get("Retry-After", "0"))
-            row = Try(sent_s, time.monotonic() - sent_s, answer.status, retry_s)
+            row = Try(sent_s, time.monotonic() - sent_s, answer.status)
             with self._lock:
                 self.tries.append(row)
             if answer.status != 503:
