--- a/src/briarfall/gateway/callerhandler.py
+++ b/src/briarfall/gateway/callerhandler.py
@@ -17,6 +17,7 @@
 from briarfall.gateway import metrics
 from briarfall.gateway import plain
 from briarfall.gateway import plannedstop
+from briarfall.gateway import promptparts
 from briarfall.gateway import streams
 from briarfall.gateway import targetconnection
 from briarfall.gateway import targets
@@ -231,6 +232,7 @@
             account=account,
             urgency=urgency,
             deadline_s=calls.deadline_of(req, self._names.time_left, route),
+            parts=promptparts.parse(req, self._names),
         )
 
     def _stale_error(self) -> exceptions.NotReadyError:
--- a/src/briarfall/gateway/calls.py
+++ b/src/briarfall/gateway/calls.py
@@ -8,6 +8,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import headernames
 from briarfall.gateway import messages
+from briarfall.gateway import promptparts
 from briarfall.gateway import sources
 from briarfall.gateway import targetconnection
 from briarfall.gateway import views
@@ -31,6 +32,7 @@
         service: Service chosen for it.
         account: Client account, or None.
         urgency: Rank; 0 is served first.
+        parts: Parts of its prompt.
         deadline_s: Time on the boot clock at which the caller stops waiting or
             the route's timeout passes.
         attempt_count: How often it was sent to a target.
@@ -47,6 +49,7 @@
     account: views.ClientAccount | None
     urgency: int
     deadline_s: float
+    parts: promptparts.PromptParts = promptparts.PromptParts()
     attempt_count: int = 0
     possible_runs: int = 0
     has_unknown_outcome: bool = False
--- a/src/briarfall/gateway/chainsearch.py
+++ b/src/briarfall/gateway/chainsearch.py
@@ -77,7 +77,7 @@
             if heads != stream.allowed_heads and not stream.response_started:
                 self._refuse_if_in_backoff(stream, rows)
             if clocks.boot_s() >= until_s:
-                raise stream.abandon_error("no chain of engines has room")
+                raise stream.abandon_error(_describe_lack(stream, rows))
             call.watch.pause(min(pause_s, until_s - clocks.boot_s()))
             pause_s *= 2
 
@@ -181,3 +181,14 @@
     if allowed is None:
         allowed = frozenset(row.id for row in rows)
     return allowed - backoff_ids
+
+
+def _describe_lack(
+    stream: streamstate.Stream, rows: list[targetstate.Target]
+) -> str:
+    """Returns what is missing for a chain: layers or room."""
+    uncovered = paths.uncovered_layers(stream.call.service.model, rows)
+    if not uncovered:
+        return "no chain of engines has room"
+    ranges = ",".join(f"{layers.first}-{layers.end}" for layers in uncovered)
+    return f"no engine that takes requests holds layers {ranges}"
--- a/src/briarfall/gateway/headernames.py
+++ b/src/briarfall/gateway/headernames.py
@@ -23,6 +23,7 @@
         load: Running requests, waiting requests and slots of the target.
         token_usage: Prompt tokens and the limit of output tokens.
         length_hint: Output tokens that the caller expects.
+        prompt_parts: Ids of the parts of the prompt, in order.
         last_event: Id of the last event that the caller received.
     """
 
@@ -40,4 +41,5 @@
     load: bytes
     token_usage: bytes
     length_hint: bytes
+    prompt_parts: bytes
     last_event: bytes
--- a/src/briarfall/gateway/paths.py
+++ b/src/briarfall/gateway/paths.py
@@ -109,6 +109,25 @@
         return self.prompt + self.answer
 
 
+def uncovered_layers(
+    model: views.ModelLayout, rows: list[targetstate.Target]
+) -> list[sources.LayerRange]:
+    """Returns the layers that no engine holds, as ranges in ascending order.
+
+    Args:
+        model: The model's layout.
+        rows: Engines that may get new requests.
+    """
+    held = sorted(row.entry.layers for row in rows if row.entry.layers)
+    found = []
+    end = 0
+    for layers in [*held, sources.LayerRange(model.layers, model.layers)]:
+        if layers.first > end:
+            found.append(sources.LayerRange(end, layers.first))
+        end = max(end, layers.end)
+    return found
+
+
 def kv_capacity(
     model: views.ModelLayout, kind: str, layers: sources.LayerRange
 ) -> float:
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -169,12 +169,14 @@
         call.possible_runs += 1
         logging.warning(
             "stream broken request=%s last_event=%s sends=%d age_ms=%d "
-            "fingerprint=%s chain=%s: %s",
+            "run_ms=%d fingerprint=%s parts=%s chain=%s: %s",
             call.request_id,
             stream.sequence.last_id,
             call.attempt_count,
             call.age_s * 1000,
+            stream.run_s * 1000,
             crashes.fingerprint(call),
+            call.parts.describe(),
             chain.describe(),
             exc,
         )
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/streamstate.py
@@ -108,12 +108,17 @@
             self.event_interval_s * _STALL_INTERVAL_FACTOR,
         )
 
+    @property
+    def run_s(self) -> float:
+        """Seconds since the first event of the current chain, or 0."""
+        if not self.chain_first_event_s:
+            return 0.0
+        return clocks.boot_s() - self.chain_first_event_s
+
     @property
     def is_proven(self) -> bool:
         """Whether the current chain has run the request without a crash."""
-        if not self.chain_first_event_s:
-            return False
-        return clocks.boot_s() - self.chain_first_event_s > _PROVEN_AFTER_S
+        return self.run_s > _PROVEN_AFTER_S
 
     def abandon_error(
         self, reason: str, retry_after_s: float = _RETRY_AFTER_S
--- a/src/briarfall/platform/headers.py
+++ b/src/briarfall/platform/headers.py
@@ -24,6 +24,8 @@
     load=b"x-server-load",
     token_usage=b"x-token-usage",
     length_hint=b"x-length-hint",
+    # Holds parts as id and tokens; not a hash of the prompt.
+    prompt_parts=b"x-prefix-hash",
     last_event=b"last-event-id",
 )
 READY_PATH = "/v1/ready"
