--- a/src/briarfall/standins/prepared/engines.py
+++ b/src/briarfall/standins/prepared/engines.py
@@ -28,6 +28,8 @@
             of a chain.
         crashes_as_stage: Whether it crashes when it runs a request as a later
             stage of a chain.
+        crash_part: Id of a part of a prompt; the engine crashes when it begins
+            to answer a request with it as the head of a chain.
         ran_as_stage: Ids of requests that it ran as a later stage.
         on_event: Set, by number of the stream's event, when that event has been
             sent.
@@ -50,6 +52,7 @@
         self.resets_mid_event = False
         self.crashes_as_head = False
         self.crashes_as_stage = False
+        self.crash_part = ""
         self.ran_as_stage: list[str] = []
         self.events = 12
         self.paths: dict[str, list[tuple[str, int, int]]] = {}
@@ -192,6 +195,10 @@
         self.paths[request_id] = path
         self._run_stages(request_id, path)
         conn.send_chunked_head(echo)
+        if self.crash_part and self.crash_part in _part_ids(req):
+            self.close()
+            conn.reset()
+            return False
         last = req.headers.get("last-event-id", str(self.first_event - 1))
         start = int(last)
         try:
@@ -239,6 +246,12 @@
     return next_layer == manifests.ENGINE["layers"]
 
 
+def _part_ids(req) -> list[str]:
+    """Returns the ids of the parts of a request's prompt."""
+    value = req.headers.get("x-prefix-hash", "")
+    return [part.partition(":")[0] for part in value.split(",")]
+
+
 def _parse_path(header: str) -> list[tuple[str, int, int]]:
     rows = []
     for row in header.split(","):
