Suspect parts of prompts of crashes, not whole requests only

Cause: the guard's key was the whole request, so each request with the poison part began at zero crashes; each was sent again and took one more of the few engines that hold the first layers, until none was left. Change: a crash is recorded against the shared parts of each prompt whose answer had not begun. A part on which a target wrote an answer in the last minute is not suspected, and a crash is blamed on the parts with most crashes, so bystanders fall out. After two crashes one request at a time is tried and the rest is told when to come back; after three the part is refused for 600 s, here, at other instances, and after a restart. Suspects that always came together are told apart by a request that has only one of them. A part that is seen to run is free again everywhere.

--- a/src/briarfall/exceptions.py
+++ b/src/briarfall/exceptions.py
@@ -181,6 +181,15 @@
     """The request would need a retry, and the retry budget is used up."""
 
 
+class HeldRequestError(OverloadError):
+    """Requests with a part of the prompt wait until one of them was tried.
+
+    The part was in flight when targets crashed, which may be chance.
+    """
+
+    code = "held_request"
+
+
 class DeadlineError(BriarfallError, TimeoutError):
     """The caller's deadline passed."""
 
--- a/src/briarfall/gateway/crashdetection.py
+++ b/src/briarfall/gateway/crashdetection.py
@@ -9,6 +9,7 @@
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
 from briarfall.gateway import crashes
+from briarfall.gateway import crashevidence
 from briarfall.gateway import liveness
 from briarfall.gateway import sources
 from briarfall.gateway import targets
@@ -24,11 +25,12 @@
     """An interrupted request whose target may or may not have ended.
 
     Attributes:
-        crash: The crash to record if the target has ended.
+        crashes: The crashes to record if the target has ended, one for each
+            suspect.
         cut_s: Time on the boot clock of the interruption.
     """
 
-    crash: crashes.Crash
+    crashes: list[crashevidence.Crash]
     cut_s: float
 
 
@@ -57,6 +59,8 @@
         target: ids.TargetId,
         started_ms: int,
         reachability: liveness.Reachability,
+        *,
+        has_begun: bool = False,
     ) -> None:
         """Records that a target interrupted a request.
 
@@ -66,17 +70,25 @@
             started_ms: Start, in Unix milliseconds, of the incarnation to which
                 the request was sent.
             reachability: Result of connecting to the target afterwards.
+            has_begun: Whether the answer was well under way, so that no part
+                of the prompt is suspected.
         """
-        crash = crashes.Crash(crashes.fingerprint(call), target, started_ms)
+        suspects = [crashes.fingerprint(call)]
+        if not has_begun:
+            suspects.extend(crashes.shared_parts(call))
+        found = [
+            crashevidence.Crash(suspect, target, started_ms)
+            for suspect in suspects
+        ]
         known = self._targets.get(target)
         has_ended = known is None or known.entry.started_ms != started_ms
         if has_ended or reachability is liveness.Reachability.REFUSED:
-            self._crashes.record(crash)
+            self._record(found)
             return
         if known.entry.state is sources.TargetState.DRAINING:
             return
         with self._lock:
-            self._pending.append(_PendingCase(crash, clocks.boot_s()))
+            self._pending.append(_PendingCase(found, clocks.boot_s()))
 
     def _resolve(self, ended: sources.TargetEntry) -> None:
         """Records the pending crashes of an incarnation that has ended."""
@@ -87,9 +99,13 @@
                 if case.cut_s < oldest_s:
                     self._pending.remove(case)
                     continue
-                incarnation = (case.crash.target, case.crash.started_ms)
+                crash = case.crashes[0]
+                incarnation = (crash.target, crash.started_ms)
                 if incarnation == (ended.id, ended.started_ms):
                     self._pending.remove(case)
-                    confirmed.append(case.crash)
-        for crash in confirmed:
+                    confirmed.extend(case.crashes)
+        self._record(confirmed)
+
+    def _record(self, found: list[crashevidence.Crash]) -> None:
+        for crash in found:
             self._crashes.record(crash)
--- a/src/briarfall/gateway/crashes.py
+++ b/src/briarfall/gateway/crashes.py
@@ -1,21 +1,30 @@
-"""Detects poison requests, which crash the targets that run them."""
+"""Detects requests and parts of prompts that crash the targets that run them.
+
+Requests that share a part of their prompt may differ in everything else, so
+that each of them would be new to a guard that knows whole requests only.
+"""
 
 import collections
 import collections.abc
+import random
 import threading
 
 from absl import logging
 import msgspec
 import xxhash
 
-from briarfall import ids
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
+from briarfall.gateway import crashevidence
+from briarfall.gateway import partholds
+from briarfall.gateway import provenparts
 
 # Number of crashed targets from which a request counts as poison. A harmless
 # request that shares targets with a poison request is involved in one or two
 # crashes.
 _MAX_CRASHES = 3
+# Number of crashes from which requests with a part of prompts are held back.
+_HOLD_CRASHES = 2
 # Time for which a poison request is refused. An arrival in the second half of
 # this time renews it.
 POISON_S = 600.0
@@ -26,83 +35,139 @@
 _MAX_CRASH_ROWS = 5000
 
 
-class Crash(msgspec.Struct, array_like=True, frozen=True):
-    """A target that crashed while it ran a request.
-
-    Attributes:
-        fingerprint: Hash of the request.
-        target: The target.
-        started_ms: Start of the target's incarnation in Unix milliseconds.
-    """
-
-    fingerprint: str
-    target: ids.TargetId
-    started_ms: int
-
-
 class PoisonRow(msgspec.Struct, array_like=True, frozen=True):
-    """A request that must not be sent to targets.
+    """A suspect that must not be sent to targets.
 
     Attributes:
-        fingerprint: Hash of the request.
+        suspect: Fingerprint of the request, or key of a part of prompts.
         left_ms: Milliseconds for which it is still refused.
     """
 
-    fingerprint: str
+    suspect: crashevidence.SuspectKey
     left_ms: int
 
 
-def fingerprint(call: calls.Call) -> str:
+def fingerprint(call: calls.Call) -> crashevidence.SuspectKey:
     """Returns a hash of a request that stays the same over its retries."""
     account = call.account.name if call.account is not None else ""
     digest = xxhash.xxh64(account.encode())
     for part in (call.req.method, call.req.request_target, call.req.body):
         digest.update(b"\0" + part)
-    return digest.hexdigest()
+    return crashevidence.SuspectKey(digest.hexdigest())
+
+
+def shared_parts(call: calls.Call) -> list[crashevidence.SuspectKey]:
+    """Returns the keys of the parts that other prompts may have too."""
+    return [crashevidence.part_key(part) for part in call.parts.shared]
 
 
 PoisonListener = collections.abc.Callable[[PoisonRow], None]
+ChangeListener = collections.abc.Callable[[], None]
 
 
 class CrashTable:
-    """Crashes by request, seen by this instance and by others."""
+    """Crashes by suspect, seen by this instance and by others.
+
+    Args:
+        rng: Spreads the ends of holds over the instances.
+    """
 
-    def __init__(self):
+    def __init__(self, rng: random.Random | None = None):
         self._lock = threading.Lock()
-        # Time on the boot clock of each crash, by fingerprint of its request.
-        self._crashes: dict[str, dict[Crash, float]] = {}
-        self._by_time: collections.deque[tuple[float, Crash]] = (
-            collections.deque()
-        )
-        self._own_crashes: collections.deque[tuple[float, Crash]] = (
+        self._evidence = crashevidence.CrashEvidence()
+        self._proven = provenparts.ProvenParts()
+        self._holds = partholds.PartHolds(rng or random.Random())
+        self._by_time: collections.deque[tuple[float, crashevidence.Crash]] = (
             collections.deque()
         )
-        # Time on the boot clock until which each poison request is refused.
-        self._poison_until_s: dict[str, float] = {}
-        self._survived_s: dict[str, float] = {}
+        self._own_crashes: collections.deque[
+            tuple[float, crashevidence.Crash]
+        ] = collections.deque()
+        # Time on the boot clock until which each poison suspect is refused.
+        self._poison_until_s: dict[crashevidence.SuspectKey, float] = {}
+        self._survived_s: dict[crashevidence.SuspectKey, float] = {}
         self._origins: collections.Counter[str] = collections.Counter()
         self._listeners: list[PoisonListener] = []
+        self._change_listeners: list[ChangeListener] = []
 
     def add_listener(self, listener: PoisonListener) -> None:
-        """Registers a listener for poison requests to report to others."""
+        """Registers a listener for poison suspects to store.
+
+        It gets each one that is new or renewed, and with no time left each one
+        that is no longer poison.
+        """
         self._listeners.append(listener)
 
+    def add_change_listener(self, listener: ChangeListener) -> None:
+        """Calls `listener` when others should learn of a change at once."""
+        self._change_listeners.append(listener)
+
     def origins(self) -> dict[str, int]:
         """Returns the number of crashes so far by origin: `own` or `peer`."""
         with self._lock:
             return dict(self._origins)
 
-    def count(self, request_fingerprint: str) -> int:
-        """Returns how many targets a request is known to have crashed."""
+    def count(self, suspect: crashevidence.SuspectKey) -> int:
+        """Returns how many crashes a suspect is known to be involved in."""
         with self._lock:
-            return len(self._crashes.get(request_fingerprint, ()))
+            return self._evidence.count(suspect)
 
-    def is_poison(self, request_fingerprint: str) -> bool:
-        """Whether a request has crashed too many targets."""
+    def is_poison(self, suspect: crashevidence.SuspectKey) -> bool:
+        """Whether a suspect has crashed too many targets."""
         with self._lock:
-            until_s = self._poison_until_s.get(request_fingerprint, 0.0)
+            until_s = self._poison_until_s.get(suspect, 0.0)
         return until_s > clocks.boot_s()
 
+    def is_suspected(self, part: crashevidence.SuspectKey) -> bool:
+        """Whether requests with a part may run only as trials."""
+        if part not in self._holds:
+            return False
+        with self._lock:
+            return self._evidence.blamed_count(part) >= _HOLD_CRASHES
+
+    def tells_apart(
+        self,
+        part: crashevidence.SuspectKey,
+        parts: list[crashevidence.SuspectKey],
+    ) -> bool:
+        """Whether a request would tell a part from another suspect.
+
+        It would if the crashes of the part may as well have been caused by a
+        part that the request lacks.
+
+        Args:
+            part: A part of the request's prompt.
+            parts: All shared parts of the request's prompt.
+        """
+        with self._lock:
+            return not self._evidence.twins(part).issubset(parts)
+
+    def held_s(
+        self, part: crashevidence.SuspectKey, *, tells_apart: bool = False
+    ) -> float:
+        """Returns the seconds for which requests with a part must wait.
+
+        A request that tells the part from another suspect waits only for the
+        end of another trial.
+        """
+        if not self.is_suspected(part):
+            return 0.0
+        now_s = clocks.boot_s()
+        with self._lock:
+            if tells_apart:
+                return self._holds.trial_left_s(part, now_s)
+            return self._holds.left_s(part, now_s)
+
+    def start_trial(self, part: crashevidence.SuspectKey) -> None:
+        """Records that one request with a suspected part runs as a trial."""
+        with self._lock:
+            self._holds.start_trial(part, clocks.boot_s())
+        logging.warning(
+            "trial of a suspected part, others are held back fingerprint=%s",
+            part,
+        )
+        self._notify_changed()
+
     @property
     def has_poison(self) -> bool:
         """Whether any request may have to be refused."""
@@ -111,106 +176,159 @@
     @property
     def has_crashes(self) -> bool:
         """Whether any crash is retained."""
-        return bool(self._crashes)
+        return not self._evidence.is_empty
 
     @property
     def poison_count(self) -> int:
-        """Number of poison requests."""
+        """Number of poison suspects."""
         return len(self._poison_until_s)
 
-    def record(self, crash: Crash) -> None:
-        """Records a crash that this instance saw."""
+    @property
+    def held_count(self) -> int:
+        """Number of parts whose requests are held back."""
+        return len(self._holds)
+
+    def record(self, crash: crashevidence.Crash) -> None:
+        """Records a crash that this instance saw.
+
+        A part that was proven recently is not suspected.
+        """
         now_s = clocks.boot_s()
         with self._lock:
+            if self._proven.has(crash.suspect, now_s):
+                return
             self._forget_expired(now_s)
             self._origins["own"] += 1
             self._own_crashes.append((now_s, crash))
             is_poison = self._add(crash, now_s)
         logging.warning(
-            "target crashed target=%s lifetime=%d fingerprint=%s crashes=%d",
+            "target crashed target=%s lifetime=%d fingerprint=%s crashes=%d "
+            "held=%s",
             crash.target,
             crash.started_ms,
-            crash.fingerprint,
-            self.count(crash.fingerprint),
+            crash.suspect,
+            self.count(crash.suspect),
+            self.is_suspected(crash.suspect),
         )
         if is_poison:
-            self._report_poison(crash.fingerprint, now_s)
+            self._report_poison(crash.suspect, now_s)
+        self._notify_changed()
 
-    def merge_crashes(self, reported: list[Crash]) -> None:
+    def merge_crashes(self, reported: list[crashevidence.Crash]) -> None:
         """Merges crashes that another instance saw."""
         now_s = clocks.boot_s()
         for crash in reported:
             with self._lock:
-                if crash in self._crashes.get(crash.fingerprint, ()):
+                if self._evidence.has(crash):
+                    continue
+                if self._proven.has(crash.suspect, now_s):
+                    self._survived_s[crash.suspect] = now_s
                     continue
                 self._forget_expired(now_s)
                 self._origins["peer"] += 1
                 is_poison = self._add(crash, now_s)
                 has_own_crash = any(
-                    own_crash.fingerprint == crash.fingerprint
+                    own_crash.suspect == crash.suspect
                     for _, own_crash in self._own_crashes
                 )
             logging.info(
                 "crash told by a peer target=%s fingerprint=%s crashes=%d",
                 crash.target,
-                crash.fingerprint,
-                self.count(crash.fingerprint),
+                crash.suspect,
+                self.count(crash.suspect),
             )
             if is_poison and has_own_crash:
-                self._report_poison(crash.fingerprint, now_s)
+                self._report_poison(crash.suspect, now_s)
 
     def merge_poison(self, reported: list[PoisonRow]) -> None:
-        """Merges poison requests that other instances or the store report."""
+        """Merges poison suspects that other instances or the store report."""
         now_s = clocks.boot_s()
         for row in reported:
             left_s = min(POISON_S, row.left_ms / 1000)
             if left_s <= 0:
                 continue
             with self._lock:
-                known_s = self._poison_until_s.get(row.fingerprint, 0.0)
-                self._poison_until_s[row.fingerprint] = max(
-                    known_s, now_s + left_s
-                )
+                if self._proven.has(row.suspect, now_s):
+                    continue
+                known_s = self._poison_until_s.get(row.suspect, 0.0)
+                self._poison_until_s[row.suspect] = max(known_s, now_s + left_s)
             if known_s <= now_s:
                 logging.warning(
                     "poison request reported by others fingerprint=%s for_s=%d",
-                    row.fingerprint,
+                    row.suspect,
                     left_s,
                 )
 
-    def renew_poison(self, request_fingerprint: str) -> None:
-        """Renews a poison request that has arrived again.
+    def merge_holds(self, reported: list[partholds.HoldRow]) -> None:
+        """Merges parts that are on trial at another instance."""
+        with self._lock:
+            self._holds.merge(reported, clocks.boot_s())
+
+    def renew_poison(self, suspect: crashevidence.SuspectKey) -> None:
+        """Renews a poison suspect that has arrived again.
 
         An arrival in the first half of `POISON_S` changes nothing.
         """
         now_s = clocks.boot_s()
         with self._lock:
-            left_s = self._poison_until_s.get(request_fingerprint, 0.0) - now_s
+            left_s = self._poison_until_s.get(suspect, 0.0) - now_s
             if not 0 < left_s < POISON_S / 2:
                 return
-            self._poison_until_s[request_fingerprint] = now_s + POISON_S
-        self._report_poison(request_fingerprint, now_s)
+            self._poison_until_s[suspect] = now_s + POISON_S
+        self._report_poison(suspect, now_s)
 
-    def record_survived(self, request_fingerprint: str) -> None:
+    def record_survived(self, request: crashevidence.SuspectKey) -> None:
         """Forgets the crashes of a request that now ran without a crash."""
-        if request_fingerprint not in self._crashes:
+        if request not in self._evidence:
             return
         now_s = clocks.boot_s()
         with self._lock:
-            self._crashes.pop(request_fingerprint, None)
-            self._survived_s[request_fingerprint] = now_s
+            self._evidence.clear(request)
+            self._survived_s[request] = now_s
         logging.info(
             "request ran without a crash, older ones forgotten fingerprint=%s",
-            request_fingerprint,
+            request,
+        )
+
+    def record_proven(self, part: crashevidence.SuspectKey) -> None:
+        """Records that a target wrote an answer on a part of prompts.
+
+        The part is no longer suspected, nor poison, here and at others.
+        """
+        now_s = clocks.boot_s()
+        with self._lock:
+            self._proven.record(part, now_s)
+            was_poison = self._poison_until_s.pop(part, None) is not None
+            if not was_poison and part not in self._evidence:
+                return
+            self._clear_part(part)
+            self._survived_s[part] = now_s
+        logging.info(
+            "part of prompts ran without a crash, older ones forgotten "
+            "fingerprint=%s was_poison=%s",
+            part,
+            was_poison,
         )
+        if was_poison:
+            for listener in self._listeners:
+                listener(PoisonRow(part, 0))
+        self._notify_changed()
 
-    def merge_survived(self, fingerprints: list[str]) -> None:
-        """Forgets the crashes of requests that others ran without a crash."""
+    def merge_survived(self, suspects: list[crashevidence.SuspectKey]) -> None:
+        """Forgets the crashes of suspects that ran elsewhere without one."""
+        now_s = clocks.boot_s()
         with self._lock:
-            for request_fingerprint in fingerprints:
-                self._crashes.pop(request_fingerprint, None)
+            for suspect in suspects:
+                if not crashevidence.is_part(suspect):
+                    self._evidence.clear(suspect)
+                    continue
+                self._proven.record(suspect, now_s)
+                self._poison_until_s.pop(suspect, None)
+                self._clear_part(suspect)
 
-    def crashes_to_report(self, interval_s: float = 0.0) -> list[Crash]:
+    def crashes_to_report(
+        self, interval_s: float = 0.0
+    ) -> list[crashevidence.Crash]:
         """Returns recent crashes that this instance saw, to report to others.
 
         Args:
@@ -221,30 +339,43 @@
         with self._lock:
             fresh = []
             for seen_s, crash in self._own_crashes:
-                seen_by_crash = self._crashes.get(crash.fingerprint, ())
-                if seen_s > oldest_s and crash in seen_by_crash:
-                    fresh.append((len(seen_by_crash), seen_s, crash))
-        # Crashes of requests closest to poison come first, then the newest.
+                if seen_s > oldest_s and self._evidence.has(crash):
+                    count = self._evidence.count(crash.suspect)
+                    fresh.append((count, seen_s, crash))
+        # Crashes of suspects closest to poison come first, then the newest.
         fresh.sort(key=lambda row: row[:2], reverse=True)
         return [crash for _, _, crash in fresh[:_MAX_REPORTED]]
 
     def poison_to_report(self) -> list[PoisonRow]:
-        """Returns the poison requests to report to other instances."""
+        """Returns the poison suspects to report to other instances."""
         now_s = clocks.boot_s()
         rows = []
         with self._lock:
-            for request_fingerprint, until_s in self._poison_until_s.items():
+            for suspect, until_s in self._poison_until_s.items():
                 if until_s > now_s:
-                    rows.append(
-                        PoisonRow(
-                            request_fingerprint, int((until_s - now_s) * 1000)
-                        )
-                    )
+                    left_ms = int((until_s - now_s) * 1000)
+                    rows.append(PoisonRow(suspect, left_ms))
         rows.sort(key=lambda row: row.left_ms, reverse=True)
         return rows[:_MAX_REPORTED]
 
-    def survived_to_report(self, interval_s: float = 0.0) -> list[str]:
-        """Returns fingerprints of requests that ran without a crash again.
+    def holds_to_report(
+        self, interval_s: float = 0.0
+    ) -> list[partholds.HoldRow]:
+        """Returns parts on trial at this instance, to report to others.
+
+        Args:
+            interval_s: Longest interval at which any other instance gets a
+                status of this one.
+        """
+        with self._lock:
+            return self._holds.to_report(
+                clocks.boot_s(), max(_REPORT_S, interval_s * 3)
+            )
+
+    def survived_to_report(
+        self, interval_s: float = 0.0
+    ) -> list[crashevidence.SuspectKey]:
+        """Returns suspects that ran without a crash again.
 
         Args:
             interval_s: Longest interval at which any other instance gets a
@@ -252,34 +383,45 @@
         """
         oldest_s = clocks.boot_s() - max(_REPORT_S, interval_s * 3)
         with self._lock:
-            for request_fingerprint, seen_s in list(self._survived_s.items()):
+            for suspect, seen_s in list(self._survived_s.items()):
                 if seen_s <= oldest_s:
-                    del self._survived_s[request_fingerprint]
+                    del self._survived_s[suspect]
             return list(self._survived_s)[-_MAX_REPORTED:]
 
-    def _add(self, crash: Crash, now_s: float) -> bool:
-        """Adds a crash; returns whether its request is newly poison."""
-        seen_by_crash = self._crashes.setdefault(crash.fingerprint, {})
-        if crash in seen_by_crash:
+    def _add(self, crash: crashevidence.Crash, now_s: float) -> bool:
+        """Adds a crash; returns whether its suspect is newly poison."""
+        if not self._evidence.add(crash, now_s):
             return False
-        seen_by_crash[crash] = now_s
         self._by_time.append((now_s, crash))
-        if len(seen_by_crash) < _MAX_CRASHES:
+        blamed = self._evidence.blamed_count(crash.suspect)
+        if blamed >= _HOLD_CRASHES and crashevidence.is_part(crash.suspect):
+            self._holds.start(crash.suspect, now_s)
+        if blamed < _MAX_CRASHES:
             return False
-        is_new = crash.fingerprint not in self._poison_until_s
-        self._poison_until_s[crash.fingerprint] = now_s + POISON_S
+        is_new = crash.suspect not in self._poison_until_s
+        self._poison_until_s[crash.suspect] = now_s + POISON_S
         return is_new
 
-    def _report_poison(self, request_fingerprint: str, now_s: float) -> None:
-        left_s = self._poison_until_s[request_fingerprint] - now_s
-        row = PoisonRow(request_fingerprint, int(left_s * 1000))
+    def _clear_part(self, part: crashevidence.SuspectKey) -> None:
+        self._evidence.clear(part)
+        self._holds.end(part)
+
+    def _report_poison(
+        self, suspect: crashevidence.SuspectKey, now_s: float
+    ) -> None:
+        left_s = self._poison_until_s[suspect] - now_s
         logging.warning(
             "poison request fingerprint=%s crashes=%d",
-            request_fingerprint,
-            self.count(request_fingerprint),
+            suspect,
+            self.count(suspect),
         )
         for listener in self._listeners:
-            listener(row)
+            listener(PoisonRow(suspect, int(left_s * 1000)))
+        self._notify_changed()
+
+    def _notify_changed(self) -> None:
+        for listener in self._change_listeners:
+            listener()
 
     def _forget_expired(self, now_s: float) -> None:
         oldest_s = now_s - _RETENTION_S
@@ -288,13 +430,11 @@
             if seen_s >= oldest_s and len(self._by_time) <= _MAX_CRASH_ROWS:
                 break
             self._by_time.popleft()
-            seen_by_crash = self._crashes.get(crash.fingerprint, {})
-            if seen_by_crash.get(crash) == seen_s:
-                del seen_by_crash[crash]
-            if not seen_by_crash:
-                self._crashes.pop(crash.fingerprint, None)
+            self._evidence.remove(crash, seen_s)
+            if crash.suspect not in self._evidence:
+                self._holds.end(crash.suspect)
         while self._own_crashes and self._own_crashes[0][0] < oldest_s:
             self._own_crashes.popleft()
-        for request_fingerprint, until_s in list(self._poison_until_s.items()):
+        for suspect, until_s in list(self._poison_until_s.items()):
             if until_s <= now_s:
-                del self._poison_until_s[request_fingerprint]
+                del self._poison_until_s[suspect]
--- a/src/briarfall/gateway/dispatchgate.py
+++ b/src/briarfall/gateway/dispatchgate.py
@@ -4,6 +4,7 @@
 from briarfall.gateway import budgets
 from briarfall.gateway import calls
 from briarfall.gateway import crashes
+from briarfall.gateway import crashevidence
 from briarfall.gateway import targetbackoff
 from briarfall.gateway import targetstate
 
@@ -35,27 +36,66 @@
         self._crashes = crash_table
 
     def check(self, call: calls.Call) -> None:
-        """Raises if a request is a poison request, which no target may run.
+        """Raises if no target may run a request.
 
         Raises:
-            PoisonError: The request has crashed too many targets.
+            PoisonError: The request, or a part of its prompt, has crashed too
+                many targets.
         """
         if not self._crashes.has_poison:
             return
-        request = crashes.fingerprint(call)
-        if not self._crashes.is_poison(request):
-            return
-        self._crashes.renew_poison(request)
-        count = self._crashes.count(request)
-        raise exceptions.PoisonError(
-            "the request has crashed the targets that ran it: "
-            f"fingerprint={request} crashes={count}"
-        )
+        parts = crashes.shared_parts(call)
+        for suspect in [crashes.fingerprint(call), *parts]:
+            if not self._crashes.is_poison(suspect):
+                continue
+            is_part = crashevidence.is_part(suspect)
+            if is_part and self._crashes.tells_apart(suspect, parts):
+                continue
+            self._crashes.renew_poison(suspect)
+            count = self._crashes.count(suspect)
+            raise exceptions.PoisonError(
+                "the request has crashed the targets that ran it: "
+                f"fingerprint={suspect} crashes={count}"
+            )
 
     def record_survived(self, call: calls.Call) -> None:
         """Records that a target completed a request without a crash."""
         if self._crashes.has_crashes:
             self._crashes.record_survived(crashes.fingerprint(call))
+        self.record_proven(call)
+
+    def record_proven(self, call: calls.Call) -> None:
+        """Records that a target wrote an answer on the request's prompt."""
+        for part in crashes.shared_parts(call):
+            self._crashes.record_proven(part)
+
+    def _suspected_parts(
+        self, call: calls.Call
+    ) -> list[crashevidence.SuspectKey]:
+        """Returns the parts for which the request would be a trial.
+
+        Raises:
+            HeldRequestError: Requests with one of the parts are held back.
+        """
+        if not self._crashes.has_crashes:
+            return []
+        suspected = []
+        parts = crashes.shared_parts(call)
+        for part in parts:
+            if not self._crashes.is_suspected(part):
+                continue
+            held_s = self._crashes.held_s(
+                part, tells_apart=self._crashes.tells_apart(part, parts)
+            )
+            if held_s:
+                raise exceptions.HeldRequestError(
+                    "a part of the prompt is suspected of crashing targets: "
+                    f"fingerprint={part} for_s={held_s:.1f}",
+                    outcome=call.outcome,
+                    retry_after_s=held_s,
+                )
+            suspected.append(part)
+        return suspected
 
     def start_attempt(
         self, call: calls.Call, target: targetstate.Target
@@ -63,17 +103,22 @@
         """Checks that a request may be sent to a target; counts the attempt.
 
         Raises:
-            PoisonError: The request has crashed too many targets.
+            PoisonError: The request, or a part of its prompt, has crashed too
+                many targets.
+            HeldRequestError: Requests with a part of its prompt are held back.
             TargetAvoidedError: The target drains or is in backoff.
             RetryBudgetError: The attempt is a retry, and the retry budget is
                 used up.
         """
         self.check(call)
+        suspected = self._suspected_parts(call)
         if not target.accepts_requests or target.is_in_backoff:
             raise TargetAvoidedError(f"{target.id}: takes no requests")
         if call.attempt_count and not self._budget.take_retry():
             raise exceptions.RetryBudgetError(
                 "the retry budget is used up", outcome=call.outcome
             )
+        for part in suspected:
+            self._crashes.start_trial(part)
         targetbackoff.clear_backoff(target)
         call.attempt_count += 1
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -333,6 +333,7 @@
             ),
             survived=self._crashes.survived_to_report(longest_s),
             link_mbps=round(self._link.demand_mbps, 1),
+            holds=self._crashes.holds_to_report(longest_s),
         )
 
     def _send(self, message, address: tuple[str, int]) -> None:
@@ -411,6 +412,7 @@
         self._crashes.merge_survived(status.survived)
         self._crashes.merge_crashes(status.crashes)
         self._crashes.merge_poison(status.poison)
+        self._crashes.merge_holds(status.holds)
         self._targets.merge_draining(status.draining_targets)
         for row in status.suspicions:
             self._targets.merge_suspicion(
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -130,7 +130,7 @@
         self._poison_persister = poisonpersistence.PoisonPersister(
             platform.poison, self.crashes
         )
-        self.crashes.add_listener(lambda row: self.gossip.send_status_now())
+        self.crashes.add_change_listener(self.gossip.send_status_now)
         self.target_follower = targetfollower.TargetFollower(
             platform.targets,
             self.targets,
@@ -366,9 +366,14 @@
                 lambda: float(self.lease.is_held),
             ),
             "poison_requests": (
-                "Requests that are refused because they crash targets.",
+                "Requests and parts of prompts that are refused because they "
+                "crash targets.",
                 lambda: self.crashes.poison_count,
             ),
+            "held_parts": (
+                "Parts of prompts that are suspected of crashing targets.",
+                lambda: self.crashes.held_count,
+            ),
             "link_demand_mbps": (
                 "Demand of this instance's requests on the inter-zone link.",
                 lambda: self.link.demand_mbps,
--- a/src/briarfall/gateway/peermessages.py
+++ b/src/briarfall/gateway/peermessages.py
@@ -7,7 +7,9 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import crashes
+from briarfall.gateway import crashevidence
 from briarfall.gateway import incarnations
+from briarfall.gateway import partholds
 from briarfall.gateway import sources
 
 
@@ -59,11 +61,11 @@
         lease_left_ms: Milliseconds for which the sender still holds the
             lease, or 0.
         cores: Processor cores that the sender may use.
-        poison: Poison requests, which must not be sent to targets.
-        survived: Fingerprints of requests that ran without a crash after
-            earlier crashes.
+        poison: Poison suspects, which must not be sent to targets.
+        survived: Suspects that ran without a crash after earlier crashes.
         draining_targets: Incarnations of targets that are draining.
         link_mbps: Demand of the sender's requests on the inter-zone link.
+        holds: Parts of prompts that the sender tries with one request.
     """
 
     sender: ids.InstanceId
@@ -74,14 +76,15 @@
     reaches_store: bool
     loads: list[LoadRow]
     suspicions: list[Suspicion]
-    crashes: list[crashes.Crash]
+    crashes: list[crashevidence.Crash]
     lease_fence: int = 0
     lease_left_ms: int = 0
     cores: float = 1.0
     poison: list[crashes.PoisonRow] = []
-    survived: list[str] = []
+    survived: list[crashevidence.SuspectKey] = []
     draining_targets: list[incarnations.Incarnation] = []
     link_mbps: float = 0.0
+    holds: list[partholds.HoldRow] = []
 
 
 class FreshnessRequest(
--- a/src/briarfall/gateway/poisonpersistence.py
+++ b/src/briarfall/gateway/poisonpersistence.py
@@ -55,14 +55,14 @@
 
     def _enqueue(self, row: crashes.PoisonRow) -> None:
         record = sources.PoisonRecord(
-            row.fingerprint, time.time() + row.left_ms / 1000
+            row.suspect, time.time() + row.left_ms / 1000
         )
         try:
             self._pending.put_nowait(record)
         except queue.Full:
             logging.warning(
                 "poison record dropped, queue is full fingerprint=%s",
-                row.fingerprint,
+                row.suspect,
             )
 
     def _load(self) -> None:
@@ -83,9 +83,17 @@
             record = self._pending.get(timeout=_QUEUE_TIMEOUT_S)
         except queue.Empty:
             return
+        is_lifted = record.until_s <= time.time()
         try:
-            self._source.publish(record, _TIMEOUT_S)
+            if is_lifted:
+                self._source.retract(record.fingerprint, _TIMEOUT_S)
+            else:
+                self._source.publish(record, _TIMEOUT_S)
         except exceptions.BriarfallError:
             self._pending.put(record)
             raise
-        logging.info("poison request stored fingerprint=%s", record.fingerprint)
+        logging.info(
+            "poison request %s fingerprint=%s",
+            "removed from the store" if is_lifted else "stored",
+            record.fingerprint,
+        )
--- a/src/briarfall/gateway/rerouting.py
+++ b/src/briarfall/gateway/rerouting.py
@@ -148,7 +148,11 @@
     ) -> None:
         if not stream.is_proven:
             self._detector.record_interruption(
-                stream.call, failed.target, failed.started_ms, reachability
+                stream.call,
+                failed.target,
+                failed.started_ms,
+                reachability,
+                has_begun=stream.has_begun,
             )
 
     def _find_failed_stages(
--- a/src/briarfall/gateway/streamfailures.py
+++ b/src/briarfall/gateway/streamfailures.py
@@ -129,7 +129,11 @@
         reachability = liveness.probe_target(head.address)
         if not stream.is_proven:
             self._detector.record_interruption(
-                stream.call, head.target, head.started_ms, reachability
+                stream.call,
+                head.target,
+                head.started_ms,
+                reachability,
+                has_begun=stream.has_begun,
             )
         if reachability is liveness.Reachability.REFUSED:
             stream.heads.discard(head.target)
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/streamstate.py
@@ -22,6 +22,9 @@
 # A request that has produced events on a chain for this long does not crash the
 # engines of the chain.
 _PROVEN_AFTER_S = 1.0
+# An engine that crashes when it begins to write an answer has done so within
+# this time after the first event.
+_BEGUN_AFTER_S = 0.1
 _RETRY_AFTER_S = 0.5
 # Time for which new chains avoid an engine that was short of memory.
 OUT_OF_MEMORY_BLOCK_S = 0.15
@@ -43,6 +46,8 @@
             current chain, or 0.
         excluded: Engines that failed this stream.
         heads: Engines that ran it as the head of a chain and may still live.
+        has_recorded_proof: Whether the parts of its prompt are recorded as
+            proven.
         link_admitted: Whether it was admitted to the inter-zone link; None
             if admission was not requested yet.
         refusals: Number of refusals of this stream by each engine.
@@ -61,6 +66,7 @@
     chain_first_event_s: float = 0.0
     excluded: set[ids.TargetId] = msgspec.field(default_factory=set)
     heads: set[ids.TargetId] = msgspec.field(default_factory=set)
+    has_recorded_proof: bool = False
     link_admitted: bool | None = None
     refusals: dict[ids.TargetId, int] = msgspec.field(default_factory=dict)
     avoided_until_s: dict[ids.TargetId, float] = msgspec.field(
@@ -120,6 +126,11 @@
         """Whether the current chain has run the request without a crash."""
         return self.run_s > _PROVEN_AFTER_S
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the answer of the current chain is well under way."""
+        return self.run_s > _BEGUN_AFTER_S
+
     def abandon_error(
         self, reason: str, retry_after_s: float = _RETRY_AFTER_S
     ) -> exceptions.BriarfallError:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -19,6 +19,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import connections
 from briarfall.gateway import crashes
+from briarfall.gateway import crashevidence
 from briarfall.gateway import events
 from briarfall.gateway import leasing
 from briarfall.gateway import liveness
@@ -992,7 +993,7 @@
                 True,
                 [peermessages.LoadRow("a", 1, 900)],
                 [peermessages.Suspicion("b", 3, 500)],
-                [crashes.Crash("ab", "b", 3)],
+                [crashevidence.Crash("ab", "b", 3)],
                 7,
                 1500,
             ),
@@ -1021,13 +1022,13 @@
         self, clock
     ):
         table = crashes.CrashTable()
-        table.record(crashes.Crash("f", "a", 1))
-        table.record(crashes.Crash("f", "a", 1))
+        table.record(crashevidence.Crash("f", "a", 1))
+        table.record(crashevidence.Crash("f", "a", 1))
         table.merge_crashes(
-            [crashes.Crash("f", "b", 1), crashes.Crash("g", "b", 1)]
+            [crashevidence.Crash("f", "b", 1), crashevidence.Crash("g", "b", 1)]
         )
         assert not table.is_poison("f")
-        table.merge_crashes([crashes.Crash("f", "a", 2)])
+        table.merge_crashes([crashevidence.Crash("f", "a", 2)])
         assert table.is_poison("f")
         assert not table.is_poison("g")
         clock.now_s += 599
@@ -1040,7 +1041,7 @@
         reported = []
         table.add_listener(reported.append)
         for name in "abc":
-            table.record(crashes.Crash("f", name, 1))
+            table.record(crashevidence.Crash("f", name, 1))
         clock.now_s += 400
         table.renew_poison("f")
         clock.now_s += 400
@@ -1050,14 +1051,14 @@
     def test_crashes_minutes_apart_are_counted_together(self, clock):
         table = crashes.CrashTable()
         for name in "abc":
-            table.record(crashes.Crash("f", name, 1))
+            table.record(crashevidence.Crash("f", name, 1))
             clock.now_s += 200
         assert table.is_poison("f")
 
     def test_poison_is_reported_as_long_as_it_is_refused(self, clock):
         table, late = crashes.CrashTable(), crashes.CrashTable()
         for name in "abc":
-            table.record(crashes.Crash("f", name, 1))
+            table.record(crashevidence.Crash("f", name, 1))
         clock.now_s += 300
         assert table.crashes_to_report() == []
         late.merge_poison(table.poison_to_report())
@@ -1072,11 +1073,11 @@
     def test_request_that_a_target_survives_is_not_poison(self, clock):
         table, peer = crashes.CrashTable(), crashes.CrashTable()
         for name in "ab":
-            table.record(crashes.Crash("f", name, 1))
+            table.record(crashevidence.Crash("f", name, 1))
             peer.merge_crashes(table.crashes_to_report())
         table.record_survived("f")
         peer.merge_survived(table.survived_to_report())
-        crash = crashes.Crash("f", "c", 1)
+        crash = crashevidence.Crash("f", "c", 1)
         table.record(crash)
         peer.merge_crashes([crash])
         assert not table.is_poison("f")
@@ -1084,33 +1085,35 @@
 
     def test_likely_poison_is_reported_before_many_others(self, clock):
         table = crashes.CrashTable()
-        table.merge_crashes([crashes.Crash("f", "a", 1)])
-        table.record(crashes.Crash("f", "b", 1))
+        table.merge_crashes([crashevidence.Crash("f", "a", 1)])
+        table.record(crashevidence.Crash("f", "b", 1))
         for number in range(200):
-            table.record(crashes.Crash(f"g{number}", "b", 1))
-        assert crashes.Crash("f", "b", 1) in table.crashes_to_report()
+            table.record(crashevidence.Crash(f"g{number}", "b", 1))
+        assert crashevidence.Crash("f", "b", 1) in table.crashes_to_report()
 
     def test_remote_instances_get_a_crash_in_three_statuses(self, clock):
         table = crashes.CrashTable()
-        table.record(crashes.Crash("f", "a", 1))
+        table.record(crashevidence.Crash("f", "a", 1))
         clock.now_s += 20
-        assert table.crashes_to_report(8.0) == [crashes.Crash("f", "a", 1)]
+        assert table.crashes_to_report(8.0) == [
+            crashevidence.Crash("f", "a", 1)
+        ]
 
     def test_crashes_reported_only_by_peers_expire_too(self, clock):
         table = crashes.CrashTable()
         for number in range(6000):
-            table.merge_crashes([crashes.Crash(f"f{number}", "a", 1)])
+            table.merge_crashes([crashevidence.Crash(f"f{number}", "a", 1)])
         assert table.count("f0") == 0
         assert table.count("f5999") == 1
         clock.now_s += 601
-        table.merge_crashes([crashes.Crash("g", "a", 1)])
+        table.merge_crashes([crashevidence.Crash("g", "a", 1)])
         assert table.count("f5999") == 0
 
     def test_only_own_fresh_crashes_are_reported(self, clock):
         table = crashes.CrashTable()
-        table.record(crashes.Crash("f", "a", 1))
-        table.merge_crashes([crashes.Crash("f", "b", 1)])
-        assert table.crashes_to_report() == [crashes.Crash("f", "a", 1)]
+        table.record(crashevidence.Crash("f", "a", 1))
+        table.merge_crashes([crashevidence.Crash("f", "b", 1)])
+        assert table.crashes_to_report() == [crashevidence.Crash("f", "a", 1)]
         clock.now_s += 4
         assert table.crashes_to_report() == []
 
--- a/tests/test_gateway_poisonpersistence.py
+++ b/tests/test_gateway_poisonpersistence.py
@@ -6,6 +6,7 @@
 
 from briarfall import exceptions
 from briarfall.gateway import crashes
+from briarfall.gateway import crashevidence
 from briarfall.gateway import poisonpersistence
 from briarfall.gateway import sources
 from briarfall.gateway import workers
@@ -68,7 +69,7 @@
         persister = poisonpersistence.PoisonPersister(source, table)
         source.is_down = True
         for name in "abc":
-            table.record(crashes.Crash("g", name, 1))
+            table.record(crashevidence.Crash("g", name, 1))
         persister.step()
         assert not table.is_poison("f")
         source.is_down = False
@@ -82,7 +83,7 @@
         persister = poisonpersistence.PoisonPersister(source, table)
         table.merge_poison([crashes.PoisonRow("f", 60_000)])
         for name in "abc":
-            table.merge_crashes([crashes.Crash("g", name, 1)])
+            table.merge_crashes([crashevidence.Crash("g", name, 1)])
         persister.step()
         assert table.is_poison("g")
         assert source.rows == {}
