Try a suspected part one request at a time from its first crash on

Cause: the third request was sent while the retry of the first one was still in prefill; one crash alone held nothing back. Change: the retry counts as the trial of its unproven parts, others with them wait for its outcome; a trial ends with the crash; a part is proven 0.1 s after the first event instead of 1 s, so that a trial of a sound part is short. Test: test_request_of_the_first_crash_is_tried_before_others.

--- a/src/briarfall/gateway/crashdetection.py
+++ b/src/briarfall/gateway/crashdetection.py
@@ -70,7 +70,7 @@
             started_ms: Start, in Unix milliseconds, of the incarnation to which
                 the request was sent.
             reachability: Result of connecting to the target afterwards.
-            has_begun: Whether the answer was well under way, so that no part
+            has_begun: Whether the answer was under way, so that no part
                 of the prompt is suspected.
         """
         suspects = [crashes.fingerprint(call)]
--- a/src/briarfall/gateway/crashes.py
+++ b/src/briarfall/gateway/crashes.py
@@ -23,7 +23,8 @@
 # request that shares targets with a poison request is involved in one or two
 # crashes.
 _MAX_CRASHES = 3
-# Number of crashes from which requests with a part of prompts are held back.
+# Number of crashes from which requests with a part of prompts are held back
+# before the next one is tried. The request of the first crash is tried at once.
 _HOLD_CRASHES = 2
 # Time for which a poison request is refused. An arrival in the second half of
 # this time renews it.
@@ -119,11 +120,11 @@
         return until_s > clocks.boot_s()
 
     def is_suspected(self, part: crashevidence.SuspectKey) -> bool:
-        """Whether requests with a part may run only as trials."""
-        if part not in self._holds:
+        """Whether requests with a part run one at a time, as trials."""
+        if part not in self._evidence:
             return False
         with self._lock:
-            return self._evidence.blamed_count(part) >= _HOLD_CRASHES
+            return self._evidence.blamed_count(part) > 0
 
     def tells_apart(
         self,
@@ -147,14 +148,15 @@
     ) -> float:
         """Returns the seconds for which requests with a part must wait.
 
-        A request that tells the part from another suspect waits only for the
-        end of another trial.
+        After a single crash, and if the request tells the part from another
+        suspect, it waits only for the end of another trial.
         """
-        if not self.is_suspected(part):
-            return 0.0
         now_s = clocks.boot_s()
         with self._lock:
-            if tells_apart:
+            blamed = self._evidence.blamed_count(part)
+            if not blamed:
+                return 0.0
+            if blamed < _HOLD_CRASHES or tells_apart:
                 return self._holds.trial_left_s(part, now_s)
             return self._holds.left_s(part, now_s)
 
@@ -262,7 +264,8 @@
     def merge_holds(self, reported: list[partholds.HoldRow]) -> None:
         """Merges parts that are on trial at another instance."""
         with self._lock:
-            self._holds.merge(reported, clocks.boot_s())
+            known = [row for row in reported if row.part in self._evidence]
+            self._holds.merge(known, clocks.boot_s())
 
     def renew_poison(self, suspect: crashevidence.SuspectKey) -> None:
         """Renews a poison suspect that has arrived again.
@@ -393,6 +396,7 @@
         if not self._evidence.add(crash, now_s):
             return False
         self._by_time.append((now_s, crash))
+        self._holds.end_trial(crash.suspect)
         blamed = self._evidence.blamed_count(crash.suspect)
         if blamed >= _HOLD_CRASHES and crashevidence.is_part(crash.suspect):
             self._holds.start(crash.suspect, now_s)
--- a/src/briarfall/gateway/dispatchgate.py
+++ b/src/briarfall/gateway/dispatchgate.py
@@ -8,6 +8,9 @@
 from briarfall.gateway import targetbackoff
 from briarfall.gateway import targetstate
 
+# A trial usually ends within a second, and the caller's next attempt can run.
+_MAX_RETRY_AFTER_S = 1.0
+
 
 class TargetAvoidedError(exceptions.TargetError):
     """The chosen target has stopped accepting requests in the meantime."""
@@ -92,7 +95,7 @@
                     "a part of the prompt is suspected of crashing targets: "
                     f"fingerprint={part} for_s={held_s:.1f}",
                     outcome=call.outcome,
-                    retry_after_s=held_s,
+                    retry_after_s=min(held_s, _MAX_RETRY_AFTER_S),
                 )
             suspected.append(part)
         return suspected
--- a/src/briarfall/gateway/partholds.py
+++ b/src/briarfall/gateway/partholds.py
@@ -40,9 +40,6 @@
         self._trial_until_s: dict[crashevidence.SuspectKey, float] = {}
         self._own_trials_s: dict[crashevidence.SuspectKey, float] = {}
 
-    def __contains__(self, part: crashevidence.SuspectKey) -> bool:
-        return part in self._until_s
-
     def __len__(self) -> int:
         return len(self._until_s)
 
@@ -67,14 +64,17 @@
         self._trial_until_s[part] = now_s + self._duration_s()
         self._own_trials_s[part] = now_s
 
+    def end_trial(self, part: crashevidence.SuspectKey) -> None:
+        """Records that the request that tried a part has crashed its target."""
+        self._trial_until_s.pop(part, None)
+        self._own_trials_s.pop(part, None)
+
     def _duration_s(self) -> float:
         return _HOLD_S * (1 + _SPREAD * self._rng.random())
 
     def merge(self, rows: list[HoldRow], now_s: float) -> None:
         """Merges parts that are on trial at another instance."""
         for row in rows:
-            if row.part not in self._until_s:
-                continue
             left_s = min(_HOLD_S * (1 + _SPREAD), row.left_ms / 1000)
             known_s = self._trial_until_s.get(row.part, 0.0)
             self._trial_until_s[row.part] = max(known_s, now_s + left_s)
@@ -96,5 +96,4 @@
     def end(self, part: crashevidence.SuspectKey) -> None:
         """Forgets a part that is proven, poison, or no longer suspected."""
         self._until_s.pop(part, None)
-        self._trial_until_s.pop(part, None)
-        self._own_trials_s.pop(part, None)
+        self.end_trial(part)
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -342,7 +342,7 @@
     ) -> None:
         now_s = clocks.boot_s()
         interval_s = stream.record_event(now_s)
-        if stream.is_proven and not stream.has_recorded_proof:
+        if stream.has_begun and not stream.has_recorded_proof:
             stream.has_recorded_proof = True
             self._gate.record_proven(stream.call)
         if (
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/streamstate.py
@@ -23,7 +23,7 @@
 # engines of the chain.
 _PROVEN_AFTER_S = 1.0
 # An engine that crashes when it begins to write an answer has done so within
-# this time after the first event.
+# this time after the first event; later the parts of the prompt are proven.
 _BEGUN_AFTER_S = 0.1
 _RETRY_AFTER_S = 0.5
 # Time for which new chains avoid an engine that was short of memory.
@@ -128,7 +128,7 @@
 
     @property
     def has_begun(self) -> bool:
-        """Whether the answer of the current chain is well under way."""
+        """Whether the answer of the current chain is under way."""
         return self.run_s > _BEGUN_AFTER_S
 
     def abandon_error(
--- a/tests/test_gateway_poisonparts.py
+++ b/tests/test_gateway_poisonparts.py
@@ -104,7 +104,7 @@
 
     def test_part_is_held_after_two_crashes_and_poison_after_three(self, clock):
         table = self.table("a")
-        assert not table.is_suspected(_PART)
+        assert table.held_s(_PART) == 0
         table.record(_crash(_PART, "b"))
         assert table.held_s(_PART) > 0
         assert not table.is_poison(_PART)
@@ -120,8 +120,17 @@
         assert table.held_s(_PART) > 0
         assert peer.held_s(_PART) > 0
 
+    def test_request_of_the_first_crash_is_tried_before_others(self, clock):
+        table, peer = self.table("a"), self.table("a")
+        table.start_trial(_PART)
+        peer.merge_holds(table.holds_to_report())
+        assert table.held_s(_PART) > 0
+        assert peer.held_s(_PART) > 0
+        clock.now_s += _AFTER_HOLD_S
+        assert table.held_s(_PART) == peer.held_s(_PART) == 0
+
     def test_report_of_an_unknown_part_holds_back_nothing(self, clock):
-        table, peer = self.table(), crashes.CrashTable()
+        table, peer = self.table("a"), crashes.CrashTable()
         table.start_trial(_PART)
         peer.merge_holds(table.holds_to_report())
         assert peer.held_s(_PART) == 0
