Streams without a length: a crash between two events is no complete answer

A stream that was cut between two events was passed on as complete, and a crash before the first event as an empty 200, which also cleared the poison part as proven. Change: such an answer is complete only if its target still runs in the same incarnation (one connection to it, only for such answers) or drains; a stream without any event is broken off. Only an answer with an event proves the parts of its prompt, and only a success clears a request.

--- a/src/briarfall/gateway/messages.py
+++ b/src/briarfall/gateway/messages.py
@@ -94,3 +94,11 @@
     def is_success(self) -> bool:
         """Whether the status is 2xx."""
         return 200 <= self.status < 300
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body has no length and ends with the connection."""
+        return (
+            self.header(b"content-length") is None
+            and self.header(b"transfer-encoding") is None
+        )
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -9,6 +9,7 @@
 from briarfall import ids
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
+from briarfall.gateway import closedanswers
 from briarfall.gateway import connections
 from briarfall.gateway import crashdetection
 from briarfall.gateway import crashes
@@ -219,9 +220,10 @@
             calls.raise_if_refused(
                 conn, head, self._names, target.id, call.deadline_s
             )
-            body = self._relay(call, conn, head)
+            body = self._relay(call, conn, head, entry)
             self._targets.record_success(target)
-            self._gate.record_survived(call)
+            if head.is_success:
+                self._gate.record_survived(call)
         finally:
             self._loads.release([target.id], 0)
             if target.is_draining:
@@ -251,6 +253,7 @@
         call: calls.Call,
         conn: targetconnection.TargetConnection,
         head: messages.ResponseHead,
+        entry: sources.TargetEntry,
     ) -> bytes | None:
         """Returns the body of a response; passes a long one on directly.
 
@@ -274,6 +277,10 @@
                 call.conn.send_head(head.status, headers)
                 call.conn.send_data(b"".join(chunks))
                 has_sent_head = True
+        if head.ends_with_connection and head.is_success:
+            closedanswers.check_complete(
+                self._targets, entry.id, entry.address, entry.started_ms
+            )
         if has_sent_head:
             call.conn.end()
             return None
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -9,6 +9,7 @@
 from briarfall.gateway import calls
 from briarfall.gateway import chainsearch
 from briarfall.gateway import clocks
+from briarfall.gateway import closedanswers
 from briarfall.gateway import connections
 from briarfall.gateway import crashdetection
 from briarfall.gateway import crashes
@@ -232,7 +233,8 @@
             else:
                 self._relay_error(stream, conn, response)
             self._targets.record_success(target)
-            self._gate.record_survived(call)
+            if stream.chain_first_event_s:
+                self._gate.record_survived(call)
         finally:
             self._loads.release(run.chain.target_ids(), stream.demand.tokens)
             if target.is_draining:
@@ -299,9 +301,29 @@
             raise targetconnection.BrokenExchangeError(
                 f"{run.conn.address}: ended inside an event", saw_response=True
             )
+        if response.ends_with_connection:
+            self._check_complete(stream, run)
         self._start_response(stream, response)
         call.conn.end()
 
+    def _check_complete(
+        self, stream: streamstate.Stream, run: streamstate.ChainRun
+    ) -> None:
+        """Checks that a stream without a length was not cut by a crash.
+
+        Raises:
+            BrokenExchangeError: It was, or it ended before its first event.
+        """
+        if stream.sequence.last_id is None and not stream.chain_first_event_s:
+            raise targetconnection.BrokenExchangeError(
+                f"{run.conn.address}: ended before the first event",
+                saw_response=True,
+            )
+        head = run.chain.head
+        closedanswers.check_complete(
+            self._targets, head.target, head.address, head.started_ms
+        )
+
     def _start_response(
         self, stream: streamstate.Stream, response: messages.ResponseHead
     ) -> None:
--- a/src/briarfall/standins/prepared/engines.py
+++ b/src/briarfall/standins/prepared/engines.py
@@ -30,6 +30,10 @@
             stage of a chain.
         crash_part: Id of a part of a prompt; the engine crashes when it begins
             to answer a request with it as the head of a chain.
+        crash_after_event: Number of the event after which the head crashes, or
+            0.
+        answers_without_length: Whether its streams have neither a length nor
+            chunks and end with their connections, also when it crashes.
         ran_as_stage: Ids of requests that it ran as a later stage.
         on_event: Set, by number of the stream's event, when that event has been
             sent.
@@ -53,6 +57,8 @@
         self.crashes_as_head = False
         self.crashes_as_stage = False
         self.crash_part = ""
+        self.crash_after_event = 0
+        self.answers_without_length = False
         self.ran_as_stage: list[str] = []
         self.events = 12
         self.paths: dict[str, list[tuple[str, int, int]]] = {}
@@ -194,11 +200,12 @@
             return False
         self.paths[request_id] = path
         self._run_stages(request_id, path)
-        conn.send_chunked_head(echo)
+        if self.answers_without_length:
+            conn.send_open_head(echo)
+        else:
+            conn.send_chunked_head(echo)
         if self.crash_part and self.crash_part in _part_ids(req):
-            self.close()
-            conn.reset()
-            return False
+            return self._crash(conn)
         last = req.headers.get("last-event-id", str(self.first_event - 1))
         start = int(last)
         try:
@@ -225,16 +232,33 @@
                     conn.send_chunk(event[:5])
                 conn.reset()
                 return False
-            conn.send_chunk(event)
+            if self.answers_without_length:
+                conn.send(event)
+            else:
+                conn.send_chunk(event)
+            if number == self.crash_after_event:
+                return self._crash(conn)
             sent = self.on_event.get(number)
             if sent is not None:
                 sent.set()
             resume = self.resume_events.get(number)
             if resume is not None:
                 resume.wait(_HOLD_S)
+        if self.answers_without_length:
+            conn.end()
+            return False
         conn.send_chunk(b"")
         return True
 
+    def _crash(self, conn) -> bool:
+        """Crashes while it answers a request as the head."""
+        if self.answers_without_length:
+            conn.end()
+        self.close()
+        if not self.answers_without_length:
+            conn.reset()
+        return False
+
 
 def runs_all_layers(path: str) -> bool:
     """Whether a recorded path runs each layer once and in order."""
--- a/src/briarfall/standins/prepared/rawhttp.py
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -79,6 +79,17 @@
         """Sends one chunk; an empty chunk ends the body."""
         self.send(b"%x\r\n" % len(data) + data + b"\r\n")
 
+    def send_open_head(self, headers: dict[str, str]) -> None:
+        """Sends the head of a response whose body ends with the connection."""
+        lines = ["HTTP/1.1 200 OK", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        self.send(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
+
+    def end(self) -> None:
+        """Closes the connection without a reset, as after a complete body."""
+        self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+
     def reset(self) -> None:
         """Closes the connection with a reset."""
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
