Poison list, incarnation look-up and holds: each idea once

Crashes named their incarnation as a pair of its own beside Incarnation; three places compared a target's start with a known one; the time for which news are reported stood three times; holding back asked for the blame and for the twins of a part twice under separate locks; the check for answers without a length raised the same error twice. Each event of a stream looks at the flag before the clock. Tests use public names of the pool of engines that they share; their assertions are unchanged.

--- a/src/briarfall/gateway/closedanswers.py
+++ b/src/briarfall/gateway/closedanswers.py
@@ -32,14 +32,12 @@
     Raises:
         BrokenExchangeError: The target has ended without draining first.
     """
-    target = table.get(target_id)
-    if target is None or target.entry.started_ms != started_ms:
-        raise targetconnection.BrokenExchangeError(
-            f"{address}: ended with its answer", saw_response=True
-        )
-    if not target.accepts_requests:
-        return
-    if liveness.probe_target(address) in _ENDED:
-        raise targetconnection.BrokenExchangeError(
-            f"{address}: ended with its answer", saw_response=True
-        )
+    target = table.in_incarnation(target_id, started_ms)
+    if target is not None:
+        if not target.accepts_requests:
+            return
+        if liveness.probe_target(address) not in _ENDED:
+            return
+    raise targetconnection.BrokenExchangeError(
+        f"{address}: ended with its answer", saw_response=True
+    )
--- a/src/briarfall/gateway/crashdetection.py
+++ b/src/briarfall/gateway/crashdetection.py
@@ -10,6 +10,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import crashes
 from briarfall.gateway import crashevidence
+from briarfall.gateway import incarnations
 from briarfall.gateway import liveness
 from briarfall.gateway import sources
 from briarfall.gateway import targets
@@ -25,11 +26,13 @@
     """An interrupted request whose target may or may not have ended.
 
     Attributes:
+        incarnation: The target as it was when it got the request.
         crashes: The crashes to record if the target has ended, one for each
             suspect.
         cut_s: Time on the boot clock of the interruption.
     """
 
+    incarnation: incarnations.Incarnation
     crashes: list[crashevidence.Crash]
     cut_s: float
 
@@ -80,28 +83,32 @@
             crashevidence.Crash(suspect, target, started_ms)
             for suspect in suspects
         ]
-        known = self._targets.get(target)
-        has_ended = known is None or known.entry.started_ms != started_ms
-        if has_ended or reachability is liveness.Reachability.REFUSED:
+        known = self._targets.in_incarnation(target, started_ms)
+        if known is None or reachability is liveness.Reachability.REFUSED:
             self._record(found)
             return
         if known.entry.state is sources.TargetState.DRAINING:
             return
         with self._lock:
-            self._pending.append(_PendingCase(found, clocks.boot_s()))
+            self._pending.append(
+                _PendingCase(
+                    incarnations.Incarnation(target, started_ms),
+                    found,
+                    clocks.boot_s(),
+                )
+            )
 
     def _resolve(self, ended: sources.TargetEntry) -> None:
         """Records the pending crashes of an incarnation that has ended."""
         oldest_s = clocks.boot_s() - _PENDING_S
         confirmed = []
+        incarnation = incarnations.Incarnation(ended.id, ended.started_ms)
         with self._lock:
             for case in list(self._pending):
                 if case.cut_s < oldest_s:
                     self._pending.remove(case)
                     continue
-                crash = case.crashes[0]
-                incarnation = (crash.target, crash.started_ms)
-                if incarnation == (ended.id, ended.started_ms):
+                if case.incarnation == incarnation:
                     self._pending.remove(case)
                     confirmed.extend(case.crashes)
         self._record(confirmed)
--- a/src/briarfall/gateway/crashes.py
+++ b/src/briarfall/gateway/crashes.py
@@ -10,13 +10,13 @@
 import threading
 
 from absl import logging
-import msgspec
 import xxhash
 
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
 from briarfall.gateway import crashevidence
 from briarfall.gateway import partholds
+from briarfall.gateway import poisonlist
 from briarfall.gateway import provenparts
 
 # Number of crashed targets from which a request counts as poison. A harmless
@@ -26,28 +26,13 @@
 # Number of crashes from which requests with a part of prompts are held back
 # before the next one is tried. The request of the first crash is tried at once.
 _HOLD_CRASHES = 2
-# Time for which a poison request is refused. An arrival in the second half of
-# this time renews it.
-POISON_S = 600.0
-_RETENTION_S = POISON_S
+_RETENTION_S = poisonlist.POISON_S
 # Shortest time for which a crash is reported to other instances.
 _REPORT_S = 3.0
 _MAX_REPORTED = 40
 _MAX_CRASH_ROWS = 5000
 
 
-class PoisonRow(msgspec.Struct, array_like=True, frozen=True):
-    """A suspect that must not be sent to targets.
-
-    Attributes:
-        suspect: Fingerprint of the request, or key of a part of prompts.
-        left_ms: Milliseconds for which it is still refused.
-    """
-
-    suspect: crashevidence.SuspectKey
-    left_ms: int
-
-
 def fingerprint(call: calls.Call) -> crashevidence.SuspectKey:
     """Returns a hash of a request that stays the same over its retries."""
     account = call.account.name if call.account is not None else ""
@@ -62,7 +47,17 @@
     return [crashevidence.part_key(part) for part in call.parts.shared]
 
 
-PoisonListener = collections.abc.Callable[[PoisonRow], None]
+def _report_period_s(interval_s: float) -> float:
+    """Returns the seconds for which news are reported to other instances.
+
+    Args:
+        interval_s: Longest interval at which any other instance gets a status
+            of this one.
+    """
+    return max(_REPORT_S, interval_s * 3)
+
+
+PoisonListener = collections.abc.Callable[[poisonlist.PoisonRow], None]
 ChangeListener = collections.abc.Callable[[], None]
 
 
@@ -84,8 +79,7 @@
         self._own_crashes: collections.deque[
             tuple[float, crashevidence.Crash]
         ] = collections.deque()
-        # Time on the boot clock until which each poison suspect is refused.
-        self._poison_until_s: dict[crashevidence.SuspectKey, float] = {}
+        self._poison = poisonlist.PoisonList()
         self._survived_s: dict[crashevidence.SuspectKey, float] = {}
         self._origins: collections.Counter[str] = collections.Counter()
         self._listeners: list[PoisonListener] = []
@@ -116,8 +110,7 @@
     def is_poison(self, suspect: crashevidence.SuspectKey) -> bool:
         """Whether a suspect has crashed too many targets."""
         with self._lock:
-            until_s = self._poison_until_s.get(suspect, 0.0)
-        return until_s > clocks.boot_s()
+            return self._poison.left_s(suspect, clocks.boot_s()) > 0
 
     def is_suspected(self, part: crashevidence.SuspectKey) -> bool:
         """Whether requests with a part run one at a time, as trials."""
@@ -129,7 +122,7 @@
     def tells_apart(
         self,
         part: crashevidence.SuspectKey,
-        parts: list[crashevidence.SuspectKey],
+        parts: collections.abc.Collection[crashevidence.SuspectKey],
     ) -> bool:
         """Whether a request would tell a part from another suspect.
 
@@ -141,25 +134,38 @@
             parts: All shared parts of the request's prompt.
         """
         with self._lock:
-            return not self._evidence.twins(part).issubset(parts)
+            return self._tells_apart(part, parts)
 
     def held_s(
-        self, part: crashevidence.SuspectKey, *, tells_apart: bool = False
+        self,
+        part: crashevidence.SuspectKey,
+        parts: collections.abc.Collection[crashevidence.SuspectKey] = (),
     ) -> float:
-        """Returns the seconds for which requests with a part must wait.
+        """Returns the seconds for which a request with a part must wait.
 
-        After a single crash, and if the request tells the part from another
+        After a single crash, or if the request tells the part from another
         suspect, it waits only for the end of another trial.
+
+        Args:
+            part: A part of the request's prompt.
+            parts: All shared parts of the request's prompt.
         """
         now_s = clocks.boot_s()
         with self._lock:
             blamed = self._evidence.blamed_count(part)
             if not blamed:
                 return 0.0
-            if blamed < _HOLD_CRASHES or tells_apart:
+            if blamed < _HOLD_CRASHES or self._tells_apart(part, parts):
                 return self._holds.trial_left_s(part, now_s)
             return self._holds.left_s(part, now_s)
 
+    def _tells_apart(
+        self,
+        part: crashevidence.SuspectKey,
+        parts: collections.abc.Collection[crashevidence.SuspectKey],
+    ) -> bool:
+        return not self._evidence.twins(part).issubset(parts)
+
     def start_trial(self, part: crashevidence.SuspectKey) -> None:
         """Records that one request with a suspected part runs as a trial."""
         with self._lock:
@@ -173,7 +179,7 @@
     @property
     def has_poison(self) -> bool:
         """Whether any request may have to be refused."""
-        return bool(self._poison_until_s)
+        return len(self._poison) > 0
 
     @property
     def has_crashes(self) -> bool:
@@ -183,7 +189,7 @@
     @property
     def poison_count(self) -> int:
         """Number of poison suspects."""
-        return len(self._poison_until_s)
+        return len(self._poison)
 
     @property
     def held_count(self) -> int:
@@ -242,23 +248,19 @@
             if is_poison and has_own_crash:
                 self._report_poison(crash.suspect, now_s)
 
-    def merge_poison(self, reported: list[PoisonRow]) -> None:
+    def merge_poison(self, reported: list[poisonlist.PoisonRow]) -> None:
         """Merges poison suspects that other instances or the store report."""
         now_s = clocks.boot_s()
         for row in reported:
-            left_s = min(POISON_S, row.left_ms / 1000)
-            if left_s <= 0:
-                continue
             with self._lock:
                 if self._proven.has(row.suspect, now_s):
                     continue
-                known_s = self._poison_until_s.get(row.suspect, 0.0)
-                self._poison_until_s[row.suspect] = max(known_s, now_s + left_s)
-            if known_s <= now_s:
+                is_new = self._poison.merge(row, now_s)
+            if is_new:
                 logging.warning(
                     "poison request reported by others fingerprint=%s for_s=%d",
                     row.suspect,
-                    left_s,
+                    min(poisonlist.POISON_S, row.left_ms / 1000),
                 )
 
     def merge_holds(self, reported: list[partholds.HoldRow]) -> None:
@@ -270,14 +272,12 @@
     def renew_poison(self, suspect: crashevidence.SuspectKey) -> None:
         """Renews a poison suspect that has arrived again.
 
-        An arrival in the first half of `POISON_S` changes nothing.
+        An arrival in the first half of its time changes nothing.
         """
         now_s = clocks.boot_s()
         with self._lock:
-            left_s = self._poison_until_s.get(suspect, 0.0) - now_s
-            if not 0 < left_s < POISON_S / 2:
+            if not self._poison.renew(suspect, now_s):
                 return
-            self._poison_until_s[suspect] = now_s + POISON_S
         self._report_poison(suspect, now_s)
 
     def record_survived(self, request: crashevidence.SuspectKey) -> None:
@@ -301,7 +301,7 @@
         now_s = clocks.boot_s()
         with self._lock:
             self._proven.record(part, now_s)
-            was_poison = self._poison_until_s.pop(part, None) is not None
+            was_poison = self._poison.lift(part)
             if not was_poison and part not in self._evidence:
                 return
             self._clear_part(part)
@@ -314,7 +314,7 @@
         )
         if was_poison:
             for listener in self._listeners:
-                listener(PoisonRow(part, 0))
+                listener(poisonlist.PoisonRow(part, 0))
         self._notify_changed()
 
     def merge_survived(self, suspects: list[crashevidence.SuspectKey]) -> None:
@@ -326,7 +326,7 @@
                     self._evidence.clear(suspect)
                     continue
                 self._proven.record(suspect, now_s)
-                self._poison_until_s.pop(suspect, None)
+                self._poison.lift(suspect)
                 self._clear_part(suspect)
 
     def crashes_to_report(
@@ -338,7 +338,7 @@
             interval_s: Longest interval at which any other instance gets a
                 status of this one.
         """
-        oldest_s = clocks.boot_s() - max(_REPORT_S, interval_s * 3)
+        oldest_s = clocks.boot_s() - _report_period_s(interval_s)
         with self._lock:
             fresh = []
             for seen_s, crash in self._own_crashes:
@@ -349,17 +349,10 @@
         fresh.sort(key=lambda row: row[:2], reverse=True)
         return [crash for _, _, crash in fresh[:_MAX_REPORTED]]
 
-    def poison_to_report(self) -> list[PoisonRow]:
+    def poison_to_report(self) -> list[poisonlist.PoisonRow]:
         """Returns the poison suspects to report to other instances."""
-        now_s = clocks.boot_s()
-        rows = []
         with self._lock:
-            for suspect, until_s in self._poison_until_s.items():
-                if until_s > now_s:
-                    left_ms = int((until_s - now_s) * 1000)
-                    rows.append(PoisonRow(suspect, left_ms))
-        rows.sort(key=lambda row: row.left_ms, reverse=True)
-        return rows[:_MAX_REPORTED]
+            return self._poison.to_report(clocks.boot_s())
 
     def holds_to_report(
         self, interval_s: float = 0.0
@@ -372,7 +365,7 @@
         """
         with self._lock:
             return self._holds.to_report(
-                clocks.boot_s(), max(_REPORT_S, interval_s * 3)
+                clocks.boot_s(), _report_period_s(interval_s)
             )
 
     def survived_to_report(
@@ -384,7 +377,7 @@
             interval_s: Longest interval at which any other instance gets a
                 status of this one.
         """
-        oldest_s = clocks.boot_s() - max(_REPORT_S, interval_s * 3)
+        oldest_s = clocks.boot_s() - _report_period_s(interval_s)
         with self._lock:
             for suspect, seen_s in list(self._survived_s.items()):
                 if seen_s <= oldest_s:
@@ -402,9 +395,7 @@
             self._holds.start(crash.suspect, now_s)
         if blamed < _MAX_CRASHES:
             return False
-        is_new = crash.suspect not in self._poison_until_s
-        self._poison_until_s[crash.suspect] = now_s + POISON_S
-        return is_new
+        return self._poison.refuse(crash.suspect, now_s)
 
     def _clear_part(self, part: crashevidence.SuspectKey) -> None:
         self._evidence.clear(part)
@@ -413,14 +404,14 @@
     def _report_poison(
         self, suspect: crashevidence.SuspectKey, now_s: float
     ) -> None:
-        left_s = self._poison_until_s[suspect] - now_s
+        left_s = self._poison.left_s(suspect, now_s)
         logging.warning(
             "poison request fingerprint=%s crashes=%d",
             suspect,
             self.count(suspect),
         )
         for listener in self._listeners:
-            listener(PoisonRow(suspect, int(left_s * 1000)))
+            listener(poisonlist.PoisonRow(suspect, int(left_s * 1000)))
         self._notify_changed()
 
     def _notify_changed(self) -> None:
@@ -439,6 +430,4 @@
                 self._holds.end(crash.suspect)
         while self._own_crashes and self._own_crashes[0][0] < oldest_s:
             self._own_crashes.popleft()
-        for suspect, until_s in list(self._poison_until_s.items()):
-            if until_s <= now_s:
-                del self._poison_until_s[suspect]
+        self._poison.forget_expired(now_s)
--- a/src/briarfall/gateway/crashevidence.py
+++ b/src/briarfall/gateway/crashevidence.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from briarfall import ids
+from briarfall.gateway import incarnations
 from briarfall.gateway import promptparts
 
 # Key of a request, or of a part of prompts, that may crash targets.
@@ -26,8 +27,10 @@
     target: ids.TargetId
     started_ms: int
 
-
-_Incarnation = tuple[ids.TargetId, int]
+    @property
+    def incarnation(self) -> incarnations.Incarnation:
+        """The incarnation that ended."""
+        return incarnations.Incarnation(self.target, self.started_ms)
 
 
 def part_key(part: promptparts.PartId) -> SuspectKey:
@@ -51,7 +54,7 @@
     def __init__(self):
         # Time on the boot clock of each crash.
         self._by_suspect: dict[SuspectKey, dict[Crash, float]] = {}
-        self._suspects: dict[_Incarnation, set[SuspectKey]] = {}
+        self._suspects: dict[incarnations.Incarnation, set[SuspectKey]] = {}
 
     def __contains__(self, suspect: SuspectKey) -> bool:
         return suspect in self._by_suspect
@@ -85,7 +88,7 @@
         """
         found = None
         for crash in self._by_suspect.get(part, ()):
-            involved = self._suspects[crash.target, crash.started_ms]
+            involved = self._suspects[crash.incarnation]
             found = set(involved) if found is None else found & involved
         twins = set()
         for other in found or ():
@@ -100,8 +103,7 @@
         if crash in known:
             return False
         known[crash] = now_s
-        incarnation = (crash.target, crash.started_ms)
-        self._suspects.setdefault(incarnation, set()).add(crash.suspect)
+        self._suspects.setdefault(crash.incarnation, set()).add(crash.suspect)
         return True
 
     def remove(self, crash: Crash, seen_s: float) -> None:
@@ -121,7 +123,7 @@
 
     def _is_explained(self, crash: Crash, own_count: int) -> bool:
         """Whether a part with more crashes was involved in a crash too."""
-        for other in self._suspects.get((crash.target, crash.started_ms), ()):
+        for other in self._suspects.get(crash.incarnation, ()):
             if other == crash.suspect or not is_part(other):
                 continue
             if self.count(other) > own_count:
@@ -129,7 +131,7 @@
         return False
 
     def _discard_suspect(self, crash: Crash) -> None:
-        incarnation = (crash.target, crash.started_ms)
+        incarnation = crash.incarnation
         suspects = self._suspects.get(incarnation, set())
         suspects.discard(crash.suspect)
         if not suspects:
--- a/src/briarfall/gateway/dispatchgate.py
+++ b/src/briarfall/gateway/dispatchgate.py
@@ -87,9 +87,7 @@
         for part in parts:
             if not self._crashes.is_suspected(part):
                 continue
-            held_s = self._crashes.held_s(
-                part, tells_apart=self._crashes.tells_apart(part, parts)
-            )
+            held_s = self._crashes.held_s(part, parts)
             if held_s:
                 raise exceptions.HeldRequestError(
                     "a part of the prompt is suspected of crashing targets: "
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -94,7 +94,7 @@
         self._platform = platform
         self._pool = pool
         self.metrics = metrics.Metrics()
-        self.crashes = crashes.CrashTable()
+        self.crashes = crashes.CrashTable(rng)
         activity = liveness.ReceiveActivity()
         self.loads = loads.LoadTable()
         self.targets = targets.TargetTable()
--- a/src/briarfall/gateway/peermessages.py
+++ b/src/briarfall/gateway/peermessages.py
@@ -6,10 +6,10 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import crashes
 from briarfall.gateway import crashevidence
 from briarfall.gateway import incarnations
 from briarfall.gateway import partholds
+from briarfall.gateway import poisonlist
 from briarfall.gateway import sources
 
 
@@ -80,7 +80,7 @@
     lease_fence: int = 0
     lease_left_ms: int = 0
     cores: float = 1.0
-    poison: list[crashes.PoisonRow] = []
+    poison: list[poisonlist.PoisonRow] = []
     survived: list[crashevidence.SuspectKey] = []
     draining_targets: list[incarnations.Incarnation] = []
     link_mbps: float = 0.0
--- a/src/briarfall/gateway/poisonpersistence.py
+++ b/src/briarfall/gateway/poisonpersistence.py
@@ -8,6 +8,7 @@
 
 from briarfall import exceptions
 from briarfall.gateway import crashes
+from briarfall.gateway import poisonlist
 from briarfall.gateway import sources
 from briarfall.gateway import workers
 
@@ -53,7 +54,7 @@
             )
             self.stopped.wait(workers.backoff_s(self._failures))
 
-    def _enqueue(self, row: crashes.PoisonRow) -> None:
+    def _enqueue(self, row: poisonlist.PoisonRow) -> None:
         record = sources.PoisonRecord(
             row.suspect, time.time() + row.left_ms / 1000
         )
@@ -74,7 +75,7 @@
                 self._source.retract(record.fingerprint, _TIMEOUT_S)
                 continue
             rows.append(
-                crashes.PoisonRow(record.fingerprint, int(left_s * 1000))
+                poisonlist.PoisonRow(record.fingerprint, int(left_s * 1000))
             )
         self._table.merge_poison(rows)
 
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -364,7 +364,7 @@
     ) -> None:
         now_s = clocks.boot_s()
         interval_s = stream.record_event(now_s)
-        if stream.has_begun and not stream.has_recorded_proof:
+        if not stream.has_recorded_proof and stream.has_begun:
             stream.has_recorded_proof = True
             self._gate.record_proven(stream.call)
         if (
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -279,8 +279,8 @@
             left_s: Seconds for which the other instance still avoids it; at
                 most `_MAX_BLOCK_S` are applied.
         """
-        target = self._targets.get(target_id)
-        if target is None or target.entry.started_ms != started_ms:
+        target = self.in_incarnation(target_id, started_ms)
+        if target is None:
             return
         now_s = clocks.boot_s()
         if now_s - target.last_active_s < _RECENT_ACTIVITY_S:
@@ -360,6 +360,20 @@
         """Returns a target by id, or None if it is unknown."""
         return self._targets.get(target)
 
+    def in_incarnation(
+        self, target_id: ids.TargetId, started_ms: int
+    ) -> targetstate.Target | None:
+        """Returns a target, or None if the incarnation has ended.
+
+        Args:
+            target_id: The target.
+            started_ms: Start of the incarnation in Unix milliseconds.
+        """
+        target = self._targets.get(target_id)
+        if target is None or target.entry.started_ms != started_ms:
+            return None
+        return target
+
     def of_service(
         self, service: views.ServiceName
     ) -> list[targetstate.Target]:
--- a/tests/test_gateway_closedanswers.py
+++ b/tests/test_gateway_closedanswers.py
@@ -3,15 +3,12 @@
 import pytest
 
 from briarfall.standins.prepared import testbed
-from tests.test_gateway_poisonparts import _CRASHES
-from tests.test_gateway_poisonparts import _DEADLY
-from tests.test_gateway_poisonparts import _POISON_REQUESTS
-from tests.test_gateway_poisonparts import _Pool
+from tests import test_gateway_poisonparts as poisonparts
 
 
 @pytest.fixture
 def pool(world):
-    rows = _Pool(world)
+    rows = poisonparts.Pool(world)
     for engine in rows.engines:
         engine.answers_without_length = True
     return rows
@@ -37,8 +34,8 @@
         assert len(pool.arrivals("r1")) == 2
 
     def test_crash_before_the_first_event_is_no_complete_answer(self, pool):
-        for number in range(_POISON_REQUESTS):
-            answer = pool.draft(100 + number, "first", _DEADLY)
+        for number in range(poisonparts.POISON_REQUESTS):
+            answer = pool.draft(100 + number, "first", poisonparts.DEADLY)
             assert answer.status >= 500
             pool.restart_crashed()
-        assert pool.crashes <= _CRASHES
+        assert pool.crashes <= poisonparts.MAX_CRASHES
--- a/tests/test_gateway_poisonparts.py
+++ b/tests/test_gateway_poisonparts.py
@@ -14,19 +14,20 @@
 from briarfall.gateway import crashevidence
 from briarfall.gateway import dispatchgate
 from briarfall.gateway import liveness
+from briarfall.gateway import poisonlist
 from briarfall.gateway import promptparts
 from briarfall.gateway import targets
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_decisions
 from tests import test_gateway_streams
 
-_DEADLY = "dead"
+DEADLY = "dead"
 # Crashes after which at most `_MAX_LATE` more requests may reach engines.
-_CRASHES = 5
+MAX_CRASHES = 5
 _MAX_LATE = 3
-_POISON_REQUESTS = 8
+POISON_REQUESTS = 8
 _FIRST = crashevidence.part_key(promptparts.PartId("first"))
-_PART = crashevidence.part_key(promptparts.PartId(_DEADLY))
+_PART = crashevidence.part_key(promptparts.PartId(DEADLY))
 _BYSTANDER = crashevidence.part_key(promptparts.PartId("bystander"))
 # Longer than any hold, shorter than the time for which poison is refused.
 _AFTER_HOLD_S = 8.0
@@ -143,8 +144,8 @@
         table.record_proven(_PART)
         peer.merge_survived(table.survived_to_report())
         # A report that is older than the proof changes nothing.
-        peer.merge_poison([crashes.PoisonRow(_PART, 60_000)])
-        assert lifted == [crashes.PoisonRow(_PART, 0)]
+        peer.merge_poison([poisonlist.PoisonRow(_PART, 60_000)])
+        assert lifted == [poisonlist.PoisonRow(_PART, 0)]
         for row in (table, peer):
             assert not row.is_poison(_PART)
             assert not row.is_suspected(_PART)
@@ -198,9 +199,9 @@
         clock.now_s += _AFTER_HOLD_S
         gate = self.gate(table)
         target = test_gateway_decisions.target("t")
-        gate.start_attempt(_call(clock.now_s, _DEADLY), target)
+        gate.start_attempt(_call(clock.now_s, DEADLY), target)
         with pytest.raises(exceptions.HeldRequestError) as caught:
-            gate.start_attempt(_call(clock.now_s, _DEADLY), target)
+            gate.start_attempt(_call(clock.now_s, DEADLY), target)
         assert caught.value.outcome is exceptions.Outcome.NOT_RUN
         assert caught.value.retry_after_s > 0
         gate.start_attempt(_call(clock.now_s, "first"), target)
@@ -215,14 +216,14 @@
         gate = self.gate(table)
         target = test_gateway_decisions.target("t")
         with pytest.raises(exceptions.PoisonError):
-            gate.start_attempt(_call(clock.now_s, "first", _DEADLY), target)
+            gate.start_attempt(_call(clock.now_s, "first", DEADLY), target)
         gate.start_attempt(_call(clock.now_s, "first"), target)
         with pytest.raises(exceptions.HeldRequestError):
             gate.start_attempt(_call(clock.now_s, "first"), target)
         gate.record_proven(_call(clock.now_s, "first"))
         gate.start_attempt(_call(clock.now_s, "first"), target)
         with pytest.raises(exceptions.PoisonError):
-            gate.start_attempt(_call(clock.now_s, "first", _DEADLY), target)
+            gate.start_attempt(_call(clock.now_s, "first", DEADLY), target)
 
     def test_bystander_part_does_not_free_a_poison_request(self, clock):
         table = crashes.CrashTable()
@@ -240,7 +241,7 @@
         draining = test_gateway_decisions.target("t")
         draining.is_draining = True
         with pytest.raises(dispatchgate.TargetAvoidedError):
-            gate.start_attempt(_call(clock.now_s, _DEADLY), draining)
+            gate.start_attempt(_call(clock.now_s, DEADLY), draining)
         assert table.held_s(_PART) == 0
 
 
@@ -253,27 +254,27 @@
 
     def test_own_part_of_a_request_is_never_suspected(self, clock):
         table = crashes.CrashTable()
-        self.crash(table, _call(clock.now_s, "first", _DEADLY))
+        self.crash(table, _call(clock.now_s, "first", DEADLY))
         own = crashevidence.part_key(promptparts.PartId("own"))
         assert table.count(_PART) == table.count(_FIRST) == 1
         assert table.count(own) == 0
 
     def test_parts_of_an_answer_under_way_are_not_suspected(self, clock):
         table = crashes.CrashTable()
-        call = _call(clock.now_s, _DEADLY)
+        call = _call(clock.now_s, DEADLY)
         self.crash(table, call, has_begun=True)
         assert table.count(_PART) == 0
         assert table.count(crashes.fingerprint(call)) == 1
 
 
-class _Pool:
+class Pool:
     """Engines that crash on one part, and an instance before them."""
 
     def __init__(self, world, count=10):
         self.engines = []
         for number in range(count):
             engine = world.engine(f"e{number}")
-            engine.crash_part = _DEADLY
+            engine.crash_part = DEADLY
             self.engines.append(engine)
         self.world = world
         self.crashes = 0
@@ -324,7 +325,7 @@
 
 @pytest.fixture
 def pool(world):
-    return _Pool(world)
+    return Pool(world)
 
 
 class TestPoisonPart:
@@ -333,23 +334,23 @@
     def test_new_requests_with_a_poison_part_stop_reaching_engines(self, pool):
         assert pool.draft(1, "first").status == 200
         late = 0
-        for number in range(100, 100 + _POISON_REQUESTS):
+        for number in range(100, 100 + POISON_REQUESTS):
             before = len(pool.arrivals("r1"))
-            is_late = pool.crashes >= _CRASHES
-            pool.draft(number, "first", _DEADLY)
+            is_late = pool.crashes >= MAX_CRASHES
+            pool.draft(number, "first", DEADLY)
             late += is_late * (len(pool.arrivals("r1")) - before)
             pool.restart_crashed()
-        assert pool.crashes <= _CRASHES
+        assert pool.crashes <= MAX_CRASHES
         assert late <= _MAX_LATE
 
     def test_sound_requests_that_share_the_other_parts_are_served(self, pool):
         assert pool.draft(1, "first").status == 200
         served = 0
-        for number in range(_POISON_REQUESTS):
-            pool.draft(100 + number, "first", _DEADLY)
+        for number in range(POISON_REQUESTS):
+            pool.draft(100 + number, "first", DEADLY)
             answer = pool.draft(200 + number, "first")
             served += answer.status == 200 and answer.error is None
-        assert served == _POISON_REQUESTS
+        assert served == POISON_REQUESTS
 
     def test_instances_tell_each_other_of_a_poison_part(self, pool):
         other = pool.world.instance("i2")
@@ -358,14 +359,14 @@
             lambda: other.peers.instance_count == 2,
             "the instances know each other",
         )
-        pool.draft(100, "first", _DEADLY)
+        pool.draft(100, "first", DEADLY)
         testbed.until(lambda: other.crashes.count(_PART), "the crash is told")
-        pool.draft(101, "first", _DEADLY, instance=other)
+        pool.draft(101, "first", DEADLY, instance=other)
         pool.restart_crashed()
         for number in range(102, 108):
-            pool.draft(number, "first", _DEADLY, instance=other)
+            pool.draft(number, "first", DEADLY, instance=other)
         pool.restart_crashed()
-        assert pool.crashes <= _CRASHES
+        assert pool.crashes <= MAX_CRASHES
         assert pool.draft(1, "first", instance=other).status == 200
 
     def test_instances_that_were_all_killed_load_poison_parts(self, pool):
@@ -379,6 +380,6 @@
         late = pool.world.instance("i2")
         pool.world.instances = [late]
         pool.world.wait_for_layers()
-        answer = pool.draft(100, "first", _DEADLY, instance=late)
+        answer = pool.draft(100, "first", DEADLY, instance=late)
         assert answer.body.startswith(b"[poison_request]")
         assert pool.arrivals("r") == []
--- a/tests/test_gateway_poisonpersistence.py
+++ b/tests/test_gateway_poisonpersistence.py
@@ -7,6 +7,7 @@
 from briarfall import exceptions
 from briarfall.gateway import crashes
 from briarfall.gateway import crashevidence
+from briarfall.gateway import poisonlist
 from briarfall.gateway import poisonpersistence
 from briarfall.gateway import sources
 from briarfall.gateway import workers
@@ -61,7 +62,7 @@
             _Records(poison_record("f", 1e9)), table
         )
         persister.step()
-        assert table.poison_to_report()[0].left_ms <= crashes.POISON_S * 1000
+        assert table.poison_to_report()[0].left_ms <= poisonlist.POISON_S * 1000
 
     def test_unavailable_source_is_read_and_written_again(self):
         source = _Records(poison_record("f", 300))
@@ -81,7 +82,7 @@
         source = _Records()
         table = crashes.CrashTable()
         persister = poisonpersistence.PoisonPersister(source, table)
-        table.merge_poison([crashes.PoisonRow("f", 60_000)])
+        table.merge_poison([poisonlist.PoisonRow("f", 60_000)])
         for name in "abc":
             table.merge_crashes([crashevidence.Crash("g", name, 1)])
         persister.step()
