--- a/src/briarfall/gateway/rerouting.py
+++ b/src/briarfall/gateway/rerouting.py
@@ -132,6 +132,15 @@
         first_failed = next(iter(failed))
         self._record_interruption(stream, first_failed, failed[first_failed])
         if first_failed is run.chain.head or not stream.response_started:
+            logging.warning(
+                "stream given up, sent again if a chain is free request=%s "
+                "target=%s reach=%s connection=%s left_s=%.1f",
+                stream.call.request_id,
+                first_failed.target,
+                failed[first_failed].value,
+                "open" if run.conn.is_open else "closed",
+                stream.call.left_s,
+            )
             raise UnresponsiveEngineError(
                 first_failed,
                 failed[first_failed],
--- a/src/briarfall/gateway/targetconnection.py
+++ b/src/briarfall/gateway/targetconnection.py
@@ -159,6 +159,13 @@
         poller.register(self.sock, select.POLLIN | select.POLLRDHUP)
         return not poller.poll(0)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the target has neither closed nor reset it."""
+        poller = select.poll()
+        poller.register(self.sock, select.POLLRDHUP)
+        return not poller.poll(0)
+
     def send(
         self,
         method: bytes,
