--- a/src/briarfall/standins/prepared/engines.py
+++ b/src/briarfall/standins/prepared/engines.py
@@ -89,6 +89,7 @@
 
     def handle(self, conn, req) -> bool:
         """Handles commands, report requests and streams."""
+        self.speaking.wait(_HOLD_S)
         if req.path == "/v1/order":
             return self._handle_command(conn, json.loads(req.body))
         if req.path == "/v1/report":
@@ -222,6 +223,7 @@
                     conn.reset()
                     return False
             self.closing.wait(_STEP_S)
+            self.speaking.wait(_HOLD_S)
             path = self.paths.get(request_id, path)
             text = ",".join(f"{a}={f}-{e}" for a, f, e in path)
             with self.lock:
--- a/src/briarfall/standins/prepared/rawhttp.py
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -130,6 +130,7 @@
             ("127.0.0.1", self.port), backlog=256
         )
         self.port = self._listener.getsockname()[1]
+        self.is_listening = True
         threading.Thread(
             target=self._accept, args=(self._listener,), daemon=True
         ).start()
@@ -161,14 +162,19 @@
                 self._open.discard(sock)
             sock.close()
 
-    def close(self) -> None:
-        """Closes the listener and resets all connections."""
+    def stop_listening(self) -> None:
+        """Closes the listener only; open connections stay open."""
         # Only a shutdown wakes the thread that waits in accept; close does not.
         try:
             self._listener.shutdown(socket.SHUT_RDWR)
         except OSError:
             pass
         self._listener.close()
+        self.is_listening = False
+
+    def close(self) -> None:
+        """Closes the listener and resets all connections."""
+        self.stop_listening()
         with self._lock:
             rows = list(self._open)
         for sock in rows:
--- a/src/briarfall/standins/prepared/registeredtarget.py
+++ b/src/briarfall/standins/prepared/registeredtarget.py
@@ -121,6 +121,9 @@
         self.lock = threading.Lock()
         self.ran: list[RanRequest] = []
         self.closing = threading.Event()
+        # Cleared while the target is silent.
+        self.speaking = threading.Event()
+        self.speaking.set()
         self.server = rawhttp.RawServer(self.handle)
         self.address = self.server.address
 
@@ -128,6 +131,23 @@
         """Handles a request; returns whether the connection stays open."""
         raise NotImplementedError
 
+    def fall_silent(self, *, refuses_connections: bool = False) -> None:
+        """Stops all responses and events until `speak` is called.
+
+        Args:
+            refuses_connections: Whether new connections are refused
+                meanwhile; otherwise they are accepted.
+        """
+        self.speaking.clear()
+        if refuses_connections:
+            self.server.stop_listening()
+
+    def speak(self) -> None:
+        """Goes on with all responses and events."""
+        if not self.server.is_listening:
+            self.server.reopen()
+        self.speaking.set()
+
     def register(self, **extra) -> None:
         """Writes the entry to the store, with the next heartbeat number."""
         self.heartbeat_count += 1
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -57,6 +57,7 @@
 
     def _serve(self, conn, req, echo: dict[str, str]) -> bool:
         self.record_run(req)
+        self.speaking.wait(_HOLD_S)
         if self.processing_s:
             self.closing.wait(self.processing_s)
         has_crash_marker = self.crash_marker and req.path.endswith(
