A silent engine no longer ends a stream: its run stays open until another answers

What callers saw: streams were closed in the middle, up to 19 of 20 s before their deadline, though no engine had broken off (LOST).

Cause: a verdict about new connections ended a live exchange. After 90 ms without an event a liveness check connects to the engines, or asks the head for a report; if that is refused or unanswered the head counted as failed and the exchange with it was closed at once, before another chain was known. Without another chain, retry budget or attempt the caller's connection followed within 0.8 s. A request that may run only once was closed in any case.

Change: the run with the open connection is suspended, not closed, and only if another chain could take the stream now (bounds on runs, attempts, budget). It is closed when the other chain's response arrives; if none takes the stream, the suspended run goes on. Without another chain, or if the request may run only once, the run is simply awaited until its connection breaks or its time is over. An engine that goes on is used again. Suspicion alone no longer counts as a crash by the request.

--- a/src/briarfall/gateway/budgets.py
+++ b/src/briarfall/gateway/budgets.py
@@ -55,15 +55,23 @@
         """Counts a retry and returns True; returns False if none is left."""
         now_s = clocks.boot_s()
         with self._lock:
-            self._expire(now_s)
-            allowed = self._ratio * len(self._requests)
-            instances = max(1, self._instances())
-            allowed += self._slack * _SLACK_SHARE / instances
-            if len(self._retries) >= allowed:
+            if not self._is_retry_left(now_s):
                 return False
             self._retries.append(now_s)
             return True
 
+    def has_retry(self) -> bool:
+        """Whether a retry is left; counts none."""
+        with self._lock:
+            return self._is_retry_left(clocks.boot_s())
+
+    def _is_retry_left(self, now_s: float) -> bool:
+        self._expire(now_s)
+        allowed = self._ratio * len(self._requests)
+        instances = max(1, self._instances())
+        allowed += self._slack * _SLACK_SHARE / instances
+        return len(self._retries) < allowed
+
     def _expire(self, now_s: float) -> None:
         oldest_s = now_s - self._window_s
         for times in (self._requests, self._retries):
--- a/src/briarfall/gateway/chainsearch.py
+++ b/src/briarfall/gateway/chainsearch.py
@@ -68,7 +68,7 @@
             if call.attempt_count >= _MAX_ATTEMPTS or call.left_s <= 0:
                 raise stream.abandon_error("too many tries")
             rows = self._targets.usable(call.service.name)
-            heads = _heads(stream, rows)
+            heads = _heads(stream.allowed_heads, rows)
             chain = self._find(stream, rows, heads, may_cross=True)
             if chain is not None:
                 chain = self._admitted(stream, rows, heads, chain)
@@ -81,6 +81,28 @@
             call.watch.pause(min(pause_s, until_s - clocks.boot_s()))
             pause_s *= 2
 
+    def find_replacement(
+        self,
+        stream: streamstate.Stream,
+        head: ids.TargetId | None = None,
+    ) -> paths.Chain | None:
+        """Returns a chain to which a stream could move now, or None.
+
+        Args:
+            stream: The stream; its failed engines are excluded already.
+            head: Head of its current chain if that is to be counted as a run.
+        """
+        call = stream.call
+        if call.attempt_count >= _MAX_ATTEMPTS or call.left_s <= 0:
+            return None
+        if stream.response_started:
+            may_cross = self._link.admits_started(call.service.model)
+        else:
+            may_cross = stream.link_admitted is not False
+        rows = self._targets.usable(call.service.name)
+        heads = _heads(stream.heads_after(head), rows)
+        return self._find(stream, rows, heads, may_cross=may_cross)
+
     def _find(
         self,
         stream: streamstate.Stream,
@@ -164,11 +186,13 @@
 
 
 def _heads(
-    stream: streamstate.Stream, rows: list[targetstate.Target]
+    allowed: frozenset[ids.TargetId] | None, rows: list[targetstate.Target]
 ) -> frozenset[ids.TargetId] | None:
     """Returns the engines that may be the head, or None for any.
 
-    Engines in backoff may not.
+    Args:
+        allowed: Engines that the stream's own bounds allow, or None for any.
+        rows: Engines that take requests; those in backoff may not be heads.
     """
     # Few targets are ever in backoff, and every request checks all of them:
     # the cheap test comes first.
@@ -176,8 +200,7 @@
         row.id for row in rows if row.backoff_until_s and row.is_in_backoff
     )
     if not backoff_ids:
-        return stream.allowed_heads
-    allowed = stream.allowed_heads
+        return allowed
     if allowed is None:
         allowed = frozenset(row.id for row in rows)
     return allowed - backoff_ids
--- a/src/briarfall/gateway/dispatchgate.py
+++ b/src/briarfall/gateway/dispatchgate.py
@@ -98,6 +98,10 @@
             suspected.append(part)
         return suspected
 
+    def may_retry(self, call: calls.Call) -> bool:
+        """Whether a request may be sent once more; counts nothing."""
+        return call.route.is_retryable and self._budget.has_retry()
+
     def start_attempt(
         self, call: calls.Call, target: targetstate.Target
     ) -> None:
--- a/src/briarfall/gateway/rerouting.py
+++ b/src/briarfall/gateway/rerouting.py
@@ -3,6 +3,7 @@
 from absl import logging
 
 from briarfall import exceptions
+from briarfall.gateway import chainsearch
 from briarfall.gateway import clocks
 from briarfall.gateway import crashdetection
 from briarfall.gateway import dispatchgate
@@ -29,27 +30,10 @@
 
 
 class UnresponsiveEngineError(targetconnection.BrokenExchangeError):
-    """A chain is abandoned because one of its engines is unresponsive.
-
-    Attributes:
-        engine: The engine; new chains already avoid it.
-        reachability: The result of connecting to it, or UNKNOWN if no
-            connection was attempted.
-    """
+    """A run is suspended because one of its engines is unresponsive."""
 
     code = "engine_silent"
 
-    def __init__(
-        self,
-        engine: paths.Stage,
-        reachability: liveness.Reachability,
-        *,
-        saw_response: bool,
-    ):
-        super().__init__(f"{engine.address}: silent", saw_response=saw_response)
-        self.engine = engine
-        self.reachability = reachability
-
 
 class StreamRerouter:
     """Reroutes running streams around failed engines.
@@ -58,6 +42,7 @@
         table: Targets.
         load_table: Load that all instances put on targets.
         finder: Chooses chains.
+        search: Chooses chains for streams, with their bounds.
         link: Admits chains with cross-zone hops.
         engines: Queries engines and sends commands to them.
         gate: Dispatch gate, which refuses poison requests.
@@ -71,6 +56,7 @@
         table: targets.TargetTable,
         load_table: loads.LoadTable,
         finder: paths.ChainFinder,
+        search: chainsearch.ChainSearch,
         link: linkadmission.LinkAdmission,
         engines: sources.EngineControl,
         gate: dispatchgate.DispatchGate,
@@ -82,6 +68,7 @@
         self._targets = table
         self._loads = load_table
         self._finder = finder
+        self._search = search
         self._link = link
         self._engines = engines
         self._gate = gate
@@ -98,6 +85,16 @@
             if target is not None:
                 target.last_active_s = now_s
 
+    def clear_suspicion(
+        self, stream: streamstate.Stream, chain: paths.Chain
+    ) -> None:
+        """Uses engines again that were silent and have gone on."""
+        for target_id in stream.excluded.intersection(chain.target_ids()):
+            stream.excluded.discard(target_id)
+            target = self._targets.get(target_id)
+            if target is not None:
+                self._targets.record_success(target)
+
     def postpone_check(self, run: streamstate.ChainRun) -> bool:
         """Postpones a liveness check if this process itself lacks CPU time.
 
@@ -116,8 +113,8 @@
         """Finds the failed engines of a stalled stream and replaces them.
 
         Raises:
-            UnresponsiveEngineError: The stream can't be rerouted; another
-                chain has to run the request again.
+            UnresponsiveEngineError: The stream can't be rerouted, and another
+                chain can run the request again.
             PoisonError: The request may not run on any further engine.
         """
         failed = self._find_failed_stages(stream, run)
@@ -130,25 +127,53 @@
                 continue
             self._targets.record_failure(failed_target, "a stream waits for it")
         first_failed = next(iter(failed))
-        self._record_interruption(stream, first_failed, failed[first_failed])
         if first_failed is run.chain.head or not stream.response_started:
-            logging.warning(
-                "stream given up, sent again if a chain is free request=%s "
-                "target=%s reach=%s connection=%s left_s=%.1f",
-                stream.call.request_id,
-                first_failed.target,
-                failed[first_failed].value,
-                "open" if run.conn.is_open else "closed",
-                stream.call.left_s,
-            )
-            raise UnresponsiveEngineError(
-                first_failed,
-                failed[first_failed],
-                saw_response=stream.response_started,
-            )
+            self._give_up(stream, run, first_failed, failed[first_failed])
+            return
+        self._record_interruption(stream, first_failed, failed[first_failed])
         self._gate.check(stream.call)
         self._repath(stream, run)
 
+    def _give_up(
+        self,
+        stream: streamstate.Stream,
+        run: streamstate.ChainRun,
+        failed: paths.Stage,
+        reachability: liveness.Reachability,
+    ) -> None:
+        """Gives a run up if another chain can take the stream.
+
+        The connection to the head is still open: a silent engine may go on,
+        so that without another chain the run continues.
+
+        Raises:
+            UnresponsiveEngineError: The stream can move to another chain.
+        """
+        can_move = stream.suspended is not None or self._can_move(stream, run)
+        logging.warning(
+            "stream silent, %s request=%s target=%s reach=%s left_s=%.1f",
+            "trying another chain" if can_move else "no other chain, waiting",
+            stream.call.request_id,
+            failed.target,
+            reachability.value,
+            stream.call.left_s,
+        )
+        if not can_move:
+            return
+        self._record_interruption(stream, failed, reachability)
+        raise UnresponsiveEngineError(
+            f"{failed.address}: silent", saw_response=stream.response_started
+        )
+
+    def _can_move(
+        self, stream: streamstate.Stream, run: streamstate.ChainRun
+    ) -> bool:
+        """Whether another chain could take a stream that this one runs."""
+        if not self._gate.may_retry(stream.call):
+            return False
+        head = run.chain.head.target
+        return self._search.find_replacement(stream, head) is not None
+
     def _record_interruption(
         self,
         stream: streamstate.Stream,
--- a/src/briarfall/gateway/streamfailures.py
+++ b/src/briarfall/gateway/streamfailures.py
@@ -118,13 +118,8 @@
     ) -> None:
         """Distinguishes an ended head from a lost response or connection."""
         if isinstance(exc, rerouting.UnresponsiveEngineError):
-            if (
-                exc.engine == head
-                and exc.reachability is liveness.Reachability.REFUSED
-            ):
-                stream.heads.discard(head.target)
-            else:
-                stream.heads.add(head.target)
+            # Its connection is open, so that it may still run the request.
+            stream.heads.add(head.target)
             return
         reachability = liveness.probe_target(head.address)
         if not stream.is_proven:
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -29,7 +29,6 @@
 from briarfall.gateway import targetconnection
 from briarfall.gateway import targets
 from briarfall.gateway import targetsignals
-from briarfall.gateway import targetstate
 
 _MAX_IDLE_S = 30.0
 # Time without a first event after which an engine may have failed, as a share
@@ -92,6 +91,7 @@
             table,
             load_table,
             finder,
+            self._search,
             link,
             engines,
             gate,
@@ -111,36 +111,79 @@
         last_event_id = call.req.header(self._names.last_event)
         if last_event_id is not None and last_event_id.isdigit():
             stream.sequence.last_id = int(last_event_id)
+        try:
+            while not self._run_next(stream):
+                continue
+        finally:
+            self._close_suspended(stream)
+
+    def _run_next(self, stream: streamstate.Stream) -> bool:
+        """Runs a stream on one chain; returns whether it is complete.
+
+        Raises:
+            BriarfallError: The stream ends without a complete response.
+        """
+        chain = self._choose_chain(stream)
+        if chain is None:
+            run = stream.resume()
+            logging.info(
+                "stream stays on its chain, no other takes it request=%s "
+                "last_event=%s chain=%s",
+                stream.call.request_id,
+                stream.sequence.last_id,
+                run.chain.describe(),
+            )
+        else:
+            try:
+                run = self._start_run(stream, chain)
+            except targetconnection.NotSentError as exc:
+                self._diagnosis.record_failure(
+                    stream, chain.head.target, exc.message
+                )
+                return False
+        try:
+            self._follow(stream, run)
+            return True
+        except calls.RefusedByTargetError as exc:
+            self._diagnosis.handle_refusal(stream, run.chain, exc)
+        except (
+            targetconnection.BrokenExchangeError,
+            targetconnection.ResponseTimeoutError,
+        ) as exc:
+            self._handle_break(stream, run.chain, exc)
+        return False
+
+    def _choose_chain(self, stream: streamstate.Stream) -> paths.Chain | None:
+        """Returns the next chain; None if the suspended run has to go on.
+
+        Raises:
+            BriarfallError: No chain may run the stream, and none is suspended.
+        """
         while True:
-            chain = self._search.wait_for_chain(stream)
+            if stream.suspended is None:
+                chain = self._search.wait_for_chain(stream)
+            else:
+                chain = self._search.find_replacement(stream)
+            if chain is None:
+                return None
             target = self._targets.get(chain.head.target)
             if target is None:
                 continue
             try:
-                self._gate.start_attempt(call, target)
+                self._gate.start_attempt(stream.call, target)
+                return chain
             except dispatchgate.TargetAvoidedError as exc:
                 logging.info(
                     "choosing another chain request=%s: %s",
-                    call.request_id,
+                    stream.call.request_id,
                     exc,
                 )
-                continue
-            except exceptions.RetryBudgetError as exc:
-                raise stream.abandon_error(exc.message) from exc
-            try:
-                self._run(stream, chain, target)
-                return
-            except targetconnection.NotSentError as exc:
-                self._diagnosis.record_failure(
-                    stream, chain.head.target, exc.message
-                )
-            except calls.RefusedByTargetError as exc:
-                self._diagnosis.handle_refusal(stream, chain, exc)
-            except (
-                targetconnection.BrokenExchangeError,
-                targetconnection.ResponseTimeoutError,
-            ) as exc:
-                self._handle_break(stream, chain, exc)
+            except exceptions.BriarfallError as exc:
+                if stream.suspended is not None:
+                    return None
+                if isinstance(exc, exceptions.RetryBudgetError):
+                    raise stream.abandon_error(exc.message) from exc
+                raise
 
     def _estimate_demand(self, call: calls.Call) -> paths.Demand:
         model = call.service.model
@@ -186,18 +229,21 @@
         if not call.route.is_retryable or call.left_s <= 0:
             raise exc
 
-    def _run(
-        self,
-        stream: streamstate.Stream,
-        chain: paths.Chain,
-        target: targetstate.Target,
-    ) -> None:
-        """Runs a stream on one chain until it ends or the chain fails."""
+    def _start_run(
+        self, stream: streamstate.Stream, chain: paths.Chain
+    ) -> streamstate.ChainRun:
+        """Sends a stream to the head of a chain.
+
+        Raises:
+            NotSentError: The head can't be reached.
+        """
         call = stream.call
         head = chain.head
+        target = self._targets.get(head.target)
+        if target is None:
+            raise targetconnection.NotSentError(f"{head.target}: is gone")
         conn = self._pool.acquire(head.address, _MAX_IDLE_S, call.left_s)
-        run = streamstate.ChainRun(chain, conn)
-        response = None
+        run = streamstate.ChainRun(chain, target, conn)
         self._loads.reserve(chain.target_ids(), stream.demand.tokens)
         if call.attempt_count > 1:
             # The link admission already counted the first attempt.
@@ -206,41 +252,87 @@
                 linkadmission.count_cross_zone_hops(chain),
                 stream.demand.tokens,
             )
+        return run
+
+    def _follow(
+        self, stream: streamstate.Stream, run: streamstate.ChainRun
+    ) -> None:
+        """Follows a run until the stream ends or the chain fails."""
         try:
-            conn.watch(call.watch)
-            conn.send(
-                call.req.method,
-                call.req.request_target,
-                self._headers(stream, target.entry, chain),
-                call.req.body,
-                call.deadline_s,
-            )
-            stream.last_event_s = clocks.boot_s()
-            stream.start_chain()
-            first_stall_s = call.route.first_byte_slo_s * _FIRST_STALL_SHARE
-            run.next_check_s = stream.last_event_s + first_stall_s
-            self._await_bytes(stream, run)
-            response = conn.read_head(
-                call.deadline_s,
-                lambda head: call.is_own_response(self._names.request_id, head),
-            )
-            self._target_signals.handle(target, response)
-            calls.raise_if_refused(
-                conn, response, self._names, head.target, call.deadline_s
-            )
-            if response.is_success:
-                self._relay_events(stream, run, response)
+            if run.sent_s is None:
+                self._send(stream, run)
+            if run.response is None:
+                self._receive_head(stream, run)
+            if run.response.is_success:
+                self._close_suspended(stream)
+                self._relay_events(stream, run)
             else:
-                self._relay_error(stream, conn, response)
-            self._targets.record_success(target)
+                self._relay_error(stream, run.conn, run.response)
+            self._targets.record_success(run.target)
             if stream.chain_first_event_s:
-                self._gate.record_survived(call)
+                self._gate.record_survived(stream.call)
+        except rerouting.UnresponsiveEngineError:
+            if stream.suspended is None:
+                stream.suspend(run)
+            raise
         finally:
-            self._loads.release(run.chain.target_ids(), stream.demand.tokens)
-            if target.is_draining:
-                conn.close()
-            else:
-                self._pool.return_to_pool(conn, response)
+            if stream.suspended is not run:
+                self._close_run(stream, run)
+
+    def _send(
+        self, stream: streamstate.Stream, run: streamstate.ChainRun
+    ) -> None:
+        call = stream.call
+        run.conn.watch(call.watch)
+        run.conn.send(
+            call.req.method,
+            call.req.request_target,
+            self._headers(stream, run.target.entry, run.chain),
+            call.req.body,
+            call.deadline_s,
+        )
+        run.sent_s = clocks.boot_s()
+        stream.last_event_s = run.sent_s
+        stream.start_chain()
+        first_stall_s = call.route.first_byte_slo_s * _FIRST_STALL_SHARE
+        run.next_check_s = run.sent_s + first_stall_s
+
+    def _receive_head(
+        self, stream: streamstate.Stream, run: streamstate.ChainRun
+    ) -> None:
+        """Waits for the head of the response.
+
+        Raises:
+            RefusedByTargetError: The engine did not run the request.
+        """
+        call = stream.call
+        self._await_bytes(stream, run)
+        head = run.conn.read_head(
+            call.deadline_s,
+            lambda head: call.is_own_response(self._names.request_id, head),
+        )
+        run.response = head
+        self._target_signals.handle(run.target, head)
+        calls.raise_if_refused(
+            run.conn, head, self._names, run.target.id, call.deadline_s
+        )
+
+    def _close_suspended(self, stream: streamstate.Stream) -> None:
+        """Closes the suspended run, which another one has replaced."""
+        run = stream.suspended
+        if run is None:
+            return
+        stream.suspended = None
+        self._close_run(stream, run)
+
+    def _close_run(
+        self, stream: streamstate.Stream, run: streamstate.ChainRun
+    ) -> None:
+        self._loads.release(run.chain.target_ids(), stream.demand.tokens)
+        if run.target.is_draining:
+            run.conn.close()
+        else:
+            self._pool.return_to_pool(run.conn, run.response)
 
     def _headers(
         self,
@@ -264,7 +356,7 @@
     ) -> None:
         """Passes an engine's error response on to the caller."""
         body = conn.read_body(stream.call.deadline_s, _MAX_ERROR_BODY_BYTES)
-        if stream.response_started:
+        if stream.response_started or stream.suspended is not None:
             raise targetconnection.BrokenExchangeError(
                 f"{conn.address}: resumed with status {response.status}",
                 saw_response=True,
@@ -279,11 +371,10 @@
         self,
         stream: streamstate.Stream,
         run: streamstate.ChainRun,
-        response: messages.ResponseHead,
     ) -> None:
         """Passes events on to the caller until the stream is complete."""
         call = stream.call
-        splitter = events.EventSplitter()
+        response = run.response
         while True:
             event = run.conn.next_event()
             if event is None:
@@ -292,12 +383,12 @@
                 continue
             if isinstance(event, h11.EndOfMessage):
                 break
-            data = self._accept_events(stream, run, splitter, bytes(event.data))
+            data = self._accept_events(stream, run, bytes(event.data))
             if not data:
                 continue
             self._start_response(stream, response)
             call.conn.send_data(data)
-        if splitter.incomplete_event:
+        if run.splitter.incomplete_event:
             raise targetconnection.BrokenExchangeError(
                 f"{run.conn.address}: ended inside an event", saw_response=True
             )
@@ -341,7 +432,6 @@
         self,
         stream: streamstate.Stream,
         run: streamstate.ChainRun,
-        splitter: events.EventSplitter,
         received: bytes,
     ) -> bytes:
         """Returns the bytes of complete events that the caller lacks.
@@ -350,7 +440,7 @@
             BrokenExchangeError: An event is missing or too long.
         """
         try:
-            data = stream.sequence.take(splitter.feed(received))
+            data = stream.sequence.take(run.splitter.feed(received))
         except (events.EventGapError, events.EventTooLongError) as exc:
             raise targetconnection.BrokenExchangeError(
                 f"{run.conn.address}: {exc.message}", saw_response=True
@@ -382,6 +472,8 @@
                 run.chain.describe(),
             )
         self._rerouter.record_progress(run.chain, now_s)
+        if stream.excluded:
+            self._rerouter.clear_suspicion(stream, run.chain)
         run.stall_checks = 0
         run.postponed = 0
         run.next_check_s = now_s + stream.stall_timeout_s
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/streamstate.py
@@ -7,8 +7,10 @@
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
 from briarfall.gateway import events
+from briarfall.gateway import messages
 from briarfall.gateway import paths
 from briarfall.gateway import targetconnection
+from briarfall.gateway import targetstate
 
 # A stream counts as stalled after no less than this time without events, and no
 # less than this share of the longest event interval that the route allows. The
@@ -53,6 +55,8 @@
         refusals: Number of refusals of this stream by each engine.
         avoided_until_s: Time on the boot clock until which each engine that
             refused this stream is avoided.
+        suspended: Run whose engines may have failed, though its connection is
+            open. It goes on if no other chain answers.
     """
 
     call: calls.Call
@@ -72,6 +76,7 @@
     avoided_until_s: dict[ids.TargetId, float] = msgspec.field(
         default_factory=dict
     )
+    suspended: "ChainRun | None" = None
 
     @property
     def allowed_heads(self) -> frozenset[ids.TargetId] | None:
@@ -80,9 +85,16 @@
         Once it has run on as many heads as the route allows, only these may
         run it again.
         """
-        if len(self.heads) < self.call.route.max_runs:
+        return self.heads_after(None)
+
+    def heads_after(
+        self, head: ids.TargetId | None
+    ) -> frozenset[ids.TargetId] | None:
+        """Returns `allowed_heads` as they are once it has run on `head` too."""
+        heads = self.heads if head is None else self.heads | {head}
+        if len(heads) < self.call.route.max_runs:
             return None
-        return frozenset(self.heads)
+        return frozenset(heads)
 
     @property
     def avoided(self) -> frozenset[ids.TargetId]:
@@ -149,6 +161,19 @@
             retry_after_s=retry_after_s,
         )
 
+    def suspend(self, run: "ChainRun") -> None:
+        """Keeps a run whose engines may have failed while others are tried."""
+        run.first_event_s = self.chain_first_event_s
+        self.suspended = run
+
+    def resume(self) -> "ChainRun":
+        """Returns the suspended run, which is the current one again."""
+        run = self.suspended
+        self.suspended = None
+        self.chain_first_event_s = run.first_event_s
+        run.next_check_s = clocks.boot_s() + self.stall_timeout_s
+        return run
+
     def start_chain(self) -> None:
         """Records that another chain starts to run the request."""
         self.chain_first_event_s = 0.0
@@ -173,7 +198,13 @@
 
     Attributes:
         chain: The engines.
+        target: The head as it was when the run started.
         conn: Connection to the head.
+        sent_s: Time on the boot clock at which the request was sent, or None.
+        response: Head of the response, or None if it has not arrived.
+        splitter: Splits the body into events.
+        first_event_s: Time on the boot clock of its first event, or 0; set when
+            the run is suspended.
         stall_checks: Liveness checks since the last event.
         reroute_attempts: How often rerouting was attempted in this run.
         postponed: Liveness checks postponed since the last event.
@@ -181,7 +212,14 @@
     """
 
     chain: paths.Chain
+    target: targetstate.Target
     conn: targetconnection.TargetConnection
+    sent_s: float | None = None
+    response: messages.ResponseHead | None = None
+    splitter: events.EventSplitter = msgspec.field(
+        default_factory=events.EventSplitter
+    )
+    first_event_s: float = 0.0
     stall_checks: int = 0
     reroute_attempts: int = 0
     postponed: int = 0
