One odd entry of a target no longer stops the list of targets

Operators saw: one entry of another writer among those of the targets, nested very deeply, and no instance read a newer list again: new targets were unknown, a starting instance never became ready. Entries with impossible values (port 99999, 0 or "²", host with CR LF, slots -5 or of 400 digits, layers 0 to 10^15) became targets that callers' requests were sent to.

Cause: msgspec raises RecursionError for deep nesting, which is neither a DecodeError nor a BriarfallError, so it ended the whole read each time; and the values of an entry were not checked, "isdigit" also holds for "²".

Fix: decoding.py turns every error of a decoder into one typed error with the record, the reason and the remedy; addresses.py is the one place that parses addresses (IPv4 number, port 1 to 65535 in ASCII digits); recordchecks.py bounds every value that an entry has, its id included, since it goes into a header. An ignored entry is logged once with key, size, start of the value and reason, is counted in briarfall_ignored_records, and is forgotten once it is gone. An entry of a known target that turns odd names no target any more, as the protocol says.

Ruled out: NaN, Infinity, 1e400, null, wrong types, bytes that are no UTF-8, lone surrogates, UTF-16, truncated and doubled values raised typed errors before; of duplicate fields the last one counts, and is checked.

--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -57,6 +57,7 @@
         engines: Commands to engines and their reports.
         poison: Store that keeps poison requests.
         store_calls: Counts of the calls to the platform's store.
+        ignored_records: Counts of the records that can't be used.
     """
 
     header_names: headernames.HeaderNames
@@ -68,6 +69,7 @@
     engines: sources.EngineControl
     poison: sources.PoisonSource
     store_calls: summary.CallCounts
+    ignored_records: summary.CallCounts
 
 
 class Instance:
@@ -205,6 +207,12 @@
             "call",
             platform.store_calls.snapshot,
         )
+        self.metrics.add_counts(
+            "briarfall_ignored_records",
+            "Records of the store that can't be used.",
+            "record",
+            platform.ignored_records.snapshot,
+        )
         self.metrics.add_counts(
             "briarfall_target_crashes",
             "Targets that ended during a request, by the origin of the report.",
--- a/src/briarfall/platform/engines.py
+++ b/src/briarfall/platform/engines.py
@@ -133,7 +133,7 @@
         return sources.EngineReport(
             command_count=raw.seq,
             is_busy=raw.busy,
-            layers=topics.parse_layers(layers),
+            layers=_parse_layers(layers, address),
             kv_used=raw.kv_used,
             kv_total=raw.kv_total,
             stalled={request.id: request.address for request in raw.stalled},
@@ -163,3 +163,12 @@
             headers=request_headers,
         )
         return head.status, data
+
+
+def _parse_layers(
+    layers: topics.LayersField | None, address: str
+) -> sources.LayerRange | None:
+    try:
+        return topics.parse_layers(layers, f"report of {address}")
+    except exceptions.CatalogueError as exc:
+        raise exceptions.TargetError(exc.message) from exc
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -24,12 +24,15 @@
         self.header_names = headers.HEADERS
         self.ready_path = headers.READY_PATH
         self.store_calls = summary.CallCounts()
+        self.ignored_records = summary.CallCounts()
 
         def new_client(purpose: str) -> store.StoreClient:
             return store.StoreClient(address, self.store_calls, purpose)
 
         self.catalogue = topics.CatalogueTopic(new_client("catalogue"))
-        self.targets = topics.TargetTopic(new_client("target"))
+        self.targets = topics.TargetTopic(
+            new_client("target"), self.ignored_records
+        )
         self.lease = topics.LeaseTopic(new_client("lease"))
         self.instances = topics.InstanceTopic(new_client("instance"))
         self.poison = topics.PoisonTopic(new_client("poison"))
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -5,10 +5,14 @@
 from absl import logging
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
+from briarfall.gateway import recordchecks
 from briarfall.gateway import sources
+from briarfall.gateway import summary
 from briarfall.gateway import views
+from briarfall.platform import ignoredrecords
 from briarfall.platform import manifest
 from briarfall.platform import store
 
@@ -83,66 +87,82 @@
     born: int = 0
 
 
+_ENTRY_DECODER = msgspec.json.Decoder(_Entry)
+
+
 def parse_entry(key: str, value: bytes) -> sources.TargetEntry:
     """Returns the target that an entry describes.
 
     Raises:
         CatalogueError: The entry can't be decoded, its state is unknown or
-            its address is malformed.
+            a value is out of its range.
     """
-    try:
-        entry = msgspec.json.decode(value, type=_Entry)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise exceptions.CatalogueError(
-            f"target {key}: entry can't be decoded: {exc}"
-        ) from exc
-    state = _TARGET_STATES.get(entry.state)
+    subject = f"target {decoding.excerpt(key)}"
+    raw = decoding.decode(_ENTRY_DECODER, value, subject)
+    state = _TARGET_STATES.get(raw.state)
     if state is None:
         raise exceptions.CatalogueError(
-            f"target {key}: state {entry.state!r} is unknown; expected ready "
-            "or draining"
+            f"{subject}: state {decoding.excerpt(raw.state)!r} is unknown; "
+            "expected ready or draining"
         )
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit():
-        raise exceptions.CatalogueError(
-            f"target {key}: address {entry.address!r} is not <IP number>:<port>"
-        )
-    return sources.TargetEntry(
+    entry = sources.TargetEntry(
         id=ids.TargetId(key),
-        service=views.ServiceName(entry.service),
-        address=entry.address,
-        zone=ids.ZoneId(entry.zone),
+        service=views.ServiceName(raw.service),
+        address=raw.address,
+        zone=ids.ZoneId(raw.zone),
         state=state,
-        slots=entry.slots,
-        kind=entry.kind,
-        layers=parse_layers(entry.layers),
-        beat=entry.seq,
-        started_ms=entry.born,
+        slots=raw.slots,
+        kind=raw.kind,
+        layers=parse_layers(raw.layers, subject),
+        beat=raw.seq,
+        started_ms=raw.born,
     )
+    recordchecks.check_entry(entry)
+    return entry
+
 
+def parse_layers(
+    layers: LayersField | None, subject: str
+) -> sources.LayerRange | None:
+    """Returns a range of layers, or None if it is missing or empty.
 
-def parse_layers(layers: LayersField | None) -> sources.LayerRange | None:
-    """Returns a range of layers, or None if it is missing or empty."""
+    Raises:
+        CatalogueError: The range is out of bounds.
+    """
     if layers is None or layers.first is None or layers.end is None:
         return None
-    if layers.end <= layers.first:
+    if layers.end == layers.first:
         return None
-    return sources.LayerRange(layers.first, layers.end)
+    found = sources.LayerRange(layers.first, layers.end)
+    recordchecks.check_layers(found, subject)
+    return found
 
 
 class TargetTopic(sources.TargetSource):
-    """The entries under which targets register themselves."""
+    """The entries under which targets register themselves.
 
-    def __init__(self, client: store.StoreClient):
+    Args:
+        client: Client of the store.
+        counts: Counts the entries that are ignored.
+    """
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        counts: summary.CallCounts | None = None,
+    ):
         self._store = client
-        self._logged_invalid: dict[str, bytes] = {}
+        self._ignored = ignoredrecords.IgnoredRecords(
+            "target entry", counts or summary.CallCounts()
+        )
 
     def list_targets(self, timeout_s: float) -> list[sources.TargetEntry]:
         """Returns all valid entries.
 
-        An invalid entry is logged once, and again only when it has changed.
+        A target whose entry is no longer valid is not listed.
         """
         records, _ = self._store.newest(_TARGETS_TOPIC, timeout_s)
+        self._ignored.retain(records)
         entries = []
         for record in records:
             if not record.value:
@@ -150,9 +170,7 @@
             try:
                 entries.append(parse_entry(record.key, record.value))
             except exceptions.CatalogueError as exc:
-                if self._logged_invalid.get(record.key) != record.value:
-                    self._logged_invalid[record.key] = record.value
-                    logging.warning("target entry ignored: %s", exc)
+                self._ignored.report(record, exc)
         return entries
 
 
--- /dev/null
+++ b/tests/test_addresses.py
@@ -0,0 +1,42 @@
+"""Tests that an address that names no endpoint ends no thread."""
+
+import pytest
+
+from briarfall import addresses
+from briarfall import exceptions
+
+ODD_ADDRESSES = {
+    "port_99999": "127.0.0.1:99999",
+    "port_65536": "127.0.0.1:65536",
+    "port_0": "127.0.0.1:0",
+    "port_thirty_digits": "127.0.0.1:" + "9" * 30,
+    "port_5000_digits": "127.0.0.1:" + "9" * 5000,
+    "port_superscript": "127.0.0.1:\u00b2",
+    "port_arabic": "127.0.0.1:\u0668\u0660",
+    "port_signed": "127.0.0.1:+80",
+    "port_padded": "127.0.0.1:0080",
+    "port_missing": "127.0.0.1",
+    "port_empty": "127.0.0.1:",
+    "host_cr_lf": "127.0.0.1\r\nX: y:80",
+    "host_space": " 127.0.0.1:80",
+    "host_empty": ":80",
+    "host_name": "engine:80",
+    "host_nul": "127.0.0.1\0:80",
+    "host_short": "127.1:80",
+    "host_large_part": "127.0.0.256:80",
+    "host_ipv6": "[::1]:80",
+    "host_huge": "1" * 100_000 + ":80",
+    "empty": "",
+}
+
+
+class TestParse:
+    @pytest.mark.parametrize("address", ODD_ADDRESSES.values())
+    def test_odd_address_raises_typed_error(self, address):
+        with pytest.raises(exceptions.PeerError) as info:
+            addresses.parse(address, "peer p1", exceptions.PeerError)
+        assert "peer p1" in info.value.message
+        assert len(info.value.message) < 300
+
+    def test_number_and_port_are_returned(self):
+        assert addresses.parse("10.0.0.9:65535", "x") == ("10.0.0.9", 65_535)
