A malformed address ends neither a caller's request nor a probe

Callers saw: a closed connection without any answer. TargetConnection caught OSError and ValueError, but socket.create_connection raises OverflowError for a port above 65535, TypeError for a host with a null character and an error of the codec for others; such an exception is no BriarfallError, so it ended the caller's thread. A probe of engines (liveness._connect_all) caught nothing, and left the sockets of its round open, also when the process had no descriptor left.

Fix: both parse addresses with addresses.parse, which raises a typed error (NotSentError for a connection: nothing was sent). The probe reports UNKNOWN for an address that names no endpoint or when there is no descriptor, which says nothing about the target; the result of the others stands, and all sockets are closed whatever happens.

Ruled out: whether a lagging address was judged alone or beside others is unchanged; an unusable address still counts as one of the round.

--- a/src/briarfall/gateway/liveness.py
+++ b/src/briarfall/gateway/liveness.py
@@ -1,12 +1,17 @@
 """Liveness checks that distinguish dead engines from slow ones."""
 
 import collections.abc
+import contextlib
 import enum
 import errno
 import select
 import socket
 import threading
 
+from absl import logging
+
+from briarfall import addresses as address_parser
+from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
 from briarfall.gateway import paths
@@ -157,6 +162,7 @@
         self._is_single = len(self._pending) == 1
         self._until_s = started_s + _FIRST_ANSWER_TIMEOUT_S
         self._results: dict[str, Reachability] = {}
+        self._skipped: set[str] = set()
 
     @property
     def until_s(self) -> float:
@@ -172,6 +178,11 @@
         self._pending.discard(address)
         self._results[address] = reachability
 
+    def skip(self, address: str) -> None:
+        """Records that no connection was attempted."""
+        self._pending.discard(address)
+        self._skipped.add(address)
+
     def results(self) -> dict[str, Reachability]:
         """Returns the result of each address.
 
@@ -184,6 +195,8 @@
             missing = Reachability.UNRESPONSIVE
         for address in self._pending:
             by_address[address] = missing
+        for address in self._skipped:
+            by_address[address] = Reachability.UNKNOWN
         return by_address
 
 
@@ -220,36 +233,60 @@
 
 
 def _connect_all(addresses: set[str]) -> dict[str, Reachability]:
+    """Connects once to each address; closes all sockets whatever happens."""
     attempts = ConnectRound(addresses, clocks.boot_s())
-    pending: dict[int, tuple[socket.socket, str]] = {}
-    poller = select.poll()
-    for address in addresses:
-        host, _, port = address.rpartition(":")
+    with contextlib.ExitStack() as opened:
+        pending = {}
+        for address in addresses:
+            sock = _start_connect(address, attempts, opened)
+            if sock is not None:
+                pending[sock.fileno()] = (sock, address)
+        _await_connects(pending, attempts)
+    return attempts.results()
+
+
+def _start_connect(
+    address: str, attempts: ConnectRound, opened: contextlib.ExitStack
+) -> socket.socket | None:
+    """Starts to connect; returns the socket if its result is pending."""
+    try:
+        endpoint = address_parser.parse(address, "probe")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        code = sock.connect_ex((host, int(port)))
-        if code not in (0, errno.EINPROGRESS):
-            attempts.record(address, _reachability_of(code), clocks.boot_s())
-            sock.close()
-            continue
-        pending[sock.fileno()] = (sock, address)
-        poller.register(sock, select.POLLOUT)
+    except (exceptions.CatalogueError, OSError) as exc:
+        # An OSError says that this process has no descriptor left, nothing
+        # about the target.
+        logging.warning("probe not attempted, its result is unknown: %s", exc)
+        attempts.skip(address)
+        return None
+    opened.enter_context(sock)
+    sock.setblocking(False)
+    code = sock.connect_ex(endpoint)
+    if code in (0, errno.EINPROGRESS):
+        return sock
+    sock.close()
+    attempts.record(address, _reachability_of(code), clocks.boot_s())
+    return None
+
+
+def _await_connects(
+    pending: dict[int, tuple[socket.socket, str]], attempts: ConnectRound
+) -> None:
+    poller = select.poll()
+    for number in pending:
+        poller.register(number, select.POLLOUT)
     while pending:
         # Poll once even after the deadline: a throttled process may find that
         # an answer has arrived in the meantime.
         left_s = max(0.0, attempts.until_s - clocks.boot_s())
         ready = poller.poll(left_s * 1000)
         if not ready and clocks.boot_s() >= attempts.until_s:
-            break
+            return
         for number, _ in ready:
             sock, address = pending.pop(number)
             poller.unregister(number)
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             attempts.record(address, _reachability_of(code), clocks.boot_s())
             sock.close()
-    for sock, _ in pending.values():
-        sock.close()
-    return attempts.results()
 
 
 def _reachability_of(code: int) -> Reachability:
--- a/src/briarfall/gateway/targetconnection.py
+++ b/src/briarfall/gateway/targetconnection.py
@@ -7,6 +7,7 @@
 from absl import logging
 import h11
 
+from briarfall import addresses
 from briarfall import exceptions
 from briarfall.gateway import clocks
 from briarfall.gateway import messages
@@ -124,7 +125,7 @@
     """A connection to one target; one thread uses it at a time."""
 
     def __init__(self, address: str, timeout_s: float):
-        host, _, port = address.rpartition(":")
+        endpoint = addresses.parse(address, "connection", NotSentError)
         self.address = address
         self.is_fresh = True
         self.idle_since_s = 0.0
@@ -135,8 +136,8 @@
         self._saw_bytes = False
         self._late_reads = 0
         try:
-            self.sock = socket.create_connection((host, int(port)), timeout_s)
-        except (OSError, ValueError) as exc:
+            self.sock = socket.create_connection(endpoint, timeout_s)
+        except OSError as exc:
             raise NotSentError(f"{address}: cannot connect: {exc}") from exc
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock.settimeout(None)
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -4,6 +4,8 @@
 
 from briarfall import addresses
 from briarfall import exceptions
+from briarfall.gateway import liveness
+from briarfall.gateway import targetconnection
 
 ODD_ADDRESSES = {
     "port_99999": "127.0.0.1:99999",
@@ -40,3 +42,44 @@
 
     def test_number_and_port_are_returned(self):
         assert addresses.parse("10.0.0.9:65535", "x") == ("10.0.0.9", 65_535)
+
+
+_UNUSABLE = [
+    *ODD_ADDRESSES.values(),
+    "\ud800:80",
+    "a" * 70 + ".example:80",
+]
+
+
+class TestUnusableAddresses:
+    @pytest.mark.parametrize("address", _UNUSABLE)
+    def test_connection_raises_not_sent(self, address):
+        with pytest.raises(targetconnection.NotSentError):
+            targetconnection.TargetConnection(address, 0.1)
+
+    @pytest.mark.parametrize("address", _UNUSABLE)
+    def test_probe_has_no_result(self, address):
+        found = liveness.probe_target(address)
+        assert found is liveness.Reachability.UNKNOWN
+
+    def test_probe_of_other_addresses_goes_on(self, world):
+        service = world.service("d1")
+        found = liveness.probe_target(service.address, _UNUSABLE)
+        assert found is liveness.Reachability.OPEN
+
+    def test_failed_probe_leaves_no_socket_open(self, monkeypatch):
+        opened = []
+        create = liveness.socket.socket
+
+        def open_socket(*args):
+            opened.append(create(*args))
+            if len(opened) == 3:
+                raise OSError(24, "too many open files")
+            return opened[-1]
+
+        monkeypatch.setattr(liveness.socket, "socket", open_socket)
+        addresses = {f"127.0.0.1:{port}" for port in (1, 2, 3, 4)}
+        found = liveness._connect_all(addresses)
+        assert found.keys() == addresses
+        opened.pop(2).close()
+        assert all(sock.fileno() == -1 for sock in opened)
