Odd records of instances, poison requests and the lease cost only themselves

Operators saw, after one odd record of another writer: an instance that never announced itself to the others (its thread had ended), a status that reached no peer, poison requests that were never loaded, and engines that no instance placed layers on any more.

Cause: deep nesting raised RecursionError out of every list of records; an odd lease grant raised DecodeError, so no instance took the lease again, ever; a poison record valid until 1.7e308 overflowed the sum of milliseconds in each repetition of the load; a peer with port 99999 or "²" ended the round of sending or the announcing thread; cores of 0 or NaN broke the weighted choice of a peer.

A grant that can't be read counts as one of an unknown holder for the usual duration: it may be in force, and it lapses. The announcing thread survives any error. A key that the store can't hold raises a typed error; the settings check the instance's name against the same limit at the start.

Ruled out: bytes that are no UTF-8, null, wrong types, truncated records of instances and poison requests were skipped before, but logged at each read.

--- a/src/briarfall/gateway/config.py
+++ b/src/briarfall/gateway/config.py
@@ -6,6 +6,9 @@
 from briarfall import ids
 from briarfall import settings
 
+# Names are keys of records in the store.
+_MAX_NAME_BYTES = 255
+
 
 class GatewaySettings(msgspec.Struct, frozen=True):
     """Settings of one gateway instance.
@@ -54,10 +57,14 @@
     Raises:
         SettingsError: A value is out of its range.
     """
-    if not cfg.instance:
-        raise exceptions.SettingsError("instance is empty")
-    if not cfg.zone:
-        raise exceptions.SettingsError("zone is empty")
+    for name in ("instance", "zone"):
+        value = getattr(cfg, name)
+        if not value or not value.isprintable():
+            raise exceptions.SettingsError(f"{name} is empty or not printable")
+        if len(value.encode()) > _MAX_NAME_BYTES:
+            raise exceptions.SettingsError(
+                f"{name} is longer than {_MAX_NAME_BYTES} bytes"
+            )
     for name in (
         "cores",
         "beat_s",
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -256,17 +256,21 @@
         """Announces this instance and lists the others; retries failures."""
         while not self._closed.is_set():
             try:
-                self._source.announce(self._record, _STORE_TIMEOUT_S)
-                records = self._source.list_instances(_STORE_TIMEOUT_S)
+                self._announce_once()
+                return
             except exceptions.BriarfallError as exc:
                 logging.warning("not announced to peers, retrying: %s", exc)
-                self._closed.wait(_ANNOUNCE_RETRY_S)
-                continue
-            for record in records:
-                self._peers.add(record)
-            logging.info("announced peers=%d", len(records) - 1)
-            self._wake.set()
-            return
+            except Exception:
+                logging.exception("not announced to peers, retrying")
+            self._closed.wait(_ANNOUNCE_RETRY_S)
+
+    def _announce_once(self) -> None:
+        self._source.announce(self._record, _STORE_TIMEOUT_S)
+        records = self._source.list_instances(_STORE_TIMEOUT_S)
+        for record in records:
+            self._peers.add(record)
+        logging.info("announced peers=%d", len(records) - 1)
+        self._wake.set()
 
     def _send_loop(self) -> None:
         sent_s: dict[ids.InstanceId, float] = {}
--- a/src/briarfall/gateway/peers.py
+++ b/src/briarfall/gateway/peers.py
@@ -8,8 +8,10 @@
 import msgspec
 import xxhash
 
+from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
+from briarfall.gateway import recordchecks
 from briarfall.gateway import sources
 
 # Interval of the status to peers of the same zone and of other zones. Chains
@@ -87,20 +89,16 @@
         """Adds or updates a peer.
 
         Returns:
-            The peer, or None if the record is this instance's own or its
-            address is malformed.
+            The peer, or None if the record is this instance's own or is
+            invalid.
         """
         if record.id == self._instance:
             return None
-        host, _, port = record.address.rpartition(":")
-        if not host or not port.isdigit():
-            logging.warning(
-                "peer ignored, its address is not host:port peer=%s address=%s",
-                record.id,
-                record.address,
-            )
+        try:
+            endpoint = recordchecks.check_instance(record)
+        except exceptions.CatalogueError as exc:
+            logging.warning("peer ignored, its record is invalid: %s", exc)
             return None
-        endpoint = (host, int(port))
         with self._lock:
             peer = self._peers.get(record.id)
             is_new = peer is None
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -33,9 +33,15 @@
         self.targets = topics.TargetTopic(
             new_client("target"), self.ignored_records
         )
-        self.lease = topics.LeaseTopic(new_client("lease"))
-        self.instances = topics.InstanceTopic(new_client("instance"))
-        self.poison = topics.PoisonTopic(new_client("poison"))
+        self.lease = topics.LeaseTopic(
+            new_client("lease"), self.ignored_records
+        )
+        self.instances = topics.InstanceTopic(
+            new_client("instance"), self.ignored_records
+        )
+        self.poison = topics.PoisonTopic(
+            new_client("poison"), self.ignored_records
+        )
         self.engines = engines.EngineCalls(pool)
 
 
--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -10,11 +10,13 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall.gateway import connections
 from briarfall.gateway import summary
 
 _RECORD_LENGTH = struct.Struct(">I")
+_MAX_KEY_BYTES = 255
 _READ_HEADER = struct.Struct(">QQ")
 # The store answers within milliseconds and closes idle connections late. An
 # idle connection that is dead is detected by the time-out of the next call.
@@ -192,8 +194,20 @@
 
 
 def keyed_record(key: str, value: bytes) -> bytes:
-    """Encodes a record of a keyed topic; an empty value deletes the key."""
-    name = key.encode()
+    """Encodes a record of a keyed topic; an empty value deletes the key.
+
+    Raises:
+        CatalogueError: The key is no text of at most 255 bytes.
+    """
+    try:
+        name = key.encode()
+    except UnicodeEncodeError as exc:
+        raise decoding.failure("key", exc, exceptions.CatalogueError) from exc
+    if len(name) > _MAX_KEY_BYTES:
+        raise exceptions.CatalogueError(
+            f"key {decoding.excerpt(key)!r} is longer than {_MAX_KEY_BYTES} "
+            "bytes"
+        )
     return bytes([len(name)]) + name + value
 
 
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -1,13 +1,14 @@
 """Implements the gateway's sources on topics of the store."""
 
+import collections.abc
 import typing
 
-from absl import logging
 import msgspec
 
 from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
+from briarfall.gateway import leasing
 from briarfall.gateway import recordchecks
 from briarfall.gateway import sources
 from briarfall.gateway import summary
@@ -23,7 +24,7 @@
 _LEASE_TOPIC = "keyed.briarfall-lease"
 _POISON_TOPIC = "keyed.briarfall-poison"
 _LEASE_KEY = "placement"
-_Record = typing.TypeVar("_Record")
+_Value = typing.TypeVar("_Value")
 _TARGET_STATES = {
     "ready": sources.TargetState.READY,
     "draining": sources.TargetState.DRAINING,
@@ -152,9 +153,7 @@
         counts: summary.CallCounts | None = None,
     ):
         self._store = client
-        self._ignored = ignoredrecords.IgnoredRecords(
-            "target entry", counts or summary.CallCounts()
-        )
+        self._ignored = _ignored("target entry", counts)
 
     def list_targets(self, timeout_s: float) -> list[sources.TargetEntry]:
         """Returns all valid entries.
@@ -162,23 +161,39 @@
         A target whose entry is no longer valid is not listed.
         """
         records, _ = self._store.newest(_TARGETS_TOPIC, timeout_s)
-        self._ignored.retain(records)
-        entries = []
-        for record in records:
-            if not record.value:
-                continue
-            try:
-                entries.append(parse_entry(record.key, record.value))
-            except exceptions.CatalogueError as exc:
-                self._ignored.report(record, exc)
-        return entries
+        return _parse_all(records, parse_entry, self._ignored)
+
+
+_INSTANCE_DECODER = msgspec.json.Decoder(sources.InstanceRecord)
+
+
+def parse_instance(key: str, value: bytes) -> sources.InstanceRecord:
+    """Returns the record of an instance.
+
+    Raises:
+        CatalogueError: It can't be decoded or a value is out of its range.
+    """
+    subject = f"instance {decoding.excerpt(key)}"
+    record = decoding.decode(_INSTANCE_DECODER, value, subject)
+    recordchecks.check_instance(record)
+    return record
 
 
 class InstanceTopic(sources.InstanceSource):
-    """The records in which instances announce their addresses."""
+    """The records in which instances announce their addresses.
 
-    def __init__(self, client: store.StoreClient):
+    Args:
+        client: Client of the store.
+        counts: Counts the records that are ignored.
+    """
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        counts: summary.CallCounts | None = None,
+    ):
         self._store = client
+        self._ignored = _ignored("instance record", counts)
 
     def announce(
         self, record: sources.InstanceRecord, timeout_s: float
@@ -194,7 +209,7 @@
     def list_instances(self, timeout_s: float) -> list[sources.InstanceRecord]:
         """Returns all valid records."""
         records, _ = self._store.newest(_INSTANCES_TOPIC, timeout_s)
-        return _decode_values(records, sources.InstanceRecord, "instance")
+        return _parse_all(records, parse_instance, self._ignored)
 
     def retract(self, instance: ids.InstanceId, timeout_s: float) -> None:
         """Removes the record of an instance."""
@@ -203,11 +218,41 @@
         )
 
 
+_POISON_DECODER = msgspec.json.Decoder(sources.PoisonRecord)
+
+
+def parse_poison(key: str, value: bytes) -> sources.PoisonRecord:
+    """Returns the record of a poison request.
+
+    Raises:
+        CatalogueError: It can't be decoded, a value is out of its range, or
+            it belongs to another key.
+    """
+    subject = f"poison request {decoding.excerpt(key)}"
+    record = decoding.decode(_POISON_DECODER, value, subject)
+    recordchecks.check_poison(record, subject)
+    if record.fingerprint != key:
+        raise exceptions.CatalogueError(
+            f"{subject}: fingerprint {record.fingerprint!r} is not the key"
+        )
+    return record
+
+
 class PoisonTopic(sources.PoisonSource):
-    """Poison requests, keyed by the fingerprint of the request."""
+    """Poison requests, keyed by the fingerprint of the request.
 
-    def __init__(self, client: store.StoreClient):
+    Args:
+        client: Client of the store.
+        counts: Counts the records that are ignored.
+    """
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        counts: summary.CallCounts | None = None,
+    ):
         self._store = client
+        self._ignored = _ignored("poison record", counts)
 
     def publish(self, record: sources.PoisonRecord, timeout_s: float) -> None:
         """Stores the record of a poison request."""
@@ -221,7 +266,7 @@
     def list_records(self, timeout_s: float) -> list[sources.PoisonRecord]:
         """Returns all valid records."""
         records, _ = self._store.newest(_POISON_TOPIC, timeout_s)
-        return _decode_values(records, sources.PoisonRecord, "poison request")
+        return _parse_all(records, parse_poison, self._ignored)
 
     def retract(self, fingerprint: str, timeout_s: float) -> None:
         """Removes the record of a poison request."""
@@ -230,19 +275,28 @@
         )
 
 
-def _decode_values(
-    records: list[store.KeyedRecord], kind: type[_Record], label: str
-) -> list[_Record]:
-    """Decodes the values of records; logs and skips malformed ones."""
-    values = []
+def _ignored(
+    label: str, counts: summary.CallCounts | None
+) -> ignoredrecords.IgnoredRecords:
+    return ignoredrecords.IgnoredRecords(label, counts or summary.CallCounts())
+
+
+def _parse_all(
+    records: list[store.KeyedRecord],
+    parse: collections.abc.Callable[[str, bytes], _Value],
+    ignored: ignoredrecords.IgnoredRecords,
+) -> list[_Value]:
+    """Parses the values of records; reports and skips invalid ones."""
+    ignored.retain(records)
+    found = []
     for record in records:
         if not record.value:
             continue
         try:
-            values.append(msgspec.json.decode(record.value, type=kind))
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            logging.warning("%s %s ignored: %s", label, record.key, exc)
-    return values
+            found.append(parse(record.key, record.value))
+        except exceptions.CatalogueError as exc:
+            ignored.report(record, exc)
+    return found
 
 
 class _Grant(msgspec.Struct):
@@ -250,14 +304,42 @@
     ttl_s: float
 
 
+_GRANT_DECODER = msgspec.json.Decoder(_Grant)
+_MAX_TTL_S = 60.0
+# Holder and duration of a grant that can't be read. It may have been written
+# by an instance of another release, so it is given time to lapse.
+_UNKNOWN_GRANT = _Grant("unknown", leasing.LEASE_TTL_S)
+
+
+def _parse_grant(key: str, value: bytes) -> _Grant:
+    subject = f"lease {key}"
+    grant = decoding.decode(_GRANT_DECODER, value, subject)
+    recordchecks.check_instance_id(grant.holder, subject)
+    if not 0 < grant.ttl_s <= _MAX_TTL_S:
+        raise exceptions.CatalogueError(
+            f"{subject}: ttl_s {grant.ttl_s} is not above 0 and up to "
+            f"{_MAX_TTL_S:g}"
+        )
+    return grant
+
+
 class LeaseTopic(sources.LeaseSource):
     """The lease for placement.
 
     The fencing number of a grant is the offset after the grant's record.
+
+    Args:
+        client: Client of the store.
+        counts: Counts the grants that are ignored.
     """
 
-    def __init__(self, client: store.StoreClient):
+    def __init__(
+        self,
+        client: store.StoreClient,
+        counts: summary.CallCounts | None = None,
+    ):
         self._store = client
+        self._ignored = _ignored("lease grant", counts)
 
     def read_grant(self, timeout_s: float) -> sources.LeaseGrant:
         """Returns the newest grant, with an empty holder if there is none."""
@@ -265,7 +347,11 @@
         for record in records:
             if record.key != _LEASE_KEY:
                 continue
-            grant = msgspec.json.decode(record.value, type=_Grant)
+            try:
+                grant = _parse_grant(record.key, record.value)
+            except exceptions.CatalogueError as exc:
+                self._ignored.report(record, exc)
+                grant = _UNKNOWN_GRANT
             return sources.LeaseGrant(
                 ids.InstanceId(grant.holder), end, grant.ttl_s, end
             )
