Odd pages and records of the store cost one read or one record

Operators saw: a list that was not read again, or a thread that read for ever, after the store's answer held one odd item.

Cause: a page was decoded as a whole, so one item with a key or value of another type, or Base64 that is none (binascii.Error, no BriarfallError), cost all records; a lone half of a surrogate pair in a key did so too; deep nesting raised RecursionError; pages whose last key repeats, or that never end, were read without end and kept in memory; records were split by copying the rest each time, quadratic in their number; a keyed record of the operator's topic that is shorter than its key failed the read at the same position again and again.

Ruled out: truncated headers and records, empty bodies, other types of the page itself and NaN raised typed errors before.

--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -4,10 +4,12 @@
 newest value of each key.
 """
 
-import base64
+import re
 import struct
+import typing
 import urllib.parse
 
+from absl import logging
 import msgspec
 
 from briarfall import decoding
@@ -17,35 +19,44 @@
 
 _RECORD_LENGTH = struct.Struct(">I")
 _MAX_KEY_BYTES = 255
+# Pages of one read; the topics in use fill a few.
+_MAX_PAGES = 100
+_LOG_INTERVAL_S = 10
 _READ_HEADER = struct.Struct(">QQ")
 # The store answers within milliseconds and closes idle connections late. An
 # idle connection that is dead is detected by the time-out of the next call.
 _MAX_IDLE_S = 3.0
 
 
+_Offset = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _KeyedItem(msgspec.Struct):
     key: str
     # The value in Base64.
     value: str = ""
-    offset: int = 0
 
 
 class _NewestPage(msgspec.Struct):
-    items: list[_KeyedItem] = []
+    # Each item is decoded on its own, so that an odd one costs only itself.
+    items: list[msgspec.Raw] = []
     # Whether keys follow after the last one of `items`.
     has_more: bool = False
     # Offset that the next appended record will get.
-    end: int = 0
+    end: _Offset = 0
 
 
 class _AppendReply(msgspec.Struct):
-    offset: int = 0
-    end: int = 0
+    offset: _Offset = 0
 
 
 class _GapReply(msgspec.Struct):
     # Oldest offset that is still kept.
-    first: int = 0
+    first: _Offset = 0
+
+
+_SURROGATE = re.compile(rb"\\u[dD][89a-fA-F][0-9a-fA-F]{2}")
+_ITEM_DECODER = msgspec.json.Decoder(_KeyedItem)
 
 
 class KeyedRecord(msgspec.Struct, frozen=True):
@@ -71,22 +82,30 @@
         self._pool = connections.ConnectionPool()
 
     def newest(self, topic: str, timeout_s: float):
-        """Returns the newest record of each key, and the topic's end offset."""
+        """Returns the newest record of each key, and the topic's end offset.
+
+        Raises:
+            LogUnavailableError: The store did not answer, or its pages have
+                no end.
+        """
         records = []
-        after = None
-        while True:
-            args = {"topic": topic, "part": 0}
-            if after is not None:
-                args["after"] = after
+        args = {"topic": topic, "part": 0}
+        seen = set()
+        while len(seen) < _MAX_PAGES:
             _, body = self._call("GET", "log-newest", args, b"", timeout_s)
-            page = _decode(body, _NewestPage)
-            for item in page.items:
-                records.append(
-                    KeyedRecord(item.key, base64.b64decode(item.value))
-                )
+            page = _decode_page(body)
+            found = _decode_items(page.items)
+            records.extend(found)
             if not page.has_more or not page.items:
                 return records, page.end
-            after = page.items[-1].key
+            if not found or found[-1].key in seen:
+                break
+            args["after"] = found[-1].key
+            seen.add(found[-1].key)
+        raise exceptions.LogUnavailableError(
+            f"store log-newest: pages of {topic} have no end, expected new "
+            f"keys on each of at most {_MAX_PAGES} pages"
+        )
 
     def read(
         self,
@@ -116,7 +135,7 @@
                 f"store response truncated: got {len(body)} of at least "
                 f"{_READ_HEADER.size} bytes"
             )
-        records = _split_records(body[_READ_HEADER.size :])
+        records = _split_records(memoryview(body)[_READ_HEADER.size :])
         return records, start + len(records)
 
     def append(
@@ -215,34 +234,67 @@
     """Decodes a record of a keyed topic.
 
     Raises:
-        LogUnavailableError: The record is shorter than its key.
+        CatalogueError: The record is shorter than its key.
     """
     if not record or len(record) < 1 + record[0]:
-        raise exceptions.LogUnavailableError(
+        raise exceptions.CatalogueError(
             f"keyed record truncated: {len(record)} bytes don't hold its key"
         )
     end = 1 + record[0]
     return KeyedRecord(record[1:end].decode("utf-8", "replace"), record[end:])
 
 
-def _split_records(data: bytes) -> list[bytes]:
+def _split_records(data: memoryview) -> list[bytes]:
     records = []
-    while len(data) >= _RECORD_LENGTH.size:
-        (size,) = _RECORD_LENGTH.unpack_from(data)
-        end = _RECORD_LENGTH.size + size
-        if len(data) < end:
+    start = 0
+    while len(data) - start >= _RECORD_LENGTH.size:
+        (size,) = _RECORD_LENGTH.unpack_from(data, start)
+        start += _RECORD_LENGTH.size
+        if len(data) - start < size:
             raise exceptions.LogUnavailableError(
-                f"record truncated: got {len(data)} of {end} bytes"
+                f"record truncated: got {len(data) - start} of {size} bytes"
             )
-        records.append(data[_RECORD_LENGTH.size : end])
-        data = data[end:]
+        records.append(bytes(data[start : start + size]))
+        start += size
     return records
 
 
-def _decode(data: bytes, kind):
+def _decode_page(body: bytes) -> _NewestPage:
     try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise exceptions.LogUnavailableError(
-            f"store response can't be decoded: {exc}"
-        ) from exc
+        return _decode(body, _NewestPage)
+    except exceptions.LogUnavailableError:
+        # A key of another writer need not be text; JSON may then hold half of
+        # a surrogate pair, which fails the whole page.
+        replaced, count = _SURROGATE.subn(rb"\\ufffd", body)
+        if not count:
+            raise
+    return _decode(replaced, _NewestPage)
+
+
+def _decode_items(items: list[msgspec.Raw]) -> list[KeyedRecord]:
+    """Decodes the items of a page; logs and skips malformed ones."""
+    records = []
+    for raw in items:
+        try:
+            item = decoding.decode(_ITEM_DECODER, raw, "keyed record")
+            value = decoding.decode_base64(
+                item.value,
+                f"value of {decoding.excerpt(item.key)}",
+                exceptions.CatalogueError,
+            )
+        except exceptions.CatalogueError as exc:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "record ignored, the others of its page stay in use: %s",
+                _LOG_INTERVAL_S,
+                exc,
+            )
+            continue
+        records.append(KeyedRecord(item.key, value))
+    return records
+
+
+def _decode(data: bytes, kind: type):
+    return decoding.decode_json(
+        data, kind, "store response", exceptions.LogUnavailableError
+    )
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+from absl import logging
 import msgspec
 
 from briarfall import decoding
@@ -54,7 +55,11 @@
         )
         raw = None
         for record in records:
-            keyed = store.split_keyed(record)
+            try:
+                keyed = store.split_keyed(record)
+            except exceptions.CatalogueError as exc:
+                logging.warning("record of the operator ignored: %s", exc)
+                continue
             if keyed.key == _MANIFEST_KEY and keyed.value:
                 raw = keyed.value
         return sources.CatalogueRead(end, raw)
