A response answers only the request that it can be told to belong to

Callers were told "not run, try again" (429, 503) for requests that a target had run or was running, or such a request ran at a second target: a faulty target wrote an earlier refusal once more on a kept connection.

Cause: responses were matched by the id of the caller's attempt alone. - A response without an id counted as our own, a copy of a refusal too. - Our retry of an attempt keeps its id; a stream went to the engine that had refused it again, over the connection with the copy. - The gateway's own calls to engines (orders, reports) share the pool with callers' requests and took any response: an order's or a report's answer, or a caller's refusal, passed as the answer to the next order or report.

Copies that arrive while the connection is idle were detected before, and copies with the id of another attempt were skipped before; both are tested too.

Fix: a connection remembers what it has carried (matching.ExchangeHistory), and the pool asks it. It never carries one id twice, nor two requests without an id; a response without an id counts only as the first one on a connection, or, for a request without an id, as the first one without. Anything else has an unknown outcome and ends the connection. A response without an id to a request with one ends the reuse, so that a target that echoes no ids is served over new connections. After a failure of an own call the connection is closed. Calls in turn, also refused ones, still share one connection (tested): nothing more is opened while targets echo ids, except for a second order or report within the life of a connection, and after 4,096 requests on one.

Ruled out: pipelining (one exchange at a time on a connection), bytes after a complete response in the same read (already closes the connection).

test_gateway_endless.py: read_head has no matcher any more; its assertions are unchanged.

--- a/src/briarfall/gateway/calls.py
+++ b/src/briarfall/gateway/calls.py
@@ -7,6 +7,7 @@
 from briarfall.gateway import callers
 from briarfall.gateway import clocks
 from briarfall.gateway import headernames
+from briarfall.gateway import matching
 from briarfall.gateway import messages
 from briarfall.gateway import promptparts
 from briarfall.gateway import sources
@@ -71,10 +72,13 @@
         """Seconds since the request arrived."""
         return clocks.boot_s() - self.req.received_s
 
-    def is_own_response(self, name: bytes, head: messages.ResponseHead) -> bool:
-        """Whether a response has this request's id, or no id."""
-        echoed = head.header(name)
-        return echoed is None or echoed.decode("latin-1") == self.request_id
+    def identity(
+        self, header_names: headernames.HeaderNames
+    ) -> matching.RequestIdentity:
+        """Returns how its response is recognised."""
+        return matching.RequestIdentity(
+            header_names.request_id, self.request_id
+        )
 
 
 class RefusedByTargetError(exceptions.TargetError):
--- a/src/briarfall/gateway/connections.py
+++ b/src/briarfall/gateway/connections.py
@@ -3,6 +3,7 @@
 import threading
 
 from briarfall.gateway import clocks
+from briarfall.gateway import matching
 from briarfall.gateway import messages
 from briarfall.gateway import targetconnection
 
@@ -18,31 +19,49 @@
         self.opened = 0
 
     def acquire(
-        self, address: str, max_idle_s: float, timeout_s: float
+        self,
+        address: str,
+        max_idle_s: float,
+        timeout_s: float,
+        identity: matching.RequestIdentity,
     ) -> targetconnection.TargetConnection:
-        """Returns an idle connection, or a new one.
+        """Returns an idle connection, or a new one, for one request.
 
         Args:
             address: IP address and port.
             max_idle_s: Longest idle time of a reused connection; 0 always
                 opens a new one.
             timeout_s: Bound on opening a connection.
+            identity: How the response to the request is recognised; only a
+                connection on which it can be is reused.
 
         Raises:
             NotSentError: The target can't be reached.
         """
-        while max_idle_s > 0:
-            with self._lock:
-                idle = self._idle.get(address)
-                conn = idle.pop() if idle else None
+        conn = None
+        while conn is None and max_idle_s > 0:
+            conn = self._take_idle(address, identity)
             if conn is None:
                 break
-            if conn.is_usable(max_idle_s):
-                return conn
-            conn.close()
-        self.opened += 1
-        timeout_s = min(timeout_s, targetconnection.CONNECT_TIMEOUT_S)
-        return targetconnection.TargetConnection(address, timeout_s)
+            if not conn.is_usable(max_idle_s):
+                conn.close()
+                conn = None
+        if conn is None:
+            self.opened += 1
+            timeout_s = min(timeout_s, targetconnection.CONNECT_TIMEOUT_S)
+            conn = targetconnection.TargetConnection(address, timeout_s)
+        conn.history.start(identity)
+        return conn
+
+    def _take_idle(
+        self, address: str, identity: matching.RequestIdentity
+    ) -> targetconnection.TargetConnection | None:
+        with self._lock:
+            idle = self._idle.get(address, [])
+            for index in reversed(range(len(idle))):
+                if idle[index].history.may_carry(identity):
+                    return idle.pop(index)
+        return None
 
     def put(self, conn: targetconnection.TargetConnection) -> None:
         """Adds an idle connection to the pool."""
@@ -105,9 +124,25 @@
     *,
     headers: messages.Headers = (),
     max_idle_s: float = 2.0,
+    id_header: bytes | None = None,
 ) -> tuple[messages.ResponseHead, bytes]:
     """Sends one request of the gateway itself; returns the response.
 
+    The connection is reused only after a success: such requests have no id,
+    so that the copy of a refusal would answer a later one.
+
+    Args:
+        pool: Connections to the address.
+        address: IP address and port.
+        method: HTTP method.
+        path: Path and query.
+        body: Body, which may be empty.
+        timeout_s: Longest wait for the complete response.
+        headers: Further headers.
+        max_idle_s: Longest idle time of a reused connection.
+        id_header: Header that marks responses to other requests on connections
+            of the pool; None if the protocol has no ids.
+
     Raises:
         NotSentError: The target can't be reached.
         BrokenExchangeError: The response is missing or damaged; the request
@@ -116,7 +151,8 @@
             executed.
     """
     deadline_s = clocks.boot_s() + timeout_s
-    conn = pool.acquire(address, max_idle_s, timeout_s)
+    identity = matching.RequestIdentity(id_header)
+    conn = pool.acquire(address, max_idle_s, timeout_s, identity)
     complete_head = None
     try:
         conn.watch(None)
@@ -126,9 +162,10 @@
             *headers,
         ]
         conn.send(method.encode(), path.encode(), fields, body, deadline_s)
-        head = conn.read_head(deadline_s, lambda head: True)
+        head = conn.read_head(deadline_s)
         data = conn.read_body(deadline_s)
-        complete_head = head
+        if head.is_success:
+            complete_head = head
     finally:
         pool.return_to_pool(conn, complete_head)
     return head, data
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -199,6 +199,7 @@
             entry.address,
             _MAX_SINGLE_RUN_IDLE_S if runs_once else _MAX_IDLE_S,
             call.left_s,
+            call.identity(self._names),
         )
         head = None
         body = None
@@ -212,10 +213,7 @@
                 call.req.body,
                 call.deadline_s,
             )
-            head = conn.read_head(
-                self._response_deadline_s(call),
-                lambda head: call.is_own_response(self._names.request_id, head),
-            )
+            head = conn.read_head(self._response_deadline_s(call))
             self._target_signals.handle(target, head)
             calls.raise_if_refused(
                 conn, head, self._names, target.id, call.deadline_s
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -195,7 +195,9 @@
         """Runs a stream on one chain until it ends or the chain fails."""
         call = stream.call
         head = chain.head
-        conn = self._pool.acquire(head.address, _MAX_IDLE_S, call.left_s)
+        conn = self._pool.acquire(
+            head.address, _MAX_IDLE_S, call.left_s, call.identity(self._names)
+        )
         run = streamstate.ChainRun(chain, conn)
         response = None
         self._loads.reserve(chain.target_ids(), stream.demand.tokens)
@@ -220,10 +222,7 @@
             first_stall_s = call.route.first_byte_slo_s * _FIRST_STALL_SHARE
             run.next_check_s = stream.last_event_s + first_stall_s
             self._await_bytes(stream, run)
-            response = conn.read_head(
-                call.deadline_s,
-                lambda head: call.is_own_response(self._names.request_id, head),
-            )
+            response = conn.read_head(call.deadline_s)
             self._target_signals.handle(target, response)
             calls.raise_if_refused(
                 conn, response, self._names, head.target, call.deadline_s
--- a/src/briarfall/gateway/targetconnection.py
+++ b/src/briarfall/gateway/targetconnection.py
@@ -1,6 +1,5 @@
 """One request and its response on a connection to a target."""
 
-import collections.abc
 import select
 import socket
 
@@ -9,6 +8,7 @@
 
 from briarfall import exceptions
 from briarfall.gateway import clocks
+from briarfall.gateway import matching
 from briarfall.gateway import messages
 
 _RECEIVE_BYTES = 65_536
@@ -129,6 +129,7 @@
         self.is_fresh = True
         self.idle_since_s = 0.0
         self.idle_limit_s = _DEFAULT_KEEP_ALIVE_S
+        self.history = matching.ExchangeHistory()
         self._http = h11.Connection(h11.CLIENT)
         self._poller: select.poll | None = None
         self._watch: CallerWatch | None = None
@@ -283,20 +284,25 @@
                 f"{self.address}: no end of the response in time"
             )
 
-    def read_head(
-        self, deadline_s: float, is_own_response: collections.abc.Callable
-    ) -> messages.ResponseHead:
+    def read_head(self, deadline_s: float) -> messages.ResponseHead:
         """Returns the head of the response to the request that was sent.
 
-        Args:
-            deadline_s: Time on the boot clock.
-            is_own_response: Returns whether a head belongs to this request; a
-                target may still send a second response to an earlier one.
+        Responses to earlier requests are skipped.
+
+        Raises:
+            BrokenExchangeError: It can't be told which request a response
+                answers.
         """
         for _ in range(_MAX_MISMATCHED_RESPONSES):
             head = self._read_next_head(deadline_s)
-            if is_own_response(head):
+            match = self.history.match(head)
+            if match is matching.Match.OWN:
                 return head
+            if match is matching.Match.UNKNOWN:
+                raise self._broken_error(
+                    f"response with status {head.status} but no request id on "
+                    "a reused connection; it may answer an earlier request"
+                )
             self._skip_mismatched_body(deadline_s)
         raise self._broken_error("responses of other requests")
 
@@ -374,7 +380,7 @@
         if self._http.our_state is not h11.DONE:
             return False
         rest, is_closed = self._http.trailing_data
-        if rest or is_closed:
+        if rest or is_closed or not self.history.is_reusable:
             return False
         self._http.start_next_cycle()
         self.idle_limit_s = keep_alive_s(head.headers)
--- a/src/briarfall/platform/engines.py
+++ b/src/briarfall/platform/engines.py
@@ -115,7 +115,13 @@
     def report(self, address: str, timeout_s: float) -> sources.EngineReport:
         """Returns an engine's report."""
         head, body = connections.send_request(
-            self._pool, address, "GET", _REPORT_PATH, b"", timeout_s
+            self._pool,
+            address,
+            "GET",
+            _REPORT_PATH,
+            b"",
+            timeout_s,
+            id_header=headers.HEADERS.request_id,
         )
         if head.status != 200:
             raise exceptions.TargetError(
@@ -161,5 +167,6 @@
             body,
             timeout_s,
             headers=request_headers,
+            id_header=headers.HEADERS.request_id,
         )
         return head.status, data
--- a/src/briarfall/standins/prepared/testbed.py
+++ b/src/briarfall/standins/prepared/testbed.py
@@ -171,6 +171,10 @@
                     f"{engine.id} has layers",
                 )
 
+    def on_close(self, closer) -> None:
+        """Calls a function when the stand-ins are stopped."""
+        self._closers.append(closer)
+
     def close(self) -> None:
         """Stops all instances and stand-ins."""
         for closer in reversed(self._closers):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 import pytest
 
 from briarfall.gateway import clocks
+from briarfall.standins.prepared import repeatedresponses
 from briarfall.standins.prepared import testbed
 
 # Runs use the same examples and no deadline, so that results don't depend on
@@ -28,3 +29,17 @@
     """Stand-ins for the platform with its store, engines and services."""
     with testbed.world() as scene:
         yield scene
+
+
+@pytest.fixture
+def copy_server():
+    """Starts servers that write a copy before each later response."""
+    rows = []
+
+    def start(*answers):
+        rows.append(repeatedresponses.CopyServer(answers))
+        return rows[-1]
+
+    yield start
+    for row in rows:
+        row.close()
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -83,7 +83,7 @@
         conn.send(b"GET", b"/views/x", fields, b"", deadline_s)
         assert conn.wait(deadline_s)
         late_s = clocks.boot_s() - 60.0
-        head = conn.read_head(late_s, lambda head: True)
+        head = conn.read_head(late_s)
         assert head.status == 200
         assert conn.read_body(late_s) == b"ran:"
         conn.close()
