An answer of the store counts only if it can belong to the call

A lease could count as granted, a record as appended, or records be read twice because an earlier answer was written once more on a kept connection. Callers have not reported it; it is the same class of fault as refusals written twice.

Cause: the store's answers bear no id, and their fields had defaults, so that any JSON object passed: a page of log-newest, written again, acknowledged an append with offset 0 (a lease asked for at offset 0 was granted).

Fix, by content where there is no id: required fields; a conditional append is acknowledged only with the offset that it asked for, an offset only once, and refused only if the topic ends elsewhere; records that were read must lie before the end that the same answer names. A mismatch is an unavailable log with an unknown outcome, as after a lost answer, and closes the connections.

What can't be distinguished: a copy of a page of the same topic (old news, once), of a read that was cut short of the end, or of an empty read. Each kind of use has its own client and connections, so that answers of different topics don't meet.

--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -2,9 +2,13 @@
 
 The store keeps append-only logs, called topics. A keyed topic also keeps the
 newest value of each key.
+
+The store's answers bear no id. An answer whose content can't belong to the call
+is an error and ends its connection, since it may be a copy of an earlier one.
 """
 
 import base64
+import collections
 import struct
 import urllib.parse
 
@@ -19,6 +23,7 @@
 # The store answers within milliseconds and closes idle connections late. An
 # idle connection that is dead is detected by the time-out of the next call.
 _MAX_IDLE_S = 3.0
+_REMEMBERED_APPENDS = 64
 
 
 class _KeyedItem(msgspec.Struct):
@@ -28,17 +33,24 @@
     offset: int = 0
 
 
+# The fields that a kind of answer always has are required, so that no other
+# kind passes as it.
 class _NewestPage(msgspec.Struct):
-    items: list[_KeyedItem] = []
+    items: list[_KeyedItem]
+    # Offset that the next appended record will get.
+    end: int
     # Whether keys follow after the last one of `items`.
     has_more: bool = False
-    # Offset that the next appended record will get.
-    end: int = 0
 
 
 class _AppendReply(msgspec.Struct):
-    offset: int = 0
-    end: int = 0
+    offset: int
+    end: int
+
+
+class _WrongEndReply(msgspec.Struct):
+    # Offset that the next appended record will get.
+    end: int
 
 
 class _GapReply(msgspec.Struct):
@@ -67,6 +79,10 @@
         self._call_counts = counts
         self._purpose = purpose
         self._pool = connections.ConnectionPool()
+        # Topic and offset of the latest acknowledged appends.
+        self._appended: collections.deque[tuple[str, int]] = collections.deque(
+            maxlen=_REMEMBERED_APPENDS
+        )
 
     def newest(self, topic: str, timeout_s: float):
         """Returns the newest record of each key, and the topic's end offset."""
@@ -77,7 +93,7 @@
             if after is not None:
                 args["after"] = after
             _, body = self._call("GET", "log-newest", args, b"", timeout_s)
-            page = _decode(body, _NewestPage)
+            page = self._decode(body, _NewestPage)
             for item in page.items:
                 records.append(
                     KeyedRecord(item.key, base64.b64decode(item.value))
@@ -114,7 +130,13 @@
                 f"store response truncated: got {len(body)} of at least "
                 f"{_READ_HEADER.size} bytes"
             )
+        end, _ = _READ_HEADER.unpack_from(body)
         records = _split_records(body[_READ_HEADER.size :])
+        if records and start + len(records) > end:
+            raise self._mismatch_error(
+                f"{len(records)} records from {start} on, but the topic ends "
+                f"at {end}"
+            )
         return records, start + len(records)
 
     def append(
@@ -149,8 +171,33 @@
             timeout_s,
         )
         if status == 412:
+            if self._decode(body, _WrongEndReply).end == at:
+                raise self._mismatch_error(
+                    f"append at {at} refused although the topic ends there"
+                )
             return None
-        return _decode(body, _AppendReply).offset
+        offset = self._decode(body, _AppendReply).offset
+        if at is not None and offset != at:
+            raise self._mismatch_error(
+                f"append at {at} acknowledged with offset {offset}"
+            )
+        if (topic, offset) in self._appended:
+            raise self._mismatch_error(f"offset {offset} acknowledged twice")
+        self._appended.append((topic, offset))
+        return offset
+
+    def _mismatch_error(self, text: str) -> exceptions.LogUnavailableError:
+        """Ends the connections and returns the error for another's answer."""
+        self._pool.drop(self._address)
+        return exceptions.LogUnavailableError(
+            f"store answer of another call, connection closed: {text}"
+        )
+
+    def _decode(self, data: bytes, kind):
+        try:
+            return msgspec.json.decode(data, type=kind)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            raise self._mismatch_error(f"can't be decoded: {exc}") from exc
 
     def _call(
         self,
@@ -179,7 +226,7 @@
                 f"store {name}: {exc.message}"
             ) from exc
         if head.status == 410:
-            first = _decode(data, _GapReply).first
+            first = self._decode(data, _GapReply).first
             raise exceptions.LogGapError(
                 f"store {name}: records before {first} are no longer kept",
                 first,
@@ -223,12 +270,3 @@
         records.append(data[_RECORD_LENGTH.size : end])
         data = data[end:]
     return records
-
-
-def _decode(data: bytes, kind):
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise exceptions.LogUnavailableError(
-            f"store response can't be decoded: {exc}"
-        ) from exc
