A status alone is no promise: 408, 429, 503 without the not-run header

Callers of requests that may run once got a target's 408, 429 or 503 unchanged. To them each of these says "not run, and never will be", so that they send the request again, although it may have run.

Cause: the gateway reads "not run" from the header only, but the caller reads it from the status; the response passed between the two meanings.

Found while looking for the cause of refusals written twice; nobody reported it.

Fix: such a response to a request that may run once is an unknown outcome, a 502 of the gateway's own without the target's signature. Requests that may be repeated get the response unchanged. 421 still counts as not run in any case, since a target responds with it before it looks at the request.

--- a/src/briarfall/gateway/calls.py
+++ b/src/briarfall/gateway/calls.py
@@ -19,6 +19,8 @@
 _DEFAULT_TIMEOUT_S = 30.0
 # Short, since the body of a refusal is short and follows its head at once.
 _DRAIN_TIMEOUT_S = 0.02
+# Statuses that tell a caller that its request has not run and never will.
+_PROMISES = (408, 429, 503)
 
 
 class Call(msgspec.Struct):
@@ -149,20 +151,31 @@
 
 
 def raise_if_refused(
+    call: Call,
     conn: targetconnection.TargetConnection,
     head: messages.ResponseHead,
     header_names: headernames.HeaderNames,
     target_id: ids.TargetId,
-    deadline_s: float,
 ) -> None:
-    """Raises if a response says that the target did not run the request.
+    """Raises if a response says, or seems to say, that the request did not run.
 
     The rest of such a response is read, so that the connection can be reused.
 
     Raises:
         RefusedByTargetError: The target did not run it.
+        TargetError: The status says so to a caller, but the target didn't say
+            it, and the request may run only once.
     """
-    if head.status != 421 and head.header(header_names.not_run) is None:
+    is_refusal = (
+        head.status == 421 or head.header(header_names.not_run) is not None
+    )
+    is_promise = head.status in _PROMISES and not call.route.is_retryable
+    if not is_refusal and not is_promise:
         return
-    conn.drain(min(deadline_s, clocks.boot_s() + _DRAIN_TIMEOUT_S))
-    raise RefusedByTargetError(f"{target_id}: status {head.status}", head)
+    conn.drain(min(call.deadline_s, clocks.boot_s() + _DRAIN_TIMEOUT_S))
+    if is_refusal:
+        raise RefusedByTargetError(f"{target_id}: status {head.status}", head)
+    raise exceptions.TargetError(
+        f"{target_id}: status {head.status} without "
+        f"{header_names.not_run.decode()}; the request may have run"
+    )
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -215,9 +215,7 @@
             )
             head = conn.read_head(self._response_deadline_s(call))
             self._target_signals.handle(target, head)
-            calls.raise_if_refused(
-                conn, head, self._names, target.id, call.deadline_s
-            )
+            calls.raise_if_refused(call, conn, head, self._names, target.id)
             body = self._relay(call, conn, head, entry)
             self._targets.record_success(target)
             if head.is_success:
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -225,7 +225,7 @@
             response = conn.read_head(call.deadline_s)
             self._target_signals.handle(target, response)
             calls.raise_if_refused(
-                conn, response, self._names, head.target, call.deadline_s
+                call, conn, response, self._names, head.target
             )
             if response.is_success:
                 self._relay_events(stream, run, response)
--- a/src/briarfall/standins/prepared/repeatedresponses.py
+++ b/src/briarfall/standins/prepared/repeatedresponses.py
@@ -33,12 +33,14 @@
         has_id: Whether it echoes the id of its request.
         is_not_run: Whether its headers say that the request did not run.
         body: Its body.
+        has_run: Whether the request ran all the same.
     """
 
     status: int
     has_id: bool
     is_not_run: bool = False
     body: bytes = b""
+    has_run: bool = False
 
     def encode(self, request_id: str) -> bytes:
         """Returns the bytes of the response."""
@@ -84,7 +86,7 @@
 
     def _send_first(self, conn: rawhttp.RawConnection, req) -> bool:
         data = self.first.encode(req.headers.get("x-request-id", ""))
-        if not self.first.is_not_run and self.first.status < 400:
+        if self.first.has_run or self.first.status < 400:
             self.record_run(req)
         self.first = None
         self.record_arrival(req)
--- a/tests/test_gateway_repeatedresponses.py
+++ b/tests/test_gateway_repeatedresponses.py
@@ -245,6 +245,49 @@
         assert rows[0].copies_sent == 1
 
 
+class TestPromiseThatTheTargetDidNotMake:
+    """Only the header says that a request did not run; a status does not."""
+
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_order_that_ran_is_not_answered_with_a_promise(self, world, status):
+        rows = _services(world, 1)
+        inst = world.instance()
+        world.wait_for_targets(*rows)
+        rows[0].first = repeatedresponses.FirstResponse(
+            status, True, has_run=True
+        )
+        answer = testbed.call(inst, "/orders/x", method="POST")
+        assert rows[0].ran_ids() == ["r1"]
+        assert answer.status == 502
+        assert "X-Response-Signature" not in answer.headers
+
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_stream_that_ran_is_not_answered_with_a_promise(
+        self, world, status
+    ):
+        world.publish(_manifest())
+        rows = _engines(world)
+        inst = world.instance()
+        world.wait_for_layers()
+        testbed.until(lambda: inst.follower.view.version == 2, "version 2")
+        for row in rows:
+            row.first = repeatedresponses.FirstResponse(
+                status, True, has_run=True
+            )
+        answer = testbed.call(inst, "/once/x", method="POST")
+        assert _runs(rows, "r1") == 1
+        assert answer.status == 502
+
+    def test_view_gets_the_status_of_its_target(self, world):
+        rows = _services(world, 1)
+        inst = world.instance()
+        world.wait_for_targets(*rows)
+        rows[0].first = repeatedresponses.FirstResponse(429, True)
+        answer = testbed.call(inst, "/views/x")
+        assert answer.status == 429
+        assert answer.headers["X-Response-Signature"] == "first"
+
+
 class TestConnectionChoice:
     def test_calls_in_turn_share_one_connection(self, world):
         rows = _services(world, 1)
