--- a/src/briarfall/gateway/calls.py
+++ b/src/briarfall/gateway/calls.py
@@ -7,6 +7,7 @@
 from briarfall.gateway import callers
 from briarfall.gateway import clocks
 from briarfall.gateway import headernames
+from briarfall.gateway import matching
 from briarfall.gateway import messages
 from briarfall.gateway import promptparts
 from briarfall.gateway import sources
@@ -18,6 +19,8 @@
 _DEFAULT_TIMEOUT_S = 30.0
 # Short, since the body of a refusal is short and follows its head at once.
 _DRAIN_TIMEOUT_S = 0.02
+# Statuses that tell a caller that its request has not run and never will.
+_PROMISES = (408, 429, 503)
 
 
 class Call(msgspec.Struct):
@@ -71,10 +74,13 @@
         """Seconds since the request arrived."""
         return clocks.boot_s() - self.req.received_s
 
-    def is_own_response(self, name: bytes, head: messages.ResponseHead) -> bool:
-        """Whether a response has this request's id, or no id."""
-        echoed = head.header(name)
-        return echoed is None or echoed.decode("latin-1") == self.request_id
+    def identity(
+        self, header_names: headernames.HeaderNames
+    ) -> matching.RequestIdentity:
+        """Returns how its response is recognised."""
+        return matching.RequestIdentity(
+            header_names.request_id, self.request_id
+        )
 
 
 class RefusedByTargetError(exceptions.TargetError):
@@ -145,20 +151,31 @@
 
 
 def raise_if_refused(
+    call: Call,
     conn: targetconnection.TargetConnection,
     head: messages.ResponseHead,
     header_names: headernames.HeaderNames,
     target_id: ids.TargetId,
-    deadline_s: float,
 ) -> None:
-    """Raises if a response says that the target did not run the request.
+    """Raises if a response says, or seems to say, that the request did not run.
 
     The rest of such a response is read, so that the connection can be reused.
 
     Raises:
         RefusedByTargetError: The target did not run it.
+        TargetError: The status says so to a caller, but the target didn't say
+            it, and the request may run only once.
     """
-    if head.status != 421 and head.header(header_names.not_run) is None:
+    is_refusal = (
+        head.status == 421 or head.header(header_names.not_run) is not None
+    )
+    is_promise = head.status in _PROMISES and not call.route.is_retryable
+    if not is_refusal and not is_promise:
         return
-    conn.drain(min(deadline_s, clocks.boot_s() + _DRAIN_TIMEOUT_S))
-    raise RefusedByTargetError(f"{target_id}: status {head.status}", head)
+    conn.drain(min(call.deadline_s, clocks.boot_s() + _DRAIN_TIMEOUT_S))
+    if is_refusal:
+        raise RefusedByTargetError(f"{target_id}: status {head.status}", head)
+    raise exceptions.TargetError(
+        f"{target_id}: status {head.status} without "
+        f"{header_names.not_run.decode()}; the request may have run"
+    )
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -242,7 +242,9 @@
         target = self._targets.get(head.target)
         if target is None:
             raise targetconnection.NotSentError(f"{head.target}: is gone")
-        conn = self._pool.acquire(head.address, _MAX_IDLE_S, call.left_s)
+        conn = self._pool.acquire(
+            head.address, _MAX_IDLE_S, call.left_s, call.identity(self._names)
+        )
         run = streamstate.ChainRun(chain, target, conn)
         self._loads.reserve(chain.target_ids(), stream.demand.tokens)
         if call.attempt_count > 1:
@@ -307,15 +309,10 @@
         """
         call = stream.call
         self._await_bytes(stream, run)
-        head = run.conn.read_head(
-            call.deadline_s,
-            lambda head: call.is_own_response(self._names.request_id, head),
-        )
+        head = run.conn.read_head(call.deadline_s)
         run.response = head
         self._target_signals.handle(run.target, head)
-        calls.raise_if_refused(
-            run.conn, head, self._names, run.target.id, call.deadline_s
-        )
+        calls.raise_if_refused(call, run.conn, head, self._names, run.target.id)
 
     def _close_suspended(self, stream: streamstate.Stream) -> None:
         """Closes the suspended run, which another one has replaced."""
