An odd manifest is one typed error, and no value of it can break a thread

Operators saw: a manifest nested deeply, or with NaN as text, weights of 0 or layers -5, was put in force or failed the follower with RecursionError. Later such values would end requests (read in the code, not run): all weights 0 raise ValueError in the caller's thread, a name of a client account with CR LF breaks the head towards the target, a time-out above 2^31 ms overflows select.poll, a version above 2^63 the status to peers, layer_mb 0 divides by zero at each placement.

Cause: values were typed but not bounded; the manifest is decoded without strictness, so "nan" and "inf" passed as numbers.

Fix: bounds in the types of the fields (NaN is outside of each), one message with the field, and the current version stays in force. A listener that fails no longer keeps the others from learning of a version.

Ruled out: 1e400, numbers of 400 digits for floats, null and wrong types raised typed errors before; a weight of 0 beside another one stays valid.

--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -206,8 +206,7 @@
         self.view = view
         self.raw = raw
         self.has_view.set()
-        for listener in self._listeners:
-            listener()
+        self._notify_listeners()
         logging.info(
             "catalogue in force version=%d routes=%d accounts=%d",
             view.version,
@@ -215,6 +214,15 @@
             len(view.accounts),
         )
 
+    def _notify_listeners(self) -> None:
+        for listener in self._listeners:
+            try:
+                listener()
+            except Exception:
+                logging.exception(
+                    "listener of the catalogue failed, the version is in force"
+                )
+
     def apply_from_peer(self, raw: bytes) -> None:
         """Applies the catalogue of a peer while the source is unavailable."""
         self.apply(raw)
--- a/src/briarfall/platform/manifest.py
+++ b/src/briarfall/platform/manifest.py
@@ -1,9 +1,13 @@
 """Decodes the operator's manifest into the gateway's catalogue view."""
 
+import typing
+
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
+from briarfall.gateway import recordchecks
 from briarfall.gateway import views
 
 _ROUTE_KINDS = {
@@ -12,11 +16,22 @@
     "streaming": views.RouteKind.STREAM,
 }
 
+# The bounds are far above real values; they keep sums and products finite.
+_Number = typing.Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+# A wait of `select.poll` is bounded by 2^31 - 1 milliseconds.
+_Millis = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=10**12)]
+_MIN_DIVISOR = 1e-6
+_Version = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_LayerCount = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=recordchecks.MAX_LAYERS)
+]
+
 
 class _Backend(msgspec.Struct):
     service: str
     # Share of requests, relative to the other backends of the route.
-    weight: float = 1.0
+    weight: _Number = 1.0
 
 
 class _Route(msgspec.Struct):
@@ -24,72 +39,72 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
+    timeout_ms: _Millis
     # Time to the first byte, in milliseconds, up to which a response counts as
     # on time.
-    slo_ms: float = 0.0
+    slo_ms: _Millis = 0.0
     # Rank of the route's requests; 0 is the most urgent.
-    priority: int = 5
+    priority: _Count = 5
     # The only service of the route; ignored if `backends` is not empty.
     service: str | None = None
     backends: list[_Backend] | None = None
     # Largest number of targets that may run one request.
-    attempts: int = 1
+    attempts: _Count = 1
     # Whether callers need no key.
     public: bool = False
     # Whether a broken stream may continue at another target.
     resumable: bool = False
     # Longest gap between events of a stream that is on time, in milliseconds;
     # 0 if none is set.
-    gap_aim_ms: float = 0.0
+    gap_aim_ms: _Millis = 0.0
 
 
 class _HardwareKind(msgspec.Struct):
     name: str
     # Memory for weights and KV cache, in MB.
-    mb: float
+    mb: _Number
     # Factor on the time of a decode step.
-    pace: float = 1.0
+    pace: _Number = 1.0
     # Factor on the time of prefill.
-    read_x: float = 1.0
+    read_x: _Number = 1.0
 
 
 class _Model(msgspec.Struct):
     name: str
     # Time to load all layers, in seconds.
-    load_s: float = 1.0
+    load_s: _Number = 1.0
 
 
 class _MeanTokens(msgspec.Struct):
     # Mean tokens of a prompt.
-    prompt: float = 500.0
+    prompt: _Number = 500.0
     # Mean tokens of a response.
-    answer: float = 200.0
+    answer: _Number = 200.0
 
 
 class _Engine(msgspec.Struct):
     # Requests that one engine accepts as the head of a chain.
-    slots: int = 1
+    slots: _Count = 1
     # KV cache of one token over all layers, in bytes.
-    kv_token_bytes: float = 1.0
+    kv_token_bytes: _Number = 1.0
     # Time of a decode step over all layers on the reference hardware, in
     # milliseconds.
-    step_ms: float = 1.0
+    step_ms: _Number = 1.0
     # Milliseconds that each sequence in the batch adds to a step.
-    per_seq_ms: float = 0.0
+    per_seq_ms: _Number = 0.0
     # Milliseconds that each 1,000 tokens of context add to a step.
-    context_per_k: float = 0.0
+    context_per_k: _Number = 0.0
     # Prompt tokens that prefill processes per second, over all layers.
-    read_per_s: float = 100_000.0
+    read_per_s: _Number = 100_000.0
     # Weight loads that can run in parallel without slowing down.
-    loads_at_once: int = 1
-    layers: int = 0
+    loads_at_once: _Count = 1
+    layers: _LayerCount = 0
     # Size of the weights of one layer, in MB.
-    layer_mb: float = 0.0
+    layer_mb: _Number = 0.0
     # Bytes of activations per token that an engine sends to the next one.
-    act_bytes: float = 0.0
+    act_bytes: _Number = 0.0
     # Capacity of the inter-zone link in megabits per second, or 0 if unlimited.
-    pipe_mbps: float = 0.0
+    pipe_mbps: _Number = 0.0
     # Only the first model counts.
     models: list[_Model] = []
     kinds: list[_HardwareKind] = []
@@ -99,16 +114,16 @@
 class _Service(msgspec.Struct):
     name: str
     # Limit of connections to a target; the gateway doesn't use it.
-    max_conns: int = 0
+    max_conns: _Count = 0
     # Present if the service is a pool of model engines.
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: _Count = 16_384
+    max_body_bytes: _Count = 4_194_304
+    header_timeout_ms: _Millis = 3000
+    idle_timeout_ms: _Millis = 15_000
 
 
 class _Tenant(msgspec.Struct):
@@ -117,11 +132,11 @@
     name: str
     api_keys: list[str] = []
     # Rank that takes precedence over the priority of the route.
-    priority: int | None = None
+    priority: _Count | None = None
 
 
 class _Manifest(msgspec.Struct):
-    version: int
+    version: _Version
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -129,19 +144,17 @@
     tenants: list[_Tenant] | None = None
 
 
+_DECODER = msgspec.json.Decoder(_Manifest, strict=False)
+
+
 def parse(raw: bytes) -> views.CatalogueView:
     """Returns the catalogue view of a manifest.
 
     Raises:
-        CatalogueError: The manifest can't be decoded, or a route has an
-            unknown kind.
+        CatalogueError: The manifest can't be decoded, a route has an unknown
+            kind, or a value is out of its range.
     """
-    try:
-        manifest = msgspec.json.decode(raw, type=_Manifest, strict=False)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise exceptions.CatalogueError(
-            f"manifest can't be decoded: {exc}"
-        ) from exc
+    manifest = decoding.decode(_DECODER, raw, "manifest")
     routes = []
     for row in manifest.routes:
         routes.append(_convert_route(row))
@@ -150,6 +163,7 @@
         services.append(_convert_service(row))
     keys = {}
     for tenant in manifest.tenants or []:
+        recordchecks.check_account(tenant.name)
         account = views.ClientAccount(
             ids.ClientId(tenant.name), tenant.priority
         )
@@ -175,7 +189,8 @@
     kind = _ROUTE_KINDS.get(row.kind)
     if kind is None:
         raise exceptions.CatalogueError(
-            f"route {row.name}: kind {row.kind!r} is unknown; expected one of "
+            f"route {decoding.excerpt(row.name)}: kind "
+            f"{decoding.excerpt(row.kind)!r} is unknown; expected one of "
             "idempotent, mutating, streaming"
         )
     shares = []
@@ -183,6 +198,11 @@
         shares.append(
             views.Share(views.ServiceName(backend.service), backend.weight)
         )
+    if len(shares) > 1 and not any(share.weight for share in shares):
+        raise exceptions.CatalogueError(
+            f"route {decoding.excerpt(row.name)}: all weights are 0; expected "
+            "one above 0"
+        )
     if not shares and row.service is not None:
         shares.append(views.Share(views.ServiceName(row.service), 1.0))
     return views.Route(
@@ -206,6 +226,11 @@
     engine = row.engine
     if engine is None or not engine.layers:
         return views.Service(name, row.max_conns)
+    if min(engine.layer_mb, engine.read_per_s) < _MIN_DIVISOR:
+        raise exceptions.CatalogueError(
+            f"service {decoding.excerpt(row.name)}: layer_mb or read_per_s is "
+            f"below {_MIN_DIVISOR}"
+        )
     kinds = {}
     for kind in engine.kinds:
         kinds[kind.name] = views.HardwareKind(kind.mb, kind.pace, kind.read_x)
