An odd datagram of a peer costs that datagram, an odd entry in it that entry

Operators saw: an instance that follows its list of targets through a peer, and that stopped following it or spent its memory.

Cause: deep nesting in a field that a message does not know raised RecursionError; a compressed catalogue or list was decompressed without a bound; a peer that announces parts without end was asked without end; an answer of another kind reached code that reads fields it does not have; the entries that a peer hands on were not checked, so an instance of an older release passes on what the store's reader refuses; a lease reported for years kept it from all; a demand of NaN or a negative load entered the sums.

Ruled out: too long arrays, maps and bytes, unknown tags, other types and text that is no UTF-8 raised PeerError before; the receiving thread survives any error. Not bounded: the version that a peer announces.

--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -4,7 +4,7 @@
 import random
 import socket
 import threading
-import zlib
+import typing
 
 from absl import logging
 import msgspec
@@ -37,6 +37,9 @@
 _FETCH_TIMEOUT_S = 0.25
 # Peers that are asked for a catalogue before the source is read.
 _FETCH_ATTEMPTS = 3
+# Parts of a catalogue or of changes.
+_MAX_PARTS = 1000
+_MAX_LINK_MBPS = 1e9
 _STORE_TIMEOUT_S = 1.0
 _ANNOUNCE_RETRY_S = 1.0
 # Datagrams that can't be decoded are logged at most this often.
@@ -44,6 +47,10 @@
 # Shortest time for which a draining target is reported to other instances.
 _DRAINING_REPORT_S = 10.0
 
+_Response = typing.TypeVar(
+    "_Response", peermessages.FreshnessResponse, peermessages.PartResponse
+)
+
 
 class Gossip:
     """Sends this instance's status to its peers and applies theirs.
@@ -144,6 +151,7 @@
             lambda number: peermessages.FreshnessRequest(
                 number, incarnation, revision
             ),
+            peermessages.FreshnessResponse,
             timeout_s,
         )
 
@@ -182,10 +190,7 @@
         """
         question = peermessages.PartRequest(0, 0)
         data = self._fetch_parts(peer, question, [], timeout_s)
-        try:
-            return zlib.decompress(data)
-        except zlib.error as exc:
-            raise exceptions.PeerError(f"{peer.id}: {exc}") from exc
+        return peermessages.inflate(data, f"catalogue of {peer.id}")
 
     def fetch_changes(
         self,
@@ -219,6 +224,7 @@
                 lambda number, part=part: msgspec.structs.replace(
                     question, number=number, part=part
                 ),
+                peermessages.PartResponse,
                 timeout_s,
             )
             if version is not None and answer.version != version:
@@ -229,12 +235,23 @@
                 raise exceptions.PeerError(
                     f"{peer.id} no longer holds the requested data"
                 )
+            if answer.count > _MAX_PARTS:
+                raise exceptions.PeerError(
+                    f"{peer.id} announces {answer.count} parts, expected at "
+                    f"most {_MAX_PARTS}"
+                )
             version = answer.version
             parts.append(answer.data)
             if len(parts) >= answer.count:
                 return b"".join(parts)
 
-    def _exchange(self, peer: peers.Peer, build_request, timeout_s: float):
+    def _exchange(
+        self,
+        peer: peers.Peer,
+        build_request,
+        kind: type[_Response],
+        timeout_s: float,
+    ) -> _Response:
         """Sends the message that `build_request` makes; returns the answer."""
         inbox: queue.SimpleQueue = queue.SimpleQueue()
         with self._lock:
@@ -243,7 +260,7 @@
             self._pending[number] = inbox
         try:
             self._send(build_request(number), peer.address)
-            return inbox.get(timeout=timeout_s)
+            answer = inbox.get(timeout=timeout_s)
         except queue.Empty as exc:
             raise exceptions.PeerError(
                 f"{peer.id} did not answer within {timeout_s:.2f} s"
@@ -251,6 +268,12 @@
         finally:
             with self._lock:
                 del self._pending[number]
+        if not isinstance(answer, kind):
+            raise exceptions.PeerError(
+                f"{peer.id} answered with {type(answer).__name__}, expected "
+                f"{kind.__name__}"
+            )
+        return answer
 
     def _announce(self) -> None:
         """Announces this instance and lists the others; retries failures."""
@@ -402,7 +425,9 @@
         now_s = clocks.boot_s()
         peer.heard_s = now_s
         peer.version = status.version
-        peer.link_mbps = status.link_mbps
+        peer.link_mbps = 0.0
+        if 0 <= status.link_mbps <= _MAX_LINK_MBPS:
+            peer.link_mbps = status.link_mbps
         peer.reaches_store = status.reaches_store
         if status.lease_left_ms:
             self._lease.record_other_holder(
@@ -410,7 +435,9 @@
             )
         rows = {}
         for row in status.loads:
-            rows[row.target] = loads.Load(row.streams, row.tokens)
+            rows[row.target] = loads.Load(
+                max(0, row.streams), max(0, row.tokens)
+            )
         interval_s = self._peers.interval_s(status.zone)
         self._loads.merge(status.sender, rows, interval_s)
         self._crashes.merge_survived(status.survived)
--- a/src/briarfall/gateway/leasing.py
+++ b/src/briarfall/gateway/leasing.py
@@ -7,6 +7,8 @@
 from briarfall.gateway import sources
 
 LEASE_TTL_S = 3.0
+# Longest duration that a grant of another instance may have.
+MAX_TTL_S = 60.0
 _STORE_TIMEOUT_S = 1.0
 
 
@@ -58,7 +60,8 @@
             fence: Fencing number of the grant.
             until_s: Time on the boot clock at which it lapses.
         """
-        self._expiry_by_fence = {fence: until_s}
+        longest_s = clocks.boot_s() + MAX_TTL_S
+        self._expiry_by_fence = {fence: min(until_s, longest_s)}
         if fence > self.fence:
             self.lose()
 
--- a/src/briarfall/gateway/peermessages.py
+++ b/src/briarfall/gateway/peermessages.py
@@ -2,14 +2,17 @@
 
 import zlib
 
+from absl import logging
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import crashevidence
 from briarfall.gateway import incarnations
 from briarfall.gateway import partholds
 from briarfall.gateway import poisonlist
+from briarfall.gateway import recordchecks
 from briarfall.gateway import sources
 
 
@@ -182,6 +185,14 @@
     data: bytes
 
 
+class _RawChanges(msgspec.Struct, array_like=True, frozen=True):
+    """`TargetChanges` whose entries are decoded one by one."""
+
+    revision: int
+    changed: list[msgspec.Raw]
+    gone: list[ids.TargetId]
+
+
 Message = (
     Status | FreshnessRequest | FreshnessResponse | PartRequest | PartResponse
 )
@@ -194,8 +205,12 @@
 _MIN_COMPRESSED_BYTES = 1_000
 _ZIP_LEVEL = 1
 _ENCODER = msgspec.msgpack.Encoder()
+# Longest catalogue or list of changes once decompressed.
+MAX_INFLATED_BYTES = 16 * 2**20
+_LOG_INTERVAL_S = 10
 _MESSAGE_DECODER = msgspec.msgpack.Decoder(Message)
-_CHANGES_DECODER = msgspec.msgpack.Decoder(TargetChanges)
+_CHANGES_DECODER = msgspec.msgpack.Decoder(_RawChanges)
+_ENTRY_DECODER = msgspec.msgpack.Decoder(sources.TargetEntry)
 
 
 def encode(message: Message) -> bytes:
@@ -221,20 +236,40 @@
 
 
 def unpack_changes(data: bytes) -> TargetChanges:
-    """Returns the changes that an answer carries.
+    """Returns the changes that an answer carries, without invalid entries.
 
     Raises:
         PeerError: The changes can't be decoded.
     """
-    if data[:1] != _COMPRESSED_FORMAT:
-        return _decode(data, _CHANGES_DECODER)
-    try:
-        decompressed = zlib.decompress(memoryview(data)[1:])
-    except zlib.error as exc:
-        raise exceptions.PeerError(
-            f"target changes can't be decompressed: {exc}"
-        ) from exc
-    return _decode(_FORMAT + decompressed, _CHANGES_DECODER)
+    if data[:1] == _COMPRESSED_FORMAT:
+        data = _FORMAT + inflate(memoryview(data)[1:], "target changes")
+    raw = _decode(data, _CHANGES_DECODER)
+    entries = []
+    for row in raw.changed:
+        try:
+            entry = decoding.decode(_ENTRY_DECODER, row, "target entry")
+            recordchecks.check_entry(entry)
+        except exceptions.CatalogueError as exc:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "target entry of a peer ignored, the others stay in use: %s",
+                _LOG_INTERVAL_S,
+                exc,
+            )
+            continue
+        entries.append(entry)
+    return TargetChanges(raw.revision, entries, raw.gone)
+
+
+def inflate(data: bytes | memoryview, subject: str) -> bytes:
+    """Returns the decompressed data of a peer.
+
+    Raises:
+        PeerError: The data is damaged or too long.
+    """
+    return decoding.inflate(
+        data, MAX_INFLATED_BYTES, subject, exceptions.PeerError
+    )
 
 
 def _decode(data: bytes, decoder: msgspec.msgpack.Decoder):
@@ -243,7 +278,6 @@
             f"datagram starts with {data[:1]!r}, expected {_FORMAT!r}: "
             "the sender runs another release"
         )
-    try:
-        return decoder.decode(memoryview(data)[1:])
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise exceptions.PeerError(f"datagram can't be decoded: {exc}") from exc
+    return decoding.decode(
+        decoder, memoryview(data)[1:], "datagram", exceptions.PeerError
+    )
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -310,7 +310,6 @@
 
 
 _GRANT_DECODER = msgspec.json.Decoder(_Grant)
-_MAX_TTL_S = 60.0
 # Holder and duration of a grant that can't be read. It may have been written
 # by an instance of another release, so it is given time to lapse.
 _UNKNOWN_GRANT = _Grant("unknown", leasing.LEASE_TTL_S)
@@ -320,10 +319,10 @@
     subject = f"lease {key}"
     grant = decoding.decode(_GRANT_DECODER, value, subject)
     recordchecks.check_instance_id(grant.holder, subject)
-    if not 0 < grant.ttl_s <= _MAX_TTL_S:
+    if not 0 < grant.ttl_s <= leasing.MAX_TTL_S:
         raise exceptions.CatalogueError(
             f"{subject}: ttl_s {grant.ttl_s} is not above 0 and up to "
-            f"{_MAX_TTL_S:g}"
+            f"{leasing.MAX_TTL_S:g}"
         )
     return grant
 
