An odd number in a head or an event no longer ends a request without an answer

Callers saw: the connection closed without any answer for X-Deadline-Ms "nan", and for a token usage, length hint or Last-Event-Id of thousands of digits. A client of briarfall's own path span for ever over a chunk size of "-5".

Cause: min() keeps NaN, and a wait of NaN raises ValueError in the caller's thread; int() rejects texts beyond 4300 digits with ValueError, and shorter huge numbers overflow as floats; "isdigit" holds for "²" in text; int(x, 16) accepts signs, and a negative chunk size takes nothing from the buffer, again and again.

Fix: parse_number (finite only) and parse_count (ASCII digits up to a bound) at all heads' numbers; a deadline that is no finite number is 400; a count beyond the bound counts as not stated; an event id beyond 2^63 breaks the stream as an event too long does; chunk sizes are plain hex numbers. A kept connection's time-out is at most an hour. The engine stand-in survives an odd Last-Event-Id.

Ruled out: "²" in headers that are read as bytes; Retry-After of targets (was checked for NaN and inf); h11's Content-Length and chunk sizes, from callers and from targets: typed errors before.

--- a/src/briarfall/daemon/admin.py
+++ b/src/briarfall/daemon/admin.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import httpserver
 from briarfall.catalogue import commands
@@ -12,6 +13,7 @@
 from briarfall.pipelines import targets as target_tables
 
 _APPLY_WAIT_S = 2.0
+_MAX_VERSION = 2**63 - 1
 _APPLY_POLL_S = 0.05
 
 
@@ -219,6 +221,7 @@
 
 def _parse_version(req: httpserver.Request, name: str) -> int:
     text = req.query.get(name, "")
-    if not text.isdigit():
+    version = decoding.parse_count(text, _MAX_VERSION)
+    if version is None:
         raise exceptions.BadRequestError(f"{name} is no version number")
-    return int(text)
+    return version
--- a/src/briarfall/daemon/completions.py
+++ b/src/briarfall/daemon/completions.py
@@ -7,6 +7,7 @@
 from absl import logging
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import hashing
 from briarfall import httpserver
@@ -22,6 +23,7 @@
 
 DEFAULT_DEADLINE_S = 120.0
 MAX_DEADLINE_S = 3600.0
+_MAX_DEADLINE_MS = 10**12
 _SKIPPED_ATTEMPTS = 1000
 
 
@@ -352,11 +354,13 @@
     text = req.header("X-Deadline-Ms")
     if not text:
         return DEFAULT_DEADLINE_S
-    if not text.isdigit() or int(text) == 0:
+    time_ms = decoding.parse_count(text, _MAX_DEADLINE_MS)
+    if not time_ms:
         raise exceptions.BadRequestError(
-            f"X-Deadline-Ms {text!r} is no number of milliseconds"
+            f"X-Deadline-Ms {decoding.excerpt(text)!r} is no number of "
+            f"milliseconds from 1 to {_MAX_DEADLINE_MS}"
         )
-    return min(int(text) / 1000, MAX_DEADLINE_S)
+    return min(time_ms / 1000, MAX_DEADLINE_S)
 
 
 def _check_limits(body: models.CompletionBody, model: entries.Model) -> None:
--- a/src/briarfall/gateway/calls.py
+++ b/src/briarfall/gateway/calls.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import callers
@@ -99,12 +100,12 @@
     value = req.header(header)
     time_s = _DEFAULT_TIMEOUT_S
     if value is not None:
-        try:
-            time_s = float(value) / 1000
-        except ValueError as exc:
+        time_ms = decoding.parse_number(value)
+        if time_ms is None:
             raise exceptions.BadRequestError(
-                f"{header.decode()} is no number"
-            ) from exc
+                f"{header.decode()} is no finite number"
+            )
+        time_s = time_ms / 1000
     time_s = min(time_s - _RESPONSE_MARGIN_S, route.timeout_s)
     return req.received_s + time_s
 
--- a/src/briarfall/gateway/events.py
+++ b/src/briarfall/gateway/events.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 
+MAX_ID = 2**63 - 1
 _EVENT_ID = re.compile(rb"^id:[ \t]*(\d+)[ \t]*\r?$", re.MULTILINE)
 _MAX_EVENT_BYTES = 2**20
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
@@ -96,9 +98,18 @@
             event_bytes = pending[start : match.end()]
             start = match.end()
             id_match = _EVENT_ID.search(event_bytes)
-            number = int(id_match.group(1)) if id_match else None
+            number = _number_of(id_match.group(1)) if id_match else None
             events.append(Event(number, event_bytes))
         self._incomplete = pending[start:]
         if len(self._incomplete) > _MAX_EVENT_BYTES:
             raise EventTooLongError("an event without end")
         return events
+
+
+def _number_of(digits: bytes) -> int:
+    number = decoding.parse_count(digits, MAX_ID)
+    if number is None:
+        raise EventTooLongError(
+            f"an event id of {len(digits)} digits, expected at most {MAX_ID}"
+        )
+    return number
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -5,6 +5,7 @@
 from absl import logging
 import h11
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall.gateway import calls
 from briarfall.gateway import chainsearch
@@ -32,6 +33,8 @@
 from briarfall.gateway import targetstate
 
 _MAX_IDLE_S = 30.0
+# A request that states more tokens counts as one that states none.
+_MAX_TOKENS = 10**9
 # Time without a first event after which an engine may have failed, as a share
 # of the route's objective for the time to the first byte.
 _FIRST_STALL_SHARE = 0.4
@@ -109,8 +112,10 @@
         """
         stream = streamstate.Stream(call, self._estimate_demand(call))
         last_event_id = call.req.header(self._names.last_event)
-        if last_event_id is not None and last_event_id.isdigit():
-            stream.sequence.last_id = int(last_event_id)
+        if last_event_id is not None:
+            stream.sequence.last_id = decoding.parse_count(
+                last_event_id, events.MAX_ID
+            )
         while True:
             chain = self._search.wait_for_chain(stream)
             target = self._targets.get(chain.head.target)
@@ -149,13 +154,11 @@
         usage = call.req.header(self._names.token_usage)
         if usage is not None:
             prompt_text, _, answer_text = usage.partition(b",")
-            if prompt_text.strip().isdigit():
-                prompt = int(prompt_text)
-            if answer_text.strip().isdigit():
-                answer = min(answer, int(answer_text))
+            prompt = _parse_tokens(prompt_text, prompt)
+            answer = min(answer, _parse_tokens(answer_text, answer))
         hint = call.req.header(self._names.length_hint)
-        if hint is not None and hint.strip().isdigit():
-            answer = int(hint)
+        if hint is not None:
+            answer = _parse_tokens(hint, answer)
         return paths.Demand(int(prompt), int(answer))
 
     def _handle_break(
@@ -407,3 +410,9 @@
             run.next_check_s = clocks.boot_s() + wait_s
             if run.stall_checks <= _MAX_STALL_CHECKS:
                 self._rerouter.reroute(stream, run)
+
+
+def _parse_tokens(text: bytes, default: float) -> float:
+    """Returns a number of tokens; `default` if the text is none."""
+    count = decoding.parse_count(text.strip(), _MAX_TOKENS)
+    return default if count is None else count
--- a/src/briarfall/gateway/targetconnection.py
+++ b/src/briarfall/gateway/targetconnection.py
@@ -8,6 +8,7 @@
 import h11
 
 from briarfall import addresses
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall.gateway import clocks
 from briarfall.gateway import messages
@@ -17,6 +18,7 @@
 CONNECT_TIMEOUT_S = 0.4
 # Used if a target does not announce when it closes idle connections.
 _DEFAULT_KEEP_ALIVE_S = 4.0
+_MAX_KEEP_ALIVE_S = 3600.0
 # Margin to the target's own idle timeout, so that a request does not cross the
 # target's close on the way.
 _KEEP_ALIVE_MARGIN_S = 1.0
@@ -114,10 +116,8 @@
         name, _, number = parameter.strip().partition(b"=")
         if name.strip().lower() != b"timeout":
             continue
-        try:
-            return max(0.0, float(number))
-        except ValueError:
-            return 0.0
+        timeout_s = decoding.parse_number(number) or 0.0
+        return min(_MAX_KEEP_ALIVE_S, max(0.0, timeout_s))
     return _DEFAULT_KEEP_ALIVE_S
 
 
--- a/src/briarfall/gateway/targetsignals.py
+++ b/src/briarfall/gateway/targetsignals.py
@@ -1,7 +1,6 @@
 """Target signals: what response headers say about the state of targets."""
 
-import math
-
+from briarfall import decoding
 from briarfall.gateway import headernames
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
@@ -29,12 +28,7 @@
     value = head.header(b"retry-after")
     if value is None:
         return 0.0
-    try:
-        seconds = float(value)
-    except ValueError:
-        return 0.0
-    if not math.isfinite(seconds):
-        return 0.0
+    seconds = decoding.parse_number(value) or 0.0
     return min(MAX_BACKOFF_S, max(0.0, seconds))
 
 
--- a/src/briarfall/httpserver.py
+++ b/src/briarfall/httpserver.py
@@ -13,10 +13,12 @@
 from cheroot.workers import threadpool
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import sockets
 
 MAX_BODY_BYTES = 1 << 20
+_MAX_LENGTH = 10**18
 MAX_HEADER_BYTES = 16 << 10
 _MAX_BODY_READ_FACTOR = 4
 _MAX_DISCARDED_BYTES = 1 << 20
@@ -320,15 +322,18 @@
         return _to_wsgi(resp, start_response)
 
     def _respond(self, environ) -> Response:
-        length = environ.get("CONTENT_LENGTH") or "0"
-        if not length.isdigit():
-            raise exceptions.BadRequestError("Content-Length is no number")
-        if int(length) > self._max_body:
+        text = environ.get("CONTENT_LENGTH") or "0"
+        length = decoding.parse_count(text, _MAX_LENGTH)
+        if length is None:
+            raise exceptions.BadRequestError(
+                f"Content-Length is no number up to {_MAX_LENGTH}"
+            )
+        if length > self._max_body:
             raise exceptions.TooLargeError(
                 f"body of {length} bytes exceeds {self._max_body} bytes"
             )
         body = environ["wsgi.input"].read()
-        if len(body) < int(length):
+        if len(body) < length:
             raise exceptions.BadRequestError(
                 f"body ended after {len(body)} of {length} bytes"
             )
--- a/src/briarfall/sessions.py
+++ b/src/briarfall/sessions.py
@@ -5,6 +5,7 @@
 import msgspec
 from urllib3 import exceptions as urllib3_exceptions
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import httpclient
 from briarfall import httpserver
@@ -12,6 +13,7 @@
 
 DEFAULT_TIMEOUT_S = 30.0
 _MAX_RECONNECTS = 5
+_MAX_RETRY_AFTER_S = 86_400
 _ERROR_TYPES: dict[str, type[exceptions.BriarfallError]] = {}
 
 
@@ -248,8 +250,9 @@
     """Returns the error that an error response reports."""
     exc = _error_from(reply.body, reply.status)
     retry_after = reply.headers.get("Retry-After", "")
-    if retry_after.isdigit():
-        exc.retry_after_s = float(retry_after)
+    retry_after_s = decoding.parse_count(retry_after, _MAX_RETRY_AFTER_S)
+    if retry_after_s is not None:
+        exc.retry_after_s = float(retry_after_s)
     exc.response = reply
     return exc
 
--- a/src/briarfall/sockets.py
+++ b/src/briarfall/sockets.py
@@ -1,11 +1,13 @@
 """Operations on sockets, and a reader for chunked bodies."""
 
+import re
 import resource
 import select
 import socket
 import struct
 
 _RECEIVE_BYTES = 65_536
+_CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,16}")
 _MAX_CHUNK_HEAD_BYTES = 1024
 
 
@@ -133,7 +135,7 @@
                         f"chunk head exceeds {_MAX_CHUNK_HEAD_BYTES} bytes"
                     )
                 break
-            size = int(head.partition(b";")[0], 16)
+            size = _parse_chunk_size(head)
             self._buffer = tail
             if size == 0:
                 self._ended = True
@@ -143,6 +145,14 @@
         return b"".join(parts)
 
 
+def _parse_chunk_size(head: bytes) -> int:
+    digits = head.partition(b";")[0].strip(b" \t")
+    # `int` alone accepts signs, underscores and prefixes too.
+    if not _CHUNK_SIZE.fullmatch(digits):
+        raise ValueError(f"chunk size {digits[:20]!r} is no hex number")
+    return int(digits, 16)
+
+
 def detach_chunked_body(resp, sock: socket.socket) -> ChunkedBody | None:
     """Returns a reader that reads a chunked body directly from its socket.
 
--- a/src/briarfall/standins/prepared/engines.py
+++ b/src/briarfall/standins/prepared/engines.py
@@ -3,11 +3,13 @@
 import json
 import threading
 
+from briarfall import decoding
 from briarfall.standins.prepared import manifests
 from briarfall.standins.prepared import registeredtarget
 
 _STEP_S = 0.004
 _HOLD_S = 10.0
+_MAX_EVENT_ID = 2**63 - 1
 
 
 class EngineStandin(registeredtarget.RegisteredTarget):
@@ -206,8 +208,10 @@
             conn.send_chunked_head(echo)
         if self.crash_part and self.crash_part in _part_ids(req):
             return self._crash(conn)
-        last = req.headers.get("last-event-id", str(self.first_event - 1))
-        start = int(last)
+        text = req.headers.get("last-event-id", "")
+        start = decoding.parse_count(text, _MAX_EVENT_ID)
+        if start is None:
+            start = self.first_event - 1
         try:
             return self._generate_events(conn, request_id, path, start)
         finally:
