--- a/src/briarfall/adapters/engine.py
+++ b/src/briarfall/adapters/engine.py
@@ -9,6 +9,7 @@
 from urllib3 import connection
 from urllib3 import exceptions as urllib3_exceptions
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import httpclient
 from briarfall import ids
@@ -306,15 +307,16 @@
             raise exceptions.TargetError(f"stream broke: {exc}") from exc
 
     def _decode(self, data: bytes) -> list[TokenBatch]:
-        try:
-            return [
-                self._decoder.decode(event[len(_EVENT_PREFIX) :])
-                for event in data.split(_EVENT_END)
-            ]
-        except msgspec.DecodeError as exc:
-            raise exceptions.TargetError(
-                f"malformed event in a stream: {exc}"
-            ) from exc
+        batches = []
+        for event in data.split(_EVENT_END):
+            batch = decoding.decode(
+                self._decoder,
+                event[len(_EVENT_PREFIX) :],
+                "event of a stream",
+                exceptions.TargetError,
+            )
+            batches.append(batch)
+        return batches
 
     def close(self) -> None:
         """Shuts the connection down; the reading thread then releases it."""
@@ -394,9 +396,6 @@
         raise exceptions.TargetError(
             f"engine answered with status {reply.status}, not 200"
         )
-    try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.DecodeError as exc:
-        raise exceptions.TargetError(
-            f"malformed response of an engine: {exc}"
-        ) from exc
+    return decoding.decode_json(
+        reply.body, kind, "response of an engine", exceptions.TargetError
+    )
--- a/src/briarfall/adapters/instancelist.py
+++ b/src/briarfall/adapters/instancelist.py
@@ -3,13 +3,16 @@
 import abc
 import enum
 
+from absl import logging
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import httpclient
 from briarfall import ids
 
 _TIMEOUT_S = 2.0
+_LOG_INTERVAL_S = 10
 
 
 class ListedState(enum.Enum):
@@ -64,7 +67,28 @@
             raise exceptions.TargetError(
                 f"instance list answered with status {reply.status}, not 200"
             )
-        return msgspec.json.decode(reply.body, type=list[ListedInstance])
+        rows = decoding.decode_json(
+            reply.body,
+            list[msgspec.Raw],
+            "instance list",
+            exceptions.TargetError,
+        )
+        found = []
+        for row in rows:
+            try:
+                found.append(
+                    decoding.decode_json(
+                        bytes(row), ListedInstance, "listed instance"
+                    )
+                )
+            except exceptions.CatalogueError as exc:
+                logging.log_every_n_seconds(
+                    logging.WARNING,
+                    "listed instance ignored, the others stay in use: %s",
+                    _LOG_INTERVAL_S,
+                    exc,
+                )
+        return found
 
     def close(self) -> None:
         """Closes pooled connections."""
--- a/src/briarfall/adapters/log.py
+++ b/src/briarfall/adapters/log.py
@@ -4,12 +4,20 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import httpclient
 from briarfall import ids
 
 _APPEND_TIMEOUT_S = 2.0
 _READ_SLACK_S = 2.0
+_MAX_OFFSET = 2**63 - 1
+
+
+class _AppendUnknownError(exceptions.LogUnavailableError):
+    """The append was answered with 200, but the answer can't be read."""
+
+    outcome = exceptions.Outcome.UNKNOWN
 
 
 class LogRecord(msgspec.Struct):
@@ -98,7 +106,12 @@
                 f"append answered {reply.status}",
                 outcome=_append_outcome(reply.status),
             )
-        result = msgspec.json.decode(reply.body, type=AppendResult)
+        result = decoding.decode_json(
+            reply.body,
+            AppendResult,
+            "response to an append",
+            _AppendUnknownError,
+        )
         return ids.Offset(result.offset)
 
     def read(
@@ -116,7 +129,12 @@
         except exceptions.TargetError as exc:
             raise exceptions.LogUnavailableError(exc.message) from exc
         if reply.status == 410:
-            first = int(reply.headers.get("Log-First", "0"))
+            text = reply.headers.get("Log-First", "0")
+            first = decoding.parse_count(text, _MAX_OFFSET)
+            if first is None:
+                raise exceptions.LogUnavailableError(
+                    f"Log-First {decoding.excerpt(text)!r} is no offset"
+                )
             raise exceptions.LogGapError(
                 f"stream {stream} starts at {first}, not {start}", first
             )
@@ -124,7 +142,12 @@
             raise exceptions.LogUnavailableError(
                 f"read answered {reply.status}"
             )
-        return msgspec.json.decode(reply.body, type=LogBatch)
+        return decoding.decode_json(
+            reply.body,
+            LogBatch,
+            "response to a read",
+            exceptions.LogUnavailableError,
+        )
 
     def close(self) -> None:
         """Closes pooled connections."""
--- a/src/briarfall/adapters/weightstore.py
+++ b/src/briarfall/adapters/weightstore.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import httpclient
 
@@ -45,7 +46,9 @@
             raise exceptions.TargetError(
                 f"weight store answered with status {reply.status}, not 200"
             )
-        return msgspec.json.decode(reply.body, type=StoreRate)
+        return decoding.decode_json(
+            reply.body, StoreRate, "weight store's rate", exceptions.TargetError
+        )
 
     def close(self) -> None:
         """Closes pooled connections."""
--- a/src/briarfall/catalogue/entries.py
+++ b/src/briarfall/catalogue/entries.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
 
@@ -245,12 +246,7 @@
     Raises:
         CatalogueError: The value is malformed; the message names the field.
     """
-    try:
-        value = msgspec.json.decode(raw, type=AnyEntry)
-    except msgspec.DecodeError as exc:
-        raise exceptions.CatalogueError(str(exc)) from exc
-    except UnicodeDecodeError as exc:
-        raise exceptions.CatalogueError("value is not UTF-8") from exc
+    value = decoding.decode_json(raw, AnyEntry, "value")
     check(value)
     return value
 
--- a/src/briarfall/catalogue/records.py
+++ b/src/briarfall/catalogue/records.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from briarfall import exceptions
+from briarfall import decoding
 from briarfall import ids
 
 CONFIG_STREAM = "config"
@@ -93,10 +93,7 @@
     Raises:
         CatalogueError: The data does not encode a record.
     """
-    try:
-        return msgspec.json.decode(data, type=Record)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise exceptions.CatalogueError(f"no record: {exc}") from exc
+    return decoding.decode_json(data, Record, "record of the catalogue")
 
 
 def digest_state(
--- a/src/briarfall/engineorders/leases.py
+++ b/src/briarfall/engineorders/leases.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.adapters import log
@@ -66,8 +67,10 @@
         """Applies one record; a record that cannot be decoded is skipped."""
         self.next_offset = record.offset + 1
         try:
-            request = msgspec.json.decode(record.data, type=LeaseRequest)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            request = decoding.decode_json(
+                record.data, LeaseRequest, "lease request"
+            )
+        except exceptions.CatalogueError:
             return
         current = self.leases.get(request.lease)
         if current is not None and current.holder != request.holder:
--- a/src/briarfall/orders/claims.py
+++ b/src/briarfall/orders/claims.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from briarfall import decoding
+from briarfall import exceptions
 from briarfall import ids
 
 
@@ -98,7 +100,7 @@
         self.next_offset = offset + 1
         try:
             operations = decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except exceptions.CatalogueError:
             self.malformed += 1
             return []
         for operation in operations:
@@ -156,5 +158,9 @@
 
 
 def decode(data: bytes) -> list[Operation]:
-    """Returns the operations in a record."""
-    return msgspec.json.decode(data, type=list[Operation])
+    """Returns the operations in a record.
+
+    Raises:
+        CatalogueError: The record can't be decoded.
+    """
+    return decoding.decode_json(data, list[Operation], "record of claims")
--- a/src/briarfall/pipelines/models.py
+++ b/src/briarfall/pipelines/models.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import hashing
 from briarfall import ids
@@ -122,10 +123,9 @@
     Raises:
         BadRequestError: The body is malformed or a field is out of range.
     """
-    try:
-        body = msgspec.json.decode(data, type=CompletionBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise exceptions.BadRequestError(f"body: {exc}") from exc
+    body = decoding.decode_json(
+        data, CompletionBody, "body", exceptions.BadRequestError
+    )
     if not body.prompt:
         raise exceptions.BadRequestError("prompt is empty")
     if body.max_tokens < 1:
--- a/src/briarfall/platform/earlylisteners.py
+++ b/src/briarfall/platform/earlylisteners.py
@@ -34,5 +34,13 @@
             host, _, port = address.rpartition(":")
             listeners[address] = listensocket.open_listener(host, int(port))
         return listeners
-    except (ValueError, KeyError, TypeError, AttributeError, OSError):
+    except (
+        ValueError,
+        LookupError,
+        TypeError,
+        AttributeError,
+        OSError,
+        OverflowError,
+        RecursionError,
+    ):
         return {}
--- a/src/briarfall/platform/engines.py
+++ b/src/briarfall/platform/engines.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall.gateway import connections
 from briarfall.gateway import sources
@@ -107,8 +108,8 @@
         if result is not sources.CommandResult.CONFLICT:
             return sources.RepathResult(result)
         try:
-            refusal = msgspec.json.decode(body, type=_Refusal)
-        except msgspec.DecodeError:
+            refusal = decoding.decode_json(body, _Refusal, "refusal")
+        except exceptions.CatalogueError:
             return sources.RepathResult(result)
         return sources.RepathResult(result, refusal.address)
 
@@ -121,12 +122,9 @@
             raise exceptions.TargetError(
                 f"{address}: report answered with status {head.status}, not 200"
             )
-        try:
-            raw = msgspec.json.decode(body, type=_Report)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            raise exceptions.TargetError(
-                f"{address}: report can't be decoded: {exc}"
-            ) from exc
+        raw = decoding.decode_json(
+            body, _Report, f"report of {address}", exceptions.TargetError
+        )
         layers = raw.layers
         for model in raw.models:
             layers = model.layers or layers
--- a/src/briarfall/platform/settings.py
+++ b/src/briarfall/platform/settings.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from briarfall import addresses
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
 from briarfall import settings
@@ -77,12 +79,9 @@
         SettingsError: A field is missing, has the wrong type or is out of
             range.
     """
-    try:
-        raw = msgspec.json.decode(data, type=_SettingsFile)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise exceptions.SettingsError(
-            f"platform settings can't be decoded: {exc}"
-        ) from exc
+    raw = decoding.decode_json(
+        data, _SettingsFile, "platform settings", exceptions.SettingsError
+    )
     front = raw.listen.front
     ready = raw.listen.ready
     if front is None or ready is None:
@@ -90,6 +89,14 @@
             "listen.front or listen.ready is missing; both need an address"
         )
     bounds = raw.bounds
+    addresses.parse(
+        raw.platform.address, "platform.address", exceptions.SettingsError
+    )
+    addresses.parse(
+        f"{raw.ip}:{raw.port_range[0]}",
+        "ip and port_range",
+        exceptions.SettingsError,
+    )
     cfg = config.GatewaySettings(
         instance=ids.InstanceId(raw.node),
         zone=ids.ZoneId(raw.zone),
@@ -112,10 +119,5 @@
 
 
 def _parse_listener(name: str, address: str) -> settings.Listener:
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise exceptions.SettingsError(
-            f"{name} {address!r} is not an address with a port",
-            remedy="use <IP number>:<port>",
-        )
-    return settings.Listener(host, int(port))
+    endpoint = addresses.parse(address, name, exceptions.SettingsError)
+    return settings.Listener(endpoint.host, endpoint.port)
--- a/src/briarfall/settings.py
+++ b/src/briarfall/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
 
@@ -122,10 +123,9 @@
     Raises:
         SettingsError: The JSON is malformed or a value is invalid.
     """
-    try:
-        cfg = msgspec.json.decode(data, type=Settings)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise exceptions.SettingsError(str(exc)) from exc
+    cfg = decoding.decode_json(
+        data, Settings, "settings", exceptions.SettingsError
+    )
     _check(cfg)
     return cfg
 
