An odd message on a link between instances ends only that link or call

Operators saw: an exception of another kind in the thread of a link, and a call whose odd error answer left it waiting until the link was closed.

Cause: the id and the method of a message were used as keys before their types were known; the fields of an error answer were unpacked unchecked; the payload of an answer was converted without a typed error.

Fix: types are checked with the rest of the message; decoding.convert turns every failure into BadRequestError or PeerError.

Ruled out: nested and truncated CBOR raised PeerError before; payloads of a one-way message that don't fit its type were refused before; the handshake treats every error as a failed one.

--- a/src/briarfall/decoding.py
+++ b/src/briarfall/decoding.py
@@ -71,6 +71,19 @@
     )
 
 
+def convert(value, kind: type, subject: str, error: ErrorType):
+    """Returns decoded fields of another writer as a value of a type.
+
+    Raises:
+        BriarfallError: The fields don't fit the type; the error is of the
+            class `error`.
+    """
+    try:
+        return msgspec.convert(value, kind, strict=False)
+    except _FAILURES as exc:
+        raise failure(subject, exc, error) from exc
+
+
 def decode_base64(text: str, subject: str, error: ErrorType) -> bytes:
     """Returns the bytes that Base64 of another writer holds.
 
--- a/src/briarfall/membership/links.py
+++ b/src/briarfall/membership/links.py
@@ -17,6 +17,7 @@
 from websockets.sync import client as ws_client
 from websockets.sync import server as ws_server
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import settings
 
@@ -134,10 +135,12 @@
         if found is None:
             raise exceptions.BadRequestError(f"no method {method!r}")
         message_type, handler = found
-        try:
-            message = msgspec.convert(payload, message_type, strict=False)
-        except msgspec.ValidationError as exc:
-            raise exceptions.BadRequestError(f"{method}: {exc}") from exc
+        message = decoding.convert(
+            payload,
+            message_type,
+            f"message {method}",
+            exceptions.BadRequestError,
+        )
         return handler(message)
 
 
@@ -177,7 +180,9 @@
                 self._pending.pop(call_id, None)
         if result_type is None:
             return None
-        return msgspec.convert(payload, result_type, strict=False)
+        return decoding.convert(
+            payload, result_type, f"answer to {method}", exceptions.PeerError
+        )
 
     def send_one_way(self, method: str, message) -> None:
         """Sends a one-way message."""
@@ -224,6 +229,8 @@
         try:
             kind, call_id, method, payload = cbor2.loads(data)
             kind = Kind(kind)
+            if not isinstance(call_id, int) or not isinstance(method, str):
+                raise TypeError("id is no number or method is no text")
         except Exception as exc:
             # The decoder raises various exceptions on malformed input.
             logging.warning(
@@ -426,9 +433,12 @@
 
 
 def _decode_error(payload) -> exceptions.BriarfallError:
-    code, message, outcome = payload
-    error = _ERRORS_BY_CODE.get(code, exceptions.PeerError)
-    return error(message, outcome=exceptions.Outcome(outcome))
+    try:
+        code, message, outcome = payload
+        error = _ERRORS_BY_CODE.get(code, exceptions.PeerError)
+        return error(str(message), outcome=exceptions.Outcome(outcome))
+    except (TypeError, ValueError) as exc:
+        return decoding.failure("error of a peer", exc, exceptions.PeerError)
 
 
 def _close_socket(conn) -> None:
