Drop a length beside a transfer encoding; guards for odd exchanges

Callers saw: a long answer (over 256 KB) of a sound target that names a Content-Length beside its chunks was cut: with a length too short before its first byte, with one too long at its end. Cause: the target's parser follows the chunks, as RFC 9112, section 6.3 says, but the length was passed on, and the caller's parser then refused the body (LocalProtocolError: too much, or too little, data for declared Content-Length). Change: end_to_end drops such a length, as the RFC requires of a proxy. Ruled out: h11 refuses to write a header that it has read from a target; its rules are the same in both directions, so nothing has to be dropped for that. The engine stand-in answers 400 to an event number that is none; its thread ended with a ValueError.

--- a/src/briarfall/gateway/messages.py
+++ b/src/briarfall/gateway/messages.py
@@ -30,9 +30,15 @@
 
 
 def end_to_end(headers: Headers) -> Headers:
-    """Returns the headers that a proxy forwards."""
+    """Returns the headers that a proxy forwards.
+
+    A length beside a transfer encoding is not the body's length, so it is
+    dropped (RFC 9112, section 6.3).
+    """
     named = set()
     for key, value in headers:
+        if key.lower() == b"transfer-encoding":
+            named.add(b"content-length")
         if key.lower() != b"connection":
             continue
         for token in value.split(b","):
--- a/src/briarfall/standins/prepared/engines.py
+++ b/src/briarfall/standins/prepared/engines.py
@@ -1,6 +1,7 @@
 """Stand-ins of engines that hold a range of layers each."""
 
 import json
+import re
 import threading
 
 from briarfall.standins.prepared import manifests
@@ -8,6 +9,7 @@
 
 _STEP_S = 0.004
 _HOLD_S = 10.0
+_EVENT_NUMBER = re.compile("[0-9]{1,18}")
 
 
 class EngineStandin(registeredtarget.RegisteredTarget):
@@ -198,6 +200,10 @@
             self.close()
             conn.reset()
             return False
+        last = req.headers.get("last-event-id", str(self.first_event - 1))
+        if not _EVENT_NUMBER.fullmatch(last):
+            conn.respond(400, b"no event number", echo)
+            return True
         self.paths[request_id] = path
         self._run_stages(request_id, path)
         if self.answers_without_length:
@@ -206,10 +212,8 @@
             conn.send_chunked_head(echo)
         if self.crash_part and self.crash_part in _part_ids(req):
             return self._crash(conn)
-        last = req.headers.get("last-event-id", str(self.first_event - 1))
-        start = int(last)
         try:
-            return self._generate_events(conn, request_id, path, start)
+            return self._generate_events(conn, request_id, path, int(last))
         finally:
             self.paths.pop(request_id, None)
 
--- a/src/briarfall/standins/prepared/testbed.py
+++ b/src/briarfall/standins/prepared/testbed.py
@@ -14,6 +14,7 @@
 from briarfall.platform import main
 from briarfall.standins.prepared import engines
 from briarfall.standins.prepared import manifests
+from briarfall.standins.prepared import scriptedtarget
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared import store
 
@@ -111,6 +112,14 @@
         self._closers.append(target.close)
         return target
 
+    def scripted(self, target_id: str, service="desk", zone="z1"):
+        """Starts a plain service that sends bytes of the test's choice."""
+        target = scriptedtarget.ScriptedTarget(
+            self.store, target_id, service, zone
+        )
+        self._closers.append(target.close)
+        return target
+
     def engine(self, target_id: str, *, zone="z1", kind="small"):
         """Starts an engine without layers."""
         target = engines.EngineStandin(
