Don't send a call again whose answer has begun

Callers saw: nothing new (their answer was cut, as its target had broken off), but the call ran on a second target in vain, and the log showed an unexpected error. Cause: a long answer is passed on directly; when it broke off, _check_retry looked only at the route. The second answer's head was refused by the parser (LocalProtocolError in state SEND_BODY). Evidence: test_long_answer_that_breaks_off_is_not_asked_for_again failed before with two runs instead of one, with a length and with chunks. Change: a call whose head has been sent ends with the failure of its target.

--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -170,7 +170,11 @@
         reachability: liveness.Reachability,
         exc: exceptions.BriarfallError,
     ) -> None:
-        """Records a failed attempt; raises if the call may not be retried."""
+        """Records a failed attempt; raises if the call may not be retried.
+
+        A call whose response has begun is not retried: the caller already has
+        a head, and a part of a body that another target may not repeat.
+        """
         call.has_unknown_outcome = True
         call.possible_runs += 1
         logging.warning(
@@ -189,7 +193,7 @@
             or call.possible_runs >= call.route.max_runs
         ):
             raise exc
-        if call.left_s <= 0:
+        if call.left_s <= 0 or call.conn.has_sent_head:
             raise exc
 
     def _send(self, call: calls.Call, target: targetstate.Target) -> None:
--- a/tests/test_gateway_oddexchanges.py
+++ b/tests/test_gateway_oddexchanges.py
@@ -58,6 +58,27 @@
         assert (answer.ending, answer.status) == (COMPLETE, 200)
         assert answer.body == _LONG
 
+    @pytest.mark.parametrize(
+        "head",
+        [b"Content-Length: 500000", b"Transfer-Encoding: chunked"],
+    )
+    def test_long_answer_that_breaks_off_is_not_asked_for_again(
+        self, world, inst, desk, unexpected, head
+    ):
+        other = world.scripted("d2")
+        world.wait_for_targets(other)
+        for target in (desk, other):
+            target.script = (
+                b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + _ECHO + b"\r\n"
+            )
+            if head.startswith(b"Transfer"):
+                target.script += b"61a80\r\n"
+            target.script += _LONG
+        answer = rawcaller.exchange(inst, rawcaller.request("/views/x"))
+        assert answer.ending is CUT
+        assert len(desk.ran) + len(other.ran) == 1
+        assert not unexpected()
+
     @pytest.mark.parametrize("closes", [True, False], ids=["closes", "keeps"])
     @pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
     @pytest.mark.parametrize(
