Keep the Host header of a request that names it in Connection

Callers saw: a whole request got no answer; since the guard for unexpected errors, status 500. Cause: headers named in Connection were dropped, Host among them, and a request without Host can't be written (LocalProtocolError: missing mandatory Host). RFC 9110, section 7.6.1 forbids to name headers that are meant for all. Change: Host always passes.

--- a/src/briarfall/gateway/messages.py
+++ b/src/briarfall/gateway/messages.py
@@ -43,6 +43,8 @@
             continue
         for token in value.split(b","):
             named.add(token.strip().lower())
+    # Each request needs its host, whatever the sender names.
+    named.discard(b"host")
     kept = []
     for key, value in headers:
         lower = key.lower()
--- a/tests/test_gateway_oddexchanges.py
+++ b/tests/test_gateway_oddexchanges.py
@@ -158,6 +158,8 @@
     @pytest.mark.parametrize(
         "headers",
         [
+            {"Connection": "host"},
+            {"Connection": "close, Host, x-request-id"},
             {"Connection": "content-length"},
             {"Connection": "Upgrade, HTTP2-Settings", "Upgrade": "h2c"},
             {"Upgrade": "websocket"},
