Refuse requests of a route without a service as not run

Callers saw: beside a change of the catalogue, whole requests got neither an answer nor a refusal (since the guard for unexpected errors: status 500). Cause: a valid manifest may hold a route without a service, or one whose services all have weight 0; random.choices then raises IndexError or ValueError, which are no BriarfallError. Evidence: test_route_without_a_service_refuses_its_requests failed before for none, zero and negative weights (500 instead of 503). Change: services without weight are no choice; if none is left, the request is refused with 503 as not run. A route's only service is used whatever its weight, as before. Guards that passed before: nine kinds of change of the catalogue, all of them in quick succession, four of the target's entry (drains, gone, replaced at its address by another service, restarted) and a reload of the settings, while a request waits for the head or a stream is between two events: all requests ended complete. Ruled out by them: ConnectionPool.drop and TargetFollower._close_connections close a connection in use.

--- a/src/briarfall/gateway/views.py
+++ b/src/briarfall/gateway/views.py
@@ -68,11 +68,20 @@
         return self.kind is RouteKind.IDEMPOTENT
 
     def pick_service(self, rng: random.Random) -> ServiceName:
-        """Returns a service, chosen at random by weight."""
+        """Returns a service, chosen at random by weight.
+
+        Raises:
+            NoRouteError: No service has a weight above zero.
+        """
         if len(self.shares) == 1:
             return self.shares[0].service
-        weights = [share.weight for share in self.shares]
-        return rng.choices(self.shares, weights)[0].service
+        shares = [share for share in self.shares if share.weight > 0]
+        if not shares:
+            raise exceptions.NoRouteError(
+                f"route {self.name} sends requests to no service"
+            )
+        weights = [share.weight for share in shares]
+        return rng.choices(shares, weights)[0].service
 
 
 class HardwareKind(msgspec.Struct, frozen=True):
--- a/src/briarfall/standins/prepared/scriptedtarget.py
+++ b/src/briarfall/standins/prepared/scriptedtarget.py
@@ -1,9 +1,13 @@
 """A plain service that sends bytes of the test's choice."""
 
+import threading
+
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import store
 
+_HOLD_S = 10.0
+
 
 class ScriptedTarget(registeredtarget.RegisteredTarget):
     """A plain service whose responses are given byte by byte.
@@ -11,6 +15,7 @@
     Attributes:
         script: Bytes sent in response to each request.
         closes: Whether it closes the connection after them.
+        resume: Responses wait until this event is set, as it is at first.
     """
 
     def __init__(
@@ -23,12 +28,15 @@
         super().__init__(platform, target_id, service, zone)
         self.script = rawhttp.response(200, b"ran")
         self.closes = True
+        self.resume = threading.Event()
+        self.resume.set()
         self.register()
 
     def handle(self, conn: rawhttp.RawConnection, req) -> bool:
         """Sends the script; returns whether the connection stays open."""
         self.record_arrival(req)
         self.record_run(req)
+        self.resume.wait(_HOLD_S)
         conn.send(self.script)
         if self.closes:
             conn.end()
--- /dev/null
+++ b/tests/test_gateway_changes.py
@@ -0,0 +1,283 @@
+"""Changes of the catalogue, targets and settings beside running requests."""
+
+import threading
+
+import pytest
+
+from briarfall import ids
+from briarfall import settings
+from briarfall.gateway import config
+from briarfall.standins.prepared import rawcaller
+from briarfall.standins.prepared import testbed
+
+COMPLETE = rawcaller.Ending.COMPLETE
+
+
+def _move_routes(value: dict) -> None:
+    for route in value["routes"]:
+        route["service"] = "other"
+
+
+def _split_routes(value: dict) -> None:
+    for route in value["routes"]:
+        route["backends"] = [
+            {"service": "other", "weight": 1},
+            {"service": route["service"], "weight": 0},
+        ]
+
+
+def _set_timeouts(value: dict, timeout_ms: float) -> None:
+    for route in value["routes"]:
+        route["timeout_ms"] = timeout_ms
+
+
+def _set_priority(value: dict) -> None:
+    value["tenants"][0]["priority"] = 9
+
+
+def _remove_keys(value: dict) -> None:
+    value["tenants"] = []
+
+
+def _shrink_limits(value: dict) -> None:
+    for name in value["limits"]:
+        value["limits"][name] = 1
+
+
+CHANGES = {
+    "routes_moved": _move_routes,
+    "routes_split": _split_routes,
+    "routes_removed": lambda value: value.update(routes=[]),
+    "services_removed": lambda value: value.update(services=[]),
+    "timeouts_shortened": lambda value: _set_timeouts(value, 1),
+    "timeouts_lengthened": lambda value: _set_timeouts(value, 60_000),
+    "priority": _set_priority,
+    "keys_removed": _remove_keys,
+    "limits_shrunk": _shrink_limits,
+}
+
+
+def _publish(world, inst, version: int, *changes) -> None:
+    value = testbed.manifest(version)
+    for change in changes:
+        change(value)
+    world.publish(value)
+    testbed.until(
+        lambda: inst.follower.view.version == version, f"version {version}"
+    )
+
+
+def _drain(_, target) -> None:
+    target.start_draining()
+
+
+def _remove(_, target) -> None:
+    target.remove()
+
+
+def _replace(world, target) -> None:
+    """Lists a target of another service at the address of this one."""
+    target.remove()
+    target.service = "other"
+    target.id = "d9"
+    target.register()
+
+
+def _restart_entry(_, target) -> None:
+    target.incarnation += 1
+    target.register()
+
+
+TARGET_CHANGES = (_drain, _remove, _replace, _restart_entry)
+
+
+def _wait_for_change(inst, target_id: str) -> None:
+    """Waits until the entry is gone or no longer the first one."""
+
+    def is_changed() -> bool:
+        row = inst.targets.get(target_id)
+        if row is None or not row.accepts_requests:
+            return True
+        return row.entry.started_ms != 1
+
+    testbed.until(is_changed, f"{target_id} has changed")
+
+
+@pytest.fixture
+def desk(world):
+    return world.scripted("d1")
+
+
+@pytest.fixture
+def inst(world, desk):
+    found = world.instance()
+    world.wait_for_targets(desk)
+    return found
+
+
+@pytest.fixture(params=["/views/x", "/orders/x"])
+def waiting(inst, desk, request):
+    """A caller whose request waits for the head of a target's response."""
+    desk.resume.clear()
+    caller = rawcaller.RawCaller(inst.caller_address)
+    caller.send(
+        rawcaller.request(
+            request.param, method="POST", headers={"X-Deadline-Ms": "20000"}
+        )
+    )
+    testbed.until(lambda: desk.arrivals, "the request has arrived")
+    yield caller
+    desk.resume.set()
+    caller.close()
+
+
+class TestCallThatWaitsForItsHead:
+    """A request keeps the route, the service and the limits of its start."""
+
+    @pytest.mark.parametrize("name", CHANGES)
+    def test_change_of_the_catalogue_leaves_it_alone(
+        self, world, inst, desk, waiting, name
+    ):
+        _publish(world, inst, 2, CHANGES[name])
+        desk.resume.set()
+        answer = waiting.read(b"POST")
+        assert (answer.ending, answer.body) == (COMPLETE, b"ran")
+
+    def test_quick_changes_leave_it_alone(self, world, inst, desk, waiting):
+        for version, name in enumerate(CHANGES, 2):
+            _publish(world, inst, version, CHANGES[name])
+        desk.resume.set()
+        answer = waiting.read(b"POST")
+        assert (answer.ending, answer.body) == (COMPLETE, b"ran")
+
+    @pytest.mark.parametrize("change", TARGET_CHANGES)
+    def test_change_of_its_target_leaves_it_alone(
+        self, world, inst, desk, waiting, change
+    ):
+        change(world, desk)
+        _wait_for_change(inst, "d1")
+        desk.resume.set()
+        answer = waiting.read(b"POST")
+        assert (answer.ending, answer.body) == (COMPLETE, b"ran")
+
+    def test_changed_settings_leave_it_alone(self, world, inst, desk, waiting):
+        local = settings.Listener("127.0.0.1", 0)
+        inst.reload(
+            config.GatewaySettings(
+                instance=ids.InstanceId("i1"),
+                zone=ids.ZoneId("z1"),
+                caller=local,
+                status=local,
+                peer=local,
+                store_address=world.store.address,
+                key_ttl_s=0.001,
+                leaving_bound_s=0.1,
+                drain_grace_s=0.0,
+            )
+        )
+        desk.resume.set()
+        answer = waiting.read(b"POST")
+        assert (answer.ending, answer.body) == (COMPLETE, b"ran")
+
+
+@pytest.fixture
+def engine(world):
+    found = world.engine("e1", kind="large")
+    found.events = 8
+    found.on_event[3] = threading.Event()
+    found.resume_events[3] = threading.Event()
+    return found
+
+
+@pytest.fixture
+def streaming(world, engine):
+    """An instance and a caller in the middle of a stream, after event 3."""
+    inst = world.instance("i2")
+    world.wait_for_layers()
+    caller = rawcaller.RawCaller(inst.caller_address)
+    caller.send(
+        rawcaller.request(
+            "/drafts/x", method="POST", headers={"X-Deadline-Ms": "20000"}
+        )
+    )
+    assert engine.on_event[3].wait(testbed.WAIT_S)
+    yield inst, caller
+    engine.resume_events[3].set()
+    caller.close()
+
+
+class TestStreamBetweenTwoEvents:
+    """A stream keeps the route, the service and the limits of its start."""
+
+    @pytest.mark.parametrize("name", CHANGES)
+    def test_change_of_the_catalogue_leaves_it_alone(
+        self, world, engine, streaming, name
+    ):
+        inst, caller = streaming
+        _publish(world, inst, 2, CHANGES[name])
+        engine.resume_events[3].set()
+        answer = caller.read(b"POST")
+        assert answer.ending is COMPLETE
+        assert testbed.event_ids(answer.body) == list(range(1, 9))
+
+    @pytest.mark.parametrize("change", TARGET_CHANGES)
+    def test_change_of_its_engine_leaves_it_alone(
+        self, world, engine, streaming, change
+    ):
+        inst, caller = streaming
+        change(world, engine)
+        _wait_for_change(inst, "e1")
+        engine.resume_events[3].set()
+        answer = caller.read(b"POST")
+        assert answer.ending is COMPLETE
+        assert testbed.event_ids(answer.body) == list(range(1, 9))
+
+
+class TestOddCatalogue:
+    """Valid catalogues with odd values."""
+
+    @pytest.mark.parametrize(
+        "backends",
+        [
+            None,
+            [
+                {"service": "desk", "weight": 0},
+                {"service": "other", "weight": 0},
+            ],
+            [
+                {"service": "desk", "weight": -1},
+                {"service": "other", "weight": 0},
+            ],
+        ],
+        ids=["none", "zero", "negative"],
+    )
+    def test_route_without_a_service_refuses_its_requests(
+        self, world, inst, backends
+    ):
+        routes = [testbed.route("views", "/views/", "idempotent", "desk")]
+        routes[0]["backends"] = backends
+        del routes[0]["service"]
+        _publish(world, inst, 2, lambda value: value.update(routes=routes))
+        answer = rawcaller.exchange(inst, rawcaller.request("/views/x"))
+        assert (answer.ending, answer.status) == (COMPLETE, 503)
+
+    def test_empty_catalogue_answers(self, world, inst):
+        world.publish({"version": 2, "routes": []})
+        testbed.until(lambda: inst.follower.view.version == 2, "version 2")
+        answer = rawcaller.exchange(inst, rawcaller.request("/views/x"))
+        assert (answer.ending, answer.status) == (COMPLETE, 404)
+
+
+class TestKeptConnection:
+    """Connections of callers that stay open over several requests."""
+
+    def test_pipelined_request_outlives_a_change(self, world, inst, desk):
+        desk.resume.clear()
+        caller = rawcaller.RawCaller(inst.caller_address)
+        caller.send(rawcaller.request("/views/x") * 2)
+        testbed.until(lambda: desk.arrivals, "the request has arrived")
+        _publish(world, inst, 2, _shrink_limits)
+        desk.resume.set()
+        assert caller.read().body == b"ran"
+        assert caller.read().ending is COMPLETE
+        caller.close()
