--- a/src/briarfall/gateway/calls.py
+++ b/src/briarfall/gateway/calls.py
@@ -16,6 +16,8 @@
 # The response must reach the caller before the caller stops waiting.
 _RESPONSE_MARGIN_S = 0.02
 _DEFAULT_TIMEOUT_S = 30.0
+# Waits for longer than some weeks overflow in the system's interfaces.
+_MAX_TIMEOUT_S = 86_400.0
 # Short, since the body of a refusal is short and follows its head at once.
 _DRAIN_TIMEOUT_S = 0.02
 
@@ -105,7 +107,7 @@
             raise exceptions.BadRequestError(
                 f"{header.decode()} is no number"
             ) from exc
-    time_s = min(time_s - _RESPONSE_MARGIN_S, route.timeout_s)
+    time_s = min(time_s - _RESPONSE_MARGIN_S, route.timeout_s, _MAX_TIMEOUT_S)
     return req.received_s + time_s
 
 
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -261,6 +261,17 @@
         answer = rawcaller.exchange(inst, rawcaller.request("/views/x"))
         assert (answer.ending, answer.status) == (COMPLETE, 503)
 
+    @pytest.mark.parametrize("timeout_ms", [0, -1, 3e9, 1e15, 1e300])
+    def test_odd_timeout_of_a_route(self, world, inst, timeout_ms):
+        _publish(world, inst, 2, lambda value: _set_timeouts(value, timeout_ms))
+        for path in ("/views/x", "/orders/x"):
+            answer = rawcaller.exchange(
+                inst,
+                rawcaller.request(path, headers={"X-Deadline-Ms": "1e300"}),
+            )
+            assert answer.ending is COMPLETE
+            assert answer.status == (200 if timeout_ms > 1 else 503)
+
     def test_empty_catalogue_answers(self, world, inst):
         world.publish({"version": 2, "routes": []})
         testbed.until(lambda: inst.follower.view.version == 2, "version 2")
