Read a time limit that is not positive as unset

Callers saw: with an idle_timeout_ms of 0 or below, connections were closed with the request unread; with such a header_timeout_ms every request got 408; with one of 1e15 ms none was read (500 since the guard for unexpected errors). Cause: the limits of the manifest were used as they stand; nothing can arrive within 0 s, and the socket's timeout overflows. Evidence: test_odd_limit_of_a_time_leaves_requests_served failed before in five of six cases (SILENT, 408, 500; only an idle limit of 1e15 passed).

--- a/src/briarfall/platform/manifest.py
+++ b/src/briarfall/platform/manifest.py
@@ -12,6 +12,12 @@
     "streaming": views.RouteKind.STREAM,
 }
 
+# Longer limits have the same effect, and overflow in the system's interfaces.
+_MAX_LIMIT_S = 86_400.0
+# Limits that hold where the manifest sets none.
+_HEADER_TIMEOUT_MS = 3000.0
+_IDLE_TIMEOUT_MS = 15_000.0
+
 
 class _Backend(msgspec.Struct):
     service: str
@@ -107,8 +113,8 @@
 class _Limits(msgspec.Struct):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
+    header_timeout_ms: float = _HEADER_TIMEOUT_MS
+    idle_timeout_ms: float = _IDLE_TIMEOUT_MS
 
 
 class _Tenant(msgspec.Struct):
@@ -165,12 +171,24 @@
         limits=views.CallerLimits(
             max_header_bytes=limits.max_header_bytes,
             max_body_bytes=limits.max_body_bytes,
-            header_timeout_s=limits.header_timeout_ms / 1000,
-            idle_timeout_s=limits.idle_timeout_ms / 1000,
+            header_timeout_s=_limit_s(
+                limits.header_timeout_ms, _HEADER_TIMEOUT_MS
+            ),
+            idle_timeout_s=_limit_s(limits.idle_timeout_ms, _IDLE_TIMEOUT_MS),
         ),
     )
 
 
+def _limit_s(value_ms: float, default_ms: float) -> float:
+    """Returns a time limit in seconds; one that is not positive is unset.
+
+    No request could arrive within it.
+    """
+    if not value_ms > 0:
+        value_ms = default_ms
+    return min(value_ms / 1000, _MAX_LIMIT_S)
+
+
 def _convert_route(row: _Route) -> views.Route:
     kind = _ROUTE_KINDS.get(row.kind)
     if kind is None:
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -272,6 +272,17 @@
             assert answer.ending is COMPLETE
             assert answer.status == (200 if timeout_ms > 1 else 503)
 
+    @pytest.mark.parametrize("value", [0, -1, 1e15])
+    @pytest.mark.parametrize("name", ["header_timeout_ms", "idle_timeout_ms"])
+    def test_odd_limit_of_a_time_leaves_requests_served(
+        self, world, inst, name, value
+    ):
+        _publish(
+            world, inst, 2, lambda found: found["limits"].update({name: value})
+        )
+        answer = rawcaller.exchange(inst, rawcaller.request("/views/x"))
+        assert (answer.ending, answer.status) == (COMPLETE, 200)
+
     def test_empty_catalogue_answers(self, world, inst):
         world.publish({"version": 2, "routes": []})
         testbed.until(lambda: inst.follower.view.version == 2, "version 2")
