Apply changed limits to connections that are already open

Callers saw: after a manifest that allows larger bodies or headers, requests on kept connections were still refused with 413 or 431 for as long as the connection lasted. Cause: a connection took the limits once, when it was accepted. Evidence: test_larger_limits_hold_for_its_next_request failed before with 413 instead of 200. Change: the limits of the catalogue in force are set before each request. The idle time does not fall below the one that the last response announced, since the caller relies on it; a longer one holds at once.

--- a/src/briarfall/gateway/callerhandler.py
+++ b/src/briarfall/gateway/callerhandler.py
@@ -74,10 +74,7 @@
 
     def serve(self, sock: socket.socket) -> None:
         """Serves requests on a connection until it is closed."""
-        limits = views.CallerLimits()
-        if self._follower.view is not None:
-            limits = self._follower.view.limits
-        conn = callers.CallerConnection(sock, limits)
+        conn = callers.CallerConnection(sock, self._limits)
         linger = False
         try:
             while self._wait_for_request(conn):
@@ -94,11 +91,18 @@
         finally:
             conn.close(linger=linger)
 
+    @property
+    def _limits(self) -> views.CallerLimits:
+        view = self._follower.view
+        return views.CallerLimits() if view is None else view.limits
+
     def _wait_for_request(self, conn: callers.CallerConnection) -> bool:
         waited_s = 0.0
         while waited_s < conn.limits.idle_timeout_s:
             if conn.wait_readable(_IDLE_POLL_S):
+                conn.set_limits(self._limits)
                 return True
+            conn.set_limits(self._limits)
             waited_s += _IDLE_POLL_S
             if self._stop.closes_connections:
                 return False
--- a/src/briarfall/gateway/callers.py
+++ b/src/briarfall/gateway/callers.py
@@ -5,6 +5,7 @@
 import struct
 
 import h11
+import msgspec
 
 from briarfall.gateway import clocks
 from briarfall.gateway import messages
@@ -33,6 +34,12 @@
         self.status = status
 
 
+def _new_parser(limits: views.CallerLimits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+    )
+
+
 class CallerConnection:
     """Reads requests of one caller and writes the responses.
 
@@ -44,6 +51,8 @@
     def __init__(self, sock: socket.socket, limits: views.CallerLimits):
         self.sock = sock
         self.limits = limits
+        self._set_limits = limits
+        self._announced_idle_s = 0.0
         self.closes_after_response = False
         # The request that is being answered, once it was read completely.
         self.request: messages.CallerRequest | None = None
@@ -58,11 +67,27 @@
         self.status = 0
         # Responses to HEAD have the headers of a body, but no body.
         self._is_head_request = False
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-        )
+        self._http = _new_parser(limits)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def set_limits(self, limits: views.CallerLimits) -> None:
+        """Sets the limits of the next request.
+
+        The idle time never falls below the one that the last response
+        announced, since the caller relies on that.
+        """
+        if limits == self._set_limits:
+            return
+        self._set_limits = limits
+        idle_s = max(limits.idle_timeout_s, self._announced_idle_s)
+        self.limits = msgspec.structs.replace(limits, idle_timeout_s=idle_s)
+        received, is_closed = self._http.trailing_data
+        self._http = _new_parser(limits)
+        if received:
+            self._http.receive_data(received)
+        if is_closed:
+            self._http.receive_data(b"")
+
     def wait_readable(self, timeout_s: float) -> bool:
         """Returns whether bytes of the next request arrive in time."""
         if self._http.trailing_data[0]:
@@ -151,6 +176,7 @@
             fields.append((b"Connection", b"close"))
         else:
             limit_s = int(self.limits.idle_timeout_s)
+            self._announced_idle_s = self.limits.idle_timeout_s
             fields.append((b"Keep-Alive", b"timeout=%d" % limit_s))
         data = self._http.send(
             h11.Response(status_code=status, headers=fields, reason=b"")
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -293,6 +293,27 @@
 class TestKeptConnection:
     """Connections of callers that stay open over several requests."""
 
+    def test_larger_limits_hold_for_its_next_request(self, world, inst, desk):
+        caller = rawcaller.RawCaller(inst.caller_address)
+        caller.send(rawcaller.request("/views/x"))
+        assert caller.read().status == 200
+        _publish(
+            world,
+            inst,
+            2,
+            lambda value: value["limits"].update(
+                max_body_bytes=200_000, max_header_bytes=40_000
+            ),
+        )
+        body = b"a" * 100_000
+        caller.send(rawcaller.request("/views/x", method="POST", body=body))
+        assert caller.read(b"POST").status == 200
+        assert desk.ran[-1].body == body
+        headers = {"X-Odd": "a" * 20_000}
+        caller.send(rawcaller.request("/views/x", headers=headers))
+        assert caller.read().status == 200
+        caller.close()
+
     def test_pipelined_request_outlives_a_change(self, world, inst, desk):
         desk.resume.clear()
         caller = rawcaller.RawCaller(inst.caller_address)
