Read a request that follows the last one before closing

Callers saw: a connection reset in place of the end of the connection, and possibly a lost answer, if they had sent a next request on a connection that closes after its answer (Connection: close, planned stop). Cause: closing a socket with unread bytes resets the connection, and a reset discards what the caller has not read yet. Evidence: test_answer_arrives_though_a_request_follows_the_last_one failed before (ConnectionResetError). Change: if unread bytes are there, the sending side is closed first and they are read and discarded, for 5 s at most; this bound holds for refusals as well, where a caller that sent without a pause kept its thread for ever.

--- a/src/briarfall/gateway/callers.py
+++ b/src/briarfall/gateway/callers.py
@@ -17,6 +17,7 @@
 _SEND_TIMEOUT_S = 10.0
 # Timeout of each read while a closing connection lingers.
 _LINGER_S = 0.5
+_MAX_LINGER_S = 5.0
 # Closes a connection with a reset.
 _RESET = struct.pack("ii", 1, 0)
 _UNEXPECTED_ERROR = b"[internal] unexpected error; remedy: report the request\n"
@@ -275,25 +276,36 @@
     def close(self, *, linger: bool = False) -> None:
         """Closes the connection.
 
-        A response whose end is the connection's end is cut with a reset, so
+        Unread bytes, such as a next request, would turn the close into a
+        reset, and the caller could lose the response. They are read first. A
+        response whose end is the connection's end is cut with a reset, so
         that it does not look complete.
 
         Args:
-            linger: Whether to read what the caller still sends. Unread bytes
-                would turn the close into a reset, and the caller would lose
-                the response.
+            linger: Whether to read what the caller still sends, although no
+                unread bytes have arrived yet.
         """
         try:
             if self._ends_with_connection:
                 self.sock.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, _RESET
                 )
-            elif linger:
+            elif linger or self._has_unread_bytes():
                 self.sock.shutdown(socket.SHUT_WR)
-                self.sock.settimeout(_LINGER_S)
-                while self.sock.recv(_RECEIVE_BYTES):
-                    continue
+                self._discard_received()
         except OSError:
             pass
         finally:
             self.sock.close()
+
+    def _has_unread_bytes(self) -> bool:
+        poller = select.poll()
+        poller.register(self.sock, select.POLLIN)
+        return bool(poller.poll(0))
+
+    def _discard_received(self) -> None:
+        """Reads until the caller closes or pauses, for a limited time."""
+        until_s = clocks.boot_s() + _MAX_LINGER_S
+        self.sock.settimeout(_LINGER_S)
+        while clocks.boot_s() < until_s and self.sock.recv(_RECEIVE_BYTES):
+            continue
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -324,3 +324,18 @@
         assert caller.read().body == b"ran"
         assert caller.read().ending is COMPLETE
         caller.close()
+
+    def test_answer_arrives_though_a_request_follows_the_last_one(
+        self, inst, desk
+    ):
+        desk.resume.clear()
+        caller = rawcaller.RawCaller(inst.caller_address)
+        data = rawcaller.request("/views/x", headers={"Connection": "close"})
+        caller.send(data)
+        testbed.until(lambda: desk.arrivals, "the request has arrived")
+        caller.send(data)
+        desk.resume.set()
+        answer = caller.read()
+        assert (answer.ending, answer.body) == (COMPLETE, b"ran")
+        assert caller.sock.recv(1) == b""
+        caller.close()
