Notice a caller's close behind its next request

Callers saw: nothing; but after a caller that had sent its next request had left, its request went on at the target until the end, and the thread that waited for it used a whole core. Cause: the check looked for the end of the data at the first byte, which is the next request's; the event of the close stays set, so that the wait returned at once each time. Evidence: test_close_after_the_next_request_is_seen failed before (DID NOT RAISE CallerGoneError). Change: the check reads the event of the close itself. A caller that closes only its sending side counts as gone, as before.

--- a/src/briarfall/gateway/targetconnection.py
+++ b/src/briarfall/gateway/targetconnection.py
@@ -81,17 +81,16 @@
 
     def check(self) -> None:
         """Raises CallerGoneError if the caller has left."""
-        try:
-            data = self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return
-        except OSError as exc:
-            raise CallerGoneError(f"caller's connection failed: {exc}") from exc
-        if not data:
+        poller = select.poll()
+        poller.register(self.sock, select.POLLIN | select.POLLRDHUP)
+        ready = dict(poller.poll(0)).get(self.sock.fileno(), 0)
+        # A close counts even if bytes of a next request precede it.
+        if ready & ~select.POLLIN:
             raise CallerGoneError("the caller closed its connection")
-        # The next request has arrived already, so that the socket stays
-        # readable; poll only for a close from now on.
-        self._events = select.POLLRDHUP
+        if ready:
+            # The next request has arrived already, so that the socket stays
+            # readable; poll only for a close from now on.
+            self._events = select.POLLRDHUP
 
     def pause(self, seconds: float) -> None:
         """Waits, and raises CallerGoneError if the caller disconnects.
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -1,5 +1,6 @@
 """Changes of the catalogue, targets and settings beside running requests."""
 
+import socket
 import threading
 
 import pytest
@@ -7,6 +8,7 @@
 from briarfall import ids
 from briarfall import settings
 from briarfall.gateway import config
+from briarfall.gateway import targetconnection
 from briarfall.standins.prepared import rawcaller
 from briarfall.standins.prepared import testbed
 
@@ -339,3 +341,32 @@
         assert (answer.ending, answer.body) == (COMPLETE, b"ran")
         assert caller.sock.recv(1) == b""
         caller.close()
+
+
+class TestCallerWatch:
+    """Detection of callers that close their connection."""
+
+    @pytest.fixture
+    def pair(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        caller = socket.create_connection(listener.getsockname())
+        served, _ = listener.accept()
+        yield caller, served
+        for sock in (listener, caller, served):
+            sock.close()
+
+    def test_next_request_is_no_close(self, pair):
+        caller, served = pair
+        watch = targetconnection.CallerWatch(served)
+        caller.sendall(b"GET")
+        for _ in range(3):
+            watch.pause(0.01)
+
+    def test_close_after_the_next_request_is_seen(self, pair):
+        caller, served = pair
+        watch = targetconnection.CallerWatch(served)
+        caller.sendall(b"GET")
+        watch.pause(testbed.WAIT_S)
+        caller.close()
+        with pytest.raises(targetconnection.CallerGoneError):
+            watch.pause(testbed.WAIT_S)
