Give up a caller only while it reads nothing

Callers saw: a caller on a slow link that was reading all the while had its connection closed in the middle of an answer, with its time not over. Cause: the 10 s that are meant for a caller that reads nothing were the timeout of sendall, which bounds the whole write, of up to 256 KB and more. Evidence: test_caller_that_goes_on_reading_gets_the_whole_answer failed before (CallerGoneError: response not accepted by the caller: timed out). Change: the time counts from the last progress; one write may take 60 s. A second close of a connection has no effect: it raised ValueError since unread bytes are looked for.

--- a/src/briarfall/gateway/callers.py
+++ b/src/briarfall/gateway/callers.py
@@ -15,6 +15,8 @@
 _RECEIVE_BYTES = 65_536
 # The connection is closed if the caller reads nothing for this long.
 _SEND_TIMEOUT_S = 10.0
+# Longest time for one piece of a response, however the caller reads it.
+_MAX_SEND_S = 60.0
 # Timeout of each read while a closing connection lingers.
 _LINGER_S = 0.5
 _MAX_LINGER_S = 5.0
@@ -252,7 +254,13 @@
     def _write(self, data: bytes) -> None:
         self.sock.settimeout(_SEND_TIMEOUT_S)
         try:
-            self.sock.sendall(data)
+            # The timeout of sendall would bound the whole transfer.
+            rest = memoryview(data)
+            until_s = clocks.boot_s() + _MAX_SEND_S
+            while rest:
+                rest = rest[self.sock.send(rest) :]
+                if rest and clocks.boot_s() > until_s:
+                    raise TimeoutError(f"not read within {_MAX_SEND_S:.0f} s")
         except OSError as exc:
             raise targetconnection.CallerGoneError(
                 f"response not accepted by the caller: {exc}"
@@ -274,7 +282,7 @@
         return True
 
     def close(self, *, linger: bool = False) -> None:
-        """Closes the connection.
+        """Closes the connection; a second call has no effect.
 
         Unread bytes, such as a next request, would turn the close into a
         reset, and the caller could lose the response. They are read first. A
@@ -285,6 +293,8 @@
             linger: Whether to read what the caller still sends, although no
                 unread bytes have arrived yet.
         """
+        if self.sock.fileno() < 0:
+            return
         try:
             if self._ends_with_connection:
                 self.sock.setsockopt(
