--- a/tests/test_odd_decoders.py
+++ b/tests/test_odd_decoders.py
@@ -20,6 +20,7 @@
 from briarfall.gateway import events
 from briarfall.gateway import messages
 from briarfall.gateway import peermessages
+from briarfall.gateway import summary
 from briarfall.orders import claims
 from briarfall.pipelines import models
 from briarfall.platform import earlylisteners
@@ -36,6 +37,7 @@
 from tests import test_platform
 
 _ADDRESS = "127.0.0.1:1"
+_STORE = store.StoreClient(_ADDRESS, summary.CallCounts(), "test")
 
 
 class _Http:
@@ -104,7 +106,7 @@
     "settings": (settings.parse, test_platform.settings_file()),
     "listeners": (earlylisteners.open_listeners, b"{}"),
     "keyed": (store.split_keyed, store.keyed_record("key", b"value")),
-    "page": (store._decode_page, b'{"items": [], "end": 3}'),
+    "page": (_STORE._decode_page, b'{"items": [], "end": 3}'),
     "records": (
         lambda data: store._split_records(memoryview(data)),
         b"\0\0\0\1a\0\0\0\0",
