A client gets typed errors for odd answers of a router

Callers saw: KeyError, IndexError, TypeError or msgspec's errors out of Session.complete and Session.stream for an answer that is no completion, and ValueError for an error with an outcome that the release does not know.

Cause: answers and events were read as untyped JSON.

Fix: typed answers by decoding.py with TargetError; an unknown outcome counts as unknown.

Ruled out: cursors are decoded only after their signature was verified.

--- a/src/briarfall/sessions.py
+++ b/src/briarfall/sessions.py
@@ -1,6 +1,7 @@
 """HTTP client of briarfall for callers and operators."""
 
 import collections.abc
+import typing
 
 import msgspec
 from urllib3 import exceptions as urllib3_exceptions
@@ -14,9 +15,35 @@
 DEFAULT_TIMEOUT_S = 30.0
 _MAX_RECONNECTS = 5
 _MAX_RETRY_AFTER_S = 86_400
+_OUTCOMES = {outcome.value: outcome for outcome in exceptions.Outcome}
 _ERROR_TYPES: dict[str, type[exceptions.BriarfallError]] = {}
 
 
+class _Choice(msgspec.Struct):
+    text: str
+
+
+_Choices = typing.Annotated[list[_Choice], msgspec.Meta(min_length=1)]
+
+
+class _Chunk(msgspec.Struct):
+    choices: _Choices
+
+
+class _Usage(msgspec.Struct):
+    completion_tokens: int
+
+
+class _Completion(msgspec.Struct):
+    id: str
+    choices: _Choices
+    usage: _Usage
+
+
+_CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
+_COMPLETION_DECODER = msgspec.json.Decoder(_Completion)
+
+
 class Draft(msgspec.Struct):
     """A complete answer.
 
@@ -79,11 +106,11 @@
         """
         body, headers = _encode_completion(model, prompt, False, options)
         reply = self.send("POST", "/v1/completions", body, headers)
-        data = msgspec.json.decode(reply.body)
+        data = decoding.decode(
+            _COMPLETION_DECODER, reply.body, "answer", exceptions.TargetError
+        )
         return Draft(
-            data["choices"][0]["text"],
-            data["id"],
-            data["usage"]["completion_tokens"],
+            data.choices[0].text, data.id, data.usage.completion_tokens
         )
 
     def stream(
@@ -230,22 +257,34 @@
     event_type = ""
     for line in lines:
         if line.startswith(b"id: "):
-            event_id = line[4:].decode()
+            event_id = _decode_text(line[4:])
         elif line.startswith(b"event: "):
-            event_type = line[7:].decode()
+            event_type = _decode_text(line[7:])
         elif line == b"data: [DONE]":
             return
         elif line.startswith(b"data: ") and event_type == "error":
             raise _error_from(line[6:], 0)
         elif line.startswith(b"data: "):
-            choice = msgspec.json.decode(line[6:])["choices"][0]
-            if choice["text"]:
-                yield Event(event_id, choice["text"])
+            chunk = decoding.decode(
+                _CHUNK_DECODER, line[6:], "event", exceptions.TargetError
+            )
+            text = chunk.choices[0].text
+            if text:
+                yield Event(event_id, text)
     raise exceptions.TargetError(
         "stream ended without [DONE] or an error event"
     )
 
 
+def _decode_text(data: bytes) -> str:
+    try:
+        return data.decode()
+    except UnicodeDecodeError as exc:
+        raise decoding.failure(
+            "field of an event", exc, exceptions.TargetError
+        ) from exc
+
+
 def error_of(reply: httpclient.Reply) -> exceptions.BriarfallError:
     """Returns the error that an error response reports."""
     exc = _error_from(reply.body, reply.status)
@@ -259,8 +298,10 @@
 
 def _error_from(data: bytes, status: int) -> exceptions.BriarfallError:
     try:
-        detail = msgspec.json.decode(data, type=httpserver.ErrorBody).error
-    except msgspec.DecodeError:
+        detail = decoding.decode_json(
+            data, httpserver.ErrorBody, "error body"
+        ).error
+    except exceptions.CatalogueError:
         return exceptions.TargetError(
             f"status {status} without an error body: {data[:200]!r}"
         )
@@ -270,7 +311,7 @@
         exc,
         detail.message,
         remedy=detail.remedy,
-        outcome=exceptions.Outcome(detail.outcome),
+        outcome=_OUTCOMES.get(detail.outcome, exceptions.Outcome.UNKNOWN),
     )
     exc.code = detail.code
     return exc
