Treat an event number that int() refuses as a broken exchange

Callers saw: a stream closed without an answer (status 500 since the guard for unexpected errors), or cut, after one faulty engine wrote an event number of over 4,300 digits; another engine was not tried. Cause: int() raises ValueError for so many digits, in the caller's thread. Evidence: test_stream_is_answered_without_an_unexpected_error failed before (500 instead of 502, one unexpected error counted). Change: such a number is a gap in the events, which ends the exchange with that engine as broken; the stream then goes to another chain where it may.

--- a/src/briarfall/gateway/events.py
+++ b/src/briarfall/gateway/events.py
@@ -8,6 +8,8 @@
 
 _EVENT_ID = re.compile(rb"^id:[ \t]*(\d+)[ \t]*\r?$", re.MULTILINE)
 _MAX_EVENT_BYTES = 2**20
+# Longer numbers are refused by int().
+_MAX_NUMBER_DIGITS = 1000
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -88,6 +90,7 @@
 
         Raises:
             EventTooLongError: The last event exceeds the size limit.
+            EventGapError: The number of an event is too long.
         """
         pending = self._incomplete + data
         events = []
@@ -96,9 +99,17 @@
             event_bytes = pending[start : match.end()]
             start = match.end()
             id_match = _EVENT_ID.search(event_bytes)
-            number = int(id_match.group(1)) if id_match else None
-            events.append(Event(number, event_bytes))
+            events.append(Event(_number_of(id_match), event_bytes))
         self._incomplete = pending[start:]
         if len(self._incomplete) > _MAX_EVENT_BYTES:
             raise EventTooLongError("an event without end")
         return events
+
+
+def _number_of(match: re.Match | None) -> int | None:
+    if match is None:
+        return None
+    digits = match.group(1)
+    if len(digits) > _MAX_NUMBER_DIGITS:
+        raise EventGapError(f"an event number of {len(digits)} digits")
+    return int(digits)
--- a/tests/test_gateway_unexpectederrors.py
+++ b/tests/test_gateway_unexpectederrors.py
@@ -6,6 +6,7 @@
 
 from briarfall.gateway import messages
 from briarfall.gateway import plain
+from briarfall.standins.prepared import engines
 from briarfall.standins.prepared import rawcaller
 from briarfall.standins.prepared import testbed
 
@@ -165,6 +166,30 @@
         assert answer.ending is COMPLETE
 
 
+class TestOddEventNumber:
+    """Event numbers of an engine that can't be converted."""
+
+    def test_stream_is_answered_without_an_unexpected_error(
+        self, world, monkeypatch
+    ):
+        def respond(self, conn, *_):
+            conn.send_chunk(b"id: %s\ndata: x\n\n" % (b"9" * 5000))
+            conn.send_chunk(b"")
+            return True
+
+        monkeypatch.setattr(engines.EngineStandin, "_generate_events", respond)
+        world.engine("e1", kind="large")
+        inst = world.instance()
+        world.wait_for_layers()
+        answer = rawcaller.exchange(
+            inst, rawcaller.request("/drafts/x", method="POST"), "POST"
+        )
+        assert (answer.ending, answer.status) == (COMPLETE, 502)
+        assert (
+            b"briarfall_unexpected_errors_total{" not in inst.metrics.expose()
+        )
+
+
 class TestOddNamesInTheCatalogue:
     """Names that can't be written into a header."""
 
