Guards: a change during an upload, between attempts, in a wait for a chain

Nine kinds of change of the catalogue while a body arrives, after the first target has the call and before it breaks off, and while a stream waits for a chain.

--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -182,6 +182,86 @@
         assert (answer.ending, answer.body) == (COMPLETE, b"ran")
 
 
+class TestCallBeforeAndBetweenTargets:
+    """Changes during an upload, and between two attempts."""
+
+    @pytest.mark.parametrize("name", CHANGES)
+    def test_upload_that_a_change_meets_is_answered(
+        self, world, inst, desk, name
+    ):
+        data = rawcaller.request("/views/x", method="POST", body=b"a" * 40_000)
+        caller = rawcaller.RawCaller(inst.caller_address)
+        caller.send(data[:-20_000])
+        _publish(world, inst, 2, CHANGES[name])
+        caller.send(data[-20_000:])
+        answer = caller.read(b"POST")
+        caller.close()
+        assert answer.ending is COMPLETE
+        if name in ("limits_shrunk", "priority", "timeouts_lengthened"):
+            assert (answer.status, answer.body) == (200, b"ran")
+
+    @pytest.mark.parametrize("name", CHANGES)
+    def test_call_whose_first_target_breaks_off_is_served_by_the_second(
+        self, world, inst, desk, name
+    ):
+        other = world.scripted("d2")
+        world.wait_for_targets(other)
+        rows = [desk, other]
+        for row in rows:
+            row.resume.clear()
+        caller = rawcaller.RawCaller(inst.caller_address)
+        caller.send(
+            rawcaller.request("/views/x", headers={"X-Deadline-Ms": "20000"})
+        )
+        testbed.until(
+            lambda: any(row.arrivals for row in rows), "it has arrived"
+        )
+        first = desk if desk.arrivals else other
+        first.script = b""
+        _publish(world, inst, 2, CHANGES[name])
+        for row in rows:
+            row.resume.set()
+        answer = caller.read()
+        caller.close()
+        assert (answer.ending, answer.body) == (COMPLETE, b"ran")
+        assert [len(row.ran) for row in rows] == [1, 1]
+
+
+class TestStreamThatWaitsForAChain:
+    @pytest.mark.parametrize("name", CHANGES)
+    def test_stream_is_served_once_an_engine_appears(
+        self, world, monkeypatch, name
+    ):
+        waiting = threading.Event()
+        pause = targetconnection.CallerWatch.pause
+
+        def record(self, seconds):
+            waiting.set()
+            pause(self, seconds)
+
+        monkeypatch.setattr(targetconnection.CallerWatch, "pause", record)
+        inst = world.instance()
+
+        def wait_long(value: dict) -> None:
+            value["routes"][2]["slo_ms"] = 100_000
+
+        _publish(world, inst, 2, wait_long)
+        caller = rawcaller.RawCaller(inst.caller_address)
+        caller.send(
+            rawcaller.request(
+                "/drafts/x", method="POST", headers={"X-Deadline-Ms": "20000"}
+            )
+        )
+        assert waiting.wait(testbed.WAIT_S)
+        _publish(world, inst, 3, CHANGES[name])
+        engine = world.engine("e1", kind="large")
+        engine.layers = (0, 8)
+        engine.register()
+        answer = caller.read(b"POST")
+        caller.close()
+        assert (answer.ending, answer.status) == (COMPLETE, 200)
+
+
 @pytest.fixture
 def engine(world):
     found = world.engine("e1", kind="large")
