--- a/src/briarfall/gateway/events.py
+++ b/src/briarfall/gateway/events.py
@@ -90,6 +90,7 @@
 
         Raises:
             EventTooLongError: The last event exceeds the size limit.
+            EventGapError: The number of an event is too long.
         """
         pending = self._incomplete + data
         events = []
