One odd value of a manifest no longer keeps the whole manifest from coming into force

A manifest that the store accepted has to be in force in seconds, so a time, a weight or an account name that is out of range has the effect of the nearest sound value (TestOddCatalogue, TestOddNamesInTheCatalogue); what can't be decoded, or would overflow sums, is refused as a whole as before.

--- a/src/briarfall/gateway/recordchecks.py
+++ b/src/briarfall/gateway/recordchecks.py
@@ -86,22 +86,6 @@
         )
 
 
-def check_account(name: str) -> None:
-    """Checks the name of a client account, which becomes a header's value.
-
-    Raises:
-        CatalogueError: The name is too long, not printable, or begins or ends
-            with a space.
-    """
-    subject = "client account"
-    _check_name(subject, "name", name)
-    if name != name.strip():
-        raise exceptions.CatalogueError(
-            f"{subject}: name {decoding.excerpt(name)!r} begins or ends with "
-            "a space"
-        )
-
-
 def check_instance_id(name: str, subject: str) -> None:
     """Checks the id of an instance.
 
--- a/src/briarfall/platform/manifest.py
+++ b/src/briarfall/platform/manifest.py
@@ -18,16 +18,19 @@
 
 # The bounds are far above real values; they keep sums and products finite.
 _Number = typing.Annotated[float, msgspec.Meta(ge=0, le=1e12)]
-# A wait of `select.poll` is bounded by 2^31 - 1 milliseconds.
-_Millis = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+# Any finite number. A value that is out of its range has the effect of the
+# nearest one within it, so that one odd value does not keep a whole manifest
+# from coming into force.
+_Finite = typing.Annotated[float, msgspec.Meta(ge=-1e300, le=1e300)]
 _Count = typing.Annotated[int, msgspec.Meta(ge=0, le=10**12)]
 _MIN_DIVISOR = 1e-6
+_MAX_WEIGHT = 1e12
 _Version = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 _LayerCount = typing.Annotated[
     int, msgspec.Meta(ge=0, le=recordchecks.MAX_LAYERS)
 ]
-# Longer limits have the same effect, and overflow in the system's interfaces.
-_MAX_LIMIT_S = 86_400.0
+# Longer times have the same effect, and overflow in the system's interfaces.
+_MAX_TIME_S = 86_400.0
 # Limits that hold where the manifest sets none.
 _HEADER_TIMEOUT_MS = 3000.0
 _IDLE_TIMEOUT_MS = 15_000.0
@@ -36,7 +39,7 @@
 class _Backend(msgspec.Struct):
     service: str
     # Share of requests, relative to the other backends of the route.
-    weight: _Number = 1.0
+    weight: _Finite = 1.0
 
 
 class _Route(msgspec.Struct):
@@ -44,10 +47,10 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: _Millis
+    timeout_ms: _Finite
     # Time to the first byte, in milliseconds, up to which a response counts as
     # on time.
-    slo_ms: _Millis = 0.0
+    slo_ms: _Finite = 0.0
     # Rank of the route's requests; 0 is the most urgent.
     priority: _Count = 5
     # The only service of the route; ignored if `backends` is not empty.
@@ -61,7 +64,7 @@
     resumable: bool = False
     # Longest gap between events of a stream that is on time, in milliseconds;
     # 0 if none is set.
-    gap_aim_ms: _Millis = 0.0
+    gap_aim_ms: _Finite = 0.0
 
 
 class _HardwareKind(msgspec.Struct):
@@ -127,8 +130,8 @@
 class _Limits(msgspec.Struct):
     max_header_bytes: _Count = 16_384
     max_body_bytes: _Count = 4_194_304
-    header_timeout_ms: _Millis = _HEADER_TIMEOUT_MS
-    idle_timeout_ms: _Millis = _IDLE_TIMEOUT_MS
+    header_timeout_ms: _Finite = _HEADER_TIMEOUT_MS
+    idle_timeout_ms: _Finite = _IDLE_TIMEOUT_MS
 
 
 class _Tenant(msgspec.Struct):
@@ -168,7 +171,6 @@
         services.append(_convert_service(row))
     keys = {}
     for tenant in manifest.tenants or []:
-        recordchecks.check_account(tenant.name)
         account = views.ClientAccount(
             ids.ClientId(tenant.name), tenant.priority
         )
@@ -199,7 +201,11 @@
     """
     if not value_ms > 0:
         value_ms = default_ms
-    return min(value_ms / 1000, _MAX_LIMIT_S)
+    return _seconds(value_ms)
+
+
+def _seconds(value_ms: float) -> float:
+    return min(max(0.0, value_ms) / 1000, _MAX_TIME_S)
 
 
 def _convert_route(row: _Route) -> views.Route:
@@ -213,12 +219,10 @@
     shares = []
     for backend in row.backends or []:
         shares.append(
-            views.Share(views.ServiceName(backend.service), backend.weight)
-        )
-    if len(shares) > 1 and not any(share.weight for share in shares):
-        raise exceptions.CatalogueError(
-            f"route {decoding.excerpt(row.name)}: all weights are 0; expected "
-            "one above 0"
+            views.Share(
+                views.ServiceName(backend.service),
+                min(backend.weight, _MAX_WEIGHT),
+            )
         )
     if not shares and row.service is not None:
         shares.append(views.Share(views.ServiceName(row.service), 1.0))
@@ -228,13 +232,13 @@
         prefix=row.path_prefix,
         kind=kind,
         shares=tuple(shares),
-        timeout_s=row.timeout_ms / 1000,
-        first_byte_slo_s=row.slo_ms / 1000,
+        timeout_s=_seconds(row.timeout_ms),
+        first_byte_slo_s=_seconds(row.slo_ms),
         urgency=row.priority,
         max_runs=row.attempts,
         is_public=row.public,
         is_resumable=row.resumable,
-        event_gap_slo_s=row.gap_aim_ms / 1000,
+        event_gap_slo_s=_seconds(row.gap_aim_ms),
     )
 
 
