--- a/src/briarfall/gateway/closedanswers.py
+++ b/src/briarfall/gateway/closedanswers.py
@@ -1,6 +1,7 @@
 """Distinguishes complete answers without a length from those cut by a crash."""
 
 from briarfall import ids
+from briarfall.gateway import dialing
 from briarfall.gateway import liveness
 from briarfall.gateway import targetconnection
 from briarfall.gateway import targets
@@ -16,6 +17,7 @@
     target_id: ids.TargetId,
     address: str,
     started_ms: int,
+    dialer: dialing.Dialer = dialing.SYSTEM_DIALER,
 ) -> None:
     """Checks that a target that closed an answer without a length still runs.
 
@@ -28,6 +30,7 @@
         address: Its address.
         started_ms: Start of the incarnation that answered, in Unix
             milliseconds.
+        dialer: Opens the connection that checks it.
 
     Raises:
         BrokenExchangeError: The target has ended without draining first.
@@ -36,7 +39,7 @@
     if target is not None:
         if not target.accepts_requests:
             return
-        if liveness.probe_target(address) not in _ENDED:
+        if liveness.probe_target(address, dialer=dialer) not in _ENDED:
             return
     raise targetconnection.BrokenExchangeError(
         f"{address}: ended with its answer", saw_response=True
--- a/src/briarfall/gateway/connections.py
+++ b/src/briarfall/gateway/connections.py
@@ -3,6 +3,7 @@
 import threading
 
 from briarfall.gateway import clocks
+from briarfall.gateway import dialing
 from briarfall.gateway import messages
 from briarfall.gateway import targetconnection
 
@@ -10,9 +11,14 @@
 
 
 class ConnectionPool:
-    """Idle connections to targets; the most recently used is reused first."""
+    """Idle connections to targets; the most recently used is reused first.
 
-    def __init__(self):
+    Args:
+        dialer: Opens new connections.
+    """
+
+    def __init__(self, dialer: dialing.Dialer = dialing.SYSTEM_DIALER):
+        self.dialer = dialer
         self._lock = threading.Lock()
         self._idle: dict[str, list[targetconnection.TargetConnection]] = {}
         self.opened = 0
@@ -42,7 +48,9 @@
             conn.close()
         self.opened += 1
         timeout_s = min(timeout_s, targetconnection.CONNECT_TIMEOUT_S)
-        return targetconnection.TargetConnection(address, timeout_s)
+        return targetconnection.TargetConnection(
+            address, timeout_s, self.dialer
+        )
 
     def put(self, conn: targetconnection.TargetConnection) -> None:
         """Adds an idle connection to the pool."""
--- a/src/briarfall/gateway/liveness.py
+++ b/src/briarfall/gateway/liveness.py
@@ -14,6 +14,7 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
+from briarfall.gateway import dialing
 from briarfall.gateway import paths
 
 # Live engines accept a connection within a few milliseconds of each other; one
@@ -72,9 +73,14 @@
 
 
 class ProgressTable:
-    """When any stream of this instance last saw progress of each engine."""
+    """When any stream of this instance last saw progress of each engine.
 
-    def __init__(self):
+    Args:
+        dialer: Opens the connections of liveness checks.
+    """
+
+    def __init__(self, dialer: dialing.Dialer = dialing.SYSTEM_DIALER):
+        self._dialer = dialer
         self._lock = threading.Lock()
         self._last_progress_s: dict[ids.TargetId, float] = {}
         # When each engine last accepted a connection.
@@ -122,7 +128,7 @@
             if len(addresses) >= _MIN_PROBED_ADDRESSES:
                 break
             addresses.add(stage.address)
-        results = _probe_all(addresses)
+        results = _probe_all(addresses, self._dialer)
         now_s = clocks.boot_s()
         dead = {}
         with self._lock:
@@ -201,7 +207,9 @@
 
 
 def probe_target(
-    address: str, references: collections.abc.Iterable[str] = ()
+    address: str,
+    references: collections.abc.Iterable[str] = (),
+    dialer: dialing.Dialer = dialing.SYSTEM_DIALER,
 ) -> Reachability:
     """Connects to a target and returns the result.
 
@@ -209,16 +217,19 @@
         address: Its address.
         references: Addresses of targets that are assumed to live; their
             answers distinguish a dead target from a fault of this instance.
+        dialer: Opens the connections.
     """
-    return _probe_all({address, *references})[address]
+    return _probe_all({address, *references}, dialer)[address]
 
 
-def _probe_all(addresses: set[str]) -> dict[str, Reachability]:
+def _probe_all(
+    addresses: set[str], dialer: dialing.Dialer
+) -> dict[str, Reachability]:
     """Connects to addresses, a second time to those that do not answer.
 
     The second attempt keeps one lost packet from making a target look dead.
     """
-    results = _connect_all(addresses)
+    results = _connect_all(addresses, dialer)
     repeated = set()
     open_address = None
     for address, reachability in results.items():
@@ -228,17 +239,19 @@
             open_address = address
     if repeated and open_address is not None:
         repeated.add(open_address)
-        results.update(_connect_all(repeated))
+        results.update(_connect_all(repeated, dialer))
     return results
 
 
-def _connect_all(addresses: set[str]) -> dict[str, Reachability]:
+def _connect_all(
+    addresses: set[str], dialer: dialing.Dialer
+) -> dict[str, Reachability]:
     """Connects once to each address; closes all sockets whatever happens."""
     attempts = ConnectRound(addresses, clocks.boot_s())
     with contextlib.ExitStack() as opened:
         pending = {}
         for address in addresses:
-            sock = _start_connect(address, attempts, opened)
+            sock = _start_connect(address, attempts, opened, dialer)
             if sock is not None:
                 pending[sock.fileno()] = (sock, address)
         _await_connects(pending, attempts)
@@ -246,12 +259,15 @@
 
 
 def _start_connect(
-    address: str, attempts: ConnectRound, opened: contextlib.ExitStack
+    address: str,
+    attempts: ConnectRound,
+    opened: contextlib.ExitStack,
+    dialer: dialing.Dialer,
 ) -> socket.socket | None:
     """Starts to connect; returns the socket if its result is pending."""
     try:
         endpoint = address_parser.parse(address, "probe")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock, code = dialer.start_connect(endpoint)
     except (exceptions.CatalogueError, OSError) as exc:
         # An OSError says that this process has no descriptor left, nothing
         # about the target.
@@ -259,8 +275,6 @@
         attempts.skip(address)
         return None
     opened.enter_context(sock)
-    sock.setblocking(False)
-    code = sock.connect_ex(endpoint)
     if code in (0, errno.EINPROGRESS):
         return sock
     sock.close()
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -102,7 +102,9 @@
                 self._handle_refusal(target, exc)
             except targetconnection.BrokenExchangeError as exc:
                 # A reachable target lost only this response and stays usable.
-                reachability = liveness.probe_target(target.entry.address)
+                reachability = liveness.probe_target(
+                    target.entry.address, dialer=self._pool.dialer
+                )
                 if reachability is not liveness.Reachability.OPEN:
                     self._targets.record_failure(target, exc.message)
                 self._detector.record_interruption(
@@ -314,7 +316,11 @@
                 has_sent_head = True
         if head.ends_with_connection and head.is_success:
             closedanswers.check_complete(
-                self._targets, entry.id, entry.address, entry.started_ms
+                self._targets,
+                entry.id,
+                entry.address,
+                entry.started_ms,
+                self._pool.dialer,
             )
         if has_sent_head:
             call.conn.end()
--- a/src/briarfall/gateway/rerouting.py
+++ b/src/briarfall/gateway/rerouting.py
@@ -6,6 +6,7 @@
 from briarfall.gateway import chainsearch
 from briarfall.gateway import clocks
 from briarfall.gateway import crashdetection
+from briarfall.gateway import dialing
 from briarfall.gateway import dispatchgate
 from briarfall.gateway import linkadmission
 from briarfall.gateway import liveness
@@ -49,6 +50,7 @@
         detector: Distinguishes crashes from lost responses.
         counters: Metrics.
         activity: When this process last received anything.
+        dialer: Opens the connections of liveness checks.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         detector: crashdetection.CrashDetector,
         counters: metrics.Metrics,
         activity: liveness.ReceiveActivity,
+        dialer: dialing.Dialer = dialing.SYSTEM_DIALER,
     ):
         self._activity = activity
         self._targets = table
@@ -74,7 +77,7 @@
         self._gate = gate
         self._detector = detector
         self._metrics = counters
-        self._progress = liveness.ProgressTable()
+        self._progress = liveness.ProgressTable(dialer)
 
     def record_progress(self, chain: paths.Chain, now_s: float) -> None:
         """Records an event that all engines of a chain contributed to."""
--- a/src/briarfall/gateway/streamfailures.py
+++ b/src/briarfall/gateway/streamfailures.py
@@ -6,6 +6,7 @@
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
 from briarfall.gateway import crashdetection
+from briarfall.gateway import dialing
 from briarfall.gateway import headernames
 from briarfall.gateway import liveness
 from briarfall.gateway import paths
@@ -27,6 +28,7 @@
         header_names: Header names of the platform.
         table: Targets.
         detector: Distinguishes crashes from lost responses.
+        dialer: Opens the connections of liveness checks.
     """
 
     def __init__(
@@ -34,7 +36,9 @@
         header_names: headernames.HeaderNames,
         table: targets.TargetTable,
         detector: crashdetection.CrashDetector,
+        dialer: dialing.Dialer = dialing.SYSTEM_DIALER,
     ):
+        self._dialer = dialer
         self._names = header_names
         self._targets = table
         self._detector = detector
@@ -103,7 +107,7 @@
         if clocks.boot_s() - target.last_active_s < _ACTIVE_WITHIN_S:
             return False
         reachability = liveness.probe_target(
-            target.entry.address, [head.address]
+            target.entry.address, [head.address], self._dialer
         )
         return reachability in (
             liveness.Reachability.REFUSED,
@@ -121,7 +125,7 @@
             # Its connection is open, so that it may still run the request.
             stream.heads.add(head.target)
             return
-        reachability = liveness.probe_target(head.address)
+        reachability = liveness.probe_target(head.address, dialer=self._dialer)
         if not stream.is_proven:
             self._detector.record_interruption(
                 stream.call,
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -85,7 +85,7 @@
         self._link = link
         self._search = chainsearch.ChainSearch(table, finder, link, rng)
         self._diagnosis = streamfailures.StreamDiagnosis(
-            header_names, table, detector
+            header_names, table, detector, pool.dialer
         )
         self._rerouter = rerouting.StreamRerouter(
             table,
@@ -98,6 +98,7 @@
             detector,
             counters,
             activity,
+            pool.dialer,
         )
 
     def forward(self, call: calls.Call) -> None:
@@ -412,7 +413,11 @@
             )
         head = run.chain.head
         closedanswers.check_complete(
-            self._targets, head.target, head.address, head.started_ms
+            self._targets,
+            head.target,
+            head.address,
+            head.started_ms,
+            self._pool.dialer,
         )
 
     def _start_response(
--- a/src/briarfall/gateway/targetconnection.py
+++ b/src/briarfall/gateway/targetconnection.py
@@ -10,6 +10,7 @@
 from briarfall import addresses
 from briarfall import exceptions
 from briarfall.gateway import clocks
+from briarfall.gateway import dialing
 from briarfall.gateway import messages
 
 _RECEIVE_BYTES = 65_536
@@ -122,9 +123,20 @@
 
 
 class TargetConnection:
-    """A connection to one target; one thread uses it at a time."""
+    """A connection to one target; one thread uses it at a time.
 
-    def __init__(self, address: str, timeout_s: float):
+    Args:
+        address: IP address and port of the target.
+        timeout_s: Bound on opening the connection.
+        dialer: Opens the connection.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        timeout_s: float,
+        dialer: dialing.Dialer = dialing.SYSTEM_DIALER,
+    ):
         endpoint = addresses.parse(address, "connection", NotSentError)
         self.address = address
         self.is_fresh = True
@@ -136,7 +148,7 @@
         self._saw_bytes = False
         self._late_reads = 0
         try:
-            self.sock = socket.create_connection(endpoint, timeout_s)
+            self.sock = dialer.connect(endpoint, timeout_s)
         except OSError as exc:
             raise NotSentError(f"{address}: cannot connect: {exc}") from exc
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/briarfall/standins/prepared/testbed.py
+++ b/src/briarfall/standins/prepared/testbed.py
@@ -10,6 +10,7 @@
 from briarfall import settings
 from briarfall.gateway import config
 from briarfall.gateway import connections
+from briarfall.gateway import dialing
 from briarfall.gateway import instance
 from briarfall.platform import main
 from briarfall.standins.prepared import engines
@@ -120,9 +121,16 @@
         return target
 
     def starting_instance(
-        self, name="i1", zone="z1", **extra
+        self, name="i1", zone="z1", dialer=dialing.SYSTEM_DIALER, **extra
     ) -> instance.Instance:
-        """Starts a gateway instance."""
+        """Starts a gateway instance.
+
+        Args:
+            name: Its name.
+            zone: Its availability zone.
+            dialer: Opens its connections to targets.
+            **extra: Further settings.
+        """
         local = settings.Listener("127.0.0.1", 0)
         cfg = config.GatewaySettings(
             instance=ids.InstanceId(name),
@@ -134,7 +142,7 @@
             retry_slack=100.0,
             **extra,
         )
-        pool = connections.ConnectionPool()
+        pool = connections.ConnectionPool(dialer)
         inst = instance.Instance(
             cfg, main.StorePlatform(cfg.store_address, pool), pool
         )
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -696,7 +696,7 @@
         monkeypatch.setattr(
             liveness,
             "_probe_all",
-            lambda addresses: dict.fromkeys(
+            lambda addresses, dialer: dict.fromkeys(
                 addresses, liveness.Reachability.OPEN
             ),
         )
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -323,7 +323,7 @@
         monkeypatch.setattr(
             liveness,
             "probe_target",
-            lambda address: liveness.Reachability.UNRESPONSIVE,
+            lambda address, **options: liveness.Reachability.UNRESPONSIVE,
         )
         answer = self._draft(inst)
         assert answer.error is not None
