--- a/src/briarfall/gateway/callerhandler.py
+++ b/src/briarfall/gateway/callerhandler.py
@@ -15,6 +15,7 @@
 from briarfall.gateway import headernames
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
+from briarfall.gateway import peerconnections
 from briarfall.gateway import plain
 from briarfall.gateway import plannedstop
 from briarfall.gateway import promptparts
@@ -70,11 +71,22 @@
         self._rng = rng
 
     def serve(self, sock: socket.socket) -> None:
-        """Serves requests on a connection until it is closed."""
-        limits = views.CallerLimits()
-        if self._follower.view is not None:
-            limits = self._follower.view.limits
-        conn = callers.CallerConnection(sock, limits)
+        """Serves a caller's requests on a connection until it is closed."""
+        self._serve(callers.CallerConnection(sock, self._limits()))
+
+    def serve_peer(self, sock: socket.socket) -> None:
+        """Serves requests that a peer relays, until it closes the connection.
+
+        They are served like those of callers, but not relayed again.
+        """
+        self._serve(peerconnections.PeerConnection(sock, self._limits()))
+
+    def _limits(self) -> views.CallerLimits:
+        if self._follower.view is None:
+            return views.CallerLimits()
+        return self._follower.view.limits
+
+    def _serve(self, conn: callers.CallerConnection) -> None:
         linger = False
         try:
             while self._wait_for_request(conn):
@@ -123,7 +135,12 @@
     def _forward(
         self, conn: callers.CallerConnection, req: messages.CallerRequest
     ) -> None:
-        self._wait_for_start_events()
+        if conn.relayed is None:
+            self._wait_for_start_events()
+        elif self._stop.is_requested:
+            raise exceptions.DrainingError(
+                "the instance stops", retry_after_s=_STOPPING_RETRY_S
+            )
         view = self._follower.view
         if view is None:
             raise exceptions.NotReadyError(
@@ -135,7 +152,9 @@
                 "the instance stops before the answer could be complete",
                 retry_after_s=_STOPPING_RETRY_S,
             )
-        self._budget.record_request()
+        if call.relayed is None:
+            # A relayed request is counted by the instance that relays it.
+            self._budget.record_request()
         outcome = "answered"
         try:
             self._dispatch(call)
@@ -183,7 +202,7 @@
             return
         logging.info(
             "request done request=%s route=%s outcome=%s status=%d sends=%d "
-            "runs=%d age_ms=%d version=%s view_age_ms=%d",
+            "runs=%d age_ms=%d version=%s view_age_ms=%d peer=%s from_peer=%s",
             call.request_id,
             route.name,
             outcome,
@@ -193,6 +212,8 @@
             call.age_s * 1000,
             self._follower.view.version,
             self._follower.age_s * 1000,
+            call.relayed_to or None,
+            call.relayed.sender if call.relayed else None,
         )
 
     def _prepare(
@@ -222,7 +243,7 @@
         urgency = route.urgency
         if account is not None and account.urgency is not None:
             urgency = account.urgency
-        return calls.Call(
+        call = calls.Call(
             req=req,
             conn=conn,
             watch=targetconnection.CallerWatch(conn.sock),
@@ -234,6 +255,8 @@
             deadline_s=calls.deadline_of(req, self._names.time_left, route),
             parts=promptparts.parse(req, self._names),
         )
+        conn.start_call(call)
+        return call
 
     def _stale_error(self) -> exceptions.NotReadyError:
         return exceptions.NotReadyError(
@@ -265,6 +288,7 @@
         req: messages.CallerRequest,
         exc: exceptions.BriarfallError,
     ) -> None:
+        conn.failure = exc
         status = int(exc.status)
         may_have_run = exc.outcome is not exceptions.Outcome.NOT_RUN
         if may_have_run and status not in (502, 504):
--- a/src/briarfall/gateway/callers.py
+++ b/src/briarfall/gateway/callers.py
@@ -5,8 +5,10 @@
 
 import h11
 
+from briarfall import exceptions
 from briarfall.gateway import clocks
 from briarfall.gateway import messages
+from briarfall.gateway import relaymessages
 from briarfall.gateway import targetconnection
 from briarfall.gateway import views
 
@@ -43,6 +45,10 @@
         self.closes_after_response = False
         self.has_sent_head = False
         self.head_sent_s = 0.0
+        # State with which a peer relayed the current request, or None.
+        self.relayed: relaymessages.RelayedRequest | None = None
+        # Error that the response reports, or None.
+        self.failure: exceptions.BriarfallError | None = None
         # HTTP status of the latest response.
         self.status = 0
         # Responses to HEAD have the headers of a body, but no body.
@@ -63,9 +69,18 @@
     def read_request(self) -> messages.CallerRequest | None:
         """Returns the next complete request, or None if the caller is gone.
 
+        Headers that are private to instances are removed.
+
         Raises:
             MessageRefusedError: The request is malformed, too large or slow.
         """
+        req = self.read_message()
+        if req is not None:
+            req.headers = relaymessages.without_private(req.headers)
+        return req
+
+    def read_message(self) -> messages.CallerRequest | None:
+        """Returns the next request with all headers; see `read_request`."""
         received_s = clocks.boot_s()
         deadline_s = received_s + self.limits.header_timeout_s
         head = None
@@ -131,6 +146,9 @@
         self._http.receive_data(data)
         return bool(data)
 
+    def start_call(self, call) -> None:
+        """Sets the call that the current request has become."""
+
     def send_head(self, status: int, headers: messages.Headers) -> None:
         """Sends status and headers of the response."""
         fields = list(headers)
--- a/src/briarfall/gateway/calls.py
+++ b/src/briarfall/gateway/calls.py
@@ -9,6 +9,7 @@
 from briarfall.gateway import headernames
 from briarfall.gateway import messages
 from briarfall.gateway import promptparts
+from briarfall.gateway import relaymessages
 from briarfall.gateway import sources
 from briarfall.gateway import targetconnection
 from briarfall.gateway import views
@@ -38,6 +39,10 @@
         attempt_count: How often it was sent to a target.
         possible_runs: How often it may have run.
         has_unknown_outcome: Whether the outcome of an attempt is unknown.
+        relayed: State with which a peer relayed it, or None if it came from a
+            caller.
+        relayed_to: Peer that served it, or empty.
+        has_no_peer: Whether no peer could serve it.
     """
 
     req: messages.CallerRequest
@@ -53,6 +58,21 @@
     attempt_count: int = 0
     possible_runs: int = 0
     has_unknown_outcome: bool = False
+    relayed: relaymessages.RelayedRequest | None = None
+    relayed_to: str = ""
+    has_no_peer: bool = False
+
+    @property
+    def max_runs(self) -> int:
+        """How often it may run at most, runs through peers included."""
+        if self.relayed is not None:
+            return min(self.route.max_runs, self.relayed.max_runs)
+        return self.route.max_runs
+
+    @property
+    def may_be_relayed(self) -> bool:
+        """Whether a peer may be asked to serve it."""
+        return self.relayed is None and not self.has_no_peer
 
     @property
     def left_s(self) -> float:
--- a/src/briarfall/gateway/chainsearch.py
+++ b/src/briarfall/gateway/chainsearch.py
@@ -27,6 +27,14 @@
 # Time in which engines are reassigned to the uncovered layers of a zone, after
 # which its chains no longer need the inter-zone link.
 FULL_LINK_PAUSE = retryafter.UnavailablePeriod(1.0, 4.0)
+# Time after which probes may have found the end of a fault of the links.
+CUT_OFF_PERIOD = retryafter.UnavailablePeriod(0.3, 0.3)
+
+
+class CutOffError(exceptions.NoRouteError):
+    """Only engines that this instance can't reach could begin the request."""
+
+    code = "cut_off"
 
 
 class ChainSearch:
@@ -55,6 +63,8 @@
         """Returns a chain with free KV capacity, after a short wait if needed.
 
         Raises:
+            CutOffError: A peer may reach the engines that this instance can't
+                reach.
             BriarfallError: No chain became available in time, or the stream
                 has used up its attempts or its time.
         """
@@ -68,12 +78,13 @@
             if call.attempt_count >= _MAX_ATTEMPTS or call.left_s <= 0:
                 raise stream.abandon_error("too many tries")
             rows = self._targets.usable(call.service.name)
-            heads = _heads(stream.allowed_heads, rows)
+            heads = _heads(stream, rows)
             chain = self._find(stream, rows, heads, may_cross=True)
             if chain is not None:
                 chain = self._admitted(stream, rows, heads, chain)
             if chain is not None:
                 return chain
+            self._check_links(stream)
             if heads != stream.allowed_heads and not stream.response_started:
                 self._refuse_if_in_backoff(stream, rows)
             if clocks.boot_s() >= until_s:
@@ -100,9 +111,75 @@
         else:
             may_cross = stream.link_admitted is not False
         rows = self._targets.usable(call.service.name)
-        heads = _heads(stream.heads_after(head), rows)
+        heads = _heads(stream, rows, head)
         return self._find(stream, rows, heads, may_cross=may_cross)
 
+    def needs_peer(
+        self,
+        stream: streamstate.Stream,
+        head: ids.TargetId | None = None,
+    ) -> bool:
+        """Whether only heads that a peer may reach could run a stream now.
+
+        Args:
+            stream: The stream.
+            head: Head of its current chain if that is to be counted as a run.
+        """
+        return stream.call.may_be_relayed and bool(
+            self._unreached_heads(stream, head)
+        )
+
+    def _check_links(self, stream: streamstate.Stream) -> None:
+        """Raises if only engines that can't be reached could be the head.
+
+        Raises:
+            CutOffError: A peer may reach them.
+            BriarfallError: No peer may be asked, and nothing is gained by a
+                wait.
+        """
+        call = stream.call
+        heads = self._unreached_heads(stream)
+        if not heads:
+            return
+        if call.may_be_relayed:
+            raise CutOffError("the engines that could begin are not reached")
+        may_wait = stream.response_started or any(
+            row.link_fault is targetstate.LinkFault.REFUSED for row in heads
+        )
+        if may_wait and call.relayed is None:
+            return
+        raise stream.abandon_error(
+            "no engine that could begin is reached from here",
+            retryafter.retry_after_s(CUT_OFF_PERIOD, self._rng),
+        )
+
+    def _unreached_heads(
+        self,
+        stream: streamstate.Stream,
+        head: ids.TargetId | None = None,
+    ) -> list[targetstate.Target]:
+        """Returns engines that could begin if this instance reached them."""
+        call = stream.call
+        rows = []
+        unreached = []
+        for row in self._targets.of_service(call.service.name):
+            if row.accepts_requests:
+                rows.append(row)
+                if row.link_fault is not None:
+                    unreached.append(row)
+        if not unreached:
+            return []
+        unreached_ids = frozenset(row.id for row in unreached)
+        heads = _without_backoff(stream.heads_after(head), rows)
+        chain = self._finder.find(
+            call.service.model,
+            rows,
+            stream.demand,
+            stream.avoided - unreached_ids,
+            heads=heads & unreached_ids,
+        )
+        return unreached if chain is not None else []
+
     def _find(
         self,
         stream: streamstate.Stream,
@@ -186,24 +263,47 @@
 
 
 def _heads(
-    allowed: frozenset[ids.TargetId] | None, rows: list[targetstate.Target]
+    stream: streamstate.Stream,
+    rows: list[targetstate.Target],
+    head: ids.TargetId | None = None,
 ) -> frozenset[ids.TargetId] | None:
     """Returns the engines that may be the head, or None for any.
 
+    Engines in backoff and those that this instance can't reach may not.
+
     Args:
-        allowed: Engines that the stream's own bounds allow, or None for any.
-        rows: Engines that take requests; those in backoff may not be heads.
+        stream: The stream.
+        rows: Engines that take requests.
+        head: Head of its current chain if that is to be counted as a run.
     """
+    unreached = set()
+    for row in rows:
+        if row.link_fault is None:
+            continue
+        is_refused = row.link_fault is targetstate.LinkFault.REFUSED
+        if not (is_refused and stream.call.has_no_peer):
+            unreached.add(row.id)
+    allowed = stream.heads_after(head)
+    if not unreached and not _backoff_ids(rows):
+        return allowed
+    return _without_backoff(allowed, rows) - unreached
+
+
+def _without_backoff(
+    allowed: frozenset[ids.TargetId] | None, rows: list[targetstate.Target]
+) -> frozenset[ids.TargetId]:
+    """Returns the allowed engines, or all, except for those in backoff."""
+    if allowed is None:
+        allowed = frozenset(row.id for row in rows)
+    return allowed - _backoff_ids(rows)
+
+
+def _backoff_ids(rows: list[targetstate.Target]) -> frozenset[ids.TargetId]:
     # Few targets are ever in backoff, and every request checks all of them:
     # the cheap test comes first.
-    backoff_ids = frozenset(
+    return frozenset(
         row.id for row in rows if row.backoff_until_s and row.is_in_backoff
     )
-    if not backoff_ids:
-        return allowed
-    if allowed is None:
-        allowed = frozenset(row.id for row in rows)
-    return allowed - backoff_ids
 
 
 def _describe_lack(
--- a/src/briarfall/gateway/connections.py
+++ b/src/briarfall/gateway/connections.py
@@ -77,6 +77,13 @@
         else:
             conn.close()
 
+    def return_unused(self, conn: targetconnection.TargetConnection) -> None:
+        """Takes back a connection on which nothing was sent."""
+        if conn.is_fresh:
+            conn.close()
+        else:
+            self.put(conn)
+
     def close_idle(self) -> None:
         """Closes connections that have been idle for too long to be reused."""
         expired = []
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip.py
@@ -1,5 +1,6 @@
 """Exchanges status, requests and responses with other instances over UDP."""
 
+import collections.abc
 import queue
 import random
 import socket
@@ -23,6 +24,7 @@
 from briarfall.gateway import peers
 from briarfall.gateway import sources
 from briarfall.gateway import targets
+from briarfall.gateway import views
 
 # Interval of checks for peers whose status is due.
 _TICK_S = 0.25
@@ -45,6 +47,18 @@
 _DRAINING_REPORT_S = 10.0
 
 
+class RelayStatus(msgspec.Struct, frozen=True):
+    """What an instance tells its peers about relayed requests.
+
+    Attributes:
+        accepts: Whether it serves them.
+        cut_services: Services of which it reaches no target.
+    """
+
+    accepts: bool = False
+    cut_services: list[views.ServiceName] = []
+
+
 class Gossip:
     """Sends this instance's status to its peers and applies theirs.
 
@@ -87,6 +101,7 @@
         self._wake = threading.Event()
         self._closed = threading.Event()
         self._is_stopping = False
+        self._relay_status = RelayStatus
         self._lock = threading.Lock()
         self._last_number = 0
         # Count of datagrams that could not be received or decoded.
@@ -99,6 +114,12 @@
         bound = "{}:{}".format(*self._sock.getsockname())
         self._record = msgspec.structs.replace(record, address=bound)
 
+    def set_relay_status(
+        self, read: collections.abc.Callable[[], RelayStatus]
+    ) -> None:
+        """Sets the function that reads what peers are told about relays."""
+        self._relay_status = read
+
     def start(self) -> None:
         """Starts the threads that receive, send and announce."""
         for target in (self._receive_loop, self._send_loop, self._announce):
@@ -316,6 +337,7 @@
             )
         view = self._follower.view
         longest_s = self._peers.longest_interval_s
+        relay_status = self._relay_status()
         return peermessages.Status(
             sender=self._record.id,
             address=self._record.address,
@@ -338,6 +360,8 @@
             survived=self._crashes.survived_to_report(longest_s),
             link_mbps=round(self._link.demand_mbps, 1),
             holds=self._crashes.holds_to_report(longest_s),
+            accepts_relays=relay_status.accepts,
+            cut_services=relay_status.cut_services,
         )
 
     def _send(self, message, address: tuple[str, int]) -> None:
@@ -396,6 +420,7 @@
         if peer is None:
             return
         if status.is_stopping:
+            peer.is_stopping = True
             self._peers.remove(status.sender)
             self._loads.merge(status.sender, {})
             return
@@ -404,6 +429,8 @@
         peer.version = status.version
         peer.link_mbps = status.link_mbps
         peer.reaches_store = status.reaches_store
+        peer.accepts_relays = status.accepts_relays
+        peer.cut_services = frozenset(status.cut_services)
         if status.lease_left_ms:
             self._lease.record_other_holder(
                 status.lease_fence, now_s + status.lease_left_ms / 1000
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -20,7 +20,9 @@
 from briarfall.gateway import headernames
 from briarfall.gateway import leasing
 from briarfall.gateway import linkadmission
+from briarfall.gateway import linkmonitor
 from briarfall.gateway import listener
+from briarfall.gateway import listensocket
 from briarfall.gateway import liveness
 from briarfall.gateway import loads
 from briarfall.gateway import metrics
@@ -30,6 +32,8 @@
 from briarfall.gateway import plain
 from briarfall.gateway import plannedstop
 from briarfall.gateway import poisonpersistence
+from briarfall.gateway import relaying
+from briarfall.gateway import relaypeers
 from briarfall.gateway import sources
 from briarfall.gateway import streams
 from briarfall.gateway import summary
@@ -80,6 +84,7 @@
         platform: Interfaces of the platform.
         pool: Connections to targets.
         listeners: Sockets that already listen, by "IP address:port".
+        peer_pool: Connections to other instances.
     """
 
     def __init__(
@@ -88,8 +93,10 @@
         platform: Platform,
         pool: connections.ConnectionPool,
         listeners: dict[str, socket.socket] | None = None,
+        peer_pool: connections.ConnectionPool | None = None,
     ):
         listeners = listeners or {}
+        peer_pool = peer_pool or connections.ConnectionPool()
         rng = random.Random()
         self.stop = plannedstop.PlannedStop(cfg.drain_grace_s)
         self._cfg = cfg
@@ -109,10 +116,11 @@
             self.peers.zone_count,
         )
         self.lease = leasing.Lease(platform.lease, cfg.instance)
+        peer_sock = listensocket.open_listener(cfg.peer.host, cfg.peer.port)
         self.gossip = gossip.Gossip(
             sources.InstanceRecord(
                 cfg.instance,
-                f"{cfg.peer.host}:{cfg.peer.port}",
+                "{}:{}".format(*peer_sock.getsockname()),
                 cfg.zone,
                 cfg.cores,
             ),
@@ -129,6 +137,9 @@
         self.follower.add_listener(self.gossip.send_status_now)
         self.follower.set_fetcher(self.gossip.fetch_version)
         self.targets.add_listener(self.gossip.send_status_now)
+        self.links = linkmonitor.LinkMonitor(self.targets, pool, peer_pool, rng)
+        self.links.add_listener(self.gossip.send_status_now)
+        self.gossip.set_relay_status(self._relay_status)
         self._poison_persister = poisonpersistence.PoisonPersister(
             platform.poison, self.crashes
         )
@@ -157,6 +168,15 @@
             lambda: self.peers.instance_count,
         )
         dispatch_gate = dispatchgate.DispatchGate(self.budget, self.crashes)
+        self.relay = relaying.Relay(
+            platform.header_names,
+            cfg.instance,
+            self.peers,
+            relaypeers.RelayPeers(self.peers, cfg.zone, rng),
+            peer_pool,
+            dispatch_gate,
+            self.metrics,
+        )
         target_signals = targetsignals.TargetSignals(
             platform.header_names, self.targets, self.metrics
         )
@@ -172,6 +192,8 @@
                 self.targets,
                 self.loads,
                 pool,
+                self.links,
+                self.relay,
                 dispatch_gate,
                 detector,
                 target_signals,
@@ -185,6 +207,8 @@
                 self.link,
                 platform.engines,
                 pool,
+                self.links,
+                self.relay,
                 dispatch_gate,
                 detector,
                 target_signals,
@@ -230,6 +254,13 @@
             name="callers",
             sock=listeners.get(f"{cfg.caller.host}:{cfg.caller.port}"),
         )
+        self._relay_listener = listener.Listener(
+            cfg.peer.host,
+            cfg.peer.port,
+            self._caller_handler.serve_peer,
+            name="peers",
+            sock=peer_sock,
+        )
         self._status_listener = listener.Listener(
             cfg.status.host,
             cfg.status.port,
@@ -238,6 +269,9 @@
             sock=listeners.get(f"{cfg.status.host}:{cfg.status.port}"),
         )
 
+    def _relay_status(self) -> gossip.RelayStatus:
+        return gossip.RelayStatus(self.is_ready, self.links.cut_services)
+
     def _is_store_poller(self) -> bool:
         return None in self.peers.store_pollers(
             targetfollower.STORE_POLLERS_PER_ZONE
@@ -253,11 +287,25 @@
         """IP address and port for readiness checks and metrics."""
         return self._status_listener.address
 
+    @property
+    def peer_address(self) -> tuple[str, int]:
+        """IP address and port for requests that peers relay."""
+        return self._relay_listener.address
+
     @property
     def open_connections(self) -> int:
         """Number of open connections of callers."""
         return self._caller_listener.open_connections
 
+    @property
+    def open_relay_connections(self) -> int:
+        """Number of open connections on which peers relay requests."""
+        return self._relay_listener.open_connections
+
+    @property
+    def _has_connections(self) -> bool:
+        return bool(self.open_connections or self.open_relay_connections)
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may send callers to this instance."""
@@ -269,6 +317,8 @@
         """Starts all threads."""
         self._status_listener.start()
         self._caller_listener.start()
+        self._relay_listener.start()
+        self.links.start()
         self.follower.start()
         self.target_follower.start()
         self.gossip.start()
@@ -288,12 +338,13 @@
         pause = threading.Event()
         while self.stop.left_s > 0:
             is_ending = self.stop.phase is plannedstop.StopPhase.ENDING
-            if is_ending and not self._caller_listener.open_connections:
+            if is_ending and not self._has_connections:
                 break
             pause.wait(_STOP_POLL_S)
         self._caller_listener.stop()
+        self._relay_listener.stop()
         # Connections that were accepted in the meantime are still served.
-        while self._caller_listener.open_connections and self.stop.left_s > 0:
+        while self._has_connections and self.stop.left_s > 0:
             pause.wait(_STOP_POLL_S)
         logging.info(
             "stopped instance=%s left_s=%.1f %s",
@@ -319,7 +370,9 @@
     def close(self) -> None:
         """Ends all threads at once, without a planned stop."""
         self._caller_listener.stop()
+        self._relay_listener.stop()
         self._status_listener.stop()
+        self.links.stop()
         self.follower.stop()
         self.target_follower.stop()
         self.placement_controller.stop()
@@ -394,6 +447,22 @@
                 "Datagrams of other instances that could not be decoded.",
                 lambda: self.gossip.ignored,
             ),
+            "unreachable_targets": (
+                "Targets that this instance does not reach.",
+                self.links.count_unreachable,
+            ),
+            "cut_services": (
+                "Services of which this instance reaches no target.",
+                lambda: len(self.links.cut_services),
+            ),
+            "relayed_requests": (
+                "Requests relayed to peers.",
+                lambda: self.relay.sent,
+            ),
+            "open_relay_connections": (
+                "Open connections on which peers relay requests.",
+                lambda: self.open_relay_connections,
+            ),
             "open_connections": (
                 "Open connections of callers.",
                 lambda: self.open_connections,
--- a/src/briarfall/gateway/liveness.py
+++ b/src/briarfall/gateway/liveness.py
@@ -77,10 +77,19 @@
 
     Args:
         dialer: Opens the connections of liveness checks.
+        on_unanswered: Called with the engines of a chain of which none
+            accepted a connection; this may be due to this instance's links.
     """
 
-    def __init__(self, dialer: dialing.Dialer = dialing.SYSTEM_DIALER):
+    def __init__(
+        self,
+        dialer: dialing.Dialer = dialing.SYSTEM_DIALER,
+        on_unanswered: collections.abc.Callable[
+            [list[ids.TargetId]], None
+        ] = lambda targets: None,
+    ):
         self._dialer = dialer
+        self._on_unanswered = on_unanswered
         self._lock = threading.Lock()
         self._last_progress_s: dict[ids.TargetId, float] = {}
         # When each engine last accepted a connection.
@@ -138,6 +147,8 @@
                     self._last_connected_s[stage.target] = now_s
                 elif reachability is not Reachability.UNKNOWN:
                     dead[stage] = reachability
+        if Reachability.OPEN not in results.values():
+            self._on_unanswered([stage.target for stage in chain.stages])
         return dead
 
 
--- a/src/briarfall/gateway/metrics.py
+++ b/src/briarfall/gateway/metrics.py
@@ -60,6 +60,11 @@
             "Responses whose target is draining or asks for a backoff.",
             ("kind",),
         )
+        self._add_counter(
+            "briarfall_relays",
+            "Requests relayed to peers while their targets are not reached.",
+            ("outcome",),
+        )
         self._add_histogram(
             "briarfall_answer_seconds",
             "Time to the first byte of the response.",
--- /dev/null
+++ b/src/briarfall/gateway/peerconnections.py
@@ -0,0 +1,94 @@
+"""Connection of a peer that relays its callers' requests."""
+
+import socket
+
+import msgspec
+
+from briarfall import exceptions
+from briarfall.gateway import callers
+from briarfall.gateway import calls
+from briarfall.gateway import messages
+from briarfall.gateway import relaymessages
+from briarfall.gateway import views
+
+
+class PeerConnection(callers.CallerConnection):
+    """Reads relayed requests of a peer and writes the responses.
+
+    Args:
+        sock: The accepted socket.
+        limits: Limits on size and duration of callers' requests.
+    """
+
+    def __init__(self, sock: socket.socket, limits: views.CallerLimits):
+        super().__init__(
+            sock,
+            msgspec.structs.replace(
+                limits,
+                max_header_bytes=limits.max_header_bytes
+                + relaymessages.MAX_HEADER_BYTES,
+            ),
+        )
+        self._call: calls.Call | None = None
+
+    def read_request(self) -> messages.CallerRequest | None:
+        """Returns the next request without its private header.
+
+        Raises:
+            MessageRefusedError: The request is malformed, too large or slow.
+        """
+        self._call = None
+        self.failure = None
+        req = self.read_message()
+        if req is None:
+            return None
+        try:
+            self.relayed = relaymessages.decode_request(req.headers)
+        except exceptions.PeerError as exc:
+            raise callers.MessageRefusedError(400, exc.message) from exc
+        req.headers = relaymessages.without_private(req.headers)
+        return req
+
+    def start_call(self, call: calls.Call) -> None:
+        """Sets the call that the current request has become.
+
+        It counts on from the attempts that the peer has made.
+        """
+        self._call = call
+        call.relayed = self.relayed
+        call.attempt_count = self.relayed.sends
+        call.possible_runs = self.relayed.runs
+        call.has_unknown_outcome = self.relayed.has_unknown_outcome
+
+    def send_head(self, status: int, headers: messages.Headers) -> None:
+        """Sends status and headers of the response, with its outcome."""
+        super().send_head(status, [*headers, self._outcome_header()])
+
+    def answer(
+        self, status: int, headers: messages.Headers, body: bytes
+    ) -> None:
+        """Sends a complete response with one write, with its outcome."""
+        super().answer(status, [*headers, self._outcome_header()], body)
+
+    def _outcome_header(self) -> tuple[bytes, bytes]:
+        relayed = self.relayed
+        if relayed is None:
+            relayed = _NO_REQUEST
+        sends = relayed.sends
+        runs = relayed.runs
+        if self._call is not None:
+            sends = self._call.attempt_count
+            runs = self._call.possible_runs
+        outcome = relaymessages.RelayOutcome.TARGET
+        if self.failure is not None or self.relayed is None:
+            outcome = relaymessages.RelayOutcome.NOT_RUN
+            if runs > relayed.runs:
+                outcome = relaymessages.RelayOutcome.UNKNOWN
+        return relaymessages.header_of(
+            relaymessages.RelayedResponse(
+                relayed.exchange, outcome, sends, runs
+            )
+        )
+
+
+_NO_REQUEST = relaymessages.RelayedRequest("", "", 0, 0, 0, False)
--- a/src/briarfall/gateway/peermessages.py
+++ b/src/briarfall/gateway/peermessages.py
@@ -11,6 +11,7 @@
 from briarfall.gateway import partholds
 from briarfall.gateway import poisonlist
 from briarfall.gateway import sources
+from briarfall.gateway import views
 
 
 class LoadRow(msgspec.Struct, array_like=True, frozen=True):
@@ -66,6 +67,8 @@
         draining_targets: Incarnations of targets that are draining.
         link_mbps: Demand of the sender's requests on the inter-zone link.
         holds: Parts of prompts that the sender tries with one request.
+        accepts_relays: Whether the sender serves relayed requests.
+        cut_services: Services of which the sender reaches no target.
     """
 
     sender: ids.InstanceId
@@ -85,6 +88,8 @@
     draining_targets: list[incarnations.Incarnation] = []
     link_mbps: float = 0.0
     holds: list[partholds.HoldRow] = []
+    accepts_relays: bool = False
+    cut_services: list[views.ServiceName] = []
 
 
 class FreshnessRequest(
--- a/src/briarfall/gateway/peers.py
+++ b/src/briarfall/gateway/peers.py
@@ -13,6 +13,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import recordchecks
 from briarfall.gateway import sources
+from briarfall.gateway import views
 
 # Interval of the status to peers of the same zone and of other zones. Chains
 # mostly stay in one zone, so peers of the same zone get the status more often.
@@ -51,6 +52,9 @@
         version: Version of its catalogue, or -1.
         reaches_store: Whether its last read of the store succeeded.
         link_mbps: Demand of its requests on the inter-zone link.
+        is_stopping: Whether it has announced its planned stop.
+        accepts_relays: Whether it serves requests that peers relay.
+        cut_services: Services of which it reaches no target.
     """
 
     id: ids.InstanceId
@@ -62,6 +66,9 @@
     version: int = -1
     reaches_store: bool = False
     link_mbps: float = 0.0
+    is_stopping: bool = False
+    accepts_relays: bool = False
+    cut_services: frozenset[views.ServiceName] = frozenset()
 
 
 class PeerTable:
@@ -177,6 +184,14 @@
                 found.append(peer)
         return found
 
+    def uncut(self, service: views.ServiceName) -> list[Peer]:
+        """Returns live peers that serve relayed requests of a service."""
+        found = []
+        for peer in self.alive():
+            if peer.accepts_relays and service not in peer.cut_services:
+                found.append(peer)
+        return found
+
     def _just_announced(self) -> list[Peer]:
         """Returns new peers from which no status has arrived yet."""
         oldest_s = clocks.boot_s() - _DISCOVERY_S
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -3,7 +3,6 @@
 import random
 
 from absl import logging
-import h11
 
 from briarfall import exceptions
 from briarfall import ids
@@ -15,9 +14,13 @@
 from briarfall.gateway import crashes
 from briarfall.gateway import dispatchgate
 from briarfall.gateway import headernames
+from briarfall.gateway import linkmonitor
 from briarfall.gateway import liveness
 from briarfall.gateway import loads
 from briarfall.gateway import messages
+from briarfall.gateway import plainresponses
+from briarfall.gateway import relayexchanges
+from briarfall.gateway import relaying
 from briarfall.gateway import retryafter
 from briarfall.gateway import sources
 from briarfall.gateway import targetbackoff
@@ -40,10 +43,9 @@
 _REMOTE_ZONE_COST = 0.15
 _RANDOM_COST = 0.1
 _REFUSAL_BLOCK_S = 0.1
-# Responses up to this size are read completely before the caller gets a byte,
-# so that a failed response can still be retried.
-_MAX_BUFFERED_BYTES = 262_144
 _RETRY_AFTER_S = 0.3
+# Time after which probes may have found the end of a fault of the links.
+_CUT_OFF_PERIOD = retryafter.UnavailablePeriod(0.3, 0.3)
 
 
 class PlainForwarder:
@@ -56,6 +58,8 @@
         table: targets.TargetTable,
         load_table: loads.LoadTable,
         pool: connections.ConnectionPool,
+        links: linkmonitor.LinkMonitor,
+        relay: relaying.Relay,
         gate: dispatchgate.DispatchGate,
         detector: crashdetection.CrashDetector,
         target_signals: targetsignals.TargetSignals,
@@ -66,6 +70,8 @@
         self._targets = table
         self._loads = load_table
         self._pool = pool
+        self._links = links
+        self._relay = relay
         self._gate = gate
         self._detector = detector
         self._target_signals = target_signals
@@ -80,10 +86,17 @@
         attempted: set[ids.TargetId] = set()
         while True:
             target = self._choose_target(call, attempted)
+            if target is None:
+                if self._is_cut_off(call):
+                    exchange = relayexchanges.PlainExchange(call)
+                    if self._relay.forward(exchange):
+                        return
+                target = self._choose_refusing_target(call, attempted)
             if target is None:
                 raise self._no_target_error(call)
+            entry = target.entry
             try:
-                self._gate.start_attempt(call, target)
+                conn = self._connect(call, target)
             except dispatchgate.TargetAvoidedError as exc:
                 logging.info(
                     "choosing another target request=%s: %s",
@@ -91,13 +104,15 @@
                     exc,
                 )
                 continue
+            except targetconnection.NotSentError as exc:
+                attempted.add(target.id)
+                self._links.record_failed(target, exc.__cause__)
+                self._targets.record_failure(target, exc.message)
+                continue
             attempted.add(target.id)
-            entry = target.entry
             try:
-                self._send(call, target, attempted)
+                self._send(call, target, conn, attempted)
                 return
-            except targetconnection.NotSentError as exc:
-                self._targets.record_failure(target, exc.message)
             except calls.RefusedByTargetError as exc:
                 self._handle_refusal(target, exc)
             except targetconnection.BrokenExchangeError as exc:
@@ -106,7 +121,10 @@
                     target.entry.address, dialer=self._pool.dialer
                 )
                 if reachability is not liveness.Reachability.OPEN:
+                    self._links.record_unreachable(target, reachability)
                     self._targets.record_failure(target, exc.message)
+                elif not exc.saw_response:
+                    self._links.record_doubt(target)
                 self._detector.record_interruption(
                     call, entry.id, entry.started_ms, reachability
                 )
@@ -128,6 +146,15 @@
                 outcome=call.outcome,
                 retry_after_s=retryafter.retry_after_s(period, self._rng),
             )
+        if any(row.link_fault is not None for row in rows):
+            return exceptions.NoRouteError(
+                f"no target of {call.service.name} is reached from here, and "
+                "no peer can serve the request",
+                outcome=call.outcome,
+                retry_after_s=retryafter.retry_after_s(
+                    _CUT_OFF_PERIOD, self._rng
+                ),
+            )
         return exceptions.NoRouteError(
             f"no target of {call.service.name} is free",
             outcome=call.outcome,
@@ -143,6 +170,8 @@
         for target in self._targets.usable(call.service.name):
             if target.id in attempted:
                 continue
+            if target.link_fault is not None:
+                continue
             if target.backoff_until_s and target.is_in_backoff:
                 continue
             load = self._loads.of(target.id)
@@ -154,6 +183,33 @@
                 best = (cost, target)
         return best[1] if best else None
 
+    def _is_cut_off(self, call: calls.Call) -> bool:
+        """Whether a peer may reach targets that this instance does not."""
+        if not call.may_be_relayed or call.left_s <= 0:
+            return False
+        for target in self._targets.of_service(call.service.name):
+            if target.link_fault is None or not target.accepts_requests:
+                continue
+            if not target.is_in_backoff:
+                return True
+        return False
+
+    def _choose_refusing_target(
+        self, call: calls.Call, attempted: set[ids.TargetId]
+    ) -> targetstate.Target | None:
+        """Returns a target that last refused connections, if there is one.
+
+        It may have restarted; a further attempt fails at once if it has not.
+        """
+        for target in self._targets.of_service(call.service.name):
+            if target.id in attempted or not target.accepts_requests:
+                continue
+            if target.is_in_backoff:
+                continue
+            if target.link_fault is targetstate.LinkFault.REFUSED:
+                return target
+        return None
+
     def _handle_refusal(
         self, target: targetstate.Target, exc: calls.RefusedByTargetError
     ) -> None:
@@ -186,27 +242,42 @@
             crashes.fingerprint(call),
             exc,
         )
-        if (
-            not call.route.is_retryable
-            or call.possible_runs >= call.route.max_runs
-        ):
+        if not call.route.is_retryable or call.possible_runs >= call.max_runs:
             raise exc
         if call.left_s <= 0:
             raise exc
 
+    def _connect(
+        self, call: calls.Call, target: targetstate.Target
+    ) -> targetconnection.TargetConnection:
+        """Returns a connection on which an attempt may be sent.
+
+        Raises:
+            NotSentError: The target can't be reached.
+            TargetAvoidedError: The target takes no requests now.
+            BriarfallError: The request may not be sent to any target.
+        """
+        runs_once = not call.route.is_retryable
+        conn = self._pool.acquire(
+            target.entry.address,
+            _MAX_SINGLE_RUN_IDLE_S if runs_once else _MAX_IDLE_S,
+            call.left_s,
+        )
+        try:
+            self._gate.start_attempt(call, target)
+        except exceptions.BriarfallError:
+            self._pool.return_unused(conn)
+            raise
+        return conn
+
     def _send(
         self,
         call: calls.Call,
         target: targetstate.Target,
+        conn: targetconnection.TargetConnection,
         attempted: set[ids.TargetId],
     ) -> None:
-        runs_once = not call.route.is_retryable
         entry = target.entry
-        conn = self._pool.acquire(
-            entry.address,
-            _MAX_SINGLE_RUN_IDLE_S if runs_once else _MAX_IDLE_S,
-            call.left_s,
-        )
         head = None
         body = None
         self._loads.reserve([target.id], 0)
@@ -220,11 +291,13 @@
                 call.deadline_s,
             )
             head = self._read_head(call, conn, attempted)
+            self._links.record_answer(target, is_new=conn.is_fresh)
             self._target_signals.handle(target, head)
             calls.raise_if_refused(
                 conn, head, self._names, target.id, call.deadline_s
             )
-            body = self._relay(call, conn, head, entry)
+            body = plainresponses.receive(call, conn, head)
+            self._check_response(call, head, body, entry)
             self._targets.record_success(target)
             if head.is_success:
                 self._gate.record_survived(call)
@@ -236,10 +309,7 @@
                 self._pool.return_to_pool(conn, head)
         # The response is sent only now, so that the target and its connection
         # are free again before the caller's next request can arrive.
-        if body is not None:
-            call.conn.answer(
-                head.status, messages.end_to_end(head.headers), body
-            )
+        body.pass_on(call, head)
 
     def _read_head(
         self,
@@ -272,48 +342,29 @@
         """Whether another target could take a call now."""
         if not self._gate.may_retry(call):
             return False
-        return self._choose_target(call, attempted) is not None
+        if self._choose_target(call, attempted) is not None:
+            return True
+        return self._is_cut_off(call)
 
     def _response_deadline_s(self, call: calls.Call) -> float:
         """Returns the time on the boot clock until which to wait for a head."""
         may_retry = (
             call.route.is_retryable
-            and call.possible_runs + 1 < call.route.max_runs
+            and call.possible_runs + 1 < call.max_runs
             and call.attempt_count < _MAX_ATTEMPTS
         )
         if not may_retry:
             return call.deadline_s
         return clocks.boot_s() + call.left_s * _FIRST_ATTEMPT_SHARE
 
-    def _relay(
+    def _check_response(
         self,
         call: calls.Call,
-        conn: targetconnection.TargetConnection,
         head: messages.ResponseHead,
+        body: plainresponses.Body,
         entry: sources.TargetEntry,
-    ) -> bytes | None:
-        """Returns the body of a response; passes a long one on directly.
-
-        Returns:
-            None if the response was passed on to the caller already.
-        """
-        headers = messages.end_to_end(head.headers)
-        chunks = []
-        size = 0
-        has_sent_head = False
-        while True:
-            event = conn.read_event(call.deadline_s)
-            if isinstance(event, h11.EndOfMessage):
-                break
-            if has_sent_head:
-                call.conn.send_data(bytes(event.data))
-                continue
-            chunks.append(bytes(event.data))
-            size += len(event.data)
-            if size > _MAX_BUFFERED_BYTES:
-                call.conn.send_head(head.status, headers)
-                call.conn.send_data(b"".join(chunks))
-                has_sent_head = True
+    ) -> None:
+        """Raises if a response is incomplete or should not be passed on."""
         if head.ends_with_connection and head.is_success:
             closedanswers.check_complete(
                 self._targets,
@@ -322,13 +373,9 @@
                 entry.started_ms,
                 self._pool.dialer,
             )
-        if has_sent_head:
-            call.conn.end()
-            return None
-        if self._should_retry(call, head):
+        if not body.is_sent and self._should_retry(call, head):
             call.possible_runs += 1
             raise calls.RefusedByTargetError("target failed the request", head)
-        return b"".join(chunks)
 
     def _should_retry(
         self, call: calls.Call, head: messages.ResponseHead
@@ -336,6 +383,4 @@
         """Whether an error response should be retried on another target."""
         if head.status < 500 or not call.route.is_retryable:
             return False
-        return (
-            call.possible_runs + 1 < call.route.max_runs and call.left_s > 0.05
-        )
+        return call.possible_runs + 1 < call.max_runs and call.left_s > 0.05
--- /dev/null
+++ b/src/briarfall/gateway/relayexchanges.py
@@ -0,0 +1,200 @@
+"""What differs between relayed plain requests and relayed streams."""
+
+import abc
+import collections.abc
+
+import h11
+
+from briarfall import ids
+from briarfall.gateway import calls
+from briarfall.gateway import events
+from briarfall.gateway import headernames
+from briarfall.gateway import messages
+from briarfall.gateway import plainresponses
+from briarfall.gateway import streamstate
+from briarfall.gateway import targetconnection
+
+# Longest body of an error response to a stream that is passed on.
+_MAX_ERROR_BODY_BYTES = 2**20
+
+
+class Exchange(abc.ABC):
+    """A request that is relayed, over all peers that are asked.
+
+    Attributes:
+        call: The request.
+    """
+
+    call: calls.Call
+
+    @property
+    @abc.abstractmethod
+    def used_runs(self) -> int:
+        """Runs that count towards the bound of the route."""
+
+    @property
+    def max_runs(self) -> int:
+        """Greatest value of `used_runs` that the next peer may cause.
+
+        One run is kept for another peer, if more than one is left.
+        """
+        left = max(0, self.call.max_runs - self.used_runs)
+        return self.used_runs + max(min(left, 1), left - 1)
+
+    @property
+    def heads(self) -> list[ids.TargetId]:
+        """Engines that ran the request as heads and may still live."""
+        return []
+
+    def headers(self, names: headernames.HeaderNames) -> messages.Headers:
+        """Returns the headers that a peer gets in place of the caller's."""
+        return []
+
+    @abc.abstractmethod
+    def receive(
+        self,
+        conn: targetconnection.TargetConnection,
+        head: messages.ResponseHead,
+    ) -> None:
+        """Reads a target's response from a peer, and passes it on.
+
+        Args:
+            conn: Connection to the peer.
+            head: Head of the response, with the headers for the caller.
+        """
+
+    @abc.abstractmethod
+    def finish(self) -> None:
+        """Sends what the caller still lacks of the response."""
+
+    def record_runs(self, count: int) -> None:
+        """Counts runs whose outcome is unknown."""
+        self.call.possible_runs += count
+        self.call.has_unknown_outcome = True
+
+
+class PlainExchange(Exchange):
+    """A request to a plain service."""
+
+    def __init__(self, call: calls.Call):
+        self.call = call
+        self._head: messages.ResponseHead | None = None
+        self._body: plainresponses.Body | None = None
+
+    @property
+    def used_runs(self) -> int:
+        """Runs that count towards the bound of the route."""
+        return self.call.possible_runs
+
+    def receive(
+        self,
+        conn: targetconnection.TargetConnection,
+        head: messages.ResponseHead,
+    ) -> None:
+        """Reads a response; passes a long one on directly."""
+        self._head = head
+        self._body = plainresponses.receive(self.call, conn, head)
+
+    def finish(self) -> None:
+        """Sends the response, or the end of a long one."""
+        self._body.pass_on(self.call, self._head)
+
+
+class StreamExchange(Exchange):
+    """A stream, or the rest of one that has begun elsewhere.
+
+    Args:
+        stream: The stream.
+        on_start: Called when a peer has started to serve it.
+    """
+
+    def __init__(
+        self,
+        stream: streamstate.Stream,
+        on_start: collections.abc.Callable[[], None],
+    ):
+        self.call = stream.call
+        self._stream = stream
+        self._on_start = on_start
+
+    @property
+    def used_runs(self) -> int:
+        """Heads that count towards the bound of the route."""
+        return len(self._stream.heads)
+
+    @property
+    def heads(self) -> list[ids.TargetId]:
+        """Engines that ran the stream as heads and may still live."""
+        return sorted(self._stream.heads)
+
+    def headers(self, names: headernames.HeaderNames) -> messages.Headers:
+        """Returns the id of the last event that the caller has."""
+        last_id = self._stream.sequence.last_id
+        if last_id is None:
+            return []
+        return [(names.last_event, str(last_id).encode())]
+
+    def receive(
+        self,
+        conn: targetconnection.TargetConnection,
+        head: messages.ResponseHead,
+    ) -> None:
+        """Passes events on as they arrive, or a complete error response."""
+        if not head.is_success:
+            self._pass_on_error(conn, head)
+            return
+        self._on_start()
+        splitter = events.EventSplitter()
+        while True:
+            event = conn.read_event(self.call.deadline_s)
+            if isinstance(event, h11.EndOfMessage):
+                break
+            data = self._accept(conn, splitter, bytes(event.data))
+            if not data:
+                continue
+            self._stream.start_response(head)
+            self.call.conn.send_data(data)
+        if splitter.incomplete_event:
+            raise targetconnection.BrokenExchangeError(
+                f"{conn.address}: ended inside an event", saw_response=True
+            )
+        self._stream.start_response(head)
+
+    def finish(self) -> None:
+        """Ends the stream as complete."""
+        if self._stream.response_started:
+            self.call.conn.end()
+
+    def record_runs(self, count: int) -> None:
+        """Counts runs on heads whose names the peer did not tell."""
+        super().record_runs(count)
+        for _ in range(count):
+            number = len(self._stream.heads)
+            self._stream.heads.add(ids.TargetId(f"unnamed head {number}"))
+
+    def _accept(
+        self,
+        conn: targetconnection.TargetConnection,
+        splitter: events.EventSplitter,
+        received: bytes,
+    ) -> bytes:
+        """Returns the bytes of complete events that the caller lacks."""
+        try:
+            return self._stream.sequence.take(splitter.feed(received))
+        except (events.EventGapError, events.EventTooLongError) as exc:
+            raise targetconnection.BrokenExchangeError(
+                f"{conn.address}: {exc.message}", saw_response=True
+            ) from exc
+
+    def _pass_on_error(
+        self,
+        conn: targetconnection.TargetConnection,
+        head: messages.ResponseHead,
+    ) -> None:
+        body = conn.read_body(self.call.deadline_s, _MAX_ERROR_BODY_BYTES)
+        if self._stream.response_started:
+            raise targetconnection.BrokenExchangeError(
+                f"{conn.address}: resumed with status {head.status}",
+                saw_response=True,
+            )
+        self.call.conn.answer(head.status, head.headers, body)
--- a/src/briarfall/gateway/rerouting.py
+++ b/src/briarfall/gateway/rerouting.py
@@ -9,6 +9,7 @@
 from briarfall.gateway import dialing
 from briarfall.gateway import dispatchgate
 from briarfall.gateway import linkadmission
+from briarfall.gateway import linkmonitor
 from briarfall.gateway import liveness
 from briarfall.gateway import loads
 from briarfall.gateway import metrics
@@ -50,6 +51,7 @@
         detector: Distinguishes crashes from lost responses.
         counters: Metrics.
         activity: When this process last received anything.
+        links: Targets that this instance reaches.
         dialer: Opens the connections of liveness checks.
     """
 
@@ -65,6 +67,7 @@
         detector: crashdetection.CrashDetector,
         counters: metrics.Metrics,
         activity: liveness.ReceiveActivity,
+        links: linkmonitor.LinkMonitor,
         dialer: dialing.Dialer = dialing.SYSTEM_DIALER,
     ):
         self._activity = activity
@@ -77,7 +80,7 @@
         self._gate = gate
         self._detector = detector
         self._metrics = counters
-        self._progress = liveness.ProgressTable(dialer)
+        self._progress = liveness.ProgressTable(dialer, links.record_unanswered)
 
     def record_progress(self, chain: paths.Chain, now_s: float) -> None:
         """Records an event that all engines of a chain contributed to."""
@@ -175,7 +178,9 @@
         if not self._gate.may_retry(stream.call):
             return False
         head = run.chain.head.target
-        return self._search.find_replacement(stream, head) is not None
+        if self._search.find_replacement(stream, head) is not None:
+            return True
+        return self._search.needs_peer(stream, head)
 
     def _record_interruption(
         self,
--- a/src/briarfall/gateway/streamfailures.py
+++ b/src/briarfall/gateway/streamfailures.py
@@ -8,6 +8,7 @@
 from briarfall.gateway import crashdetection
 from briarfall.gateway import dialing
 from briarfall.gateway import headernames
+from briarfall.gateway import linkmonitor
 from briarfall.gateway import liveness
 from briarfall.gateway import paths
 from briarfall.gateway import rerouting
@@ -28,6 +29,7 @@
         header_names: Header names of the platform.
         table: Targets.
         detector: Distinguishes crashes from lost responses.
+        links: Targets that this instance reaches.
         dialer: Opens the connections of liveness checks.
     """
 
@@ -36,8 +38,10 @@
         header_names: headernames.HeaderNames,
         table: targets.TargetTable,
         detector: crashdetection.CrashDetector,
+        links: linkmonitor.LinkMonitor,
         dialer: dialing.Dialer = dialing.SYSTEM_DIALER,
     ):
+        self._links = links
         self._dialer = dialer
         self._names = header_names
         self._targets = table
@@ -124,6 +128,9 @@
         if isinstance(exc, rerouting.UnresponsiveEngineError):
             # Its connection is open, so that it may still run the request.
             stream.heads.add(head.target)
+            target = self._targets.get(head.target)
+            if target is not None:
+                self._links.record_doubt(target)
             return
         reachability = liveness.probe_target(head.address, dialer=self._dialer)
         if not stream.is_proven:
@@ -140,5 +147,10 @@
             # The head may still live, and counts towards the route's bound on
             # runs.
             stream.heads.add(head.target)
+        target = self._targets.get(head.target)
         if reachability is not liveness.Reachability.OPEN:
+            if target is not None:
+                self._links.record_unreachable(target, reachability)
             self.record_failure(stream, head.target, exc.message)
+        elif target is not None and not exc.saw_response:
+            self._links.record_doubt(target)
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -17,11 +17,14 @@
 from briarfall.gateway import events
 from briarfall.gateway import headernames
 from briarfall.gateway import linkadmission
+from briarfall.gateway import linkmonitor
 from briarfall.gateway import liveness
 from briarfall.gateway import loads
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
 from briarfall.gateway import paths
+from briarfall.gateway import relayexchanges
+from briarfall.gateway import relaying
 from briarfall.gateway import rerouting
 from briarfall.gateway import sources
 from briarfall.gateway import streamfailures
@@ -29,6 +32,7 @@
 from briarfall.gateway import targetconnection
 from briarfall.gateway import targets
 from briarfall.gateway import targetsignals
+from briarfall.gateway import targetstate
 
 _MAX_IDLE_S = 30.0
 # Time without a first event after which an engine may have failed, as a share
@@ -50,6 +54,8 @@
         link: Admits chains with cross-zone hops.
         engines: Queries engines and sends commands to them.
         pool: Connections to targets.
+        links: Targets that this instance reaches.
+        relay: Relays streams to peers.
         gate: Dispatch gate, which every attempt has to pass.
         detector: Distinguishes crashes from lost responses.
         target_signals: Handles draining and backoff signals of targets.
@@ -67,6 +73,8 @@
         link: linkadmission.LinkAdmission,
         engines: sources.EngineControl,
         pool: connections.ConnectionPool,
+        links: linkmonitor.LinkMonitor,
+        relay: relaying.Relay,
         gate: dispatchgate.DispatchGate,
         detector: crashdetection.CrashDetector,
         target_signals: targetsignals.TargetSignals,
@@ -80,12 +88,14 @@
         self._loads = load_table
         self._engines = engines
         self._pool = pool
+        self._links = links
+        self._relay = relay
         self._gate = gate
         self._target_signals = target_signals
         self._link = link
         self._search = chainsearch.ChainSearch(table, finder, link, rng)
         self._diagnosis = streamfailures.StreamDiagnosis(
-            header_names, table, detector, pool.dialer
+            header_names, table, detector, links, pool.dialer
         )
         self._rerouter = rerouting.StreamRerouter(
             table,
@@ -98,6 +108,7 @@
             detector,
             counters,
             activity,
+            links,
             pool.dialer,
         )
 
@@ -109,6 +120,8 @@
                 early and the caller's connection has to be closed.
         """
         stream = streamstate.Stream(call, self._estimate_demand(call))
+        if call.relayed is not None:
+            stream.heads.update(call.relayed.heads)
         last_event_id = call.req.header(self._names.last_event)
         if last_event_id is not None and last_event_id.isdigit():
             stream.sequence.last_id = int(last_event_id)
@@ -124,8 +137,11 @@
         Raises:
             BriarfallError: The stream ends without a complete response.
         """
-        chain = self._choose_chain(stream)
-        if chain is None:
+        try:
+            run = self._choose_run(stream)
+        except chainsearch.CutOffError:
+            return self._relay_to_peer(stream)
+        if run is None:
             run = stream.resume()
             logging.info(
                 "stream stays on its chain, no other takes it request=%s "
@@ -134,14 +150,6 @@
                 stream.sequence.last_id,
                 run.chain.describe(),
             )
-        else:
-            try:
-                run = self._start_run(stream, chain)
-            except targetconnection.NotSentError as exc:
-                self._diagnosis.record_failure(
-                    stream, chain.head.target, exc.message
-                )
-                return False
         try:
             self._follow(stream, run)
             return True
@@ -154,31 +162,41 @@
             self._handle_break(stream, run.chain, exc)
         return False
 
-    def _choose_chain(self, stream: streamstate.Stream) -> paths.Chain | None:
-        """Returns the next chain; None if the suspended run has to go on.
+    def _relay_to_peer(self, stream: streamstate.Stream) -> bool:
+        exchange = relayexchanges.StreamExchange(
+            stream, lambda: self._close_suspended(stream)
+        )
+        return self._relay.forward(exchange)
+
+    def _choose_run(
+        self, stream: streamstate.Stream
+    ) -> streamstate.ChainRun | None:
+        """Returns the next run; None if the suspended run has to go on.
 
         Raises:
+            CutOffError: A peer may run the stream.
             BriarfallError: No chain may run the stream, and none is suspended.
         """
         while True:
-            if stream.suspended is None:
-                chain = self._search.wait_for_chain(stream)
-            else:
-                chain = self._search.find_replacement(stream)
+            chain = self._choose_chain(stream)
             if chain is None:
                 return None
             target = self._targets.get(chain.head.target)
             if target is None:
                 continue
             try:
-                self._gate.start_attempt(stream.call, target)
-                return chain
+                return self._start_run(stream, chain, target)
             except dispatchgate.TargetAvoidedError as exc:
                 logging.info(
                     "choosing another chain request=%s: %s",
                     stream.call.request_id,
                     exc,
                 )
+            except targetconnection.NotSentError as exc:
+                self._links.record_failed(target, exc.__cause__)
+                self._diagnosis.record_failure(
+                    stream, chain.head.target, exc.message
+                )
             except exceptions.BriarfallError as exc:
                 if stream.suspended is not None:
                     return None
@@ -186,6 +204,15 @@
                     raise stream.abandon_error(exc.message) from exc
                 raise
 
+    def _choose_chain(self, stream: streamstate.Stream) -> paths.Chain | None:
+        """Returns the next chain; None if the suspended run has to go on."""
+        if stream.suspended is None:
+            return self._search.wait_for_chain(stream)
+        chain = self._search.find_replacement(stream)
+        if chain is None and self._search.needs_peer(stream):
+            raise chainsearch.CutOffError("another head is not reached")
+        return chain
+
     def _estimate_demand(self, call: calls.Call) -> paths.Demand:
         model = call.service.model
         prompt = model.mean_prompt_tokens
@@ -231,19 +258,25 @@
             raise exc
 
     def _start_run(
-        self, stream: streamstate.Stream, chain: paths.Chain
+        self,
+        stream: streamstate.Stream,
+        chain: paths.Chain,
+        target: targetstate.Target,
     ) -> streamstate.ChainRun:
-        """Sends a stream to the head of a chain.
+        """Connects to the head of a chain, to send a stream there.
 
         Raises:
             NotSentError: The head can't be reached.
+            TargetAvoidedError: The head takes no requests now.
+            BriarfallError: The request may not be sent to any engine.
         """
         call = stream.call
-        head = chain.head
-        target = self._targets.get(head.target)
-        if target is None:
-            raise targetconnection.NotSentError(f"{head.target}: is gone")
-        conn = self._pool.acquire(head.address, _MAX_IDLE_S, call.left_s)
+        conn = self._pool.acquire(chain.head.address, _MAX_IDLE_S, call.left_s)
+        try:
+            self._gate.start_attempt(call, target)
+        except exceptions.BriarfallError:
+            self._pool.return_unused(conn)
+            raise
         run = streamstate.ChainRun(chain, target, conn)
         self._loads.reserve(chain.target_ids(), stream.demand.tokens)
         if call.attempt_count > 1:
@@ -313,6 +346,7 @@
             lambda head: call.is_own_response(self._names.request_id, head),
         )
         run.response = head
+        self._links.record_answer(run.target, is_new=run.conn.is_fresh)
         self._target_signals.handle(run.target, head)
         calls.raise_if_refused(
             run.conn, head, self._names, run.target.id, call.deadline_s
@@ -387,7 +421,7 @@
             data = self._accept_events(stream, run, bytes(event.data))
             if not data:
                 continue
-            self._start_response(stream, response)
+            stream.start_response(response)
             call.conn.send_data(data)
         if run.splitter.incomplete_event:
             raise targetconnection.BrokenExchangeError(
@@ -395,7 +429,7 @@
             )
         if response.ends_with_connection:
             self._check_complete(stream, run)
-        self._start_response(stream, response)
+        stream.start_response(response)
         call.conn.end()
 
     def _check_complete(
@@ -420,19 +454,6 @@
             self._pool.dialer,
         )
 
-    def _start_response(
-        self, stream: streamstate.Stream, response: messages.ResponseHead
-    ) -> None:
-        if stream.response_started:
-            return
-        stream.response_started = True
-        headers = []
-        for key, value in messages.end_to_end(response.headers):
-            # A resumed stream may have another length.
-            if key.lower() != b"content-length":
-                headers.append((key, value))
-        stream.call.conn.send_head(response.status, headers)
-
     def _accept_events(
         self,
         stream: streamstate.Stream,
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/streamstate.py
@@ -92,7 +92,7 @@
     ) -> frozenset[ids.TargetId] | None:
         """Returns `allowed_heads` as they are once it has run on `head` too."""
         heads = self.heads if head is None else self.heads | {head}
-        if len(heads) < self.call.route.max_runs:
+        if len(heads) < self.call.max_runs:
             return None
         return frozenset(heads)
 
@@ -174,6 +174,18 @@
         run.next_check_s = clocks.boot_s() + self.stall_timeout_s
         return run
 
+    def start_response(self, head: messages.ResponseHead) -> None:
+        """Sends the head of the response, unless the caller has it already."""
+        if self.response_started:
+            return
+        self.response_started = True
+        headers = []
+        for key, value in messages.end_to_end(head.headers):
+            # A resumed stream may have another length.
+            if key.lower() != b"content-length":
+                headers.append((key, value))
+        self.call.conn.send_head(head.status, headers)
+
     def start_chain(self) -> None:
         """Records that another chain starts to run the request."""
         self.chain_first_event_s = 0.0
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -9,6 +9,7 @@
 from briarfall import ids
 from briarfall.gateway import clocks
 from briarfall.gateway import incarnations
+from briarfall.gateway import reachability
 from briarfall.gateway import sources
 from briarfall.gateway import targetstate
 from briarfall.gateway import views
@@ -255,13 +256,19 @@
                 listener(entry)
 
     def suspicions(self) -> list[tuple[targetstate.Target, float]]:
-        """Returns targets that failed here, with the seconds to avoid them."""
+        """Returns targets that failed here, with the seconds to avoid them.
+
+        Failures that may be due to this instance's own links are left out.
+        """
         now_s = clocks.boot_s()
         rows = []
         with self._lock:
             for target in self._targets.values():
                 left_s = target.suspected_until_s - now_s
-                if left_s > 0:
+                if left_s <= 0:
+                    continue
+                others = self.of_service(target.entry.service)
+                if not reachability.is_own_fault(target, others):
                     rows.append((target, left_s))
         return rows
 
@@ -374,6 +381,10 @@
             return None
         return target
 
+    def services(self) -> list[views.ServiceName]:
+        """Returns the services that have targets."""
+        return list(self._by_service)
+
     def of_service(
         self, service: views.ServiceName
     ) -> list[targetstate.Target]:
--- a/src/briarfall/gateway/targetstate.py
+++ b/src/briarfall/gateway/targetstate.py
@@ -1,5 +1,7 @@
 """One target as this instance sees it."""
 
+import enum
+
 import msgspec
 
 from briarfall import ids
@@ -8,6 +10,20 @@
 from briarfall.gateway import sources
 
 
+class LinkFault(enum.Enum):
+    """How connections from this instance to a target fail.
+
+    Attributes:
+        TIMEOUT: Attempts to connect get no answer.
+        REFUSED: They are refused.
+        RESET: They are reset, or closed as soon as they are open.
+    """
+
+    TIMEOUT = "timeout"
+    REFUSED = "refused"
+    RESET = "reset"
+
+
 class Target(msgspec.Struct):
     """One incarnation of a target, with its state as this instance knows it.
 
@@ -31,6 +47,12 @@
             this instance sends it no requests until then. 0 if it asked for
             none since the last request was sent to it.
         backoff_since_s: Start of that backoff.
+        link_fault: How new connections from this instance to it fail, or None
+            as far as is known.
+        link_fault_since_s: Time of the first attempt that failed so.
+        next_probe_s: Time from which it is probed again.
+        reached_s: Time at which a new connection to it last worked.
+        answered_s: Time of its last answer, on any connection.
     """
 
     entry: sources.TargetEntry
@@ -44,6 +66,11 @@
     is_draining: bool = False
     backoff_until_s: float = 0.0
     backoff_since_s: float = 0.0
+    link_fault: LinkFault | None = None
+    link_fault_since_s: float = 0.0
+    next_probe_s: float = 0.0
+    reached_s: float = 0.0
+    answered_s: float = 0.0
 
     @property
     def accepts_requests(self) -> bool:
--- a/src/briarfall/standins/prepared/network.py
+++ b/src/briarfall/standins/prepared/network.py
@@ -51,9 +51,18 @@
             kind: How the links fail.
             targets: Stand-ins of the targets.
         """
+        self.cut_addresses(kind, [target.address for target in targets])
+
+    def cut_addresses(self, kind: Cut, addresses) -> None:
+        """Cuts the links to some addresses.
+
+        Args:
+            kind: How the links fail.
+            addresses: IP addresses with ports.
+        """
         with self._lock:
-            for target in targets:
-                self._cuts[target.address] = kind
+            for address in addresses:
+                self._cuts[address] = kind
             links = list(self._links)
         for link in links:
             link.apply(self._cuts.get(link.address))
@@ -172,6 +181,7 @@
         except OSError:
             self._flows.wait()
             _reset(sink)
+            _reset(source)
 
 
 def _open_silent_listener() -> tuple[socket.socket, list[socket.socket]]:
--- a/src/briarfall/standins/prepared/testbed.py
+++ b/src/briarfall/standins/prepared/testbed.py
@@ -121,7 +121,12 @@
         return target
 
     def starting_instance(
-        self, name="i1", zone="z1", dialer=dialing.SYSTEM_DIALER, **extra
+        self,
+        name="i1",
+        zone="z1",
+        dialer=dialing.SYSTEM_DIALER,
+        peer_dialer=dialing.SYSTEM_DIALER,
+        **extra,
     ) -> instance.Instance:
         """Starts a gateway instance.
 
@@ -129,6 +134,7 @@
             name: Its name.
             zone: Its availability zone.
             dialer: Opens its connections to targets.
+            peer_dialer: Opens its connections to other instances.
             **extra: Further settings.
         """
         local = settings.Listener("127.0.0.1", 0)
@@ -144,7 +150,10 @@
         )
         pool = connections.ConnectionPool(dialer)
         inst = instance.Instance(
-            cfg, main.StorePlatform(cfg.store_address, pool), pool
+            cfg,
+            main.StorePlatform(cfg.store_address, pool),
+            pool,
+            peer_pool=connections.ConnectionPool(peer_dialer),
         )
         inst.start()
         self.instances.append(inst)
--- a/tests/test_gateway_dispatchgate.py
+++ b/tests/test_gateway_dispatchgate.py
@@ -20,9 +20,10 @@
 from tests import test_gateway_streams
 
 _GATEWAY = pathlib.Path(briarfall.__file__).parent / "gateway"
-# Modules that open an exchange with a target. `connections` makes the
-# instance's own calls: to the store, and to engines for commands and reports.
-_SENDERS = {"connections.py", "plain.py", "streams.py"}
+# Modules that open an exchange with a target, or with a peer that sends the
+# request on. `connections` makes the instance's own calls: to the store, and to
+# engines for commands and reports.
+_SENDERS = {"connections.py", "plain.py", "streams.py", "relaying.py"}
 
 
 @pytest.fixture
@@ -65,7 +66,7 @@
                 found.add(path.name)
         assert found == _SENDERS
 
-    @pytest.mark.parametrize("name", sorted(_SENDERS - {"connections.py"}))
+    @pytest.mark.parametrize("name", ["plain.py", "streams.py"])
     def test_forwarders_pass_the_gate(self, name):
         tree = ast.parse((_GATEWAY / name).read_text())
         owners = [
@@ -73,6 +74,11 @@
         ]
         assert owners == ["self._gate"]
 
+    def test_relayed_requests_pass_the_gate_before_a_peer_gets_them(self):
+        tree = ast.parse((_GATEWAY / "relaying.py").read_text())
+        owners = [ast.unparse(f.value) for f in _calls_of(tree, "check")]
+        assert owners == ["self._gate"]
+
     def test_rerouted_chains_pass_the_gate(self):
         tree = ast.parse((_GATEWAY / "rerouting.py").read_text())
         owners = [ast.unparse(f.value) for f in _calls_of(tree, "check")]
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -14,6 +14,7 @@
 from briarfall.gateway import crashes
 from briarfall.gateway import dispatchgate
 from briarfall.gateway import linkadmission
+from briarfall.gateway import linkmonitor
 from briarfall.gateway import liveness
 from briarfall.gateway import loads
 from briarfall.gateway import messages
@@ -57,6 +58,14 @@
     )
 
 
+def a_link_monitor():
+    """Returns a monitor whose thread does not run."""
+    pool = connections.ConnectionPool()
+    return linkmonitor.LinkMonitor(
+        targets.TargetTable(), pool, pool, random.Random(1)
+    )
+
+
 class _Watch:
     """A caller whose waits advance the clock."""
 
@@ -89,6 +98,8 @@
             linkadmission.LinkAdmission(lambda: 0.0),
             None,
             connections.ConnectionPool(),
+            a_link_monitor(),
+            None,
             dispatchgate.DispatchGate(
                 budgets.RetryBudget(0.2, 10.0, 100.0, lambda: 1),
                 table,
@@ -131,6 +142,7 @@
             None,
             metrics.Metrics(),
             activity,
+            a_link_monitor(),
         )
 
     def test_check_is_postponed_while_nothing_is_received(self, clock):
@@ -198,6 +210,7 @@
             headers.HEADERS,
             table,
             crashdetection.CrashDetector(crashes.CrashTable(), table),
+            None,
         )
         stream = streamstate.Stream(a_call(clock.now_s), paths.Demand(700, 200))
         refusal = messages.ResponseHead(
