A relay's search for another peer starts when a run breaks

A stream that broke after more than a second at its peer was not resumed through another one: the second of search ran from the start of the stream. Seen: test_resume_through_a_second_peer ended with a cut stream, twice in about seven runs of the file before this change or at it (one of the two was the first of five runs begun with this change in place, so another cause is not ruled out); none in ten runs of the test alone and seven of its class since.

--- a/src/briarfall/gateway/relaying.py
+++ b/src/briarfall/gateway/relaying.py
@@ -108,8 +108,12 @@
             if peer is None or call.left_s <= 0:
                 break
             asked.add(peer.id)
+            used_runs = exchange.used_runs
             if self._try_peer(exchange, peer):
                 return True
+            if exchange.used_runs > used_runs:
+                # The search for another peer starts only when a run breaks.
+                until_s = clocks.boot_s() + _SEARCH_S
         call.has_no_peer = True
         return False
 
