Late targets are probed once; tests of decisions about links and peers

A request that waits on a kept connection of a cut link noticed that only after half of its time. A target that is silent beyond the route's objective, and has answered nothing for a second, is now probed.

--- a/src/briarfall/gateway/linkmonitor.py
+++ b/src/briarfall/gateway/linkmonitor.py
@@ -115,7 +115,14 @@
         self._notify()
 
     def record_doubt(self, target: targetstate.Target) -> None:
-        """Records a failure that may be the link's; a probe tells soon."""
+        """Records a failure that may be the link's; a probe tells soon.
+
+        A target that has answered lately is not probed.
+        """
+        if not reachability.has_answered_lately(target, clocks.boot_s()):
+            self._probe(target)
+
+    def _probe(self, target: targetstate.Target) -> None:
         with self._lock:
             self._doubted[target.id] = target
         self._wake.set()
@@ -125,7 +132,7 @@
         for target_id in target_ids:
             target = self._targets.get(target_id)
             if target is not None:
-                self.record_doubt(target)
+                self._probe(target)
 
     def record_reached(self, target: targetstate.Target) -> None:
         """Records that a new connection to a target works."""
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -290,7 +290,7 @@
                 call.req.body,
                 call.deadline_s,
             )
-            head = self._read_head(call, conn, attempted)
+            head = self._read_head(call, target, conn, attempted)
             self._links.record_answer(target, is_new=conn.is_fresh)
             self._target_signals.handle(target, head)
             calls.raise_if_refused(
@@ -314,6 +314,7 @@
     def _read_head(
         self,
         call: calls.Call,
+        target: targetstate.Target,
         conn: targetconnection.TargetConnection,
         attempted: set[ids.TargetId],
     ) -> messages.ResponseHead:
@@ -326,8 +327,12 @@
         def is_own(head: messages.ResponseHead) -> bool:
             return call.is_own_response(self._names.request_id, head)
 
+        deadline_s = self._response_deadline_s(call)
+        slo_s = clocks.boot_s() + call.route.first_byte_slo_s
+        if not conn.wait(min(deadline_s, slo_s)):
+            self._links.record_doubt(target)
         try:
-            return conn.read_head(self._response_deadline_s(call), is_own)
+            return conn.read_head(deadline_s, is_own)
         except targetconnection.ResponseTimeoutError:
             if call.left_s <= 0 or self._can_move(call, attempted):
                 raise
--- a/src/briarfall/gateway/reachability.py
+++ b/src/briarfall/gateway/reachability.py
@@ -11,8 +11,8 @@
 from briarfall.gateway import targetstate
 from briarfall.gateway import views
 
-# A target that resets new connections but has answered within this time is at
-# its connection limit.
+# A target that has answered within this time is reached; if it resets new
+# connections, it is at its connection limit.
 _ANSWERED_WITHIN_S = 1.0
 # Pauses between probes of a target that can't be reached.
 _FIRST_PROBE_PAUSE_S = 0.25
@@ -54,6 +54,11 @@
     """Whether a target resets new connections because it has too many."""
     if fault is not targetstate.LinkFault.RESET:
         return False
+    return has_answered_lately(target, now_s)
+
+
+def has_answered_lately(target: targetstate.Target, now_s: float) -> bool:
+    """Whether a target has answered this instance within a second."""
     return now_s - target.answered_s < _ANSWERED_WITHIN_S
 
 
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -8,6 +8,7 @@
 import pytest
 
 from briarfall.gateway import plannedstop
+from briarfall.gateway import targetstate
 from briarfall.standins.prepared import network
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
@@ -230,6 +231,59 @@
         assert inst.links.cut_services == []
 
 
+class TestSoundLinks:
+    """What must not look like a fault of this instance's links."""
+
+    def _check_sound(self, inst):
+        assert inst.relay.sent == 0
+        assert inst.links.cut_services == []
+
+    def test_targets_that_are_silent_for_a_second(self, world, links):
+        desks = [world.service(f"d{number}") for number in range(2)]
+        (inst, _), _ = _instances(world, links, 2)
+        world.wait_for_targets(*desks)
+        for desk in desks:
+            desk.processing_s = 1.0
+        assert _statuses(inst) == [200] * _FIRST_ATTEMPTS
+        self._check_sound(inst)
+        assert _count_unreachable(inst) == 0
+
+    def test_one_target_that_crashed(self, world, links):
+        desks = [world.service(f"d{number}") for number in range(3)]
+        (inst, _), _ = _instances(world, links, 2)
+        world.wait_for_targets(*desks)
+        desks[0].close()
+
+        def is_noticed():
+            assert testbed.call(inst, "/views/x").status == 200
+            return _count_unreachable(inst) == 1
+
+        testbed.until(is_noticed, "the crashed target is noticed")
+        self._check_sound(inst)
+
+    def test_connection_that_its_target_closed_while_idle(self, world, links):
+        desk = world.service("d0")
+        (inst, _), _ = _instances(world, links, 2)
+        world.wait_for_targets(desk)
+        assert testbed.call(inst, "/views/x").status == 200
+        desk.server.close()
+        desk.server.reopen()
+        assert testbed.call(inst, "/views/x").status == 200
+        self._check_sound(inst)
+        assert _count_unreachable(inst) == 0
+
+    def test_target_at_its_connection_limit(self, world, links):
+        desk = world.service("d0")
+        (inst, net), _ = _instances(world, links, 2)
+        world.wait_for_targets(desk)
+        assert testbed.call(inst, "/views/x").status == 200
+        # The target resets further connections, but serves the open one.
+        target = inst.targets.get("d0")
+        inst.links.record_fault(target, targetstate.LinkFault.RESET)
+        assert _count_unreachable(inst) == 0
+        self._check_sound(inst)
+
+
 def _count_unreachable(inst):
     return sum(
         row.link_fault is not None for row in inst.targets.of_service("desk")
