--- a/src/briarfall/gateway/connections.py
+++ b/src/briarfall/gateway/connections.py
@@ -3,6 +3,7 @@
 import threading
 
 from briarfall.gateway import clocks
+from briarfall.gateway import dialing
 from briarfall.gateway import matching
 from briarfall.gateway import messages
 from briarfall.gateway import targetconnection
@@ -11,9 +12,14 @@
 
 
 class ConnectionPool:
-    """Idle connections to targets; the most recently used is reused first."""
+    """Idle connections to targets; the most recently used is reused first.
 
-    def __init__(self):
+    Args:
+        dialer: Opens new connections.
+    """
+
+    def __init__(self, dialer: dialing.Dialer = dialing.SYSTEM_DIALER):
+        self.dialer = dialer
         self._lock = threading.Lock()
         self._idle: dict[str, list[targetconnection.TargetConnection]] = {}
         self.opened = 0
@@ -49,7 +55,9 @@
         if conn is None:
             self.opened += 1
             timeout_s = min(timeout_s, targetconnection.CONNECT_TIMEOUT_S)
-            conn = targetconnection.TargetConnection(address, timeout_s)
+            conn = targetconnection.TargetConnection(
+                address, timeout_s, self.dialer
+            )
         conn.history.start(identity)
         return conn
 
@@ -88,6 +96,14 @@
         else:
             conn.close()
 
+    def return_unused(self, conn: targetconnection.TargetConnection) -> None:
+        """Takes back a connection on which nothing was sent."""
+        if conn.is_fresh:
+            conn.close()
+        else:
+            conn.history.cancel()
+            self.put(conn)
+
     def close_idle(self) -> None:
         """Closes connections that have been idle for too long to be reused."""
         expired = []
--- a/src/briarfall/gateway/matching.py
+++ b/src/briarfall/gateway/matching.py
@@ -72,6 +72,11 @@
         self._identity = identity
         self._request_count += 1
 
+    def cancel(self) -> None:
+        """Records that the request that was to be sent is not sent."""
+        self._identity = RequestIdentity(self._identity.header)
+        self._request_count -= 1
+
     @property
     def is_reusable(self) -> bool:
         """Whether the connection may carry further requests."""
--- a/src/briarfall/gateway/peermessages.py
+++ b/src/briarfall/gateway/peermessages.py
@@ -14,6 +14,7 @@
 from briarfall.gateway import poisonlist
 from briarfall.gateway import recordchecks
 from briarfall.gateway import sources
+from briarfall.gateway import views
 
 
 class LoadRow(msgspec.Struct, array_like=True, frozen=True):
@@ -69,6 +70,8 @@
         draining_targets: Incarnations of targets that are draining.
         link_mbps: Demand of the sender's requests on the inter-zone link.
         holds: Parts of prompts that the sender tries with one request.
+        accepts_relays: Whether the sender serves relayed requests.
+        cut_services: Services of which the sender reaches no target.
     """
 
     sender: ids.InstanceId
@@ -88,6 +91,8 @@
     draining_targets: list[incarnations.Incarnation] = []
     link_mbps: float = 0.0
     holds: list[partholds.HoldRow] = []
+    accepts_relays: bool = False
+    cut_services: list[views.ServiceName] = []
 
 
 class FreshnessRequest(
--- a/src/briarfall/gateway/streamfailures.py
+++ b/src/briarfall/gateway/streamfailures.py
@@ -6,7 +6,9 @@
 from briarfall.gateway import calls
 from briarfall.gateway import clocks
 from briarfall.gateway import crashdetection
+from briarfall.gateway import dialing
 from briarfall.gateway import headernames
+from briarfall.gateway import linkmonitor
 from briarfall.gateway import liveness
 from briarfall.gateway import paths
 from briarfall.gateway import rerouting
@@ -27,6 +29,8 @@
         header_names: Header names of the platform.
         table: Targets.
         detector: Distinguishes crashes from lost responses.
+        links: Targets that this instance reaches.
+        dialer: Opens the connections of liveness checks.
     """
 
     def __init__(
@@ -34,7 +38,11 @@
         header_names: headernames.HeaderNames,
         table: targets.TargetTable,
         detector: crashdetection.CrashDetector,
+        links: linkmonitor.LinkMonitor,
+        dialer: dialing.Dialer = dialing.SYSTEM_DIALER,
     ):
+        self._links = links
+        self._dialer = dialer
         self._names = header_names
         self._targets = table
         self._detector = detector
@@ -103,7 +111,7 @@
         if clocks.boot_s() - target.last_active_s < _ACTIVE_WITHIN_S:
             return False
         reachability = liveness.probe_target(
-            target.entry.address, [head.address]
+            target.entry.address, [head.address], self._dialer
         )
         return reachability in (
             liveness.Reachability.REFUSED,
@@ -120,8 +128,11 @@
         if isinstance(exc, rerouting.UnresponsiveEngineError):
             # Its connection is open, so that it may still run the request.
             stream.heads.add(head.target)
+            target = self._targets.get(head.target)
+            if target is not None:
+                self._links.record_doubt(target)
             return
-        reachability = liveness.probe_target(head.address)
+        reachability = liveness.probe_target(head.address, dialer=self._dialer)
         if not stream.is_proven:
             self._detector.record_interruption(
                 stream.call,
@@ -136,5 +147,10 @@
             # The head may still live, and counts towards the route's bound on
             # runs.
             stream.heads.add(head.target)
+        target = self._targets.get(head.target)
         if reachability is not liveness.Reachability.OPEN:
+            if target is not None:
+                self._links.record_unreachable(target, reachability)
             self.record_failure(stream, head.target, exc.message)
+        elif target is not None and not exc.saw_response:
+            self._links.record_reset(target)
