--- a/src/briarfall/cli/benches.py
+++ b/src/briarfall/cli/benches.py
@@ -109,6 +109,26 @@
     return int(failed_seeds > 0)
 
 
+def once_soak(
+    *, seed: int = 1, seeds: int = 1, seconds: float = 10.0, keep: str = ""
+) -> int:
+    """Looks for orders that run twice while targets break connections.
+
+    Args:
+        seed: First seed; it determines the faults and their times.
+        seeds: Number of consecutive seeds to run.
+        seconds: Duration of the faults for each seed.
+        keep: Folder to keep settings and logs in; not kept if empty.
+    """
+    from briarfall.standins.prepared.faultsoak import oncesoak as bench
+
+    failed_seeds = 0
+    for number in range(seed, seed + seeds):
+        folder = f"{keep}/{number}" if keep else ""
+        failed_seeds += bool(bench.run(number, seconds, folder))
+    return int(failed_seeds > 0)
+
+
 def relay(url: str, pid: int, *, seconds: float = 8.0, out: str = "") -> None:
     """Measures the CPU time of the relay per token, and its latency.
 
@@ -279,4 +299,5 @@
     "quiet": quiet,
     "soak": soak,
     "fault-soak": fault_soak,
+    "once-soak": once_soak,
 }
--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -99,6 +99,15 @@
         return True
 
 
+def accepts_connections(address: tuple[str, int]) -> bool:
+    """Whether a process listens on an address."""
+    try:
+        socket.create_connection(address, 1.0).close()
+    except OSError:
+        return False
+    return True
+
+
 def _free_ports(count: int) -> list[int]:
     socks = []
     for _ in range(count):
