--- a/src/briarfall/gateway/callers.py
+++ b/src/briarfall/gateway/callers.py
@@ -2,8 +2,10 @@
 
 import select
 import socket
+import struct
 
 import h11
+import msgspec
 
 from briarfall import exceptions
 from briarfall.gateway import clocks
@@ -15,8 +17,14 @@
 _RECEIVE_BYTES = 65_536
 # The connection is closed if the caller reads nothing for this long.
 _SEND_TIMEOUT_S = 10.0
+# Longest time for one piece of a response, however the caller reads it.
+_MAX_SEND_S = 60.0
 # Timeout of each read while a closing connection lingers.
 _LINGER_S = 0.5
+_MAX_LINGER_S = 5.0
+# Closes a connection with a reset.
+_RESET = struct.pack("ii", 1, 0)
+_UNEXPECTED_ERROR = b"[internal] unexpected error; remedy: report the request\n"
 
 
 class MessageRefusedError(Exception):
@@ -31,6 +39,12 @@
         self.status = status
 
 
+def _new_parser(limits: views.CallerLimits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+    )
+
+
 class CallerConnection:
     """Reads requests of one caller and writes the responses.
 
@@ -42,8 +56,17 @@
     def __init__(self, sock: socket.socket, limits: views.CallerLimits):
         self.sock = sock
         self.limits = limits
+        self._set_limits = limits
+        self._announced_idle_s = 0.0
         self.closes_after_response = False
+        # The request that is being answered, once it was read completely.
+        self.request: messages.CallerRequest | None = None
+        # Whether bytes of a request have arrived that is not answered yet.
+        self._is_response_due = False
+        # Whether bytes of the response may have been sent.
         self.has_sent_head = False
+        # Whether a response is being sent whose end is the connection's end.
+        self._ends_with_connection = False
         self.head_sent_s = 0.0
         # State with which a peer relayed the current request, or None.
         self.relayed: relaymessages.RelayedRequest | None = None
@@ -53,11 +76,27 @@
         self.status = 0
         # Responses to HEAD have the headers of a body, but no body.
         self._is_head_request = False
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-        )
+        self._http = _new_parser(limits)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def set_limits(self, limits: views.CallerLimits) -> None:
+        """Sets the limits of the next request.
+
+        The idle time never falls below the one that the last response
+        announced, since the caller relies on that.
+        """
+        if limits == self._set_limits:
+            return
+        self._set_limits = limits
+        idle_s = max(limits.idle_timeout_s, self._announced_idle_s)
+        self.limits = msgspec.structs.replace(limits, idle_timeout_s=idle_s)
+        received, is_closed = self._http.trailing_data
+        self._http = _new_parser(limits)
+        if received:
+            self._http.receive_data(received)
+        if is_closed:
+            self._http.receive_data(b"")
+
     def wait_readable(self, timeout_s: float) -> bool:
         """Returns whether bytes of the next request arrive in time."""
         if self._http.trailing_data[0]:
@@ -81,6 +120,7 @@
 
     def read_message(self) -> messages.CallerRequest | None:
         """Returns the next request with all headers; see `read_request`."""
+        self._is_response_due = True
         received_s = clocks.boot_s()
         deadline_s = received_s + self.limits.header_timeout_s
         head = None
@@ -120,13 +160,14 @@
             if isinstance(event, h11.EndOfMessage) and head is not None:
                 break
             return None
-        return messages.CallerRequest(
+        self.request = messages.CallerRequest(
             method=head.method,
             request_target=head.target,
             headers=list(head.headers.raw_items()),
             body=b"".join(chunks),
             received_s=received_s,
         )
+        return self.request
 
     def _receive(self, deadline_s: float, has_head: bool) -> bool:
         left_s = deadline_s - clocks.boot_s()
@@ -156,9 +197,17 @@
             fields.append((b"Connection", b"close"))
         else:
             limit_s = int(self.limits.idle_timeout_s)
+            self._announced_idle_s = self.limits.idle_timeout_s
             fields.append((b"Keep-Alive", b"timeout=%d" % limit_s))
+        data = self._http.send(
+            h11.Response(status_code=status, headers=fields, reason=b"")
+        )
+        self._ends_with_connection = (
+            self._http.their_http_version < b"1.1"
+            and messages.find(fields, b"content-length") is None
+        )
         self._record_head(status)
-        self._send(h11.Response(status_code=status, headers=fields, reason=b""))
+        self._write(data)
 
     def send_data(self, data: bytes) -> None:
         """Sends a piece of the response body."""
@@ -168,6 +217,7 @@
     def end(self) -> None:
         """Ends the response as complete."""
         self._send(h11.EndOfMessage())
+        self._ends_with_connection = False
 
     def answer(
         self, status: int, headers: messages.Headers, body: bytes
@@ -181,15 +231,34 @@
             fields.append((b"Content-Length", str(len(body)).encode()))
         if self.closes_after_response:
             fields.append((b"Connection", b"close"))
-        self._record_head(status)
         data = self._http.send(
             h11.Response(status_code=status, headers=fields, reason=b"")
         )
         if body and not self._is_head_request:
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
+        self._record_head(status)
         self._write(data)
 
+    def answer_unexpected_error(self) -> None:
+        """Answers the current request with status 500, if still possible.
+
+        The response does not pass the parser, whose state the error may have
+        damaged. The connection has to be closed afterwards.
+        """
+        if not self._is_response_due or self.has_sent_head:
+            return
+        lines = (
+            b"HTTP/1.1 500 Internal Server Error",
+            b"Content-Type: text/plain",
+            b"Content-Length: %d" % len(_UNEXPECTED_ERROR),
+            b"Connection: close",
+            b"",
+            b"" if self._is_head_request else _UNEXPECTED_ERROR,
+        )
+        self._record_head(500)
+        self._write(b"\r\n".join(lines))
+
     def _record_head(self, status: int) -> None:
         self.has_sent_head = True
         self.head_sent_s = clocks.boot_s()
@@ -203,7 +272,13 @@
     def _write(self, data: bytes) -> None:
         self.sock.settimeout(_SEND_TIMEOUT_S)
         try:
-            self.sock.sendall(data)
+            # The timeout of sendall would bound the whole transfer.
+            rest = memoryview(data)
+            until_s = clocks.boot_s() + _MAX_SEND_S
+            while rest:
+                rest = rest[self.sock.send(rest) :]
+                if rest and clocks.boot_s() > until_s:
+                    raise TimeoutError(f"not read within {_MAX_SEND_S:.0f} s")
         except OSError as exc:
             raise targetconnection.CallerGoneError(
                 f"response not accepted by the caller: {exc}"
@@ -218,24 +293,47 @@
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
+        self.request = None
+        self._is_response_due = False
+        self._is_head_request = False
         self.has_sent_head = False
         return True
 
     def close(self, *, linger: bool = False) -> None:
-        """Closes the connection.
+        """Closes the connection; a second call has no effect.
+
+        Unread bytes, such as a next request, would turn the close into a
+        reset, and the caller could lose the response. They are read first. A
+        response whose end is the connection's end is cut with a reset, so
+        that it does not look complete.
 
         Args:
-            linger: Whether to read what the caller still sends. Unread bytes
-                would turn the close into a reset, and the caller would lose
-                the response.
+            linger: Whether to read what the caller still sends, although no
+                unread bytes have arrived yet.
         """
+        if self.sock.fileno() < 0:
+            return
         try:
-            if linger:
+            if self._ends_with_connection:
+                self.sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET
+                )
+            elif linger or self._has_unread_bytes():
                 self.sock.shutdown(socket.SHUT_WR)
-                self.sock.settimeout(_LINGER_S)
-                while self.sock.recv(_RECEIVE_BYTES):
-                    continue
+                self._discard_received()
         except OSError:
             pass
         finally:
             self.sock.close()
+
+    def _has_unread_bytes(self) -> bool:
+        poller = select.poll()
+        poller.register(self.sock, select.POLLIN)
+        return bool(poller.poll(0))
+
+    def _discard_received(self) -> None:
+        """Reads until the caller closes or pauses, for a limited time."""
+        until_s = clocks.boot_s() + _MAX_LINGER_S
+        self.sock.settimeout(_LINGER_S)
+        while clocks.boot_s() < until_s and self.sock.recv(_RECEIVE_BYTES):
+            continue
--- a/src/briarfall/gateway/calls.py
+++ b/src/briarfall/gateway/calls.py
@@ -2,11 +2,13 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import callers
 from briarfall.gateway import clocks
 from briarfall.gateway import headernames
+from briarfall.gateway import matching
 from briarfall.gateway import messages
 from briarfall.gateway import promptparts
 from briarfall.gateway import relaymessages
@@ -17,8 +19,12 @@
 # The response must reach the caller before the caller stops waiting.
 _RESPONSE_MARGIN_S = 0.02
 _DEFAULT_TIMEOUT_S = 30.0
+# Waits for longer than some weeks overflow in the system's interfaces.
+_MAX_TIMEOUT_S = 86_400.0
 # Short, since the body of a refusal is short and follows its head at once.
 _DRAIN_TIMEOUT_S = 0.02
+# Statuses that tell a caller that its request has not run and never will.
+_PROMISES = (408, 429, 503)
 
 
 class Call(msgspec.Struct):
@@ -91,10 +97,13 @@
         """Seconds since the request arrived."""
         return clocks.boot_s() - self.req.received_s
 
-    def is_own_response(self, name: bytes, head: messages.ResponseHead) -> bool:
-        """Whether a response has this request's id, or no id."""
-        echoed = head.header(name)
-        return echoed is None or echoed.decode("latin-1") == self.request_id
+    def identity(
+        self, header_names: headernames.HeaderNames
+    ) -> matching.RequestIdentity:
+        """Returns how its response is recognised."""
+        return matching.RequestIdentity(
+            header_names.request_id, self.request_id
+        )
 
 
 class RefusedByTargetError(exceptions.TargetError):
@@ -119,13 +128,13 @@
     value = req.header(header)
     time_s = _DEFAULT_TIMEOUT_S
     if value is not None:
-        try:
-            time_s = float(value) / 1000
-        except ValueError as exc:
+        time_ms = decoding.parse_number(value)
+        if time_ms is None:
             raise exceptions.BadRequestError(
-                f"{header.decode()} is no number"
-            ) from exc
-    time_s = min(time_s - _RESPONSE_MARGIN_S, route.timeout_s)
+                f"{header.decode()} is no finite number"
+            )
+        time_s = time_ms / 1000
+    time_s = min(time_s - _RESPONSE_MARGIN_S, route.timeout_s, _MAX_TIMEOUT_S)
     return req.received_s + time_s
 
 
@@ -165,20 +174,31 @@
 
 
 def raise_if_refused(
+    call: Call,
     conn: targetconnection.TargetConnection,
     head: messages.ResponseHead,
     header_names: headernames.HeaderNames,
     target_id: ids.TargetId,
-    deadline_s: float,
 ) -> None:
-    """Raises if a response says that the target did not run the request.
+    """Raises if a response says, or seems to say, that the request did not run.
 
     The rest of such a response is read, so that the connection can be reused.
 
     Raises:
         RefusedByTargetError: The target did not run it.
+        TargetError: The status says so to a caller, but the target didn't say
+            it, and the request may run only once.
     """
-    if head.status != 421 and head.header(header_names.not_run) is None:
+    is_refusal = (
+        head.status == 421 or head.header(header_names.not_run) is not None
+    )
+    is_promise = head.status in _PROMISES and not call.route.is_retryable
+    if not is_refusal and not is_promise:
         return
-    conn.drain(min(deadline_s, clocks.boot_s() + _DRAIN_TIMEOUT_S))
-    raise RefusedByTargetError(f"{target_id}: status {head.status}", head)
+    conn.drain(min(call.deadline_s, clocks.boot_s() + _DRAIN_TIMEOUT_S))
+    if is_refusal:
+        raise RefusedByTargetError(f"{target_id}: status {head.status}", head)
+    raise exceptions.TargetError(
+        f"{target_id}: status {head.status} without "
+        f"{header_names.not_run.decode()}; the request may have run"
+    )
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -228,7 +228,11 @@
         reachability: liveness.Reachability,
         exc: exceptions.BriarfallError,
     ) -> None:
-        """Records a failed attempt; raises if the call may not be retried."""
+        """Records a failed attempt; raises if the call may not be retried.
+
+        A call whose response has begun is not retried: the caller already has
+        a head, and a part of a body that another target may not repeat.
+        """
         call.has_unknown_outcome = True
         call.possible_runs += 1
         logging.warning(
@@ -244,7 +248,7 @@
         )
         if not call.route.is_retryable or call.possible_runs >= call.max_runs:
             raise exc
-        if call.left_s <= 0:
+        if call.left_s <= 0 or call.conn.has_sent_head:
             raise exc
 
     def _connect(
@@ -262,6 +266,7 @@
             target.entry.address,
             _MAX_SINGLE_RUN_IDLE_S if runs_once else _MAX_IDLE_S,
             call.left_s,
+            call.identity(self._names),
         )
         try:
             self._gate.start_attempt(call, target)
@@ -293,9 +298,7 @@
             head = self._read_head(call, target, conn, attempted)
             self._links.record_answer(target, is_new=conn.is_fresh)
             self._target_signals.handle(target, head)
-            calls.raise_if_refused(
-                conn, head, self._names, target.id, call.deadline_s
-            )
+            calls.raise_if_refused(call, conn, head, self._names, target.id)
             body = plainresponses.receive(call, conn, head)
             self._check_response(call, head, body, entry)
             self._targets.record_success(target)
@@ -323,16 +326,12 @@
         A target that is silent for long loses the call to another one. If
         there is none, it may use all the time of the call.
         """
-
-        def is_own(head: messages.ResponseHead) -> bool:
-            return call.is_own_response(self._names.request_id, head)
-
         deadline_s = self._response_deadline_s(call)
         slo_s = clocks.boot_s() + call.route.first_byte_slo_s
         if not conn.wait(min(deadline_s, slo_s)):
             self._links.record_doubt(target)
         try:
-            return conn.read_head(deadline_s, is_own)
+            return conn.read_head(deadline_s)
         except targetconnection.ResponseTimeoutError:
             if call.left_s <= 0 or self._can_move(call, attempted):
                 raise
@@ -341,7 +340,7 @@
             call.request_id,
             call.left_s,
         )
-        return conn.read_head(call.deadline_s, is_own)
+        return conn.read_head(call.deadline_s)
 
     def _can_move(self, call: calls.Call, attempted: set[ids.TargetId]) -> bool:
         """Whether another target could take a call now."""
--- a/src/briarfall/gateway/relaying.py
+++ b/src/briarfall/gateway/relaying.py
@@ -11,6 +11,7 @@
 from briarfall.gateway import connections
 from briarfall.gateway import dispatchgate
 from briarfall.gateway import headernames
+from briarfall.gateway import matching
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
 from briarfall.gateway import peers
@@ -179,6 +180,8 @@
             "{}:{}".format(*peer.address),
             _MAX_IDLE_S if call.route.is_retryable else _MAX_SINGLE_RUN_IDLE_S,
             min(_CONNECT_TIMEOUT_S, call.left_s),
+            # The private header tells which request a response answers.
+            matching.RequestIdentity(),
         )
         head = None
         try:
@@ -250,7 +253,7 @@
                 raise targetconnection.BrokenExchangeError(
                     f"{peer.id}: sends no status any more"
                 )
-        return conn.read_head(call.deadline_s, lambda head: True)
+        return conn.read_head(call.deadline_s)
 
     def _apply_response(
         self,
--- a/src/briarfall/platform/engines.py
+++ b/src/briarfall/platform/engines.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall.gateway import connections
 from briarfall.gateway import sources
@@ -107,26 +108,29 @@
         if result is not sources.CommandResult.CONFLICT:
             return sources.RepathResult(result)
         try:
-            refusal = msgspec.json.decode(body, type=_Refusal)
-        except msgspec.DecodeError:
+            refusal = decoding.decode_json(body, _Refusal, "refusal")
+        except exceptions.CatalogueError:
             return sources.RepathResult(result)
         return sources.RepathResult(result, refusal.address)
 
     def report(self, address: str, timeout_s: float) -> sources.EngineReport:
         """Returns an engine's report."""
         head, body = connections.send_request(
-            self._pool, address, "GET", _REPORT_PATH, b"", timeout_s
+            self._pool,
+            address,
+            "GET",
+            _REPORT_PATH,
+            b"",
+            timeout_s,
+            id_header=headers.HEADERS.request_id,
         )
         if head.status != 200:
             raise exceptions.TargetError(
                 f"{address}: report answered with status {head.status}, not 200"
             )
-        try:
-            raw = msgspec.json.decode(body, type=_Report)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            raise exceptions.TargetError(
-                f"{address}: report can't be decoded: {exc}"
-            ) from exc
+        raw = decoding.decode_json(
+            body, _Report, f"report of {address}", exceptions.TargetError
+        )
         layers = raw.layers
         for model in raw.models:
             layers = model.layers or layers
@@ -161,6 +165,7 @@
             body,
             timeout_s,
             headers=request_headers,
+            id_header=headers.HEADERS.request_id,
         )
         return head.status, data
 
--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -2,8 +2,12 @@
 
 The store keeps append-only logs, called topics. A keyed topic also keeps the
 newest value of each key.
+
+The store's answers bear no id. An answer whose content can't belong to the call
+is an error and ends its connection, since it may be a copy of an earlier one.
 """
 
+import collections
 import re
 import struct
 import typing
@@ -15,6 +19,7 @@
 from briarfall import decoding
 from briarfall import exceptions
 from briarfall.gateway import connections
+from briarfall.gateway import messages
 from briarfall.gateway import summary
 
 _RECORD_LENGTH = struct.Struct(">I")
@@ -26,6 +31,10 @@
 # The store answers within milliseconds and closes idle connections late. An
 # idle connection that is dead is detected by the time-out of the next call.
 _MAX_IDLE_S = 3.0
+_REMEMBERED_APPENDS = 64
+# Rises when the store comes back from an older copy, which gives out offsets
+# once more.
+_EPOCH_HEADER = b"store-era"
 
 
 _Offset = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -37,17 +46,25 @@
     value: str = ""
 
 
+# The fields that a kind of answer always has are required, so that no other
+# kind passes as it.
 class _NewestPage(msgspec.Struct):
     # Each item is decoded on its own, so that an odd one costs only itself.
-    items: list[msgspec.Raw] = []
+    items: list[msgspec.Raw]
+    # Offset that the next appended record will get.
+    end: _Offset
     # Whether keys follow after the last one of `items`.
     has_more: bool = False
-    # Offset that the next appended record will get.
-    end: _Offset = 0
 
 
 class _AppendReply(msgspec.Struct):
-    offset: _Offset = 0
+    offset: _Offset
+    end: _Offset
+
+
+class _WrongEndReply(msgspec.Struct):
+    # Offset that the next appended record will get.
+    end: _Offset
 
 
 class _GapReply(msgspec.Struct):
@@ -80,6 +97,12 @@
         self._call_counts = counts
         self._purpose = purpose
         self._pool = connections.ConnectionPool()
+        # Epoch of the store in its last answer.
+        self._epoch: bytes | None = None
+        # Topic and offset of the latest acknowledged appends of this epoch.
+        self._appended: collections.deque[tuple[str, int]] = collections.deque(
+            maxlen=_REMEMBERED_APPENDS
+        )
 
     def newest(self, topic: str, timeout_s: float):
         """Returns the newest record of each key, and the topic's end offset.
@@ -93,7 +116,7 @@
         seen = set()
         while len(seen) < _MAX_PAGES:
             _, body = self._call("GET", "log-newest", args, b"", timeout_s)
-            page = _decode_page(body)
+            page = self._decode_page(body)
             found = _decode_items(page.items)
             records.extend(found)
             if not page.has_more or not page.items:
@@ -135,7 +158,13 @@
                 f"store response truncated: got {len(body)} of at least "
                 f"{_READ_HEADER.size} bytes"
             )
+        end, _ = _READ_HEADER.unpack_from(body)
         records = _split_records(memoryview(body)[_READ_HEADER.size :])
+        if records and start + len(records) > end:
+            raise self._mismatch_error(
+                f"{len(records)} records from {start} on, but the topic ends "
+                f"at {end}"
+            )
         return records, start + len(records)
 
     def append(
@@ -170,8 +199,54 @@
             timeout_s,
         )
         if status == 412:
+            if self._decode(body, _WrongEndReply).end == at:
+                raise self._mismatch_error(
+                    f"append at {at} refused although the topic ends there"
+                )
             return None
-        return _decode(body, _AppendReply).offset
+        offset = self._decode(body, _AppendReply).offset
+        if at is not None and offset != at:
+            raise self._mismatch_error(
+                f"append at {at} acknowledged with offset {offset}"
+            )
+        if (topic, offset) in self._appended:
+            raise self._mismatch_error(f"offset {offset} acknowledged twice")
+        self._appended.append((topic, offset))
+        return offset
+
+    def _mismatch_error(self, text: str) -> exceptions.LogUnavailableError:
+        """Ends the connections and returns the error for another's answer."""
+        self._pool.drop(self._address)
+        return exceptions.LogUnavailableError(
+            f"store answer of another call, connection closed: {text}"
+        )
+
+    def _decode_page(self, body: bytes) -> _NewestPage:
+        try:
+            return self._decode(body, _NewestPage)
+        except exceptions.LogUnavailableError:
+            # A key of another writer need not be text; JSON may then hold half
+            # of a surrogate pair, which fails the whole page.
+            replaced, count = _SURROGATE.subn(rb"\\ufffd", body)
+            if not count:
+                raise
+        return self._decode(replaced, _NewestPage)
+
+    def _decode(self, data: bytes, kind: type):
+        try:
+            return decoding.decode_json(
+                data, kind, "store response", exceptions.LogUnavailableError
+            )
+        except exceptions.LogUnavailableError as exc:
+            raise self._mismatch_error(exc.message) from exc
+
+    def _record_epoch(self, head: messages.ResponseHead) -> None:
+        """Forgets the acknowledged offsets if a restored store reuses them."""
+        epoch = head.header(_EPOCH_HEADER)
+        if epoch == self._epoch:
+            return
+        self._epoch = epoch
+        self._appended.clear()
 
     def _call(
         self,
@@ -199,8 +274,9 @@
             raise exceptions.LogUnavailableError(
                 f"store {name}: {exc.message}"
             ) from exc
+        self._record_epoch(head)
         if head.status == 410:
-            first = _decode(data, _GapReply).first
+            first = self._decode(data, _GapReply).first
             raise exceptions.LogGapError(
                 f"store {name}: records before {first} are no longer kept",
                 first,
@@ -259,18 +335,6 @@
     return records
 
 
-def _decode_page(body: bytes) -> _NewestPage:
-    try:
-        return _decode(body, _NewestPage)
-    except exceptions.LogUnavailableError:
-        # A key of another writer need not be text; JSON may then hold half of
-        # a surrogate pair, which fails the whole page.
-        replaced, count = _SURROGATE.subn(rb"\\ufffd", body)
-        if not count:
-            raise
-    return _decode(replaced, _NewestPage)
-
-
 def _decode_items(items: list[msgspec.Raw]) -> list[KeyedRecord]:
     """Decodes the items of a page; logs and skips malformed ones."""
     records = []
@@ -292,9 +356,3 @@
             continue
         records.append(KeyedRecord(item.key, value))
     return records
-
-
-def _decode(data: bytes, kind: type):
-    return decoding.decode_json(
-        data, kind, "store response", exceptions.LogUnavailableError
-    )
--- a/src/briarfall/standins/prepared/testbed.py
+++ b/src/briarfall/standins/prepared/testbed.py
@@ -15,6 +15,7 @@
 from briarfall.platform import main
 from briarfall.standins.prepared import engines
 from briarfall.standins.prepared import manifests
+from briarfall.standins.prepared import scriptedtarget
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared import store
 
@@ -112,6 +113,14 @@
         self._closers.append(target.close)
         return target
 
+    def scripted(self, target_id: str, service="desk", zone="z1"):
+        """Starts a plain service that sends bytes of the test's choice."""
+        target = scriptedtarget.ScriptedTarget(
+            self.store, target_id, service, zone
+        )
+        self._closers.append(target.close)
+        return target
+
     def engine(self, target_id: str, *, zone="z1", kind="small"):
         """Starts an engine without layers."""
         target = engines.EngineStandin(
@@ -188,6 +197,10 @@
                     f"{engine.id} has layers",
                 )
 
+    def on_close(self, closer) -> None:
+        """Calls a function when the stand-ins are stopped."""
+        self._closers.append(closer)
+
     def close(self) -> None:
         """Stops all instances and stand-ins."""
         for closer in reversed(self._closers):
