--- a/src/briarfall/gateway/messages.py
+++ b/src/briarfall/gateway/messages.py
@@ -4,6 +4,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# Headers with this prefix are private to the instances.
+PRIVATE_PREFIX = b"briarfall-relay"
+
 # Headers that apply to a single connection (RFC 9110, section 7.6.1).
 _CONNECTION_HEADERS = frozenset(
     (
@@ -30,7 +33,7 @@
 
 
 def end_to_end(headers: Headers) -> Headers:
-    """Returns the headers that a proxy forwards.
+    """Returns the headers that a proxy forwards, without private ones.
 
     A length beside a transfer encoding is not the body's length, so it is
     dropped (RFC 9112, section 6.3).
@@ -50,6 +53,8 @@
         lower = key.lower()
         if lower in _CONNECTION_HEADERS or lower in named:
             continue
+        if lower.startswith(PRIVATE_PREFIX):
+            continue
         kept.append((key, value))
     return kept
 
--- a/src/briarfall/gateway/relaying.py
+++ b/src/briarfall/gateway/relaying.py
@@ -196,9 +196,7 @@
             )
             head = self._read_head(call, conn, peer)
             self._apply_response(call, conn, state, head)
-            head.headers = relaymessages.without_private(
-                messages.end_to_end(head.headers)
-            )
+            head.headers = messages.end_to_end(head.headers)
             call.relayed_to = peer.id
             exchange.receive(conn, head)
         finally:
--- a/src/briarfall/gateway/relaymessages.py
+++ b/src/briarfall/gateway/relaymessages.py
@@ -12,8 +12,6 @@
 from briarfall import ids
 from briarfall.gateway import messages
 
-# Headers with this prefix are private to the instances.
-_PRIVATE_PREFIX = b"briarfall-relay"
 _HEADER = b"briarfall-relay"
 # Added to the size limit of request heads for the private header.
 MAX_HEADER_BYTES = 4096
@@ -76,7 +74,7 @@
     """Returns the headers without those that are private to instances."""
     kept = []
     for key, value in headers:
-        if not key.lower().startswith(_PRIVATE_PREFIX):
+        if not key.lower().startswith(messages.PRIVATE_PREFIX):
             kept.append((key, value))
     return kept
 
--- a/tests/test_gateway_reachability.py
+++ b/tests/test_gateway_reachability.py
@@ -6,6 +6,7 @@
 import pytest
 
 from briarfall import ids
+from briarfall.gateway import messages
 from briarfall.gateway import peers
 from briarfall.gateway import reachability
 from briarfall.gateway import relaymessages
@@ -183,6 +184,10 @@
         ]
         assert relaymessages.without_private(headers) == [(b"Host", b"a")]
 
+    def test_of_targets_and_callers_are_not_passed_on(self):
+        headers = [(b"Briarfall-Relay", b"{}"), (b"Age", b"1")]
+        assert messages.end_to_end(headers) == [(b"Age", b"1")]
+
     @pytest.mark.parametrize(
         "value", [b"", b"[]", b"{}", b"\xff", b"[" * 100_000, b'{"runs":"x"}']
     )
