--- /dev/null
+++ b/src/briarfall/gateway/gauges.py
@@ -0,0 +1,77 @@
+"""Gauges of a gateway instance."""
+
+import collections.abc
+import typing
+
+if typing.TYPE_CHECKING:
+    from briarfall.gateway import instance
+
+# Help text and read function.
+Gauge = tuple[str, collections.abc.Callable[[], float]]
+
+
+def of_instance(inst: "instance.Instance") -> dict[str, Gauge]:
+    """Returns the gauges of an instance, by name."""
+    return {
+        "catalogue_age_seconds": (
+            "Age of the read that confirmed the catalogue.",
+            lambda: inst.follower.age_s,
+        ),
+        "catalogue_version": (
+            "Version of the catalogue in force.",
+            lambda: inst.follower.view.version if inst.follower.view else -1,
+        ),
+        "targets_age_seconds": (
+            "Age of the list of targets.",
+            inst.targets.age_s,
+        ),
+        "instances": (
+            "Live instances, this one included.",
+            lambda: inst.peers.instance_count,
+        ),
+        "lease_held": (
+            "Whether this instance holds the placement lease.",
+            lambda: float(inst.lease.is_held),
+        ),
+        "poison_requests": (
+            "Requests and parts of prompts that are refused because they "
+            "crash targets.",
+            lambda: inst.crashes.poison_count,
+        ),
+        "held_parts": (
+            "Parts of prompts that are suspected of crashing targets.",
+            lambda: inst.crashes.held_count,
+        ),
+        "link_demand_mbps": (
+            "Demand of this instance's requests on the inter-zone link.",
+            lambda: inst.link.demand_mbps,
+        ),
+        "link_refusals": (
+            "Requests refused because the inter-zone link is full.",
+            lambda: inst.link.refusals,
+        ),
+        "ignored_datagrams": (
+            "Datagrams of other instances that could not be decoded.",
+            lambda: inst.gossip.ignored,
+        ),
+        "unreachable_targets": (
+            "Targets that this instance does not reach.",
+            inst.links.count_unreachable,
+        ),
+        "cut_services": (
+            "Services of which this instance reaches no target.",
+            lambda: len(inst.links.cut_services),
+        ),
+        "relayed_requests": (
+            "Requests relayed to peers.",
+            lambda: inst.relay.sent,
+        ),
+        "open_relay_connections": (
+            "Open connections on which peers relay requests.",
+            lambda: inst.open_relay_connections,
+        ),
+        "open_connections": (
+            "Open connections of callers.",
+            lambda: inst.open_connections,
+        ),
+    }
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -1,6 +1,5 @@
 """One gateway instance: its components, its start and its stop."""
 
-import collections.abc
 import random
 import socket
 import threading
@@ -16,6 +15,7 @@
 from briarfall.gateway import crashes
 from briarfall.gateway import dispatchgate
 from briarfall.gateway import errorguard
+from briarfall.gateway import gauges
 from briarfall.gateway import gossip
 from briarfall.gateway import headernames
 from briarfall.gateway import leasing
@@ -223,8 +223,8 @@
             ),
             rng,
         )
-        gauges = self._gauges()
-        for name, (text, read) in gauges.items():
+        own_gauges = gauges.of_instance(self)
+        for name, (text, read) in own_gauges.items():
             self.metrics.add_gauge(f"briarfall_{name}", text, read)
         self.metrics.add_counts(
             "briarfall_store_calls",
@@ -245,7 +245,7 @@
             self.crashes.origins,
         )
         self._summary = summary.SummaryLogger(
-            {name: read for name, (_, read) in gauges.items()},
+            {name: read for name, (_, read) in own_gauges.items()},
             platform.store_calls,
         )
         self._caller_listener = listener.Listener(
@@ -387,73 +387,3 @@
         self._poison_persister.stop()
         self._summary.stop()
         self.gossip.close()
-
-    def _gauges(
-        self,
-    ) -> dict[str, tuple[str, collections.abc.Callable[[], float]]]:
-        """Returns help text and read function of each gauge, by name."""
-        return {
-            "catalogue_age_seconds": (
-                "Age of the read that confirmed the catalogue.",
-                lambda: self.follower.age_s,
-            ),
-            "catalogue_version": (
-                "Version of the catalogue in force.",
-                lambda: (
-                    self.follower.view.version if self.follower.view else -1
-                ),
-            ),
-            "targets_age_seconds": (
-                "Age of the list of targets.",
-                self.targets.age_s,
-            ),
-            "instances": (
-                "Live instances, this one included.",
-                lambda: self.peers.instance_count,
-            ),
-            "lease_held": (
-                "Whether this instance holds the placement lease.",
-                lambda: float(self.lease.is_held),
-            ),
-            "poison_requests": (
-                "Requests and parts of prompts that are refused because they "
-                "crash targets.",
-                lambda: self.crashes.poison_count,
-            ),
-            "held_parts": (
-                "Parts of prompts that are suspected of crashing targets.",
-                lambda: self.crashes.held_count,
-            ),
-            "link_demand_mbps": (
-                "Demand of this instance's requests on the inter-zone link.",
-                lambda: self.link.demand_mbps,
-            ),
-            "link_refusals": (
-                "Requests refused because the inter-zone link is full.",
-                lambda: self.link.refusals,
-            ),
-            "ignored_datagrams": (
-                "Datagrams of other instances that could not be decoded.",
-                lambda: self.gossip.ignored,
-            ),
-            "unreachable_targets": (
-                "Targets that this instance does not reach.",
-                self.links.count_unreachable,
-            ),
-            "cut_services": (
-                "Services of which this instance reaches no target.",
-                lambda: len(self.links.cut_services),
-            ),
-            "relayed_requests": (
-                "Requests relayed to peers.",
-                lambda: self.relay.sent,
-            ),
-            "open_relay_connections": (
-                "Open connections on which peers relay requests.",
-                lambda: self.open_relay_connections,
-            ),
-            "open_connections": (
-                "Open connections of callers.",
-                lambda: self.open_connections,
-            ),
-        }
