--- a/src/briarfall/gateway/peerconnections.py
+++ b/src/briarfall/gateway/peerconnections.py
@@ -79,7 +79,7 @@
         outcome = relaymessages.RelayOutcome.TARGET
         if self.failure is not None or self.relayed is None:
             outcome = relaymessages.RelayOutcome.NOT_RUN
-            if runs > relayed.runs:
+            if runs > relayed.runs or self._may_have_run(sends):
                 outcome = relaymessages.RelayOutcome.UNKNOWN
         return relaymessages.header_of(
             relaymessages.RelayedResponse(
@@ -87,6 +87,21 @@
             )
         )
 
+    def _may_have_run(self, sends: int) -> bool:
+        """Whether the error leaves open if an attempt of this instance ran."""
+        if self.relayed is None or sends <= self.relayed.sends:
+            return False
+        return self.failure.outcome is not exceptions.Outcome.NOT_RUN
+
+
+def _with_private_header(limits: views.CallerLimits) -> views.CallerLimits:
+    """Returns limits that leave room for the private header."""
+    return msgspec.structs.replace(
+        limits,
+        max_header_bytes=limits.max_header_bytes
+        + relaymessages.MAX_HEADER_BYTES,
+    )
+
 
 _NO_REQUEST = relaymessages.RelayedRequest("", "", 0, 0, 0, False)
 
--- a/src/briarfall/gateway/relaying.py
+++ b/src/briarfall/gateway/relaying.py
@@ -180,7 +180,7 @@
             "{}:{}".format(*peer.address),
             _MAX_IDLE_S if call.route.is_retryable else _MAX_SINGLE_RUN_IDLE_S,
             min(_CONNECT_TIMEOUT_S, call.left_s),
-            # The private header tells the exchange that a response is for.
+            # The private header tells which request a response answers.
             matching.RequestIdentity(),
         )
         head = None
@@ -196,9 +196,7 @@
             )
             head = self._read_head(call, conn, peer)
             self._apply_response(call, conn, state, head)
-            head.headers = relaymessages.without_private(
-                messages.end_to_end(head.headers)
-            )
+            head.headers = messages.end_to_end(head.headers)
             call.relayed_to = peer.id
             exchange.receive(conn, head)
         finally:
