A stream with a suspended run follows both runs; whichever goes on first keeps it

What callers saw: a replacement that was silent itself, or sent a head and then nothing, lost the stream though the first run went on (time_up, too many tries); events of the first run came up to 1.8 s late while connects to others hung; the head's connection was closed 1.8 s after its caller had left (GONE); a poison verdict ended a stream whose later stage was silent; a head that refused connections counted as crashed by the request; a connect with no time left raised ValueError.

Cause: the suspended run was not looked at while another was tried, and was closed on the other's head, not on its first event.

Change: waits end on bytes of either run; the suspended one is closed on the first event of the other; a third chain is tried only if bounds allow it; connects meanwhile take 0.1 s and are preceded by a look at the caller and at the suspended run; the same for a relay to a peer. A head that breaks a stream twice leaves the next attempt to another.

--- a/src/briarfall/gateway/relayexchanges.py
+++ b/src/briarfall/gateway/relayexchanges.py
@@ -41,6 +41,13 @@
         left = max(0, self.call.max_runs - self.used_runs)
         return self.used_runs + max(min(left, 1), left - 1)
 
+    @property
+    def suspended_connection(
+        self,
+    ) -> targetconnection.TargetConnection | None:
+        """Connection on which the request may still go on, or None."""
+        return None
+
     @property
     def heads(self) -> list[ids.TargetId]:
         """Engines that ran the request as heads and may still live."""
@@ -105,7 +112,7 @@
 
     Args:
         stream: The stream.
-        on_start: Called when a peer has started to serve it.
+        on_start: Called when the first event comes from a peer.
     """
 
     def __init__(
@@ -117,6 +124,14 @@
         self._stream = stream
         self._on_start = on_start
 
+    @property
+    def suspended_connection(
+        self,
+    ) -> targetconnection.TargetConnection | None:
+        """Connection of the stream's suspended run."""
+        run = self._stream.suspended
+        return None if run is None else run.conn
+
     @property
     def used_runs(self) -> int:
         """Heads that count towards the bound of the route."""
@@ -143,7 +158,6 @@
         if not head.is_success:
             self._pass_on_error(conn, head)
             return
-        self._on_start()
         splitter = events.EventSplitter()
         while True:
             event = conn.read_event(self.call.deadline_s)
@@ -152,6 +166,9 @@
             data = self._accept(conn, splitter, bytes(event.data))
             if not data:
                 continue
+            if self.suspended_connection is not None:
+                self._on_start()
+                conn.watch(self.call.watch)
             self._stream.start_response(head)
             self.call.conn.send_data(data)
         if splitter.incomplete_event:
--- a/src/briarfall/gateway/relaying.py
+++ b/src/briarfall/gateway/relaying.py
@@ -185,7 +185,7 @@
         )
         head = None
         try:
-            conn.watch(call.watch)
+            conn.watch(call.watch, exchange.suspended_connection)
             self.sent += 1
             conn.send(
                 call.req.method,
--- a/src/briarfall/gateway/rerouting.py
+++ b/src/briarfall/gateway/rerouting.py
@@ -121,7 +121,6 @@
         Raises:
             UnresponsiveEngineError: The stream can't be rerouted, and another
                 chain can run the request again.
-            PoisonError: The request may not run on any further engine.
         """
         failed = self._find_failed_stages(stream, run)
         if not failed:
@@ -134,28 +133,38 @@
             self._targets.record_failure(failed_target, "a stream waits for it")
         first_failed = next(iter(failed))
         if first_failed is run.chain.head or not stream.response_started:
-            self._give_up(stream, run, first_failed, failed[first_failed])
+            self._suspend(stream, run, first_failed, failed[first_failed])
             return
         self._record_interruption(stream, first_failed, failed[first_failed])
-        self._gate.check(stream.call)
+        try:
+            self._gate.check(stream.call)
+        except exceptions.PoisonError as exc:
+            # The head may still go on by itself.
+            logging.warning(
+                "stream not rerouted, its chain goes on request=%s: %s",
+                stream.call.request_id,
+                exc.message,
+            )
+            return
         self._repath(stream, run)
 
-    def _give_up(
+    def _suspend(
         self,
         stream: streamstate.Stream,
         run: streamstate.ChainRun,
         failed: paths.Stage,
         reachability: liveness.Reachability,
     ) -> None:
-        """Gives a run up if another chain can take the stream.
+        """Suspends a run if another chain can take the stream.
 
         The connection to the head is still open: a silent engine may go on,
-        so that without another chain the run continues.
+        so that without another chain the run continues. If another run is
+        suspended already, whichever goes on first keeps the stream.
 
         Raises:
             UnresponsiveEngineError: The stream can move to another chain.
         """
-        can_move = stream.suspended is not None or self._can_move(stream, run)
+        can_move = self._can_move(stream, run)
         logging.warning(
             "stream silent, %s request=%s target=%s reach=%s left_s=%.1f",
             "trying another chain" if can_move else "no other chain, waiting",
@@ -166,6 +175,10 @@
         )
         if not can_move:
             return
+        if failed is run.chain.head:
+            # Its open connection contradicts a refused one; it counts as
+            # crashed only if its incarnation ends.
+            reachability = liveness.Reachability.UNKNOWN
         self._record_interruption(stream, failed, reachability)
         raise UnresponsiveEngineError(
             f"{failed.address}: silent", saw_response=stream.response_started
--- a/src/briarfall/gateway/streamfailures.py
+++ b/src/briarfall/gateway/streamfailures.py
@@ -141,6 +141,9 @@
                 reachability,
                 has_begun=stream.has_begun,
             )
+        if head.target in stream.heads:
+            # It broke the stream before: another head is to have its turn.
+            stream.record_refusal(head.target)
         if reachability is liveness.Reachability.REFUSED:
             stream.heads.discard(head.target)
         else:
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -36,6 +36,9 @@
 from briarfall.gateway import targetstate
 
 _MAX_IDLE_S = 30.0
+# Longest wait for a connection while the stream has a suspended run, whose
+# bytes and whose caller are not looked at meanwhile.
+_MOVE_CONNECT_TIMEOUT_S = 0.1
 # A request that states more tokens counts as one that states none.
 _MAX_TOKENS = 10**9
 # Time without a first event after which an engine may have failed, as a share
@@ -148,6 +151,7 @@
             return self._relay_to_peer(stream)
         if run is None:
             run = stream.resume()
+            run.conn.watch(stream.call.watch)
             logging.info(
                 "stream stays on its chain, no other takes it request=%s "
                 "last_event=%s chain=%s",
@@ -158,6 +162,12 @@
         try:
             self._follow(stream, run)
             return True
+        except targetconnection.OtherConnectionReadyError as exc:
+            logging.info(
+                "suspended run goes on request=%s: %s",
+                stream.call.request_id,
+                exc.message,
+            )
         except calls.RefusedByTargetError as exc:
             self._diagnosis.handle_refusal(stream, run.chain, exc)
         except (
@@ -197,6 +207,10 @@
             BriarfallError: No chain may run the stream, and none is suspended.
         """
         while True:
+            if stream.suspended is not None:
+                stream.call.watch.pause(0.0)
+                if stream.suspended.conn.has_data:
+                    return None
             chain = self._choose_chain(stream)
             if chain is None:
                 return None
@@ -288,10 +302,13 @@
             BriarfallError: The request may not be sent to any engine.
         """
         call = stream.call
+        timeout_s = call.left_s
+        if stream.suspended is not None:
+            timeout_s = min(timeout_s, _MOVE_CONNECT_TIMEOUT_S)
         conn = self._pool.acquire(
             chain.head.address,
             _MAX_IDLE_S,
-            call.left_s,
+            timeout_s,
             call.identity(self._names),
         )
         try:
@@ -320,7 +337,6 @@
             if run.response is None:
                 self._receive_head(stream, run)
             if run.response.is_success:
-                self._close_suspended(stream)
                 self._relay_events(stream, run)
             else:
                 self._relay_error(stream, run.conn, run.response)
@@ -328,8 +344,8 @@
             if stream.chain_first_event_s:
                 self._gate.record_survived(stream.call)
         except rerouting.UnresponsiveEngineError:
-            if stream.suspended is None:
-                stream.suspend(run)
+            self._close_suspended(stream)
+            stream.suspend(run)
             raise
         finally:
             if stream.suspended is not run:
@@ -339,7 +355,8 @@
         self, stream: streamstate.Stream, run: streamstate.ChainRun
     ) -> None:
         call = stream.call
-        run.conn.watch(call.watch)
+        suspended = stream.suspended
+        run.conn.watch(call.watch, suspended.conn if suspended else None)
         run.conn.send(
             call.req.method,
             call.req.request_target,
@@ -377,6 +394,13 @@
         stream.suspended = None
         self._close_run(stream, run)
 
+    def _drop_suspended(
+        self, stream: streamstate.Stream, run: streamstate.ChainRun
+    ) -> None:
+        """Closes the suspended run; only the current one is followed."""
+        self._close_suspended(stream)
+        run.conn.watch(stream.call.watch)
+
     def _close_run(
         self, stream: streamstate.Stream, run: streamstate.ChainRun
     ) -> None:
@@ -514,6 +538,8 @@
                 run.reroute_attempts,
                 run.chain.describe(),
             )
+        if stream.suspended is not None:
+            self._drop_suspended(stream, run)
         self._rerouter.record_progress(run.chain, now_s)
         if stream.excluded:
             self._rerouter.clear_suspicion(stream, run.chain)
@@ -521,6 +547,26 @@
         run.postponed = 0
         run.next_check_s = now_s + stream.stall_timeout_s
 
+    def _wait(
+        self,
+        stream: streamstate.Stream,
+        run: streamstate.ChainRun,
+        until_s: float,
+    ) -> bool:
+        """Waits for bytes of a run, or of the suspended one.
+
+        Raises:
+            OtherConnectionReadyError: The suspended run goes on.
+        """
+        try:
+            return run.conn.wait(until_s)
+        except targetconnection.OtherConnectionReadyError:
+            if stream.suspended.conn.has_data:
+                raise
+        # Its connection was closed.
+        self._drop_suspended(stream, run)
+        return run.conn.wait(until_s)
+
     def _await_bytes(
         self, stream: streamstate.Stream, run: streamstate.ChainRun
     ) -> None:
@@ -528,7 +574,7 @@
         deadline_s = stream.call.deadline_s
         while True:
             until_s = min(deadline_s, run.next_check_s)
-            if run.conn.wait(until_s):
+            if self._wait(stream, run, until_s):
                 run.conn.check_deadline(deadline_s)
                 return
             if clocks.boot_s() >= deadline_s:
--- a/src/briarfall/gateway/targetconnection.py
+++ b/src/briarfall/gateway/targetconnection.py
@@ -67,6 +67,13 @@
     code = "time_up"
 
 
+class OtherConnectionReadyError(exceptions.BriarfallError):
+    """Another connection of the same request can be read first."""
+
+    code = "other_connection_ready"
+    outcome = exceptions.Outcome.UNKNOWN
+
+
 class CallerWatch:
     """Detects that a caller has closed its connection.
 
@@ -145,8 +152,11 @@
         self._http = h11.Connection(h11.CLIENT)
         self._poller: select.poll | None = None
         self._watch: CallerWatch | None = None
+        self._other: TargetConnection | None = None
         self._saw_bytes = False
         self._late_reads = 0
+        if timeout_s <= 0:
+            raise NotSentError(f"{address}: no time left to connect")
         try:
             self.sock = dialer.connect(endpoint, timeout_s)
         except OSError as exc:
@@ -207,13 +217,35 @@
         finally:
             self.sock.settimeout(None)
 
-    def watch(self, watch: CallerWatch | None) -> None:
-        """Sets the caller whose disconnection ends the exchange."""
+    @property
+    def has_data(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return bool(self.sock.recv(1, flags))
+        except OSError:
+            return False
+
+    def watch(
+        self,
+        watch: CallerWatch | None,
+        other: "TargetConnection | None" = None,
+    ) -> None:
+        """Sets what else ends a wait for bytes.
+
+        Args:
+            watch: The caller, whose disconnection ends the exchange.
+            other: Another connection of the same request, which ends a wait if
+                it can be read.
+        """
         self._watch = watch
+        self._other = other
         self._poller = select.poll()
         self._poller.register(self.sock, select.POLLIN)
         if watch is not None:
             self._poller.register(watch.sock, watch.events)
+        if other is not None:
+            self._poller.register(other.sock, select.POLLIN)
 
     def wait(self, until_s: float) -> bool:
         """Waits for bytes of the target until a time on the boot clock.
@@ -223,6 +255,7 @@
 
         Raises:
             CallerGoneError: The caller has left.
+            OtherConnectionReadyError: The other connection can be read.
         """
         while True:
             # Poll once even after the deadline: a throttled process may find
@@ -237,6 +270,11 @@
                 self._poller.modify(watch.sock, watch.events)
             if self.sock.fileno() in ready:
                 return True
+            other = self._other
+            if other is not None and other.sock.fileno() in ready:
+                raise OtherConnectionReadyError(
+                    f"{other.address}: can be read before {self.address}"
+                )
 
     def receive(self) -> None:
         """Reads once from the socket into the parser."""
--- /dev/null
+++ b/tests/test_gateway_suspendedruns.py
@@ -0,0 +1,155 @@
+"""Streams that try another chain while their own one is only silent."""
+
+import threading
+
+import pytest
+
+from briarfall import exceptions
+from briarfall.gateway import crashes
+from briarfall.gateway import dispatchgate
+from briarfall.gateway import targetconnection
+from briarfall.standins.prepared import engines
+from briarfall.standins.prepared import testbed
+from tests import test_gateway_silence as silence
+
+
+class _Draft:
+    """A stream in progress on the first of several engines."""
+
+    def __init__(self, world, count=2):
+        self.pool = silence.Pool(world, count)
+        self.caller = self.pool.draft_in_progress()
+        rows = self.pool.engines
+        self.first = [engine for engine in rows if engine.ran][0]
+        self.others = [engine for engine in rows if not engine.ran]
+
+    def silence_first(self):
+        self.first.fall_silent(refuses_connections=True)
+        self.pool.release()
+
+    def check_complete(self):
+        answer = self.caller.finish()
+        assert answer.error is None
+        assert testbed.event_ids(answer.body) == silence.EVENTS
+
+
+def wait(seconds=silence.SILENCE_S):
+    threading.Event().wait(seconds)
+
+
+class TestReplacement:
+    def test_replacement_that_is_silent_keeps_the_stream(self, world):
+        draft = _Draft(world)
+        draft.others[0].fall_silent()
+        draft.silence_first()
+        wait()
+        draft.others[0].speak()
+        draft.check_complete()
+        draft.first.speak()
+
+    @pytest.mark.parametrize("resets", [False, True])
+    def test_first_run_goes_on_if_its_replacement_sends_only_a_head(
+        self, world, monkeypatch, resets
+    ):
+        draft = _Draft(world)
+        held = threading.Event()
+        generate = engines.EngineStandin._generate_events
+
+        def fail(engine, conn, *args):
+            if engine is draft.first:
+                return generate(engine, conn, *args)
+            if resets:
+                conn.reset()
+                return False
+            held.wait(testbed.WAIT_S)
+            return False
+
+        monkeypatch.setattr(engines.EngineStandin, "_generate_events", fail)
+        draft.silence_first()
+        wait()
+        draft.first.speak()
+        try:
+            draft.check_complete()
+        finally:
+            held.set()
+
+    def test_events_of_the_first_run_pass_while_connects_hang(
+        self, world, monkeypatch
+    ):
+        draft = _Draft(world, 6)
+        tried = []
+        asked = threading.Event()
+        spoke = threading.Event()
+        init = targetconnection.TargetConnection.__init__
+
+        def hang(conn, address, timeout_s, *rest):
+            if address == draft.first.address:
+                init(conn, address, timeout_s, *rest)
+                return
+            tried.append(spoke.is_set())
+            asked.set()
+            wait(timeout_s)
+            raise targetconnection.NotSentError(f"{address}: timed out")
+
+        monkeypatch.setattr(targetconnection.TargetConnection, "__init__", hang)
+        for engine in draft.others:
+            draft.pool.inst.target_follower._pool.drop(engine.address)
+        draft.silence_first()
+        assert asked.wait(testbed.WAIT_S)
+        draft.first.speak()
+        spoke.set()
+        draft.check_complete()
+        # An attempt that is under way ends first; a second one may start
+        # before the event arrives.
+        assert tried.count(True) <= 1
+
+
+class TestVerdict:
+    def test_silence_of_a_head_is_no_crash(self, world, monkeypatch):
+        found = []
+        monkeypatch.setattr(
+            crashes.CrashTable, "record", lambda table, crash: found.append(1)
+        )
+        draft = _Draft(world)
+        draft.silence_first()
+        wait()
+        draft.first.speak()
+        draft.check_complete()
+        assert not found
+
+    def test_poison_verdict_does_not_end_a_stream_whose_stage_is_silent(
+        self, world, monkeypatch
+    ):
+        for number in range(2):
+            world.engine(f"e{number}")
+        inst = world.instance()
+        world.wait_for_layers()
+        reached = threading.Event()
+        held = threading.Event()
+        for engine in world.fleet.values():
+            engine.on_event[3] = reached
+            engine.resume_events[3] = held
+        caller = silence.draft(inst)
+        assert reached.wait(testbed.WAIT_S)
+        stage = [row for row in world.fleet.values() if not row.ran][0]
+
+        def check(gate, call):
+            raise exceptions.PoisonError("a part is poison")
+
+        monkeypatch.setattr(dispatchgate.DispatchGate, "check", check)
+        stage.is_unresponsive = True
+        stage.server.stop_listening()
+        held.set()
+        wait()
+        stage.server.reopen()
+        stage.is_unresponsive = False
+        answer = caller.finish()
+        assert answer.error is None
+        assert testbed.event_ids(answer.body) == silence.EVENTS
+
+
+class TestConnect:
+    def test_connect_without_time_left_is_not_sent(self, world):
+        desk = world.service("d1")
+        with pytest.raises(targetconnection.NotSentError):
+            targetconnection.TargetConnection(desk.address, -1.0)
