Stand-ins: silence, links of each instance, repeated refusals, early closes

The fault soak needs targets that fall silent and go on, instances that lose their links to all targets while others reach them, and targets that write a refusal once more on a kept connection. A gate holds back what a connection receives and sends. A target can listen at one more loopback host for each instance; cutting that link makes connects hang (a full accept queue), refuses them or resets connections, for this instance only. None of it acts unless a test asks for it.

--- a/src/briarfall/standins/prepared/engines.py
+++ b/src/briarfall/standins/prepared/engines.py
@@ -4,6 +4,7 @@
 import threading
 
 from briarfall.standins.prepared import manifests
+from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import registeredtarget
 
 _STEP_S = 0.004
@@ -42,7 +43,16 @@
         generated_events: Request id, event number and path of each event.
     """
 
-    def __init__(self, platform, target_id, fleet, *, zone="z1", kind="small"):
+    def __init__(
+        self,
+        platform,
+        target_id,
+        fleet,
+        *,
+        zone="z1",
+        kind="small",
+        host=rawhttp.HOST,
+    ):
         self.fleet = fleet
         self.kind = kind
         self.layers: tuple[int, int] | None = None
@@ -65,7 +75,7 @@
         self.generated_events: list[tuple[str, int, str]] = []
         self.on_event: dict[int, threading.Event] = {}
         self.resume_events: dict[int, threading.Event] = {}
-        super().__init__(platform, target_id, "pool", zone)
+        super().__init__(platform, target_id, "pool", zone, host)
         fleet[self.address] = self
         self.register()
 
@@ -85,7 +95,7 @@
     def become_unresponsive(self) -> None:
         """Stalls all chains that use it and refuses connections."""
         self.is_unresponsive = True
-        self.server.close()
+        self._close_servers()
 
     def handle(self, conn, req) -> bool:
         """Handles commands, report requests and streams."""
@@ -176,6 +186,14 @@
             signal = self.signal_headers(503, request_id)
             conn.respond(503, headers={**echo, **signal, **extra})
             return True
+        if self.exchange.refuses(conn):
+            refused = {
+                "X-Not-Executed": "1",
+                "X-Response-Signature": self.id,
+                "At-Server": self.address,
+            }
+            self.exchange.refuse(conn, refused, {"X-Request-Id": request_id})
+            return True
         echo.update(self.signal_headers(200, request_id))
         for address, first, end in path:
             engine = self.fleet[address]
@@ -200,6 +218,7 @@
             return False
         self.paths[request_id] = path
         self._run_stages(request_id, path)
+        self.exchange.before_answer(conn)
         if self.answers_without_length:
             conn.send_open_head(echo)
         else:
@@ -223,6 +242,7 @@
                     return False
             self.closing.wait(_STEP_S)
             path = self.paths.get(request_id, path)
+            self._wait_for_stages(path)
             text = ",".join(f"{a}={f}-{e}" for a, f, e in path)
             with self.lock:
                 self.generated_events.append((request_id, number, text))
@@ -250,6 +270,13 @@
         conn.send_chunk(b"")
         return True
 
+    def _wait_for_stages(self, path) -> None:
+        """Waits while an engine of a chain is silent."""
+        for address, _, _ in path:
+            engine = self.fleet.get(address)
+            if engine is not None:
+                engine.silence.wait()
+
     def _crash(self, conn) -> bool:
         """Crashes while it answers a request as the head."""
         if self.answers_without_length:
--- a/src/briarfall/standins/prepared/rawhttp.py
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -7,6 +7,10 @@
 
 import msgspec
 
+from briarfall.standins.prepared import gates
+
+# Address at which servers listen by default.
+HOST = "127.0.0.1"
 _RECEIVE_BYTES = 65_536
 _RESET = struct.pack("ii", 1, 0)
 
@@ -26,16 +30,30 @@
 
 
 class RawConnection:
-    """One connection, with full control over the bytes that are sent."""
+    """One connection, with full control over the bytes that are sent.
+
+    Args:
+        sock: Its socket.
+        passed: Gates that hold back what is received and sent.
+    """
 
-    def __init__(self, sock: socket.socket):
+    def __init__(
+        self, sock: socket.socket, passed: tuple[gates.Gate, ...] = ()
+    ):
         self.sock = sock
+        self._gates = passed
         self._rest = b""
 
+    def _receive(self) -> bytes:
+        data = self.sock.recv(_RECEIVE_BYTES)
+        for gate in self._gates:
+            gate.wait()
+        return data
+
     def read(self) -> RawRequest | None:
         """Returns the next request, or None if the client has closed."""
         while b"\r\n\r\n" not in self._rest:
-            data = self.sock.recv(_RECEIVE_BYTES)
+            data = self._receive()
             if not data:
                 return None
             self._rest += data
@@ -48,7 +66,7 @@
             headers[name.strip().lower()] = value.strip()
         length = int(headers.get("content-length", "0"))
         while len(self._rest) < length:
-            data = self.sock.recv(_RECEIVE_BYTES)
+            data = self._receive()
             if not data:
                 return None
             self._rest += data
@@ -57,7 +75,13 @@
         return RawRequest(method, target, headers, body)
 
     def send(self, data: bytes) -> None:
-        """Sends bytes unchanged."""
+        """Sends bytes unchanged, as soon as all gates are open."""
+        for gate in self._gates:
+            if gate.is_shut and gate.splits_sends:
+                half = len(data) // 2
+                self.sock.sendall(data[:half])
+                data = data[half:]
+            gate.wait()
         self.sock.sendall(data)
 
     def respond(
@@ -113,21 +137,37 @@
 
     Args:
         handler: Handles a request; returns whether the connection stays open.
+        host: Loopback address to listen at.
+        port: Port to listen at, or 0 for any.
+        passed: Gates that hold back what its connections receive and send.
     """
 
-    def __init__(self, handler: Handler):
+    def __init__(
+        self,
+        handler: Handler,
+        host: str = HOST,
+        port: int = 0,
+        passed: tuple[gates.Gate, ...] = (),
+    ):
         self._handler = handler
+        self._gates = passed
         self._lock = threading.Lock()
         self._open: set[socket.socket] = set()
         self.opened = 0
-        self.port = 0
+        self.host = host
+        self.port = port
+        self._listener: socket.socket | None = None
         self.reopen()
-        self.address = f"127.0.0.1:{self.port}"
+        self.address = f"{self.host}:{self.port}"
 
     def reopen(self) -> None:
         """Starts listening, at the former port if there is one."""
+        self._start()
+
+    def _start(self) -> None:
+        self._stop()
         self._listener = socket.create_server(
-            ("127.0.0.1", self.port), backlog=256
+            (self.host, self.port), backlog=256
         )
         self.port = self._listener.getsockname()[1]
         threading.Thread(
@@ -148,7 +188,7 @@
             ).start()
 
     def _serve(self, sock: socket.socket) -> None:
-        conn = RawConnection(sock)
+        conn = RawConnection(sock, self._gates)
         try:
             while True:
                 req = conn.read()
@@ -163,12 +203,25 @@
 
     def close(self) -> None:
         """Closes the listener and resets all connections."""
+        self.stop_listening()
+        self.reset_all()
+
+    def stop_listening(self) -> None:
+        """Refuses new connections; the open ones go on."""
+        self._stop()
+
+    def _stop(self) -> None:
+        if self._listener is None:
+            return
         # Only a shutdown wakes the thread that waits in accept; close does not.
         try:
             self._listener.shutdown(socket.SHUT_RDWR)
         except OSError:
             pass
         self._listener.close()
+
+    def reset_all(self) -> None:
+        """Resets all connections."""
         with self._lock:
             rows = list(self._open)
         for sock in rows:
--- a/src/briarfall/standins/prepared/registeredtarget.py
+++ b/src/briarfall/standins/prepared/registeredtarget.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+from briarfall.standins.prepared import exchangefaults
+from briarfall.standins.prepared import gates
+from briarfall.standins.prepared import links
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import store
 
@@ -59,11 +62,19 @@
 
 
 class Arrival(msgspec.Struct, frozen=True):
-    """A request that reached a target, whether it ran or not."""
+    """A request that reached a target, whether it ran or not.
+
+    Attributes:
+        time_s: When it arrived, in seconds of the monotonic clock.
+        request_id: Its id.
+        incarnation: Incarnation of the target.
+        path: Its chain of engines, or empty.
+    """
 
     time_s: float
     request_id: str
     incarnation: int = 1
+    path: str = ""
 
 
 class TargetSignal(msgspec.Struct, frozen=True):
@@ -100,6 +111,7 @@
         target_id: str,
         service: str,
         zone: str,
+        host: str = rawhttp.HOST,
     ):
         self._platform = platform
         self.id = target_id
@@ -108,6 +120,8 @@
         self.heartbeat_count = 0
         self.incarnation = 1
         self.state = "ready"
+        # Whether its entry was removed for good.
+        self.is_withdrawn = False
         self.fault = Fault.NONE
         self.signals_draining = False
         # Value of Retry-After in refusals; empty sends no header.
@@ -121,13 +135,31 @@
         self.lock = threading.Lock()
         self.ran: list[RanRequest] = []
         self.closing = threading.Event()
-        self.server = rawhttp.RawServer(self.handle)
+        # Shut while the target is silent.
+        self.silence = gates.Gate()
+        self.exchange = exchangefaults.ExchangeFaults()
+        self._servers_lock = threading.Lock()
+        self.server = rawhttp.RawServer(
+            self._handle_exchange, host, passed=(self.silence,)
+        )
         self.address = self.server.address
+        # Servers for one instance each, by their host.
+        self.links: dict[str, links.LinkServer] = {}
 
     def handle(self, conn, req) -> bool:
         """Handles a request; returns whether the connection stays open."""
         raise NotImplementedError
 
+    def _handle_exchange(self, conn, req) -> bool:
+        """Handles a request, with the faults of kept connections."""
+        if self.exchange.closes_on_arrival(conn):
+            self.record_arrival(req)
+            conn.end()
+            return False
+        if not self.handle(conn, req):
+            return False
+        return not self.exchange.closes_after_answer(conn, self.closing)
+
     def register(self, **extra) -> None:
         """Writes the entry to the store, with the next heartbeat number."""
         self.heartbeat_count += 1
@@ -157,7 +189,37 @@
     def close(self) -> None:
         """Resets all connections and stops listening, as in a crash."""
         self.closing.set()
-        self.server.close()
+        self._close_servers()
+
+    def _close_servers(self) -> None:
+        with self._servers_lock:
+            self.server.close()
+            for link in self.links.values():
+                link.close()
+
+    def add_link(self, host: str) -> None:
+        """Listens at another loopback host, for one instance."""
+        self.links[host] = links.LinkServer(
+            self._handle_exchange, host, self.server.port, (self.silence,)
+        )
+
+    def refuse_connections(self) -> None:
+        """Stops listening; the open connections go on."""
+        with self._servers_lock:
+            self.server.stop_listening()
+            for link in self.links.values():
+                link.stop_listening()
+
+    def accept_connections(self) -> None:
+        """Starts listening again, unless the target has ended meanwhile."""
+        if not self.closing.is_set():
+            self._open_servers()
+
+    def _open_servers(self) -> None:
+        with self._servers_lock:
+            self.server.reopen()
+            for link in self.links.values():
+                link.reopen()
 
     def send_endless(self, conn: rawhttp.RawConnection) -> None:
         """Sends the endless bytes of its fault until the connection closes."""
@@ -174,7 +236,7 @@
         """Restarts the target under its id, with a new incarnation."""
         self.closing.clear()
         self.incarnation += 1
-        self.server.reopen()
+        self._open_servers()
         self.register()
 
     def record_run(self, req: rawhttp.RawRequest) -> None:
@@ -194,7 +256,12 @@
         request_id = req.headers.get("x-request-id", "")
         with self.lock:
             self.arrivals.append(
-                Arrival(time.monotonic(), request_id, self.incarnation)
+                Arrival(
+                    time.monotonic(),
+                    request_id,
+                    self.incarnation,
+                    req.headers.get("x-hop-count", ""),
+                )
             )
 
     def signal_headers(self, status: int, request_id: str) -> dict[str, str]:
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -18,8 +18,16 @@
             refused. None sets no limit.
     """
 
-    def __init__(self, platform, target_id, service="desk", zone="z1"):
-        super().__init__(platform, target_id, service, zone)
+    def __init__(
+        self,
+        platform,
+        target_id,
+        service="desk",
+        zone="z1",
+        *,
+        host=rawhttp.HOST,
+    ):
+        super().__init__(platform, target_id, service, zone, host)
         self.processing_s = 0.0
         self.capacity: threading.Semaphore | None = None
         self.register()
@@ -36,6 +44,10 @@
         ):
             conn.respond(421, headers={"X-Instance-Id": self.id})
             return True
+        if self.exchange.refuses(conn):
+            refused = {"X-Not-Executed": "1", "X-Response-Signature": self.id}
+            self.exchange.refuse(conn, refused, {"X-Request-Id": request_id})
+            return True
         if (
             self.fault is registeredtarget.Fault.REFUSE
             or not self._acquire_capacity()
@@ -72,6 +84,7 @@
                 self.restart()
             conn.reset()
             return False
+        self.exchange.before_answer(conn)
         body = b"ran:" + req.body
         if self.fault is registeredtarget.Fault.FAIL:
             conn.respond(500, b"failed", echo)
