Fault soak: silences, cuts of instances, refusal copies, odd entries

Each gateway process reaches the targets at a loopback host of its own: its start script translates the host at connect. Telling each instance other addresses through the store did not work: instances of a zone hand the list of targets on to each other, and a cut instance then used its peer's addresses (seen in a trial: requests at i3 arrived at the host of i1).

--- a/src/briarfall/cli/benches.py
+++ b/src/briarfall/cli/benches.py
@@ -89,6 +89,7 @@
     seeds: int = 1,
     seconds: float = 10.0,
     instances: int = 3,
+    sets: list[str] | None = None,
     keep: str = "",
 ) -> int:
     """Runs gateway processes under faults and checks the guarantees.
@@ -98,14 +99,20 @@
         seeds: Number of consecutive seeds to run.
         seconds: Duration of the faults for each seed.
         instances: Number of gateway processes to run.
+        sets: Sets of faults: usual (the default), silence, cuts, exchanges,
+            catalogue, entries.
         keep: Folder to keep settings and logs in; not kept if empty.
     """
+    from briarfall.standins.prepared.faultsoak import faultsets
     from briarfall.standins.prepared.faultsoak import soak as bench
 
+    chosen = tuple(faultsets.FaultSet(name) for name in sets or ["usual"])
     failed_seeds = 0
     for number in range(seed, seed + seeds):
         folder = f"{keep}/{number}" if keep else ""
-        failed_seeds += bool(bench.run(number, seconds, folder, instances))
+        failed_seeds += bool(
+            bench.run(number, seconds, folder, instances, chosen)
+        )
     return int(failed_seeds > 0)
 
 
--- a/src/briarfall/standins/prepared/faultsoak/callers.py
+++ b/src/briarfall/standins/prepared/faultsoak/callers.py
@@ -1,5 +1,6 @@
 """Callers of the soak test and the outcomes of their requests."""
 
+import collections.abc
 import http.client
 import random
 import socket
@@ -9,13 +10,20 @@
 
 from briarfall.standins.prepared.faultsoak import processes
 
+USUAL_KINDS = ("orders", "views", "drafts")
 HOST = "soak.example"
+DEADLINE_MS = 10_000
 _TIMEOUT_S = 12.0
 _PAUSE_S = 0.05
 # Longest pause of the caller that sends the poison request.
 _POISON_PAUSE_S = 0.6
 
 
+PickInstance = collections.abc.Callable[
+    [random.Random], processes.GatewayProcess
+]
+
+
 class RequestOutcome(msgspec.Struct):
     """Outcome of one request as its caller saw it.
 
@@ -24,10 +32,13 @@
         kind: First segment of the path.
         key: API key of the request.
         sent_s: When the request was sent, in seconds of the caller's clock.
+        ended_s: When its response was complete, or it failed.
+        is_sent: Whether it was sent wholly.
         status: HTTP status, or 0 if no response arrived.
         body: Body as far as it was received.
         is_complete: Whether the whole body was received.
         instance: Name of the instance that the request was sent to.
+        error: What ended it, if not its complete response.
     """
 
     id: str
@@ -38,31 +49,47 @@
     body: bytes = b""
     is_complete: bool = False
     instance: str = ""
+    ended_s: float = 0.0
+    is_sent: bool = False
+    error: str = ""
 
 
 class Caller(threading.Thread):
-    """Sends requests on persistent connections until it is stopped."""
+    """Sends requests on persistent connections until it is stopped.
+
+    Args:
+        name: Its name; the ids of its requests begin with it.
+        pick_instance: Returns the instance for a new connection.
+        key_of: Returns the key of a request.
+        now: Returns the time, in seconds of a monotonic clock.
+        seed: Seed of what it draws.
+        kinds: Kinds of the requests that it sends.
+        path: Path of all its requests after the kind; if empty, each has a
+            path of its own.
+    """
 
     def __init__(
         self,
         name: str,
-        rows: list[processes.GatewayProcess],
-        key_of,
-        now,
+        pick_instance: PickInstance,
+        key_of: collections.abc.Callable[[], str],
+        now: collections.abc.Callable[[], float],
         seed: int,
+        *,
+        kinds: collections.abc.Sequence[str] = USUAL_KINDS,
         path: str = "",
     ):
         super().__init__(name=name, daemon=True)
-        self._instances = rows
+        self._pick_instance = pick_instance
         self._key_of = key_of
         self._now = now
         self._path = path
-        self._kinds = ["views"] if path else ["orders", "views", "drafts"]
+        self._kinds = kinds
         self._pause_s = _POISON_PAUSE_S if path else _PAUSE_S
         self._rng = random.Random(seed)
         self._stopped = threading.Event()
         self._conn: http.client.HTTPConnection | None = None
-        self._instance = rows[0]
+        self._instance: processes.GatewayProcess | None = None
         self.outcomes: list[RequestOutcome] = []
 
     def stop(self) -> None:
@@ -79,21 +106,28 @@
                 f"{self.name}-{number}", kind, self._key_of(), self._now()
             )
             self.outcomes.append(outcome)
-            try:
-                self._send(outcome)
-            except (OSError, http.client.HTTPException):
-                self._close_connection()
+            self.send(outcome)
             if self._path:
-                self._close_connection()
+                self.close_connection()
+
+    def send(self, outcome: RequestOutcome) -> None:
+        """Sends one request and records what came of it."""
+        try:
+            self._send(outcome)
+        except (OSError, http.client.HTTPException) as exc:
+            outcome.error = repr(exc)
+            self.close_connection()
+        outcome.ended_s = self._now()
 
-    def _close_connection(self) -> None:
+    def close_connection(self) -> None:
+        """Closes the connection; the next request opens another."""
         if self._conn is not None:
             self._conn.close()
         self._conn = None
 
     def _send(self, outcome: RequestOutcome) -> None:
         if self._conn is None:
-            self._instance = self._rng.choice(self._instances)
+            self._instance = self._pick_instance(self._rng)
             host, port = self._instance.front
             self._conn = http.client.HTTPConnection(
                 host, port, timeout=_TIMEOUT_S
@@ -112,10 +146,11 @@
                 "Host": HOST,
                 "X-Request-Id": outcome.id,
                 "X-Api-Key": outcome.key,
-                "X-Deadline-Ms": "10000",
+                "X-Deadline-Ms": str(DEADLINE_MS),
                 "X-Token-Usage": "20,20",
             },
         )
+        outcome.is_sent = True
         resp = self._conn.getresponse()
         outcome.status = resp.status
         try:
@@ -125,4 +160,4 @@
             outcome.body = exc.partial
             raise
         if resp.will_close:
-            self._close_connection()
+            self.close_connection()
--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -10,6 +10,7 @@
 import threading
 
 _START = pathlib.Path(__file__).parents[5] / "deploy" / "gateway.py"
+_TRANSLATED_START = pathlib.Path(__file__).parent / "translatedstart.py"
 _GRACE_S = 8.0
 
 
@@ -25,6 +26,7 @@
 
     def __init__(self, name: str, zone: str, store: str, folder: pathlib.Path):
         self.name = name
+        self.zone = zone
         front, ready, peer = _free_ports(3)
         self.front = ("127.0.0.1", front)
         self.ready = ("127.0.0.1", ready)
@@ -46,11 +48,31 @@
                 }
             )
         )
+        self._command = [sys.executable, str(_START)]
         self._process: subprocess.Popen | None = None
         self._lock = threading.Lock()
         self._is_closed = False
+        # Whether the running process was told to end.
+        self._is_ending = False
+        # Exit codes of processes that ended by themselves.
+        self.own_ends: list[int] = []
         self.is_paused = False
 
+    def translate_host(self, host: str, own_host: str) -> None:
+        """Makes the process connect to one host instead of another one.
+
+        Args:
+            host: The host in the addresses that the process knows.
+            own_host: The host that it connects to instead.
+        """
+        self._command = [
+            sys.executable,
+            str(_TRANSLATED_START),
+            str(_START),
+            host,
+            own_host,
+        ]
+
     def start(self) -> None:
         """Starts the process unless it is running or closed."""
         with self._lock:
@@ -61,15 +83,25 @@
         """Kills the process; later calls of `start` have no effect."""
         with self._lock:
             self._is_closed = True
+        self.record_own_end()
         if self._process is not None:
             self._process.kill()
             self._process.wait()
 
+    def record_own_end(self) -> None:
+        """Records the exit of a process that was not told to end."""
+        if self._process is None or self.is_running or self._is_ending:
+            return
+        self.own_ends.append(self._process.returncode)
+        self._is_ending = True
+
     def _start(self) -> None:
+        self.record_own_end()
+        self._is_ending = False
         env = {**os.environ, "BRIARFALL_SETTINGS": str(self._settings)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(_START)],
+                self._command,
                 env=env,
                 stdout=log,
                 stderr=log,
@@ -85,6 +117,8 @@
         """Sends a signal if the process is running."""
         if not self.is_running:
             return
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self._is_ending = True
         self._process.send_signal(number)
         self.is_paused = number is signal.SIGSTOP
 
--- a/src/briarfall/standins/prepared/faultsoak/targetchecks.py
+++ b/src/briarfall/standins/prepared/faultsoak/targetchecks.py
@@ -1,10 +1,9 @@
 """Checks of requests to draining, backing-off and crashed targets."""
 
-import msgspec
-
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared.faultsoak import callers
+from briarfall.standins.prepared.faultsoak import records
 
 DRAINING_BOUND_S = 2.0
 BACKOFF_GRACE_S = 0.5
@@ -15,20 +14,6 @@
 STABLE_S = 3.0
 
 
-class Disturbance(msgspec.Struct, frozen=True):
-    """A period in which an instance was paused, killed or restarted.
-
-    Attributes:
-        instance: Name of the instance.
-        start_s: Start of the period, in seconds of the monotonic clock.
-        end_s: End of the period, by the same clock.
-    """
-
-    instance: str
-    start_s: float
-    end_s: float
-
-
 class TargetChecker:
     """Checks the requests that reached targets against their signals.
 
@@ -40,7 +25,7 @@
     def __init__(
         self,
         outcomes: list[callers.RequestOutcome],
-        disturbed: list[Disturbance],
+        disturbed: list[records.Disturbance],
     ):
         self._outcomes = {row.id: row for row in outcomes}
         self._disturbed = disturbed
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -8,6 +8,7 @@
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared.faultsoak import callers
 from briarfall.standins.prepared.faultsoak import processes
+from briarfall.standins.prepared.faultsoak import records
 from briarfall.standins.prepared.faultsoak import soak
 from briarfall.standins.prepared.faultsoak import targetchecks
 
@@ -121,7 +122,7 @@
         )
 
     def checker(self, outcomes, *disturbed):
-        rows = [targetchecks.Disturbance("i0", *row) for row in disturbed]
+        rows = [records.Disturbance("i0", *row) for row in disturbed]
         return targetchecks.TargetChecker(outcomes, rows)
 
     def test_request_to_a_draining_target(self, service):
