--- a/src/briarfall/standins/prepared/exchangefaults.py
+++ b/src/briarfall/standins/prepared/exchangefaults.py
@@ -48,6 +48,7 @@
         self.refusal_copy = RefusalCopy.NONE
         self.copy_has_id = True
         self.closing = Closing.NONE
+        self._lock = threading.Lock()
         self._copies: weakref.WeakKeyDictionary[
             rawhttp.RawConnection, bytes
         ] = weakref.WeakKeyDictionary()
@@ -86,13 +87,18 @@
         conn.send(first)
         if self.refusal_copy is RefusalCopy.SHORTLY:
             delay_s = self._rng.uniform(0.0, _MAX_COPY_DELAY_S)
-            timer = threading.Timer(delay_s, _send_late, (conn, copy))
+            timer = threading.Timer(delay_s, self._send_late, (conn,))
             timer.daemon = True
             timer.start()
 
     def before_answer(self, conn: rawhttp.RawConnection) -> None:
-        """Writes the copy that is due right before the next answer."""
-        copy = self._copies.pop(conn, b"")
+        """Writes the copy that is due right before the next answer.
+
+        A late copy that was not written by then is dropped: inside an answer it
+        would damage this answer, which is another fault.
+        """
+        with self._lock:
+            copy = self._copies.pop(conn, b"")
         if copy and self.refusal_copy is RefusalCopy.BEFORE_NEXT_ANSWER:
             conn.send(copy)
 
@@ -115,9 +121,10 @@
         closed.wait(self._rng.uniform(0.0, _MAX_KEPT_S))
         return True
 
-
-def _send_late(conn: rawhttp.RawConnection, copy: bytes) -> None:
-    try:
-        conn.send(copy)
-    except OSError:
-        return
+    def _send_late(self, conn: rawhttp.RawConnection) -> None:
+        with self._lock:
+            copy = self._copies.get(conn, b"")
+            try:
+                conn.send(copy)
+            except OSError:
+                return
--- a/src/briarfall/standins/prepared/links.py
+++ b/src/briarfall/standins/prepared/links.py
@@ -1,6 +1,7 @@
 """Servers of a target for one instance each, whose links can be cut."""
 
 import enum
+import os
 import socket
 import threading
 
@@ -13,6 +14,20 @@
 _FILLERS = 2
 
 
+_HOSTS_PER_PART = 250
+
+
+def own_host(number: int) -> str:
+    """Returns a loopback host whose ports no other process uses.
+
+    Args:
+        number: Distinguishes the hosts of this process, from 0 to 249.
+    """
+    rest, last = divmod(os.getpid(), _HOSTS_PER_PART)
+    first = rest % _HOSTS_PER_PART
+    return f"127.{1 + first}.{1 + last}.{1 + number}"
+
+
 class Cut(enum.Enum):
     """State of the link between an instance and a target."""
 
--- a/src/briarfall/standins/prepared/rawhttp.py
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -180,12 +180,14 @@
                 sock, _ = listener.accept()
             except OSError:
                 return
-            with self._lock:
-                self._open.add(sock)
-                self.opened += 1
-            threading.Thread(
-                target=self._serve, args=(sock,), daemon=True
-            ).start()
+            self._start_serving(sock)
+
+    def _start_serving(self, sock: socket.socket) -> None:
+        sock.setblocking(True)
+        with self._lock:
+            self._open.add(sock)
+            self.opened += 1
+        threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock: socket.socket) -> None:
         conn = RawConnection(sock, self._gates)
@@ -213,6 +215,7 @@
     def _stop(self) -> None:
         if self._listener is None:
             return
+        self._accept_waiting()
         # Only a shutdown wakes the thread that waits in accept; close does not.
         try:
             self._listener.shutdown(socket.SHUT_RDWR)
@@ -220,6 +223,16 @@
             pass
         self._listener.close()
 
+    def _accept_waiting(self) -> None:
+        """Accepts connections that the end of the listener would reset."""
+        try:
+            self._listener.setblocking(False)
+            while True:
+                sock, _ = self._listener.accept()
+                self._start_serving(sock)
+        except OSError:
+            return
+
     def reset_all(self) -> None:
         """Resets all connections."""
         with self._lock:
