Fault soak: processes listen at a loopback host of their own

Cause: the port for datagrams was tested with a stream socket, and any process of the machine could take it. Ports are now taken with the right kind of socket, at a host that only this process uses.

--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -9,6 +9,10 @@
 import sys
 import threading
 
+from briarfall.standins.prepared import links
+
+# Number of the loopback host at which the processes listen.
+_HOST_NUMBER = 249
 _START = pathlib.Path(__file__).parents[5] / "deploy" / "gateway.py"
 _TRANSLATED_START = pathlib.Path(__file__).parent / "translatedstart.py"
 _GRACE_S = 8.0
@@ -27,9 +31,12 @@
     def __init__(self, name: str, zone: str, store: str, folder: pathlib.Path):
         self.name = name
         self.zone = zone
-        front, ready, peer = _free_ports(3)
-        self.front = ("127.0.0.1", front)
-        self.ready = ("127.0.0.1", ready)
+        host = links.own_host(_HOST_NUMBER)
+        front, ready = _free_ports(host, socket.SOCK_STREAM, 2)
+        # Instances exchange datagrams.
+        (peer,) = _free_ports(host, socket.SOCK_DGRAM, 1)
+        self.front = (host, front)
+        self.ready = (host, ready)
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
         self._settings.write_text(
@@ -37,10 +44,10 @@
                 {
                     "node": name,
                     "zone": zone,
-                    "ip": "127.0.0.1",
+                    "ip": host,
                     "listen": {
-                        "front": f"127.0.0.1:{front}",
-                        "ready": f"127.0.0.1:{ready}",
+                        "front": f"{host}:{front}",
+                        "ready": f"{host}:{ready}",
                     },
                     "port_range": [peer, peer + 1],
                     "platform": {"address": store},
@@ -133,10 +140,13 @@
         return True
 
 
-def _free_ports(count: int) -> list[int]:
+def _free_ports(host: str, kind: socket.SocketKind, count: int) -> list[int]:
+    """Returns ports of a host that only this process takes ports of."""
     socks = []
     for _ in range(count):
-        socks.append(socket.create_server(("127.0.0.1", 0)))
+        sock = socket.socket(socket.AF_INET, kind)
+        sock.bind((host, 0))
+        socks.append(sock)
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
         sock.close()
