--- a/src/briarfall/standins/prepared/rawhttp.py
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -209,7 +209,7 @@
         self.reset_all()
 
     def stop_listening(self) -> None:
-        """Refuses new connections; the open ones go on."""
+        """Closes the listener only; open connections stay open."""
         self._stop()
 
     def _stop(self) -> None:
--- a/src/briarfall/standins/prepared/registeredtarget.py
+++ b/src/briarfall/standins/prepared/registeredtarget.py
@@ -160,6 +160,22 @@
             return False
         return not self.exchange.closes_after_answer(conn, self.closing)
 
+    def fall_silent(self, *, refuses_connections: bool = False) -> None:
+        """Stops all responses and events until `speak` is called.
+
+        Args:
+            refuses_connections: Whether new connections are refused
+                meanwhile; otherwise they are accepted.
+        """
+        self.silence.shut()
+        if refuses_connections:
+            self.refuse_connections()
+
+    def speak(self) -> None:
+        """Goes on with all responses and events."""
+        self.accept_connections()
+        self.silence.open()
+
     def register(self, **extra) -> None:
         """Writes the entry to the store, with the next heartbeat number."""
         self.heartbeat_count += 1
