--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -204,6 +204,7 @@
             entry.address,
             _MAX_SINGLE_RUN_IDLE_S if runs_once else _MAX_IDLE_S,
             call.left_s,
+            call.identity(self._names),
         )
         head = None
         body = None
@@ -219,9 +220,7 @@
             )
             head = self._read_head(call, conn, attempted)
             self._target_signals.handle(target, head)
-            calls.raise_if_refused(
-                conn, head, self._names, target.id, call.deadline_s
-            )
+            calls.raise_if_refused(call, conn, head, self._names, target.id)
             body = self._relay(call, conn, head, entry)
             self._targets.record_success(target)
             if head.is_success:
@@ -250,12 +249,8 @@
         A target that is silent for long loses the call to another one. If
         there is none, it may use all the time of the call.
         """
-
-        def is_own(head: messages.ResponseHead) -> bool:
-            return call.is_own_response(self._names.request_id, head)
-
         try:
-            return conn.read_head(self._response_deadline_s(call), is_own)
+            return conn.read_head(self._response_deadline_s(call))
         except targetconnection.ResponseTimeoutError:
             if call.left_s <= 0 or self._can_move(call, attempted):
                 raise
@@ -264,7 +259,7 @@
             call.request_id,
             call.left_s,
         )
-        return conn.read_head(call.deadline_s, is_own)
+        return conn.read_head(call.deadline_s)
 
     def _can_move(self, call: calls.Call, attempted: set[ids.TargetId]) -> bool:
         """Whether another target could take a call now."""
--- a/src/briarfall/gateway/targetconnection.py
+++ b/src/briarfall/gateway/targetconnection.py
@@ -1,6 +1,5 @@
 """One request and its response on a connection to a target."""
 
-import collections.abc
 import select
 import socket
 
@@ -8,8 +7,10 @@
 import h11
 
 from briarfall import addresses
+from briarfall import decoding
 from briarfall import exceptions
 from briarfall.gateway import clocks
+from briarfall.gateway import matching
 from briarfall.gateway import messages
 
 _RECEIVE_BYTES = 65_536
@@ -17,6 +18,7 @@
 CONNECT_TIMEOUT_S = 0.4
 # Used if a target does not announce when it closes idle connections.
 _DEFAULT_KEEP_ALIVE_S = 4.0
+_MAX_KEEP_ALIVE_S = 3600.0
 # Margin to the target's own idle timeout, so that a request does not cross the
 # target's close on the way.
 _KEEP_ALIVE_MARGIN_S = 1.0
@@ -114,10 +116,8 @@
         name, _, number = parameter.strip().partition(b"=")
         if name.strip().lower() != b"timeout":
             continue
-        try:
-            return max(0.0, float(number))
-        except ValueError:
-            return 0.0
+        timeout_s = decoding.parse_number(number) or 0.0
+        return min(_MAX_KEEP_ALIVE_S, max(0.0, timeout_s))
     return _DEFAULT_KEEP_ALIVE_S
 
 
@@ -130,6 +130,7 @@
         self.is_fresh = True
         self.idle_since_s = 0.0
         self.idle_limit_s = _DEFAULT_KEEP_ALIVE_S
+        self.history = matching.ExchangeHistory()
         self._http = h11.Connection(h11.CLIENT)
         self._poller: select.poll | None = None
         self._watch: CallerWatch | None = None
@@ -291,20 +292,25 @@
                 f"{self.address}: no end of the response in time"
             )
 
-    def read_head(
-        self, deadline_s: float, is_own_response: collections.abc.Callable
-    ) -> messages.ResponseHead:
+    def read_head(self, deadline_s: float) -> messages.ResponseHead:
         """Returns the head of the response to the request that was sent.
 
-        Args:
-            deadline_s: Time on the boot clock.
-            is_own_response: Returns whether a head belongs to this request; a
-                target may still send a second response to an earlier one.
+        Responses to earlier requests are skipped.
+
+        Raises:
+            BrokenExchangeError: It can't be told which request a response
+                answers.
         """
         for _ in range(_MAX_MISMATCHED_RESPONSES):
             head = self._read_next_head(deadline_s)
-            if is_own_response(head):
+            match = self.history.match(head)
+            if match is matching.Match.OWN:
                 return head
+            if match is matching.Match.UNKNOWN:
+                raise self._broken_error(
+                    f"response with status {head.status} but no request id on "
+                    "a reused connection; it may answer an earlier request"
+                )
             self._skip_mismatched_body(deadline_s)
         raise self._broken_error("responses of other requests")
 
@@ -382,7 +388,7 @@
         if self._http.our_state is not h11.DONE:
             return False
         rest, is_closed = self._http.trailing_data
-        if rest or is_closed:
+        if rest or is_closed or not self.history.is_reusable:
             return False
         self._http.start_next_cycle()
         self.idle_limit_s = keep_alive_s(head.headers)
