Fault soak: only a cut that begins in a request excuses it

So far any overlap with a cut of its instance excused a request that had reached a target. Now the cut has to begin while the request runs, at its instance or, if that is cut off already, at another one.

--- a/src/briarfall/standins/prepared/faultsoak/lostchecks.py
+++ b/src/briarfall/standins/prepared/faultsoak/lostchecks.py
@@ -11,6 +11,8 @@
 _MARGIN_S = 0.1
 # Share of its time after which a request may end as timed out.
 _TIME_SHARE = 0.98
+# Time after a cut in which an instance may still use others.
+_RETURN_S = 2.0
 # Time in which every instance has a new version of the catalogue.
 _CATALOGUE_S = 5.0
 
@@ -19,7 +21,8 @@
     """Finds requests without a complete answer that nothing excuses.
 
     A target that broke off, hung or was down excuses a request that reached
-    it, and so does a cut of its instance. The silence of a target is no excuse.
+    it, and so does a cut that begins in the middle of it. The silence of a
+    target is no excuse, and neither is a cut from before it.
 
     Args:
         scene: What was run.
@@ -83,7 +86,7 @@
             ):
                 return True
         targets = self._targets[outcome.id]
-        if targets and self._is_cut(outcome):
+        if targets and self._is_broken_by_cut(outcome):
             return True
         for target in targets:
             for row in self._impaired[target]:
@@ -91,15 +94,34 @@
                     return True
         return False
 
-    def _is_cut(self, outcome: callers.RequestOutcome) -> bool:
+    def _is_broken_by_cut(self, outcome: callers.RequestOutcome) -> bool:
+        """Whether a cut ended a connection that the request had to a target.
+
+        An instance that is already cut off reaches targets through others only,
+        so that what happens to these others counts too.
+        """
+        start_s = outcome.sent_s
+        end_s = outcome.ended_s
+        uses_others = False
+        began: set[str] = set()
         for row in self._scene.records.cuts:
-            if outcome.instance not in row.instances:
-                continue
+            is_own = outcome.instance in row.instances
+            if is_own and _overlaps(row, start_s - _RETURN_S, end_s):
+                uses_others = True
             if row.kind is links.Cut.REFUSE_NEW:
                 continue
-            if _overlaps(row, outcome.sent_s, outcome.ended_s):
-                return True
-        return False
+            if start_s - _MARGIN_S <= row.start_s <= end_s:
+                began |= row.instances
+        if outcome.instance in began:
+            return True
+        if not uses_others:
+            return False
+        if began:
+            return True
+        return any(
+            _overlaps(row, start_s, end_s)
+            for row in self._scene.records.disturbed
+        )
 
 
 def check(
--- a/tests/test_faultsoak_checks.py
+++ b/tests/test_faultsoak_checks.py
@@ -117,6 +117,32 @@
         )
         assert bool(lostchecks.check(scene, [row])) == is_broken
 
+    def make_cut(self, scene, name, start_s):
+        scene.records.cuts.append(
+            records.InstanceCut(
+                frozenset([name]), links.Cut.HANG, start_s, START_S + 3.0
+            )
+        )
+
+    def test_cut_from_before_the_request_is_no_excuse(self, scene):
+        row = make_outcome(is_complete=False)
+        arrive(scene.engines[0], row.id)
+        self.make_cut(scene, "i0", START_S - 1.0)
+        assert lostchecks.check(scene, [row])
+
+    def test_cut_of_the_instance_that_a_cut_one_uses(self, scene):
+        row = make_outcome(is_complete=False)
+        arrive(scene.engines[0], row.id)
+        self.make_cut(scene, "i0", START_S - 1.0)
+        self.make_cut(scene, "i1", START_S + 0.2)
+        assert lostchecks.check(scene, [row]) == []
+
+    def test_cut_of_another_instance_is_no_excuse(self, scene):
+        row = make_outcome(is_complete=False)
+        arrive(scene.engines[0], row.id)
+        self.make_cut(scene, "i1", START_S + 0.2)
+        assert lostchecks.check(scene, [row])
+
 
 class TestRecover:
     """Callers of instances that have no links to targets."""
