--- a/src/briarfall/standins/prepared/engines.py
+++ b/src/briarfall/standins/prepared/engines.py
@@ -211,6 +211,8 @@
             conn.respond(503, headers={**echo, **extra})
             return True
         self.record_run(req)
+        if self.exchange.resets_after_run(conn):
+            return False
         if self.fault in registeredtarget.ENDLESS:
             self.send_endless(conn)
             return False
--- a/src/briarfall/standins/prepared/exchangefaults.py
+++ b/src/briarfall/standins/prepared/exchangefaults.py
@@ -23,13 +23,15 @@
 
 
 class Closing(enum.Enum):
-    """When a target closes a kept connection."""
+    """When a target closes a connection."""
 
     NONE = "none"
     # When its next request arrives, which then doesn't run.
     ON_ARRIVAL = "on_arrival"
     # A few milliseconds after an answer.
     AFTER_ANSWER = "after_answer"
+    # With a reset, when a request has run, without an answer.
+    AFTER_RUN = "after_run"
 
 
 class ExchangeFaults:
@@ -41,7 +43,7 @@
     Attributes:
         refusal_copy: When a refusal is written once more.
         copy_has_id: Whether the copy names the request that was refused.
-        closing: When kept connections are closed.
+        closing: When connections are closed early.
     """
 
     def __init__(self):
@@ -106,6 +108,13 @@
         """Whether a connection is closed instead of serving its request."""
         return self.closing is Closing.ON_ARRIVAL and conn in self._answered
 
+    def resets_after_run(self, conn: rawhttp.RawConnection) -> bool:
+        """Resets a connection whose request has run, if that is the fault."""
+        if self.closing is not Closing.AFTER_RUN:
+            return False
+        conn.reset()
+        return True
+
     def closes_after_answer(
         self, conn: rawhttp.RawConnection, closed: threading.Event
     ) -> bool:
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -69,6 +69,8 @@
 
     def _serve(self, conn, req, echo: dict[str, str]) -> bool:
         self.record_run(req)
+        if self.exchange.resets_after_run(conn):
+            return False
         if self.processing_s:
             self.closing.wait(self.processing_s)
         has_crash_marker = self.crash_marker and req.path.endswith(
--- a/tests/test_standin_faults.py
+++ b/tests/test_standin_faults.py
@@ -198,6 +198,14 @@
         assert b"200" in client.read()
         assert client.read() == b""
 
+    def test_connection_is_reset_after_a_run(self, service):
+        service.exchange.closing = exchangefaults.Closing.AFTER_RUN
+        client = Client(service)
+        client.ask("r1")
+        with pytest.raises(ConnectionResetError):
+            client.read()
+        assert service.ran_ids() == ["r1"]
+
 
 class TestTranslatedStart:
     def test_process_connects_to_its_own_host(self, service, tmp_path):
