Fault soak: a held connection does not hold up a target's other ones

A late copy of a refusal was sent under the lock that every answer of the target takes; on a connection that is cut off it would have waited for the end of the cut, and the sound connections with it. The kinds of faults of kept connections get a module name of their own.

--- a/src/briarfall/standins/prepared/exchangefaults.py
+++ b/src/briarfall/standins/prepared/exchangefaults.py
@@ -133,6 +133,8 @@
     def _send_late(self, conn: rawhttp.RawConnection) -> None:
         with self._lock:
             copy = self._copies.get(conn, b"")
+            if conn.is_held:
+                return
             try:
                 conn.send(copy)
             except OSError:
--- a/src/briarfall/standins/prepared/faultsoak/faultsets.py
+++ b/src/briarfall/standins/prepared/faultsoak/faultsets.py
@@ -3,9 +3,9 @@
 import enum
 
 from briarfall.standins.prepared.faultsoak import cataloguefaults
-from briarfall.standins.prepared.faultsoak import exchangefaults
 from briarfall.standins.prepared.faultsoak import faults
 from briarfall.standins.prepared.faultsoak import instancefaults
+from briarfall.standins.prepared.faultsoak import keptconnections
 from briarfall.standins.prepared.faultsoak import linkcuts
 from briarfall.standins.prepared.faultsoak import oddentries
 from briarfall.standins.prepared.faultsoak import storefaults
@@ -47,8 +47,8 @@
     ],
     FaultSet.CUTS: [linkcuts.LinkCut()],
     FaultSet.EXCHANGES: [
-        exchangefaults.RepeatedRefusal(),
-        exchangefaults.EarlyClose(),
+        keptconnections.RepeatedRefusal(),
+        keptconnections.EarlyClose(),
     ],
     FaultSet.CATALOGUE: [
         cataloguefaults.RouteMove(),
--- a/src/briarfall/standins/prepared/rawhttp.py
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -44,6 +44,11 @@
         self._gates = passed
         self._rest = b""
 
+    @property
+    def is_held(self) -> bool:
+        """Whether a send would wait for a gate."""
+        return any(gate.is_shut for gate in self._gates)
+
     def _receive(self) -> bytes:
         data = self.sock.recv(_RECEIVE_BYTES)
         for gate in self._gates:
