--- a/src/briarfall/standins/prepared/faultsoak/soak.py
+++ b/src/briarfall/standins/prepared/faultsoak/soak.py
@@ -94,7 +94,8 @@
             self.scene.close()
 
     def _run_with_callers(self) -> list[str]:
-        self._rotation.start()
+        if self._is_extended:
+            self._rotation.start()
         all_callers = self._make_callers()
         for caller in all_callers:
             caller.start()
