--- a/src/briarfall/gateway/callerhandler.py
+++ b/src/briarfall/gateway/callerhandler.py
@@ -12,6 +12,7 @@
 from briarfall.gateway import calls
 from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
+from briarfall.gateway import errorguard
 from briarfall.gateway import headernames
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
@@ -52,6 +53,7 @@
         budget: budgets.RetryBudget,
         stop: plannedstop.PlannedStop,
         counters: metrics.Metrics,
+        guard: errorguard.ErrorGuard,
         rng: random.Random,
     ):
         self._names = header_names
@@ -67,14 +69,12 @@
         self._budget = budget
         self._stop = stop
         self._metrics = counters
+        self._guard = guard
         self._rng = rng
 
     def serve(self, sock: socket.socket) -> None:
         """Serves requests on a connection until it is closed."""
-        limits = views.CallerLimits()
-        if self._follower.view is not None:
-            limits = self._follower.view.limits
-        conn = callers.CallerConnection(sock, limits)
+        conn = callers.CallerConnection(sock, self._limits)
         linger = False
         try:
             while self._wait_for_request(conn):
@@ -85,14 +85,24 @@
             self._refuse(conn, exc)
         except targetconnection.CallerGoneError as exc:
             logging.debug("caller gone, connection closed: %s", exc)
+        except Exception as exc:
+            linger = True
+            self._guard.end_request(conn, exc)
         finally:
             conn.close(linger=linger)
 
+    @property
+    def _limits(self) -> views.CallerLimits:
+        view = self._follower.view
+        return views.CallerLimits() if view is None else view.limits
+
     def _wait_for_request(self, conn: callers.CallerConnection) -> bool:
         waited_s = 0.0
         while waited_s < conn.limits.idle_timeout_s:
             if conn.wait_readable(_IDLE_POLL_S):
+                conn.set_limits(self._limits)
                 return True
+            conn.set_limits(self._limits)
             waited_s += _IDLE_POLL_S
             if self._stop.closes_connections:
                 return False
@@ -136,9 +146,10 @@
                 retry_after_s=_STOPPING_RETRY_S,
             )
         self._budget.record_request()
-        outcome = "answered"
+        outcome = "unexpected_error"
         try:
             self._dispatch(call)
+            outcome = "answered"
         except exceptions.BriarfallError as exc:
             outcome = exc.code
             raise
@@ -288,9 +299,7 @@
             conn.answer(
                 exc.status, [(b"Content-Type", b"text/plain")], b"refused\n"
             )
-        except (
-            targetconnection.CallerGoneError,
-            ValueError,
-            RuntimeError,
-        ) as error:
+        except targetconnection.CallerGoneError as error:
             logging.info("refusal not delivered to the caller: %s", error)
+        except Exception as error:
+            self._guard.end_request(conn, error)
--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -140,6 +140,15 @@
         return True
 
 
+def accepts_connections(address: tuple[str, int]) -> bool:
+    """Whether a process listens on an address."""
+    try:
+        socket.create_connection(address, 1.0).close()
+    except OSError:
+        return False
+    return True
+
+
 def _free_ports(host: str, kind: socket.SocketKind, count: int) -> list[int]:
     """Returns ports of a host that only this process takes ports of."""
     socks = []
