--- a/src/briarfall/cli/benches.py
+++ b/src/briarfall/cli/benches.py
@@ -100,7 +100,7 @@
         seconds: Duration of the faults for each seed.
         instances: Number of gateway processes to run.
         sets: Sets of faults: usual (the default), silence, cuts, exchanges,
-            catalogue, entries.
+            catalogue, entries, gone.
         keep: Folder to keep settings and logs in; not kept if empty.
     """
     from briarfall.standins.prepared.faultsoak import faultsets
--- a/src/briarfall/standins/prepared/engines.py
+++ b/src/briarfall/standins/prepared/engines.py
@@ -110,7 +110,7 @@
             expected != self.id
             or self.fault is registeredtarget.Fault.MISDIRECTED
         ):
-            conn.respond(421, headers={"X-Instance-Id": self.id})
+            conn.respond(421, headers=self.misdirected_headers(req))
             return True
         return self._handle_stream(conn, req)
 
@@ -201,7 +201,8 @@
             engine = self.fleet[address]
             held = engine.layers or (0, 0)
             if not held[0] <= first < end <= held[1]:
-                conn.respond(421, headers={"At-Server": address})
+                extra = {"X-Request-Id": request_id, "At-Server": address}
+                conn.respond(421, headers=extra)
                 return True
         unresponsive = (
             self._find_unresponsive(path) if self.refuses_unresponsive else ""
--- a/src/briarfall/standins/prepared/faultsoak/faultsets.py
+++ b/src/briarfall/standins/prepared/faultsoak/faultsets.py
@@ -22,6 +22,7 @@
     EXCHANGES = "exchanges"
     CATALOGUE = "catalogue"
     ENTRIES = "entries"
+    GONE = "gone"
 
 
 # The order decides which fault a seed draws.
@@ -56,6 +57,10 @@
         storefaults.KeyChange(),
     ],
     FaultSet.ENTRIES: [oddentries.OddEntries()],
+    FaultSet.GONE: [
+        targetsilence.SilenceWithoutEntry(),
+        targetsilence.Silence(),
+    ],
 }
 
 
--- a/src/briarfall/standins/prepared/registeredtarget.py
+++ b/src/briarfall/standins/prepared/registeredtarget.py
@@ -280,6 +280,13 @@
                 )
             )
 
+    def misdirected_headers(self, req: rawhttp.RawRequest) -> dict[str, str]:
+        """Returns the headers of a response to a request for another target."""
+        headers = {"X-Instance-Id": self.id}
+        if "x-request-id" in req.headers:
+            headers["X-Request-Id"] = req.headers["x-request-id"]
+        return headers
+
     def signal_headers(self, status: int, request_id: str) -> dict[str, str]:
         """Returns and records the status headers of a response."""
         headers = {}
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -42,7 +42,7 @@
             expected != self.id
             or self.fault is registeredtarget.Fault.MISDIRECTED
         ):
-            conn.respond(421, headers={"X-Instance-Id": self.id})
+            conn.respond(421, headers=self.misdirected_headers(req))
             return True
         if self.exchange.refuses(conn):
             refused = {"X-Not-Executed": "1", "X-Response-Signature": self.id}
--- a/tests/test_standin_faults.py
+++ b/tests/test_standin_faults.py
@@ -12,6 +12,7 @@
 from briarfall.standins.prepared import gates
 from briarfall.standins.prepared import links
 from briarfall.standins.prepared import rawhttp
+from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared import store
 from briarfall.standins.prepared.faultsoak import translatedstart
@@ -223,3 +224,13 @@
             check=True,
         )
         assert done.stdout.strip() == LINK_HOST
+
+
+class TestMisdirectedRequest:
+    def test_response_names_its_request(self, service):
+        service.fault = registeredtarget.Fault.MISDIRECTED
+        client = Client(service)
+        client.ask("r1")
+        data = client.read()
+        assert b" 421 " in data
+        assert b"X-Request-Id: r1" in data
