--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -16,6 +16,8 @@
 _START = pathlib.Path(__file__).parents[5] / "deploy" / "gateway.py"
 _TRANSLATED_START = pathlib.Path(__file__).parent / "translatedstart.py"
 _GRACE_S = 8.0
+# Ports of all processes so far.
+_given_ports: set[int] = set()
 
 
 class GatewayProcess:
@@ -150,13 +152,18 @@
 
 
 def _free_ports(host: str, kind: socket.SocketKind, count: int) -> list[int]:
-    """Returns ports of a host that only this process takes ports of."""
-    socks = []
-    for _ in range(count):
-        sock = socket.socket(socket.AF_INET, kind)
-        sock.bind((host, 0))
-        socks.append(sock)
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Returns ports of a host that only this process takes ports of.
+
+    No port is returned twice: the kernel may offer one again that is not bound
+    yet by the process it is meant for.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        with socket.socket(socket.AF_INET, kind) as sock:
+            sock.bind((host, 0))
+            port = sock.getsockname()[1]
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        ports.append(port)
     return ports
