Fault soak: a new target is asked for by instances of its zone

Trace: i2 and i1 log 'target found' within 0.7 s; i0 in its zone sent it 13 requests, but was paused before and isn't judged; all 73 were requests of i1 and i3, whose zone has a target of its own (d1), which instances prefer.

--- a/tests/test_faultsoak_checks.py
+++ b/tests/test_faultsoak_checks.py
@@ -228,6 +228,13 @@
         arrive(target, rows[0].id, START_S + 4)
         assert listchecks.check(scene, rows) == []
 
+    def test_instances_of_other_zones_may_prefer_their_own(self, scene):
+        self.make_member(scene)
+        rows = self.make_served(scene.plain_services[0], 60, START_S + 4)
+        for row in rows:
+            row.instance = "i1"
+        assert listchecks.check(scene, rows) == []
+
     def test_target_that_left_gets_requests(self, scene):
         target = self.make_member(scene)
         rows = self.make_served(target, 1, START_S + 9.5)
