--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -1,6 +1,5 @@
 """One gateway instance: its components, its start and its stop."""
 
-import collections.abc
 import random
 import socket
 import threading
@@ -16,11 +15,14 @@
 from briarfall.gateway import crashes
 from briarfall.gateway import dispatchgate
 from briarfall.gateway import errorguard
+from briarfall.gateway import gauges
 from briarfall.gateway import gossip
 from briarfall.gateway import headernames
 from briarfall.gateway import leasing
 from briarfall.gateway import linkadmission
+from briarfall.gateway import linkmonitor
 from briarfall.gateway import listener
+from briarfall.gateway import listensocket
 from briarfall.gateway import liveness
 from briarfall.gateway import loads
 from briarfall.gateway import metrics
@@ -30,6 +32,8 @@
 from briarfall.gateway import plain
 from briarfall.gateway import plannedstop
 from briarfall.gateway import poisonpersistence
+from briarfall.gateway import relaying
+from briarfall.gateway import relaypeers
 from briarfall.gateway import sources
 from briarfall.gateway import statushandler
 from briarfall.gateway import streams
@@ -78,6 +82,7 @@
         platform: Interfaces of the platform.
         pool: Connections to targets.
         listeners: Sockets that already listen, by "IP address:port".
+        peer_pool: Connections to other instances.
     """
 
     def __init__(
@@ -86,8 +91,10 @@
         platform: Platform,
         pool: connections.ConnectionPool,
         listeners: dict[str, socket.socket] | None = None,
+        peer_pool: connections.ConnectionPool | None = None,
     ):
         listeners = listeners or {}
+        peer_pool = peer_pool or connections.ConnectionPool()
         rng = random.Random()
         self.stop = plannedstop.PlannedStop(cfg.drain_grace_s)
         self._cfg = cfg
@@ -107,10 +114,11 @@
             self.peers.zone_count,
         )
         self.lease = leasing.Lease(platform.lease, cfg.instance)
+        peer_sock = listensocket.open_listener(cfg.peer.host, cfg.peer.port)
         self.gossip = gossip.Gossip(
             sources.InstanceRecord(
                 cfg.instance,
-                f"{cfg.peer.host}:{cfg.peer.port}",
+                "{}:{}".format(*peer_sock.getsockname()),
                 cfg.zone,
                 cfg.cores,
             ),
@@ -127,6 +135,9 @@
         self.follower.add_listener(self.gossip.send_status_now)
         self.follower.set_fetcher(self.gossip.fetch_version)
         self.targets.add_listener(self.gossip.send_status_now)
+        self.links = linkmonitor.LinkMonitor(self.targets, pool, peer_pool, rng)
+        self.links.add_listener(self.gossip.send_status_now)
+        self.gossip.set_relay_status(self._relay_status)
         self._poison_persister = poisonpersistence.PoisonPersister(
             platform.poison, self.crashes
         )
@@ -155,6 +166,15 @@
             lambda: self.peers.instance_count,
         )
         dispatch_gate = dispatchgate.DispatchGate(self.budget, self.crashes)
+        self.relay = relaying.Relay(
+            platform.header_names,
+            cfg.instance,
+            self.peers,
+            relaypeers.RelayPeers(self.peers, cfg.zone, rng),
+            peer_pool,
+            dispatch_gate,
+            self.metrics,
+        )
         target_signals = targetsignals.TargetSignals(
             platform.header_names, self.targets, self.metrics
         )
@@ -170,6 +190,8 @@
                 self.targets,
                 self.loads,
                 pool,
+                self.links,
+                self.relay,
                 dispatch_gate,
                 detector,
                 target_signals,
@@ -183,6 +205,8 @@
                 self.link,
                 platform.engines,
                 pool,
+                self.links,
+                self.relay,
                 dispatch_gate,
                 detector,
                 target_signals,
@@ -199,8 +223,8 @@
             ),
             rng,
         )
-        gauges = self._gauges()
-        for name, (text, read) in gauges.items():
+        own_gauges = gauges.of_instance(self)
+        for name, (text, read) in own_gauges.items():
             self.metrics.add_gauge(f"briarfall_{name}", text, read)
         self.metrics.add_counts(
             "briarfall_store_calls",
@@ -221,7 +245,7 @@
             self.crashes.origins,
         )
         self._summary = summary.SummaryLogger(
-            {name: read for name, (_, read) in gauges.items()},
+            {name: read for name, (_, read) in own_gauges.items()},
             platform.store_calls,
         )
         self._caller_listener = listener.Listener(
@@ -231,6 +255,13 @@
             name="callers",
             sock=listeners.get(f"{cfg.caller.host}:{cfg.caller.port}"),
         )
+        self._relay_listener = listener.Listener(
+            cfg.peer.host,
+            cfg.peer.port,
+            self._caller_handler.serve_peer,
+            name="peers",
+            sock=peer_sock,
+        )
         self._status_listener = listener.Listener(
             cfg.status.host,
             cfg.status.port,
@@ -246,6 +277,9 @@
             sock=listeners.get(f"{cfg.status.host}:{cfg.status.port}"),
         )
 
+    def _relay_status(self) -> gossip.RelayStatus:
+        return gossip.RelayStatus(self.is_ready, self.links.cut_services)
+
     def _is_store_poller(self) -> bool:
         return None in self.peers.store_pollers(
             targetfollower.STORE_POLLERS_PER_ZONE
@@ -261,11 +295,25 @@
         """IP address and port for readiness checks and metrics."""
         return self._status_listener.address
 
+    @property
+    def peer_address(self) -> tuple[str, int]:
+        """IP address and port for requests that peers relay."""
+        return self._relay_listener.address
+
     @property
     def open_connections(self) -> int:
         """Number of open connections of callers."""
         return self._caller_listener.open_connections
 
+    @property
+    def open_relay_connections(self) -> int:
+        """Number of open connections on which peers relay requests."""
+        return self._relay_listener.open_connections
+
+    @property
+    def _has_connections(self) -> bool:
+        return bool(self.open_connections or self.open_relay_connections)
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may send callers to this instance."""
@@ -277,6 +325,8 @@
         """Starts all threads."""
         self._status_listener.start()
         self._caller_listener.start()
+        self._relay_listener.start()
+        self.links.start()
         self.follower.start()
         self.target_follower.start()
         self.gossip.start()
@@ -296,12 +346,13 @@
         pause = threading.Event()
         while self.stop.left_s > 0:
             is_ending = self.stop.phase is plannedstop.StopPhase.ENDING
-            if is_ending and not self._caller_listener.open_connections:
+            if is_ending and not self._has_connections:
                 break
             pause.wait(_STOP_POLL_S)
         self._caller_listener.stop()
+        self._relay_listener.stop()
         # Connections that were accepted in the meantime are still served.
-        while self._caller_listener.open_connections and self.stop.left_s > 0:
+        while self._has_connections and self.stop.left_s > 0:
             pause.wait(_STOP_POLL_S)
         logging.info(
             "stopped instance=%s left_s=%.1f %s",
@@ -327,64 +378,12 @@
     def close(self) -> None:
         """Ends all threads at once, without a planned stop."""
         self._caller_listener.stop()
+        self._relay_listener.stop()
         self._status_listener.stop()
+        self.links.stop()
         self.follower.stop()
         self.target_follower.stop()
         self.placement_controller.stop()
         self._poison_persister.stop()
         self._summary.stop()
         self.gossip.close()
-
-    def _gauges(
-        self,
-    ) -> dict[str, tuple[str, collections.abc.Callable[[], float]]]:
-        """Returns help text and read function of each gauge, by name."""
-        return {
-            "catalogue_age_seconds": (
-                "Age of the read that confirmed the catalogue.",
-                lambda: self.follower.age_s,
-            ),
-            "catalogue_version": (
-                "Version of the catalogue in force.",
-                lambda: (
-                    self.follower.view.version if self.follower.view else -1
-                ),
-            ),
-            "targets_age_seconds": (
-                "Age of the list of targets.",
-                self.targets.age_s,
-            ),
-            "instances": (
-                "Live instances, this one included.",
-                lambda: self.peers.instance_count,
-            ),
-            "lease_held": (
-                "Whether this instance holds the placement lease.",
-                lambda: float(self.lease.is_held),
-            ),
-            "poison_requests": (
-                "Requests and parts of prompts that are refused because they "
-                "crash targets.",
-                lambda: self.crashes.poison_count,
-            ),
-            "held_parts": (
-                "Parts of prompts that are suspected of crashing targets.",
-                lambda: self.crashes.held_count,
-            ),
-            "link_demand_mbps": (
-                "Demand of this instance's requests on the inter-zone link.",
-                lambda: self.link.demand_mbps,
-            ),
-            "link_refusals": (
-                "Requests refused because the inter-zone link is full.",
-                lambda: self.link.refusals,
-            ),
-            "ignored_datagrams": (
-                "Datagrams of other instances that could not be decoded.",
-                lambda: self.gossip.ignored,
-            ),
-            "open_connections": (
-                "Open connections of callers.",
-                lambda: self.open_connections,
-            ),
-        }
