--- a/src/briarfall/standins/prepared/engines.py
+++ b/src/briarfall/standins/prepared/engines.py
@@ -5,6 +5,7 @@
 import threading
 
 from briarfall.standins.prepared import manifests
+from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import registeredtarget
 
 _STEP_S = 0.004
@@ -44,7 +45,16 @@
         generated_events: Request id, event number and path of each event.
     """
 
-    def __init__(self, platform, target_id, fleet, *, zone="z1", kind="small"):
+    def __init__(
+        self,
+        platform,
+        target_id,
+        fleet,
+        *,
+        zone="z1",
+        kind="small",
+        host=rawhttp.HOST,
+    ):
         self.fleet = fleet
         self.kind = kind
         self.layers: tuple[int, int] | None = None
@@ -67,7 +77,7 @@
         self.generated_events: list[tuple[str, int, str]] = []
         self.on_event: dict[int, threading.Event] = {}
         self.resume_events: dict[int, threading.Event] = {}
-        super().__init__(platform, target_id, "pool", zone)
+        super().__init__(platform, target_id, "pool", zone, host)
         fleet[self.address] = self
         self.register()
 
@@ -87,11 +97,10 @@
     def become_unresponsive(self) -> None:
         """Stalls all chains that use it and refuses connections."""
         self.is_unresponsive = True
-        self.server.close()
+        self._close_servers()
 
     def handle(self, conn, req) -> bool:
         """Handles commands, report requests and streams."""
-        self.speaking.wait(_HOLD_S)
         if req.path == "/v1/order":
             return self._handle_command(conn, json.loads(req.body))
         if req.path == "/v1/report":
@@ -101,7 +110,7 @@
             expected != self.id
             or self.fault is registeredtarget.Fault.MISDIRECTED
         ):
-            conn.respond(421, headers={"X-Instance-Id": self.id})
+            conn.respond(421, headers=self.misdirected_headers(req))
             return True
         return self._handle_stream(conn, req)
 
@@ -179,12 +188,21 @@
             signal = self.signal_headers(503, request_id)
             conn.respond(503, headers={**echo, **signal, **extra})
             return True
+        if self.exchange.refuses(conn):
+            refused = {
+                "X-Not-Executed": "1",
+                "X-Response-Signature": self.id,
+                "At-Server": self.address,
+            }
+            self.exchange.refuse(conn, refused, {"X-Request-Id": request_id})
+            return True
         echo.update(self.signal_headers(200, request_id))
         for address, first, end in path:
             engine = self.fleet[address]
             held = engine.layers or (0, 0)
             if not held[0] <= first < end <= held[1]:
-                conn.respond(421, headers={"At-Server": address})
+                extra = {"X-Request-Id": request_id, "At-Server": address}
+                conn.respond(421, headers=extra)
                 return True
         unresponsive = (
             self._find_unresponsive(path) if self.refuses_unresponsive else ""
@@ -194,6 +212,8 @@
             conn.respond(503, headers={**echo, **extra})
             return True
         self.record_run(req)
+        if self.exchange.resets_after_run(conn):
+            return False
         if self.fault in registeredtarget.ENDLESS:
             self.send_endless(conn)
             return False
@@ -207,6 +227,7 @@
             return True
         self.paths[request_id] = path
         self._run_stages(request_id, path)
+        self.exchange.before_answer(conn)
         if self.answers_without_length:
             conn.send_open_head(echo)
         else:
@@ -228,8 +249,8 @@
                     conn.reset()
                     return False
             self.closing.wait(_STEP_S)
-            self.speaking.wait(_HOLD_S)
             path = self.paths.get(request_id, path)
+            self._wait_for_stages(path)
             text = ",".join(f"{a}={f}-{e}" for a, f, e in path)
             with self.lock:
                 self.generated_events.append((request_id, number, text))
@@ -257,6 +278,13 @@
         conn.send_chunk(b"")
         return True
 
+    def _wait_for_stages(self, path) -> None:
+        """Waits while an engine of a chain is silent."""
+        for address, _, _ in path:
+            engine = self.fleet.get(address)
+            if engine is not None:
+                engine.silence.wait()
+
     def _crash(self, conn) -> bool:
         """Crashes while it answers a request as the head."""
         if self.answers_without_length:
--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -9,8 +9,15 @@
 import sys
 import threading
 
+from briarfall.standins.prepared import links
+
+# Number of the loopback host at which the processes listen.
+_HOST_NUMBER = 249
 _START = pathlib.Path(__file__).parents[5] / "deploy" / "gateway.py"
+_TRANSLATED_START = pathlib.Path(__file__).parent / "translatedstart.py"
 _GRACE_S = 8.0
+# Ports of all processes so far.
+_given_ports: set[int] = set()
 
 
 class GatewayProcess:
@@ -25,9 +32,13 @@
 
     def __init__(self, name: str, zone: str, store: str, folder: pathlib.Path):
         self.name = name
-        front, ready, peer = _free_ports(3)
-        self.front = ("127.0.0.1", front)
-        self.ready = ("127.0.0.1", ready)
+        self.zone = zone
+        host = links.own_host(_HOST_NUMBER)
+        front, ready = _free_ports(host, socket.SOCK_STREAM, 2)
+        # Instances exchange datagrams.
+        (peer,) = _free_ports(host, socket.SOCK_DGRAM, 1)
+        self.front = (host, front)
+        self.ready = (host, ready)
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
         self._settings.write_text(
@@ -35,10 +46,10 @@
                 {
                     "node": name,
                     "zone": zone,
-                    "ip": "127.0.0.1",
+                    "ip": host,
                     "listen": {
-                        "front": f"127.0.0.1:{front}",
-                        "ready": f"127.0.0.1:{ready}",
+                        "front": f"{host}:{front}",
+                        "ready": f"{host}:{ready}",
                     },
                     "port_range": [peer, peer + 1],
                     "platform": {"address": store},
@@ -46,11 +57,31 @@
                 }
             )
         )
+        self._command = [sys.executable, str(_START)]
         self._process: subprocess.Popen | None = None
         self._lock = threading.Lock()
         self._is_closed = False
+        # Whether the running process was told to end.
+        self._is_ending = False
+        # Exit codes of processes that ended by themselves.
+        self.own_ends: list[int] = []
         self.is_paused = False
 
+    def translate_host(self, host: str, own_host: str) -> None:
+        """Makes the process connect to one host instead of another one.
+
+        Args:
+            host: The host in the addresses that the process knows.
+            own_host: The host that it connects to instead.
+        """
+        self._command = [
+            sys.executable,
+            str(_TRANSLATED_START),
+            str(_START),
+            host,
+            own_host,
+        ]
+
     def start(self) -> None:
         """Starts the process unless it is running or closed."""
         with self._lock:
@@ -61,15 +92,25 @@
         """Kills the process; later calls of `start` have no effect."""
         with self._lock:
             self._is_closed = True
+        self.record_own_end()
         if self._process is not None:
             self._process.kill()
             self._process.wait()
 
+    def record_own_end(self) -> None:
+        """Records the exit of a process that was not told to end."""
+        if self._process is None or self.is_running or self._is_ending:
+            return
+        self.own_ends.append(self._process.returncode)
+        self._is_ending = True
+
     def _start(self) -> None:
+        self.record_own_end()
+        self._is_ending = False
         env = {**os.environ, "BRIARFALL_SETTINGS": str(self._settings)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(_START)],
+                self._command,
                 env=env,
                 stdout=log,
                 stderr=log,
@@ -85,6 +126,8 @@
         """Sends a signal if the process is running."""
         if not self.is_running:
             return
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self._is_ending = True
         self._process.send_signal(number)
         self.is_paused = number is signal.SIGSTOP
 
@@ -108,11 +151,19 @@
     return True
 
 
-def _free_ports(count: int) -> list[int]:
-    socks = []
-    for _ in range(count):
-        socks.append(socket.create_server(("127.0.0.1", 0)))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+def _free_ports(host: str, kind: socket.SocketKind, count: int) -> list[int]:
+    """Returns ports of a host that only this process takes ports of.
+
+    No port is returned twice: the kernel may offer one again that is not bound
+    yet by the process it is meant for.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        with socket.socket(socket.AF_INET, kind) as sock:
+            sock.bind((host, 0))
+            port = sock.getsockname()[1]
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        ports.append(port)
     return ports
--- a/src/briarfall/standins/prepared/services.py
+++ b/src/briarfall/standins/prepared/services.py
@@ -18,8 +18,16 @@
             refused. None sets no limit.
     """
 
-    def __init__(self, platform, target_id, service="desk", zone="z1"):
-        super().__init__(platform, target_id, service, zone)
+    def __init__(
+        self,
+        platform,
+        target_id,
+        service="desk",
+        zone="z1",
+        *,
+        host=rawhttp.HOST,
+    ):
+        super().__init__(platform, target_id, service, zone, host)
         self.processing_s = 0.0
         self.capacity: threading.Semaphore | None = None
         self.register()
@@ -34,7 +42,11 @@
             expected != self.id
             or self.fault is registeredtarget.Fault.MISDIRECTED
         ):
-            conn.respond(421, headers={"X-Instance-Id": self.id})
+            conn.respond(421, headers=self.misdirected_headers(req))
+            return True
+        if self.exchange.refuses(conn):
+            refused = {"X-Not-Executed": "1", "X-Response-Signature": self.id}
+            self.exchange.refuse(conn, refused, {"X-Request-Id": request_id})
             return True
         if (
             self.fault is registeredtarget.Fault.REFUSE
@@ -57,7 +69,8 @@
 
     def _serve(self, conn, req, echo: dict[str, str]) -> bool:
         self.record_run(req)
-        self.speaking.wait(_HOLD_S)
+        if self.exchange.resets_after_run(conn):
+            return False
         if self.processing_s:
             self.closing.wait(self.processing_s)
         has_crash_marker = self.crash_marker and req.path.endswith(
@@ -73,6 +86,7 @@
                 self.restart()
             conn.reset()
             return False
+        self.exchange.before_answer(conn)
         body = b"ran:" + req.body
         if self.fault is registeredtarget.Fault.FAIL:
             conn.respond(500, b"failed", echo)
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -7,7 +7,9 @@
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared.faultsoak import callers
+from briarfall.standins.prepared.faultsoak import faultsets
 from briarfall.standins.prepared.faultsoak import processes
+from briarfall.standins.prepared.faultsoak import records
 from briarfall.standins.prepared.faultsoak import soak
 from briarfall.standins.prepared.faultsoak import targetchecks
 
@@ -21,6 +23,24 @@
         assert soak.run(seed, 6.0, str(tmp_path)) == []
 
 
+class TestDisruptions:
+    """Seeded runs of the disruptions of issue 32, each kind by itself."""
+
+    @pytest.mark.parametrize(
+        ("name", "seed", "seconds"),
+        [
+            ("silence", 1, 4.0),
+            ("cuts", 1, 6.0),
+            ("exchanges", 1, 3.0),
+            ("entries", 1, 4.0),
+            ("catalogue", 1, 4.0),
+        ],
+    )
+    def test_guarantees_hold(self, name, seed, seconds, tmp_path):
+        sets = (faultsets.FaultSet(name),)
+        assert soak.run(seed, seconds, str(tmp_path), 4, sets) == []
+
+
 class TestGatewayProcess:
     """Guards against processes that outlive the soak that started them."""
 
@@ -121,7 +141,7 @@
         )
 
     def checker(self, outcomes, *disturbed):
-        rows = [targetchecks.Disturbance("i0", *row) for row in disturbed]
+        rows = [records.Disturbance("i0", *row) for row in disturbed]
         return targetchecks.TargetChecker(outcomes, rows)
 
     def test_request_to_a_draining_target(self, service):
