--- a/src/briarfall/standins/prepared/faultsoak/oncecallers.py
+++ b/src/briarfall/standins/prepared/faultsoak/oncecallers.py
@@ -156,7 +156,9 @@
             raise _ConnectionEndedError
 
     def _receive(self) -> None:
-        if not select.select([self._sock], [], [], _TIMEOUT_S)[0]:
+        poller = select.poll()
+        poller.register(self._sock, select.POLLIN)
+        if not poller.poll(_TIMEOUT_S * 1000):
             raise TimeoutError
         data = self._sock.recv(_RECEIVE_BYTES)
         if not data:
--- a/tests/test_gateway_repeatedresponses.py
+++ b/tests/test_gateway_repeatedresponses.py
@@ -75,6 +75,10 @@
     return sum(row.ran_ids().count(request_id) for row in rows)
 
 
+# Engines are drawn at random; so many calls never miss a reused connection.
+_MAX_CALLS = 40
+
+
 @pytest.mark.parametrize("copy_time", _TIMES, ids=lambda row: row.value)
 @pytest.mark.parametrize("first", _FIRST_RESPONSES)
 class TestCopyBeforeAPlainCall:
@@ -138,7 +142,7 @@
         for row in rows:
             row.first = _FIRST_RESPONSES[first]
             row.copy_time = copy_time
-        for number in range(4):
+        for number in range(_MAX_CALLS):
             request_id = f"r{number}"
             answer = testbed.call(
                 inst,
@@ -154,8 +158,11 @@
                 assert not runs, f"{request_id} ran, status {answer.status}"
             if answer.status == 200 and answer.error is None:
                 assert testbed.event_ids(answer.body) == list(range(1, 13))
+            copies = sum(row.copies_sent for row in rows)
+            if number >= 3 and (copies or first not in ("503", "429")):
+                break
         if first in ("503", "429"):
-            assert sum(row.copies_sent for row in rows)
+            assert copies
 
 
 class TestResponseWithoutId:
