--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -7,7 +7,7 @@
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
 
-# Longer than all liveness checks that may judge an engine by its silence.
+# Longer than the first five liveness checks of a silent stream.
 SILENCE_S = 1.5
 EVENTS = list(range(1, 13))
 REFUSES = pytest.mark.parametrize("refuses", [False, True])
