--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -7,6 +7,7 @@
 
 from briarfall import ids
 from briarfall import settings
+from briarfall.gateway import callers
 from briarfall.gateway import config
 from briarfall.gateway import targetconnection
 from briarfall.standins.prepared import rawcaller
@@ -187,11 +188,22 @@
 
     @pytest.mark.parametrize("name", CHANGES)
     def test_upload_that_a_change_meets_is_answered(
-        self, world, inst, desk, name
+        self, world, inst, desk, name, monkeypatch
     ):
+        has_read_head = threading.Event()
+        receive = callers.CallerConnection._receive
+
+        def record(conn, deadline_s, has_head):
+            if has_head:
+                has_read_head.set()
+            return receive(conn, deadline_s, has_head)
+
+        monkeypatch.setattr(callers.CallerConnection, "_receive", record)
         data = rawcaller.request("/views/x", method="POST", body=b"a" * 40_000)
         caller = rawcaller.RawCaller(inst.caller_address)
         caller.send(data[:-20_000])
+        # The limits of the request are those under which its head is read.
+        assert has_read_head.wait(testbed.WAIT_S)
         _publish(world, inst, 2, CHANGES[name])
         caller.send(data[-20_000:])
         answer = caller.read(b"POST")
