Rate limits of targets are read, logged and counted; nothing acts on them yet

Now a change of a limit is logged with its origin, and so is each request that goes to a limited target, with the age of the limit, the attempt and the relaying peer; the metric of notices counts responses that name a limit. The choice of targets is unchanged.

--- a/src/briarfall/cli/explanation.py
+++ b/src/briarfall/cli/explanation.py
@@ -13,6 +13,7 @@
     "target leaving",
     "target wants no requests",
     "target takes requests",
+    "target limit changed",
     "catalogue source",
     "catalogue in force",
     "target list",
--- a/src/briarfall/gateway/dispatchgate.py
+++ b/src/briarfall/gateway/dispatchgate.py
@@ -1,10 +1,14 @@
 """Dispatch gate: the only place from which requests may go to targets."""
 
+from absl import logging
+
 from briarfall import exceptions
 from briarfall.gateway import budgets
 from briarfall.gateway import calls
+from briarfall.gateway import clocks
 from briarfall.gateway import crashes
 from briarfall.gateway import crashevidence
+from briarfall.gateway import ratelimits
 from briarfall.gateway import targetbackoff
 from briarfall.gateway import targetstate
 
@@ -28,15 +32,18 @@
     Args:
         budget: Bound on retries.
         crash_table: Requests that crashed their targets.
+        limits: Rate limits of targets.
     """
 
     def __init__(
         self,
         budget: budgets.RetryBudget,
         crash_table: crashes.CrashTable,
+        limits: ratelimits.RateLimitTable,
     ):
         self._budget = budget
         self._crashes = crash_table
+        self._limits = limits
 
     def check(self, call: calls.Call) -> None:
         """Raises if no target may run a request.
@@ -127,3 +134,20 @@
             self._crashes.start_trial(part)
         targetbackoff.clear_backoff(target)
         call.attempt_count += 1
+        self._log_limited(call, target)
+
+    def _log_limited(self, call: calls.Call, target: targetstate.Target):
+        limit = self._limits.get(target.incarnation)
+        if limit is None:
+            return
+        logging.info(
+            "limited target gets request request=%s target=%s per_s=%s "
+            "limit_age_ms=%d limit_from=%s sends=%d from_peer=%s",
+            call.request_id,
+            target.id,
+            limit.per_s,
+            (clocks.boot_s() - limit.heard_s) * 1000,
+            limit.origin or "response",
+            call.attempt_count,
+            call.relayed.sender if call.relayed else None,
+        )
--- a/src/briarfall/gateway/gauges.py
+++ b/src/briarfall/gateway/gauges.py
@@ -42,6 +42,10 @@
             "Parts of prompts that are suspected of crashing targets.",
             lambda: inst.crashes.held_count,
         ),
+        "limited_targets": (
+            "Targets that name a rate limit.",
+            inst.rate_limits.count,
+        ),
         "link_demand_mbps": (
             "Demand of this instance's requests on the inter-zone link.",
             lambda: inst.link.demand_mbps,
--- a/src/briarfall/gateway/headernames.py
+++ b/src/briarfall/gateway/headernames.py
@@ -20,6 +20,8 @@
         not_run: Present if the target did not run the request.
         leaving: Present if the target is draining and accepts no new
             requests.
+        rate_limit: Requests per second that the target takes from all
+            instances together; present while it has such a limit.
         load: Running requests, waiting requests and slots of the target.
         token_usage: Prompt tokens and the limit of output tokens.
         length_hint: Output tokens that the caller expects.
@@ -38,6 +40,7 @@
     signature: bytes
     not_run: bytes
     leaving: bytes
+    rate_limit: bytes
     load: bytes
     token_usage: bytes
     length_hint: bytes
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -32,6 +32,7 @@
 from briarfall.gateway import plain
 from briarfall.gateway import plannedstop
 from briarfall.gateway import poisonpersistence
+from briarfall.gateway import ratelimits
 from briarfall.gateway import relaying
 from briarfall.gateway import relaypeers
 from briarfall.gateway import sources
@@ -105,6 +106,8 @@
         activity = liveness.ReceiveActivity()
         self.loads = loads.LoadTable()
         self.targets = targets.TargetTable()
+        self.rate_limits = ratelimits.RateLimitTable()
+        self.targets.add_incarnation_end_listener(self.rate_limits.remove_ended)
         self.peers = peers.PeerTable(cfg.instance, cfg.zone, cfg.cores)
         self.link = linkadmission.LinkAdmission(self.peers.link_demand_mbps)
         self.follower = catalogue.CatalogueFollower(
@@ -165,7 +168,9 @@
             cfg.retry_slack,
             lambda: self.peers.instance_count,
         )
-        dispatch_gate = dispatchgate.DispatchGate(self.budget, self.crashes)
+        dispatch_gate = dispatchgate.DispatchGate(
+            self.budget, self.crashes, self.rate_limits
+        )
         self.relay = relaying.Relay(
             platform.header_names,
             cfg.instance,
@@ -176,7 +181,10 @@
             self.metrics,
         )
         target_signals = targetsignals.TargetSignals(
-            platform.header_names, self.targets, self.metrics
+            platform.header_names,
+            self.targets,
+            self.metrics,
+            self.rate_limits,
         )
         detector = crashdetection.CrashDetector(self.crashes, self.targets)
         finder = paths.ChainFinder(self.loads, cfg.zone, rng)
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -288,6 +288,7 @@
         self._loads.reserve([target.id], 0)
         try:
             conn.watch(call.watch)
+            sent_s = clocks.boot_s()
             conn.send(
                 call.req.method,
                 call.req.request_target,
@@ -297,7 +298,7 @@
             )
             head = self._read_head(call, target, conn, attempted)
             self._links.record_answer(target, is_new=conn.is_fresh)
-            self._target_signals.handle(target, head)
+            self._target_signals.handle(target, head, sent_s)
             calls.raise_if_refused(call, conn, head, self._names, target.id)
             body = plainresponses.receive(call, conn, head)
             self._check_response(call, head, body, entry)
--- a/src/briarfall/gateway/runfollowing.py
+++ b/src/briarfall/gateway/runfollowing.py
@@ -96,6 +96,7 @@
         call = stream.call
         suspended = stream.suspended
         run.conn.watch(call.watch, suspended.conn if suspended else None)
+        run.sent_s = clocks.boot_s()
         run.conn.send(
             call.req.method,
             call.req.request_target,
@@ -103,11 +104,10 @@
             call.req.body,
             call.deadline_s,
         )
-        run.sent_s = clocks.boot_s()
-        stream.last_event_s = run.sent_s
+        stream.last_event_s = clocks.boot_s()
         stream.start_chain()
         first_stall_s = call.route.first_byte_slo_s * _FIRST_STALL_SHARE
-        run.next_check_s = run.sent_s + first_stall_s
+        run.next_check_s = stream.last_event_s + first_stall_s
 
     def _receive_head(
         self, stream: streamstate.Stream, run: streamstate.ChainRun
@@ -122,7 +122,7 @@
         head = run.conn.read_head(call.deadline_s)
         run.response = head
         self._links.record_answer(run.target, is_new=run.conn.is_fresh)
-        self._target_signals.handle(run.target, head)
+        self._target_signals.handle(run.target, head, run.sent_s)
         calls.raise_if_refused(call, run.conn, head, self._names, run.target.id)
 
     def close_suspended(self, stream: streamstate.Stream) -> None:
--- a/src/briarfall/gateway/targetsignals.py
+++ b/src/briarfall/gateway/targetsignals.py
@@ -4,6 +4,7 @@
 from briarfall.gateway import headernames
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
+from briarfall.gateway import ratelimits
 from briarfall.gateway import targetbackoff
 from briarfall.gateway import targets
 from briarfall.gateway import targetstate
@@ -39,6 +40,7 @@
         header_names: Header names of the platform.
         table: Table of targets.
         counters: Metrics of this instance.
+        limits: Rate limits of targets.
     """
 
     def __init__(
@@ -46,15 +48,26 @@
         header_names: headernames.HeaderNames,
         table: targets.TargetTable,
         counters: metrics.Metrics,
+        limits: ratelimits.RateLimitTable,
     ):
         self._names = header_names
         self._targets = table
         self._metrics = counters
+        self._limits = limits
 
     def handle(
-        self, target: targetstate.Target, head: messages.ResponseHead
+        self,
+        target: targetstate.Target,
+        head: messages.ResponseHead,
+        sent_s: float,
     ) -> None:
-        """Applies the signals in the head of a target's response."""
+        """Applies the signals in the head of a target's response.
+
+        Args:
+            target: The target to which the request was sent.
+            head: Head of the response.
+            sent_s: Time on the boot clock at which the request was sent.
+        """
         if head.header(self._names.leaving) is not None:
             self._metrics.count("briarfall_target_notices", "leaving")
             if self._names_other_target(target, head):
@@ -65,6 +78,25 @@
         if seconds > 0:
             self._metrics.count("briarfall_target_notices", "quiet")
             targetbackoff.start_backoff(target, seconds)
+        self._handle_limit(target, head, sent_s)
+
+    def _handle_limit(
+        self,
+        target: targetstate.Target,
+        head: messages.ResponseHead,
+        sent_s: float,
+    ) -> None:
+        """Applies the rate limit that a response names, or that it names none.
+
+        A response that another target may have written says nothing about
+        the limit of this one.
+        """
+        if head.status == 421 or self._names_other_target(target, head):
+            return
+        value = head.header(self._names.rate_limit)
+        if value is not None:
+            self._metrics.count("briarfall_target_notices", "limit")
+        self._limits.record(target.incarnation, value, sent_s)
 
     def _names_other_target(
         self, target: targetstate.Target, head: messages.ResponseHead
--- a/src/briarfall/platform/headers.py
+++ b/src/briarfall/platform/headers.py
@@ -21,6 +21,8 @@
     not_run=b"x-not-executed",
     # Present if the target is draining.
     leaving=b"server-leaving",
+    # Requests per second; not a limit of the memory for layers.
+    rate_limit=b"server-limit",
     load=b"x-server-load",
     token_usage=b"x-token-usage",
     length_hint=b"x-length-hint",
--- a/tests/test_gateway_poisonparts.py
+++ b/tests/test_gateway_poisonparts.py
@@ -16,6 +16,7 @@
 from briarfall.gateway import liveness
 from briarfall.gateway import poisonlist
 from briarfall.gateway import promptparts
+from briarfall.gateway import ratelimits
 from briarfall.gateway import targets
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_decisions
@@ -192,7 +193,9 @@
 class TestGate:
     def gate(self, table):
         budget = budgets.RetryBudget(0.2, 10.0, 100.0, lambda: 1)
-        return dispatchgate.DispatchGate(budget, table)
+        return dispatchgate.DispatchGate(
+            budget, table, ratelimits.RateLimitTable()
+        )
 
     def test_second_request_with_a_held_part_is_refused_as_not_run(self, clock):
         table = TestHolds().table()
--- a/tests/test_gateway_targetsignals.py
+++ b/tests/test_gateway_targetsignals.py
@@ -13,6 +13,7 @@
 from briarfall.gateway import incarnations
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
+from briarfall.gateway import ratelimits
 from briarfall.gateway import retryafter
 from briarfall.gateway import sources
 from briarfall.gateway import targetbackoff
@@ -187,12 +188,16 @@
         row = test_gateway_decisions.entry("a", started_ms=3)
         table.update([row], clock.now_s)
         signals = targetsignals.TargetSignals(
-            headers.HEADERS, table, metrics.Metrics()
+            headers.HEADERS,
+            table,
+            metrics.Metrics(),
+            ratelimits.RateLimitTable(),
         )
         fields = [(headers.HEADERS.leaving, b"1")]
         if address:
             fields.append((headers.HEADERS.faulty_target, address.encode()))
-        signals.handle(table.get("a"), messages.ResponseHead(503, b"", fields))
+        head = messages.ResponseHead(503, b"", fields)
+        signals.handle(table.get("a"), head, clock.now_s)
         return table.get("a")
 
     def test_signal_about_the_sender_marks_it_as_draining(self, clock):
