--- a/src/briarfall/standins/prepared/registeredtarget.py
+++ b/src/briarfall/standins/prepared/registeredtarget.py
@@ -126,6 +126,8 @@
         self.signals_draining = False
         # Value of Retry-After in refusals; empty sends no header.
         self.retry_after = ""
+        # Value of the header that names a rate limit; empty sends no header.
+        self.rate_limit = ""
         # Requests whose path ends with this text crash the target.
         self.crash_marker = ""
         self.crashed_s: list[float] = []
@@ -307,8 +309,28 @@
                         self.incarnation,
                     )
                 )
+        if self.rate_limit:
+            headers["Server-Limit"] = self.rate_limit
         return headers
 
+    def most_arrivals(self, window_s: float, since_s: float = 0.0) -> int:
+        """Returns the most requests that arrived in any window.
+
+        Args:
+            window_s: Length of the window in seconds.
+            since_s: Start of the first window on the monotonic clock.
+        """
+        with self.lock:
+            times_s = [row.time_s for row in self.arrivals]
+        times_s = sorted(row for row in times_s if row >= since_s)
+        most = 0
+        first = 0
+        for index, time_s in enumerate(times_s):
+            while time_s - times_s[first] > window_s:
+                first += 1
+            most = max(most, index - first + 1)
+        return most
+
     def arrivals_in_backoff(self, grace_s: float) -> list[str]:
         """Returns the requests that arrived during a requested backoff.
 
