A stream is resumed only with numbered events of a signed response

It can happen here: after a break, a 2xx response of the next engine was joined to the stream whatever it was. A response without signature, with text in place of events, with a head inside its body, with an encoding or with status 204 was passed on or taken for the rest of the stream; through a peer too. 4xx and 5xx were not: they count as a broken run.

Now a 2xx response to a stream has to be signed; one that goes on with an earlier run needs status 200, no encoding and numbers in all its events. Anything else is a broken run: the next engine is tried, or the caller's connection is closed without the end of the body.

--- a/src/briarfall/gateway/relayexchanges.py
+++ b/src/briarfall/gateway/relayexchanges.py
@@ -11,6 +11,7 @@
 from briarfall.gateway import headernames
 from briarfall.gateway import messages
 from briarfall.gateway import plainresponses
+from briarfall.gateway import streamresponses
 from briarfall.gateway import streamstate
 from briarfall.gateway import targetconnection
 
@@ -112,17 +113,21 @@
 
     Args:
         stream: The stream.
+        header_names: Header names of the platform.
         on_start: Called when the first event comes from a peer.
     """
 
     def __init__(
         self,
         stream: streamstate.Stream,
+        header_names: headernames.HeaderNames,
         on_start: collections.abc.Callable[[], None],
     ):
         self.call = stream.call
         self._stream = stream
+        self._names = header_names
         self._on_start = on_start
+        self._is_resumed = False
 
     @property
     def suspended_connection(
@@ -158,6 +163,8 @@
         if not head.is_success:
             self._pass_on_error(conn, head)
             return
+        self._is_resumed = self._stream.response_started
+        self._check_head(conn, head)
         splitter = events.EventSplitter()
         while True:
             event = conn.read_event(self.call.deadline_s)
@@ -197,8 +204,29 @@
     ) -> bytes:
         """Returns the bytes of complete events that the caller lacks."""
         try:
-            return self._stream.sequence.take(splitter.feed(received))
-        except (events.EventGapError, events.EventTooLongError) as exc:
+            complete = splitter.feed(received)
+            if self._is_resumed:
+                streamresponses.check_resumed_events(complete)
+            return self._stream.sequence.take(complete)
+        except (
+            events.EventGapError,
+            events.EventTooLongError,
+            streamresponses.ForeignResponseError,
+        ) as exc:
+            raise targetconnection.BrokenExchangeError(
+                f"{conn.address}: {exc.message}", saw_response=True
+            ) from exc
+
+    def _check_head(
+        self,
+        conn: targetconnection.TargetConnection,
+        head: messages.ResponseHead,
+    ) -> None:
+        try:
+            streamresponses.check_head(
+                head, self._names, is_resumed=self._is_resumed
+            )
+        except streamresponses.ForeignResponseError as exc:
             raise targetconnection.BrokenExchangeError(
                 f"{conn.address}: {exc.message}", saw_response=True
             ) from exc
--- a/src/briarfall/gateway/runfollowing.py
+++ b/src/briarfall/gateway/runfollowing.py
@@ -16,6 +16,7 @@
 from briarfall.gateway import paths
 from briarfall.gateway import rerouting
 from briarfall.gateway import sources
+from briarfall.gateway import streamresponses
 from briarfall.gateway import streamstate
 from briarfall.gateway import targetconnection
 from briarfall.gateway import targets
@@ -116,6 +117,7 @@
 
         Raises:
             RefusedByTargetError: The engine did not run the request.
+            BrokenExchangeError: The response can't be a part of the stream.
         """
         call = stream.call
         self._await_bytes(stream, run)
@@ -124,6 +126,17 @@
         self._links.record_answer(run.target, is_new=run.conn.is_fresh)
         self._target_signals.handle(run.target, head, run.sent_s)
         calls.raise_if_refused(call, run.conn, head, self._names, run.target.id)
+        run.is_resumed = stream.response_started
+        if not head.is_success:
+            return
+        try:
+            streamresponses.check_head(
+                head, self._names, is_resumed=run.is_resumed
+            )
+        except streamresponses.ForeignResponseError as exc:
+            raise targetconnection.BrokenExchangeError(
+                f"{run.conn.address}: {exc.message}", saw_response=True
+            ) from exc
 
     def close_suspended(self, stream: streamstate.Stream) -> None:
         """Closes the suspended run, which another one has replaced."""
@@ -243,11 +256,19 @@
         """Returns the bytes of complete events that the caller lacks.
 
         Raises:
-            BrokenExchangeError: An event is missing or too long.
+            BrokenExchangeError: An event is missing, too long or none of this
+                stream.
         """
         try:
-            data = stream.sequence.take(run.splitter.feed(received))
-        except (events.EventGapError, events.EventTooLongError) as exc:
+            complete = run.splitter.feed(received)
+            if run.is_resumed:
+                streamresponses.check_resumed_events(complete)
+            data = stream.sequence.take(complete)
+        except (
+            events.EventGapError,
+            events.EventTooLongError,
+            streamresponses.ForeignResponseError,
+        ) as exc:
             raise targetconnection.BrokenExchangeError(
                 f"{run.conn.address}: {exc.message}", saw_response=True
             ) from exc
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -184,7 +184,9 @@
             BriarfallError: It may not run again, and no run is suspended.
         """
         exchange = relayexchanges.StreamExchange(
-            stream, lambda: self._follower.close_suspended(stream)
+            stream,
+            self._names,
+            lambda: self._follower.close_suspended(stream),
         )
         try:
             return self._relay.forward(exchange)
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/streamstate.py
@@ -214,6 +214,8 @@
         conn: Connection to the head.
         sent_s: Time on the boot clock at which the request was sent, or None.
         response: Head of the response, or None if it has not arrived.
+        is_resumed: Whether the caller had the head of an earlier run when the
+            response arrived.
         splitter: Splits the body into events.
         first_event_s: Time on the boot clock of its first event, or 0; set when
             the run is suspended.
@@ -228,6 +230,7 @@
     conn: targetconnection.TargetConnection
     sent_s: float | None = None
     response: messages.ResponseHead | None = None
+    is_resumed: bool = False
     splitter: events.EventSplitter = msgspec.field(
         default_factory=events.EventSplitter
     )
