A response that ends within its head is no answer for the HTTP client

Report of other operators: an engine stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

The gateway's connections to targets (h11) see such an end. briarfall.httpclient did not: http.client takes the end of the connection for the end of the head, so a head cut after its status line, after or within a header became a 200 with an empty body. Sessions, engines of the product's own path and its log use it. The callers of the fault soak and of the tests read with http.client too, so that no check could see the fault; they use strict heads now.

--- a/src/briarfall/httpclient.py
+++ b/src/briarfall/httpclient.py
@@ -9,6 +9,7 @@
 from urllib3 import exceptions as urllib3_exceptions
 
 from briarfall import exceptions
+from briarfall import strictheads
 
 CONNECT_TIMEOUT_S = 1.0
 _MAX_POOLED_CONNECTIONS = 64
@@ -39,12 +40,14 @@
         self._pool = self._new_pool()
 
     def _new_pool(self):
-        return urllib3.connection_from_url(
+        pool = urllib3.connection_from_url(
             self.base_url,
             maxsize=_MAX_POOLED_CONNECTIONS if self._keep_alive else 1,
             block=False,
             retries=False,
         )
+        pool.ConnectionCls = strictheads.StrictPoolConnection
+        return pool
 
     def send(
         self,
@@ -123,7 +126,7 @@
         `timeout_s` limits each read.
         """
         parts = urllib.parse.urlsplit(self.base_url)
-        conn = connection.HTTPConnection(
+        conn = strictheads.StrictPoolConnection(
             parts.hostname, parts.port, timeout=CONNECT_TIMEOUT_S
         )
         try:
--- a/src/briarfall/standins/prepared/faultsoak/callers.py
+++ b/src/briarfall/standins/prepared/faultsoak/callers.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from briarfall import strictheads
 from briarfall.standins.prepared.faultsoak import processes
 
 USUAL_KINDS = ("orders", "views", "drafts")
@@ -129,7 +130,7 @@
         if self._conn is None:
             self._instance = self._pick_instance(self._rng)
             host, port = self._instance.front
-            self._conn = http.client.HTTPConnection(
+            self._conn = strictheads.StrictConnection(
                 host, port, timeout=_TIMEOUT_S
             )
             self._conn.connect()
--- a/src/briarfall/standins/prepared/testbed.py
+++ b/src/briarfall/standins/prepared/testbed.py
@@ -8,6 +8,7 @@
 
 from briarfall import ids
 from briarfall import settings
+from briarfall import strictheads
 from briarfall.gateway import config
 from briarfall.gateway import connections
 from briarfall.gateway import dialing
@@ -249,7 +250,7 @@
 ) -> Answer:
     """Sends a request as a caller and returns the response."""
     host, port = inst.caller_address
-    conn = http.client.HTTPConnection(host, port, timeout=WAIT_S)
+    conn = strictheads.StrictConnection(host, port, timeout=WAIT_S)
     fields = {
         "Host": HOST,
         "X-Request-Id": request_id,
--- /dev/null
+++ b/tests/test_strictheads.py
@@ -0,0 +1,83 @@
+"""Responses that end within their head."""
+
+import http.client
+import socket
+import threading
+
+import pytest
+
+from briarfall import exceptions
+from briarfall import httpclient
+from briarfall import strictheads
+
+CUTS = {
+    "after the status": b"HTTP/1.1 200 OK\r\n",
+    "within the status": b"HTTP/1.1 200 O",
+    "after a header": b"HTTP/1.1 200 OK\r\nX-One: 1\r\n",
+    "within a name": b"HTTP/1.1 200 OK\r\nX-One: 1\r\nX-Tw",
+    "within a value": b"HTTP/1.1 200 OK\r\nX-One: 1",
+    "within a length": b"HTTP/1.1 200 OK\r\nContent-Length: 1",
+    "within the blank line": b"HTTP/1.1 200 OK\r\nX-One: 1\r\n\r",
+    "after an interim status": b"HTTP/1.1 100 Continue\r\n",
+    "after an interim head": b"HTTP/1.1 100 Continue\r\n\r\n",
+}
+WHOLE = b"HTTP/1.1 200 OK\r\nX-One: 1\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.fixture
+def serve():
+    """Returns a function that serves bytes once; it returns the address."""
+    socks = []
+
+    def run(data):
+        sock = socket.create_server(("127.0.0.1", 0))
+        socks.append(sock)
+
+        def answer():
+            conn, _ = sock.accept()
+            with conn:
+                conn.recv(65536)
+                conn.sendall(data)
+                conn.shutdown(socket.SHUT_WR)
+                while conn.recv(65536):
+                    continue
+
+        threading.Thread(target=answer, daemon=True).start()
+        return "{}:{}".format(*sock.getsockname())
+
+    yield run
+    for sock in socks:
+        sock.close()
+
+
+class TestHttpClient:
+    @pytest.mark.parametrize("name", CUTS)
+    def test_head_without_its_end_is_no_answer(self, serve, name):
+        client = httpclient.HttpClient(f"http://{serve(CUTS[name])}")
+        with pytest.raises(exceptions.TargetError):
+            client.send("GET", "/", timeout_s=5.0)
+
+    @pytest.mark.parametrize("name", CUTS)
+    def test_started_request_gets_no_answer_from_a_cut_head(self, serve, name):
+        client = httpclient.HttpClient(f"http://{serve(CUTS[name])}")
+        conn = client.start("GET", "/", b"", 5.0)
+        with pytest.raises((http.client.HTTPException, OSError)):
+            conn.getresponse()
+        conn.close()
+
+    def test_whole_head_is_read(self, serve):
+        client = httpclient.HttpClient(f"http://{serve(WHOLE)}")
+        reply = client.send("GET", "/", timeout_s=5.0)
+        assert (reply.status, reply.body) == (200, b"ok")
+        assert reply.headers["X-One"] == "1"
+
+
+class TestStrictConnection:
+    @pytest.mark.parametrize("name", CUTS)
+    def test_callers_of_tests_see_a_cut_head(self, serve, name):
+        host, _, port = serve(CUTS[name]).partition(":")
+        conn = strictheads.StrictConnection(host, int(port), timeout=5.0)
+        conn.request("GET", "/")
+        with pytest.raises(http.client.HTTPException):
+            conn.getresponse()
+        conn.close()
