A request taken during a planned stop is answered before the process ends

Report of other operators: in a planned stop, requests that came late in the grace were taken and passed on; at its end they were cut with no answer.

It can happen here in two ways. In the first 3 s any request is taken, with all its time: one that lasts longer than the grace was cut. Later only a request whose time ends before the process does is taken, but without any time for the answer itself, so that one whose time was up 10 ms before was cut as well.

Now the deadline of a request taken during a stop ends 0.25 s before the process does, so that it gets its 504 in time, and the target learns the shorter time; later requests are taken only with that margin. Relayed requests are refused from the start of the stop, as before. A request that was already running when the stop began keeps its deadline: if its target still works at the end of the grace, its connection is closed, which promises nothing.

Four tests fail on the code before (a target was given 2,979 ms with 1,600 left; a request that ends 0.2 s before the process was taken) and pass now.

--- a/src/briarfall/gateway/callerhandler.py
+++ b/src/briarfall/gateway/callerhandler.py
@@ -160,6 +160,7 @@
                 "the instance stops before the answer could be complete",
                 retry_after_s=_STOPPING_RETRY_S,
             )
+        call.deadline_s = self._stop.bound(call.deadline_s)
         if call.relayed is None:
             # A relayed request is counted by the instance that relays it.
             self._budget.record_request()
--- a/src/briarfall/gateway/plannedstop.py
+++ b/src/briarfall/gateway/plannedstop.py
@@ -13,6 +13,9 @@
 _CLOSE_AFTER_S = 1.5
 # Part of the grace period that is reserved for the process to exit.
 _EXIT_MARGIN_S = 0.4
+# Time before that for the answers of requests whose time is up: a throttled
+# process gets no processor time for 0.1 s.
+_ANSWER_MARGIN_S = 0.25
 
 
 class StopPhase(enum.Enum):
@@ -100,4 +103,17 @@
         """
         if self.phase is not StopPhase.ENDING:
             return True
-        return max_duration_s < self.left_s
+        return max_duration_s < self.left_s - _ANSWER_MARGIN_S
+
+    def bound(self, deadline_s: float) -> float:
+        """Returns the deadline of a request, bounded by a stop in progress.
+
+        The request is answered before the process ends.
+
+        Args:
+            deadline_s: Its deadline on the boot clock.
+        """
+        if not self.is_requested:
+            return deadline_s
+        end_s = self._requested_s + self._grace_s - _EXIT_MARGIN_S
+        return min(deadline_s, end_s - _ANSWER_MARGIN_S)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -1145,6 +1145,26 @@
         clock.now_s += 3
         assert not stop.accepts(0.8)
 
+    def test_request_that_is_accepted_ends_well_before_the_process(self, clock):
+        stop = plannedstop.PlannedStop(8.0)
+        stop.request()
+        clock.now_s += 5
+        assert stop.accepts(stop.left_s - 0.3)
+        # A throttled process gets no processor time for 0.1 s, and the answer
+        # still has to be written.
+        assert not stop.accepts(stop.left_s - 0.2)
+
+    def test_request_that_is_accepted_early_ends_before_the_process_too(
+        self, clock
+    ):
+        stop = plannedstop.PlannedStop(8.0)
+        assert stop.bound(clock.now_s + 20) == clock.now_s + 20
+        stop.request()
+        assert stop.accepts(20)
+        end_s = clock.now_s + stop.left_s
+        assert stop.bound(clock.now_s + 20) <= end_s - 0.2
+        assert stop.bound(clock.now_s + 1) == clock.now_s + 1
+
 
 class _RecordedTargets(sources.TargetSource):
     """An instance list that records the times of its reads."""
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -658,3 +658,18 @@
         inst.stop.request()
         assert not inst.is_ready
         assert testbed.call(inst, "/views/x").status == 200
+
+    @pytest.mark.parametrize(
+        ("path", "method"), [("/views/x", "GET"), ("/orders/x", "POST")]
+    )
+    def test_request_taken_during_the_stop_is_sent_with_the_time_that_is_left(
+        self, world, path, method
+    ):
+        desk = world.service("d1")
+        inst = world.instance(drain_grace_s=2.0)
+        world.wait_for_targets(desk)
+        inst.stop.request()
+        answer = testbed.call(inst, path, method=method, deadline_ms=3000)
+        assert answer.status == 200
+        left_ms = int(desk.ran[0].headers["x-deadline-ms"])
+        assert left_ms < 2000 - 400
