--- a/src/briarfall/cli/benches.py
+++ b/src/briarfall/cli/benches.py
@@ -116,6 +116,31 @@
     return int(failed_seeds > 0)
 
 
+def permits(*, seed: int = 1) -> int:
+    """Models the requests that a target with a rate limit gets.
+
+    Prints, for numbers of instances, limits and troubles, the fullest 4 s as a
+    share of what is allowed, and the used share of the limit.
+
+    Args:
+        seed: Determines which instance sends when.
+    """
+    from briarfall.bench import permitmodel
+
+    broken = 0
+    for count in (15, 100, 330):
+        for per_s in (1.6, 4.0, 40.0):
+            for trouble in permitmodel.Trouble:
+                row = permitmodel.play(count, per_s, trouble, seed)
+                broken += row.fullest > row.allowed
+                print(
+                    f"instances={count} limit={per_s:g} "
+                    f"fullest={row.fullest / row.allowed:.2f} "
+                    f"used={row.used:.2f} trouble={trouble.value}"
+                )
+    return int(broken > 0)
+
+
 def once_soak(
     *, seed: int = 1, seeds: int = 1, seconds: float = 10.0, keep: str = ""
 ) -> int:
@@ -307,4 +332,5 @@
     "soak": soak,
     "fault-soak": fault_soak,
     "once-soak": once_soak,
+    "permits": permits,
 }
--- a/src/briarfall/gateway/ratelimits.py
+++ b/src/briarfall/gateway/ratelimits.py
@@ -28,6 +28,9 @@
 # A report that is newer by less than this may be older than what is known: its
 # age does not include the time on the way.
 _REPORT_TOLERANCE_S = 0.25
+# A report of the known limit has to be newer by this. Otherwise instances would
+# renew a limit by reporting it to each other.
+_RENEWAL_S = 5.0
 # A limit of at least the rate that all instances together are built for limits
 # nothing.
 MAX_RATE_PER_S = 10_000.0
@@ -191,7 +194,7 @@
             if known is None:
                 if new.per_s is None:
                     return
-            elif new.heard_s <= known.heard_s + _REPORT_TOLERANCE_S:
+            elif not _is_newer(new, known):
                 return
             self._limits[incarnation] = new
         _log_change(incarnation, known, new)
@@ -235,6 +238,14 @@
     return row.per_s is None or 0 <= row.per_s < MAX_RATE_PER_S
 
 
+def _is_newer(new: RateLimit, known: RateLimit) -> bool:
+    """Whether a reported limit replaces the known one."""
+    least_s = _REPORT_TOLERANCE_S
+    if new.per_s == known.per_s:
+        least_s = _RENEWAL_S
+    return new.heard_s > known.heard_s + least_s
+
+
 def _stricter(first: float | None, second: float | None) -> float | None:
     if first is None:
         return second
