--- a/src/briarfall/cli/benches.py
+++ b/src/briarfall/cli/benches.py
@@ -91,6 +91,7 @@
     instances: int = 3,
     sets: list[str] | None = None,
     keep: str = "",
+    old: str = "",
 ) -> int:
     """Runs gateway processes under faults and checks the guarantees.
 
@@ -100,8 +101,10 @@
         seconds: Duration of the faults for each seed.
         instances: Number of gateway processes to run.
         sets: Sets of faults: usual (the default), silence, cuts, exchanges,
-            catalogue, entries, gone.
+            catalogue, entries, gone, limits.
         keep: Folder to keep settings and logs in; not kept if empty.
+        old: Checkout of an earlier release that runs at first; instances are
+            upgraded one after the other. Empty starts with this release.
     """
     from briarfall.standins.prepared.faultsoak import faultsets
     from briarfall.standins.prepared.faultsoak import soak as bench
@@ -111,7 +114,7 @@
     for number in range(seed, seed + seeds):
         folder = f"{keep}/{number}" if keep else ""
         failed_seeds += bool(
-            bench.run(number, seconds, folder, instances, chosen)
+            bench.run(number, seconds, folder, instances, chosen, old)
         )
     return int(failed_seeds > 0)
 
--- a/src/briarfall/gateway/dispatchgate.py
+++ b/src/briarfall/gateway/dispatchgate.py
@@ -106,10 +106,10 @@
         """Whether a request may be sent once more; counts nothing."""
         return call.route.is_retryable and self._budget.has_retry()
 
-    def start_attempt(
+    def admit(
         self, call: calls.Call, target: targetstate.Target
-    ) -> None:
-        """Checks that a request may be sent to a target; counts the attempt.
+    ) -> permits.Permit:
+        """Checks that a request may be sent to a target, before it connects.
 
         Raises:
             PoisonError: The request, or a part of its prompt, has crashed too
@@ -127,8 +127,30 @@
             raise _budget_error(call)
         if not target.accepts_requests or target.is_in_backoff:
             raise TargetAvoidedError(f"{target.id}: takes no requests")
-        self._permits.take(call.request_id, target)
-        # Time may have passed in which the permit was asked for.
+        return self._permits.take(call.request_id, target)
+
+    def start_attempt(
+        self,
+        call: calls.Call,
+        target: targetstate.Target,
+        permit: permits.Permit | None = None,
+    ) -> None:
+        """Checks that a request may be sent to a target; counts the attempt.
+
+        Args:
+            call: The request.
+            target: The target.
+            permit: What `admit` returned; it is called if there is none.
+
+        Raises:
+            BriarfallError: One of the errors of `admit`.
+        """
+        if permit is None:
+            permit = self.admit(call, target)
+        permit.check()
+        # Time has passed in which the permit was asked for and the connection
+        # was opened.
+        self.check(call)
         suspected = self._suspected_parts(call)
         if not target.accepts_requests or target.is_in_backoff:
             raise TargetAvoidedError(f"{target.id}: takes no requests")
--- a/src/briarfall/gateway/permits.py
+++ b/src/briarfall/gateway/permits.py
@@ -8,8 +8,10 @@
 
 import abc
 import collections.abc
+import math
 
 from absl import logging
+import msgspec
 
 from briarfall import exceptions
 from briarfall import ids
@@ -41,11 +43,34 @@
     outcome = exceptions.Outcome.NOT_RUN
 
 
+class Permit(msgspec.Struct, frozen=True):
+    """Permission to send one request to a target.
+
+    Attributes:
+        until_s: Time on the boot clock at which it lapses.
+    """
+
+    until_s: float
+
+    def check(self) -> None:
+        """Raises if the permit has lapsed.
+
+        Raises:
+            TargetLimitedError: It has: the instance was suspended, or the
+                connection took long.
+        """
+        if clocks.boot_s() > self.until_s:
+            raise TargetLimitedError("the permit has lapsed before the send")
+
+
+UNLIMITED = Permit(math.inf)
+
+
 class PermitSource(abc.ABC):
     """Gives permits to send requests to limited targets."""
 
     @abc.abstractmethod
-    def take(self, request_id: str, target: targetstate.Target) -> None:
+    def take(self, request_id: str, target: targetstate.Target) -> Permit:
         """Gets a permit for a request that is sent now.
 
         Raises:
@@ -89,7 +114,7 @@
         self._is_stopping = True
         self._homes.refresh()
 
-    def take(self, request_id: str, target: targetstate.Target) -> None:
+    def take(self, request_id: str, target: targetstate.Target) -> Permit:
         """Gets a permit for a request that is sent now.
 
         Raises:
@@ -98,7 +123,7 @@
         incarnation = target.incarnation
         limit = self._limits.get(incarnation)
         if limit is None:
-            return
+            return UNLIMITED
         asked_s = clocks.boot_s()
         home = self._homes.home_of(incarnation)
         grant = self._ask(home, incarnation, limit)
@@ -115,7 +140,7 @@
                 home,
                 age_s * 1000,
             )
-            return
+            return Permit(asked_s + _PERMIT_TTL_S)
         self.held_back += 1
         now_s = clocks.boot_s()
         target.limited_since_s = now_s
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/plain.py
@@ -265,6 +265,7 @@
             TargetAvoidedError: The target takes no requests now.
             BriarfallError: The request may not be sent to any target.
         """
+        permit = self._gate.admit(call, target)
         runs_once = not call.route.is_retryable
         conn = self._pool.acquire(
             target.entry.address,
@@ -273,7 +274,7 @@
             call.identity(self._names),
         )
         try:
-            self._gate.start_attempt(call, target)
+            self._gate.start_attempt(call, target, permit)
         except exceptions.BriarfallError:
             self._pool.return_unused(conn)
             raise
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -307,6 +307,7 @@
             BriarfallError: The request may not be sent to any engine.
         """
         call = stream.call
+        permit = self._gate.admit(call, target)
         timeout_s = call.left_s
         if stream.suspended is not None:
             timeout_s = min(timeout_s, _MOVE_CONNECT_TIMEOUT_S)
@@ -317,7 +318,7 @@
             call.identity(self._names),
         )
         try:
-            self._gate.start_attempt(call, target)
+            self._gate.start_attempt(call, target, permit)
         except exceptions.BriarfallError:
             self._pool.return_unused(conn)
             raise
--- a/src/briarfall/standins/prepared/faultsoak/checks.py
+++ b/src/briarfall/standins/prepared/faultsoak/checks.py
@@ -6,6 +6,7 @@
 from briarfall.standins.prepared.faultsoak import callers
 from briarfall.standins.prepared.faultsoak import cutchecks
 from briarfall.standins.prepared.faultsoak import latechecks
+from briarfall.standins.prepared.faultsoak import limitchecks
 from briarfall.standins.prepared.faultsoak import listchecks
 from briarfall.standins.prepared.faultsoak import lostchecks
 from briarfall.standins.prepared.faultsoak import scenes
@@ -49,6 +50,7 @@
     checker = targetchecks.TargetChecker(outcomes, scene.records.disturbed)
     for target in scene.targets:
         broken += checker.check(target)
+        broken += limitchecks.check(target)
     broken += checker.check_poison(scenes.POISON, scene.plain_services)
     usual = [row for row in outcomes if not row.id.startswith(scenes.POISON)]
     broken += lostchecks.check(scene, usual)
--- a/src/briarfall/standins/prepared/faultsoak/faultsets.py
+++ b/src/briarfall/standins/prepared/faultsoak/faultsets.py
@@ -10,6 +10,7 @@
 from briarfall.standins.prepared.faultsoak import oddentries
 from briarfall.standins.prepared.faultsoak import storefaults
 from briarfall.standins.prepared.faultsoak import targetfaults
+from briarfall.standins.prepared.faultsoak import targetlimits
 from briarfall.standins.prepared.faultsoak import targetsilence
 
 
@@ -23,6 +24,7 @@
     CATALOGUE = "catalogue"
     ENTRIES = "entries"
     GONE = "gone"
+    LIMITS = "limits"
 
 
 # The order decides which fault a seed draws.
@@ -61,6 +63,7 @@
         targetsilence.SilenceWithoutEntry(),
         targetsilence.Silence(),
     ],
+    FaultSet.LIMITS: [targetlimits.RateLimits()],
 }
 
 
--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -13,7 +13,9 @@
 
 # Number of the loopback host at which the processes listen.
 _HOST_NUMBER = 249
-_START = pathlib.Path(__file__).parents[5] / "deploy" / "gateway.py"
+# Checkout of this release.
+CHECKOUT = pathlib.Path(__file__).parents[5]
+_START = pathlib.Path("deploy") / "gateway.py"
 _TRANSLATED_START = pathlib.Path(__file__).parent / "translatedstart.py"
 _GRACE_S = 8.0
 # Ports of all processes so far.
@@ -30,7 +32,13 @@
         folder: Folder for its settings and logs.
     """
 
-    def __init__(self, name: str, zone: str, store: str, folder: pathlib.Path):
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        store: str,
+        folder: pathlib.Path,
+    ):
         self.name = name
         self.zone = zone
         host = links.own_host(_HOST_NUMBER)
@@ -57,7 +65,8 @@
                 }
             )
         )
-        self._command = [sys.executable, str(_START)]
+        self._checkout = CHECKOUT
+        self._translated: tuple[str, str] | None = None
         self._process: subprocess.Popen | None = None
         self._lock = threading.Lock()
         self._is_closed = False
@@ -74,12 +83,22 @@
             host: The host in the addresses that the process knows.
             own_host: The host that it connects to instead.
         """
-        self._command = [
+        self._translated = (host, own_host)
+
+    def run_release(self, checkout: pathlib.Path) -> None:
+        """Makes the next start run the release of a checkout."""
+        self._checkout = checkout
+
+    @property
+    def _command(self) -> list[str]:
+        start = str(self._checkout / _START)
+        if self._translated is None:
+            return [sys.executable, start]
+        return [
             sys.executable,
             str(_TRANSLATED_START),
-            str(_START),
-            host,
-            own_host,
+            start,
+            *self._translated,
         ]
 
     def start(self) -> None:
--- a/src/briarfall/standins/prepared/faultsoak/scenes.py
+++ b/src/briarfall/standins/prepared/faultsoak/scenes.py
@@ -51,6 +51,7 @@
         instances: int,
         *,
         is_extended: bool,
+        old: str = "",
     ):
         self.rng = rng
         self.lock = threading.Lock()
@@ -74,6 +75,8 @@
             process = processes.GatewayProcess(
                 name, f"z{number % 2}", link.address, folder
             )
+            if old:
+                process.run_release(pathlib.Path(old))
             self.instances.append(process)
             if is_extended:
                 self._add_links(process, links.own_host(number + 1))
--- a/src/briarfall/standins/prepared/faultsoak/soak.py
+++ b/src/briarfall/standins/prepared/faultsoak/soak.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import random
+import signal
 import tempfile
 import threading
 import time
@@ -10,6 +11,7 @@
 from briarfall.standins.prepared.faultsoak import checks
 from briarfall.standins.prepared.faultsoak import faults
 from briarfall.standins.prepared.faultsoak import faultsets
+from briarfall.standins.prepared.faultsoak import processes
 from briarfall.standins.prepared.faultsoak import protocol
 from briarfall.standins.prepared.faultsoak import rotation
 from briarfall.standins.prepared.faultsoak import scenes
@@ -40,6 +42,7 @@
         folder: Folder for settings and logs.
         instances: Gateway processes to run.
         sets: Sets of faults to play.
+        old: Checkout of an earlier release that runs at first, or empty.
     """
 
     def __init__(
@@ -49,6 +52,7 @@
         folder: pathlib.Path,
         instances: int = _INSTANCES,
         sets: tuple[faultsets.FaultSet, ...] = _USUAL,
+        old: str = "",
     ):
         self._seed = seed
         self._rng = random.Random(seed)
@@ -62,8 +66,13 @@
         self._is_extended = sets != _USUAL
         self._kinds = faultsets.kinds_of(sets)
         self.scene = scenes.Scene(
-            self._rng, folder, instances, is_extended=self._is_extended
+            self._rng,
+            folder,
+            instances,
+            is_extended=self._is_extended,
+            old=old,
         )
+        self._upgrades = bool(old)
         self.store = self.scene.store
         self.plain_services = self.scene.plain_services
         self.engines = self.scene.engines
@@ -183,6 +192,8 @@
     def _run_faults(self) -> None:
         """Starts one fault after the other; longer ones overlap."""
         deadline_s = time.monotonic() + self._seconds
+        if self._upgrades:
+            self._threads.append(self._start_upgrade())
         while time.monotonic() < deadline_s:
             kind = self._rng.choice(self._kinds)
             fault_s = self._rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S)
@@ -197,6 +208,23 @@
         for thread in self._threads:
             thread.join(_JOIN_S)
 
+    def _start_upgrade(self) -> threading.Thread:
+        """Upgrades the instances one after the other, over the whole run."""
+        thread = threading.Thread(target=self._upgrade_all, daemon=True)
+        thread.start()
+        return thread
+
+    def _upgrade_all(self) -> None:
+        pause_s = self._seconds / (len(self.scene.instances) + 1)
+        for row in self.scene.instances:
+            self._stopped.wait(pause_s)
+            start_s = time.monotonic()
+            row.run_release(processes.CHECKOUT)
+            row.signal(signal.SIGTERM)
+            row.wait()
+            row.start()
+            self.scene.records.disturb(row.name, start_s)
+
     def _rng_of(self, kind: faults.FaultKind) -> random.Random:
         """Returns a generator for one fault.
 
@@ -218,6 +246,7 @@
     keep: str = "",
     instances: int = _INSTANCES,
     sets: tuple[faultsets.FaultSet, ...] = _USUAL,
+    old: str = "",
 ) -> list[str]:
     """Runs one seed; prints and returns the violated guarantees.
 
@@ -227,11 +256,12 @@
         keep: Folder for settings and logs; if empty, they are deleted.
         instances: Gateway processes to run.
         sets: Sets of faults to play.
+        old: Checkout of an earlier release that runs at first, or empty.
     """
     with tempfile.TemporaryDirectory() as scratch:
         folder = pathlib.Path(keep or scratch)
         folder.mkdir(parents=True, exist_ok=True)
-        soak = Soak(seed, seconds, folder, instances, sets)
+        soak = Soak(seed, seconds, folder, instances, sets, old)
         broken = soak.run()
         print(f"seed {seed}: {soak.played} faults, {len(broken)} broken")
         for line in broken[:20]:
--- a/src/briarfall/standins/prepared/registeredtarget.py
+++ b/src/briarfall/standins/prepared/registeredtarget.py
@@ -95,6 +95,32 @@
     incarnation: int = 1
 
 
+class LimitPeriod(msgspec.Struct):
+    """A time in which a target names a rate limit.
+
+    Attributes:
+        per_s: Requests per second.
+        first_told_s: When a response first named it, in seconds of the
+            monotonic clock; None if none did.
+        end_s: When the target stopped to name it, or 0.
+    """
+
+    per_s: float
+    first_told_s: float | None = None
+    end_s: float = 0.0
+
+
+def most_within(times_s: list[float], window_s: float) -> int:
+    """Returns the most of some ascending times that lie in any window."""
+    most = 0
+    first = 0
+    for index, time_s in enumerate(times_s):
+        while time_s - times_s[first] > window_s:
+            first += 1
+        most = max(most, index - first + 1)
+    return most
+
+
 def _parse_seconds(value: str) -> float:
     try:
         return float(value)
@@ -128,6 +154,7 @@
         self.retry_after = ""
         # Value of the header that names a rate limit; empty sends no header.
         self.rate_limit = ""
+        self.limit_periods: list[LimitPeriod] = []
         # Requests whose path ends with this text crash the target.
         self.crash_marker = ""
         self.crashed_s: list[float] = []
@@ -311,8 +338,24 @@
                 )
         if self.rate_limit:
             headers["Server-Limit"] = self.rate_limit
+            self._record_told()
         return headers
 
+    def name_limit(self, value: str) -> None:
+        """Names a rate limit from now on; none if the value is empty."""
+        with self.lock:
+            if self.rate_limit:
+                self.limit_periods[-1].end_s = time.monotonic()
+            self.rate_limit = value
+            if value:
+                self.limit_periods.append(LimitPeriod(float(value)))
+
+    def _record_told(self) -> None:
+        with self.lock:
+            if self.limit_periods and not self.limit_periods[-1].end_s:
+                period = self.limit_periods[-1]
+                period.first_told_s = period.first_told_s or time.monotonic()
+
     def most_arrivals(self, window_s: float, since_s: float = 0.0) -> int:
         """Returns the most requests that arrived in any window.
 
@@ -323,13 +366,7 @@
         with self.lock:
             times_s = [row.time_s for row in self.arrivals]
         times_s = sorted(row for row in times_s if row >= since_s)
-        most = 0
-        first = 0
-        for index, time_s in enumerate(times_s):
-            while time_s - times_s[first] > window_s:
-                first += 1
-            most = max(most, index - first + 1)
-        return most
+        return most_within(times_s, window_s)
 
     def arrivals_in_backoff(self, grace_s: float) -> list[str]:
         """Returns the requests that arrived during a requested backoff.
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -97,7 +97,7 @@
     """Gives a permit for each request."""
 
     def take(self, request_id, target):
-        pass
+        return permits.UNLIMITED
 
 
 class TestChainChoice:
