Report queries count towards a target's limit; one place joins stream responses

A stalled stream's third check asks the head of its chain for a report. With a limited head it now needs a permit as a request does. The checks of resumed responses stood twice, in runfollowing.py and relayexchanges.py; they are one function of streamresponses.py now.

--- a/src/briarfall/gateway/dispatchgate.py
+++ b/src/briarfall/gateway/dispatchgate.py
@@ -1,5 +1,7 @@
 """Dispatch gate: the only place from which requests may go to targets."""
 
+from absl import logging
+
 from briarfall import exceptions
 from briarfall.gateway import budgets
 from briarfall.gateway import calls
@@ -129,6 +131,26 @@
             raise TargetAvoidedError(f"{target.id}: takes no requests")
         return self._permits.take(call.request_id, target)
 
+    def admits_query(
+        self, call: calls.Call, target: targetstate.Target
+    ) -> bool:
+        """Whether a target may be asked for its report now.
+
+        A query counts towards the target's rate limit as a request does.
+        """
+        if target.is_in_backoff:
+            return False
+        try:
+            self._permits.take(call.request_id, target)
+        except permits.TargetLimitedError as exc:
+            logging.info(
+                "report not queried request=%s: %s",
+                call.request_id,
+                exc.message,
+            )
+            return False
+        return True
+
     def start_attempt(
         self,
         call: calls.Call,
--- a/src/briarfall/gateway/relayexchanges.py
+++ b/src/briarfall/gateway/relayexchanges.py
@@ -127,7 +127,6 @@
         self._stream = stream
         self._names = header_names
         self._on_start = on_start
-        self._is_resumed = False
 
     @property
     def suspended_connection(
@@ -163,14 +162,22 @@
         if not head.is_success:
             self._pass_on_error(conn, head)
             return
-        self._is_resumed = self._stream.response_started
-        self._check_head(conn, head)
+        is_resumed = self._stream.response_started
+        streamresponses.check_head(
+            conn.address, head, self._names, is_resumed=is_resumed
+        )
         splitter = events.EventSplitter()
         while True:
             event = conn.read_event(self.call.deadline_s)
             if isinstance(event, h11.EndOfMessage):
                 break
-            data = self._accept(conn, splitter, bytes(event.data))
+            data = streamresponses.accept_events(
+                conn.address,
+                splitter,
+                self._stream.sequence,
+                bytes(event.data),
+                is_resumed=is_resumed,
+            )
             if not data:
                 continue
             if self.suspended_connection is not None:
@@ -196,41 +203,6 @@
             number = len(self._stream.heads)
             self._stream.heads.add(ids.TargetId(f"unnamed head {number}"))
 
-    def _accept(
-        self,
-        conn: targetconnection.TargetConnection,
-        splitter: events.EventSplitter,
-        received: bytes,
-    ) -> bytes:
-        """Returns the bytes of complete events that the caller lacks."""
-        try:
-            complete = splitter.feed(received)
-            if self._is_resumed:
-                streamresponses.check_resumed_events(complete)
-            return self._stream.sequence.take(complete)
-        except (
-            events.EventGapError,
-            events.EventTooLongError,
-            streamresponses.ForeignResponseError,
-        ) as exc:
-            raise targetconnection.BrokenExchangeError(
-                f"{conn.address}: {exc.message}", saw_response=True
-            ) from exc
-
-    def _check_head(
-        self,
-        conn: targetconnection.TargetConnection,
-        head: messages.ResponseHead,
-    ) -> None:
-        try:
-            streamresponses.check_head(
-                head, self._names, is_resumed=self._is_resumed
-            )
-        except streamresponses.ForeignResponseError as exc:
-            raise targetconnection.BrokenExchangeError(
-                f"{conn.address}: {exc.message}", saw_response=True
-            ) from exc
-
     def _pass_on_error(
         self,
         conn: targetconnection.TargetConnection,
--- a/src/briarfall/gateway/rerouting.py
+++ b/src/briarfall/gateway/rerouting.py
@@ -262,11 +262,13 @@
         """Returns the stage that the head reports as stalled.
 
         If the head does not answer, the head itself is returned. A head that
-        asked for a backoff is not queried.
+        may get no request now is not queried.
         """
         head = run.chain.head
         head_target = self._targets.get(head.target)
-        if head_target is not None and head_target.is_in_backoff:
+        if head_target is not None and not self._gate.admits_query(
+            stream.call, head_target
+        ):
             return {}
         try:
             report = self._engines.report(head.address, _REPORT_TIMEOUT_S)
--- a/src/briarfall/gateway/runfollowing.py
+++ b/src/briarfall/gateway/runfollowing.py
@@ -8,7 +8,6 @@
 from briarfall.gateway import closedanswers
 from briarfall.gateway import connections
 from briarfall.gateway import dispatchgate
-from briarfall.gateway import events
 from briarfall.gateway import headernames
 from briarfall.gateway import linkmonitor
 from briarfall.gateway import loads
@@ -129,14 +128,9 @@
         run.is_resumed = stream.response_started
         if not head.is_success:
             return
-        try:
-            streamresponses.check_head(
-                head, self._names, is_resumed=run.is_resumed
-            )
-        except streamresponses.ForeignResponseError as exc:
-            raise targetconnection.BrokenExchangeError(
-                f"{run.conn.address}: {exc.message}", saw_response=True
-            ) from exc
+        streamresponses.check_head(
+            run.conn.address, head, self._names, is_resumed=run.is_resumed
+        )
 
     def close_suspended(self, stream: streamstate.Stream) -> None:
         """Closes the suspended run, which another one has replaced."""
@@ -259,19 +253,13 @@
             BrokenExchangeError: An event is missing, too long or none of this
                 stream.
         """
-        try:
-            complete = run.splitter.feed(received)
-            if run.is_resumed:
-                streamresponses.check_resumed_events(complete)
-            data = stream.sequence.take(complete)
-        except (
-            events.EventGapError,
-            events.EventTooLongError,
-            streamresponses.ForeignResponseError,
-        ) as exc:
-            raise targetconnection.BrokenExchangeError(
-                f"{run.conn.address}: {exc.message}", saw_response=True
-            ) from exc
+        data = streamresponses.accept_events(
+            run.conn.address,
+            run.splitter,
+            stream.sequence,
+            received,
+            is_resumed=run.is_resumed,
+        )
         if data:
             self._record_progress(stream, run)
         return data
--- a/src/briarfall/gateway/streamresponses.py
+++ b/src/briarfall/gateway/streamresponses.py
@@ -1,9 +1,10 @@
-"""Checks that the response of an engine may be part of a stream."""
+"""Joins the responses of engines into one stream, after checks of each."""
 
 from briarfall import exceptions
 from briarfall.gateway import events
 from briarfall.gateway import headernames
 from briarfall.gateway import messages
+from briarfall.gateway import targetconnection
 
 _IDENTITY = b"identity"
 
@@ -15,6 +16,7 @@
 
 
 def check_head(
+    address: str,
     head: messages.ResponseHead,
     header_names: headernames.HeaderNames,
     *,
@@ -23,38 +25,73 @@
     """Checks the head of a success response to a stream.
 
     Args:
+        address: Address that sent it.
         head: The head.
         header_names: Header names of the platform.
         is_resumed: Whether the caller already has the head of an earlier run.
 
     Raises:
-        ForeignResponseError: An engine did not write the response, or its body
-            does not consist of events.
+        BrokenExchangeError: An engine did not write the response, or its body
+            can't be the rest of the stream.
     """
     if head.header(header_names.signature) is None:
-        raise ForeignResponseError(
+        raise _broken(
+            address,
             f"status {head.status} without "
-            f"{header_names.signature.decode()}: not an engine's response"
+            f"{header_names.signature.decode()}: not an engine's response",
         )
     if not is_resumed:
         return
     if head.status != 200:
-        raise ForeignResponseError(
-            f"resumed with status {head.status}, expected 200"
+        raise _broken(
+            address, f"resumed with status {head.status}, expected 200"
         )
     encoding = head.header(b"content-encoding")
     if encoding is not None and encoding.strip().lower() != _IDENTITY:
-        raise ForeignResponseError(
-            f"resumed with the encoding {encoding!r}, expected none"
+        raise _broken(
+            address, f"resumed with the encoding {encoding!r}, expected none"
         )
 
 
-def check_resumed_events(complete: list[events.Event]) -> None:
-    """Checks the events of a run that goes on with an earlier one.
+def accept_events(
+    address: str,
+    splitter: events.EventSplitter,
+    sequence: events.EventSequence,
+    received: bytes,
+    *,
+    is_resumed: bool,
+) -> bytes:
+    """Returns the bytes of complete events that the caller lacks.
+
+    Args:
+        address: Address that sent them.
+        splitter: Holds the incomplete event of the response.
+        sequence: Events of the stream so far.
+        received: New bytes of the response.
+        is_resumed: Whether the caller already has the head of an earlier run.
+
+    Raises:
+        BrokenExchangeError: An event is missing, too long or none of this
+            stream.
+    """
+    try:
+        complete = splitter.feed(received)
+        if is_resumed:
+            _check_numbered(complete)
+        return sequence.take(complete)
+    except (
+        events.EventGapError,
+        events.EventTooLongError,
+        ForeignResponseError,
+    ) as exc:
+        raise _broken(address, exc.message) from exc
+
+
+def _check_numbered(complete: list[events.Event]) -> None:
+    """Checks that each event has a number; comments need none.
 
     Raises:
-        ForeignResponseError: An event has no number, so that its place in the
-            stream is unknown. Comments need none.
+        ForeignResponseError: The place of an event in the stream is unknown.
     """
     for event in complete:
         if event.id is None and not _is_comment(event.data):
@@ -67,3 +104,9 @@
 def _is_comment(data: bytes) -> bool:
     lines = data.splitlines()
     return all(not line or line.startswith(b":") for line in lines)
+
+
+def _broken(address: str, text: str) -> targetconnection.BrokenExchangeError:
+    return targetconnection.BrokenExchangeError(
+        f"{address}: {text}", saw_response=True
+    )
--- a/tests/test_gateway_dispatchgate.py
+++ b/tests/test_gateway_dispatchgate.py
@@ -14,6 +14,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import crashes
 from briarfall.gateway import dispatchgate
+from briarfall.gateway import permits
 from briarfall.gateway import targetbackoff
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_decisions
@@ -173,3 +174,38 @@
         assert answers[0].error is not None
         assert sum(len(engine.arrivals) for engine in engines) == 1
         assert [o for o in head.commands if o["op"] == "repath"] == []
+
+
+class _NoPermits(permits.PermitSource):
+    """Gives no permit."""
+
+    def take(self, request_id, target):
+        raise permits.TargetLimitedError("none is free")
+
+
+class TestLimitedTarget:
+    def gate(self, clock):
+        return dispatchgate.DispatchGate(
+            budgets.RetryBudget(0.2, 10.0, 100.0, lambda: 1),
+            crashes.CrashTable(),
+            _NoPermits(),
+        )
+
+    def test_request_without_a_permit_is_not_sent_and_not_counted(self, clock):
+        call = test_gateway_streams.a_call(clock.now_s)
+        target = test_gateway_decisions.target("a")
+        with pytest.raises(permits.TargetLimitedError):
+            self.gate(clock).start_attempt(call, target)
+        assert call.attempt_count == 0
+
+    def test_report_is_not_queried_without_a_permit(self, clock):
+        call = test_gateway_streams.a_call(clock.now_s)
+        target = test_gateway_decisions.target("a")
+        assert not self.gate(clock).admits_query(call, target)
+
+    def test_permit_lapses_while_the_instance_is_suspended(self, clock):
+        permit = permits.Permit(clock.now_s + 0.25)
+        permit.check()
+        clock.now_s += 3
+        with pytest.raises(permits.TargetLimitedError):
+            permit.check()
