A reload signal during the start no longer ends the process

The trace: i1 was started again at 09:10:52.3, the fault 'reload' sent SIGHUP at 09:10:52.355, before the instance had installed its handler; the default action of the signal is to end the process. The landed code does the same at each start.

--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -3,8 +3,12 @@
 import gc
 import os
 import pathlib
+import signal
 import sys
 
+# Until the instance handles it, this signal would end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 sys.path[0] = str(pathlib.Path(__file__).resolve().parent.parent / "src")
 
 from briarfall.platform import earlylisteners  # noqa: E402
