--- a/src/briarfall/gateway/gauges.py
+++ b/src/briarfall/gateway/gauges.py
@@ -10,6 +10,34 @@
 Gauge = tuple[str, collections.abc.Callable[[], float]]
 
 
+def register(
+    inst: "instance.Instance",
+    platform: "instance.Platform",
+    own_gauges: dict[str, Gauge],
+) -> None:
+    """Adds gauges of an instance, and its counts, to its metrics."""
+    for name, (text, read) in own_gauges.items():
+        inst.metrics.add_gauge(f"briarfall_{name}", text, read)
+    inst.metrics.add_counts(
+        "briarfall_store_calls",
+        "Calls to the platform's store.",
+        "call",
+        platform.store_calls.snapshot,
+    )
+    inst.metrics.add_counts(
+        "briarfall_ignored_records",
+        "Records of the store that can't be used.",
+        "record",
+        platform.ignored_records.snapshot,
+    )
+    inst.metrics.add_counts(
+        "briarfall_target_crashes",
+        "Targets that ended during a request, by the origin of the report.",
+        "origin",
+        inst.crashes.origins,
+    )
+
+
 def of_instance(inst: "instance.Instance") -> dict[str, Gauge]:
     """Returns the gauges of an instance, by name."""
     return {
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -250,26 +250,7 @@
             rng,
         )
         own_gauges = gauges.of_instance(self)
-        for name, (text, read) in own_gauges.items():
-            self.metrics.add_gauge(f"briarfall_{name}", text, read)
-        self.metrics.add_counts(
-            "briarfall_store_calls",
-            "Calls to the platform's store.",
-            "call",
-            platform.store_calls.snapshot,
-        )
-        self.metrics.add_counts(
-            "briarfall_ignored_records",
-            "Records of the store that can't be used.",
-            "record",
-            platform.ignored_records.snapshot,
-        )
-        self.metrics.add_counts(
-            "briarfall_target_crashes",
-            "Targets that ended during a request, by the origin of the report.",
-            "origin",
-            self.crashes.origins,
-        )
+        gauges.register(self, platform, own_gauges)
         self._summary = summary.SummaryLogger(
             {name: read for name, (_, read) in own_gauges.items()},
             platform.store_calls,
