Limits end under overlapping requests; a home that lacks the target keeps the limit

Responses to requests that overlap renewed the known limit, so that on a busy target it could neither end nor rise. Only a response that names the limit, or a stricter one, renews it now. And a home that has not read the target's entry yet gave a permit to each request, as if the limit had ended; now it goes by the limit that the request names, and refuses one that is no rate.

A limit that changes in each response no longer sends a status each time: only its start and its end do. Four tests fail on the code before.

--- a/src/briarfall/gateway/permits.py
+++ b/src/briarfall/gateway/permits.py
@@ -158,7 +158,7 @@
         limit: ratelimits.RateLimit,
     ) -> permitgrants.Grant:
         if home == self._instance:
-            return self._grant(incarnation, limit)
+            return self._grant(incarnation, limit.per_s)
         peer = self._peers.get(home) if home is not None else None
         if peer is None:
             return permitgrants.Grant(False, _NO_HOME_WAIT_S)
@@ -184,10 +184,15 @@
         incarnation = incarnations.Incarnation(row.target, row.started_ms)
         self._limits.merge([row], request.sender)
         limit = self._limits.get(incarnation)
-        if limit is None:
-            # The target has ended its limit meanwhile.
-            return peermessages.PermitResponse(request.number, True, 0)
-        grant = self._grant(incarnation, limit)
+        if self._limits.has_ended(incarnation):
+            grant = permitgrants.Grant(True)
+        elif limit is not None:
+            grant = self._grant(incarnation, limit.per_s)
+        elif ratelimits.is_valid(row) and row.per_s is not None:
+            # This instance has not read the target's entry yet.
+            grant = self._grant(incarnation, row.per_s)
+        else:
+            grant = permitgrants.Grant(False, _NO_HOME_WAIT_S)
         return peermessages.PermitResponse(
             request.number, grant.is_granted, round(grant.wait_s * 1000)
         )
@@ -195,13 +200,13 @@
     def _grant(
         self,
         incarnation: incarnations.Incarnation,
-        limit: ratelimits.RateLimit,
+        per_s: float,
     ) -> permitgrants.Grant:
         """Gives out a permit if this instance is the home of a target."""
         if not self._homes.is_settled(incarnation):
             self._book.forget(incarnation)
             return permitgrants.Grant(False, _NO_HOME_WAIT_S)
-        return self._book.request(incarnation, limit.per_s * self._homes.share)
+        return self._book.request(incarnation, per_s * self._homes.share)
 
     def record_others(
         self, started: collections.abc.Mapping[ids.TargetId, int]
--- a/src/briarfall/gateway/ratelimits.py
+++ b/src/briarfall/gateway/ratelimits.py
@@ -99,8 +99,13 @@
             return None
         return limit
 
+    def has_ended(self, incarnation: incarnations.Incarnation) -> bool:
+        """Whether a target named a limit and names none any more."""
+        limit = self._limits.get(incarnation)
+        return limit is not None and limit.per_s is None
+
     def add_listener(self, listener: collections.abc.Callable[[], None]):
-        """Calls `listener` when a response to this instance changes a limit."""
+        """Calls `listener` when a response starts or ends a limit."""
         self._listeners.append(listener)
 
     def limited(self) -> list[incarnations.Incarnation]:
@@ -118,8 +123,8 @@
         """Applies the limit that a response names, or that it names none.
 
         Responses may overtake each other: one whose request was sent before
-        the last response arrived may be older than that one. It neither ends
-        nor raises a limit.
+        the known limit was last named may be older than that. It neither ends
+        nor raises the limit.
 
         Args:
             incarnation: The target that responded.
@@ -127,8 +132,7 @@
                 value that is no rate changes nothing.
             sent_s: Time on the boot clock at which the request was sent.
         """
-        known = self._limits.get(incarnation)
-        if value is None and known is None:
+        if value is None and incarnation not in self._limits:
             return
         rate = None
         if value is not None:
@@ -144,13 +148,18 @@
                 rate = None
         with self._lock:
             known = self._limits.get(incarnation)
-            if known is not None and sent_s <= known.heard_s:
-                rate = _stricter(known.per_s, rate)
             if known is None and rate is None:
                 return
+            if known is not None and sent_s <= known.heard_s:
+                if not _is_as_strict(rate, known.per_s):
+                    return
             new = RateLimit(rate, clocks.boot_s())
             self._limits[incarnation] = new
-        if not _log_change(incarnation, known, new):
+        _log_change(incarnation, known, new)
+        # Other changes are told with the next status, which a target that
+        # names another limit in each response would otherwise multiply.
+        was_limited = known is not None and known.per_s is not None
+        if was_limited == (rate is not None):
             return
         for listener in self._listeners:
             listener()
@@ -164,7 +173,7 @@
         """
         now_s = clocks.boot_s()
         for row in rows:
-            if not _is_valid(row):
+            if not is_valid(row):
                 logging.log_every_n_seconds(
                     logging.WARNING,
                     "limit of a peer ignored, it is out of range peer=%s "
@@ -232,7 +241,8 @@
             self._limits.pop(ended, None)
 
 
-def _is_valid(row: LimitRow) -> bool:
+def is_valid(row: LimitRow) -> bool:
+    """Whether the values of a reported limit are in range."""
     if not 0 <= row.age_ms <= _MAX_AGE_MS:
         return False
     return row.per_s is None or 0 <= row.per_s < MAX_RATE_PER_S
@@ -246,23 +256,22 @@
     return new.heard_s > known.heard_s + least_s
 
 
-def _stricter(first: float | None, second: float | None) -> float | None:
-    if first is None:
-        return second
-    if second is None:
-        return first
-    return min(first, second)
+def _is_as_strict(rate: float | None, known: float | None) -> bool:
+    """Whether a limit is at least as strict as the known one."""
+    if rate is None:
+        return known is None
+    return known is None or rate <= known
 
 
 def _log_change(
     incarnation: incarnations.Incarnation,
     old: RateLimit | None,
     new: RateLimit,
-) -> bool:
-    """Logs a changed limit; returns whether it is one."""
+) -> None:
+    """Logs a limit if it differs from the one before."""
     old_rate = old.per_s if old is not None else None
     if old_rate == new.per_s:
-        return False
+        return
     logging.info(
         "target limit changed target=%s lifetime=%d per_s=%s was=%s from=%s",
         incarnation.target,
@@ -271,4 +280,3 @@
         old_rate,
         new.origin or "response",
     )
-    return True
--- a/tests/test_gateway_ratelimits.py
+++ b/tests/test_gateway_ratelimits.py
@@ -138,6 +138,18 @@
         table.record(_A, b"2", sent_s)
         assert table.get(_A).per_s == 2
 
+    @pytest.mark.parametrize("value", [None, b"9"])
+    def test_ends_and_rises_under_requests_that_overlap(
+        self, clock, table, value
+    ):
+        table.record(_A, b"4", clock.now_s)
+        # Each request is sent before the response to the one before arrives.
+        for _ in range(20):
+            clock.now_s += 0.05
+            table.record(_A, value, clock.now_s - 0.2)
+        limit = table.get(_A)
+        assert (limit.per_s if limit else None) == (9 if value else None)
+
     def test_changes_both_ways(self, clock, table):
         for value, rate in ((b"4", 4), (b"9", 9), (b"0", 0)):
             clock.now_s += 1
@@ -309,6 +321,26 @@
         assert members.known == 2
 
 
+class TestHome:
+    def test_home_that_does_not_know_the_target_keeps_the_limit(self, world):
+        inst = world.instance()
+        testbed.until(
+            lambda: inst.permits._homes.is_settled(_A), "it is the home"
+        )
+        row = ratelimits.LimitRow("a", 1, 2.0, 0)
+        granted = 0
+        for number in range(50):
+            request = peermessages.PermitRequest(number, "i2", row)
+            granted += inst.permits.answer(request).is_granted
+        assert granted <= 1
+
+    def test_limit_that_is_no_rate_gets_no_permit(self, world):
+        inst = world.instance()
+        row = ratelimits.LimitRow("a", 1, math.nan, 0)
+        request = peermessages.PermitRequest(1, "i2", row)
+        assert not inst.permits.answer(request).is_granted
+
+
 class TestPermitBook:
     def test_starts_empty_and_is_paced(self, clock):
         book = permitgrants.PermitBook()
