--- a/src/briarfall/gateway/peerstatus.py
+++ b/src/briarfall/gateway/peerstatus.py
@@ -79,7 +79,7 @@
     def set_relay_status(
         self, read: collections.abc.Callable[[], RelayStatus]
     ) -> None:
-        """Sets the function that reads what peers are told about relays."""
+        """Sets the function that reads the relay status for peers."""
         self._relay_status = read
 
     def set_others_listener(
--- a/src/briarfall/gateway/permitgrants.py
+++ b/src/briarfall/gateway/permitgrants.py
@@ -2,7 +2,7 @@
 
 The load that this answers: many instances together want to send more requests
 to a target than it takes. Permits are paced, so that no burst follows a quiet
-time, and requests that are refused are told to come back one after the other.
+time, and instances that are refused may ask again one after the other.
 """
 
 import threading
@@ -19,7 +19,7 @@
 # from all instances together. Without them no response could tell that the
 # limit has ended.
 TRIAL_RATE_PER_S = 0.25
-# Longest time in seconds for which an instance is told not to ask again.
+# Longest time in seconds until an instance may ask again.
 _MAX_WAIT_S = 4.0
 # A target for which no permit was requested for this time is forgotten.
 _RETENTION_S = 60.0
@@ -42,7 +42,7 @@
 
     Attributes:
         bucket: Permits that may be given out.
-        waiting: Requests that were refused and told to come back.
+        waiting: Requests that were refused and may ask again later.
         used_s: Time on the boot clock of the last request.
     """
 
@@ -109,7 +109,7 @@
     def _expire_waiting(
         self, account: _Account, now_s: float, rate: float
     ) -> None:
-        """Drops requests that were told to come back before now."""
+        """Drops waiting requests whose time to ask again has passed."""
         passed_s = now_s - account.used_s
         account.waiting = max(0.0, account.waiting - passed_s * rate)
 
--- a/src/briarfall/gateway/ratelimits.py
+++ b/src/briarfall/gateway/ratelimits.py
@@ -156,8 +156,8 @@
             new = RateLimit(rate, clocks.boot_s())
             self._limits[incarnation] = new
         _log_change(incarnation, known, new)
-        # Other changes are told with the next status, which a target that
-        # names another limit in each response would otherwise multiply.
+        # Other changes go with the next regular status: a target may name
+        # another limit in each response.
         was_limited = known is not None and known.per_s is not None
         if was_limited == (rate is not None):
             return
--- a/src/briarfall/standins/prepared/faultsoak/soak.py
+++ b/src/briarfall/standins/prepared/faultsoak/soak.py
@@ -209,7 +209,7 @@
             thread.join(_JOIN_S)
 
     def _start_upgrade(self) -> threading.Thread:
-        """Upgrades the instances one after the other, over the whole run."""
+        """Upgrades the instances one by one, spread over the run."""
         thread = threading.Thread(target=self._upgrade_all, daemon=True)
         thread.start()
         return thread
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -8,6 +8,7 @@
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared.faultsoak import callers
 from briarfall.standins.prepared.faultsoak import faultsets
+from briarfall.standins.prepared.faultsoak import limitchecks
 from briarfall.standins.prepared.faultsoak import processes
 from briarfall.standins.prepared.faultsoak import records
 from briarfall.standins.prepared.faultsoak import soak
@@ -34,6 +35,7 @@
             ("exchanges", 1, 3.0),
             ("entries", 1, 4.0),
             ("catalogue", 1, 4.0),
+            ("limits", 1, 2.0),
         ],
     )
     def test_guarantees_hold(self, name, seed, seconds, tmp_path):
@@ -176,6 +178,16 @@
         )
         assert bool(self.checker(outcomes).check(service)) == is_broken
 
+    @pytest.mark.parametrize(("count", "is_broken"), [(17, False), (18, True)])
+    def test_requests_beyond_a_rate_limit(self, service, count, is_broken):
+        service.limit_periods.append(
+            registeredtarget.LimitPeriod(2.0, first_told_s=10.0)
+        )
+        for number in range(count):
+            self.sent(service, f"early{number}", 12.0)
+            self.sent(service, f"late{number}", 13.5 + 0.1 * number)
+        assert bool(limitchecks.check(service)) == is_broken
+
     @pytest.mark.parametrize(("count", "is_broken"), [(3, False), (4, True)])
     def test_request_that_crashed_three_targets(
         self, service, count, is_broken
