A peer whose status is missing loses a relayed request only to another peer

What callers saw: 502 while the peer still served the request, if it may run once only or no other peer is left.

Cause: the missing status of a peer (datagrams lost, peer frozen for a second) ended the exchange with it, though its connection was open.

Change: the exchange is given up only if the request may run again and another peer can be asked; else it waits for its own connection or the deadline.

--- a/src/briarfall/gateway/relaying.py
+++ b/src/briarfall/gateway/relaying.py
@@ -110,7 +110,7 @@
                 break
             asked.add(peer.id)
             used_runs = exchange.used_runs
-            if self._try_peer(exchange, peer):
+            if self._try_peer(exchange, peer, asked):
                 return True
             if exchange.used_runs > used_runs:
                 # The search for another peer starts only when a run breaks.
@@ -119,7 +119,10 @@
         return False
 
     def _try_peer(
-        self, exchange: relayexchanges.Exchange, peer: peers.Peer
+        self,
+        exchange: relayexchanges.Exchange,
+        peer: peers.Peer,
+        asked: set[ids.InstanceId],
     ) -> bool:
         """Relays a request to one peer; returns whether it was served.
 
@@ -131,7 +134,7 @@
         outcome = "answered"
         self._choice.start(peer)
         try:
-            self._send(exchange, peer, state)
+            self._send(exchange, peer, state, asked)
             return True
         except (targetconnection.NotSentError, PeerRefusedError) as exc:
             outcome = exc.code
@@ -174,6 +177,7 @@
         exchange: relayexchanges.Exchange,
         peer: peers.Peer,
         state: relaymessages.RelayedRequest,
+        asked: set[ids.InstanceId],
     ) -> None:
         call = exchange.call
         conn = self._pool.acquire(
@@ -194,7 +198,7 @@
                 call.req.body,
                 call.deadline_s,
             )
-            head = self._read_head(call, conn, peer)
+            head = self._read_head(call, conn, peer, state, asked)
             self._apply_response(call, conn, state, head)
             head.headers = messages.end_to_end(head.headers)
             call.relayed_to = peer.id
@@ -232,12 +236,20 @@
         call: calls.Call,
         conn: targetconnection.TargetConnection,
         peer: peers.Peer,
+        state: relaymessages.RelayedRequest,
+        asked: set[ids.InstanceId],
     ) -> messages.ResponseHead:
         """Returns the head of a peer's response.
 
+        The connection to a peer whose status is missing is still open: it may
+        be slow, or its datagrams lost. It loses the request only to another
+        peer.
+
         Raises:
-            BrokenExchangeError: The peer has ended.
+            BrokenExchangeError: The peer sends no status, and another one can
+                serve the request.
         """
+        is_missed = False
         while True:
             now_s = clocks.boot_s()
             if conn.wait(min(call.deadline_s, now_s + _PEER_CHECK_S)):
@@ -247,12 +259,37 @@
                     f"{peer.id}: no response in time"
                 )
             # A stopping peer still ends the requests that it has accepted.
-            if not peer.is_stopping and peer not in self._table.alive():
+            if peer.is_stopping or peer in self._table.alive():
+                continue
+            if self._can_move(call, state, asked):
                 raise targetconnection.BrokenExchangeError(
                     f"{peer.id}: sends no status any more"
                 )
+            if not is_missed:
+                is_missed = True
+                logging.info(
+                    "peer sends no status, waiting for its response "
+                    "request=%s peer=%s left_s=%.1f",
+                    call.request_id,
+                    peer.id,
+                    call.left_s,
+                )
         return conn.read_head(call.deadline_s)
 
+    def _can_move(
+        self,
+        call: calls.Call,
+        state: relaymessages.RelayedRequest,
+        asked: set[ids.InstanceId],
+    ) -> bool:
+        """Whether another peer could take a request that a peer may run."""
+        if not call.route.is_retryable or len(asked) >= _MAX_PEERS:
+            return False
+        # All runs that the peer may have caused count.
+        if state.max_runs >= call.max_runs:
+            return False
+        return self._choice.choose(call.service.name, asked) is not None
+
     def _apply_response(
         self,
         call: calls.Call,
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -409,6 +409,43 @@
         assert len(cut.budget._requests) >= _FIRST_ATTEMPTS
 
 
+class TestPeerWithoutStatus:
+    """Its datagrams are lost while it serves a relayed request."""
+
+    def _answer(self, world, links, path, count):
+        rows = []
+        for name, kind in (("orders", "mutating"), ("views", "idempotent")):
+            rows.append(
+                testbed.route(name, f"/{name}/", kind, "desk", timeout_ms=9000)
+            )
+        world.publish(testbed.manifest(2, routes=rows))
+        desk = world.service("d1")
+        (cut, net), *others = _instances(world, links, count)
+        world.wait_for_targets(desk)
+        net.cut(network.Cut.HANG, [desk])
+        _serves_again(cut)
+        desk.processing_s = 3.0
+        ran = len(desk.ran)
+        with futures.ThreadPoolExecutor(1) as pool:
+            fut = pool.submit(
+                testbed.call, cut, path, method="POST", deadline_ms=9000
+            )
+            testbed.until(lambda: len(desk.ran) > ran, "the target runs it")
+            for inst, _ in others:
+                inst.gossip.close()
+            _wait_for_peers(cut, 0)
+            answer = fut.result(testbed.WAIT_S)
+        return answer, len(desk.ran) - ran
+
+    @pytest.mark.parametrize("path", ["/orders/x", "/views/x"])
+    @pytest.mark.parametrize("count", [2, 3])
+    def test_still_answers_the_request(self, world, links, path, count):
+        answer, runs = self._answer(world, links, path, count)
+        assert answer.status == 200
+        assert answer.error is None
+        assert runs == 1
+
+
 class TestFailedConnects:
     def test_use_up_no_attempts_and_no_retry_budget(self, world, links):
         desks = [world.service(f"d{number}") for number in range(6)]
