A connection for which no thread starts is refused with a 503

What callers saw at the limit of threads: the accepted connection was reset.

Evidence: tests/test_gateway_listener.py, 2 of 2 failed before (ConnectionResetError). Nothing of the request was read, so that 503 with Retry-After is true. The connection stays open for a second after it, so that unread bytes do not reset it under the answer; no thread waits for that.

--- a/src/briarfall/gateway/listener.py
+++ b/src/briarfall/gateway/listener.py
@@ -1,17 +1,29 @@
 """Accepts connections and serves each one on its own thread."""
 
+import collections
 import collections.abc
 import socket
 import threading
 
 from absl import logging
 
+from briarfall.gateway import clocks
 from briarfall.gateway import listensocket
 
 _ACCEPT_TIMEOUT_S = 0.5
 # The Python frames of a connection need little; the default stack is 8 MB.
 _STACK_BYTES = 256 * 1024
 
+# A refused connection stays open for this time, since a close with unread bytes
+# is a reset, which can overtake the refusal.
+_LINGER_S = 1.0
+_MAX_LINGERING = 64
+# Nothing was read, so that the request has not run.
+_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
 Handler = collections.abc.Callable[[socket.socket], None]
 
 
@@ -42,6 +54,9 @@
         self._sock = sock or listensocket.open_listener(host, port)
         self._sock.settimeout(_ACCEPT_TIMEOUT_S)
         self._open_count = 0
+        # Refused connections, with the time on the boot clock of their close.
+        self._lingering: collections.deque[tuple[socket.socket, float]]
+        self._lingering = collections.deque()
         self._lock = threading.Lock()
 
     @property
@@ -58,6 +73,7 @@
         """Accepts connections until stopped."""
         threading.stack_size(_STACK_BYTES)
         while not self._stopped.is_set():
+            self._close_lingering()
             try:
                 sock, _ = self._sock.accept()
             except TimeoutError:
@@ -82,9 +98,9 @@
                 thread.start()
             except RuntimeError as exc:
                 logging.error(
-                    "connection closed, its thread did not start: %s", exc
+                    "connection refused, its thread did not start: %s", exc
                 )
-                self._close_connection(sock)
+                self._refuse(sock)
 
     def _serve(self, sock: socket.socket) -> None:
         try:
@@ -101,6 +117,27 @@
         with self._lock:
             self._open_count -= 1
 
+    def _refuse(self, sock: socket.socket) -> None:
+        """Answers a connection that gets no thread, without waiting for it."""
+        with self._lock:
+            self._open_count -= 1
+        try:
+            sock.setblocking(False)
+            sock.send(_REFUSAL)
+            sock.shutdown(socket.SHUT_WR)
+        except OSError as exc:
+            logging.debug("refusal not sent on %s: %s", self._label, exc)
+        self._lingering.append((sock, clocks.boot_s() + _LINGER_S))
+
+    def _close_lingering(self) -> None:
+        now_s = clocks.boot_s()
+        while self._lingering:
+            sock, close_s = self._lingering[0]
+            if close_s > now_s and len(self._lingering) <= _MAX_LINGERING:
+                return
+            sock.close()
+            self._lingering.popleft()
+
     def stop(self) -> None:
         """Stops accepting and closes the listening socket."""
         self._stopped.set()
