--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -419,6 +419,39 @@
         assert caller.read().ending is COMPLETE
         caller.close()
 
+    @pytest.mark.parametrize("sent", [1, 40, 180], ids=lambda n: f"sent{n}")
+    @pytest.mark.parametrize("limits", ["larger", "smaller"])
+    def test_request_that_has_half_arrived_outlives_new_limits(
+        self, world, inst, desk, limits, sent
+    ):
+        first = rawcaller.request("/views/x")
+        second = rawcaller.request(
+            "/orders/x",
+            method="POST",
+            body=b"a" * 60,
+            headers={"X-Request-Id": "r2"},
+        )
+        caller = rawcaller.RawCaller(inst.caller_address)
+        desk.resume.clear()
+        caller.send(first + second[:sent])
+        testbed.until(lambda: desk.ran, "the first request runs")
+        value = testbed.manifest(2)
+        size = 200_000 if limits == "larger" else 4096
+        value["limits"]["max_header_bytes"] = size
+        value["limits"]["max_body_bytes"] = size
+        world.publish(value)
+        testbed.until(lambda: inst.follower.view.version == 2, "version 2")
+        desk.resume.set()
+        assert caller.read().status == 200
+        world.publish({**value, "version": 3})
+        testbed.until(lambda: inst.follower.view.version == 3, "version 3")
+        caller.send(second[sent:])
+        answer = caller.read(b"POST")
+        caller.close()
+        assert answer.ending is COMPLETE
+        assert (answer.status, answer.body) == (200, b"ran")
+        assert desk.ran[-1].body == b"a" * 60
+
     def test_answer_arrives_though_a_request_follows_the_last_one(
         self, inst, desk
     ):
