--- a/src/briarfall/gateway/liveness.py
+++ b/src/briarfall/gateway/liveness.py
@@ -6,16 +6,13 @@
 import errno
 import select
 import socket
-import threading
 
 from absl import logging
 
 from briarfall import addresses as address_parser
 from briarfall import exceptions
-from briarfall import ids
 from briarfall.gateway import clocks
 from briarfall.gateway import dialing
-from briarfall.gateway import paths
 
 # Live engines accept a connection within a few milliseconds of each other; one
 # that lags the first answer by this much is dead.
@@ -27,15 +24,6 @@
 _STARVED_AFTER_S = 0.05
 # Datagrams and events per second from which such a time is unusual.
 _MIN_USUAL_PER_S = 40
-# An engine that accepted a connection within this time is not probed again:
-# if many streams are slow at once, probes would only add load to the engines.
-_CONNECT_VALID_S = 0.3
-# Number of engines to connect to, so that their results distinguish a fault of
-# one engine from a fault of this instance.
-_MIN_PROBED_ADDRESSES = 3
-# Time that an event needs to pass through its chain: it only proves that its
-# engines worked up to about this long before it arrived.
-_EVENT_TRANSIT_S = 0.03
 
 
 class ReceiveActivity:
@@ -72,86 +60,6 @@
         return clocks.boot_s() - self._last_received_s > _STARVED_AFTER_S
 
 
-class ProgressTable:
-    """When any stream of this instance last saw progress of each engine.
-
-    Args:
-        dialer: Opens the connections of liveness checks.
-        on_unanswered: Called with the engines of a chain of which none
-            accepted a connection; this may be due to this instance's links.
-    """
-
-    def __init__(
-        self,
-        dialer: dialing.Dialer = dialing.SYSTEM_DIALER,
-        on_unanswered: collections.abc.Callable[
-            [list[ids.TargetId]], None
-        ] = lambda targets: None,
-    ):
-        self._dialer = dialer
-        self._on_unanswered = on_unanswered
-        self._lock = threading.Lock()
-        self._last_progress_s: dict[ids.TargetId, float] = {}
-        # When each engine last accepted a connection.
-        self._last_connected_s: dict[ids.TargetId, float] = {}
-
-    def record(self, chain: paths.Chain, now_s: float) -> None:
-        """Records an event that all engines of a chain contributed to."""
-        with self._lock:
-            for stage in chain.stages:
-                self._last_progress_s[stage.target] = now_s
-
-    def without_progress_since(
-        self, chain: paths.Chain, event_s: float
-    ) -> list[paths.Stage]:
-        """Returns the engines without progress in any stream since an event."""
-        connected_since_s = clocks.boot_s() - _CONNECT_VALID_S
-        with self._lock:
-            stalled = []
-            for stage in chain.stages:
-                if (
-                    self._last_connected_s.get(stage.target, 0.0)
-                    > connected_since_s
-                ):
-                    continue
-                progress_s = self._last_progress_s.get(stage.target, 0.0)
-                if progress_s < event_s + _EVENT_TRANSIT_S:
-                    stalled.append(stage)
-            return stalled
-
-    def find_dead(
-        self, chain: paths.Chain, suspects: list[paths.Stage]
-    ) -> dict[paths.Stage, "Reachability"]:
-        """Returns suspects that accept no connection though others do.
-
-        Suspects that accept are not suspected again for a while, so that
-        streams that stall together do not all connect to them.
-
-        Args:
-            chain: The chain; if there are few suspects, its other engines are
-                probed too, to show whether the fault is at this instance.
-            suspects: The engines to check.
-        """
-        addresses = {stage.address for stage in suspects}
-        for stage in chain.stages:
-            if len(addresses) >= _MIN_PROBED_ADDRESSES:
-                break
-            addresses.add(stage.address)
-        results = _probe_all(addresses, self._dialer)
-        now_s = clocks.boot_s()
-        dead = {}
-        with self._lock:
-            for stage in suspects:
-                reachability = results[stage.address]
-                if reachability is Reachability.OPEN:
-                    self._last_connected_s[stage.target] = now_s
-                elif reachability is not Reachability.UNKNOWN:
-                    dead[stage] = reachability
-        if Reachability.OPEN not in results.values():
-            self._on_unanswered([stage.target for stage in chain.stages])
-        return dead
-
-
 class Reachability(enum.Enum):
     """Result of an attempt to connect to a target."""
 
@@ -230,15 +138,22 @@
             answers distinguish a dead target from a fault of this instance.
         dialer: Opens the connections.
     """
-    return _probe_all({address, *references}, dialer)[address]
+    return probe_all({address, *references}, dialer)[address]
 
 
-def _probe_all(
+def probe_all(
     addresses: set[str], dialer: dialing.Dialer
 ) -> dict[str, Reachability]:
     """Connects to addresses, a second time to those that do not answer.
 
     The second attempt keeps one lost packet from making a target look dead.
+
+    Args:
+        addresses: IP addresses with ports.
+        dialer: Opens the connections.
+
+    Returns:
+        The result of each address.
     """
     results = _connect_all(addresses, dialer)
     repeated = set()
--- a/src/briarfall/gateway/rerouting.py
+++ b/src/briarfall/gateway/rerouting.py
@@ -15,6 +15,7 @@
 from briarfall.gateway import metrics
 from briarfall.gateway import paths
 from briarfall.gateway import sources
+from briarfall.gateway import streamprogress
 from briarfall.gateway import streamstate
 from briarfall.gateway import targetconnection
 from briarfall.gateway import targets
@@ -80,7 +81,9 @@
         self._gate = gate
         self._detector = detector
         self._metrics = counters
-        self._progress = liveness.ProgressTable(dialer, links.record_unanswered)
+        self._progress = streamprogress.ProgressTable(
+            dialer, links.record_unanswered
+        )
 
     def record_progress(self, chain: paths.Chain, now_s: float) -> None:
         """Records an event that all engines of a chain contributed to."""
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -32,6 +32,7 @@
 from briarfall.gateway import placementcontroller
 from briarfall.gateway import plannedstop
 from briarfall.gateway import sources
+from briarfall.gateway import streamprogress
 from briarfall.gateway import targetconnection
 from briarfall.gateway import targetfollower
 from briarfall.gateway import targets
@@ -675,7 +676,7 @@
 
 class TestProgress:
     def test_only_engines_without_progress_are_suspects(self):
-        progress = liveness.ProgressTable()
+        progress = streamprogress.ProgressTable()
         rows = []
         for name, first in (("a", 0), ("b", 8), ("c", 16)):
             rows.append(
@@ -703,12 +704,12 @@
         chain = paths.Chain(tuple(rows), 0.0)
         monkeypatch.setattr(
             liveness,
-            "_probe_all",
+            "probe_all",
             lambda addresses, dialer: dict.fromkeys(
                 addresses, liveness.Reachability.OPEN
             ),
         )
-        progress = liveness.ProgressTable()
+        progress = streamprogress.ProgressTable()
         assert progress.without_progress_since(chain, clock.now_s) == rows
         assert progress.find_dead(chain, rows) == {}
         clock.now_s += 0.2
@@ -783,7 +784,7 @@
                 )
             )
         chain = paths.Chain(tuple(rows), 0.0)
-        progress = liveness.ProgressTable()
+        progress = streamprogress.ProgressTable()
         dead = {rows[1]: liveness.Reachability.UNRESPONSIVE}
         assert progress.find_dead(chain, rows[1:]) == dead
         assert progress.find_dead(chain, rows) == dead
