--- a/src/briarfall/standins/prepared/store.py
+++ b/src/briarfall/standins/prepared/store.py
@@ -1,17 +1,49 @@
 """Stand-in for the store of the prepared platform."""
 
 import base64
+import collections.abc
 import json
 import struct
 import threading
 import time
 import urllib.parse
 
+import msgspec
+
+from briarfall.standins.prepared import gates
 from briarfall.standins.prepared import rawhttp
 
 _MAX_WAIT_S = 30.0
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """Contents of the store at an earlier time.
+
+    Attributes:
+        topics: Records by topic.
+        first: Oldest offset that is still kept, by topic.
+        keyed: Newest value of each key with its offset, by topic.
+    """
+
+    topics: dict[str, list[bytes]]
+    first: dict[str, int]
+    keyed: dict[str, dict[str, tuple[bytes, int]]]
+
+
+class _OutsideWrite(msgspec.Struct, frozen=True):
+    """A write of the operator or of a target.
+
+    Attributes:
+        topic: The topic.
+        key: The key.
+        value: Its value, or empty if the key was removed.
+    """
+
+    topic: str
+    key: str
+    value: bytes
+
+
 class StoreStandin:
     """Topics with one partition each, in memory, with faults.
 
@@ -20,6 +52,9 @@
         loses_appends: Whether appends take effect without a response.
         calls: Number of calls by name.
         waiting: Number of reads that wait for a record.
+        epoch: Epoch in all responses, which rises with each restore.
+        answers: Holds back responses that are already decided.
+        held_answers: Number of responses that are held back.
     """
 
     def __init__(self):
@@ -31,6 +66,12 @@
         self.loses_appends = False
         self.calls: dict[str, int] = {}
         self.waiting = 0
+        self.epoch = 1
+        self.answers = gates.Gate()
+        self.held_answers = 0
+        # The latest write of the operator or of a target, by topic and key.
+        self._outside: dict[tuple[str, str], _OutsideWrite] = {}
+        self._lost: list[_OutsideWrite] = []
         self._server = rawhttp.RawServer(self._handle)
         self.address = self._server.address
 
@@ -42,7 +83,9 @@
         """Writes a keyed record, as the operator or a target does."""
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
         name = key.encode()
-        return self.append(topic, bytes([len(name)]) + name + raw)
+        with self._changed:
+            self._outside[topic, key] = _OutsideWrite(topic, key, raw)
+            return self.append(topic, bytes([len(name)]) + name + raw)
 
     def drop(self, topic: str, key: str) -> int:
         """Removes a key."""
@@ -73,6 +116,60 @@
             self._topics[topic] = []
             self._changed.notify_all()
 
+    def snapshot(self) -> StoreCopy:
+        """Returns a copy of the contents, for a later restore."""
+        with self._changed:
+            return StoreCopy(
+                {topic: list(rows) for topic, rows in self._topics.items()},
+                dict(self._first),
+                {topic: dict(rows) for topic, rows in self._keyed.items()},
+            )
+
+    def restore(
+        self,
+        copy: StoreCopy,
+        topics: collections.abc.Container[str] | None = None,
+    ) -> None:
+        """Replaces the contents by an earlier copy, in a new epoch.
+
+        Offsets after the copy are given out again. What the operator and the
+        targets wrote since is lost until `rewrite_lost`.
+
+        Args:
+            copy: The copy.
+            topics: Topics to restore, or None for all; the others lose
+                nothing.
+        """
+        with self._changed:
+            for topic in list(self._topics):
+                if topics is None or topic in topics:
+                    self._restore_topic(topic, copy)
+            self.epoch += 1
+            self._changed.notify_all()
+
+    def _restore_topic(self, topic: str, copy: StoreCopy) -> None:
+        self._topics[topic] = list(copy.topics.get(topic, ()))
+        self._first[topic] = copy.first.get(topic, 0)
+        self._keyed[topic] = dict(copy.keyed.get(topic, {}))
+        kept = self._keyed[topic]
+        for write in self._outside.values():
+            if write.topic != topic:
+                continue
+            if kept.get(write.key, (b"", 0))[0] != write.value:
+                self._lost.append(write)
+
+    def rewrite_lost(self) -> None:
+        """Writes again what the operator and the targets have lost.
+
+        A key that was written since the restore is left as it is.
+        """
+        with self._changed:
+            lost = self._lost
+            self._lost = []
+            for write in lost:
+                if self._outside[write.topic, write.key] is write:
+                    self.put(write.topic, write.key, write.value)
+
     def value(self, topic: str, key: str) -> bytes | None:
         """Returns the newest value of a key."""
         with self._changed:
@@ -94,7 +191,7 @@
             conn.reset()
             return False
         if self.status:
-            conn.respond(self.status)
+            self._respond(conn, self.status)
             return True
         query = dict(
             urllib.parse.parse_qsl(urllib.parse.urlsplit(req.target).query)
@@ -105,24 +202,39 @@
             return self._read(conn, query)
         if name == "log-newest":
             return self._newest(conn, query)
-        conn.respond(404)
+        self._respond(conn, 404)
         return True
 
+    def _respond(
+        self, conn, status: int, body: bytes = b"", epoch: int | None = None
+    ) -> None:
+        """Responds with the epoch in which the call was decided."""
+        if epoch is None:
+            epoch = self.epoch
+        with self._changed:
+            self.held_answers += 1
+        self.answers.wait()
+        with self._changed:
+            self.held_answers -= 1
+        conn.respond(status, body, {"Store-Era": str(epoch)})
+
     def _append(self, conn, query, body: bytes) -> bool:
         topic = query["topic"]
         (size,) = struct.unpack_from(">I", body)
         with self._changed:
+            epoch = self.epoch
             end = self._end(topic)
-            if "at" in query and int(query["at"]) != end:
-                conn.respond(412, json.dumps({"end": end}).encode())
-                return True
-            offset = self.append(topic, body[4 : 4 + size])
+            is_refused = "at" in query and int(query["at"]) != end
+            if not is_refused:
+                offset = self.append(topic, body[4 : 4 + size])
+        if is_refused:
+            self._respond(conn, 412, json.dumps({"end": end}).encode(), epoch)
+            return True
         if self.loses_appends:
             conn.reset()
             return False
-        conn.respond(
-            200, json.dumps({"offset": offset, "end": offset + 1}).encode()
-        )
+        reply = json.dumps({"offset": offset, "end": offset + 1}).encode()
+        self._respond(conn, 200, reply, epoch)
         return True
 
     def _end(self, topic: str) -> int:
@@ -137,25 +249,23 @@
             while True:
                 first = self._first.get(topic, 0)
                 rows = self._topics.get(topic, [])
+                end = first + len(rows)
                 remaining_s = until_s - time.monotonic()
-                if (
-                    start < first
-                    or first + len(rows) > start
-                    or remaining_s <= 0
-                ):
+                if not first <= start <= end or start < end or remaining_s <= 0:
                     break
                 self.waiting += 1
                 self._changed.wait(remaining_s)
                 self.waiting -= 1
-            found = rows[start - first :] if start >= first else None
-            end = first + len(rows)
+            epoch = self.epoch
+            found = rows[start - first :] if first <= start <= end else None
         if found is None:
-            conn.respond(410, json.dumps({"first": first}).encode())
+            reply = json.dumps({"first": first}).encode()
+            self._respond(conn, 410, reply, epoch)
             return True
         body = struct.pack(">QQ", end, first)
         for record in found:
             body += struct.pack(">I", len(record)) + record
-        conn.respond(200, body)
+        self._respond(conn, 200, body, epoch)
         return True
 
     def _newest(self, conn, query) -> bool:
@@ -166,6 +276,7 @@
                 text = base64.b64encode(value).decode()
                 items.append({"key": key, "value": text, "offset": offset})
             end = self._end(topic)
+            epoch = self.epoch
         page = {"items": items, "has_more": False, "end": end}
-        conn.respond(200, json.dumps(page).encode())
+        self._respond(conn, 200, json.dumps(page).encode(), epoch)
         return True
