A follower reads a restored store again from its start

What callers saw: after the store came back from an older copy, a version of the catalogue that was written at an offset below a follower's position was never read; requests were handled by the older version until the next one.

Cause: a position was a bare offset. An offset that was given out again answers 200, and the read goes on behind the records that are new.

Positions now carry the epoch of the store. One EpochTracker, shared by the clients of a process, takes the epoch from each answer, refusals included. A read from a position of an earlier epoch raises LogGapError, at which the follower reads all anew. A late answer of an earlier epoch is an error, and so is a list whose pages are of two epochs. Positions have no order; comparing two by '<' is a type error.

Tests that held bare offsets compare whole positions now.

--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -70,7 +70,7 @@
         self._failures = 0
         self._fetcher: Fetcher | None = None
         self._instances = instances
-        self._position: int | None = None
+        self._position: sources.LogPosition | None = None
         self.confirmed_s: float | None = None
         self.is_source_lost = False
         self.view: views.CatalogueView | None = None
--- a/src/briarfall/gateway/sources.py
+++ b/src/briarfall/gateway/sources.py
@@ -2,6 +2,7 @@
 
 import abc
 import enum
+import typing
 
 import msgspec
 
@@ -60,6 +61,25 @@
     started_ms: int = 0
 
 
+# Rises each time the platform's store comes back from an older copy.
+StoreEpoch = typing.NewType("StoreEpoch", int)
+
+
+class LogPosition(msgspec.Struct, frozen=True):
+    """Position in a log of the store.
+
+    Positions have no order, since a restored store gives out offsets again: an
+    offset says nothing about records of another epoch.
+
+    Attributes:
+        epoch: Epoch of the store that gave out the offset.
+        offset: Number of records before the position.
+    """
+
+    epoch: StoreEpoch
+    offset: int
+
+
 class CatalogueRead(msgspec.Struct, frozen=True):
     """Result of a read of the catalogue log.
 
@@ -69,7 +89,7 @@
             nothing changed.
     """
 
-    position: int
+    position: LogPosition
     raw: bytes | None
 
 
@@ -86,7 +106,7 @@
     holder: ids.InstanceId
     fence: int
     ttl_s: float
-    end: int
+    end: LogPosition
 
 
 class EngineReport(msgspec.Struct, frozen=True):
@@ -153,9 +173,14 @@
 
     @abc.abstractmethod
     def wait_newer(
-        self, position: int, wait_s: float, timeout_s: float
+        self, position: LogPosition, wait_s: float, timeout_s: float
     ) -> CatalogueRead:
-        """Waits up to `wait_s` for a change after `position`."""
+        """Waits up to `wait_s` for a change after `position`.
+
+        Raises:
+            LogGapError: Records after `position` are no longer kept, or the
+                position belongs to an earlier epoch of the store.
+        """
 
     @abc.abstractmethod
     def parse(self, raw: bytes) -> views.CatalogueView:
@@ -179,9 +204,18 @@
 
     @abc.abstractmethod
     def try_acquire(
-        self, holder: ids.InstanceId, ttl_s: float, end: int, timeout_s: float
+        self,
+        holder: ids.InstanceId,
+        ttl_s: float,
+        end: LogPosition,
+        timeout_s: float,
     ) -> LeaseGrant | None:
-        """Appends a grant; returns None if the log no longer ends at `end`."""
+        """Appends a grant; returns None if the log no longer ends at `end`.
+
+        Raises:
+            LogGapError: The record was appended in a later epoch of the store,
+                after grants that are not known here. It grants nothing.
+        """
 
 
 class InstanceRecord(msgspec.Struct, frozen=True):
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -7,10 +7,12 @@
 from briarfall import logs
 from briarfall.gateway import connections
 from briarfall.gateway import instance
+from briarfall.gateway import metrics
 from briarfall.gateway import settingswatcher
 from briarfall.gateway import summary
 from briarfall.platform import earlylisteners
 from briarfall.platform import engines
+from briarfall.platform import epochs
 from briarfall.platform import headers
 from briarfall.platform import settings
 from briarfall.platform import store
@@ -18,16 +20,23 @@
 
 
 class StorePlatform(instance.Platform):
-    """The platform as the gateway uses it: store, engines, header names."""
+    """The platform as the gateway uses it: store, engines, header names.
+
+    Attributes:
+        epochs: Epoch of the store, which its clients share.
+    """
 
     def __init__(self, address: str, pool: connections.ConnectionPool):
         self.header_names = headers.HEADERS
         self.ready_path = headers.READY_PATH
         self.store_calls = summary.CallCounts()
         self.ignored_records = summary.CallCounts()
+        self.epochs = epochs.EpochTracker()
 
         def new_client(purpose: str) -> store.StoreClient:
-            return store.StoreClient(address, self.store_calls, purpose)
+            return store.StoreClient(
+                address, self.store_calls, purpose, self.epochs
+            )
 
         self.catalogue = topics.CatalogueTopic(new_client("catalogue"))
         self.targets = topics.TargetTopic(
@@ -57,9 +66,9 @@
     cfg = settings.parse(data)
     logs.configure_bounded(cfg.instance)
     pool = connections.ConnectionPool()
-    gateway_instance = instance.Instance(
-        cfg, StorePlatform(cfg.store_address, pool), pool, listeners
-    )
+    platform = StorePlatform(cfg.store_address, pool)
+    gateway_instance = instance.Instance(cfg, platform, pool, listeners)
+    add_store_gauges(gateway_instance.metrics, platform.epochs)
     signal.signal(signal.SIGTERM, lambda *_: gateway_instance.stop.request())
     path = os.environ[earlylisteners.SETTINGS_VARIABLE]
     watcher = settingswatcher.SettingsWatcher(
@@ -69,3 +78,19 @@
     gateway_instance.start()
     watcher.start()
     gateway_instance.wait_for_stop()
+
+
+def add_store_gauges(
+    found: metrics.Metrics, tracker: epochs.EpochTracker
+) -> None:
+    """Adds the store's epoch and the number of its changes to metrics."""
+    found.add_gauge(
+        "briarfall_store_epoch",
+        "Epoch of the store, which rises when it is restored from a copy.",
+        lambda: tracker.current,
+    )
+    found.add_gauge(
+        "briarfall_store_restores",
+        "Changes of the store's epoch since the start of the instance.",
+        lambda: tracker.changes,
+    )
--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -10,7 +10,6 @@
 import collections
 import re
 import struct
-import typing
 import urllib.parse
 
 from absl import logging
@@ -20,9 +19,11 @@
 from briarfall import exceptions
 from briarfall.gateway import connections
 from briarfall.gateway import messages
+from briarfall.gateway import sources
 from briarfall.gateway import summary
+from briarfall.platform import epochs
+from briarfall.platform import storemessages
 
-_RECORD_LENGTH = struct.Struct(">I")
 _MAX_KEY_BYTES = 255
 # Pages of one read; the topics in use fill a few.
 _MAX_PAGES = 100
@@ -32,48 +33,15 @@
 # idle connection that is dead is detected by the time-out of the next call.
 _MAX_IDLE_S = 3.0
 _REMEMBERED_APPENDS = 64
-# Rises when the store comes back from an older copy, which gives out offsets
-# once more.
-_EPOCH_HEADER = b"store-era"
-
-
-_Offset = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
-
-
-class _KeyedItem(msgspec.Struct):
-    key: str
-    # The value in Base64.
-    value: str = ""
-
-
-# The fields that a kind of answer always has are required, so that no other
-# kind passes as it.
-class _NewestPage(msgspec.Struct):
-    # Each item is decoded on its own, so that an odd one costs only itself.
-    items: list[msgspec.Raw]
-    # Offset that the next appended record will get.
-    end: _Offset
-    # Whether keys follow after the last one of `items`.
-    has_more: bool = False
-
-
-class _AppendReply(msgspec.Struct):
-    offset: _Offset
-    end: _Offset
-
-
-class _WrongEndReply(msgspec.Struct):
-    # Offset that the next appended record will get.
-    end: _Offset
-
-
-class _GapReply(msgspec.Struct):
-    # Oldest offset that is still kept.
-    first: _Offset = 0
+_SURROGATE = re.compile(rb"\\u[dD][89a-fA-F][0-9a-fA-F]{2}")
+_ITEM_DECODER = msgspec.json.Decoder(storemessages.KeyedItem)
 
 
-_SURROGATE = re.compile(rb"\\u[dD][89a-fA-F][0-9a-fA-F]{2}")
-_ITEM_DECODER = msgspec.json.Decoder(_KeyedItem)
+class _Response(msgspec.Struct, frozen=True):
+    status: int
+    body: bytes
+    # Epoch of the store in which the call was carried out.
+    epoch: sources.StoreEpoch
 
 
 class KeyedRecord(msgspec.Struct, frozen=True):
@@ -90,37 +58,52 @@
         address: IP number and port.
         counts: Counts the calls.
         purpose: Prefix of the names under which the calls are counted.
+        tracker: Epoch of the store, which the clients of a process share.
     """
 
-    def __init__(self, address: str, counts: summary.CallCounts, purpose: str):
+    def __init__(
+        self,
+        address: str,
+        counts: summary.CallCounts,
+        purpose: str,
+        tracker: epochs.EpochTracker | None = None,
+    ):
         self._address = address
         self._call_counts = counts
         self._purpose = purpose
         self._pool = connections.ConnectionPool()
-        # Epoch of the store in its last answer.
-        self._epoch: bytes | None = None
-        # Topic and offset of the latest acknowledged appends of this epoch.
-        self._appended: collections.deque[tuple[str, int]] = collections.deque(
-            maxlen=_REMEMBERED_APPENDS
+        self.tracker = tracker or epochs.EpochTracker()
+        # Topic and position of the latest acknowledged appends.
+        self._appended: collections.deque[tuple[str, sources.LogPosition]] = (
+            collections.deque(maxlen=_REMEMBERED_APPENDS)
         )
 
-    def newest(self, topic: str, timeout_s: float):
-        """Returns the newest record of each key, and the topic's end offset.
+    def newest(
+        self, topic: str, timeout_s: float
+    ) -> tuple[list[KeyedRecord], sources.LogPosition]:
+        """Returns the newest record of each key, and the topic's end.
 
         Raises:
-            LogUnavailableError: The store did not answer, or its pages have
-                no end.
+            LogUnavailableError: The store did not answer, its pages have no
+                end, or it was restored between two of them.
         """
         records = []
         args = {"topic": topic, "part": 0}
         seen = set()
+        epoch = None
         while len(seen) < _MAX_PAGES:
-            _, body = self._call("GET", "log-newest", args, b"", timeout_s)
-            page = self._decode_page(body)
+            resp = self._call("GET", "log-newest", args, b"", timeout_s)
+            if epoch not in (None, resp.epoch):
+                raise exceptions.LogUnavailableError(
+                    f"store log-newest: pages of {topic} are of epochs "
+                    f"{epoch} and {resp.epoch}, expected one epoch"
+                )
+            epoch = resp.epoch
+            page = self._decode_page(resp.body)
             found = _decode_items(page.items)
             records.extend(found)
             if not page.has_more or not page.items:
-                return records, page.end
+                return records, sources.LogPosition(epoch, page.end)
             if not found or found[-1].key in seen:
                 break
             args["after"] = found[-1].key
@@ -133,39 +116,48 @@
     def read(
         self,
         topic: str,
-        start: int,
+        start: sources.LogPosition,
         timeout_s: float,
         *,
         wait_s: float = 0.0,
-    ) -> tuple[list[bytes], int]:
-        """Returns records from an offset on, and the offset after them.
+    ) -> tuple[list[bytes], sources.LogPosition]:
+        """Returns records from a position on, and the position after them.
 
         Args:
             topic: Name of the topic.
-            start: Offset of the first record to return.
+            start: Position of the first record to return.
             timeout_s: Longest wait for the response itself.
             wait_s: Additional time that the store may wait for a record.
 
         Raises:
-            LogGapError: Records from `start` on are no longer kept.
+            LogGapError: Records from `start` on are no longer kept, or
+                `start` belongs to an earlier epoch.
         """
-        args = {"topic": topic, "part": 0, "from": start}
+        if start.epoch < self.tracker.current:
+            raise _epoch_error("read", topic, start, self.tracker.current)
+        args = {"topic": topic, "part": 0, "from": start.offset}
         if wait_s > 0:
             args["wait_ms"] = int(wait_s * 1000)
-        _, body = self._call("GET", "log-read", args, b"", timeout_s + wait_s)
-        if len(body) < _READ_HEADER.size:
+        resp = self._call("GET", "log-read", args, b"", timeout_s + wait_s)
+        if start.epoch != resp.epoch:
+            raise _epoch_error("read", topic, start, resp.epoch)
+        size = len(resp.body)
+        if size < _READ_HEADER.size:
             raise exceptions.LogUnavailableError(
-                f"store response truncated: got {len(body)} of at least "
+                f"store response truncated: got {size} of at least "
                 f"{_READ_HEADER.size} bytes"
             )
-        end, _ = _READ_HEADER.unpack_from(body)
-        records = _split_records(memoryview(body)[_READ_HEADER.size :])
-        if records and start + len(records) > end:
+        end, _ = _READ_HEADER.unpack_from(resp.body)
+        records = storemessages.split_records(
+            memoryview(resp.body)[_READ_HEADER.size :]
+        )
+        next_offset = start.offset + len(records)
+        if records and next_offset > end:
             raise self._mismatch_error(
-                f"{len(records)} records from {start} on, but the topic ends "
-                f"at {end}"
+                f"{len(records)} records from {start.offset} on, but the "
+                f"topic ends at {end}"
             )
-        return records, start + len(records)
+        return records, sources.LogPosition(start.epoch, next_offset)
 
     def append(
         self,
@@ -173,46 +165,57 @@
         record: bytes,
         timeout_s: float,
         *,
-        at: int | None = None,
-    ) -> int | None:
+        at: sources.LogPosition | None = None,
+    ) -> sources.LogPosition | None:
         """Appends a record.
 
         Args:
             topic: Name of the topic.
             record: The record.
             timeout_s: Longest wait for the response.
-            at: Offset at which the topic must end for the append to succeed;
-                None appends at any end.
+            at: Position at which the topic must end for the append to
+                succeed; None appends at any end.
 
         Returns:
-            The offset of the record, or None if the topic doesn't end at
-            `at`.
+            The position of the record, or None if the topic doesn't end at
+            `at`, which also holds for each position of an earlier epoch.
+
+        Raises:
+            LogUnavailableError: The store did not answer.
+            LogGapError: The record was appended in a later epoch, after
+                records that the caller of this method doesn't know.
         """
         args = {"topic": topic, "part": 0}
         if at is not None:
-            args["at"] = at
-        status, body = self._call(
+            if at.epoch < self.tracker.current:
+                return None
+            args["at"] = at.offset
+        resp = self._call(
             "POST",
             "log-append",
             args,
-            _RECORD_LENGTH.pack(len(record)) + record,
+            storemessages.pack_record(record),
             timeout_s,
         )
-        if status == 412:
-            if self._decode(body, _WrongEndReply).end == at:
+        if resp.status == 412:
+            end = self._decode(resp.body, storemessages.WrongEndReply).end
+            if sources.LogPosition(resp.epoch, end) == at:
                 raise self._mismatch_error(
-                    f"append at {at} refused although the topic ends there"
+                    f"append at {end} refused although the topic ends there"
                 )
             return None
-        offset = self._decode(body, _AppendReply).offset
-        if at is not None and offset != at:
+        offset = self._decode(resp.body, storemessages.AppendReply).offset
+        if at is not None and offset != at.offset:
             raise self._mismatch_error(
-                f"append at {at} acknowledged with offset {offset}"
+                f"append at {at.offset} acknowledged with offset {offset}"
             )
-        if (topic, offset) in self._appended:
+        position = sources.LogPosition(resp.epoch, offset)
+        if (topic, position) in self._appended:
             raise self._mismatch_error(f"offset {offset} acknowledged twice")
-        self._appended.append((topic, offset))
-        return offset
+        self._appended.append((topic, position))
+        if at is not None and at.epoch != resp.epoch:
+            raise _epoch_error("append", topic, at, resp.epoch)
+        return position
 
     def _mismatch_error(self, text: str) -> exceptions.LogUnavailableError:
         """Ends the connections and returns the error for another's answer."""
@@ -221,16 +224,16 @@
             f"store answer of another call, connection closed: {text}"
         )
 
-    def _decode_page(self, body: bytes) -> _NewestPage:
+    def _decode_page(self, body: bytes) -> storemessages.NewestPage:
         try:
-            return self._decode(body, _NewestPage)
+            return self._decode(body, storemessages.NewestPage)
         except exceptions.LogUnavailableError:
             # A key of another writer need not be text; JSON may then hold half
             # of a surrogate pair, which fails the whole page.
             replaced, count = _SURROGATE.subn(rb"\\ufffd", body)
             if not count:
                 raise
-        return self._decode(replaced, _NewestPage)
+        return self._decode(replaced, storemessages.NewestPage)
 
     def _decode(self, data: bytes, kind: type):
         try:
@@ -240,13 +243,18 @@
         except exceptions.LogUnavailableError as exc:
             raise self._mismatch_error(exc.message) from exc
 
-    def _record_epoch(self, head: messages.ResponseHead) -> None:
-        """Forgets the acknowledged offsets if a restored store reuses them."""
-        epoch = head.header(_EPOCH_HEADER)
-        if epoch == self._epoch:
-            return
-        self._epoch = epoch
-        self._appended.clear()
+    def _observe_epoch(
+        self, name: str, head: messages.ResponseHead
+    ) -> sources.StoreEpoch:
+        """Returns the epoch of a response; refuses one of an earlier epoch."""
+        epoch = self.tracker.observe(head.header(epochs.EPOCH_HEADER))
+        current = self.tracker.current
+        if epoch < current:
+            raise self._mismatch_error(
+                f"{name} answered from epoch {epoch}, but the store is in "
+                f"epoch {current}"
+            )
+        return epoch
 
     def _call(
         self,
@@ -255,7 +263,7 @@
         args: dict[str, str | int],
         body: bytes,
         timeout_s: float,
-    ) -> tuple[int, bytes]:
+    ) -> _Response:
         path = f"/v1/{name}?{urllib.parse.urlencode(args)}"
         kind = "write" if method == "POST" else "read"
         self._call_counts.record(f"{self._purpose}_{kind}s")
@@ -274,9 +282,9 @@
             raise exceptions.LogUnavailableError(
                 f"store {name}: {exc.message}"
             ) from exc
-        self._record_epoch(head)
+        epoch = self._observe_epoch(name, head)
         if head.status == 410:
-            first = self._decode(data, _GapReply).first
+            first = self._decode(data, storemessages.GapReply).first
             raise exceptions.LogGapError(
                 f"store {name}: records before {first} are no longer kept",
                 first,
@@ -285,7 +293,21 @@
             raise exceptions.LogUnavailableError(
                 f"store {name}: answered with status {head.status}"
             )
-        return head.status, data
+        return _Response(head.status, data, epoch)
+
+
+def _epoch_error(
+    name: str,
+    topic: str,
+    position: sources.LogPosition,
+    epoch: sources.StoreEpoch,
+) -> exceptions.LogGapError:
+    return exceptions.LogGapError(
+        f"store log-{name}: offset {position.offset} of {topic} is of epoch "
+        f"{position.epoch}, the store is in epoch {epoch}; read the topic "
+        "again",
+        0,
+    )
 
 
 def keyed_record(key: str, value: bytes) -> bytes:
@@ -320,21 +342,6 @@
     return KeyedRecord(record[1:end].decode("utf-8", "replace"), record[end:])
 
 
-def _split_records(data: memoryview) -> list[bytes]:
-    records = []
-    start = 0
-    while len(data) - start >= _RECORD_LENGTH.size:
-        (size,) = _RECORD_LENGTH.unpack_from(data, start)
-        start += _RECORD_LENGTH.size
-        if len(data) - start < size:
-            raise exceptions.LogUnavailableError(
-                f"record truncated: got {len(data) - start} of {size} bytes"
-            )
-        records.append(bytes(data[start : start + size]))
-        start += size
-    return records
-
-
 def _decode_items(items: list[msgspec.Raw]) -> list[KeyedRecord]:
     """Decodes the items of a page; logs and skips malformed ones."""
     records = []
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -47,7 +47,10 @@
         return sources.CatalogueRead(end, None)
 
     def wait_newer(
-        self, position: int, wait_s: float, timeout_s: float
+        self,
+        position: sources.LogPosition,
+        wait_s: float,
+        timeout_s: float,
     ) -> sources.CatalogueRead:
         """Waits up to `wait_s` for a manifest at or after `position`."""
         records, end = self._store.read(
@@ -357,25 +360,29 @@
                 self._ignored.report(record, exc)
                 grant = _UNKNOWN_GRANT
             return sources.LeaseGrant(
-                ids.InstanceId(grant.holder), end, grant.ttl_s, end
+                ids.InstanceId(grant.holder),
+                end.offset,
+                grant.ttl_s,
+                end,
             )
-        return sources.LeaseGrant(ids.InstanceId(""), end, 0.0, end)
+        return sources.LeaseGrant(ids.InstanceId(""), end.offset, 0.0, end)
 
     def try_acquire(
         self,
         holder: ids.InstanceId,
         ttl_s: float,
-        end: int,
+        end: sources.LogPosition,
         timeout_s: float,
     ) -> sources.LeaseGrant | None:
         """Appends a grant if no instance has appended one since `end`."""
         value = msgspec.json.encode(_Grant(holder, ttl_s))
-        offset = self._store.append(
+        position = self._store.append(
             _LEASE_TOPIC,
             store.keyed_record(_LEASE_KEY, value),
             timeout_s,
             at=end,
         )
-        if offset is None:
+        if position is None:
             return None
-        return sources.LeaseGrant(holder, offset + 1, ttl_s, offset + 1)
+        after = sources.LogPosition(position.epoch, position.offset + 1)
+        return sources.LeaseGrant(holder, after.offset, ttl_s, after)
--- a/tests/test_odd_decoders.py
+++ b/tests/test_odd_decoders.py
@@ -28,6 +28,7 @@
 from briarfall.platform import manifest
 from briarfall.platform import settings
 from briarfall.platform import store
+from briarfall.platform import storemessages
 from briarfall.platform import topics
 from briarfall.standins.prepared import testbed
 from tests import test_odd_datagrams
@@ -108,7 +109,7 @@
     "keyed": (store.split_keyed, store.keyed_record("key", b"value")),
     "page": (_STORE._decode_page, b'{"items": [], "end": 3}'),
     "records": (
-        lambda data: store._split_records(memoryview(data)),
+        lambda data: storemessages.split_records(memoryview(data)),
         b"\0\0\0\1a\0\0\0\0",
     ),
     "report": (_report, json.dumps(_REPORT).encode()),
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -42,11 +42,11 @@
         rows = []
         for key, value in self.records.items():
             rows.append(store.KeyedRecord(key, value))
-        return rows, 7
+        return rows, sources.LogPosition(sources.StoreEpoch(0), 7)
 
     def append(self, topic, record, timeout_s, *, at=None):
         self.appended.append(record)
-        return 7
+        return sources.LogPosition(sources.StoreEpoch(0), 7)
 
 
 def instance_record(**changes) -> bytes:
--- a/tests/test_odd_store_pages.py
+++ b/tests/test_odd_store_pages.py
@@ -11,6 +11,7 @@
 from briarfall.gateway import catalogue
 from briarfall.gateway import connections
 from briarfall.gateway import messages
+from briarfall.gateway import sources
 from briarfall.gateway import summary
 from briarfall.platform import store
 from briarfall.platform import topics
@@ -33,6 +34,10 @@
     return found
 
 
+def position(offset) -> sources.LogPosition:
+    return sources.LogPosition(sources.StoreEpoch(0), offset)
+
+
 def page(items, **changes) -> bytes:
     return json.dumps(
         {"items": items, "has_more": False, "end": 7, **changes}
@@ -99,7 +104,7 @@
         client.bodies = iter([page([item("a"), odd, item("b")])])
         records, end = client.newest("t", 1.0)
         assert [record.key for record in records] == ["a", "b"]
-        assert end == 7
+        assert end == position(7)
 
     @pytest.mark.parametrize("half", [b"\\ud800", b"\\uDCFF", b"\xff\xfe"])
     def test_key_that_is_no_text_leaves_the_others(self, client, half):
@@ -115,7 +120,7 @@
         )
         records, end = client.newest("t", 1.0)
         assert [record.key for record in records] == ["a", "b"]
-        assert end == 9
+        assert end == position(9)
 
     @pytest.mark.parametrize(
         "keys", [["a"] * 100_000, ["a", "b"] * 100_000, count_up()]
@@ -145,16 +150,16 @@
     def test_truncated_response_raises_log_unavailable(self, client, body):
         client.bodies = iter([body])
         with pytest.raises(exceptions.LogUnavailableError):
-            client.read("t", 0, 1.0)
+            client.read("t", position(0), 1.0)
 
     def test_many_empty_records_are_split_in_linear_time(self, client):
         # A split that copies the rest for each record takes minutes here.
         count = 500_000
         header = struct.pack(">QQ", count + 3, 0)
         client.bodies = iter([header + bytes(4 * count)])
-        records, end = client.read("t", 3, 1.0)
+        records, end = client.read("t", position(3), 1.0)
         assert records == [b""] * count
-        assert end == count + 3
+        assert end == position(count + 3)
 
     @pytest.mark.parametrize(
         "body", [b"", b"null", b'{"offset": "x"}', b'{"offset": -1}', _DEEP]
@@ -175,8 +180,8 @@
         for record in (odd, sound, odd):
             body += struct.pack(">I", len(record)) + record
         client.bodies = iter([body])
-        read = topics.CatalogueTopic(client).wait_newer(4, 0.0, 1.0)
-        assert read.position == 7
+        read = topics.CatalogueTopic(client).wait_newer(position(4), 0.0, 1.0)
+        assert read.position == position(7)
         assert topics.CatalogueTopic(client).parse(read.raw).version == 2
 
     def test_follower_goes_on_after_an_odd_record(self, world):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -239,6 +239,11 @@
         assert earlylisteners.open_listeners(data) == {}
 
 
+def position(offset) -> sources.LogPosition:
+    """Returns a position in the first epoch of the stand-in."""
+    return sources.LogPosition(sources.StoreEpoch(1), offset)
+
+
 class TestStore:
     @pytest.fixture
     def scene(self):
@@ -256,21 +261,21 @@
         with pytest.raises(exceptions.LogUnavailableError):
             client.append("t", b"x", 1.0)
         world.store.loses_appends = False
-        records, end = client.read("t", 0, 1.0)
+        records, end = client.read("t", position(0), 1.0)
         assert records == [b"x"]
-        assert end == 1
+        assert end == position(1)
 
     def test_append_at_another_end_is_refused(self, scene):
         _, client = scene
-        assert client.append("t", b"x", 1.0, at=0) == 0
-        assert client.append("t", b"y", 1.0, at=0) is None
+        assert client.append("t", b"x", 1.0, at=position(0)) == position(0)
+        assert client.append("t", b"y", 1.0, at=position(0)) is None
 
     def test_read_of_expired_records_raises_log_gap(self, scene):
         world, client = scene
         world.store.append("t", b"x")
         world.store.forget("t")
         with pytest.raises(exceptions.LogGapError) as caught:
-            client.read("t", 0, 1.0)
+            client.read("t", position(0), 1.0)
         assert caught.value.first == 1
 
     @pytest.mark.parametrize("status", [429, 503, -1])
--- a/tests/test_platform_storecopies.py
+++ b/tests/test_platform_storecopies.py
@@ -8,6 +8,7 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import leasing
+from briarfall.gateway import sources
 from briarfall.gateway import summary
 from briarfall.platform import store
 from briarfall.platform import topics
@@ -20,6 +21,10 @@
     return store.StoreClient(server.address, summary.CallCounts(), "test")
 
 
+def _position(offset, epoch=0):
+    return sources.LogPosition(sources.StoreEpoch(epoch), offset)
+
+
 def _append_reply(offset):
     return 200, json.dumps({"offset": offset, "end": offset + 1}).encode()
 
@@ -37,9 +42,11 @@
     ):
         server = copy_server(_append_reply(0), (412, b'{"end": 7}'))
         client = _store(server)
-        assert client.append("t", b"a", _TIMEOUT_S, at=0) == 0
+        assert client.append(
+            "t", b"a", _TIMEOUT_S, at=_position(0)
+        ) == _position(0)
         with pytest.raises(exceptions.LogUnavailableError):
-            client.append("t", b"b", _TIMEOUT_S, at=1)
+            client.append("t", b"b", _TIMEOUT_S, at=_position(1))
         assert server.copies_sent == 1
 
     def test_lease_is_not_granted_by_a_copy(self, copy_server):
@@ -55,15 +62,18 @@
     def test_records_of_an_earlier_read_are_not_read_again(self, copy_server):
         server = copy_server(_page(1, b"a"), _page(2, b"b"))
         client = _store(server)
-        assert client.read("t", 0, _TIMEOUT_S) == ([b"a"], 1)
+        assert client.read("t", _position(0), _TIMEOUT_S) == (
+            [b"a"],
+            _position(1),
+        )
         with pytest.raises(exceptions.LogUnavailableError):
-            client.read("t", 1, _TIMEOUT_S)
+            client.read("t", _position(1), _TIMEOUT_S)
 
     def test_page_does_not_pass_as_an_acknowledgement(self, copy_server):
         page = (200, b'{"items": [], "has_more": false, "end": 4}')
         server = copy_server(page, (412, b'{"end": 7}'))
         client = _store(server)
-        assert client.newest("t", _TIMEOUT_S) == ([], 4)
+        assert client.newest("t", _TIMEOUT_S) == ([], _position(4))
         with pytest.raises(exceptions.LogUnavailableError):
             client.append("t", b"b", _TIMEOUT_S)
 
@@ -72,24 +82,26 @@
     ):
         server = copy_server(_append_reply(4), (503,))
         client = _store(server)
-        assert client.append("t", b"a", _TIMEOUT_S) == 4
+        assert client.append("t", b"a", _TIMEOUT_S) == _position(4)
         with pytest.raises(exceptions.LogUnavailableError):
             client.append("t", b"b", _TIMEOUT_S)
 
     def test_refusal_that_contradicts_itself_decides_nothing(self, copy_server):
         client = _store(copy_server((412, b'{"end": 4}')))
         with pytest.raises(exceptions.LogUnavailableError):
-            client.append("t", b"b", _TIMEOUT_S, at=4)
+            client.append("t", b"b", _TIMEOUT_S, at=_position(4))
 
     def test_connection_with_another_call_s_answer_is_closed(self, copy_server):
         server = copy_server(
             _append_reply(0), _append_reply(1), _append_reply(1)
         )
         client = _store(server)
-        client.append("t", b"a", _TIMEOUT_S, at=0)
+        client.append("t", b"a", _TIMEOUT_S, at=_position(0))
         with pytest.raises(exceptions.LogUnavailableError):
-            client.append("t", b"b", _TIMEOUT_S, at=1)
-        assert client.append("t", b"b", _TIMEOUT_S, at=1) == 1
+            client.append("t", b"b", _TIMEOUT_S, at=_position(1))
+        assert client.append(
+            "t", b"b", _TIMEOUT_S, at=_position(1)
+        ) == _position(1)
         assert server.copies_sent == 1
 
     def test_connection_is_not_reused_after_a_refusal(self, copy_server):
@@ -97,7 +109,7 @@
         client = _store(server)
         with pytest.raises(exceptions.LogUnavailableError):
             client.append("t", b"a", _TIMEOUT_S)
-        assert client.append("t", b"a", _TIMEOUT_S) == 3
+        assert client.append("t", b"a", _TIMEOUT_S) == _position(3)
         assert server.copies_sent == 0
 
 
@@ -116,6 +128,8 @@
         try:
             client = _store(server)
             offsets = [client.append("t", b"a", _TIMEOUT_S) for _ in replies]
-            assert offsets == [offset for _, offset in replies]
+            assert offsets == [
+                _position(offset, int(epoch)) for epoch, offset in replies
+            ]
         finally:
             server.close()
