Fencing numbers rise although the store has lost grants

What callers saw: after the store came back from an older copy, two instances held leases with the same fencing number, or engines refused the rightful holder (412), and nobody placed layers until the offsets had caught up. A holder whose grant was lost gave up the lease, and nobody took it for its duration.

Cause: the offset after the grant was the fencing number, and a restored store gives out offsets again. A renewal at such an offset also passed as a renewal behind another instance's grant.

The fencing number is now the epoch of the store times 2^28, plus the offset. It needs no knowledge of what was lost, so that an instance that starts after the restore gets a higher one too.

--- a/src/briarfall/gateway/leasing.py
+++ b/src/briarfall/gateway/leasing.py
@@ -2,6 +2,7 @@
 
 from absl import logging
 
+from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
 from briarfall.gateway import sources
@@ -85,7 +86,9 @@
     def refresh(self) -> None:
         """Renews the lease, or acquires it if no instance holds it.
 
-        The lease is renewed if this instance holds it. Nothing is done while
+        The lease is renewed if this instance holds it. If the log refuses the
+        renewal, it may have lost the grant's record; the lease is acquired
+        again unless another instance has a newer grant. Nothing is done while
         a grant of another instance is known to be in force. Otherwise the
         newest grant is read from the store, and the lease is acquired if that
         grant has lapsed.
@@ -93,9 +96,16 @@
         Raises:
             LogUnavailableError: The store did not answer.
         """
-        sent_s = clocks.boot_s()
+        try:
+            self._refresh(clocks.boot_s())
+        except exceptions.LogGapError as exc:
+            logging.info("lease not acquired, retrying once it lapses: %s", exc)
+            self.lose()
+
+    def _refresh(self, sent_s: float) -> None:
         if self.is_held and self._grant is not None:
-            self._acquire(self._grant.end, sent_s)
+            if not self._acquire(self._grant.end, sent_s):
+                self._reacquire()
             return
         if self.is_held_elsewhere:
             return
@@ -111,21 +121,41 @@
                 return
         self._acquire(grant.end, sent_s)
 
-    def _acquire(self, end: int, sent_s: float) -> None:
+    def _reacquire(self) -> None:
+        """Acquires a lease whose renewal was refused, if it is still ours.
+
+        Nobody else was granted the lease if the newest grant is this
+        instance's own, or if there is none: others wait until it lapses.
+        """
+        sent_s = clocks.boot_s()
+        grant = self._source.read_grant(_STORE_TIMEOUT_S)
+        if grant.holder and grant.holder != self._instance:
+            self._expiry_by_fence = {grant.fence: sent_s + grant.ttl_s}
+            logging.info(
+                "lease not acquired again: newest grant holder=%s fence=%d",
+                grant.holder,
+                grant.fence,
+            )
+            return
+        self._acquire(grant.end, sent_s)
+
+    def _acquire(self, end: sources.LogPosition, sent_s: float) -> bool:
+        """Appends a grant at `end`; returns whether this was granted."""
         grant = self._source.try_acquire(
             self._instance, LEASE_TTL_S, end, _STORE_TIMEOUT_S
         )
         if grant is None:
             self.lose()
-            return
+            return False
         if not self.fence:
             logging.info("lease taken fence=%d", grant.fence)
         self._grant = grant
         self._held_until_s = sent_s + LEASE_TTL_S
         self.fence = grant.fence
+        return True
 
     def lose(self) -> None:
-        """Drops the lease after another instance got a newer grant."""
+        """Drops the lease after a newer grant, or after the log lost it."""
         if self.fence:
             logging.info("lease lost fence=%d", self.fence)
         self.fence = 0
--- a/src/briarfall/gateway/sources.py
+++ b/src/briarfall/gateway/sources.py
@@ -98,7 +98,8 @@
 
     Attributes:
         holder: Instance that holds the lease; empty if none ever held it.
-        fence: Fencing number, which grows with each grant.
+        fence: Fencing number, which grows with each grant, also if the store
+            has lost earlier grants.
         ttl_s: Duration of the lease.
         end: Position of the log after the grant.
     """
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -25,6 +25,9 @@
 _LEASE_TOPIC = "keyed.briarfall-lease"
 _POISON_TOPIC = "keyed.briarfall-poison"
 _LEASE_KEY = "placement"
+# Distance of the fencing numbers of two epochs, in grants. A restored store
+# has lost fewer grants than this.
+_FENCES_PER_EPOCH = 2**28
 _Value = typing.TypeVar("_Value")
 _TARGET_STATES = {
     "ready": sources.TargetState.READY,
@@ -330,11 +333,18 @@
     return grant
 
 
+def fencing_number(end: sources.LogPosition) -> int:
+    """Returns the fencing number of the grant that ends at a position.
+
+    It is higher than those of all earlier epochs, whatever grants the store
+    has lost, and needs no knowledge of them.
+    """
+    return end.epoch * _FENCES_PER_EPOCH + end.offset
+
+
 class LeaseTopic(sources.LeaseSource):
     """The lease for placement.
 
-    The fencing number of a grant is the offset after the grant's record.
-
     Args:
         client: Client of the store.
         counts: Counts the grants that are ignored.
@@ -361,11 +371,13 @@
                 grant = _UNKNOWN_GRANT
             return sources.LeaseGrant(
                 ids.InstanceId(grant.holder),
-                end.offset,
+                fencing_number(end),
                 grant.ttl_s,
                 end,
             )
-        return sources.LeaseGrant(ids.InstanceId(""), end.offset, 0.0, end)
+        return sources.LeaseGrant(
+            ids.InstanceId(""), fencing_number(end), 0.0, end
+        )
 
     def try_acquire(
         self,
@@ -385,4 +397,4 @@
         if position is None:
             return None
         after = sources.LogPosition(position.epoch, position.offset + 1)
-        return sources.LeaseGrant(holder, after.offset, ttl_s, after)
+        return sources.LeaseGrant(holder, fencing_number(after), ttl_s, after)
