A store poller takes a version that the store has lost from a peer

What callers saw: a version that a peer had read was gone from the restored store. The poller of another zone read the store again and again, and handled requests by the version before until the operator wrote it again.

Cause: a poller that hears of a newer version reads only the store. It asks a peer now if the store does not show that version. No call to the store is added.

Evidence: test_store_poller_takes_a_lost_version_from_a_peer, failed before: 1 of 1; now: 0 of 1.

--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -133,6 +133,9 @@
             self._has_newer.clear()
             if self._is_store_poller() or not self._fetch_from_peer():
                 self._read(0.0)
+            if self._newest_version > self.view.version:
+                # A restored store may lack a version that peers hold.
+                self._fetch_from_peer()
             if self._newest_version > self.view.version:
                 # A peer has read a version that the store does not show to
                 # this instance yet.
--- a/tests/test_platform_epochs.py
+++ b/tests/test_platform_epochs.py
@@ -226,6 +226,18 @@
         follower.step()
         assert follower.view.version == 3
 
+    def test_store_poller_takes_a_lost_version_from_a_peer(self, platform):
+        follower = new_follower(new_client(platform.address))
+        follower.step()
+        copy = platform.snapshot()
+        publish(platform, 2)
+        lost = platform.value("keyed.op", "config")
+        platform.restore(copy)
+        follower.set_fetcher(lambda version: lost)
+        follower.record_newer(2)
+        follower.step()
+        assert follower.view.version == 2
+
     def test_read_that_waits_during_two_restores_is_done_again(self, platform):
         follower = new_follower(new_client(platform.address))
         follower.step()
