An older list of targets does not undo what was listed before

What callers saw: after the store came back from an older copy, requests went to engines that drain or are gone, and an engine whose entry the copy lacks was taken for gone, with its streams, until it registered again.

Cause: each list replaced the one before. EntryHistory now keeps, over a restore, the entry that is newer by incarnation and heartbeat; a target that was gone comes back only with a newer entry; a ready one that the copy lacks has 10 s to write its entry again. Within an epoch each list is taken as it is.

It covers what an instance has listed itself; the table of an instance that got its entries from peers is not covered.

--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -9,11 +9,13 @@
 from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
+from briarfall.gateway import clocks
 from briarfall.gateway import leasing
 from briarfall.gateway import recordchecks
 from briarfall.gateway import sources
 from briarfall.gateway import summary
 from briarfall.gateway import views
+from briarfall.platform import entryhistory
 from briarfall.platform import ignoredrecords
 from briarfall.platform import manifest
 from briarfall.platform import store
@@ -165,14 +167,18 @@
     ):
         self._store = client
         self._ignored = _ignored("target entry", counts)
+        self._history = entryhistory.EntryHistory()
 
     def list_targets(self, timeout_s: float) -> list[sources.TargetEntry]:
         """Returns all valid entries.
 
-        A target whose entry is no longer valid is not listed.
+        A target whose entry is no longer valid is not listed. After a restore
+        of the store, entries that were listed before are returned in place of
+        older ones.
         """
-        records, _ = self._store.newest(_TARGETS_TOPIC, timeout_s)
-        return _parse_all(records, parse_entry, self._ignored)
+        records, end = self._store.newest(_TARGETS_TOPIC, timeout_s)
+        entries = _parse_all(records, parse_entry, self._ignored)
+        return self._history.merge(entries, end.epoch, clocks.boot_s())
 
 
 _INSTANCE_DECODER = msgspec.json.Decoder(sources.InstanceRecord)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -135,7 +135,8 @@
         rows = []
         for key, value in self.records.items():
             rows.append(topics.store.KeyedRecord(key, value))
-        return rows, len(rows)
+        epoch = sources.StoreEpoch(0)
+        return rows, sources.LogPosition(epoch, len(rows))
 
 
 class TestParseEntry:
--- /dev/null
+++ b/tests/test_platform_entryhistory.py
@@ -0,0 +1,182 @@
+"""Targets whose entries the restored store lacks or holds in an older form."""
+
+import pytest
+
+from briarfall import ids
+from briarfall.gateway import clocks
+from briarfall.gateway import sources
+from briarfall.gateway import summary
+from briarfall.gateway import targets
+from briarfall.platform import store
+from briarfall.platform import topics
+from briarfall.standins.prepared import store as storestandin
+
+_TARGETS = "keyed.servers"
+_READY = sources.TargetState.READY
+_DRAINING = sources.TargetState.DRAINING
+_PAST_REWRITE_S = 11.0
+
+
+class _List:
+    """The store's list of targets, as an instance reads it into its table."""
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.table = targets.TargetTable()
+        client = store.StoreClient(
+            platform.address, summary.CallCounts(), "test"
+        )
+        self._topic = topics.TargetTopic(client)
+
+    def write(self, name, beat, *, state="ready", born=1) -> None:
+        """Writes an entry, as a target does."""
+        entry = {
+            "service": "pool",
+            "address": "127.0.0.1:7000",
+            "zone": "z1",
+            "state": state,
+            "seq": beat,
+            "born": born,
+        }
+        self.platform.put(_TARGETS, name, entry)
+
+    def read(self) -> None:
+        """Reads the list into the table."""
+        self.table.update(self._topic.list_targets(5.0), clocks.boot_s())
+
+    def state(self, name="d1") -> sources.TargetState | None:
+        """Returns a target's state, or None if it is not known."""
+        target = self.table.get(ids.TargetId(name))
+        return target.entry.state if target else None
+
+
+@pytest.fixture
+def listed(clock):
+    """A list with the ready target d1 that has been read."""
+    platform = storestandin.StoreStandin()
+    found = _List(platform)
+    found.write("d1", 1)
+    found.read()
+    yield found
+    platform.close()
+
+
+class TestOlderEntry:
+    def test_draining_target_is_not_ready_again(self, listed):
+        copy = listed.platform.snapshot()
+        listed.write("d1", 2, state="draining")
+        listed.read()
+        listed.platform.restore(copy)
+        listed.read()
+        assert listed.state() is _DRAINING
+
+    def test_draining_target_stays_so_if_it_never_writes_again(
+        self, listed, clock
+    ):
+        copy = listed.platform.snapshot()
+        listed.write("d1", 2, state="draining")
+        listed.read()
+        listed.platform.restore(copy)
+        for _ in range(4):
+            listed.read()
+            clock.now_s += _PAST_REWRITE_S
+        assert listed.state() is _DRAINING
+
+    def test_target_that_is_gone_does_not_come_back(self, listed, clock):
+        copy = listed.platform.snapshot()
+        listed.platform.drop(_TARGETS, "d1")
+        listed.read()
+        listed.platform.restore(copy)
+        for _ in range(4):
+            listed.read()
+            assert listed.state() is None
+            clock.now_s += _PAST_REWRITE_S
+
+    def test_entry_written_since_the_restore_is_in_force(self, listed):
+        copy = listed.platform.snapshot()
+        listed.write("d1", 2, state="draining")
+        listed.read()
+        listed.platform.restore(copy)
+        listed.read()
+        listed.write("d1", 1, born=2)
+        listed.read()
+        assert listed.state() is _READY
+
+    def test_gone_target_that_starts_again_is_listed(self, listed):
+        copy = listed.platform.snapshot()
+        listed.platform.drop(_TARGETS, "d1")
+        listed.read()
+        listed.platform.restore(copy)
+        listed.read()
+        listed.write("d1", 1, born=2)
+        listed.read()
+        assert listed.state() is _READY
+
+    def test_draining_is_kept_over_two_restores(self, listed):
+        copy = listed.platform.snapshot()
+        listed.write("d1", 2, state="draining")
+        listed.read()
+        for _ in range(2):
+            listed.platform.restore(copy)
+            listed.read()
+        assert listed.state() is _DRAINING
+
+
+class TestMissingEntry:
+    @pytest.fixture
+    def restored(self, listed):
+        """The list after a restore from a copy without the target d2."""
+        copy = listed.platform.snapshot()
+        listed.write("d2", 1)
+        listed.read()
+        listed.platform.restore(copy)
+        listed.read()
+        return listed
+
+    def test_target_has_time_to_write_its_entry_again(self, restored, clock):
+        clock.now_s += 5.0
+        restored.read()
+        assert restored.state("d2") is _READY
+        restored.platform.rewrite_lost()
+        clock.now_s += _PAST_REWRITE_S
+        restored.read()
+        assert restored.state("d2") is _READY
+
+    def test_target_that_does_not_write_again_is_gone(self, restored, clock):
+        clock.now_s += _PAST_REWRITE_S
+        restored.read()
+        assert restored.state("d2") is None
+        assert restored.state("d1") is _READY
+
+    def test_target_that_leaves_after_the_restore_is_gone_at_once(
+        self, restored
+    ):
+        restored.platform.rewrite_lost()
+        restored.read()
+        restored.platform.drop(_TARGETS, "d2")
+        restored.read()
+        assert restored.state("d2") is None
+
+    def test_list_read_long_ago_brings_back_no_target(self, listed, clock):
+        copy = listed.platform.snapshot()
+        listed.write("d2", 1)
+        listed.read()
+        clock.now_s += 60.0
+        listed.platform.restore(copy)
+        listed.read()
+        assert listed.state("d2") is None
+
+
+class TestOneEpoch:
+    def test_list_of_a_calm_day_is_taken_as_it_is(self, listed):
+        listed.write("d1", 5, state="draining")
+        listed.read()
+        listed.write("d1", 1)
+        listed.read()
+        assert listed.state() is _READY
+        listed.platform.drop(_TARGETS, "d1")
+        listed.read()
+        assert listed.state() is None
+        listed.write("d1", 1)
+        listed.read()
+        assert listed.state() is _READY
