--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue.py
@@ -70,7 +70,7 @@
         self._failures = 0
         self._fetcher: Fetcher | None = None
         self._instances = instances
-        self._position: int | None = None
+        self._position: sources.LogPosition | None = None
         self.confirmed_s: float | None = None
         self.is_source_lost = False
         self.view: views.CatalogueView | None = None
@@ -133,6 +133,9 @@
             self._has_newer.clear()
             if self._is_store_poller() or not self._fetch_from_peer():
                 self._read(0.0)
+            if self._newest_version > self.view.version:
+                # A restored store may lack a version that peers hold.
+                self._fetch_from_peer()
             if self._newest_version > self.view.version:
                 # A peer has read a version that the store does not show to
                 # this instance yet.
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -9,11 +9,13 @@
 from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
+from briarfall.gateway import clocks
 from briarfall.gateway import leasing
 from briarfall.gateway import recordchecks
 from briarfall.gateway import sources
 from briarfall.gateway import summary
 from briarfall.gateway import views
+from briarfall.platform import entryhistory
 from briarfall.platform import ignoredrecords
 from briarfall.platform import manifest
 from briarfall.platform import store
@@ -25,6 +27,9 @@
 _LEASE_TOPIC = "keyed.briarfall-lease"
 _POISON_TOPIC = "keyed.briarfall-poison"
 _LEASE_KEY = "placement"
+# Distance of the fencing numbers of two epochs, in grants. A restored store
+# has lost fewer grants than this.
+_FENCES_PER_EPOCH = 2**28
 _Value = typing.TypeVar("_Value")
 _TARGET_STATES = {
     "ready": sources.TargetState.READY,
@@ -47,7 +52,10 @@
         return sources.CatalogueRead(end, None)
 
     def wait_newer(
-        self, position: int, wait_s: float, timeout_s: float
+        self,
+        position: sources.LogPosition,
+        wait_s: float,
+        timeout_s: float,
     ) -> sources.CatalogueRead:
         """Waits up to `wait_s` for a manifest at or after `position`."""
         records, end = self._store.read(
@@ -159,14 +167,18 @@
     ):
         self._store = client
         self._ignored = _ignored("target entry", counts)
+        self._history = entryhistory.EntryHistory()
 
     def list_targets(self, timeout_s: float) -> list[sources.TargetEntry]:
         """Returns all valid entries.
 
-        A target whose entry is no longer valid is not listed.
+        A target whose entry is no longer valid is not listed. After a restore
+        of the store, entries that were listed before are returned in place of
+        older ones.
         """
-        records, _ = self._store.newest(_TARGETS_TOPIC, timeout_s)
-        return _parse_all(records, parse_entry, self._ignored)
+        records, end = self._store.newest(_TARGETS_TOPIC, timeout_s)
+        entries = _parse_all(records, parse_entry, self._ignored)
+        return self._history.merge(entries, end.epoch, clocks.boot_s())
 
 
 _INSTANCE_DECODER = msgspec.json.Decoder(sources.InstanceRecord)
@@ -327,11 +339,18 @@
     return grant
 
 
+def fencing_number(end: sources.LogPosition) -> int:
+    """Returns the fencing number of the grant that ends at a position.
+
+    It is higher than those of all earlier epochs, whatever grants the store
+    has lost, and needs no knowledge of them.
+    """
+    return end.epoch * _FENCES_PER_EPOCH + end.offset
+
+
 class LeaseTopic(sources.LeaseSource):
     """The lease for placement.
 
-    The fencing number of a grant is the offset after the grant's record.
-
     Args:
         client: Client of the store.
         counts: Counts the grants that are ignored.
@@ -357,25 +376,31 @@
                 self._ignored.report(record, exc)
                 grant = _UNKNOWN_GRANT
             return sources.LeaseGrant(
-                ids.InstanceId(grant.holder), end, grant.ttl_s, end
+                ids.InstanceId(grant.holder),
+                fencing_number(end),
+                grant.ttl_s,
+                end,
             )
-        return sources.LeaseGrant(ids.InstanceId(""), end, 0.0, end)
+        return sources.LeaseGrant(
+            ids.InstanceId(""), fencing_number(end), 0.0, end
+        )
 
     def try_acquire(
         self,
         holder: ids.InstanceId,
         ttl_s: float,
-        end: int,
+        end: sources.LogPosition,
         timeout_s: float,
     ) -> sources.LeaseGrant | None:
         """Appends a grant if no instance has appended one since `end`."""
         value = msgspec.json.encode(_Grant(holder, ttl_s))
-        offset = self._store.append(
+        position = self._store.append(
             _LEASE_TOPIC,
             store.keyed_record(_LEASE_KEY, value),
             timeout_s,
             at=end,
         )
-        if offset is None:
+        if position is None:
             return None
-        return sources.LeaseGrant(holder, offset + 1, ttl_s, offset + 1)
+        after = sources.LogPosition(position.epoch, position.offset + 1)
+        return sources.LeaseGrant(holder, fencing_number(after), ttl_s, after)
