--- a/src/briarfall/standins/prepared/faultsoak/callers.py
+++ b/src/briarfall/standins/prepared/faultsoak/callers.py
@@ -35,6 +35,9 @@
         sent_s: When the request was sent, in seconds of the caller's clock.
         ended_s: When its response was complete, or it failed.
         is_sent: Whether it was sent wholly.
+        written_s: When its last byte was written.
+        opened_s: When its connection was opened.
+        is_kept: Whether its connection carried an earlier request.
         status: HTTP status, or 0 if no response arrived.
         body: Body as far as it was received.
         is_complete: Whether the whole body was received.
@@ -53,6 +56,9 @@
     ended_s: float = 0.0
     is_sent: bool = False
     error: str = ""
+    written_s: float = 0.0
+    opened_s: float = 0.0
+    is_kept: bool = False
 
 
 class Caller(threading.Thread):
@@ -91,6 +97,7 @@
         self._stopped = threading.Event()
         self._conn: http.client.HTTPConnection | None = None
         self._instance: processes.GatewayProcess | None = None
+        self._opened_s = 0.0
         self.outcomes: list[RequestOutcome] = []
 
     def stop(self) -> None:
@@ -126,18 +133,22 @@
             self._conn.close()
         self._conn = None
 
+    def _open_connection(self) -> None:
+        self._instance = self._pick_instance(self._rng)
+        host, port = self._instance.front
+        self._conn = strictheads.StrictConnection(
+            host, port, timeout=_TIMEOUT_S
+        )
+        self._opened_s = self._now()
+        self._conn.connect()
+        self._conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
     def _send(self, outcome: RequestOutcome) -> None:
+        outcome.is_kept = self._conn is not None
         if self._conn is None:
-            self._instance = self._pick_instance(self._rng)
-            host, port = self._instance.front
-            self._conn = strictheads.StrictConnection(
-                host, port, timeout=_TIMEOUT_S
-            )
-            self._conn.connect()
-            self._conn.sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
-            )
+            self._open_connection()
         outcome.instance = self._instance.name
+        outcome.opened_s = self._opened_s
         method = "GET" if outcome.kind == "views" else "POST"
         self._conn.request(
             method,
@@ -151,6 +162,7 @@
                 "X-Token-Usage": "20,20",
             },
         )
+        outcome.written_s = self._now()
         outcome.is_sent = True
         resp = self._conn.getresponse()
         outcome.status = resp.status
--- a/src/briarfall/standins/prepared/faultsoak/instancefaults.py
+++ b/src/briarfall/standins/prepared/faultsoak/instancefaults.py
@@ -24,7 +24,7 @@
         row.signal(signal.SIGTERM)
         row.wait()
         row.start()
-        scene.records.disturb(row.name, start_s)
+        scene.records.disturb(row.name, start_s, is_planned=True)
         return row.name
 
 
--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -17,7 +17,8 @@
 CHECKOUT = pathlib.Path(__file__).parents[5]
 _START = pathlib.Path("deploy") / "gateway.py"
 _TRANSLATED_START = pathlib.Path(__file__).parent / "translatedstart.py"
-_GRACE_S = 8.0
+# Time that a process has for a planned stop.
+GRACE_S = 8.0
 # Ports of all processes so far.
 _given_ports: set[int] = set()
 
@@ -61,7 +62,7 @@
                     },
                     "port_range": [peer, peer + 1],
                     "platform": {"address": store},
-                    "bounds": {"grace_s": _GRACE_S, "retry_slack": 400},
+                    "bounds": {"grace_s": GRACE_S, "retry_slack": 400},
                 }
             )
         )
@@ -150,7 +151,7 @@
         self._process.send_signal(number)
         self.is_paused = number is signal.SIGSTOP
 
-    def wait(self, timeout_s: float = _GRACE_S + 2) -> bool:
+    def wait(self, timeout_s: float = GRACE_S + 2) -> bool:
         """Waits for the exit; kills the process and returns False if late."""
         try:
             self._process.wait(timeout_s)
--- a/src/briarfall/standins/prepared/faultsoak/records.py
+++ b/src/briarfall/standins/prepared/faultsoak/records.py
@@ -16,11 +16,14 @@
         instance: Name of the instance.
         start_s: Start of the period, in seconds of the monotonic clock.
         end_s: End of the period, by the same clock.
+        is_planned: Whether it was a planned stop, which excuses no lost
+            request.
     """
 
     instance: str
     start_s: float
     end_s: float
+    is_planned: bool = False
 
 
 class Impairment(msgspec.Struct, frozen=True):
@@ -106,9 +109,11 @@
         self.store_faults: list[tuple[float, float]] = []
         self.played: list[PlayedFault] = []
 
-    def disturb(self, instance: str, start_s: float) -> None:
+    def disturb(
+        self, instance: str, start_s: float, *, is_planned: bool = False
+    ) -> None:
         """Records a disturbance of an instance that ends now."""
-        row = Disturbance(instance, start_s, time.monotonic())
+        row = Disturbance(instance, start_s, time.monotonic(), is_planned)
         with self._lock:
             self.disturbed.append(row)
 
--- a/src/briarfall/standins/prepared/registeredtarget.py
+++ b/src/briarfall/standins/prepared/registeredtarget.py
@@ -77,6 +77,18 @@
     path: str = ""
 
 
+class ExchangeEnd(msgspec.Struct, frozen=True):
+    """The end of a target's work on a request.
+
+    Attributes:
+        time_s: When it ended, in seconds of the monotonic clock.
+        request_id: The request.
+    """
+
+    time_s: float
+    request_id: str
+
+
 class TargetSignal(msgspec.Struct, frozen=True):
     """Status of a target, signalled in the headers of a response.
 
@@ -159,6 +171,7 @@
         self.crash_marker = ""
         self.crashed_s: list[float] = []
         self.arrivals: list[Arrival] = []
+        self.exchange_ends: list[ExchangeEnd] = []
         self.signals: list[TargetSignal] = []
         self.sent_bytes = 0
         self.lock = threading.Lock()
@@ -180,6 +193,17 @@
         raise NotImplementedError
 
     def _handle_exchange(self, conn, req) -> bool:
+        """Handles a request and records when the work on it ends."""
+        try:
+            return self._exchange(conn, req)
+        finally:
+            request_id = req.headers.get("x-request-id", "")
+            with self.lock:
+                self.exchange_ends.append(
+                    ExchangeEnd(time.monotonic(), request_id)
+                )
+
+    def _exchange(self, conn, req) -> bool:
         """Handles a request, with the faults of kept connections."""
         if self.exchange.closes_on_arrival(conn):
             self.record_arrival(req)
--- a/tests/test_faultsoak_checks.py
+++ b/tests/test_faultsoak_checks.py
@@ -15,7 +15,9 @@
 from briarfall.standins.prepared.faultsoak import latechecks
 from briarfall.standins.prepared.faultsoak import listchecks
 from briarfall.standins.prepared.faultsoak import lostchecks
+from briarfall.standins.prepared.faultsoak import lostexceptions
 from briarfall.standins.prepared.faultsoak import records
+from briarfall.standins.prepared.faultsoak import requestfacts
 from briarfall.standins.prepared.faultsoak import soak
 
 # Times of the records; a catalogue is in force from before them on.
@@ -144,6 +146,94 @@
         assert lostchecks.check(scene, [row])
 
 
+class TestPlannedStop:
+    """Requests without a complete answer beside a planned stop."""
+
+    def stop(self, scene, start_s=START_S, end_s=START_S + 9.0):
+        scene.records.disturbed.append(
+            records.Disturbance("i0", start_s, end_s, is_planned=True)
+        )
+
+    def unanswered(self, **extra):
+        fields = {
+            "status": 0,
+            "is_complete": False,
+            "opened_s": START_S - 1.0,
+            "written_s": START_S + 0.4,
+        }
+        return make_outcome(**{**fields, **extra})
+
+    def is_lost(self, scene, row):
+        return bool(lostchecks.check(scene, [row]))
+
+    def work_on(self, target, request_id, end_s):
+        arrive(target, request_id)
+        if end_s is None:
+            return
+        target.exchange_ends.append(
+            registeredtarget.ExchangeEnd(end_s, request_id)
+        )
+
+    def test_request_that_was_passed_on(self, scene):
+        self.stop(scene)
+        row = self.unanswered()
+        arrive(scene.engines[0], row.id)
+        assert self.is_lost(scene, row)
+
+    def test_answer_that_ends_early(self, scene):
+        self.stop(scene)
+        assert self.is_lost(scene, self.unanswered(status=200))
+
+    def test_request_that_crosses_the_close(self, scene):
+        self.stop(scene)
+        assert not self.is_lost(scene, self.unanswered())
+
+    def test_close_long_after_the_last_byte(self, scene):
+        self.stop(scene)
+        row = self.unanswered(written_s=START_S + 0.2)
+        assert self.is_lost(scene, row)
+
+    def test_connection_that_is_newer_than_the_stop(self, scene):
+        self.stop(scene, START_S - 9.0, START_S - 0.5)
+        assert not self.is_lost(scene, self.unanswered())
+        row = self.unanswered(opened_s=START_S - 0.4)
+        assert self.is_lost(scene, row)
+
+    def test_stop_of_another_instance_is_no_excuse(self, scene):
+        self.stop(scene)
+        assert self.is_lost(scene, self.unanswered(instance="i1"))
+
+    @pytest.mark.parametrize(
+        ("work_end_s", "sent_s", "ended_s", "is_lost"),
+        [
+            (7.0, 2.9, 7.0, False),
+            (None, 2.9, 7.0, False),
+            (6.5, 2.9, 7.0, True),
+            (7.0, 3.1, 7.0, True),
+            (7.0, 2.9, 6.5, True),
+        ],
+    )
+    def test_target_at_work_in_the_last_sixth_of_the_grace(
+        self, scene, work_end_s, sent_s, ended_s, is_lost
+    ):
+        self.stop(scene)
+        row = self.unanswered(
+            sent_s=START_S + sent_s, ended_s=START_S + ended_s
+        )
+        end_s = None if work_end_s is None else START_S + work_end_s
+        self.work_on(scene.engines[0], row.id, end_s)
+        assert self.is_lost(scene, row) == is_lost
+
+    def test_seven_tenths_of_the_time_are_no_excuse_at_a_stop(self, scene):
+        self.stop(scene)
+        row = self.unanswered(ended_s=START_S + 7.5)
+        self.work_on(scene.engines[0], row.id, START_S + 0.1)
+        assert lostexceptions.has_used_its_time(
+            requestfacts.RequestFacts(scene), row
+        )
+        assert self.is_lost(scene, row)
+
+
 class TestRecover:
     """Callers of instances that have no links to targets."""
 
