The soak counts kept connections that are closed without an answer apart

More than three requests that were passed on from a kept connection to a sound target, and whose connection is closed without a byte of an answer, are a violation: at any time, also beside planned stops and after the time limit. The check of lost requests excuses both of these. Callers that gave up themselves, killed or paused instances and links that were cut don't count.

--- a/src/briarfall/standins/prepared/faultsoak/callers.py
+++ b/src/briarfall/standins/prepared/faultsoak/callers.py
@@ -38,6 +38,7 @@
         written_s: When its last byte was written.
         opened_s: When its connection was opened.
         is_kept: Whether its connection carried an earlier request.
+        has_given_up: Whether its caller closed after waiting in vain.
         status: HTTP status, or 0 if no response arrived.
         body: Body as far as it was received.
         is_complete: Whether the whole body was received.
@@ -59,6 +60,7 @@
     written_s: float = 0.0
     opened_s: float = 0.0
     is_kept: bool = False
+    has_given_up: bool = False
 
 
 class Caller(threading.Thread):
@@ -124,6 +126,7 @@
             self._send(outcome)
         except (OSError, http.client.HTTPException) as exc:
             outcome.error = repr(exc)
+            outcome.has_given_up = isinstance(exc, TimeoutError)
             self.close_connection()
         outcome.ended_s = self._now()
 
--- a/src/briarfall/standins/prepared/faultsoak/checks.py
+++ b/src/briarfall/standins/prepared/faultsoak/checks.py
@@ -5,6 +5,7 @@
 from briarfall.standins.prepared import engines
 from briarfall.standins.prepared.faultsoak import callers
 from briarfall.standins.prepared.faultsoak import cutchecks
+from briarfall.standins.prepared.faultsoak import keptchecks
 from briarfall.standins.prepared.faultsoak import latechecks
 from briarfall.standins.prepared.faultsoak import limitchecks
 from briarfall.standins.prepared.faultsoak import listchecks
@@ -54,6 +55,7 @@
     broken += checker.check_poison(scenes.POISON, scene.plain_services)
     usual = [row for row in outcomes if not row.id.startswith(scenes.POISON)]
     broken += lostchecks.check(scene, usual)
+    broken += keptchecks.check(scene, usual)
     broken += latechecks.check(scene, usual)
     broken += cutchecks.check(scene.records, usual)
     broken += listchecks.check(scene, usual)
--- a/tests/test_faultsoak_checks.py
+++ b/tests/test_faultsoak_checks.py
@@ -12,6 +12,7 @@
 from briarfall.standins.prepared.faultsoak import callers
 from briarfall.standins.prepared.faultsoak import cutchecks
 from briarfall.standins.prepared.faultsoak import faultsets
+from briarfall.standins.prepared.faultsoak import keptchecks
 from briarfall.standins.prepared.faultsoak import latechecks
 from briarfall.standins.prepared.faultsoak import listchecks
 from briarfall.standins.prepared.faultsoak import lostchecks
@@ -234,6 +235,78 @@
         assert self.is_lost(scene, row)
 
 
+class TestKeptConnections:
+    """Kept connections that are closed after their request was passed on."""
+
+    def make_rows(self, scene, count=4, **extra):
+        fields = {"status": 0, "is_complete": False, "is_kept": True}
+        rows = []
+        for number in range(count):
+            row = make_outcome(f"k{number}", **{**fields, **extra})
+            arrive(scene.engines[0], row.id)
+            rows.append(row)
+        return rows
+
+    @pytest.mark.parametrize(("count", "is_broken"), [(3, False), (4, True)])
+    def test_more_than_three(self, scene, count, is_broken):
+        rows = self.make_rows(scene, count)
+        assert bool(keptchecks.check(scene, rows)) == is_broken
+
+    def test_they_are_counted_over_all_instances(self, scene):
+        rows = self.make_rows(scene)
+        rows[0].instance = "i1"
+        assert keptchecks.check(scene, rows)
+
+    def test_planned_stop_is_no_excuse(self, scene):
+        scene.records.disturbed.append(
+            records.Disturbance("i0", START_S, START_S + 9.0, is_planned=True)
+        )
+        assert keptchecks.check(scene, self.make_rows(scene))
+
+    def test_time_limit_is_no_excuse(self, scene):
+        rows = self.make_rows(scene, ended_s=START_S + 10.0)
+        assert keptchecks.check(scene, rows)
+
+    @pytest.mark.parametrize(
+        "extra",
+        [
+            {"is_kept": False},
+            {"status": 200},
+            {"has_given_up": True},
+            {"is_sent": False},
+        ],
+    )
+    def test_other_ends_do_not_count(self, scene, extra):
+        rows = self.make_rows(scene, **extra)
+        assert keptchecks.check(scene, rows) == []
+
+    def test_request_that_was_not_passed_on(self, scene):
+        rows = self.make_rows(scene)
+        scene.engines[0].arrivals.clear()
+        assert keptchecks.check(scene, rows) == []
+
+    def test_target_that_is_not_sound(self, scene):
+        rows = self.make_rows(scene)
+        scene.records.impair("e0", START_S + 0.4, START_S + 0.4)
+        assert keptchecks.check(scene, rows) == []
+
+    def test_instance_that_was_paused(self, scene):
+        rows = self.make_rows(scene)
+        scene.records.disturbed.append(
+            records.Disturbance("i0", START_S, START_S + 0.1)
+        )
+        assert keptchecks.check(scene, rows) == []
+
+    def test_links_that_were_cut(self, scene):
+        rows = self.make_rows(scene)
+        scene.records.cuts.append(
+            records.InstanceCut(
+                frozenset(["i0"]), links.Cut.RESET, START_S + 0.1, START_S + 3.0
+            )
+        )
+        assert keptchecks.check(scene, rows) == []
+
+
 class TestRecover:
     """Callers of instances that have no links to targets."""
 
