The soak's summary compares cuts beside changes with those at other times

For each instance: requests that were cut and those that were sent, within 3 s after a version of the catalogue and at other times, and whether the first is over three times as often (the rule's bound). Excused cuts and those of requests that used seven tenths of their time don't count; they are printed apart. A cut that counts is a violation of the check of lost requests already, so the compare adds no second one.

The line also says how many answers came over 0.2 s after the end of their exchange. That is a figure and no check: the rule binds closed connections, an answer without a length may wait for 1.5 s on purpose, and beside load it counts the soak's own pauses.

Measured: tests/test_faultsoak_checks.py passes.

--- a/src/briarfall/standins/prepared/faultsoak/soak.py
+++ b/src/briarfall/standins/prepared/faultsoak/soak.py
@@ -15,6 +15,7 @@
 from briarfall.standins.prepared.faultsoak import protocol
 from briarfall.standins.prepared.faultsoak import rotation
 from briarfall.standins.prepared.faultsoak import scenes
+from briarfall.standins.prepared.faultsoak import summaries
 
 _INSTANCES = 3
 _CALLERS = 8
@@ -77,6 +78,7 @@
         self.plain_services = self.scene.plain_services
         self.engines = self.scene.engines
         self._rotation = rotation.Rotation(self.scene.instances)
+        self._outcomes: list[callers.RequestOutcome] = []
 
     @property
     def played(self) -> int:
@@ -118,6 +120,7 @@
             caller.join(_JOIN_S)
         time.sleep(_SETTLE_S)
         outcomes = [row for caller in all_callers for row in caller.outcomes]
+        self._outcomes = outcomes
         broken += self.check(outcomes)
         protocol.write(self._folder, self.scene, outcomes, broken)
         return broken
@@ -239,6 +242,16 @@
         """Returns a line for each violated guarantee."""
         return checks.check(self.scene, outcomes)
 
+    def summary(self, broken: list[str]) -> str:
+        """Returns a line on the run.
+
+        Args:
+            broken: Violated guarantees.
+        """
+        return summaries.text(
+            self._seed, self.scene, self._outcomes, len(broken)
+        )
+
 
 def run(
     seed: int,
@@ -263,7 +276,7 @@
         folder.mkdir(parents=True, exist_ok=True)
         soak = Soak(seed, seconds, folder, instances, sets, old)
         broken = soak.run()
-        print(f"seed {seed}: {soak.played} faults, {len(broken)} broken")
+        print(soak.summary(broken))
         for line in broken[:20]:
             print(f"  {line}")
         return broken
--- a/tests/test_faultsoak_checks.py
+++ b/tests/test_faultsoak_checks.py
@@ -4,12 +4,15 @@
 import signal
 import time
 
+import msgspec
 import pytest
 
 from briarfall.standins.prepared import links
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import registeredtarget
+from briarfall.standins.prepared.faultsoak import answerdelays
 from briarfall.standins.prepared.faultsoak import callers
+from briarfall.standins.prepared.faultsoak import changecompare
 from briarfall.standins.prepared.faultsoak import cutchecks
 from briarfall.standins.prepared.faultsoak import faultsets
 from briarfall.standins.prepared.faultsoak import keptchecks
@@ -307,6 +310,85 @@
         assert keptchecks.check(scene, rows) == []
 
 
+class TestChangeCompare:
+    """Cuts beside changes of the catalogue against those at other times."""
+
+    def compare(self, scene, beside, other, **extra):
+        """Compares numbers of cut and whole requests."""
+        change_s = scene.catalogue.published[0].time_s + 100.0
+        scene.catalogue.published.append(
+            msgspec.structs.replace(
+                scene.catalogue.published[0], time_s=change_s
+            )
+        )
+        rows = []
+        for ended_s, (cuts, whole) in [
+            (change_s + 2.9, beside),
+            (change_s + 3.1, other),
+        ]:
+            for number in range(cuts + whole):
+                fields = {
+                    "sent_s": ended_s - 0.5,
+                    "ended_s": ended_s,
+                    "is_complete": number >= cuts,
+                    **extra,
+                }
+                rows.append(make_outcome(f"{ended_s}-{number}", **fields))
+        return changecompare.compare(scene, rows)[0]
+
+    @pytest.mark.parametrize(
+        ("beside", "is_over"), [((6, 94), False), ((7, 93), True)]
+    )
+    def test_three_times_as_often_is_the_bound(self, scene, beside, is_over):
+        row = self.compare(scene, beside, (4, 196))
+        assert (row.ratio > changecompare.MAX_RATIO) == is_over
+        assert ("over 3 times" in row.text) == is_over
+
+    def test_cuts_beside_changes_only(self, scene):
+        assert "over 3 times" in self.compare(scene, (1, 99), (0, 100)).text
+
+    def test_no_cuts_and_no_requests(self, scene):
+        assert self.compare(scene, (0, 0), (0, 0)).ratio == 0.0
+
+    def test_seven_tenths_of_the_time_are_used(self, scene):
+        row = self.compare(scene, (5, 95), (0, 100), sent_s=0.0)
+        assert (row.beside.cuts, row.beside.all_cuts) == (0, 5)
+
+    def test_excused_cuts_are_told_apart(self, scene):
+        scene.records.disturbed.append(
+            records.Disturbance("i0", 0.0, START_S * 2)
+        )
+        row = self.compare(scene, (5, 95), (1, 99))
+        assert (row.beside.cuts, row.beside.all_cuts) == (0, 5)
+        assert (row.other.cuts, row.other.all_cuts) == (0, 1)
+
+    def test_cuts_of_another_instance(self, scene):
+        row = self.compare(scene, (5, 95), (0, 100), instance="i1")
+        assert row.beside.requests == 0
+
+
+class TestAnswerDelays:
+    """Answers that arrive late after the end of their exchange."""
+
+    @pytest.mark.parametrize(("delay_s", "late"), [(0.1, 0), (0.3, 1)])
+    def test_late_answers(self, scene, delay_s, late):
+        row = make_outcome()
+        scene.engines[0].exchange_ends.append(
+            registeredtarget.ExchangeEnd(row.ended_s - delay_s, row.id)
+        )
+        assert answerdelays.count(scene, [row]) == (late, 1)
+
+    def test_answers_of_a_paused_instance_are_not_judged(self, scene):
+        row = make_outcome()
+        scene.engines[0].exchange_ends.append(
+            registeredtarget.ExchangeEnd(row.sent_s, row.id)
+        )
+        scene.records.disturbed.append(
+            records.Disturbance("i0", START_S, START_S + 0.1)
+        )
+        assert answerdelays.count(scene, [row]) == (0, 0)
+
+
 class TestRecover:
     """Callers of instances that have no links to targets."""
 
