--- a/tests/test_faultsoak_checks.py
+++ b/tests/test_faultsoak_checks.py
@@ -4,18 +4,24 @@
 import signal
 import time
 
+import msgspec
 import pytest
 
 from briarfall.standins.prepared import links
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import registeredtarget
+from briarfall.standins.prepared.faultsoak import answerdelays
 from briarfall.standins.prepared.faultsoak import callers
+from briarfall.standins.prepared.faultsoak import changecompare
 from briarfall.standins.prepared.faultsoak import cutchecks
 from briarfall.standins.prepared.faultsoak import faultsets
+from briarfall.standins.prepared.faultsoak import keptchecks
 from briarfall.standins.prepared.faultsoak import latechecks
 from briarfall.standins.prepared.faultsoak import listchecks
 from briarfall.standins.prepared.faultsoak import lostchecks
+from briarfall.standins.prepared.faultsoak import lostexceptions
 from briarfall.standins.prepared.faultsoak import records
+from briarfall.standins.prepared.faultsoak import requestfacts
 from briarfall.standins.prepared.faultsoak import soak
 
 # Times of the records; a catalogue is in force from before them on.
@@ -144,6 +150,245 @@
         assert lostchecks.check(scene, [row])
 
 
+class TestPlannedStop:
+    """Requests without a complete answer beside a planned stop."""
+
+    def stop(self, scene, start_s=START_S, end_s=START_S + 9.0):
+        scene.records.disturbed.append(
+            records.Disturbance("i0", start_s, end_s, is_planned=True)
+        )
+
+    def unanswered(self, **extra):
+        fields = {
+            "status": 0,
+            "is_complete": False,
+            "opened_s": START_S - 1.0,
+            "written_s": START_S + 0.4,
+        }
+        return make_outcome(**{**fields, **extra})
+
+    def is_lost(self, scene, row):
+        return bool(lostchecks.check(scene, [row]))
+
+    def work_on(self, target, request_id, end_s):
+        arrive(target, request_id)
+        if end_s is None:
+            return
+        target.exchange_ends.append(
+            registeredtarget.ExchangeEnd(end_s, request_id)
+        )
+
+    def test_request_that_was_passed_on(self, scene):
+        self.stop(scene)
+        row = self.unanswered()
+        arrive(scene.engines[0], row.id)
+        assert self.is_lost(scene, row)
+
+    def test_answer_that_ends_early(self, scene):
+        self.stop(scene)
+        assert self.is_lost(scene, self.unanswered(status=200))
+
+    def test_request_that_crosses_the_close(self, scene):
+        self.stop(scene)
+        assert not self.is_lost(scene, self.unanswered())
+
+    def test_close_long_after_the_last_byte(self, scene):
+        self.stop(scene)
+        row = self.unanswered(written_s=START_S + 0.2)
+        assert self.is_lost(scene, row)
+
+    def test_connection_that_is_newer_than_the_stop(self, scene):
+        self.stop(scene, START_S - 9.0, START_S - 0.5)
+        assert not self.is_lost(scene, self.unanswered())
+        row = self.unanswered(opened_s=START_S - 0.4)
+        assert self.is_lost(scene, row)
+
+    def test_stop_of_another_instance_is_no_excuse(self, scene):
+        self.stop(scene)
+        assert self.is_lost(scene, self.unanswered(instance="i1"))
+
+    @pytest.mark.parametrize(
+        ("work_end_s", "sent_s", "ended_s", "is_lost"),
+        [
+            (7.0, 2.9, 7.0, False),
+            (None, 2.9, 7.0, False),
+            (6.5, 2.9, 7.0, True),
+            (7.0, 3.1, 7.0, True),
+            (7.0, 2.9, 6.5, True),
+        ],
+    )
+    def test_target_at_work_in_the_last_sixth_of_the_grace(
+        self, scene, work_end_s, sent_s, ended_s, is_lost
+    ):
+        self.stop(scene)
+        row = self.unanswered(
+            sent_s=START_S + sent_s, ended_s=START_S + ended_s
+        )
+        end_s = None if work_end_s is None else START_S + work_end_s
+        self.work_on(scene.engines[0], row.id, end_s)
+        assert self.is_lost(scene, row) == is_lost
+
+    def test_seven_tenths_of_the_time_are_no_excuse_at_a_stop(self, scene):
+        self.stop(scene)
+        row = self.unanswered(ended_s=START_S + 7.5)
+        self.work_on(scene.engines[0], row.id, START_S + 0.1)
+        assert lostexceptions.has_used_its_time(
+            requestfacts.RequestFacts(scene), row
+        )
+        assert self.is_lost(scene, row)
+
+
+class TestKeptConnections:
+    """Kept connections that are closed after their request was passed on."""
+
+    def make_rows(self, scene, count=4, **extra):
+        fields = {"status": 0, "is_complete": False, "is_kept": True}
+        rows = []
+        for number in range(count):
+            row = make_outcome(f"k{number}", **{**fields, **extra})
+            arrive(scene.engines[0], row.id)
+            rows.append(row)
+        return rows
+
+    @pytest.mark.parametrize(("count", "is_broken"), [(3, False), (4, True)])
+    def test_more_than_three(self, scene, count, is_broken):
+        rows = self.make_rows(scene, count)
+        assert bool(keptchecks.check(scene, rows)) == is_broken
+
+    def test_they_are_counted_over_all_instances(self, scene):
+        rows = self.make_rows(scene)
+        rows[0].instance = "i1"
+        assert keptchecks.check(scene, rows)
+
+    def test_planned_stop_is_no_excuse(self, scene):
+        scene.records.disturbed.append(
+            records.Disturbance("i0", START_S, START_S + 9.0, is_planned=True)
+        )
+        assert keptchecks.check(scene, self.make_rows(scene))
+
+    def test_time_limit_is_no_excuse(self, scene):
+        rows = self.make_rows(scene, ended_s=START_S + 10.0)
+        assert keptchecks.check(scene, rows)
+
+    @pytest.mark.parametrize(
+        "extra",
+        [
+            {"is_kept": False},
+            {"status": 200},
+            {"has_given_up": True},
+            {"is_sent": False},
+        ],
+    )
+    def test_other_ends_do_not_count(self, scene, extra):
+        rows = self.make_rows(scene, **extra)
+        assert keptchecks.check(scene, rows) == []
+
+    def test_request_that_was_not_passed_on(self, scene):
+        rows = self.make_rows(scene)
+        scene.engines[0].arrivals.clear()
+        assert keptchecks.check(scene, rows) == []
+
+    def test_target_that_is_not_sound(self, scene):
+        rows = self.make_rows(scene)
+        scene.records.impair("e0", START_S + 0.4, START_S + 0.4)
+        assert keptchecks.check(scene, rows) == []
+
+    def test_instance_that_was_paused(self, scene):
+        rows = self.make_rows(scene)
+        scene.records.disturbed.append(
+            records.Disturbance("i0", START_S, START_S + 0.1)
+        )
+        assert keptchecks.check(scene, rows) == []
+
+    def test_links_that_were_cut(self, scene):
+        rows = self.make_rows(scene)
+        scene.records.cuts.append(
+            records.InstanceCut(
+                frozenset(["i0"]), links.Cut.RESET, START_S + 0.1, START_S + 3.0
+            )
+        )
+        assert keptchecks.check(scene, rows) == []
+
+
+class TestChangeCompare:
+    """Cuts beside changes of the catalogue against those at other times."""
+
+    def compare(self, scene, beside, other, **extra):
+        """Compares numbers of cut and whole requests."""
+        change_s = scene.catalogue.published[0].time_s + 100.0
+        scene.catalogue.published.append(
+            msgspec.structs.replace(
+                scene.catalogue.published[0], time_s=change_s
+            )
+        )
+        rows = []
+        for ended_s, (cuts, whole) in [
+            (change_s + 2.9, beside),
+            (change_s + 3.1, other),
+        ]:
+            for number in range(cuts + whole):
+                fields = {
+                    "sent_s": ended_s - 0.5,
+                    "ended_s": ended_s,
+                    "is_complete": number >= cuts,
+                    **extra,
+                }
+                rows.append(make_outcome(f"{ended_s}-{number}", **fields))
+        return changecompare.compare(scene, rows)[0]
+
+    @pytest.mark.parametrize(
+        ("beside", "is_over"), [((6, 94), False), ((7, 93), True)]
+    )
+    def test_three_times_as_often_is_the_bound(self, scene, beside, is_over):
+        row = self.compare(scene, beside, (4, 196))
+        assert (row.ratio > changecompare.MAX_RATIO) == is_over
+        assert ("over 3 times" in row.text) == is_over
+
+    def test_cuts_beside_changes_only(self, scene):
+        assert "over 3 times" in self.compare(scene, (1, 99), (0, 100)).text
+
+    def test_no_cuts_and_no_requests(self, scene):
+        assert self.compare(scene, (0, 0), (0, 0)).ratio == 0.0
+
+    def test_seven_tenths_of_the_time_are_used(self, scene):
+        row = self.compare(scene, (5, 95), (0, 100), sent_s=0.0)
+        assert (row.beside.cuts, row.beside.all_cuts) == (0, 5)
+
+    def test_excused_cuts_are_told_apart(self, scene):
+        scene.records.disturbed.append(
+            records.Disturbance("i0", 0.0, START_S * 2)
+        )
+        row = self.compare(scene, (5, 95), (1, 99))
+        assert (row.beside.cuts, row.beside.all_cuts) == (0, 5)
+        assert (row.other.cuts, row.other.all_cuts) == (0, 1)
+
+    def test_cuts_of_another_instance(self, scene):
+        row = self.compare(scene, (5, 95), (0, 100), instance="i1")
+        assert row.beside.requests == 0
+
+
+class TestAnswerDelays:
+    """Answers that arrive late after the end of their exchange."""
+
+    @pytest.mark.parametrize(("delay_s", "late"), [(0.1, 0), (0.3, 1)])
+    def test_late_answers(self, scene, delay_s, late):
+        row = make_outcome()
+        scene.engines[0].exchange_ends.append(
+            registeredtarget.ExchangeEnd(row.ended_s - delay_s, row.id)
+        )
+        assert answerdelays.count(scene, [row]) == (late, 1)
+
+    def test_answers_of_a_paused_instance_are_not_judged(self, scene):
+        row = make_outcome()
+        scene.engines[0].exchange_ends.append(
+            registeredtarget.ExchangeEnd(row.sent_s, row.id)
+        )
+        scene.records.disturbed.append(
+            records.Disturbance("i0", START_S, START_S + 0.1)
+        )
+        assert answerdelays.count(scene, [row]) == (0, 0)
+
+
 class TestRecover:
     """Callers of instances that have no links to targets."""
 
