A call that leaves a silent target takes its answer if it comes first

Callers of an idempotent route saw 502, 503 or 504 though a target could still answer: a call whose target was silent for half of its time was sent to a second one, and the connection to the first was closed.

Cause: break before make. The exchange with the first target ended before another one had answered.

Now the exchange is suspended. All open exchanges of a call are watched; the one that can be read first goes on, and the others are closed, not pooled, once a complete response is there. A refusal, failure or 5xx of one goes back to the others until the deadline. Each suspended exchange counts as a possible run; runs, attempts and the retry budget bound calls as before. If one of them is used up, or no target takes the call, the suspended exchange goes on in place of a refusal. The same holds beside a relay to a peer.

--- /dev/null
+++ b/src/briarfall/gateway/plainfollowing.py
@@ -0,0 +1,227 @@
+"""Follows the exchange of a plain call with one target."""
+
+from absl import logging
+
+from briarfall.gateway import calls
+from briarfall.gateway import clocks
+from briarfall.gateway import closedanswers
+from briarfall.gateway import connections
+from briarfall.gateway import dispatchgate
+from briarfall.gateway import headernames
+from briarfall.gateway import linkmonitor
+from briarfall.gateway import messages
+from briarfall.gateway import plainexchanges
+from briarfall.gateway import plainresponses
+from briarfall.gateway import plaintargets
+from briarfall.gateway import targetconnection
+from briarfall.gateway import targets
+from briarfall.gateway import targetsignals
+
+# Share of the remaining time that an attempt may wait for the response head, if
+# the call may be retried on another target.
+_FIRST_ATTEMPT_SHARE = 0.5
+# Least time left in which another target can still answer a failed call.
+_MIN_RETRY_S = 0.05
+
+
+class PlainFollower:
+    """Sends calls to targets and reads the responses.
+
+    Args:
+        header_names: Header names of the platform.
+        table: Targets.
+        pool: Connections to targets.
+        links: Targets that this instance reaches.
+        gate: Dispatch gate, which records requests that ran.
+        target_signals: Handles draining and backoff signals of targets.
+        choice: Chooses further targets.
+    """
+
+    def __init__(
+        self,
+        header_names: headernames.HeaderNames,
+        table: targets.TargetTable,
+        pool: connections.ConnectionPool,
+        links: linkmonitor.LinkMonitor,
+        gate: dispatchgate.DispatchGate,
+        target_signals: targetsignals.TargetSignals,
+        choice: plaintargets.PlainTargetChoice,
+    ):
+        self._names = header_names
+        self._targets = table
+        self._pool = pool
+        self._links = links
+        self._gate = gate
+        self._target_signals = target_signals
+        self._choice = choice
+
+    def receive(
+        self,
+        sends: plainexchanges.CallSends,
+        exchange: plainexchanges.TargetExchange,
+    ) -> plainresponses.Body:
+        """Returns the body of a response; the exchange ends or is suspended.
+
+        Args:
+            sends: The call.
+            exchange: The exchange, which is new or was suspended.
+
+        Raises:
+            RefusedByTargetError: The target did not run the call, or another
+                one should be asked.
+            BrokenExchangeError: The response is missing or damaged.
+            SilentTargetError: Another target can be tried meanwhile.
+            OtherConnectionReadyError: A suspended exchange can be read.
+            ResponseTimeoutError: The call is out of time.
+        """
+        try:
+            self._send(sends, exchange)
+            self._receive_head(sends, exchange)
+            return self._receive_body(sends, exchange)
+        except (
+            plainexchanges.SilentTargetError,
+            targetconnection.OtherConnectionReadyError,
+        ):
+            sends.suspend(exchange)
+            raise
+        finally:
+            if not sends.is_suspended(exchange):
+                exchange.end()
+
+    def _send(
+        self,
+        sends: plainexchanges.CallSends,
+        exchange: plainexchanges.TargetExchange,
+    ) -> None:
+        """Sends a call, unless the exchange was suspended and goes on."""
+        call = sends.call
+        exchange.conn.watch(call.watch, sends.connections)
+        if exchange.sent_s is not None:
+            return
+        exchange.record_sent()
+        exchange.conn.send(
+            call.req.method,
+            call.req.request_target,
+            calls.headers_for(call, self._names, exchange.target.entry),
+            call.req.body,
+            call.deadline_s,
+        )
+
+    def _receive_head(
+        self,
+        sends: plainexchanges.CallSends,
+        exchange: plainexchanges.TargetExchange,
+    ) -> None:
+        """Waits for the head of a response.
+
+        Raises:
+            RefusedByTargetError: The target did not run the call.
+            SilentTargetError: Another target can be tried meanwhile.
+            OtherConnectionReadyError: A suspended exchange can be read.
+        """
+        call = sends.call
+        conn = exchange.conn
+        target = exchange.target
+        head = self._read_head(sends, exchange)
+        # From here on the response is read to its end.
+        conn.watch(call.watch)
+        exchange.head = head
+        self._links.record_answer(target, is_new=conn.is_fresh)
+        self._target_signals.handle(target, head, exchange.sent_s)
+        try:
+            calls.raise_if_refused(call, conn, head, self._names, target.id)
+        except calls.RefusedByTargetError:
+            sends.record_refusal(exchange)
+            raise
+
+    def _receive_body(
+        self,
+        sends: plainexchanges.CallSends,
+        exchange: plainexchanges.TargetExchange,
+    ) -> plainresponses.Body:
+        """Reads the response; passes a long one on directly.
+
+        Raises:
+            RefusedByTargetError: The target failed the call, and another one
+                should be asked.
+        """
+        call = sends.call
+        head = exchange.head
+        exchange.completion = closedanswers.check_of(
+            call.req.method,
+            head,
+            exchange.target.entry,
+            self._targets,
+            self._pool.dialer,
+        )
+        body = plainresponses.receive(call, exchange.conn, head)
+        if exchange.completion is not None:
+            exchange.completion.run(call.watch, call.deadline_s)
+        if not body.is_sent and _should_retry(sends, exchange):
+            sends.count(exchange)
+            raise calls.RefusedByTargetError("target failed the request", head)
+        self._targets.record_success(exchange.target)
+        if head.is_success:
+            self._gate.record_survived(call)
+        return body
+
+    def _read_head(
+        self,
+        sends: plainexchanges.CallSends,
+        exchange: plainexchanges.TargetExchange,
+    ) -> messages.ResponseHead:
+        """Waits for the head of a response.
+
+        A target that is silent for long is left for another one, but may still
+        answer. If there is no other one, it may use all the time of the call.
+        """
+        call = sends.call
+        conn = exchange.conn
+        deadline_s = self._response_deadline_s(sends, exchange)
+        slo_s = clocks.boot_s() + call.route.first_byte_slo_s
+        if not conn.wait(min(deadline_s, slo_s)):
+            self._links.record_doubt(exchange.target)
+        try:
+            return conn.read_head(deadline_s)
+        except targetconnection.ResponseTimeoutError as exc:
+            if call.left_s <= 0:
+                raise
+            if self._can_move(sends):
+                raise plainexchanges.SilentTargetError(exc.message) from exc
+        logging.info(
+            "target silent, no other target, waiting request=%s left_s=%.1f",
+            call.request_id,
+            call.left_s,
+        )
+        return conn.read_head(call.deadline_s)
+
+    def _can_move(self, sends: plainexchanges.CallSends) -> bool:
+        """Whether another target could take a call now."""
+        if not self._gate.may_retry(sends.call):
+            return False
+        if self._choice.choose(sends.call, sends.attempted) is not None:
+            return True
+        return self._choice.is_cut_off(sends.call)
+
+    def _response_deadline_s(
+        self,
+        sends: plainexchanges.CallSends,
+        exchange: plainexchanges.TargetExchange,
+    ) -> float:
+        """Returns the time on the boot clock until which to wait for a head."""
+        call = sends.call
+        if call.attempt_count >= plaintargets.MAX_ATTEMPTS:
+            return call.deadline_s
+        if not sends.may_run_again(exchange):
+            return call.deadline_s
+        return clocks.boot_s() + call.left_s * _FIRST_ATTEMPT_SHARE
+
+
+def _should_retry(
+    sends: plainexchanges.CallSends, exchange: plainexchanges.TargetExchange
+) -> bool:
+    """Whether an error response is given up for that of another target."""
+    call = sends.call
+    if exchange.head.status < 500 or call.left_s <= _MIN_RETRY_S:
+        return False
+    return sends.has_suspended or sends.may_run_again(exchange)
--- a/src/briarfall/gateway/relayexchanges.py
+++ b/src/briarfall/gateway/relayexchanges.py
@@ -10,6 +10,7 @@
 from briarfall.gateway import events
 from briarfall.gateway import headernames
 from briarfall.gateway import messages
+from briarfall.gateway import plainexchanges
 from briarfall.gateway import plainresponses
 from briarfall.gateway import streamresponses
 from briarfall.gateway import streamstate
@@ -43,11 +44,11 @@
         return self.used_runs + max(min(left, 1), left - 1)
 
     @property
-    def suspended_connection(
+    def suspended_connections(
         self,
-    ) -> targetconnection.TargetConnection | None:
-        """Connection on which the request may still go on, or None."""
-        return None
+    ) -> list[targetconnection.TargetConnection]:
+        """Connections on which the request may still go on."""
+        return []
 
     @property
     def heads(self) -> list[ids.TargetId]:
@@ -82,13 +83,25 @@
 
 
 class PlainExchange(Exchange):
-    """A request to a plain service."""
+    """A request to a plain service.
+
+    Args:
+        sends: The request, with its exchanges that are still open.
+    """
 
-    def __init__(self, call: calls.Call):
-        self.call = call
+    def __init__(self, sends: plainexchanges.CallSends):
+        self.call = sends.call
+        self._sends = sends
         self._head: messages.ResponseHead | None = None
         self._body: plainresponses.Body | None = None
 
+    @property
+    def suspended_connections(
+        self,
+    ) -> list[targetconnection.TargetConnection]:
+        """Connections to targets that may still answer."""
+        return self._sends.connections
+
     @property
     def used_runs(self) -> int:
         """Runs that count towards the bound of the route."""
@@ -100,8 +113,10 @@
         head: messages.ResponseHead,
     ) -> None:
         """Reads a response; passes a long one on directly."""
+        conn.watch(self.call.watch)
         self._head = head
         self._body = plainresponses.receive(self.call, conn, head)
+        self._sends.close()
 
     def finish(self) -> None:
         """Sends the response, or the end of a long one."""
@@ -129,12 +144,12 @@
         self._on_start = on_start
 
     @property
-    def suspended_connection(
+    def suspended_connections(
         self,
-    ) -> targetconnection.TargetConnection | None:
+    ) -> list[targetconnection.TargetConnection]:
         """Connection of the stream's suspended run."""
         run = self._stream.suspended
-        return None if run is None else run.conn
+        return [] if run is None else [run.conn]
 
     @property
     def used_runs(self) -> int:
@@ -180,7 +195,7 @@
             )
             if not data:
                 continue
-            if self.suspended_connection is not None:
+            if self.suspended_connections:
                 self._on_start()
                 conn.watch(self.call.watch)
             self._stream.start_response(head)
--- a/src/briarfall/gateway/relaying.py
+++ b/src/briarfall/gateway/relaying.py
@@ -189,7 +189,7 @@
         )
         head = None
         try:
-            conn.watch(call.watch, exchange.suspended_connection)
+            conn.watch(call.watch, exchange.suspended_connections)
             self.sent += 1
             conn.send(
                 call.req.method,
--- a/src/briarfall/gateway/runfollowing.py
+++ b/src/briarfall/gateway/runfollowing.py
@@ -95,7 +95,7 @@
     ) -> None:
         call = stream.call
         suspended = stream.suspended
-        run.conn.watch(call.watch, suspended.conn if suspended else None)
+        run.conn.watch(call.watch, [suspended.conn] if suspended else ())
         run.sent_s = clocks.boot_s()
         run.conn.send(
             call.req.method,
--- a/src/briarfall/gateway/targetconnection.py
+++ b/src/briarfall/gateway/targetconnection.py
@@ -1,5 +1,6 @@
 """One request and its response on a connection to a target."""
 
+import collections.abc
 import select
 import socket
 
@@ -68,11 +69,19 @@
 
 
 class OtherConnectionReadyError(exceptions.BriarfallError):
-    """Another connection of the same request can be read first."""
+    """Another connection of the same request can be read first.
+
+    Attributes:
+        conn: That connection.
+    """
 
     code = "other_connection_ready"
     outcome = exceptions.Outcome.UNKNOWN
 
+    def __init__(self, message: str, conn: "TargetConnection"):
+        super().__init__(message)
+        self.conn = conn
+
 
 class CallerWatch:
     """Detects that a caller has closed its connection.
@@ -152,7 +161,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self._poller: select.poll | None = None
         self._watch: CallerWatch | None = None
-        self._other: TargetConnection | None = None
+        self._others: collections.abc.Sequence[TargetConnection] = ()
         self._saw_bytes = False
         self._late_reads = 0
         if timeout_s <= 0:
@@ -229,22 +238,22 @@
     def watch(
         self,
         watch: CallerWatch | None,
-        other: "TargetConnection | None" = None,
+        others: "collections.abc.Sequence[TargetConnection]" = (),
     ) -> None:
         """Sets what else ends a wait for bytes.
 
         Args:
             watch: The caller, whose disconnection ends the exchange.
-            other: Another connection of the same request, which ends a wait if
-                it can be read.
+            others: Other connections of the same request. A wait ends if one
+                of them can be read.
         """
         self._watch = watch
-        self._other = other
+        self._others = others
         self._poller = select.poll()
         self._poller.register(self.sock, select.POLLIN)
         if watch is not None:
             self._poller.register(watch.sock, watch.events)
-        if other is not None:
+        for other in others:
             self._poller.register(other.sock, select.POLLIN)
 
     def wait(self, until_s: float) -> bool:
@@ -255,7 +264,7 @@
 
         Raises:
             CallerGoneError: The caller has left.
-            OtherConnectionReadyError: The other connection can be read.
+            OtherConnectionReadyError: Another connection can be read.
         """
         while True:
             # Poll once even after the deadline: a throttled process may find
@@ -270,11 +279,12 @@
                 self._poller.modify(watch.sock, watch.events)
             if self.sock.fileno() in ready:
                 return True
-            other = self._other
-            if other is not None and other.sock.fileno() in ready:
-                raise OtherConnectionReadyError(
-                    f"{other.address}: can be read before {self.address}"
-                )
+            for other in self._others:
+                if other.sock.fileno() in ready:
+                    raise OtherConnectionReadyError(
+                        f"{other.address}: can be read before {self.address}",
+                        other,
+                    )
 
     def receive(self) -> None:
         """Reads once from the socket into the parser."""
