The end of a suspended connection no longer ends the exchange that runs

A stream whose own engine was silent and that a peer served was cut when its own engine crashed: `stream_lost`, no chain of engines has room. A plain call beside a suspended exchange got 502 in the same way.

Cause: a wait for bytes ended when another connection of the request could be read, and a closed one can be read too. The relay then ended its live exchange with the peer, and asked no peer again.

A wait now ends only if another connection has data; one that has ended is no longer watched. Its exchange fails, with the usual verdict, if it is the next to be followed.

--- a/src/briarfall/gateway/targetconnection.py
+++ b/src/briarfall/gateway/targetconnection.py
@@ -161,7 +161,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self._poller: select.poll | None = None
         self._watch: CallerWatch | None = None
-        self._others: collections.abc.Sequence[TargetConnection] = ()
+        self._others: list[TargetConnection] = []
         self._saw_bytes = False
         self._late_reads = 0
         if timeout_s <= 0:
@@ -244,11 +244,11 @@
 
         Args:
             watch: The caller, whose disconnection ends the exchange.
-            others: Other connections of the same request. A wait ends if one
-                of them can be read.
+            others: Other connections of the same request. A wait ends if data
+                can be read from one of them.
         """
         self._watch = watch
-        self._others = others
+        self._others = list(others)
         self._poller = select.poll()
         self._poller.register(self.sock, select.POLLIN)
         if watch is not None:
@@ -279,12 +279,18 @@
                 self._poller.modify(watch.sock, watch.events)
             if self.sock.fileno() in ready:
                 return True
-            for other in self._others:
+            for other in list(self._others):
                 if other.sock.fileno() in ready:
-                    raise OtherConnectionReadyError(
-                        f"{other.address}: can be read before {self.address}",
-                        other,
-                    )
+                    self._check_other(other)
+
+    def _check_other(self, other: "TargetConnection") -> None:
+        """Raises if another connection has data; one that ended is ignored."""
+        if other.has_data:
+            raise OtherConnectionReadyError(
+                f"{other.address}: can be read before {self.address}", other
+            )
+        self._others.remove(other)
+        self._poller.unregister(other.sock)
 
     def receive(self) -> None:
         """Reads once from the socket into the parser."""
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -50,7 +50,7 @@
 class Pool:
     """Engines of which each holds the whole model, and one instance."""
 
-    def __init__(self, world, count, *, resumable=True, **options):
+    def __init__(self, world, count, *, resumable=True, attempts=2, **options):
         rows = [
             testbed.route(
                 "drafts",
@@ -60,6 +60,7 @@
                 resumable=resumable,
                 gap_aim_ms=200,
                 timeout_ms=20000,
+                attempts=attempts,
             )
         ]
         world.publish(testbed.manifest(2, routes=rows))
--- a/tests/test_gateway_silentcalls.py
+++ b/tests/test_gateway_silentcalls.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from briarfall.standins.prepared import network
 from briarfall.standins.prepared import rawcaller
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
@@ -47,7 +48,7 @@
 
     @property
     def is_asked(self):
-        return bool(self.target.arrivals)
+        return any(row.request_id == "r1" for row in self.target.arrivals)
 
     @property
     def open_count(self):
@@ -56,11 +57,14 @@
     def speak(self):
         self._spoke.set()
 
+    def hush(self):
+        self._spoke.clear()
+
 
 class _Scene:
     """A call in progress at the first of several silent targets."""
 
-    def __init__(self, world, count=2, *, attempts=2, kind="views"):
+    def __init__(self, world, count=2, *, attempts=2, kind="views", **extra):
         rows = [
             testbed.route(
                 kind,
@@ -73,7 +77,7 @@
         ]
         world.publish(testbed.manifest(2, routes=rows))
         self.desks = [_Desk(world, f"d{number}") for number in range(count)]
-        self.inst = world.instance()
+        self.inst = world.instance(**extra)
         world.wait_for_targets(*[desk.target for desk in self.desks])
         self.path = f"/{kind}/x"
         self.asked = []
@@ -204,6 +208,64 @@
         scene.check_answered_by(second)
 
 
+class TestPeer:
+    @pytest.fixture
+    def scene(self, world):
+        """A call whose first target is silent and whose second is cut off."""
+        net = network.Network()
+        world.on_close(net.close)
+        scene = _Scene(world, attempts=4, dialer=net)
+        self.peer = world.instance("i2")
+        world.wait_for_targets(*[desk.target for desk in scene.desks])
+        testbed.until(
+            lambda: scene.inst.peers.uncut("desk"), "the peer is known"
+        )
+        for desk in scene.desks:
+            desk.speak()
+        cut = scene.desks[1]
+        net.cut(network.Cut.REFUSE_NEW, [cut.target])
+        numbers = iter(range(1000))
+
+        def is_known():
+            testbed.call(
+                scene.inst, scene.path, request_id=f"warm{next(numbers)}"
+            )
+            return scene.inst.targets.get(cut.id).link_fault is not None
+
+        scene.inst.target_follower._pool.drop(cut.target.address)
+        testbed.until(is_known, "the cut is known")
+        for desk in scene.desks:
+            desk.hush()
+        assert scene.start() is scene.desks[0]
+        return scene
+
+    def test_peer_answers_though_the_first_target_crashes_meanwhile(
+        self, scene
+    ):
+        second = scene.next_asked()
+        scene.asked[0].target.close()
+        threading.Event().wait(0.3)
+        second.speak()
+        scene.check_answered_by(second)
+
+    @pytest.mark.parametrize("fault", [Fault.REFUSE, Fault.RESET_AFTER_RUN])
+    def test_first_target_answers_though_the_peers_run_fails(
+        self, scene, fault
+    ):
+        second = scene.idle()[0]
+        second.target.fault = fault
+        second.speak()
+        scene.next_asked()
+        threading.Event().wait(0.3)
+        scene.asked[0].speak()
+        scene.check_answered_by(scene.asked[0])
+
+    def test_first_target_answers_though_the_peers_run_is_silent(self, scene):
+        scene.next_asked()
+        scene.asked[0].speak()
+        scene.check_answered_by(scene.asked[0])
+
+
 class TestBounds:
     def test_two_silent_targets_use_up_a_route_of_two_runs(self, world):
         scene = _Scene(world, 3)
--- a/tests/test_gateway_suspendedruns.py
+++ b/tests/test_gateway_suspendedruns.py
@@ -9,6 +9,7 @@
 from briarfall.gateway import dispatchgate
 from briarfall.gateway import targetconnection
 from briarfall.standins.prepared import engines
+from briarfall.standins.prepared import network
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_silence as silence
 
@@ -16,8 +17,8 @@
 class _Draft:
     """A stream in progress on the first of several engines."""
 
-    def __init__(self, world, count=2):
-        self.pool = silence.Pool(world, count)
+    def __init__(self, world, count=2, **options):
+        self.pool = silence.Pool(world, count, **options)
         self.caller = self.pool.draft_in_progress()
         rows = self.pool.engines
         self.first = [engine for engine in rows if engine.ran][0]
@@ -104,6 +105,36 @@
         assert tried.count(True) <= 1
 
 
+class TestPeer:
+    @pytest.fixture
+    def draft(self, world):
+        """A stream whose own engine and whose peer's engine are silent."""
+        net = network.Network()
+        world.on_close(net.close)
+        draft = _Draft(world, attempts=4, dialer=net)
+        peer = world.instance("i2")
+        world.wait_for_layers()
+        inst = draft.pool.inst
+        testbed.until(lambda: inst.peers.uncut("pool"), "the peer is known")
+        net.cut(network.Cut.REFUSE_NEW, draft.others)
+        inst.target_follower._pool.drop(draft.others[0].address)
+        draft.others[0].fall_silent()
+        draft.silence_first()
+        testbed.until(peer.loads.own, "the peer serves the stream")
+        return draft
+
+    def test_stream_goes_on_at_the_peer_though_its_engine_crashes(self, draft):
+        draft.first.close()
+        wait(0.3)
+        draft.others[0].speak()
+        draft.check_complete()
+
+    def test_stream_goes_on_though_the_peers_engine_is_silent(self, draft):
+        draft.first.speak()
+        draft.check_complete()
+        draft.others[0].speak()
+
+
 class TestVerdict:
     def test_silence_of_a_head_is_no_crash(self, world, monkeypatch):
         found = []
