The soak plays disruptions beside changes in pairs, in a seeded order

`--sets pairs` (alone or beside other sets) plays twelve disruptions (kill, pause, slow, restart, silence, silence while connections are refused, link cut, copies of refusals, odd entries, crash, answers without a length, and such answers that end while connections are refused) beside five changes (key, route, timeout, reload of an instance, roll of all). Eight seeds from a multiple of eight on, with eight seconds each, play all sixty pairs; each block of eight has another order. The summary names the pairs played.

New kinds: an instance that is slowed, a roll (SIGTERM one after the other, each ready before the next), a target that crashes, engines that answer without a length, and sound engines that end such answers while they refuse connections for 1.2 s.

A stand-in engine asked whether it answers without a length at each event, so that a change in the middle of a stream mixed chunks with plain bytes; it keeps the form of its head now (test_change_in_the_middle_of_a_stream).

--- a/src/briarfall/standins/prepared/engines.py
+++ b/src/briarfall/standins/prepared/engines.py
@@ -35,8 +35,8 @@
             to answer a request with it as the head of a chain.
         crash_after_event: Number of the event after which the head crashes, or
             0.
-        answers_without_length: Whether its streams have neither a length nor
-            chunks and end with their connections, also when it crashes.
+        answers_without_length: Whether its new streams have neither a length
+            nor chunks and end with their connections, also when it crashes.
         ran_as_stage: Ids of requests that it ran as a later stage.
         on_event: Set, by number of the stream's event, when that event has been
             sent.
@@ -257,13 +257,10 @@
             event = b"id: %d\ndata: token %d\n\n" % (number, number)
             if self.reset_after_event and number > self.reset_after_event:
                 if self.resets_mid_event:
-                    conn.send_chunk(event[:5])
+                    conn.send_part(event[:5])
                 conn.reset()
                 return False
-            if self.answers_without_length:
-                conn.send(event)
-            else:
-                conn.send_chunk(event)
+            conn.send_part(event)
             if self.crash_after_event and number == self.crash_after_event:
                 return self._crash(conn)
             sent = self.on_event.get(number)
@@ -272,7 +269,7 @@
             resume = self.resume_events.get(number)
             if resume is not None:
                 resume.wait(_HOLD_S)
-        if self.answers_without_length:
+        if not conn.has_chunks:
             conn.end()
             return False
         conn.send_chunk(b"")
@@ -289,10 +286,10 @@
         """Crashes while it answers a request as the head."""
         # A probe that follows the end of the answer has to find it crashed.
         self.server.stop_listening()
-        if self.answers_without_length:
+        if not conn.has_chunks:
             conn.end()
         self.close()
-        if not self.answers_without_length:
+        if conn.has_chunks:
             conn.reset()
         return False
 
--- a/src/briarfall/standins/prepared/faultsoak/faultsets.py
+++ b/src/briarfall/standins/prepared/faultsoak/faultsets.py
@@ -25,6 +25,8 @@
     ENTRIES = "entries"
     GONE = "gone"
     LIMITS = "limits"
+    # Played beside the other sets, in an order of its own; see pairs.py.
+    PAIRS = "pairs"
 
 
 # The order decides which fault a seed draws.
@@ -64,6 +66,7 @@
         targetsilence.Silence(),
     ],
     FaultSet.LIMITS: [targetlimits.RateLimits()],
+    FaultSet.PAIRS: [],
 }
 
 
--- a/src/briarfall/standins/prepared/faultsoak/instancefaults.py
+++ b/src/briarfall/standins/prepared/faultsoak/instancefaults.py
@@ -2,11 +2,21 @@
 
 import random
 import signal
+import threading
 import time
 
 from briarfall.standins.prepared.faultsoak import faults
+from briarfall.standins.prepared.faultsoak import processes
+from briarfall.standins.prepared.faultsoak import rotation
 from briarfall.standins.prepared.faultsoak import scenes
 
+# Times for which a slowed process stands and runs in turn.
+_SLOW_STOP_S = 0.06
+_SLOW_RUN_S = 0.04
+# Longest time until a roll goes on although an instance is not ready.
+_READY_S = 10.0
+_READY_PAUSE_S = 0.1
+
 
 class Restart(faults.FaultKind):
     """Stops an instance as planned and starts it again."""
@@ -69,6 +79,64 @@
         return row.name
 
 
+class Slow(faults.FaultKind):
+    """Lets an instance run for less than half of the time."""
+
+    name = "slow"
+
+    def apply(
+        self, scene: scenes.Scene, rng: random.Random, fault_s: float
+    ) -> str:
+        """Slows one instance down."""
+        row = scene.pick_instance()
+        if row is None:
+            return "none"
+        start_s = time.monotonic()
+        while time.monotonic() < start_s + fault_s:
+            row.signal(signal.SIGSTOP)
+            time.sleep(_SLOW_STOP_S)
+            row.signal(signal.SIGCONT)
+            time.sleep(_SLOW_RUN_S)
+        scene.records.disturb(row.name, start_s)
+        return row.name
+
+
+class Roll(faults.FaultKind):
+    """Restarts all instances as planned, one after the other.
+
+    Only one roll is played at a time; a further one waits for its end.
+    """
+
+    name = "roll"
+
+    def __init__(self):
+        self._lock = threading.Lock()
+
+    def apply(
+        self, scene: scenes.Scene, rng: random.Random, fault_s: float
+    ) -> str:
+        """Restarts each instance once the one before is ready again."""
+        names = []
+        with self._lock:
+            for row in scene.instances:
+                start_s = time.monotonic()
+                row.signal(signal.SIGTERM)
+                row.wait()
+                row.start()
+                scene.records.disturb(row.name, start_s, is_planned=True)
+                _wait_ready(row)
+                names.append(row.name)
+        return ",".join(names)
+
+
+def _wait_ready(row: processes.GatewayProcess) -> None:
+    deadline_s = time.monotonic() + _READY_S
+    while time.monotonic() < deadline_s:
+        if rotation.is_ready(row):
+            return
+        time.sleep(_READY_PAUSE_S)
+
+
 class Reload(faults.FaultKind):
     """Makes an instance read its settings again."""
 
--- a/src/briarfall/standins/prepared/faultsoak/records.py
+++ b/src/briarfall/standins/prepared/faultsoak/records.py
@@ -98,6 +98,7 @@
         store_faults: Start and end of periods in which the store, or the link
             of an instance to it, had a fault.
         played: The faults, in the order of their ends.
+        pairs: Names of the pairs of faults, in the order of their begins.
     """
 
     def __init__(self):
@@ -108,6 +109,7 @@
         self.memberships: list[Membership] = []
         self.store_faults: list[tuple[float, float]] = []
         self.played: list[PlayedFault] = []
+        self.pairs: list[str] = []
 
     def disturb(
         self, instance: str, start_s: float, *, is_planned: bool = False
@@ -153,6 +155,11 @@
             self.memberships.append(row)
         return row
 
+    def begin_pair(self, name: str) -> None:
+        """Records that a pair of faults begins."""
+        with self._lock:
+            self.pairs.append(name)
+
     def play(self, kind: str, detail: str, start_s: float) -> None:
         """Records a fault that ends now."""
         row = PlayedFault(kind, detail, start_s, time.monotonic())
--- a/src/briarfall/standins/prepared/faultsoak/rotation.py
+++ b/src/briarfall/standins/prepared/faultsoak/rotation.py
@@ -49,13 +49,14 @@
 
     def _watch(self, row: processes.GatewayProcess) -> None:
         while not self._stopped.wait(_INTERVAL_S):
-            if _is_ready(row):
+            if is_ready(row):
                 self._misses[row.name] = 0
                 continue
             self._misses[row.name] += 1
 
 
-def _is_ready(row: processes.GatewayProcess) -> bool:
+def is_ready(row: processes.GatewayProcess) -> bool:
+    """Whether an instance says that it is ready."""
     host, port = row.ready
     conn = http.client.HTTPConnection(host, port, timeout=_INTERVAL_S)
     try:
--- a/src/briarfall/standins/prepared/faultsoak/soak.py
+++ b/src/briarfall/standins/prepared/faultsoak/soak.py
@@ -11,6 +11,7 @@
 from briarfall.standins.prepared.faultsoak import checks
 from briarfall.standins.prepared.faultsoak import faults
 from briarfall.standins.prepared.faultsoak import faultsets
+from briarfall.standins.prepared.faultsoak import pairs
 from briarfall.standins.prepared.faultsoak import processes
 from briarfall.standins.prepared.faultsoak import protocol
 from briarfall.standins.prepared.faultsoak import rotation
@@ -29,6 +30,8 @@
 _MIN_FAULT_S = 0.5
 _MAX_FAULT_S = 3.0
 _JOIN_S = 30.0
+# Longest time that pairs are waited for: rolls are played one by one.
+_PAIRS_JOIN_S = 120.0
 # Time in which requests that targets hold may still run.
 _SETTLE_S = 1.0
 _USUAL = (faultsets.FaultSet.USUAL,)
@@ -195,9 +198,12 @@
     def _run_faults(self) -> None:
         """Starts one fault after the other; longer ones overlap."""
         deadline_s = time.monotonic() + self._seconds
+        pair_thread = None
         if self._upgrades:
             self._threads.append(self._start_upgrade())
-        while time.monotonic() < deadline_s:
+        if faultsets.FaultSet.PAIRS in self._sets:
+            pair_thread = self._start_pairs()
+        while self._kinds and time.monotonic() < deadline_s:
             kind = self._rng.choice(self._kinds)
             fault_s = self._rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S)
             thread = threading.Thread(
@@ -210,6 +216,17 @@
             time.sleep(self._rng.uniform(_MIN_PAUSE_S, _MAX_PAUSE_S))
         for thread in self._threads:
             thread.join(_JOIN_S)
+        if pair_thread is not None:
+            pair_thread.join(_PAIRS_JOIN_S)
+
+    def _start_pairs(self) -> threading.Thread:
+        """Plays pairs beside the other faults."""
+        player = pairs.PairPlayer(self.scene, self._seed)
+        thread = threading.Thread(
+            target=player.run, args=(self._seconds,), daemon=True
+        )
+        thread.start()
+        return thread
 
     def _start_upgrade(self) -> threading.Thread:
         """Upgrades the instances one by one, spread over the run."""
--- a/src/briarfall/standins/prepared/faultsoak/summaries.py
+++ b/src/briarfall/standins/prepared/faultsoak/summaries.py
@@ -33,4 +33,6 @@
         f"answers over {lostexceptions.LOST_S} s after their exchange: "
         f"{late} of {judged}"
     )
+    if scene.records.pairs:
+        parts.append(f"pairs: {', '.join(scene.records.pairs)}")
     return f"seed {seed}: " + "; ".join(parts)
--- a/src/briarfall/standins/prepared/faultsoak/targetfaults.py
+++ b/src/briarfall/standins/prepared/faultsoak/targetfaults.py
@@ -92,6 +92,22 @@
         return target.id
 
 
+class Crash(faults.FaultKind):
+    """Makes a target crash; it is started again with its next heartbeat."""
+
+    name = "crash"
+
+    def apply(
+        self, scene: scenes.Scene, rng: random.Random, fault_s: float
+    ) -> str:
+        """Crashes one target."""
+        target = rng.choice(scene.targets)
+        start_s = time.monotonic()
+        target.close()
+        scene.records.impair(target.id, start_s, start_s + _RESTART_S)
+        return target.id
+
+
 class Draining(faults.FaultKind):
     """Makes a target announce that it leaves, and end."""
 
--- a/src/briarfall/standins/prepared/rawhttp.py
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -43,6 +43,7 @@
         self.sock = sock
         self._gates = passed
         self._rest = b""
+        self._has_chunks = True
 
     @property
     def is_held(self) -> bool:
@@ -100,6 +101,7 @@
 
     def send_chunked_head(self, headers: dict[str, str]) -> None:
         """Sends the head of a response with a chunked body."""
+        self._has_chunks = True
         lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         self.send(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
@@ -110,10 +112,23 @@
 
     def send_open_head(self, headers: dict[str, str]) -> None:
         """Sends the head of a response whose body ends with the connection."""
+        self._has_chunks = False
         lines = ["HTTP/1.1 200 OK", "Connection: close"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         self.send(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
 
+    def send_part(self, data: bytes) -> None:
+        """Sends a part of a body as the head of its response announced it."""
+        if self._has_chunks:
+            self.send_chunk(data)
+        else:
+            self.send(data)
+
+    @property
+    def has_chunks(self) -> bool:
+        """Whether the last head announced a chunked body."""
+        return self._has_chunks
+
     def end(self) -> None:
         """Closes the connection without a reset, as after a complete body."""
         self.sock.shutdown(socket.SHUT_RDWR)
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -9,6 +9,7 @@
 from briarfall.standins.prepared.faultsoak import callers
 from briarfall.standins.prepared.faultsoak import faultsets
 from briarfall.standins.prepared.faultsoak import limitchecks
+from briarfall.standins.prepared.faultsoak import pairs
 from briarfall.standins.prepared.faultsoak import processes
 from briarfall.standins.prepared.faultsoak import records
 from briarfall.standins.prepared.faultsoak import soak
@@ -43,6 +44,32 @@
         assert soak.run(seed, seconds, str(tmp_path), 4, sets) == []
 
 
+class TestPairs:
+    """Disruptions beside changes, each pair in some seed."""
+
+    @pytest.mark.parametrize("block", [0, 1, 125])
+    def test_seeds_of_a_block_play_all_pairs(self, block):
+        first = block * pairs.SEEDS_FOR_ALL
+        names = []
+        for seed in range(first, first + pairs.SEEDS_FOR_ALL):
+            rows = pairs.order(seed)[: pairs.PAIRS_PER_SEED]
+            names += [row.name for row in rows]
+        count = len(pairs.DISRUPTIONS) * len(pairs.CHANGES)
+        assert len(set(names)) == count
+
+    def test_each_block_has_another_order(self):
+        first = pairs.order(0)
+        second = pairs.order(pairs.SEEDS_FOR_ALL)
+        assert first == pairs.order(0)
+        assert first != second
+
+    def test_guarantees_hold(self, tmp_path, capsys):
+        sets = (faultsets.FaultSet.PAIRS,)
+        assert soak.run(19, 2.0, str(tmp_path), 4, sets) == []
+        names = [row.name for row in pairs.order(19)]
+        assert f"pairs: {names[0]}, {names[1]}" in capsys.readouterr().out
+
+
 class TestGatewayProcess:
     """Guards against processes that outlive the soak that started them."""
 
--- a/tests/test_standin_faults.py
+++ b/tests/test_standin_faults.py
@@ -8,9 +8,11 @@
 
 import pytest
 
+from briarfall.standins.prepared import engines
 from briarfall.standins.prepared import exchangefaults
 from briarfall.standins.prepared import gates
 from briarfall.standins.prepared import links
+from briarfall.standins.prepared import manifests
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import services
@@ -208,6 +210,46 @@
         assert service.ran_ids() == ["r1"]
 
 
+class TestAnswerWithoutLength:
+    """Streams that have begun keep their form when the fault changes."""
+
+    @pytest.fixture
+    def engine(self):
+        platform = store.StoreStandin()
+        engine = engines.EngineStandin(platform, "e0", {}, host=HOST)
+        engine.layers = (0, manifests.ENGINE["layers"])
+        yield engine
+        engine.close()
+        platform.close()
+
+    def ask(self, engine):
+        client = Client(engine)
+        last = manifests.ENGINE["layers"]
+        client.sock.sendall(
+            b"POST /x HTTP/1.1\r\nX-Request-Id: r1\r\n"
+            + f"X-Hop-Count: {engine.address}=0-{last}\r\n\r\n".encode()
+        )
+        return client
+
+    @pytest.mark.parametrize("was_open", [True, False])
+    def test_change_in_the_middle_of_a_stream(self, engine, was_open):
+        engine.answers_without_length = was_open
+        engine.on_event[3] = threading.Event()
+        engine.resume_events[3] = threading.Event()
+        client = self.ask(engine)
+        assert engine.on_event[3].wait(ANSWER_S)
+        engine.answers_without_length = not was_open
+        engine.resume_events[3].set()
+        if was_open:
+            data = client.read_until(b"data: token 12\n\n")
+            assert client.read() == b""
+            assert b"chunked" not in data
+            assert b"\r\n" not in data.partition(b"\r\n\r\n")[2]
+            return
+        data = client.read_until(b"\r\n0\r\n\r\n")
+        assert data.count(b"\r\nid: ") == 12
+
+
 class TestTranslatedStart:
     def test_process_connects_to_its_own_host(self, service, tmp_path):
         script = tmp_path / "client.py"
