A relayed request carries the backoffs of targets towards the asking instance

Callers saw requests reach a target that had told their instance to stay away (Retry-After of a 503): an instance without links relays its requests, and the peer chooses a target by its own backoffs only.

The request carries the targets of its service in backoff with the time left, and the response those that asked for one meanwhile, so that the next peer leaves them out too.

What a peer is told holds for the one request: `Target.is_in_backoff` and `is_held` consult the request of the thread, so that choice and dispatch gate agree. It is keyed by incarnation, ends by itself, is cut to MAX_BACKOFF_S and 2,500 bytes; an odd row costs only itself, and a value that is no list, is too long or too deeply nested counts as none. Earlier releases ignore the field, and as peers still send to such targets.

--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -196,6 +196,7 @@
             relaypeers.RelayPeers(self.peers, cfg.zone, rng),
             peer_pool,
             dispatch_gate,
+            self.targets,
             self.metrics,
         )
         target_signals = targetsignals.TargetSignals(
--- a/src/briarfall/gateway/peerconnections.py
+++ b/src/briarfall/gateway/peerconnections.py
@@ -8,6 +8,7 @@
 from briarfall.gateway import callers
 from briarfall.gateway import calls
 from briarfall.gateway import messages
+from briarfall.gateway import relaybackoffs
 from briarfall.gateway import relaymessages
 from briarfall.gateway import views
 
@@ -23,6 +24,7 @@
     def __init__(self, sock: socket.socket, limits: views.CallerLimits):
         super().__init__(sock, _with_private_header(limits))
         self._call: calls.Call | None = None
+        self._backoffs = relaybackoffs.RequestBackoffs({})
 
     def set_limits(self, limits: views.CallerLimits) -> None:
         """Sets the limits of the next request."""
@@ -36,6 +38,7 @@
         """
         self._call = None
         self.failure = None
+        relaybackoffs.set_current(None)
         req = self.read_message()
         if req is None:
             return None
@@ -44,6 +47,9 @@
         except exceptions.PeerError as exc:
             raise callers.MessageRefusedError(400, exc.message) from exc
         req.headers = relaymessages.without_private(req.headers)
+        until_s = relaybackoffs.decode(self.relayed.backoffs)
+        self._backoffs = relaybackoffs.RequestBackoffs(until_s)
+        relaybackoffs.set_current(self._backoffs)
         return req
 
     def start_call(self, call: calls.Call) -> None:
@@ -83,7 +89,11 @@
                 outcome = relaymessages.RelayOutcome.UNKNOWN
         return relaymessages.header_of(
             relaymessages.RelayedResponse(
-                relayed.exchange, outcome, sends, runs
+                relayed.exchange,
+                outcome,
+                sends,
+                runs,
+                relaybackoffs.encode(self._backoffs.asked_until_s),
             )
         )
 
--- a/src/briarfall/gateway/relaying.py
+++ b/src/briarfall/gateway/relaying.py
@@ -15,10 +15,13 @@
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
 from briarfall.gateway import peers
+from briarfall.gateway import relaybackoffs
 from briarfall.gateway import relayexchanges
 from briarfall.gateway import relaymessages
 from briarfall.gateway import relaypeers
+from briarfall.gateway import targetbackoff
 from briarfall.gateway import targetconnection
+from briarfall.gateway import targets
 
 _MAX_PEERS = 3
 # Time after which no further peer is asked for the same request.
@@ -67,6 +70,7 @@
         choice: Chooses among them.
         pool: Connections to them.
         gate: Dispatch gate, which refuses poison requests.
+        target_table: Targets, with the backoffs that they asked for.
         counters: Metrics.
     """
 
@@ -78,6 +82,7 @@
         choice: relaypeers.RelayPeers,
         pool: connections.ConnectionPool,
         gate: dispatchgate.DispatchGate,
+        target_table: targets.TargetTable,
         counters: metrics.Metrics,
     ):
         self._names = header_names
@@ -86,6 +91,7 @@
         self._choice = choice
         self._pool = pool
         self._gate = gate
+        self._targets = target_table
         self._metrics = counters
         # Number of requests sent to peers.
         self.sent = 0
@@ -162,6 +168,7 @@
         self, exchange: relayexchanges.Exchange
     ) -> relaymessages.RelayedRequest:
         call = exchange.call
+        rows = self._targets.of_service(call.service.name)
         return relaymessages.RelayedRequest(
             exchange=uuid.uuid4().hex,
             sender=self._instance,
@@ -170,6 +177,7 @@
             max_runs=exchange.max_runs,
             has_unknown_outcome=call.has_unknown_outcome,
             heads=exchange.heads,
+            backoffs=relaybackoffs.encode(targetbackoff.ends_of(rows)),
         )
 
     def _send(
@@ -316,6 +324,9 @@
                 saw_response=True,
             )
         call.attempt_count = max(call.attempt_count, answer.sends)
+        targetbackoff.adopt(
+            self._targets, relaybackoffs.decode(answer.backoffs)
+        )
         if answer.outcome is relaymessages.RelayOutcome.TARGET:
             return
         conn.drain(min(call.deadline_s, clocks.boot_s() + _REFUSAL_TIMEOUT_S))
--- a/src/briarfall/gateway/relaymessages.py
+++ b/src/briarfall/gateway/relaymessages.py
@@ -11,6 +11,7 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import messages
+from briarfall.gateway import relaybackoffs
 
 _HEADER = b"briarfall-relay"
 # Added to the size limit of request heads for the private header.
@@ -43,6 +44,8 @@
         max_runs: How often it may run at most, the earlier runs included.
         has_unknown_outcome: Whether the outcome of an attempt is unknown.
         heads: Engines that ran it as the head of a chain and may still live.
+        backoffs: Backoffs that targets of its service asked the sender for,
+            as `relaybackoffs` encodes them.
     """
 
     exchange: str
@@ -52,6 +55,7 @@
     max_runs: int
     has_unknown_outcome: bool
     heads: list[ids.TargetId] = []
+    backoffs: msgspec.Raw = relaybackoffs.NONE
 
 
 class RelayedResponse(msgspec.Struct, frozen=True):
@@ -62,12 +66,15 @@
         outcome: What the response is.
         sends: How often the request was sent to a target so far.
         runs: How often it may have run so far.
+        backoffs: Backoffs that targets asked for in response to it, as
+            `relaybackoffs` encodes them.
     """
 
     exchange: str
     outcome: RelayOutcome
     sends: int
     runs: int
+    backoffs: msgspec.Raw = relaybackoffs.NONE
 
 
 def without_private(headers: messages.Headers) -> messages.Headers:
--- a/src/briarfall/gateway/targetbackoff.py
+++ b/src/briarfall/gateway/targetbackoff.py
@@ -5,7 +5,10 @@
 from absl import logging
 
 from briarfall.gateway import clocks
+from briarfall.gateway import incarnations
+from briarfall.gateway import relaybackoffs
 from briarfall.gateway import retryafter
+from briarfall.gateway import targets
 from briarfall.gateway import targetstate
 
 
@@ -18,12 +21,40 @@
         seconds: Length of the backoff that the target asked for.
     """
     now_s = clocks.boot_s()
-    if not target.is_in_backoff:
+    if target.backoff_until_s <= now_s:
         target.backoff_since_s = now_s
         logging.info(
             "target wants no requests target=%s for_s=%.2f", target.id, seconds
         )
-    target.backoff_until_s = max(target.backoff_until_s, now_s + seconds)
+    until_s = now_s + seconds
+    target.backoff_until_s = max(target.backoff_until_s, until_s)
+    current = relaybackoffs.current()
+    if current is not None:
+        current.asked_until_s[target.incarnation] = until_s
+
+
+def ends_of(
+    rows: collections.abc.Iterable[targetstate.Target],
+) -> dict[incarnations.Incarnation, float]:
+    """Returns the ends of the targets' backoffs that have not yet ended."""
+    until_s = {}
+    for target in rows:
+        if target.is_in_backoff:
+            until_s[target.incarnation] = target.backoff_until_s
+    return until_s
+
+
+def adopt(table: targets.TargetTable, until_s: relaybackoffs.EndTimes) -> None:
+    """Starts backoffs that targets asked for in response to a relayed request.
+
+    The request is one of this instance's, so that they hold for it as well.
+    Those of incarnations that have ended are ignored.
+    """
+    now_s = clocks.boot_s()
+    for key, end_s in until_s.items():
+        target = table.in_incarnation(key.target, key.started_ms)
+        if target is not None:
+            start_backoff(target, end_s - now_s)
 
 
 def clear_backoff(target: targetstate.Target) -> None:
--- a/src/briarfall/gateway/targetsignals.py
+++ b/src/briarfall/gateway/targetsignals.py
@@ -5,13 +5,12 @@
 from briarfall.gateway import messages
 from briarfall.gateway import metrics
 from briarfall.gateway import ratelimits
+from briarfall.gateway import relaybackoffs
 from briarfall.gateway import targetbackoff
 from briarfall.gateway import targets
 from briarfall.gateway import targetstate
 
-# A target that asks for a longer backoff than this is assumed to be mistaken;
-# its backoff is cut to this length.
-MAX_BACKOFF_S = 60.0
+MAX_BACKOFF_S = relaybackoffs.MAX_BACKOFF_S
 # Seconds. A refusal may name another target than the one that sent it. It is
 # then not certain which of the two drains: both are blocked for this time only,
 # and neither is marked as draining.
--- a/src/briarfall/gateway/targetstate.py
+++ b/src/briarfall/gateway/targetstate.py
@@ -7,6 +7,7 @@
 from briarfall import ids
 from briarfall.gateway import clocks
 from briarfall.gateway import incarnations
+from briarfall.gateway import relaybackoffs
 from briarfall.gateway import sources
 
 
@@ -87,28 +88,42 @@
 
     @property
     def is_in_backoff(self) -> bool:
-        """Whether the backoff that the target asked for has not yet ended."""
-        return self.backoff_until_s > clocks.boot_s()
+        """Whether a backoff that the target asked for has not yet ended."""
+        return self._backoff_end_s > clocks.boot_s()
 
     @property
     def is_held(self) -> bool:
         """Whether it gets no requests: in backoff, or no permit is free."""
-        if not self.backoff_until_s and not self.limited_until_s:
+        if (
+            not self.backoff_until_s
+            and not self.limited_until_s
+            and relaybackoffs.current() is None
+        ):
             return False
         return self.held_until_s > clocks.boot_s()
 
     @property
     def held_until_s(self) -> float:
         """Time until which it gets no requests, if that is in the future."""
-        return max(self.backoff_until_s, self.limited_until_s)
+        return max(self._backoff_end_s, self.limited_until_s)
 
     @property
     def held_since_s(self) -> float:
         """Start of the period that ends at `held_until_s`."""
-        if self.limited_until_s > self.backoff_until_s:
+        if self.limited_until_s > self._backoff_end_s:
             return self.limited_since_s
+        if self._backoff_end_s > self.backoff_until_s:
+            return relaybackoffs.current().received_s
         return self.backoff_since_s
 
+    @property
+    def _backoff_end_s(self) -> float:
+        """End of its backoff towards the sender of the current request."""
+        current = relaybackoffs.current()
+        if current is None:
+            return self.backoff_until_s
+        return max(self.backoff_until_s, current.until_s(self.incarnation))
+
     @property
     def incarnation(self) -> incarnations.Incarnation:
         """The target's id and start time."""
