The model of permits plays any order of events, and a status that is spread

The model knew seven fixed troubles, and all instances sent their status in the same instant, so that views of the members hardly differed. It now plays lists of events (kills, starts, freezes, cuts), and can spread the status over its interval.

No choice of the gateway changes.

--- a/src/briarfall/bench/permitmodel.py
+++ b/src/briarfall/bench/permitmodel.py
@@ -47,6 +47,40 @@
     HALF_OLD = "half of the instances run an older release"
 
 
+class Sending(enum.Enum):
+    """When the instances send their status."""
+
+    TOGETHER = "all at the same time"
+    SPREAD = "spread over the interval"
+
+
+class Action(enum.Enum):
+    """What an event does to instances."""
+
+    KILL = "ends them"
+    START = "starts them without any knowledge"
+    START_LISTED = "starts them; they have read the list of instances"
+    FREEZE = "suspends them"
+    WAKE = "lets them run again"
+    CUT = "no instance outside of them hears them, nor they it"
+    HEAL = "ends all cuts"
+
+
+class Event(msgspec.Struct, frozen=True):
+    """Something that happens to instances.
+
+    Attributes:
+        at_s: Seconds after the start of the model.
+        action: What happens.
+        instances: Their numbers; None for the home of the target at the time
+            of the first such event.
+    """
+
+    at_s: float
+    action: Action
+    instances: list[int] | None
+
+
 class Result(msgspec.Struct, frozen=True):
     """What reached the target.
 
@@ -75,6 +109,8 @@
         self.book = permitgrants.PermitBook()
         self.homes = permithomes.PermitHomes(self.name, self._members)
         self.held_until_s = 0.0
+        # Instances that it knows, whether it has heard them or not.
+        self.listed_count = 1
         self.is_running = True
 
     def _members(self) -> permithomes.Members:
@@ -87,7 +123,7 @@
                 live.append(name)
         return permithomes.Members(
             tuple(sorted(live)),
-            1 + len(self.heard_s),
+            max(self.listed_count, 1 + len(self.heard_s)),
             self.fleet.interval_s,
         )
 
@@ -105,29 +141,42 @@
     Args:
         count: Number of instances.
         per_s: Limit of the target in requests per second.
-        trouble: What happens to the instances.
+        events: What happens to the instances.
         seed: Determines which instance sends when.
+        sending: When the instances send their status.
     """
 
-    def __init__(self, count: int, per_s: float, trouble: Trouble, seed: int):
+    def __init__(
+        self,
+        count: int,
+        per_s: float,
+        events: collections.abc.Iterable[Event],
+        seed: int,
+        sending: Sending = Sending.TOGETHER,
+    ):
         self.now_s = 1000.0
         self._start_s = self.now_s
         self._per_s = per_s
-        self._trouble = trouble
+        self._events = sorted(events, key=lambda event: event.at_s)
         self._rng = random.Random(seed)
         self.interval_s = max(1.0, 0.03 * count * 2 / 3)
+        self._sending = sending
         self._parts: dict[ids.InstanceId, int] = {}
         self.nodes: dict[ids.InstanceId, _Node] = {}
         for number in range(count):
             name = ids.InstanceId(f"i{number}")
             self.nodes[name] = _Node(self, name)
         self._rows = list(self.nodes.values())
-        self._frozen = self._rows[0]
-        if trouble is Trouble.HALF_OLD:
-            for node in self._rows[::2]:
-                node.gives_permits = False
+        # Instance that an event without numbers affects.
+        self._chosen: _Node | None = None
+        self._last_part = 0
         self._sent_s: list[float] = []
 
+    def make_old(self) -> None:
+        """Makes half of the instances run a release without permits."""
+        for node in self._rows[::2]:
+            node.gives_permits = False
+
     def run(self) -> Result:
         """Plays the model."""
         for node in self._rows:
@@ -138,8 +187,7 @@
         for tick in range(ticks):
             self.now_s += _TICK_S
             self._play(tick * _TICK_S)
-            if tick % max(1, int(self.interval_s / _TICK_S)) == 0:
-                self._exchange_status()
+            self._exchange_status(tick)
             if tick % _LOOK_TICKS == 0:
                 for node in self._rows:
                     if node.is_running:
@@ -148,37 +196,33 @@
         return self._result()
 
     def _play(self, since_s: float) -> None:
-        half = self._rows[: len(self._rows) // 2]
-        is_start = abs(since_s - _FAULT_S) < _TICK_S / 2
-        is_end = abs(since_s - _FAULT_END_S) < _TICK_S / 2
-        if self._trouble is Trouble.KILL_HALF:
-            if is_start:
-                for node in half:
-                    node.is_running = False
-            if abs(since_s - _FAULT_S - 2.0) < _TICK_S / 2:
-                for node in half:
-                    node.start()
-        elif self._trouble is Trouble.RESTART_ALL and is_start:
-            for node in self._rows:
+        """Applies the events whose time has come."""
+        while self._events and self._events[0].at_s <= since_s + _TICK_S / 2:
+            event = self._events.pop(0)
+            self._apply(event.action, self._affected(event))
+
+    def _affected(self, event: Event) -> "list[_Node]":
+        if event.instances is not None:
+            return [self._rows[number] for number in event.instances]
+        if self._chosen is None:
+            self._chosen = self._home()
+        return [self._chosen] if self._chosen is not None else []
+
+    def _apply(self, action: Action, rows: "list[_Node]") -> None:
+        if action is Action.HEAL:
+            self._parts = {}
+            return
+        self._last_part += 1
+        for node in rows:
+            if action is Action.START:
                 node.start()
-        elif self._trouble is Trouble.HALVES:
-            if is_start:
-                self._parts = {node.name: 1 for node in half}
-            if is_end:
-                self._parts = {}
-        elif self._trouble is Trouble.FREEZE_HOME:
-            home = self._home()
-            if is_start and home is not None:
-                self._frozen = home
-                home.is_running = False
-            if abs(since_s - _FAULT_S - 3.0) < _TICK_S / 2:
-                self._frozen.is_running = True
-        elif self._trouble is Trouble.CUT_HOME:
-            home = self._home()
-            if is_start and home is not None:
-                self._parts = {home.name: 1}
-            if is_end:
-                self._parts = {}
+            elif action is Action.START_LISTED:
+                node.start()
+                node.listed_count = len(self._rows)
+            elif action is Action.CUT:
+                self._parts[node.name] = self._last_part
+            else:
+                node.is_running = action is Action.WAKE
 
     def _home(self) -> "_Node | None":
         name = self._rows[-1].homes.home_of(_TARGET)
@@ -189,9 +233,15 @@
             return False
         return self._parts.get(one.name, 0) == self._parts.get(other.name, 0)
 
-    def _exchange_status(self) -> None:
-        for node in self._rows:
-            for other in self._rows:
+    def _exchange_status(self, tick: int) -> None:
+        period = max(1, int(self.interval_s / _TICK_S))
+        for number, other in enumerate(self._rows):
+            due = 0
+            if self._sending is Sending.SPREAD:
+                due = number * period // len(self._rows)
+            if tick % period != due:
+                continue
+            for node in self._rows:
                 if node is not other and self._hears(node, other):
                     node.heard_s[other.name] = self.now_s
 
@@ -246,7 +296,13 @@
         clocks.boot_s = system
 
 
-def play(count: int, per_s: float, trouble: Trouble, seed: int = 1) -> Result:
+def play(
+    count: int,
+    per_s: float,
+    trouble: Trouble,
+    seed: int = 1,
+    sending: Sending = Sending.TOGETHER,
+) -> Result:
     """Plays one model.
 
     Args:
@@ -254,7 +310,56 @@
         per_s: Limit of the target in requests per second.
         trouble: What happens to the instances.
         seed: Determines which instance sends when.
+        sending: When the instances send their status.
+    """
+    fleet = Fleet(count, per_s, _events_of(trouble, count), seed, sending)
+    if trouble is Trouble.HALF_OLD:
+        fleet.make_old()
+    with _model_clock(fleet):
+        return fleet.run()
+
+
+def play_events(
+    count: int,
+    per_s: float,
+    events: collections.abc.Iterable[Event],
+    seed: int = 1,
+) -> Result:
+    """Plays one model with any events, the status spread over its interval.
+
+    Args:
+        count: Number of instances.
+        per_s: Limit of the target in requests per second.
+        events: What happens to the instances.
+        seed: Determines which instance sends when.
     """
-    fleet = Fleet(count, per_s, trouble, seed)
+    fleet = Fleet(count, per_s, events, seed, Sending.SPREAD)
     with _model_clock(fleet):
         return fleet.run()
+
+
+def _events_of(trouble: Trouble, count: int) -> list[Event]:
+    half = list(range(count // 2))
+    if trouble is Trouble.KILL_HALF:
+        return [
+            Event(_FAULT_S, Action.KILL, half),
+            Event(_FAULT_S + 2.0, Action.START, half),
+        ]
+    if trouble is Trouble.RESTART_ALL:
+        return [Event(_FAULT_S, Action.START, list(range(count)))]
+    if trouble is Trouble.HALVES:
+        return [
+            Event(_FAULT_S, Action.CUT, half),
+            Event(_FAULT_END_S, Action.HEAL, []),
+        ]
+    if trouble is Trouble.FREEZE_HOME:
+        return [
+            Event(_FAULT_S, Action.FREEZE, None),
+            Event(_FAULT_S + 3.0, Action.WAKE, None),
+        ]
+    if trouble is Trouble.CUT_HOME:
+        return [
+            Event(_FAULT_S, Action.CUT, None),
+            Event(_FAULT_END_S, Action.HEAL, []),
+        ]
+    return []
