Permits accumulate at a low limit until an instance asks again

What binds is not the settling time, which is the same: the bucket of the home held one permit only, and refused instances ask again at their next request after the wait, so permits that came free before that were lost.

The bucket holds 1.6 permits and a tenth of a second of the limit, where it held half a second of it and one permit at least. At high limits the burst becomes smaller (5.6 instead of 20 at 40 a second), which leaves room for two homes that overlap.

`test_smaller_fleet_uses_a_small_limit`: failed before 2 of 2, now 0 of 2.

--- a/src/briarfall/gateway/permitgrants.py
+++ b/src/briarfall/gateway/permitgrants.py
@@ -13,8 +13,12 @@
 from briarfall.gateway import incarnations
 from briarfall.limits import buckets
 
-# Time in seconds for which unused permits accumulate.
-_BURST_S = 0.5
+# Time in seconds for which unused permits accumulate. Two homes may give out
+# permits for a while, so a burst that grows with the limit is short.
+_BURST_S = 0.1
+# Permits that accumulate beyond that. At a low limit seconds may pass until an
+# instance that may ask again has a request.
+_EXTRA_BURST = 1.6
 # A target whose limit is lower, or 0, still gets this many requests per second
 # from all instances together. Without them no response could tell that the
 # limit has ended.
@@ -120,6 +124,6 @@
 
 
 def _empty_bucket(rate: float, now_s: float) -> buckets.TokenBucket:
-    bucket = buckets.TokenBucket(rate, now_s, _BURST_S)
+    bucket = buckets.TokenBucket(rate, now_s, _BURST_S, _EXTRA_BURST)
     bucket.charge(bucket.capacity, now_s)
     return bucket
--- a/src/briarfall/limits/buckets.py
+++ b/src/briarfall/limits/buckets.py
@@ -10,11 +10,19 @@
         rate: Units per second.
         now: Monotonic time in seconds.
         burst_s: Seconds for which unused units accumulate.
+        extra: Units that accumulate beyond that, whatever the rate.
     """
 
-    def __init__(self, rate: float, now: float, burst_s: float = 1.0):
+    def __init__(
+        self,
+        rate: float,
+        now: float,
+        burst_s: float = 1.0,
+        extra: float = 0.0,
+    ):
         self._rate = rate
         self._burst_s = burst_s
+        self._extra = extra
         self._level = self.capacity
         self._updated_s = now
 
@@ -26,7 +34,7 @@
     @property
     def capacity(self) -> float:
         """Most units that accumulate."""
-        return max(_MIN_BURST, self._rate * self._burst_s)
+        return max(_MIN_BURST, self._rate * self._burst_s + self._extra)
 
     def set_rate(self, rate: float, now: float) -> None:
         """Changes the rate as of `now`."""
--- a/tests/test_gateway_permitfleet.py
+++ b/tests/test_gateway_permitfleet.py
@@ -10,6 +10,15 @@
 _ACTIONS = permitmodel.Action
 
 
+class TestUsedLimit:
+    """Most of a limit is used by a fleet of any size."""
+
+    @pytest.mark.parametrize("count", [15, 100])
+    def test_smaller_fleet_uses_a_small_limit(self, count):
+        result = permitmodel.play(count, 1.6, permitmodel.Trouble.NONE)
+        assert result.used >= 0.8
+
+
 class TestRuleInAnyTrouble:
     """Any order of events keeps the rule, as in the model's own troubles."""
 
