An instance writes its lost record again after a restore of the store

What callers saw: an instance that had announced itself shortly before the restore was missing from the store's list; instances that started later did not know it, and it took part in nothing with them.

Cause: the record is written once, at the start.

--- a/src/briarfall/platform/epochs.py
+++ b/src/briarfall/platform/epochs.py
@@ -63,7 +63,8 @@
             self.changes += 1
         logging.warning(
             "store restored from an older copy epoch=%d before=%d; positions "
-            "of the earlier epoch are dropped and topics are read again",
+            "of the earlier epoch are dropped, topics are read again and this "
+            "instance's records are written again",
             epoch,
             old,
         )
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -14,6 +14,8 @@
 from briarfall.platform import engines
 from briarfall.platform import epochs
 from briarfall.platform import headers
+from briarfall.platform import leasetopic
+from briarfall.platform import rewriting
 from briarfall.platform import settings
 from briarfall.platform import store
 from briarfall.platform import topics
@@ -42,12 +44,15 @@
         self.targets = topics.TargetTopic(
             new_client("target"), self.ignored_records
         )
-        self.lease = topics.LeaseTopic(
+        self.lease = leasetopic.LeaseTopic(
             new_client("lease"), self.ignored_records
         )
         self.instances = topics.InstanceTopic(
             new_client("instance"), self.ignored_records
         )
+        self.epochs.add_listener(
+            rewriting.Rewriter(self.instances.announce_again).request
+        )
         self.poison = topics.PoisonTopic(
             new_client("poison"), self.ignored_records
         )
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -10,7 +10,6 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import leasing
 from briarfall.gateway import recordchecks
 from briarfall.gateway import sources
 from briarfall.gateway import summary
@@ -24,12 +23,8 @@
 _MANIFEST_KEY = "config"
 _TARGETS_TOPIC = "keyed.servers"
 _INSTANCES_TOPIC = "keyed.briarfall-instances"
-_LEASE_TOPIC = "keyed.briarfall-lease"
 _POISON_TOPIC = "keyed.briarfall-poison"
-_LEASE_KEY = "placement"
-# Distance of the fencing numbers of two epochs, in grants. A restored store
-# has lost fewer grants than this.
-_FENCES_PER_EPOCH = 2**28
+_REWRITE_TIMEOUT_S = 1.0
 _Value = typing.TypeVar("_Value")
 _TARGET_STATES = {
     "ready": sources.TargetState.READY,
@@ -211,17 +206,36 @@
     ):
         self._store = client
         self._ignored = _ignored("instance record", counts)
+        # Record of this instance and its latest position in the store.
+        self._announced: sources.InstanceRecord | None = None
+        self._position: sources.LogPosition | None = None
 
     def announce(
         self, record: sources.InstanceRecord, timeout_s: float
     ) -> None:
         """Publishes the record of an instance."""
         value = msgspec.json.encode(record)
-        self._store.append(
+        position = self._store.append(
             _INSTANCES_TOPIC,
             store.keyed_record(record.id, value),
             timeout_s,
         )
+        self._announced = record
+        self._position = position
+
+    def announce_again(self) -> None:
+        """Publishes the record again if the store was restored since.
+
+        Raises:
+            LogUnavailableError: The store did not answer.
+        """
+        record = self._announced
+        if record is None:
+            return
+        if self._position.epoch == self._store.tracker.current:
+            return
+        self.announce(record, _REWRITE_TIMEOUT_S)
+        logging.info("announced again after the store's restore")
 
     def list_instances(self, timeout_s: float) -> list[sources.InstanceRecord]:
         """Returns all valid records."""
@@ -230,6 +244,8 @@
 
     def retract(self, instance: ids.InstanceId, timeout_s: float) -> None:
         """Removes the record of an instance."""
+        if self._announced is not None and self._announced.id == instance:
+            self._announced = None
         self._store.append(
             _INSTANCES_TOPIC, store.keyed_record(instance, b""), timeout_s
         )
@@ -314,93 +330,3 @@
         except exceptions.CatalogueError as exc:
             ignored.report(record, exc)
     return found
-
-
-class _Grant(msgspec.Struct):
-    holder: str
-    ttl_s: float
-
-
-_GRANT_DECODER = msgspec.json.Decoder(_Grant)
-# Holder and duration of a grant that can't be read. It may have been written
-# by an instance of another release, so it is given time to lapse.
-_UNKNOWN_GRANT = _Grant("unknown", leasing.LEASE_TTL_S)
-
-
-def _parse_grant(key: str, value: bytes) -> _Grant:
-    subject = f"lease {key}"
-    grant = decoding.decode(_GRANT_DECODER, value, subject)
-    recordchecks.check_instance_id(grant.holder, subject)
-    if not 0 < grant.ttl_s <= leasing.MAX_TTL_S:
-        raise exceptions.CatalogueError(
-            f"{subject}: ttl_s {grant.ttl_s} is not above 0 and up to "
-            f"{leasing.MAX_TTL_S:g}"
-        )
-    return grant
-
-
-def fencing_number(end: sources.LogPosition) -> int:
-    """Returns the fencing number of the grant that ends at a position.
-
-    It is higher than those of all earlier epochs, whatever grants the store
-    has lost, and needs no knowledge of them.
-    """
-    return end.epoch * _FENCES_PER_EPOCH + end.offset
-
-
-class LeaseTopic(sources.LeaseSource):
-    """The lease for placement.
-
-    Args:
-        client: Client of the store.
-        counts: Counts the grants that are ignored.
-    """
-
-    def __init__(
-        self,
-        client: store.StoreClient,
-        counts: summary.CallCounts | None = None,
-    ):
-        self._store = client
-        self._ignored = _ignored("lease grant", counts)
-
-    def read_grant(self, timeout_s: float) -> sources.LeaseGrant:
-        """Returns the newest grant, with an empty holder if there is none."""
-        records, end = self._store.newest(_LEASE_TOPIC, timeout_s)
-        for record in records:
-            if record.key != _LEASE_KEY:
-                continue
-            try:
-                grant = _parse_grant(record.key, record.value)
-            except exceptions.CatalogueError as exc:
-                self._ignored.report(record, exc)
-                grant = _UNKNOWN_GRANT
-            return sources.LeaseGrant(
-                ids.InstanceId(grant.holder),
-                fencing_number(end),
-                grant.ttl_s,
-                end,
-            )
-        return sources.LeaseGrant(
-            ids.InstanceId(""), fencing_number(end), 0.0, end
-        )
-
-    def try_acquire(
-        self,
-        holder: ids.InstanceId,
-        ttl_s: float,
-        end: sources.LogPosition,
-        timeout_s: float,
-    ) -> sources.LeaseGrant | None:
-        """Appends a grant if no instance has appended one since `end`."""
-        value = msgspec.json.encode(_Grant(holder, ttl_s))
-        position = self._store.append(
-            _LEASE_TOPIC,
-            store.keyed_record(_LEASE_KEY, value),
-            timeout_s,
-            at=end,
-        )
-        if position is None:
-            return None
-        after = sources.LogPosition(position.epoch, position.offset + 1)
-        return sources.LeaseGrant(holder, fencing_number(after), ttl_s, after)
--- a/tests/test_gateway_leases.py
+++ b/tests/test_gateway_leases.py
@@ -10,6 +10,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import leasing
 from briarfall.gateway import summary
+from briarfall.platform import leasetopic
 from briarfall.platform import store
 from briarfall.platform import topics
 from briarfall.standins.prepared import store as storestandin
@@ -28,7 +29,7 @@
 
 def new_lease(platform, name) -> leasing.Lease:
     client = store.StoreClient(platform.address, summary.CallCounts(), "test")
-    return leasing.Lease(topics.LeaseTopic(client), ids.InstanceId(name))
+    return leasing.Lease(leasetopic.LeaseTopic(client), ids.InstanceId(name))
 
 
 class TestFencingNumbers:
@@ -152,7 +153,7 @@
         first.refresh()
         copy = platform.snapshot()
         clock.now_s += _PAST_TTL_S
-        seen = topics.LeaseTopic(
+        seen = leasetopic.LeaseTopic(
             store.StoreClient(platform.address, summary.CallCounts(), "test")
         )
         grant = seen.read_grant(5.0)
--- a/tests/test_odd_decoders.py
+++ b/tests/test_odd_decoders.py
@@ -25,6 +25,7 @@
 from briarfall.pipelines import models
 from briarfall.platform import earlylisteners
 from briarfall.platform import engines
+from briarfall.platform import leasetopic
 from briarfall.platform import manifest
 from briarfall.platform import settings
 from briarfall.platform import store
@@ -100,7 +101,7 @@
         test_odd_records.poison_record(),
     ),
     "grant": (
-        lambda data: topics._parse_grant("placement", data),
+        lambda data: leasetopic._parse_grant("placement", data),
         test_odd_records.grant(),
     ),
     "manifest": (manifest.parse, json.dumps(testbed.manifest(2)).encode()),
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -11,6 +11,7 @@
 from briarfall.gateway import peers
 from briarfall.gateway import poisonpersistence
 from briarfall.gateway import sources
+from briarfall.platform import leasetopic
 from briarfall.platform import store
 from briarfall.platform import topics
 from briarfall.standins.prepared import testbed
@@ -204,7 +205,9 @@
     @pytest.mark.parametrize("name", ODD_GRANTS)
     def test_odd_grant_does_not_keep_the_lease_from_others(self, name, clock):
         listed = ListedStore({"placement": ODD_GRANTS[name]})
-        lease = leasing.Lease(topics.LeaseTopic(listed), ids.InstanceId("i1"))
+        lease = leasing.Lease(
+            leasetopic.LeaseTopic(listed), ids.InstanceId("i1")
+        )
         lease.refresh()
         assert not lease.is_held
         clock.now_s += leasing.LEASE_TTL_S + 0.1
@@ -213,7 +216,7 @@
 
     def test_odd_grant_may_still_be_in_force(self, clock):
         listed = ListedStore({"placement": b"?"})
-        topic = topics.LeaseTopic(listed)
+        topic = leasetopic.LeaseTopic(listed)
         found = topic.read_grant(1.0)
         assert found.holder
         assert found.ttl_s == leasing.LEASE_TTL_S
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,7 @@
 from briarfall.gateway import views
 from briarfall.platform import earlylisteners
 from briarfall.platform import headers
+from briarfall.platform import leasetopic
 from briarfall.platform import manifest
 from briarfall.platform import settings
 from briarfall.platform import store
@@ -287,7 +288,7 @@
 
     def test_only_one_of_two_instances_acquires_the_lease(self, scene):
         _, client = scene
-        lease = topics.LeaseTopic(client)
+        lease = leasetopic.LeaseTopic(client)
         grant = lease.read_grant(1.0)
         first = lease.try_acquire("i1", 3.0, grant.end, 1.0)
         assert first is not None
--- a/tests/test_platform_storecopies.py
+++ b/tests/test_platform_storecopies.py
@@ -10,8 +10,8 @@
 from briarfall.gateway import leasing
 from briarfall.gateway import sources
 from briarfall.gateway import summary
+from briarfall.platform import leasetopic
 from briarfall.platform import store
-from briarfall.platform import topics
 from briarfall.standins.prepared import rawhttp
 
 _TIMEOUT_S = 5.0
@@ -53,7 +53,7 @@
         newest = (200, b'{"items": [], "has_more": false, "end": 0}')
         server = copy_server(newest, (412, b'{"end": 7}'))
         lease = leasing.Lease(
-            topics.LeaseTopic(_store(server)), ids.InstanceId("i1")
+            leasetopic.LeaseTopic(_store(server)), ids.InstanceId("i1")
         )
         with pytest.raises(exceptions.LogUnavailableError):
             lease.refresh()
