--- a/src/briarfall/gateway/sources.py
+++ b/src/briarfall/gateway/sources.py
@@ -266,6 +266,11 @@
 class PoisonSource(abc.ABC):
     """Store that keeps poison requests while all instances are down."""
 
+    @property
+    def epoch(self) -> StoreEpoch:
+        """Epoch of the store; rises when it may have lost records."""
+        return StoreEpoch(0)
+
     @abc.abstractmethod
     def publish(self, record: PoisonRecord, timeout_s: float) -> None:
         """Stores a record, replacing an earlier one of the same request."""
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -287,6 +287,11 @@
         self._store = client
         self._ignored = _ignored("poison record", counts)
 
+    @property
+    def epoch(self) -> sources.StoreEpoch:
+        """Newest epoch of the store in any answer."""
+        return self._store.tracker.current
+
     def publish(self, record: sources.PoisonRecord, timeout_s: float) -> None:
         """Stores the record of a poison request."""
         value = msgspec.json.encode(record)
