--- a/tests/test_platform_epochs.py
+++ b/tests/test_platform_epochs.py
@@ -6,11 +6,16 @@
 import pytest
 
 from briarfall import exceptions
+from briarfall import ids
 from briarfall.gateway import catalogue
+from briarfall.gateway import crashes
+from briarfall.gateway import leasing
 from briarfall.gateway import metrics
+from briarfall.gateway import poisonpersistence
 from briarfall.gateway import sources
 from briarfall.gateway import summary
 from briarfall.platform import epochs
+from briarfall.platform import leasetopic
 from briarfall.platform import main
 from briarfall.platform import store
 from briarfall.platform import topics
@@ -184,6 +189,27 @@
             client.append("t", b"x", _TIMEOUT_S, at=end)
 
 
+class TestConditionalAppendOfAnEarlierEpoch:
+    def test_it_is_not_sent(self, platform):
+        client = new_client(platform.address)
+        _, end = client.newest("t", _TIMEOUT_S)
+        client.tracker.observe(b"2")
+        assert client.append("t", b"x", _TIMEOUT_S, at=end) is None
+        assert "log-append" not in platform.calls
+
+    def test_refusal_that_only_says_that_offsets_went_back_is_no_error(
+        self, platform
+    ):
+        client = new_client(platform.address)
+        copy = platform.snapshot()
+        client.append("t", b"x", _TIMEOUT_S)
+        _, end = client.newest("t", _TIMEOUT_S)
+        platform.restore(copy)
+        assert client.append("t", b"y", _TIMEOUT_S, at=end) is None
+        _, end = client.newest("t", _TIMEOUT_S)
+        assert client.append("t", b"y", _TIMEOUT_S, at=end) == end
+
+
 class TestCatalogueAfterARestore:
     def test_version_at_an_offset_given_out_again_is_not_skipped(
         self, platform
@@ -286,3 +312,30 @@
             follower.step()
             publish(platform, version)
         assert platform.calls == {"log-newest": 1, "log-read": 2}
+
+    def test_lease_is_renewed_with_one_call(self, platform, clock):
+        lease = leasing.Lease(
+            leasetopic.LeaseTopic(new_client(platform.address)),
+            ids.InstanceId("i1"),
+        )
+        for _ in range(4):
+            lease.refresh()
+            clock.now_s += 1.0
+        assert platform.calls == {"log-newest": 1, "log-append": 4}
+
+    def test_list_of_targets_is_read_with_one_call(self, platform):
+        topic = topics.TargetTopic(new_client(platform.address))
+        for _ in range(4):
+            topic.list_targets(_TIMEOUT_S)
+        assert platform.calls == {"log-newest": 4}
+
+    def test_poison_records_are_read_once(self, platform, clock, monkeypatch):
+        monkeypatch.setattr(poisonpersistence, "_QUEUE_TIMEOUT_S", 0.0)
+        persister = poisonpersistence.PoisonPersister(
+            topics.PoisonTopic(new_client(platform.address)),
+            crashes.CrashTable(),
+        )
+        for _ in range(4):
+            persister.step()
+            clock.now_s += 10.0
+        assert platform.calls == {"log-newest": 1}
