An instance that relies on peers notices a restore of the store

Cause: the epoch was learnt only from answers of the store. The holder of the lease, which calls the store each second, reports its fencing number to its peers; a number of a later epoch makes them look at the store once, spread over 5 s. Only the store's own answer changes the epoch, so that a wrong number costs one call.

rewriting.py became deferredcalls.py, since it now defers a read too. The source of the lease in test_odd_datagrams is an object that must not be asked, in place of None, since a reported number goes to it.

--- a/src/briarfall/gateway/leasing.py
+++ b/src/briarfall/gateway/leasing.py
@@ -61,6 +61,7 @@
             fence: Fencing number of the grant.
             until_s: Time on the boot clock at which it lapses.
         """
+        self._source.record_reported_fence(fence)
         longest_s = clocks.boot_s() + MAX_TTL_S
         self._expiry_by_fence = {fence: min(until_s, longest_s)}
         if fence > self.fence:
--- a/src/briarfall/gateway/sources.py
+++ b/src/briarfall/gateway/sources.py
@@ -199,6 +199,13 @@
 class LeaseSource(abc.ABC):
     """Store of the lease for one responsibility."""
 
+    def record_reported_fence(self, fence: int) -> None:
+        """Records the fencing number of a grant that a peer has reported.
+
+        A source whose store has no epochs ignores it.
+        """
+        del fence
+
     @abc.abstractmethod
     def read_grant(self, timeout_s: float) -> LeaseGrant:
         """Returns the newest grant."""
--- a/src/briarfall/platform/leasetopic.py
+++ b/src/briarfall/platform/leasetopic.py
@@ -1,5 +1,6 @@
 """Implements the placement lease on a topic of the store."""
 
+from absl import logging
 import msgspec
 
 from briarfall import decoding
@@ -9,11 +10,13 @@
 from briarfall.gateway import recordchecks
 from briarfall.gateway import sources
 from briarfall.gateway import summary
+from briarfall.platform import deferredcalls
 from briarfall.platform import ignoredrecords
 from briarfall.platform import store
 
 _TOPIC = "keyed.briarfall-lease"
 _KEY = "placement"
+_EPOCH_TIMEOUT_S = 1.0
 # Distance of the fencing numbers of two epochs, in grants. A restored store
 # has lost fewer grants than this.
 _FENCES_PER_EPOCH = 2**28
@@ -65,10 +68,34 @@
         counts: summary.CallCounts | None = None,
     ):
         self._store = client
+        self._look = deferredcalls.DeferredCall(self._read_epoch)
+        # Epoch of the last reported fencing number that was looked up.
+        self._looked_up = 0
         self._ignored = ignoredrecords.IgnoredRecords(
             "lease grant", counts or summary.CallCounts()
         )
 
+    def record_reported_fence(self, fence: int) -> None:
+        """Looks at the store if a peer has a grant of a later epoch.
+
+        An instance that relies on peers notices a restore by this. Only an
+        answer of the store itself changes the epoch.
+        """
+        epoch = fence // _FENCES_PER_EPOCH
+        if epoch <= self._store.tracker.current or epoch == self._looked_up:
+            return
+        self._looked_up = epoch
+        logging.info(
+            "peer has a grant of a later epoch, looking at the store fence=%d "
+            "epoch=%d",
+            fence,
+            self._store.tracker.current,
+        )
+        self._look.request()
+
+    def _read_epoch(self) -> None:
+        self._store.newest(_TOPIC, _EPOCH_TIMEOUT_S)
+
     def read_grant(self, timeout_s: float) -> sources.LeaseGrant:
         """Returns the newest grant, with an empty holder if there is none."""
         records, end = self._store.newest(_TOPIC, timeout_s)
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -10,12 +10,12 @@
 from briarfall.gateway import metrics
 from briarfall.gateway import settingswatcher
 from briarfall.gateway import summary
+from briarfall.platform import deferredcalls
 from briarfall.platform import earlylisteners
 from briarfall.platform import engines
 from briarfall.platform import epochs
 from briarfall.platform import headers
 from briarfall.platform import leasetopic
-from briarfall.platform import rewriting
 from briarfall.platform import settings
 from briarfall.platform import store
 from briarfall.platform import topics
@@ -51,7 +51,7 @@
             new_client("instance"), self.ignored_records
         )
         self.epochs.add_listener(
-            rewriting.Rewriter(self.instances.announce_again).request
+            deferredcalls.DeferredCall(self.instances.announce_again).request
         )
         self.poison = topics.PoisonTopic(
             new_client("poison"), self.ignored_records
--- a/tests/test_odd_datagrams.py
+++ b/tests/test_odd_datagrams.py
@@ -243,10 +243,17 @@
         assert (load.streams, load.tokens) == (0, 0)
 
 
+class _SilentSource(sources.LeaseSource):
+    """Store of a lease that must not be asked."""
+
+    read_grant = None
+    try_acquire = None
+
+
 class TestLease:
     @pytest.mark.parametrize("left_s", [2**63 / 1000, 1e9, float("inf")])
     def test_lease_that_a_peer_reports_lapses(self, clock, left_s):
-        lease = leasing.Lease(None, ids.InstanceId("i1"))
+        lease = leasing.Lease(_SilentSource(), ids.InstanceId("i1"))
         lease.record_other_holder(3, clock.now_s + left_s)
         assert lease.is_held_elsewhere
         clock.now_s += 61.0
--- a/tests/test_platform_rewriting.py
+++ b/tests/test_platform_rewriting.py
@@ -9,8 +9,9 @@
 from briarfall.gateway import sources
 from briarfall.gateway import summary
 from briarfall.gateway import workers
+from briarfall.platform import deferredcalls
 from briarfall.platform import epochs
-from briarfall.platform import rewriting
+from briarfall.platform import leasetopic
 from briarfall.platform import store
 from briarfall.platform import topics
 from briarfall.standins.prepared import store as storestandin
@@ -37,11 +38,13 @@
     @pytest.fixture
     def topic(self, platform, monkeypatch):
         """The topic of an instance that notices restores by `look`."""
-        monkeypatch.setattr(rewriting, "_SPREAD_S", 0.0)
+        monkeypatch.setattr(deferredcalls, "_SPREAD_S", 0.0)
         tracker = epochs.EpochTracker()
         client = new_client(platform, tracker)
         found = topics.InstanceTopic(client)
-        tracker.add_listener(rewriting.Rewriter(found.announce_again).request)
+        tracker.add_listener(
+            deferredcalls.DeferredCall(found.announce_again).request
+        )
         found.look = lambda: client.newest("t", _TIMEOUT_S)
         return found
 
@@ -122,9 +125,51 @@
         assert len(errors) == 1
 
 
+class TestReportedFence:
+    @pytest.fixture
+    def client(self, platform, monkeypatch):
+        """A client that has seen the first epoch."""
+        monkeypatch.setattr(deferredcalls, "_SPREAD_S", 0.0)
+        found = new_client(platform)
+        found.newest("t", _TIMEOUT_S)
+        return found
+
+    def test_fence_of_a_later_epoch_is_looked_up(self, platform, client):
+        topic = leasetopic.LeaseTopic(client)
+        platform.restore(platform.snapshot())
+        topic.record_reported_fence(2 * 2**28 + 5)
+        testbed.until(lambda: client.tracker.current == 2, "it is noticed")
+
+    def test_wrong_fence_costs_one_call_and_changes_no_epoch(
+        self, platform, client
+    ):
+        topic = leasetopic.LeaseTopic(client)
+        for _ in range(3):
+            topic.record_reported_fence(2**60)
+        testbed.until(
+            lambda: platform.calls["log-newest"] == 2, "it is looked up"
+        )
+        assert client.newest("t", _TIMEOUT_S)[1].epoch == 1
+        assert platform.calls["log-newest"] == 3
+
+    @pytest.mark.parametrize("fence", [0, 7, 2**28 + 7, -1])
+    def test_fence_of_this_epoch_costs_no_call(self, platform, client, fence):
+        topic = leasetopic.LeaseTopic(client)
+        topic.record_reported_fence(fence)
+        assert topic._look._is_running is False
+
+
+def makes_no_calls(follower, holder) -> bool:
+    """Whether an instance leaves the store alone over three renewals."""
+    before = follower._platform.store_calls.snapshot()
+    fence = holder.lease.fence
+    testbed.until(lambda: holder.lease.fence >= fence + 3, "it is renewed")
+    return follower._platform.store_calls.snapshot() == before
+
+
 class TestInstanceAfterARestore:
     def test_instance_notices_it_and_is_listed_again(self, monkeypatch):
-        monkeypatch.setattr(rewriting, "_SPREAD_S", 0.0)
+        monkeypatch.setattr(deferredcalls, "_SPREAD_S", 0.0)
         with testbed.world() as scene:
             before = scene.store.snapshot()
             inst = scene.instance()
@@ -135,6 +180,22 @@
             )
             assert inst.is_ready
 
+    def test_instance_that_relies_on_peers_notices_it(self, monkeypatch):
+        monkeypatch.setattr(deferredcalls, "_SPREAD_S", 0.0)
+        with testbed.world() as scene:
+            before = scene.store.snapshot()
+            holder = scene.instance("i1")
+            testbed.until(lambda: holder.lease.is_held, "i1 has the lease")
+            follower = scene.instance("i2")
+            testbed.until(
+                lambda: makes_no_calls(follower, holder), "i2 relies on i1"
+            )
+            scene.store.restore(before)
+            testbed.until(
+                lambda: set(scene.store.keys(_INSTANCES)) == {"i1", "i2"},
+                "both are back",
+            )
+
     def test_holder_of_the_lease_gets_it_again(self):
         with testbed.world() as scene:
             before = scene.store.snapshot()
