--- a/src/briarfall/gateway/sources.py
+++ b/src/briarfall/gateway/sources.py
@@ -199,6 +199,13 @@
 class LeaseSource(abc.ABC):
     """Store of the lease for one responsibility."""
 
+    def record_reported_fence(self, fence: int) -> None:
+        """Records the fencing number of a grant that a peer has reported.
+
+        A source whose store has no epochs ignores it.
+        """
+        del fence
+
     @abc.abstractmethod
     def read_grant(self, timeout_s: float) -> LeaseGrant:
         """Returns the newest grant."""
@@ -266,6 +273,11 @@
 class PoisonSource(abc.ABC):
     """Store that keeps poison requests while all instances are down."""
 
+    @property
+    def epoch(self) -> StoreEpoch:
+        """Epoch of the store; rises when it may have lost records."""
+        return StoreEpoch(0)
+
     @abc.abstractmethod
     def publish(self, record: PoisonRecord, timeout_s: float) -> None:
         """Stores a record, replacing an earlier one of the same request."""
