Test double of the store: an epoch tracker

tests/test_odd_records.py failed from (TestPoisonRecords): PoisonTopic asks its client for the epoch, and the double had no tracker. The checks are unchanged.

--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -11,6 +11,7 @@
 from briarfall.gateway import peers
 from briarfall.gateway import poisonpersistence
 from briarfall.gateway import sources
+from briarfall.platform import epochs
 from briarfall.platform import leasetopic
 from briarfall.platform import store
 from briarfall.platform import topics
@@ -38,6 +39,7 @@
     def __init__(self, records):
         self.records = records
         self.appended = []
+        self.tracker = epochs.EpochTracker()
 
     def newest(self, topic, timeout_s):
         rows = []
