--- a/src/briarfall/gateway/config.py
+++ b/src/briarfall/gateway/config.py
@@ -32,6 +32,7 @@
             instances.
         retry_window_s: Time window over which that share is counted.
         retry_slack: Retries per window that are allowed beyond the share.
+        is_first_start: Whether the whole system starts for the first time.
     """
 
     instance: ids.InstanceId
@@ -49,6 +50,7 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
+    is_first_start: bool = True
 
 
 def check(cfg: GatewaySettings) -> None:
--- a/src/briarfall/gateway/instance.py
+++ b/src/briarfall/gateway/instance.py
@@ -185,6 +185,7 @@
             cfg.retry_window_s,
             cfg.retry_slack,
             lambda: self.peers.instance_count,
+            is_first_start=cfg.is_first_start,
         )
         dispatch_gate = dispatchgate.DispatchGate(
             self.budget, self.crashes, self.permits
--- a/src/briarfall/platform/settings.py
+++ b/src/briarfall/platform/settings.py
@@ -1,5 +1,7 @@
 """Decodes the platform's settings file into the gateway's settings."""
 
+import typing
+
 import msgspec
 
 from briarfall import addresses
@@ -70,6 +72,9 @@
     heartbeat_ms: float = 1200
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # False once the whole system has started before. Files without a truth
+    # value count as a first start.
+    bootstrap: typing.Any = True
 
 
 def parse(data: bytes) -> config.GatewaySettings:
@@ -113,6 +118,7 @@
         retry_ratio=bounds.retry_ratio,
         retry_window_s=bounds.retry_window_s,
         retry_slack=bounds.retry_slack,
+        is_first_start=raw.bootstrap is not False,
     )
     config.check(cfg)
     return cfg
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -405,8 +405,8 @@
         net.cut(network.Cut.HANG, [desk])
         _serves_again(cut)
         assert _statuses(cut) == [200] * _FIRST_ATTEMPTS
-        assert len(peer.budget._requests) == 0
-        assert len(cut.budget._requests) >= _FIRST_ATTEMPTS
+        assert peer.budget.requests == 0
+        assert cut.budget.requests >= _FIRST_ATTEMPTS
 
 
 class TestPeerWithoutStatus:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -49,6 +49,20 @@
         cfg = settings.parse(settings_file(bounds={"strict_revoke": False}))
         assert cfg.key_ttl_s == 0.0
 
+    @pytest.mark.parametrize(
+        ("changes", "is_first"),
+        [
+            ({"bootstrap": False}, False),
+            ({"bootstrap": True}, True),
+            ({"bootstrap": None}, True),
+            ({"bootstrap": {"odd": 1}}, True),
+            ({}, True),
+        ],
+    )
+    def test_only_a_later_start_is_no_first_start(self, changes, is_first):
+        cfg = settings.parse(settings_file(**changes))
+        assert cfg.is_first_start is is_first
+
     @pytest.mark.parametrize(
         "changes",
         [
