A new home of a limited target gives out a part of its permits after 0.5 s

Cause, of the hypotheses settling, waits, known members, pacing and expired permits: settling. A freeze or restart of the home starts the wait again.

Now a home gives out 0.45 of the limit and 0.2 requests a second after 0.5 s, and all of it after one status interval and 0.5 s (2 s at least), by when its status has reached an earlier home. Why the rule holds: one earlier home in full and a new one stay below 6 times the limit and 5 requests in 4 s, bursts included. An instance that knows no other one, and so may have just started, gives nothing before it has settled. The part for known members is the least of the time that is looked at: halves that hear each other again no longer both rise to the whole limit before one home has learned of the other.

--- a/src/briarfall/bench/permitmodel.py
+++ b/src/briarfall/bench/permitmodel.py
@@ -129,10 +129,11 @@
 
     def request(self, per_s: float) -> permitgrants.Grant:
         """Answers a request for a permit."""
-        if not self.homes.is_settled(_TARGET):
+        rate = self.homes.rate(_TARGET, per_s)
+        if rate is None:
             self.book.forget(_TARGET)
             return permitgrants.Grant(False, _NO_HOME_WAIT_S)
-        return self.book.request(_TARGET, per_s * self.homes.share)
+        return self.book.request(_TARGET, rate)
 
 
 class Fleet:
--- a/src/briarfall/gateway/permithomes.py
+++ b/src/briarfall/gateway/permithomes.py
@@ -2,9 +2,11 @@
 
 Each limited target has a home instance, which rendezvous hashing chooses among
 the live instances, so that all that know the same members choose the same one.
-Views of the members differ for a while after each change. A home therefore
-gives out permits only once it has been the home for some time in its own view,
-by when an earlier home has learned of the change or has ended.
+Views of the members differ for a while after each change, so an earlier home
+may still give out permits in full. A new home gives out a part of them soon,
+with which both stay below one and a half times the limit together, and all of
+them once an earlier home has learned of the change or has ended. Members that
+a home learns of count as late as that, too.
 """
 
 import collections
@@ -21,10 +23,20 @@
 # An instance that did not look at its members for this long was suspended, and
 # regards them as new.
 _MAX_PAUSE_S = 1.0
-# Time for which an instance has to be the home before it gives out permits, at
-# least, and in status intervals.
+# Time for which an instance has to be the home before it gives out the first
+# part of the permits.
+_FIRST_SETTLING_S = 0.5
+# The first part, and permits per second beyond it. An earlier home gives out
+# all permits at the same time. Both stay below 6 times the limit and 5 requests
+# in 4 s, with a burst of a tenth of a second and 1.6 permits each.
+_FIRST_PART = 0.45
+_FIRST_EXTRA_PER_S = 0.2
+# Time for which an instance has to be the home before it gives out all permits:
+# the status reaches an earlier home within an interval, the ticks that send and
+# apply it included.
 _MIN_SETTLING_S = 2.0
-_SETTLING_INTERVALS = 1.5
+_SETTLING_INTERVALS = 1.0
+_TICKS_S = 0.5
 # An instance that sees only a part of the known instances gives out the same
 # part of the permits, and this factor more. Two halves of a fleet that don't
 # see each other stay within one and a half times the limit together.
@@ -99,31 +111,67 @@
             return _home_in(self._periods[-1], incarnation)
 
     def is_settled(self, incarnation: incarnations.Incarnation) -> bool:
-        """Whether this instance has been the home of a target long enough."""
+        """Whether this instance gives out permits for a target."""
+        return self.rate(incarnation, 1.0) is not None
+
+    def rate(
+        self, incarnation: incarnations.Incarnation, per_s: float
+    ) -> float | None:
+        """Returns the permits per second that may be given out.
+
+        It is None if this instance is not the home of the target, or not yet.
+
+        Args:
+            incarnation: The target.
+            per_s: The limit of the target in requests per second.
+        """
         now_s = clocks.boot_s()
         with self._lock:
             if now_s - self._looked_s > _MAX_PAUSE_S or not self._periods:
-                return False
+                return None
             self._drop_old(now_s)
-            if self._periods[0].since_s > now_s - self._settling_s:
-                return False
-            return all(
-                _home_in(period, incarnation) == self._instance
-                for period in self._periods
-            )
-
-    @property
-    def share(self) -> float:
-        """Part of a limit that the live instances may use, from 0 to 1."""
-        with self._lock:
-            members = self._members
-        part = len(members.live) / max(1, members.known)
+            first_s = now_s - _FIRST_SETTLING_S
+            first = 0.0
+            # An instance that knows no other one may have just started.
+            if self._fewest_live(first_s) > 1:
+                first = self._part_since(first_s, incarnation)
+            settled = self._part_since(now_s - self._settling_s, incarnation)
+        if not first and not settled:
+            return None
+        first_per_s = per_s * _FIRST_PART + _FIRST_EXTRA_PER_S
+        return max(first * min(per_s, first_per_s), settled * per_s)
+
+    def _fewest_live(self, start_s: float) -> int:
+        """Returns the fewest members that were live at once since a time."""
+        counts = [len(period.live) for period in self._periods_since(start_s)]
+        return min(counts, default=0)
+
+    def _part_since(
+        self, start_s: float, incarnation: incarnations.Incarnation
+    ) -> float:
+        """Returns the part that the members since a time allow.
+
+        It is 0 unless this instance was the home all the time.
+        """
+        for period in self._periods_since(start_s):
+            if _home_in(period, incarnation) != self._instance:
+                return 0.0
+        part = self._fewest_live(start_s) / max(1, self._members.known)
         return min(1.0, part * _PART_FACTOR)
 
+    def _periods_since(self, start_s: float) -> list[_Period]:
+        """Returns the periods since a time; none if it is before the first."""
+        found = []
+        for period in reversed(self._periods):
+            found.append(period)
+            if period.since_s <= start_s:
+                return found
+        return []
+
     @property
     def _settling_s(self) -> float:
-        interval_s = self._members.interval_s
-        return max(_MIN_SETTLING_S, interval_s * _SETTLING_INTERVALS)
+        status_s = self._members.interval_s * _SETTLING_INTERVALS
+        return max(_MIN_SETTLING_S, status_s + _TICKS_S)
 
     def _drop_old(self, now_s: float) -> None:
         """Drops periods that ended before the settling time began."""
--- a/src/briarfall/gateway/permits.py
+++ b/src/briarfall/gateway/permits.py
@@ -203,10 +203,11 @@
         per_s: float,
     ) -> permitgrants.Grant:
         """Gives out a permit if this instance is the home of a target."""
-        if not self._homes.is_settled(incarnation):
+        rate = self._homes.rate(incarnation, per_s)
+        if rate is None:
             self._book.forget(incarnation)
             return permitgrants.Grant(False, _NO_HOME_WAIT_S)
-        return self._book.request(incarnation, per_s * self._homes.share)
+        return self._book.request(incarnation, rate)
 
     def record_others(
         self, started: collections.abc.Mapping[ids.TargetId, int]
