All silent runs of a stream are kept until one of them goes on

A stream whose engines fell silent one after the other was out of time though the first engine went on: when a second run fell silent, the first was closed. And a run that was read second was closed as soon as the other one had sent a byte; if that was no whole event, the request ran at the same engine once more.

Cause: break before make; only the newest suspended run was kept.

All suspended runs are kept and watched. Whichever sends first is followed, and its first event closes the others. A run that another one has only overtaken is suspended as well, goes on before a further chain is tried, and counts towards the route's bound on runs, as it may have run.

--- a/src/briarfall/gateway/relayexchanges.py
+++ b/src/briarfall/gateway/relayexchanges.py
@@ -147,9 +147,8 @@
     def suspended_connections(
         self,
     ) -> list[targetconnection.TargetConnection]:
-        """Connection of the stream's suspended run."""
-        run = self._stream.suspended
-        return [] if run is None else [run.conn]
+        """Connections of the stream's suspended runs."""
+        return self._stream.suspended_connections
 
     @property
     def used_runs(self) -> int:
--- a/src/briarfall/gateway/runfollowing.py
+++ b/src/briarfall/gateway/runfollowing.py
@@ -83,19 +83,20 @@
             if stream.chain_first_event_s:
                 self._gate.record_survived(stream.call)
         except rerouting.UnresponsiveEngineError:
-            self.close_suspended(stream)
             stream.suspend(run)
             raise
+        except targetconnection.OtherConnectionReadyError:
+            stream.suspend(run, is_overtaken=True)
+            raise
         finally:
-            if stream.suspended is not run:
+            if not stream.is_suspended(run):
                 self._close_run(stream, run)
 
     def _send(
         self, stream: streamstate.Stream, run: streamstate.ChainRun
     ) -> None:
         call = stream.call
-        suspended = stream.suspended
-        run.conn.watch(call.watch, [suspended.conn] if suspended else ())
+        run.conn.watch(call.watch, stream.suspended_connections)
         run.sent_s = clocks.boot_s()
         run.conn.send(
             call.req.method,
@@ -142,17 +143,14 @@
             )
 
     def close_suspended(self, stream: streamstate.Stream) -> None:
-        """Closes the suspended run, which another one has replaced."""
-        run = stream.suspended
-        if run is None:
-            return
-        stream.suspended = None
-        self._close_run(stream, run)
+        """Closes the suspended runs, which another one has replaced."""
+        while stream.suspended:
+            self._close_run(stream, stream.suspended.pop())
 
     def _drop_suspended(
         self, stream: streamstate.Stream, run: streamstate.ChainRun
     ) -> None:
-        """Closes the suspended run; only the current one is followed."""
+        """Closes the suspended runs; only the current one is followed."""
         self.close_suspended(stream)
         run.conn.watch(stream.call.watch)
 
@@ -189,7 +187,7 @@
     ) -> None:
         """Passes an engine's error response on to the caller."""
         body = conn.read_body(stream.call.deadline_s, _MAX_ERROR_BODY_BYTES)
-        if stream.response_started or stream.suspended is not None:
+        if stream.response_started or stream.suspended:
             raise targetconnection.BrokenExchangeError(
                 f"{conn.address}: resumed with status {response.status}",
                 saw_response=True,
@@ -290,7 +288,7 @@
                 run.reroute_attempts,
                 run.chain.describe(),
             )
-        if stream.suspended is not None:
+        if stream.suspended:
             self._drop_suspended(stream, run)
         self._rerouter.record_progress(run.chain, now_s)
         if stream.excluded:
@@ -299,26 +297,6 @@
         run.postponed = 0
         run.next_check_s = now_s + stream.stall_timeout_s
 
-    def _wait(
-        self,
-        stream: streamstate.Stream,
-        run: streamstate.ChainRun,
-        until_s: float,
-    ) -> bool:
-        """Waits for bytes of a run, or of the suspended one.
-
-        Raises:
-            OtherConnectionReadyError: The suspended run goes on.
-        """
-        try:
-            return run.conn.wait(until_s)
-        except targetconnection.OtherConnectionReadyError:
-            if stream.suspended.conn.has_data:
-                raise
-        # Its connection was closed.
-        self._drop_suspended(stream, run)
-        return run.conn.wait(until_s)
-
     def _await_bytes(
         self, stream: streamstate.Stream, run: streamstate.ChainRun
     ) -> None:
@@ -326,7 +304,7 @@
         deadline_s = stream.call.deadline_s
         while True:
             until_s = min(deadline_s, run.next_check_s)
-            if self._wait(stream, run, until_s):
+            if run.conn.wait(until_s):
                 run.conn.check_deadline(deadline_s)
                 return
             if clocks.boot_s() >= deadline_s:
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/streams.py
@@ -34,8 +34,8 @@
 from briarfall.gateway import targetstate
 
 _MAX_IDLE_S = 30.0
-# Longest wait for a connection while the stream has a suspended run, whose
-# bytes and whose caller are not looked at meanwhile.
+# Longest wait for a connection while the stream has suspended runs, whose bytes
+# and whose caller are not looked at meanwhile.
 _MOVE_CONNECT_TIMEOUT_S = 0.1
 # A request that states more tokens counts as one that states none.
 _MAX_TOKENS = 10**9
@@ -151,7 +151,7 @@
             return self._relay_to_peer(stream)
         if run is None:
             run = stream.resume()
-            run.conn.watch(stream.call.watch)
+            run.conn.watch(stream.call.watch, stream.suspended_connections)
             logging.info(
                 "stream stays on its chain, no other takes it request=%s "
                 "last_event=%s chain=%s",
@@ -193,25 +193,25 @@
         except targetconnection.CallerGoneError:
             raise
         except exceptions.BriarfallError:
-            if stream.suspended is None:
+            if not stream.suspended:
                 raise
-        # The suspended run goes on.
+        # A suspended run goes on.
         stream.call.has_no_peer = True
         return False
 
     def _choose_run(
         self, stream: streamstate.Stream
     ) -> streamstate.ChainRun | None:
-        """Returns the next run; None if the suspended run has to go on.
+        """Returns the next run; None if a suspended run has to go on.
 
         Raises:
             CutOffError: A peer may run the stream.
             BriarfallError: No chain may run the stream, and none is suspended.
         """
         while True:
-            if stream.suspended is not None:
+            if stream.suspended:
                 stream.call.watch.pause(0.0)
-                if stream.suspended.conn.has_data:
+                if stream.has_live_run:
                     return None
             chain = self._choose_chain(stream)
             if chain is None:
@@ -236,15 +236,15 @@
                     stream, chain.head.target, exc.message
                 )
             except exceptions.BriarfallError as exc:
-                if stream.suspended is not None:
+                if stream.suspended:
                     return None
                 if isinstance(exc, exceptions.RetryBudgetError):
                     raise stream.abandon_error(exc.message) from exc
                 raise
 
     def _choose_chain(self, stream: streamstate.Stream) -> paths.Chain | None:
-        """Returns the next chain; None if the suspended run has to go on."""
-        if stream.suspended is None:
+        """Returns the next chain; None if a suspended run has to go on."""
+        if not stream.suspended:
             return self._search.wait_for_chain(stream)
         chain = self._search.find_replacement(stream)
         if chain is None and self._search.needs_peer(stream):
@@ -309,7 +309,7 @@
         call = stream.call
         permit = self._gate.admit(call, target)
         timeout_s = call.left_s
-        if stream.suspended is not None:
+        if stream.suspended:
             timeout_s = min(timeout_s, _MOVE_CONNECT_TIMEOUT_S)
         conn = self._pool.acquire(
             chain.head.address,
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/streamstate.py
@@ -56,8 +56,8 @@
         refusals: Number of refusals of this stream by each engine.
         avoided_until_s: Time on the boot clock until which each engine that
             refused this stream is avoided.
-        suspended: Run whose engines may have failed, though its connection is
-            open. It goes on if no other chain answers.
+        suspended: Runs whose engines may have failed, though their connections
+            are open. Whichever sends first goes on.
     """
 
     call: calls.Call
@@ -77,7 +77,7 @@
     avoided_until_s: dict[ids.TargetId, float] = msgspec.field(
         default_factory=dict
     )
-    suspended: "ChainRun | None" = None
+    suspended: "list[ChainRun]" = msgspec.field(default_factory=list)
 
     @property
     def allowed_heads(self) -> frozenset[ids.TargetId] | None:
@@ -162,15 +162,54 @@
             retry_after_s=retry_after_s,
         )
 
-    def suspend(self, run: "ChainRun") -> None:
-        """Keeps a run whose engines may have failed while others are tried."""
+    @property
+    def suspended_connections(
+        self,
+    ) -> list[targetconnection.TargetConnection]:
+        """Connections of the suspended runs."""
+        return [run.conn for run in self.suspended]
+
+    @property
+    def has_live_run(self) -> bool:
+        """Whether a suspended run has sent something or was only overtaken."""
+        return any(
+            run.is_overtaken or run.conn.has_data for run in self.suspended
+        )
+
+    def is_suspended(self, run: "ChainRun") -> bool:
+        """Whether a run is suspended."""
+        return any(suspended is run for suspended in self.suspended)
+
+    def suspend(self, run: "ChainRun", *, is_overtaken: bool = False) -> None:
+        """Keeps a run while others are tried or followed.
+
+        It counts towards the route's bound on runs.
+
+        Args:
+            run: The run.
+            is_overtaken: Whether another run can be read, so that this one need
+                not be silent.
+        """
+        run.is_overtaken = is_overtaken
         run.first_event_s = self.chain_first_event_s
-        self.suspended = run
+        self.heads.add(run.chain.head.target)
+        self.suspended.append(run)
 
     def resume(self) -> "ChainRun":
-        """Returns the suspended run, which is the current one again."""
-        run = self.suspended
-        self.suspended = None
+        """Returns a suspended run, which is the current one again.
+
+        It is the first that has sent something, or else one that was only
+        overtaken, or else the newest.
+        """
+        index = len(self.suspended) - 1
+        for position, run in enumerate(self.suspended):
+            if run.is_overtaken:
+                index = position
+        for position, run in enumerate(self.suspended):
+            if run.conn.has_data:
+                index = position
+                break
+        run = self.suspended.pop(index)
         self.chain_first_event_s = run.first_event_s
         run.next_check_s = clocks.boot_s() + self.stall_timeout_s
         return run
@@ -221,6 +260,8 @@
         splitter: Splits the body into events.
         first_event_s: Time on the boot clock of its first event, or 0; set when
             the run is suspended.
+        is_overtaken: Whether it was suspended because another run could be
+            read.
         stall_checks: Liveness checks since the last event.
         reroute_attempts: How often rerouting was attempted in this run.
         postponed: Liveness checks postponed since the last event.
@@ -238,6 +279,7 @@
         default_factory=events.EventSplitter
     )
     first_event_s: float = 0.0
+    is_overtaken: bool = False
     stall_checks: int = 0
     reroute_attempts: int = 0
     postponed: int = 0
--- a/tests/test_gateway_suspendedruns.py
+++ b/tests/test_gateway_suspendedruns.py
@@ -105,6 +105,104 @@
         assert tried.count(True) <= 1
 
 
+class _Series:
+    """A stream whose engines fall silent one after the other."""
+
+    def __init__(self, world, monkeypatch, count=3):
+        self.sent = []
+        start = dispatchgate.DispatchGate.start_attempt
+
+        def record(gate, call, target, *args):
+            start(gate, call, target, *args)
+            self.sent.append(target.id)
+
+        monkeypatch.setattr(dispatchgate.DispatchGate, "start_attempt", record)
+        self.draft = _Draft(world, count, attempts=4)
+        for engine in self.draft.others:
+            engine.fall_silent()
+        self.draft.silence_first()
+        testbed.until(lambda: len(self.sent) == count, "all engines are asked")
+        by_id = {engine.id: engine for engine in self.draft.pool.engines}
+        self.rows = [by_id[name] for name in self.sent]
+
+    def finish(self):
+        self.draft.check_complete()
+        for engine in self.rows:
+            engine.speak()
+        testbed.until(
+            lambda: not self.draft.pool.inst.loads.own(),
+            "no engine has a load",
+        )
+
+
+class TestSeries:
+    @pytest.mark.parametrize("index", [0, 1, 2])
+    def test_stream_goes_on_with_any_of_three_silent_engines(
+        self, world, monkeypatch, index
+    ):
+        series = _Series(world, monkeypatch)
+        series.rows[index].speak()
+        series.finish()
+
+    @pytest.mark.parametrize("index", [0, 1])
+    def test_stream_goes_on_though_the_newest_engine_crashes(
+        self, world, monkeypatch, index
+    ):
+        series = _Series(world, monkeypatch)
+        series.rows[2].close()
+        wait(0.5)
+        series.rows[index].speak()
+        series.finish()
+
+    @pytest.mark.parametrize("index", [0, 1])
+    def test_stream_goes_on_though_a_suspended_run_breaks(
+        self, world, monkeypatch, index
+    ):
+        series = _Series(world, monkeypatch)
+        series.rows[1 - index].close()
+        wait(0.5)
+        series.rows[index].speak()
+        series.finish()
+
+
+class TestOvertakenRun:
+    def test_stream_goes_on_with_it_if_the_other_sends_no_whole_event(
+        self, world, monkeypatch
+    ):
+        pool = silence.Pool(world, 2)
+        rows = []
+        goes_on = [threading.Event(), threading.Event()]
+        for event in goes_on:
+            world.on_close(event.set)
+        generate = engines.EngineStandin._generate_events
+
+        def begin(engine, conn, *args):
+            rows.append(engine)
+            if len(rows) > 1:
+                goes_on[1].wait(testbed.WAIT_S)
+                return generate(engine, conn, *args)
+            for number in (1, 2, 3):
+                conn.send_chunk(b"id: %d\ndata: x\n\n" % number)
+            engine.refuse_connections()
+            goes_on[0].wait(testbed.WAIT_S)
+            conn.send_chunk(b"id: 4\n")
+            goes_on[1].wait(testbed.WAIT_S)
+            wait()
+            return False
+
+        monkeypatch.setattr(engines.EngineStandin, "_generate_events", begin)
+        pool.release()
+        caller = silence.draft(pool.inst)
+        testbed.until(lambda: len(rows) == 2, "the second engine is asked")
+        goes_on[0].set()
+        wait()
+        goes_on[1].set()
+        answer = caller.finish()
+        assert answer.error is None
+        assert testbed.event_ids(answer.body) == silence.EVENTS
+        assert len(rows) == 2
+
+
 class TestPeer:
     @pytest.fixture
     def draft(self, world):
