An engine that left the list is checked like any other before a stream moves

A stream whose engine had left the list and paused between two events was sent to a second engine at the first check, though the first one took connections, answered queries and went on: a second run for nothing, which counts towards the route's bound on runs. No stream was cut by it.

Cause: an engine without an entry counted as failed without a look at it.

It is now connected to, and its head is asked, as for listed engines. One that has ended still counts as failed at the first check, since it refuses the connection.

Evidence: TestLeftEntry in tests/test_gateway_silence.py: of the two cases the one that leaves the list failed on (2 runs in place of 1), the one that stays listed passed; both pass now.

--- a/src/briarfall/gateway/rerouting.py
+++ b/src/briarfall/gateway/rerouting.py
@@ -248,11 +248,15 @@
     def _known_failed(
         self, suspects: list[paths.Stage], last_event_s: float
     ) -> dict[paths.Stage, liveness.Reachability]:
-        """Returns suspects that failed other requests since the last event."""
+        """Returns suspects that failed other requests since the last event.
+
+        An engine that has left the list may still go on: it is checked like
+        any other.
+        """
         failed = {}
         for stage in suspects:
             target = self._targets.get(stage.target)
-            if target is None or target.failed_s > last_event_s:
+            if target is not None and target.failed_s > last_event_s:
                 failed[stage] = liveness.Reachability.UNKNOWN
         return failed
 
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from briarfall.gateway import rerouting
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
 
@@ -195,6 +196,33 @@
         assert testbed.event_ids(answer.body) == EVENTS
 
 
+class TestLeftEntry:
+    @pytest.mark.parametrize("leaves", [False, True])
+    def test_engine_that_goes_on_after_a_check_causes_no_second_run(
+        self, world, monkeypatch, leaves
+    ):
+        pool = Pool(world, 2)
+        caller = pool.draft_in_progress()
+        engine = [row for row in pool.engines if row.ran][0]
+        reroute = rerouting.StreamRerouter.reroute
+
+        def check(rerouter, stream, run):
+            is_listed = rerouter._targets.get(engine.id) is not None
+            try:
+                reroute(rerouter, stream, run)
+            finally:
+                if is_listed is not leaves:
+                    pool.release()
+
+        monkeypatch.setattr(rerouting.StreamRerouter, "reroute", check)
+        if leaves:
+            engine.remove()
+        answer = caller.finish()
+        assert answer.error is None
+        assert testbed.event_ids(answer.body) == EVENTS
+        assert pool.runs() == 1
+
+
 class TestPlainCall:
     @pytest.mark.parametrize("kind", ["orders", "views"])
     def test_call_waits_for_its_only_target_until_its_time_is_over(
