--- a/src/briarfall/standins/prepared/registeredtarget.py
+++ b/src/briarfall/standins/prepared/registeredtarget.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from briarfall.standins.prepared import exchangeends
 from briarfall.standins.prepared import exchangefaults
 from briarfall.standins.prepared import gates
 from briarfall.standins.prepared import links
@@ -77,18 +78,6 @@
     path: str = ""
 
 
-class ExchangeEnd(msgspec.Struct, frozen=True):
-    """The end of a target's work on a request.
-
-    Attributes:
-        time_s: When it ended, in seconds of the monotonic clock.
-        request_id: The request.
-    """
-
-    time_s: float
-    request_id: str
-
-
 class TargetSignal(msgspec.Struct, frozen=True):
     """Status of a target, signalled in the headers of a response.
 
@@ -171,7 +160,7 @@
         self.crash_marker = ""
         self.crashed_s: list[float] = []
         self.arrivals: list[Arrival] = []
-        self.exchange_ends: list[ExchangeEnd] = []
+        self.exchange_ends: list[exchangeends.ExchangeEnd] = []
         self.signals: list[TargetSignal] = []
         self.sent_bytes = 0
         self.lock = threading.Lock()
@@ -197,11 +186,8 @@
         try:
             return self._exchange(conn, req)
         finally:
-            request_id = req.headers.get("x-request-id", "")
             with self.lock:
-                self.exchange_ends.append(
-                    ExchangeEnd(time.monotonic(), request_id)
-                )
+                self.exchange_ends.append(exchangeends.ended_now(req))
 
     def _exchange(self, conn, req) -> bool:
         """Handles a request, with the faults of kept connections."""
--- a/tests/test_faultsoak_checks.py
+++ b/tests/test_faultsoak_checks.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from briarfall.standins.prepared import exchangeends
 from briarfall.standins.prepared import links
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import registeredtarget
@@ -174,9 +175,7 @@
         arrive(target, request_id)
         if end_s is None:
             return
-        target.exchange_ends.append(
-            registeredtarget.ExchangeEnd(end_s, request_id)
-        )
+        target.exchange_ends.append(exchangeends.ExchangeEnd(end_s, request_id))
 
     def test_request_that_was_passed_on(self, scene):
         self.stop(scene)
@@ -374,14 +373,14 @@
     def test_late_answers(self, scene, delay_s, late):
         row = make_outcome()
         scene.engines[0].exchange_ends.append(
-            registeredtarget.ExchangeEnd(row.ended_s - delay_s, row.id)
+            exchangeends.ExchangeEnd(row.ended_s - delay_s, row.id)
         )
         assert answerdelays.count(scene, [row]) == (late, 1)
 
     def test_answers_of_a_paused_instance_are_not_judged(self, scene):
         row = make_outcome()
         scene.engines[0].exchange_ends.append(
-            registeredtarget.ExchangeEnd(row.sent_s, row.id)
+            exchangeends.ExchangeEnd(row.sent_s, row.id)
         )
         scene.records.disturbed.append(
             records.Disturbance("i0", START_S, START_S + 0.1)
