A signal to stop that reaches a frozen instance is handled

What callers saw: an instance that was frozen when SIGTERM came went on serving, said nothing of its stop and was killed at the end of the grace in the middle of its requests: read, and neither answered nor refused (LOST).

Cause: the kernel gives a signal that waited for a stopped process to any thread that takes it; Python runs handlers in the main thread only, which waits for up to an hour and isn't woken.

Change: all other threads block SIGTERM and SIGHUP, so that only the main thread can take them. A reload signal to a frozen instance was read to have the same fault, not tried.

--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -59,6 +59,10 @@
         self.engines = engines.EngineCalls(pool)
 
 
+# Signals that the main thread handles.
+_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
+
+
 def run(data: bytes, listeners: dict[str, socket.socket]) -> None:
     """Runs an instance until it receives SIGTERM and has stopped.
 
@@ -68,6 +72,10 @@
         data: Content of the settings file.
         listeners: Open listening sockets, keyed by `<IP number>:<port>`.
     """
+    # Threads inherit this mask. The kernel gives a signal that came while the
+    # process was frozen to any thread that takes it, but only the main thread
+    # runs handlers, and another thread doesn't wake it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
     cfg = settings.parse(data)
     logs.configure_bounded(cfg.instance)
     pool = connections.ConnectionPool()
@@ -82,6 +90,7 @@
     signal.signal(signal.SIGHUP, lambda *_: watcher.request_reload())
     gateway_instance.start()
     watcher.start()
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, _SIGNALS)
     gateway_instance.wait_for_stop()
 
 
