A full list of targets from a peer removes those that it lacks

Cause: a store poller that has started after the removal answers with all its entries and only the removals that it saw itself; the other instances of its zone kept the target.

Evidence: test_target_that_left_before_a_new_poller_started failed before, passes now. The grace for ready targets after a lost store holds for such lists too. Answers without a revision, of releases before it was added, count as changes.

--- a/src/briarfall/gateway/targetfollower.py
+++ b/src/briarfall/gateway/targetfollower.py
@@ -227,7 +227,13 @@
         self._incarnation = answer.incarnation
         self._revision = changes.revision
         self._close_connections(
-            self._table.apply_changes(changes.changed, changes.gone, read_s)
+            self._table.apply_changes(
+                changes.changed,
+                changes.gone,
+                read_s,
+                # Earlier releases don't tell the revision.
+                is_full=answer.since < 0 <= answer.revision,
+            )
         )
         return True
 
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets.py
@@ -97,20 +97,11 @@
                     "target list readable again entries=%d", len(entries)
                 )
             self.read_s = read_s
-            listed = set()
             for entry in entries:
-                listed.add(entry.id)
                 self._apply_entry(entry, read_s)
-            keeps_missing = read_s - self._source_regained_s < _REGISTRATION_S
-            for target in list(self._targets.values()):
-                if target.id in listed:
-                    continue
-                if keeps_missing and (
-                    target.entry.state is sources.TargetState.READY
-                ):
-                    continue
-                gone.append(target)
-                self._remove(target.id)
+            for target_id in self._missing_from(entries, read_s):
+                gone.append(self._targets[target_id])
+                self._remove(target_id)
             self._rebuild_index()
             self._log_added()
         self.has_entries.set()
@@ -122,6 +113,8 @@
         changed: list[sources.TargetEntry],
         gone: list[ids.TargetId],
         read_s: float,
+        *,
+        is_full: bool = False,
     ) -> list[targetstate.Target]:
         """Applies changes that another instance has read from the store.
 
@@ -130,6 +123,9 @@
             gone: Targets that were removed.
             read_s: Lower bound of the read's time on the boot clock, so that
                 the age of the table is never understated.
+            is_full: Whether `changed` holds all entries. The other instance may
+                have started after a target was removed, so that `gone` lacks
+                it.
 
         Returns:
             Targets that were removed.
@@ -139,6 +135,8 @@
             self.read_s = read_s
             for entry in changed:
                 self._apply_entry(entry, read_s)
+            if is_full:
+                gone = [*gone, *self._missing_from(changed, read_s)]
             for target_id in gone:
                 target = self._targets.get(target_id)
                 if target is None:
@@ -150,6 +148,25 @@
         self._notify_ended()
         return removed
 
+    def _missing_from(
+        self, entries: list[sources.TargetEntry], read_s: float
+    ) -> list[ids.TargetId]:
+        """Returns the targets that are gone, since a full list lacks them.
+
+        Targets that are ready may be missing for a while after the store was
+        lost.
+        """
+        listed = {entry.id for entry in entries}
+        keeps_ready = read_s - self._source_regained_s < _REGISTRATION_S
+        missing = []
+        for target in self._targets.values():
+            if target.id in listed:
+                continue
+            if keeps_ready and target.entry.state is sources.TargetState.READY:
+                continue
+            missing.append(target.id)
+        return missing
+
     @property
     def revision(self) -> int:
         """Number of changes of the table so far."""
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -1205,9 +1205,44 @@
         return answer.changes
 
 
+class _TablePoller(_AgedPoller):
+    """A store poller that answers with all entries of its own table."""
+
+    def __init__(self, clock, table):
+        super().__init__(clock, 0.0)
+        self.table = table
+
+    def ask(self, peer, incarnation, revision, timeout_s):
+        rows = self.table.changes_since(-1)
+        changes = peermessages.TargetChanges(
+            rows.revision, rows.changed, rows.gone
+        )
+        return peermessages.FreshnessResponse(
+            1,
+            9,
+            1,
+            100,
+            0,
+            peermessages.pack_changes(changes),
+            revision=changes.revision,
+        )
+
+
 class TestTargetFollowing:
     BOUND_S = 2.0
 
+    def test_target_that_left_before_a_new_poller_started(
+        self, clock, monkeypatch
+    ):
+        table = targets.TargetTable()
+        table.update([entry("a"), entry("b")], clock.now_s - 1.0)
+        known = targets.TargetTable()
+        known.update([entry("a")], clock.now_s)
+        link = _TablePoller(clock, known)
+        worker, _ = self.follow(clock, monkeypatch, link, table)
+        worker.step()
+        assert [row.id for row in table.changes_since(-1).changed] == ["a"]
+
     def test_answer_updates_the_version_known_of_a_peer(
         self, clock, monkeypatch
     ):
