--- a/src/briarfall/bench/fulllink.py
+++ b/src/briarfall/bench/fulllink.py
@@ -16,10 +16,10 @@
 import msgspec
 
 from briarfall.bench import placements
-from briarfall.gateway import chainsearch
-from briarfall.gateway import linkadmission
 from briarfall.gateway import retryafter
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.forwarding import chainsearch
+from briarfall.gateway.placement import linkadmission
 
 _FIRST_EVENT_SLO_S = 0.5
 _CALLER_TIMEOUT_S = 2.0
--- a/src/briarfall/bench/gatewaydemo.py
+++ b/src/briarfall/bench/gatewaydemo.py
@@ -9,7 +9,7 @@
 
 from briarfall.bench import checks
 from briarfall.cli import console
-from briarfall.gateway import instance
+from briarfall.gateway.instance import instance
 from briarfall.standins.prepared import engines as engine_standins
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
--- a/src/briarfall/bench/permitmodel.py
+++ b/src/briarfall/bench/permitmodel.py
@@ -13,9 +13,9 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import incarnations
-from briarfall.gateway import permitgrants
-from briarfall.gateway import permithomes
+from briarfall.gateway.ratelimits import permitgrants
+from briarfall.gateway.ratelimits import permithomes
+from briarfall.gateway.targets import incarnations
 
 WINDOW_S = 4.0
 # The rule: in any window this many times what the limit allows, and more.
--- a/src/briarfall/bench/placements.py
+++ b/src/briarfall/bench/placements.py
@@ -10,11 +10,11 @@
 import msgspec
 
 from briarfall import ids
-from briarfall.gateway import loads
-from briarfall.gateway import paths
-from briarfall.gateway import placement
-from briarfall.gateway import sources
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import placement
+from briarfall.gateway.targets import loads
 from briarfall.pipelines import maxflow
 
 # Name, memory in MB, step factor, prefill factor, share of the engines.
--- /dev/null
+++ b/src/briarfall/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Accepts connections of callers, reads requests and ends them."""
--- a/src/briarfall/gateway/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -7,23 +7,23 @@
 from absl import logging
 
 from briarfall import exceptions
-from briarfall.gateway import budgets
-from briarfall.gateway import callers
-from briarfall.gateway import calls
-from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
-from briarfall.gateway import errorguard
-from briarfall.gateway import headernames
-from briarfall.gateway import messages
 from briarfall.gateway import metrics
-from briarfall.gateway import peerconnections
-from briarfall.gateway import plain
-from briarfall.gateway import plannedstop
-from briarfall.gateway import promptparts
-from briarfall.gateway import streams
-from briarfall.gateway import targetconnection
-from briarfall.gateway import targets
-from briarfall.gateway import views
+from briarfall.gateway.callers import errorguard
+from briarfall.gateway.callers import peerconnections
+from briarfall.gateway.callers import plannedstop
+from briarfall.gateway.calls import budgets
+from briarfall.gateway.calls import callers
+from briarfall.gateway.calls import calls
+from briarfall.gateway.calls import promptparts
+from briarfall.gateway.catalogue import catalogue
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import plain
+from briarfall.gateway.forwarding import streams
+from briarfall.gateway.targets import targets
 
 # Retry-After, in seconds, of refusals because the catalogue is missing or too
 # old, and of refusals that set none.
--- a/src/briarfall/gateway/errorguard.py
+++ b/src/briarfall/gateway/callers/errorguard.py
@@ -2,10 +2,10 @@
 
 from absl import logging
 
-from briarfall.gateway import callers
-from briarfall.gateway import headernames
 from briarfall.gateway import metrics
-from briarfall.gateway import targetconnection
+from briarfall.gateway.calls import callers
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import targetconnection
 
 
 class ErrorGuard:
--- a/src/briarfall/gateway/listener.py
+++ b/src/briarfall/gateway/callers/listener.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from briarfall.gateway import clocks
-from briarfall.gateway import listensocket
+from briarfall.gateway.callers import listensocket
 
 _ACCEPT_TIMEOUT_S = 0.5
 # The Python frames of a connection need little; the default stack is 8 MB.
--- a/src/briarfall/gateway/peerconnections.py
+++ b/src/briarfall/gateway/callers/peerconnections.py
@@ -5,12 +5,12 @@
 import msgspec
 
 from briarfall import exceptions
-from briarfall.gateway import callers
-from briarfall.gateway import calls
-from briarfall.gateway import messages
-from briarfall.gateway import relaybackoffs
-from briarfall.gateway import relaymessages
-from briarfall.gateway import views
+from briarfall.gateway.calls import callers
+from briarfall.gateway.calls import calls
+from briarfall.gateway.calls import relaymessages
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.targets import relaybackoffs
 
 
 class PeerConnection(callers.CallerConnection):
--- /dev/null
+++ b/src/briarfall/gateway/calls/__init__.py
@@ -0,0 +1,1 @@
+"""One request and what it carries."""
--- a/src/briarfall/gateway/callers.py
+++ b/src/briarfall/gateway/calls/callers.py
@@ -9,10 +9,10 @@
 
 from briarfall import exceptions
 from briarfall.gateway import clocks
-from briarfall.gateway import messages
-from briarfall.gateway import relaymessages
-from briarfall.gateway import targetconnection
-from briarfall.gateway import views
+from briarfall.gateway.calls import relaymessages
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
 
 _RECEIVE_BYTES = 65_536
 # The connection is closed if the caller reads nothing for this long.
--- a/src/briarfall/gateway/calls.py
+++ b/src/briarfall/gateway/calls/calls.py
@@ -5,16 +5,16 @@
 from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import callers
 from briarfall.gateway import clocks
-from briarfall.gateway import headernames
-from briarfall.gateway import matching
-from briarfall.gateway import messages
-from briarfall.gateway import promptparts
-from briarfall.gateway import relaymessages
-from briarfall.gateway import sources
-from briarfall.gateway import targetconnection
-from briarfall.gateway import views
+from briarfall.gateway.calls import callers
+from briarfall.gateway.calls import promptparts
+from briarfall.gateway.calls import relaymessages
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import matching
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
 
 # The response must reach the caller before the caller stops waiting.
 _RESPONSE_MARGIN_S = 0.02
--- a/src/briarfall/gateway/promptparts.py
+++ b/src/briarfall/gateway/calls/promptparts.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from briarfall.gateway import headernames
-from briarfall.gateway import messages
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import messages
 
 PartId = typing.NewType("PartId", str)
 
--- a/src/briarfall/gateway/relaymessages.py
+++ b/src/briarfall/gateway/calls/relaymessages.py
@@ -10,8 +10,8 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import messages
-from briarfall.gateway import relaybackoffs
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.targets import relaybackoffs
 
 _HEADER = b"briarfall-relay"
 # Added to the size limit of request heads for the private header.
--- /dev/null
+++ b/src/briarfall/gateway/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""The catalogue in force and its sources."""
--- a/src/briarfall/gateway/catalogue.py
+++ b/src/briarfall/gateway/catalogue/catalogue.py
@@ -7,9 +7,9 @@
 
 from briarfall import exceptions
 from briarfall.gateway import clocks
-from briarfall.gateway import sources
-from briarfall.gateway import views
 from briarfall.gateway import workers
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
 
 # Longest wait of a long-poll read, in seconds and as a share of the key TTL.
 # A long-poll read confirms the view as of the time it was sent, so the view of
--- a/src/briarfall/gateway/recordchecks.py
+++ b/src/briarfall/gateway/catalogue/recordchecks.py
@@ -3,7 +3,7 @@
 from briarfall import addresses
 from briarfall import decoding
 from briarfall import exceptions
-from briarfall.gateway import sources
+from briarfall.gateway.catalogue import sources
 
 # The bounds are far above real values. They keep sums, loops over layers and
 # encoded messages within their limits.
--- a/src/briarfall/gateway/sources.py
+++ b/src/briarfall/gateway/catalogue/sources.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from briarfall import ids
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import views
 
 
 class TargetState(enum.Enum):
--- /dev/null
+++ b/src/briarfall/gateway/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests crash targets."""
--- a/src/briarfall/gateway/crashdetection.py
+++ b/src/briarfall/gateway/crashes/crashdetection.py
@@ -6,14 +6,14 @@
 import msgspec
 
 from briarfall import ids
-from briarfall.gateway import calls
 from briarfall.gateway import clocks
-from briarfall.gateway import crashes
-from briarfall.gateway import crashevidence
-from briarfall.gateway import incarnations
-from briarfall.gateway import liveness
-from briarfall.gateway import sources
-from briarfall.gateway import targets
+from briarfall.gateway.calls import calls
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.crashes import crashevidence
+from briarfall.gateway.targets import incarnations
+from briarfall.gateway.targets import liveness
+from briarfall.gateway.targets import targets
 
 # A target that ends within this time after it interrupted a request is taken to
 # have crashed because of the request. The time is long because the entry of a
--- a/src/briarfall/gateway/crashes.py
+++ b/src/briarfall/gateway/crashes/crashes.py
@@ -12,12 +12,12 @@
 from absl import logging
 import xxhash
 
-from briarfall.gateway import calls
 from briarfall.gateway import clocks
-from briarfall.gateway import crashevidence
-from briarfall.gateway import partholds
-from briarfall.gateway import poisonlist
-from briarfall.gateway import provenparts
+from briarfall.gateway.calls import calls
+from briarfall.gateway.crashes import crashevidence
+from briarfall.gateway.crashes import partholds
+from briarfall.gateway.crashes import poisonlist
+from briarfall.gateway.crashes import provenparts
 
 # Number of crashed targets from which a request counts as poison. A harmless
 # request that shares targets with a poison request is involved in one or two
--- a/src/briarfall/gateway/crashevidence.py
+++ b/src/briarfall/gateway/crashes/crashevidence.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from briarfall import ids
-from briarfall.gateway import incarnations
-from briarfall.gateway import promptparts
+from briarfall.gateway.calls import promptparts
+from briarfall.gateway.targets import incarnations
 
 # Key of a request, or of a part of prompts, that may crash targets.
 SuspectKey = typing.NewType("SuspectKey", str)
--- a/src/briarfall/gateway/partholds.py
+++ b/src/briarfall/gateway/crashes/partholds.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from briarfall.gateway import crashevidence
+from briarfall.gateway.crashes import crashevidence
 
 # Time for which requests are held back, until one of them runs as a trial.
 _HOLD_S = 5.0
--- a/src/briarfall/gateway/poisonlist.py
+++ b/src/briarfall/gateway/crashes/poisonlist.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from briarfall.gateway import crashevidence
+from briarfall.gateway.crashes import crashevidence
 
 # Time for which a poison suspect is refused. An arrival in the second half of
 # this time renews it.
--- a/src/briarfall/gateway/poisonpersistence.py
+++ b/src/briarfall/gateway/crashes/poisonpersistence.py
@@ -11,10 +11,10 @@
 
 from briarfall import exceptions
 from briarfall.gateway import clocks
-from briarfall.gateway import crashes
-from briarfall.gateway import poisonlist
-from briarfall.gateway import sources
 from briarfall.gateway import workers
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.crashes import poisonlist
 
 _TIMEOUT_S = 1.0
 _QUEUE_TIMEOUT_S = 0.5
--- a/src/briarfall/gateway/provenparts.py
+++ b/src/briarfall/gateway/crashes/provenparts.py
@@ -1,6 +1,6 @@
 """Parts of prompts on which targets recently wrote answers."""
 
-from briarfall.gateway import crashevidence
+from briarfall.gateway.crashes import crashevidence
 
 # Time for which a part that a target wrote an answer on is not suspected.
 _PROOF_S = 60.0
--- /dev/null
+++ b/src/briarfall/gateway/exchanges/__init__.py
@@ -0,0 +1,1 @@
+"""One HTTP exchange with a target."""
--- a/src/briarfall/gateway/connections.py
+++ b/src/briarfall/gateway/exchanges/connections.py
@@ -3,10 +3,10 @@
 import threading
 
 from briarfall.gateway import clocks
-from briarfall.gateway import dialing
-from briarfall.gateway import matching
-from briarfall.gateway import messages
-from briarfall.gateway import targetconnection
+from briarfall.gateway.exchanges import dialing
+from briarfall.gateway.exchanges import matching
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
 
 _MAX_IDLE_PER_TARGET = 8
 
--- a/src/briarfall/gateway/matching.py
+++ b/src/briarfall/gateway/exchanges/matching.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from briarfall.gateway import messages
+from briarfall.gateway.exchanges import messages
 
 # Bounds the memory for the ids, of some hundred bytes each.
 _MAX_REMEMBERED_IDS = 4096
--- a/src/briarfall/gateway/targetconnection.py
+++ b/src/briarfall/gateway/exchanges/targetconnection.py
@@ -11,9 +11,9 @@
 from briarfall import decoding
 from briarfall import exceptions
 from briarfall.gateway import clocks
-from briarfall.gateway import dialing
-from briarfall.gateway import matching
-from briarfall.gateway import messages
+from briarfall.gateway.exchanges import dialing
+from briarfall.gateway.exchanges import matching
+from briarfall.gateway.exchanges import messages
 
 _RECEIVE_BYTES = 65_536
 # A target in the same region accepts a connection within milliseconds.
--- a/src/briarfall/gateway/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -5,13 +5,13 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import linkadmission
-from briarfall.gateway import paths
 from briarfall.gateway import retryafter
-from briarfall.gateway import streamstate
-from briarfall.gateway import targetbackoff
-from briarfall.gateway import targets
-from briarfall.gateway import targetstate
+from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import linkadmission
+from briarfall.gateway.placement import paths
+from briarfall.gateway.targets import targetbackoff
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetstate
 
 _MAX_ATTEMPTS = 6
 # First pause of a request that waits for free KV capacity. Each further pause
--- a/src/briarfall/gateway/closedanswers.py
+++ b/src/briarfall/gateway/forwarding/closedanswers.py
@@ -15,12 +15,12 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import dialing
-from briarfall.gateway import liveness
-from briarfall.gateway import messages
-from briarfall.gateway import sources
-from briarfall.gateway import targetconnection
-from briarfall.gateway import targets
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.exchanges import dialing
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.targets import liveness
+from briarfall.gateway.targets import targets
 
 # Longest wait for evidence. A sound target may be hard to reach for a second or
 # so; callers give a silent stream up after two.
--- a/src/briarfall/gateway/dispatchgate.py
+++ b/src/briarfall/gateway/forwarding/dispatchgate.py
@@ -3,13 +3,13 @@
 from absl import logging
 
 from briarfall import exceptions
-from briarfall.gateway import budgets
-from briarfall.gateway import calls
-from briarfall.gateway import crashes
-from briarfall.gateway import crashevidence
-from briarfall.gateway import permits
-from briarfall.gateway import targetbackoff
-from briarfall.gateway import targetstate
+from briarfall.gateway.calls import budgets
+from briarfall.gateway.calls import calls
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.crashes import crashevidence
+from briarfall.gateway.ratelimits import permits
+from briarfall.gateway.targets import targetbackoff
+from briarfall.gateway.targets import targetstate
 
 # A trial usually ends within a second, and the caller's next attempt can run.
 _MAX_RETRY_AFTER_S = 1.0
--- a/src/briarfall/gateway/plain.py
+++ b/src/briarfall/gateway/forwarding/plain.py
@@ -6,25 +6,25 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import calls
-from briarfall.gateway import connections
-from briarfall.gateway import crashdetection
-from briarfall.gateway import crashes
-from briarfall.gateway import dispatchgate
-from briarfall.gateway import headernames
-from briarfall.gateway import linkmonitor
-from briarfall.gateway import liveness
-from briarfall.gateway import loads
-from briarfall.gateway import permits
-from briarfall.gateway import plainexchanges
-from briarfall.gateway import plainfollowing
-from briarfall.gateway import plaintargets
-from briarfall.gateway import relayexchanges
-from briarfall.gateway import relaying
-from briarfall.gateway import targetconnection
-from briarfall.gateway import targets
-from briarfall.gateway import targetsignals
-from briarfall.gateway import targetstate
+from briarfall.gateway.calls import calls
+from briarfall.gateway.crashes import crashdetection
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import dispatchgate
+from briarfall.gateway.forwarding import plainexchanges
+from briarfall.gateway.forwarding import plainfollowing
+from briarfall.gateway.forwarding import plaintargets
+from briarfall.gateway.forwarding import relayexchanges
+from briarfall.gateway.forwarding import relaying
+from briarfall.gateway.ratelimits import permits
+from briarfall.gateway.targets import linkmonitor
+from briarfall.gateway.targets import liveness
+from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetsignals
+from briarfall.gateway.targets import targetstate
 
 # A target may close an idle connection while a request is on its way. A request
 # that may run only once therefore reuses only connections that were idle for at
--- a/src/briarfall/gateway/plainexchanges.py
+++ b/src/briarfall/gateway/forwarding/plainexchanges.py
@@ -9,14 +9,14 @@
 from absl import logging
 
 from briarfall import ids
-from briarfall.gateway import calls
 from briarfall.gateway import clocks
-from briarfall.gateway import closedanswers
-from briarfall.gateway import connections
-from briarfall.gateway import loads
-from briarfall.gateway import messages
-from briarfall.gateway import targetconnection
-from briarfall.gateway import targetstate
+from briarfall.gateway.calls import calls
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import closedanswers
+from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import targetstate
 
 
 class SilentTargetError(targetconnection.ResponseTimeoutError):
--- a/src/briarfall/gateway/plainfollowing.py
+++ b/src/briarfall/gateway/forwarding/plainfollowing.py
@@ -2,20 +2,20 @@
 
 from absl import logging
 
-from briarfall.gateway import calls
 from briarfall.gateway import clocks
-from briarfall.gateway import closedanswers
-from briarfall.gateway import connections
-from briarfall.gateway import dispatchgate
-from briarfall.gateway import headernames
-from briarfall.gateway import linkmonitor
-from briarfall.gateway import messages
-from briarfall.gateway import plainexchanges
-from briarfall.gateway import plainresponses
-from briarfall.gateway import plaintargets
-from briarfall.gateway import targetconnection
-from briarfall.gateway import targets
-from briarfall.gateway import targetsignals
+from briarfall.gateway.calls import calls
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import closedanswers
+from briarfall.gateway.forwarding import dispatchgate
+from briarfall.gateway.forwarding import plainexchanges
+from briarfall.gateway.forwarding import plainresponses
+from briarfall.gateway.forwarding import plaintargets
+from briarfall.gateway.targets import linkmonitor
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetsignals
 
 # Share of the remaining time that an attempt may wait for the response head, if
 # the call may be retried on another target.
--- a/src/briarfall/gateway/plainresponses.py
+++ b/src/briarfall/gateway/forwarding/plainresponses.py
@@ -3,9 +3,9 @@
 import h11
 import msgspec
 
-from briarfall.gateway import calls
-from briarfall.gateway import messages
-from briarfall.gateway import targetconnection
+from briarfall.gateway.calls import calls
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
 
 # Responses up to this size are read completely before the caller gets a byte,
 # so that a failed response can still be retried.
--- a/src/briarfall/gateway/plaintargets.py
+++ b/src/briarfall/gateway/forwarding/plaintargets.py
@@ -4,12 +4,12 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import calls
-from briarfall.gateway import loads
 from briarfall.gateway import retryafter
-from briarfall.gateway import targetbackoff
-from briarfall.gateway import targets
-from briarfall.gateway import targetstate
+from briarfall.gateway.calls import calls
+from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import targetbackoff
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetstate
 
 MAX_ATTEMPTS = 4
 # Added to a target's load, in requests in flight per slot: for a target of
--- a/src/briarfall/gateway/relayexchanges.py
+++ b/src/briarfall/gateway/forwarding/relayexchanges.py
@@ -6,15 +6,15 @@
 import h11
 
 from briarfall import ids
-from briarfall.gateway import calls
-from briarfall.gateway import events
-from briarfall.gateway import headernames
-from briarfall.gateway import messages
-from briarfall.gateway import plainexchanges
-from briarfall.gateway import plainresponses
-from briarfall.gateway import streamresponses
-from briarfall.gateway import streamstate
-from briarfall.gateway import targetconnection
+from briarfall.gateway.calls import calls
+from briarfall.gateway.exchanges import events
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import plainexchanges
+from briarfall.gateway.forwarding import plainresponses
+from briarfall.gateway.forwarding import streamresponses
+from briarfall.gateway.forwarding import streamstate
 
 # Longest body of an error response to a stream that is passed on.
 _MAX_ERROR_BODY_BYTES = 2**20
--- a/src/briarfall/gateway/relaying.py
+++ b/src/briarfall/gateway/forwarding/relaying.py
@@ -6,22 +6,22 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import calls
 from briarfall.gateway import clocks
-from briarfall.gateway import connections
-from briarfall.gateway import dispatchgate
-from briarfall.gateway import headernames
-from briarfall.gateway import matching
-from briarfall.gateway import messages
 from briarfall.gateway import metrics
-from briarfall.gateway import peers
-from briarfall.gateway import relaybackoffs
-from briarfall.gateway import relayexchanges
-from briarfall.gateway import relaymessages
-from briarfall.gateway import relaypeers
-from briarfall.gateway import targetbackoff
-from briarfall.gateway import targetconnection
-from briarfall.gateway import targets
+from briarfall.gateway.calls import calls
+from briarfall.gateway.calls import relaymessages
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import matching
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import dispatchgate
+from briarfall.gateway.forwarding import relayexchanges
+from briarfall.gateway.peers import peers
+from briarfall.gateway.peers import relaypeers
+from briarfall.gateway.targets import relaybackoffs
+from briarfall.gateway.targets import targetbackoff
+from briarfall.gateway.targets import targets
 
 _MAX_PEERS = 3
 # Time after which no further peer is asked for the same request.
--- a/src/briarfall/gateway/rerouting.py
+++ b/src/briarfall/gateway/forwarding/rerouting.py
@@ -3,22 +3,22 @@
 from absl import logging
 
 from briarfall import exceptions
-from briarfall.gateway import chainsearch
 from briarfall.gateway import clocks
-from briarfall.gateway import crashdetection
-from briarfall.gateway import dialing
-from briarfall.gateway import dispatchgate
-from briarfall.gateway import linkadmission
-from briarfall.gateway import linkmonitor
-from briarfall.gateway import liveness
-from briarfall.gateway import loads
 from briarfall.gateway import metrics
-from briarfall.gateway import paths
-from briarfall.gateway import sources
-from briarfall.gateway import streamprogress
-from briarfall.gateway import streamstate
-from briarfall.gateway import targetconnection
-from briarfall.gateway import targets
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.crashes import crashdetection
+from briarfall.gateway.exchanges import dialing
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import chainsearch
+from briarfall.gateway.forwarding import dispatchgate
+from briarfall.gateway.forwarding import streamprogress
+from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import linkadmission
+from briarfall.gateway.placement import paths
+from briarfall.gateway.targets import linkmonitor
+from briarfall.gateway.targets import liveness
+from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import targets
 
 # Liveness checks that connect to the engines; later checks query the head.
 _MAX_CONNECT_CHECKS = 2
--- a/src/briarfall/gateway/runfollowing.py
+++ b/src/briarfall/gateway/forwarding/runfollowing.py
@@ -3,23 +3,23 @@
 from absl import logging
 import h11
 
-from briarfall.gateway import calls
 from briarfall.gateway import clocks
-from briarfall.gateway import closedanswers
-from briarfall.gateway import connections
-from briarfall.gateway import dispatchgate
-from briarfall.gateway import headernames
-from briarfall.gateway import linkmonitor
-from briarfall.gateway import loads
-from briarfall.gateway import messages
-from briarfall.gateway import paths
-from briarfall.gateway import rerouting
-from briarfall.gateway import sources
-from briarfall.gateway import streamresponses
-from briarfall.gateway import streamstate
-from briarfall.gateway import targetconnection
-from briarfall.gateway import targets
-from briarfall.gateway import targetsignals
+from briarfall.gateway.calls import calls
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import closedanswers
+from briarfall.gateway.forwarding import dispatchgate
+from briarfall.gateway.forwarding import rerouting
+from briarfall.gateway.forwarding import streamresponses
+from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import paths
+from briarfall.gateway.targets import linkmonitor
+from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetsignals
 
 # Time without a first event after which an engine may have failed, as a share
 # of the route's objective for the time to the first byte.
--- a/src/briarfall/gateway/streamfailures.py
+++ b/src/briarfall/gateway/forwarding/streamfailures.py
@@ -3,20 +3,20 @@
 from absl import logging
 
 from briarfall import ids
-from briarfall.gateway import calls
 from briarfall.gateway import clocks
-from briarfall.gateway import crashdetection
-from briarfall.gateway import dialing
-from briarfall.gateway import headernames
-from briarfall.gateway import linkmonitor
-from briarfall.gateway import liveness
-from briarfall.gateway import paths
-from briarfall.gateway import rerouting
-from briarfall.gateway import streamstate
-from briarfall.gateway import targetconnection
-from briarfall.gateway import targets
-from briarfall.gateway import targetsignals
-from briarfall.gateway import targetstate
+from briarfall.gateway.calls import calls
+from briarfall.gateway.crashes import crashdetection
+from briarfall.gateway.exchanges import dialing
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import rerouting
+from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import paths
+from briarfall.gateway.targets import linkmonitor
+from briarfall.gateway.targets import liveness
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetsignals
+from briarfall.gateway.targets import targetstate
 
 # An engine that made progress within this time has not ended.
 _ACTIVE_WITHIN_S = 0.25
--- a/src/briarfall/gateway/streamprogress.py
+++ b/src/briarfall/gateway/forwarding/streamprogress.py
@@ -5,9 +5,9 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import dialing
-from briarfall.gateway import liveness
-from briarfall.gateway import paths
+from briarfall.gateway.exchanges import dialing
+from briarfall.gateway.placement import paths
+from briarfall.gateway.targets import liveness
 
 # An engine that accepted a connection within this time is not probed again:
 # if many streams are slow at once, probes would only add load to the engines.
--- a/src/briarfall/gateway/streamresponses.py
+++ b/src/briarfall/gateway/forwarding/streamresponses.py
@@ -1,10 +1,10 @@
 """Joins the responses of engines into one stream, after checks of each."""
 
 from briarfall import exceptions
-from briarfall.gateway import events
-from briarfall.gateway import headernames
-from briarfall.gateway import messages
-from briarfall.gateway import targetconnection
+from briarfall.gateway.exchanges import events
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
 
 _IDENTITY = b"identity"
 
--- a/src/briarfall/gateway/streams.py
+++ b/src/briarfall/gateway/forwarding/streams.py
@@ -6,32 +6,32 @@
 
 from briarfall import decoding
 from briarfall import exceptions
-from briarfall.gateway import calls
-from briarfall.gateway import chainsearch
-from briarfall.gateway import connections
-from briarfall.gateway import crashdetection
-from briarfall.gateway import crashes
-from briarfall.gateway import dispatchgate
-from briarfall.gateway import events
-from briarfall.gateway import headernames
-from briarfall.gateway import linkadmission
-from briarfall.gateway import linkmonitor
-from briarfall.gateway import liveness
-from briarfall.gateway import loads
 from briarfall.gateway import metrics
-from briarfall.gateway import paths
-from briarfall.gateway import permits
-from briarfall.gateway import relayexchanges
-from briarfall.gateway import relaying
-from briarfall.gateway import rerouting
-from briarfall.gateway import runfollowing
-from briarfall.gateway import sources
-from briarfall.gateway import streamfailures
-from briarfall.gateway import streamstate
-from briarfall.gateway import targetconnection
-from briarfall.gateway import targets
-from briarfall.gateway import targetsignals
-from briarfall.gateway import targetstate
+from briarfall.gateway.calls import calls
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.crashes import crashdetection
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import events
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import chainsearch
+from briarfall.gateway.forwarding import dispatchgate
+from briarfall.gateway.forwarding import relayexchanges
+from briarfall.gateway.forwarding import relaying
+from briarfall.gateway.forwarding import rerouting
+from briarfall.gateway.forwarding import runfollowing
+from briarfall.gateway.forwarding import streamfailures
+from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import linkadmission
+from briarfall.gateway.placement import paths
+from briarfall.gateway.ratelimits import permits
+from briarfall.gateway.targets import linkmonitor
+from briarfall.gateway.targets import liveness
+from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetsignals
+from briarfall.gateway.targets import targetstate
 
 _MAX_IDLE_S = 30.0
 # Longest wait for a connection while the stream has suspended runs, whose bytes
--- a/src/briarfall/gateway/streamstate.py
+++ b/src/briarfall/gateway/forwarding/streamstate.py
@@ -4,14 +4,14 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import calls
 from briarfall.gateway import clocks
-from briarfall.gateway import closedanswers
-from briarfall.gateway import events
-from briarfall.gateway import messages
-from briarfall.gateway import paths
-from briarfall.gateway import targetconnection
-from briarfall.gateway import targetstate
+from briarfall.gateway.calls import calls
+from briarfall.gateway.exchanges import events
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import closedanswers
+from briarfall.gateway.placement import paths
+from briarfall.gateway.targets import targetstate
 
 # A stream counts as stalled after no less than this time without events, and no
 # less than this share of the longest event interval that the route allows. The
--- /dev/null
+++ b/src/briarfall/gateway/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Exchanges statuses with the other instances."""
--- a/src/briarfall/gateway/gossip.py
+++ b/src/briarfall/gateway/gossip/gossip.py
@@ -13,14 +13,14 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import liveness
-from briarfall.gateway import loads
-from briarfall.gateway import peermessages
-from briarfall.gateway import peerresponder
-from briarfall.gateway import peers
-from briarfall.gateway import peerstatus
-from briarfall.gateway import ratelimits
-from briarfall.gateway import sources
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.gossip import peerresponder
+from briarfall.gateway.gossip import peerstatus
+from briarfall.gateway.peers import peers
+from briarfall.gateway.targets import liveness
+from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import ratelimits
 
 # Interval of checks for peers whose status is due.
 _TICK_S = 0.25
--- a/src/briarfall/gateway/peermessages.py
+++ b/src/briarfall/gateway/gossip/peermessages.py
@@ -8,14 +8,14 @@
 from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import crashevidence
-from briarfall.gateway import incarnations
-from briarfall.gateway import partholds
-from briarfall.gateway import poisonlist
-from briarfall.gateway import ratelimits
-from briarfall.gateway import recordchecks
-from briarfall.gateway import sources
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import recordchecks
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.crashes import crashevidence
+from briarfall.gateway.crashes import partholds
+from briarfall.gateway.crashes import poisonlist
+from briarfall.gateway.targets import incarnations
+from briarfall.gateway.targets import ratelimits
 
 
 class LoadRow(msgspec.Struct, array_like=True, frozen=True):
--- a/src/briarfall/gateway/peerresponder.py
+++ b/src/briarfall/gateway/gossip/peerresponder.py
@@ -3,10 +3,10 @@
 import time
 import zlib
 
-from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
-from briarfall.gateway import peermessages
-from briarfall.gateway import targets
+from briarfall.gateway.catalogue import catalogue
+from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.targets import targets
 
 # Bytes of a catalogue or of changes that one datagram carries.
 _PART_BYTES = 8_000
--- a/src/briarfall/gateway/peerstatus.py
+++ b/src/briarfall/gateway/gossip/peerstatus.py
@@ -5,18 +5,18 @@
 import msgspec
 
 from briarfall import ids
-from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
-from briarfall.gateway import crashes
-from briarfall.gateway import leasing
-from briarfall.gateway import linkadmission
-from briarfall.gateway import loads
-from briarfall.gateway import peermessages
-from briarfall.gateway import peers
-from briarfall.gateway import ratelimits
-from briarfall.gateway import sources
-from briarfall.gateway import targets
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import catalogue
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.peers import peers
+from briarfall.gateway.placement import leasing
+from briarfall.gateway.placement import linkadmission
+from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import ratelimits
+from briarfall.gateway.targets import targets
 
 _MAX_LINK_MBPS = 1e9
 # Shortest time for which a draining target is reported to other instances.
--- a/src/briarfall/gateway/targetfollower.py
+++ b/src/briarfall/gateway/gossip/targetfollower.py
@@ -5,15 +5,15 @@
 from absl import logging
 
 from briarfall import exceptions
-from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
-from briarfall.gateway import connections
-from briarfall.gateway import peermessages
-from briarfall.gateway import peers
-from briarfall.gateway import sources
-from briarfall.gateway import targets
-from briarfall.gateway import targetstate
 from briarfall.gateway import workers
+from briarfall.gateway.catalogue import catalogue
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.peers import peers
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetstate
 
 # Store pollers of a zone: instances that read the store on behalf of the whole
 # zone. The next instance takes over as soon as a poller becomes unresponsive
--- /dev/null
+++ b/src/briarfall/gateway/instance/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the process of an instance and tells about it."""
--- a/src/briarfall/gateway/gauges.py
+++ b/src/briarfall/gateway/instance/gauges.py
@@ -4,7 +4,7 @@
 import typing
 
 if typing.TYPE_CHECKING:
-    from briarfall.gateway import instance
+    from briarfall.gateway.instance import instance
 
 # Help text and read function.
 Gauge = tuple[str, collections.abc.Callable[[], float]]
--- a/src/briarfall/gateway/settingswatcher.py
+++ b/src/briarfall/gateway/instance/settingswatcher.py
@@ -8,8 +8,8 @@
 from absl import logging
 
 from briarfall import exceptions
-from briarfall.gateway import config
 from briarfall.gateway import workers
+from briarfall.gateway.instance import config
 
 # Interval of checks of the file, which may change without a signal. A check
 # costs little.
--- a/src/briarfall/gateway/statushandler.py
+++ b/src/briarfall/gateway/instance/statushandler.py
@@ -5,12 +5,12 @@
 
 from absl import logging
 
-from briarfall.gateway import callers
-from briarfall.gateway import errorguard
-from briarfall.gateway import messages
 from briarfall.gateway import metrics
-from briarfall.gateway import targetconnection
-from briarfall.gateway import views
+from briarfall.gateway.callers import errorguard
+from briarfall.gateway.calls import callers
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import targetconnection
 
 METRICS_PATH = "/metrics"
 
--- /dev/null
+++ b/src/briarfall/gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The other instances, and the choice among them."""
--- a/src/briarfall/gateway/peers.py
+++ b/src/briarfall/gateway/peers/peers.py
@@ -11,9 +11,9 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import recordchecks
-from briarfall.gateway import sources
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import recordchecks
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
 
 # Interval of the status to peers of the same zone and of other zones. Chains
 # mostly stay in one zone, so peers of the same zone get the status more often.
--- a/src/briarfall/gateway/relaypeers.py
+++ b/src/briarfall/gateway/peers/relaypeers.py
@@ -6,8 +6,8 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import peers
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.peers import peers
 
 # Added to the relayed requests in flight per core: for a peer of another zone,
 # and as the upper end of a random share.
--- /dev/null
+++ b/src/briarfall/gateway/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which engine holds which layers, and chains over them."""
--- a/src/briarfall/gateway/leasing.py
+++ b/src/briarfall/gateway/placement/leasing.py
@@ -5,7 +5,7 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import sources
+from briarfall.gateway.catalogue import sources
 
 LEASE_TTL_S = 3.0
 # Longest duration that a grant of another instance may have.
--- a/src/briarfall/gateway/linkadmission.py
+++ b/src/briarfall/gateway/placement/linkadmission.py
@@ -12,8 +12,8 @@
 import threading
 
 from briarfall.gateway import clocks
-from briarfall.gateway import paths
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.placement import paths
 
 # Share of the link's capacity that is used; near the full rate queues grow.
 _MAX_LINK_SHARE = 0.8
--- a/src/briarfall/gateway/paths.py
+++ b/src/briarfall/gateway/placement/paths.py
@@ -7,10 +7,10 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import loads
-from briarfall.gateway import sources
-from briarfall.gateway import targetstate
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import targetstate
 
 # For each token, a hop costs a hand-over of `_HOP_MS` and a wait for the
 # engine's next pass, which is charged as a factor on its step time.
--- a/src/briarfall/gateway/placement.py
+++ b/src/briarfall/gateway/placement/placement.py
@@ -3,9 +3,9 @@
 import msgspec
 
 from briarfall import ids
-from briarfall.gateway import paths
-from briarfall.gateway import sources
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.placement import paths
 
 # Share of an engine's memory for weights; the rest is for the KV cache.
 _WEIGHT_SHARE = 0.66
--- a/src/briarfall/gateway/placementcontroller.py
+++ b/src/briarfall/gateway/placement/placementcontroller.py
@@ -5,18 +5,18 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
-from briarfall.gateway import leasing
-from briarfall.gateway import loads
-from briarfall.gateway import peers
-from briarfall.gateway import placement
-from briarfall.gateway import rebalancing
-from briarfall.gateway import sources
-from briarfall.gateway import targets
-from briarfall.gateway import targetstate
-from briarfall.gateway import views
 from briarfall.gateway import workers
+from briarfall.gateway.catalogue import catalogue
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.peers import peers
+from briarfall.gateway.placement import leasing
+from briarfall.gateway.placement import placement
+from briarfall.gateway.placement import rebalancing
+from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetstate
 
 _RENEW_S = 1.0
 _WATCH_S = 0.5
--- a/src/briarfall/gateway/rebalancing.py
+++ b/src/briarfall/gateway/placement/rebalancing.py
@@ -10,11 +10,11 @@
 import msgspec
 
 from briarfall import ids
-from briarfall.gateway import loads
-from briarfall.gateway import paths
-from briarfall.gateway import placement
-from briarfall.gateway import sources
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import placement
+from briarfall.gateway.targets import loads
 
 # A reassignment that doesn't lower the number of uncovered blocks must reduce
 # the scarcity to less than this share of its value.
--- /dev/null
+++ b/src/briarfall/gateway/ratelimits/__init__.py
@@ -0,0 +1,1 @@
+"""Permits for targets that name a rate limit."""
--- a/src/briarfall/gateway/permitgrants.py
+++ b/src/briarfall/gateway/ratelimits/permitgrants.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from briarfall.gateway import clocks
-from briarfall.gateway import incarnations
+from briarfall.gateway.targets import incarnations
 from briarfall.limits import buckets
 
 # Time in seconds for which unused permits accumulate. Two homes may give out
--- a/src/briarfall/gateway/permithomes.py
+++ b/src/briarfall/gateway/ratelimits/permithomes.py
@@ -17,7 +17,7 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import incarnations
+from briarfall.gateway.targets import incarnations
 from briarfall.membership import rendezvous
 
 # An instance that did not look at its members for this long was suspended, and
--- a/src/briarfall/gateway/permits.py
+++ b/src/briarfall/gateway/ratelimits/permits.py
@@ -16,14 +16,14 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import gossip
-from briarfall.gateway import incarnations
-from briarfall.gateway import peermessages
-from briarfall.gateway import peers
-from briarfall.gateway import permitgrants
-from briarfall.gateway import permithomes
-from briarfall.gateway import ratelimits
-from briarfall.gateway import targetstate
+from briarfall.gateway.gossip import gossip
+from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.peers import peers
+from briarfall.gateway.ratelimits import permitgrants
+from briarfall.gateway.ratelimits import permithomes
+from briarfall.gateway.targets import incarnations
+from briarfall.gateway.targets import ratelimits
+from briarfall.gateway.targets import targetstate
 
 # A home answers within milliseconds; a throttled process gets processor time
 # again within 0.1 s.
--- /dev/null
+++ b/src/briarfall/gateway/targets/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of each target."""
--- a/src/briarfall/gateway/linkmonitor.py
+++ b/src/briarfall/gateway/targets/linkmonitor.py
@@ -8,14 +8,14 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import connections
-from briarfall.gateway import linkprobes
-from briarfall.gateway import liveness
-from briarfall.gateway import reachability
-from briarfall.gateway import targets
-from briarfall.gateway import targetstate
-from briarfall.gateway import views
 from briarfall.gateway import workers
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.targets import linkprobes
+from briarfall.gateway.targets import liveness
+from briarfall.gateway.targets import reachability
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetstate
 
 _IDLE_PAUSE_S = 1.0
 _PROBE_PAUSE_S = 0.25
--- a/src/briarfall/gateway/linkprobes.py
+++ b/src/briarfall/gateway/targets/linkprobes.py
@@ -10,8 +10,8 @@
 from briarfall import addresses as address_parser
 from briarfall import exceptions
 from briarfall.gateway import clocks
-from briarfall.gateway import dialing
-from briarfall.gateway import targetstate
+from briarfall.gateway.exchanges import dialing
+from briarfall.gateway.targets import targetstate
 
 # A target in the same region accepts a connection within milliseconds; a
 # throttled process gets CPU time again within 0.1 s.
--- a/src/briarfall/gateway/liveness.py
+++ b/src/briarfall/gateway/targets/liveness.py
@@ -12,7 +12,7 @@
 from briarfall import addresses as address_parser
 from briarfall import exceptions
 from briarfall.gateway import clocks
-from briarfall.gateway import dialing
+from briarfall.gateway.exchanges import dialing
 
 # Live engines accept a connection within a few milliseconds of each other; one
 # that lags the first answer by this much is dead.
--- a/src/briarfall/gateway/ratelimits.py
+++ b/src/briarfall/gateway/targets/ratelimits.py
@@ -14,9 +14,9 @@
 from briarfall import decoding
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import incarnations
-from briarfall.gateway import sources
-from briarfall.gateway import targets
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.targets import incarnations
+from briarfall.gateway.targets import targets
 
 _LOG_INTERVAL_S = 10
 # Oldest report that is applied, in milliseconds.
--- a/src/briarfall/gateway/reachability.py
+++ b/src/briarfall/gateway/targets/reachability.py
@@ -8,8 +8,8 @@
 import errno
 import random
 
-from briarfall.gateway import targetstate
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.targets import targetstate
 
 # A target that has answered within this time is reached; if it resets new
 # connections, it is at its connection limit.
--- a/src/briarfall/gateway/relaybackoffs.py
+++ b/src/briarfall/gateway/targets/relaybackoffs.py
@@ -13,7 +13,7 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import incarnations
+from briarfall.gateway.targets import incarnations
 
 # A target that asks for a longer backoff than this is assumed to be mistaken;
 # its backoff is cut to this length.
--- a/src/briarfall/gateway/targetbackoff.py
+++ b/src/briarfall/gateway/targets/targetbackoff.py
@@ -5,11 +5,11 @@
 from absl import logging
 
 from briarfall.gateway import clocks
-from briarfall.gateway import incarnations
-from briarfall.gateway import relaybackoffs
 from briarfall.gateway import retryafter
-from briarfall.gateway import targets
-from briarfall.gateway import targetstate
+from briarfall.gateway.targets import incarnations
+from briarfall.gateway.targets import relaybackoffs
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetstate
 
 
 def start_backoff(target: targetstate.Target, seconds: float) -> None:
--- a/src/briarfall/gateway/targets.py
+++ b/src/briarfall/gateway/targets/targets.py
@@ -8,11 +8,11 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import incarnations
-from briarfall.gateway import reachability
-from briarfall.gateway import sources
-from briarfall.gateway import targetstate
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.targets import incarnations
+from briarfall.gateway.targets import reachability
+from briarfall.gateway.targets import targetstate
 
 # The platform registers live targets again within about this time after its
 # store comes back. An entry that is still missing afterwards is removed.
--- a/src/briarfall/gateway/targetsignals.py
+++ b/src/briarfall/gateway/targets/targetsignals.py
@@ -1,14 +1,14 @@
 """Target signals: what response headers say about the state of targets."""
 
 from briarfall import decoding
-from briarfall.gateway import headernames
-from briarfall.gateway import messages
 from briarfall.gateway import metrics
-from briarfall.gateway import ratelimits
-from briarfall.gateway import relaybackoffs
-from briarfall.gateway import targetbackoff
-from briarfall.gateway import targets
-from briarfall.gateway import targetstate
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.targets import ratelimits
+from briarfall.gateway.targets import relaybackoffs
+from briarfall.gateway.targets import targetbackoff
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetstate
 
 MAX_BACKOFF_S = relaybackoffs.MAX_BACKOFF_S
 # Seconds. A refusal may name another target than the one that sent it. It is
--- a/src/briarfall/gateway/targetstate.py
+++ b/src/briarfall/gateway/targets/targetstate.py
@@ -6,9 +6,9 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import incarnations
-from briarfall.gateway import relaybackoffs
-from briarfall.gateway import sources
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.targets import incarnations
+from briarfall.gateway.targets import relaybackoffs
 
 
 class LinkFault(enum.Enum):
--- a/src/briarfall/platform/earlylisteners.py
+++ b/src/briarfall/platform/earlylisteners.py
@@ -10,7 +10,7 @@
 import pathlib
 import socket
 
-from briarfall.gateway import listensocket
+from briarfall.gateway.callers import listensocket
 
 SETTINGS_VARIABLE = "BRIARFALL_SETTINGS"
 
--- a/src/briarfall/platform/engines.py
+++ b/src/briarfall/platform/engines.py
@@ -4,8 +4,8 @@
 
 from briarfall import decoding
 from briarfall import exceptions
-from briarfall.gateway import connections
-from briarfall.gateway import sources
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.exchanges import connections
 from briarfall.platform import headers
 from briarfall.platform import topics
 
--- a/src/briarfall/platform/entryhistory.py
+++ b/src/briarfall/platform/entryhistory.py
@@ -3,7 +3,7 @@
 from absl import logging
 
 from briarfall import ids
-from briarfall.gateway import sources
+from briarfall.gateway.catalogue import sources
 
 # Time in which the targets write entries again that the store has lost.
 _REWRITE_S = 10.0
--- a/src/briarfall/platform/epochs.py
+++ b/src/briarfall/platform/epochs.py
@@ -9,7 +9,7 @@
 
 from absl import logging
 
-from briarfall.gateway import sources
+from briarfall.gateway.catalogue import sources
 
 EPOCH_HEADER = b"store-era"
 # Epoch until a response bears one.
--- a/src/briarfall/platform/headers.py
+++ b/src/briarfall/platform/headers.py
@@ -1,7 +1,7 @@
 """Header names and header values of the platform."""
 
-from briarfall.gateway import headernames
-from briarfall.gateway import sources
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.exchanges import headernames
 
 HEADERS = headernames.HeaderNames(
     request_id=b"x-request-id",
--- a/src/briarfall/platform/ignoredrecords.py
+++ b/src/briarfall/platform/ignoredrecords.py
@@ -4,7 +4,7 @@
 
 from briarfall import decoding
 from briarfall import exceptions
-from briarfall.gateway import summary
+from briarfall.gateway.instance import summary
 from briarfall.platform import store
 
 _MAX_VALUE_BYTES = 80
--- a/src/briarfall/platform/leasetopic.py
+++ b/src/briarfall/platform/leasetopic.py
@@ -6,10 +6,10 @@
 from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import leasing
-from briarfall.gateway import recordchecks
-from briarfall.gateway import sources
-from briarfall.gateway import summary
+from briarfall.gateway.catalogue import recordchecks
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.instance import summary
+from briarfall.gateway.placement import leasing
 from briarfall.platform import deferredcalls
 from briarfall.platform import ignoredrecords
 from briarfall.platform import store
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -5,11 +5,11 @@
 import socket
 
 from briarfall import logs
-from briarfall.gateway import connections
-from briarfall.gateway import instance
 from briarfall.gateway import metrics
-from briarfall.gateway import settingswatcher
-from briarfall.gateway import summary
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.instance import instance
+from briarfall.gateway.instance import settingswatcher
+from briarfall.gateway.instance import summary
 from briarfall.platform import deferredcalls
 from briarfall.platform import earlylisteners
 from briarfall.platform import engines
--- a/src/briarfall/platform/manifest.py
+++ b/src/briarfall/platform/manifest.py
@@ -7,8 +7,8 @@
 from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import recordchecks
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import recordchecks
+from briarfall.gateway.catalogue import views
 
 _ROUTE_KINDS = {
     "idempotent": views.RouteKind.IDEMPOTENT,
--- a/src/briarfall/platform/settings.py
+++ b/src/briarfall/platform/settings.py
@@ -9,7 +9,7 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall import settings
-from briarfall.gateway import config
+from briarfall.gateway.instance import config
 
 
 class _Listen(msgspec.Struct):
--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -17,10 +17,10 @@
 
 from briarfall import decoding
 from briarfall import exceptions
-from briarfall.gateway import connections
-from briarfall.gateway import messages
-from briarfall.gateway import sources
-from briarfall.gateway import summary
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.instance import summary
 from briarfall.platform import epochs
 from briarfall.platform import storemessages
 
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -10,10 +10,10 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import recordchecks
-from briarfall.gateway import sources
-from briarfall.gateway import summary
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import recordchecks
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.instance import summary
 from briarfall.platform import entryhistory
 from briarfall.platform import ignoredrecords
 from briarfall.platform import manifest
--- a/src/briarfall/standins/prepared/network.py
+++ b/src/briarfall/standins/prepared/network.py
@@ -6,7 +6,7 @@
 import threading
 
 from briarfall import addresses
-from briarfall.gateway import dialing
+from briarfall.gateway.exchanges import dialing
 
 _RECEIVE_BYTES = 65_536
 _RESET = struct.pack("ii", 1, 0)
--- a/src/briarfall/standins/prepared/rawcaller.py
+++ b/src/briarfall/standins/prepared/rawcaller.py
@@ -6,7 +6,7 @@
 import h11
 import msgspec
 
-from briarfall.gateway import instance
+from briarfall.gateway.instance import instance
 
 _TIMEOUT_S = 20.0
 _RECEIVE_BYTES = 65_536
--- a/src/briarfall/standins/prepared/testbed.py
+++ b/src/briarfall/standins/prepared/testbed.py
@@ -9,10 +9,10 @@
 from briarfall import ids
 from briarfall import settings
 from briarfall import strictheads
-from briarfall.gateway import config
-from briarfall.gateway import connections
-from briarfall.gateway import dialing
-from briarfall.gateway import instance
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import dialing
+from briarfall.gateway.instance import config
+from briarfall.gateway.instance import instance
 from briarfall.platform import main
 from briarfall.standins.prepared import engines
 from briarfall.standins.prepared import manifests
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -4,8 +4,8 @@
 
 from briarfall import addresses
 from briarfall import exceptions
-from briarfall.gateway import liveness
-from briarfall.gateway import targetconnection
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.targets import liveness
 
 ODD_ADDRESSES = {
     "port_99999": "127.0.0.1:99999",
--- a/tests/test_gateway_budgets.py
+++ b/tests/test_gateway_budgets.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 import pytest
 
-from briarfall.gateway import budgets
 from briarfall.gateway import clocks
+from briarfall.gateway.calls import budgets
 
 _RATIO = 0.2
 _WINDOW_S = 10.0
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -7,9 +7,9 @@
 
 from briarfall import ids
 from briarfall import settings
-from briarfall.gateway import callers
-from briarfall.gateway import config
-from briarfall.gateway import targetconnection
+from briarfall.gateway.calls import callers
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.instance import config
 from briarfall.standins.prepared import rawcaller
 from briarfall.standins.prepared import testbed
 
--- a/tests/test_gateway_closedanswers.py
+++ b/tests/test_gateway_closedanswers.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from briarfall.gateway import closedanswers
-from briarfall.gateway import liveness
+from briarfall.gateway.forwarding import closedanswers
+from briarfall.gateway.targets import liveness
 from briarfall.standins.prepared import network
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_poisonparts as poisonparts
--- a/tests/test_gateway_crashdetection.py
+++ b/tests/test_gateway_crashdetection.py
@@ -3,11 +3,11 @@
 import pytest
 
 from briarfall.gateway import clocks
-from briarfall.gateway import crashdetection
-from briarfall.gateway import crashes
-from briarfall.gateway import liveness
-from briarfall.gateway import sources
-from briarfall.gateway import targets
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.crashes import crashdetection
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.targets import liveness
+from briarfall.gateway.targets import targets
 from tests import test_gateway_streams
 from tests.test_gateway_decisions import entry
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -14,30 +14,30 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import budgets
-from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
-from briarfall.gateway import connections
-from briarfall.gateway import crashes
-from briarfall.gateway import crashevidence
-from briarfall.gateway import events
-from briarfall.gateway import leasing
-from briarfall.gateway import liveness
-from briarfall.gateway import loads
-from briarfall.gateway import paths
-from briarfall.gateway import peermessages
-from briarfall.gateway import peers
-from briarfall.gateway import permits
-from briarfall.gateway import placement
-from briarfall.gateway import placementcontroller
-from briarfall.gateway import plannedstop
-from briarfall.gateway import sources
-from briarfall.gateway import streamprogress
-from briarfall.gateway import targetconnection
-from briarfall.gateway import targetfollower
-from briarfall.gateway import targets
-from briarfall.gateway import targetstate
-from briarfall.gateway import views
+from briarfall.gateway.callers import plannedstop
+from briarfall.gateway.calls import budgets
+from briarfall.gateway.catalogue import catalogue
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.crashes import crashevidence
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import events
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import streamprogress
+from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.gossip import targetfollower
+from briarfall.gateway.peers import peers
+from briarfall.gateway.placement import leasing
+from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import placement
+from briarfall.gateway.placement import placementcontroller
+from briarfall.gateway.ratelimits import permits
+from briarfall.gateway.targets import liveness
+from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetstate
 
 MODEL = views.ModelLayout(
     layers=80,
--- a/tests/test_gateway_dispatchgate.py
+++ b/tests/test_gateway_dispatchgate.py
@@ -10,12 +10,12 @@
 
 import briarfall
 from briarfall import exceptions
-from briarfall.gateway import budgets
 from briarfall.gateway import clocks
-from briarfall.gateway import crashes
-from briarfall.gateway import dispatchgate
-from briarfall.gateway import permits
-from briarfall.gateway import targetbackoff
+from briarfall.gateway.calls import budgets
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.forwarding import dispatchgate
+from briarfall.gateway.ratelimits import permits
+from briarfall.gateway.targets import targetbackoff
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_decisions
 from tests import test_gateway_streams
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -3,8 +3,8 @@
 import pytest
 
 from briarfall.gateway import clocks
-from briarfall.gateway import events
-from briarfall.gateway import targetconnection
+from briarfall.gateway.exchanges import events
+from briarfall.gateway.exchanges import targetconnection
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
 
--- a/tests/test_gateway_events.py
+++ b/tests/test_gateway_events.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies
 import pytest
 
-from briarfall.gateway import events
+from briarfall.gateway.exchanges import events
 
 
 def event(number: int) -> bytes:
--- a/tests/test_gateway_leases.py
+++ b/tests/test_gateway_leases.py
@@ -6,10 +6,10 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import catalogue
 from briarfall.gateway import clocks
-from briarfall.gateway import leasing
-from briarfall.gateway import summary
+from briarfall.gateway.catalogue import catalogue
+from briarfall.gateway.instance import summary
+from briarfall.gateway.placement import leasing
 from briarfall.platform import leasetopic
 from briarfall.platform import store
 from briarfall.platform import topics
--- a/tests/test_gateway_linkadmission.py
+++ b/tests/test_gateway_linkadmission.py
@@ -15,12 +15,12 @@
 from briarfall.bench import fulllink
 from briarfall.bench import placements
 from briarfall.gateway import clocks
-from briarfall.gateway import linkadmission
-from briarfall.gateway import loads
-from briarfall.gateway import paths
-from briarfall.gateway import sources
-from briarfall.gateway import targetstate
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.placement import linkadmission
+from briarfall.gateway.placement import paths
+from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import targetstate
 from briarfall.standins.prepared import testbed
 
 MODEL = placements.layout()
--- a/tests/test_gateway_listener.py
+++ b/tests/test_gateway_listener.py
@@ -6,7 +6,7 @@
 import pytest
 
 from briarfall import strictheads
-from briarfall.gateway import listener
+from briarfall.gateway.callers import listener
 from briarfall.standins.prepared import testbed
 
 
--- a/tests/test_gateway_loads.py
+++ b/tests/test_gateway_loads.py
@@ -8,7 +8,7 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import loads
+from briarfall.gateway.targets import loads
 
 TARGETS = [ids.TargetId(f"e{n}") for n in range(4)]
 INSTANCES = [ids.InstanceId(f"i{n}") for n in range(5)]
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -5,10 +5,10 @@
 import pytest
 
 from briarfall import exceptions
-from briarfall.gateway import liveness
-from briarfall.gateway import peermessages
-from briarfall.gateway import peerresponder
-from briarfall.gateway import sources
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.gossip import peerresponder
+from briarfall.gateway.targets import liveness
 from briarfall.platform import topics
 from briarfall.standins.prepared import engines as engine_standins
 from briarfall.standins.prepared import manifests
--- a/tests/test_gateway_permitfleet.py
+++ b/tests/test_gateway_permitfleet.py
@@ -7,8 +7,8 @@
 
 from briarfall import ids
 from briarfall.bench import permitmodel
-from briarfall.gateway import incarnations
-from briarfall.gateway import permithomes
+from briarfall.gateway.ratelimits import permithomes
+from briarfall.gateway.targets import incarnations
 
 _ACTIONS = permitmodel.Action
 _A = incarnations.Incarnation(ids.TargetId("a"), 1)
--- a/tests/test_gateway_poison.py
+++ b/tests/test_gateway_poison.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from briarfall.gateway import crashes
+from briarfall.gateway.crashes import crashes
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
 
--- a/tests/test_gateway_poisonparts.py
+++ b/tests/test_gateway_poisonparts.py
@@ -8,15 +8,15 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import budgets
-from briarfall.gateway import crashdetection
-from briarfall.gateway import crashes
-from briarfall.gateway import crashevidence
-from briarfall.gateway import dispatchgate
-from briarfall.gateway import liveness
-from briarfall.gateway import poisonlist
-from briarfall.gateway import promptparts
-from briarfall.gateway import targets
+from briarfall.gateway.calls import budgets
+from briarfall.gateway.calls import promptparts
+from briarfall.gateway.crashes import crashdetection
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.crashes import crashevidence
+from briarfall.gateway.crashes import poisonlist
+from briarfall.gateway.forwarding import dispatchgate
+from briarfall.gateway.targets import liveness
+from briarfall.gateway.targets import targets
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_decisions
 from tests import test_gateway_streams
--- a/tests/test_gateway_poisonpersistence.py
+++ b/tests/test_gateway_poisonpersistence.py
@@ -5,12 +5,12 @@
 import pytest
 
 from briarfall import exceptions
-from briarfall.gateway import crashes
-from briarfall.gateway import crashevidence
-from briarfall.gateway import poisonlist
-from briarfall.gateway import poisonpersistence
-from briarfall.gateway import sources
 from briarfall.gateway import workers
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.crashes import crashevidence
+from briarfall.gateway.crashes import poisonlist
+from briarfall.gateway.crashes import poisonpersistence
 
 
 class _Records(sources.PoisonSource):
--- a/tests/test_gateway_promptparts.py
+++ b/tests/test_gateway_promptparts.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from briarfall.gateway import messages
-from briarfall.gateway import paths
-from briarfall.gateway import promptparts
+from briarfall.gateway.calls import promptparts
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.placement import paths
 from briarfall.platform import headers
 from tests import test_gateway_decisions
 
--- a/tests/test_gateway_ratelimits.py
+++ b/tests/test_gateway_ratelimits.py
@@ -11,14 +11,14 @@
 
 from briarfall import ids
 from briarfall.bench import permitmodel
-from briarfall.gateway import incarnations
-from briarfall.gateway import messages
 from briarfall.gateway import metrics
-from briarfall.gateway import peermessages
-from briarfall.gateway import permitgrants
-from briarfall.gateway import ratelimits
-from briarfall.gateway import targets
-from briarfall.gateway import targetsignals
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.ratelimits import permitgrants
+from briarfall.gateway.targets import incarnations
+from briarfall.gateway.targets import ratelimits
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetsignals
 from briarfall.platform import headers
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_decisions
--- a/tests/test_gateway_reachability.py
+++ b/tests/test_gateway_reachability.py
@@ -6,12 +6,12 @@
 import pytest
 
 from briarfall import ids
-from briarfall.gateway import messages
-from briarfall.gateway import peers
-from briarfall.gateway import reachability
-from briarfall.gateway import relaymessages
-from briarfall.gateway import relaypeers
-from briarfall.gateway import targetstate
+from briarfall.gateway.calls import relaymessages
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.peers import peers
+from briarfall.gateway.peers import relaypeers
+from briarfall.gateway.targets import reachability
+from briarfall.gateway.targets import targetstate
 from tests import test_gateway_decisions as decisions
 
 FAULT = targetstate.LinkFault
--- a/tests/test_gateway_rebalancing.py
+++ b/tests/test_gateway_rebalancing.py
@@ -9,12 +9,12 @@
 
 from briarfall import ids
 from briarfall.bench import placements
-from briarfall.gateway import loads
-from briarfall.gateway import paths
-from briarfall.gateway import placement
-from briarfall.gateway import rebalancing
-from briarfall.gateway import sources
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import placement
+from briarfall.gateway.placement import rebalancing
+from briarfall.gateway.targets import loads
 from briarfall.standins.prepared import testbed
 
 MODEL = placements.layout()
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from briarfall.gateway import plannedstop
-from briarfall.gateway import targetstate
+from briarfall.gateway.callers import plannedstop
+from briarfall.gateway.targets import targetstate
 from briarfall.standins.prepared import network
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
--- a/tests/test_gateway_relaybackoff.py
+++ b/tests/test_gateway_relaybackoff.py
@@ -8,10 +8,10 @@
 import msgspec
 import pytest
 
-from briarfall.gateway import incarnations
-from briarfall.gateway import relaybackoffs
-from briarfall.gateway import relaymessages
-from briarfall.gateway import targetbackoff
+from briarfall.gateway.calls import relaymessages
+from briarfall.gateway.targets import incarnations
+from briarfall.gateway.targets import relaybackoffs
+from briarfall.gateway.targets import targetbackoff
 from briarfall.standins.prepared import network
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
--- a/tests/test_gateway_repeatedresponses.py
+++ b/tests/test_gateway_repeatedresponses.py
@@ -6,11 +6,11 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import connections
-from briarfall.gateway import matching
-from briarfall.gateway import messages
-from briarfall.gateway import plain
-from briarfall.gateway import sources
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import matching
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.forwarding import plain
 from briarfall.platform import engines
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import repeatedresponses
--- a/tests/test_gateway_runsonce.py
+++ b/tests/test_gateway_runsonce.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from briarfall.gateway import callers
 from briarfall.gateway import clocks
-from briarfall.gateway import connections
-from briarfall.gateway import dispatchgate
-from briarfall.gateway import plain
-from briarfall.gateway import targetconnection
+from briarfall.gateway.calls import callers
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import dispatchgate
+from briarfall.gateway.forwarding import plain
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from briarfall.gateway import rerouting
+from briarfall.gateway.forwarding import rerouting
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
 
--- a/tests/test_gateway_silentstreams.py
+++ b/tests/test_gateway_silentstreams.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from briarfall.gateway import rerouting
+from briarfall.gateway.forwarding import rerouting
 from briarfall.standins.prepared import rawcaller
 from briarfall.standins.prepared import testbed
 
--- a/tests/test_gateway_slowcallers.py
+++ b/tests/test_gateway_slowcallers.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from briarfall.gateway import callers
-from briarfall.gateway import targetconnection
-from briarfall.gateway import views
+from briarfall.gateway.calls import callers
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.exchanges import targetconnection
 from briarfall.standins.prepared import rawcaller
 from briarfall.standins.prepared import testbed
 
--- a/tests/test_gateway_socketoptions.py
+++ b/tests/test_gateway_socketoptions.py
@@ -15,10 +15,10 @@
 from websockets.sync import server
 
 from briarfall import httpclient
-from briarfall.gateway import connections
-from briarfall.gateway import listener
-from briarfall.gateway import listensocket
-from briarfall.gateway import matching
+from briarfall.gateway.callers import listener
+from briarfall.gateway.callers import listensocket
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import matching
 from briarfall.standins.prepared import rawcaller
 from briarfall.standins.prepared import testbed
 
--- a/tests/test_gateway_summary.py
+++ b/tests/test_gateway_summary.py
@@ -2,7 +2,7 @@
 
 import urllib.request
 
-from briarfall.gateway import summary
+from briarfall.gateway.instance import summary
 from briarfall.standins.prepared import testbed
 
 
--- a/tests/test_gateway_suspendedruns.py
+++ b/tests/test_gateway_suspendedruns.py
@@ -5,9 +5,9 @@
 import pytest
 
 from briarfall import exceptions
-from briarfall.gateway import crashes
-from briarfall.gateway import dispatchgate
-from briarfall.gateway import targetconnection
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.exchanges import targetconnection
+from briarfall.gateway.forwarding import dispatchgate
 from briarfall.standins.prepared import engines
 from briarfall.standins.prepared import network
 from briarfall.standins.prepared import testbed
--- a/tests/test_gateway_targetsignals.py
+++ b/tests/test_gateway_targetsignals.py
@@ -10,15 +10,15 @@
 import pytest
 
 from briarfall.gateway import clocks
-from briarfall.gateway import incarnations
-from briarfall.gateway import messages
 from briarfall.gateway import metrics
-from briarfall.gateway import ratelimits
 from briarfall.gateway import retryafter
-from briarfall.gateway import sources
-from briarfall.gateway import targetbackoff
-from briarfall.gateway import targets
-from briarfall.gateway import targetsignals
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.targets import incarnations
+from briarfall.gateway.targets import ratelimits
+from briarfall.gateway.targets import targetbackoff
+from briarfall.gateway.targets import targets
+from briarfall.gateway.targets import targetsignals
 from briarfall.platform import headers
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
--- a/tests/test_gateway_unexpectederrors.py
+++ b/tests/test_gateway_unexpectederrors.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from briarfall.gateway import messages
-from briarfall.gateway import plain
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.forwarding import plain
 from briarfall.standins.prepared import engines
 from briarfall.standins.prepared import rawcaller
 from briarfall.standins.prepared import testbed
--- a/tests/test_odd_datagrams.py
+++ b/tests/test_odd_datagrams.py
@@ -10,11 +10,11 @@
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import leasing
-from briarfall.gateway import peermessages
-from briarfall.gateway import peers
-from briarfall.gateway import sources
-from briarfall.gateway import views
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.peers import peers
+from briarfall.gateway.placement import leasing
 from briarfall.standins.prepared import testbed
 from tests import test_addresses
 
--- a/tests/test_odd_decoders.py
+++ b/tests/test_odd_decoders.py
@@ -16,11 +16,11 @@
 from briarfall.adapters import weightstore
 from briarfall.catalogue import entries
 from briarfall.catalogue import records
-from briarfall.gateway import connections
-from briarfall.gateway import events
-from briarfall.gateway import messages
-from briarfall.gateway import peermessages
-from briarfall.gateway import summary
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import events
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.instance import summary
 from briarfall.orders import claims
 from briarfall.pipelines import models
 from briarfall.platform import earlylisteners
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,7 +7,7 @@
 import pytest
 
 from briarfall import exceptions
-from briarfall.gateway import sources
+from briarfall.gateway.catalogue import sources
 from briarfall.platform import topics
 from briarfall.standins.prepared import testbed
 from tests import test_addresses
--- a/tests/test_odd_manifests.py
+++ b/tests/test_odd_manifests.py
@@ -7,7 +7,7 @@
 import pytest
 
 from briarfall import exceptions
-from briarfall.gateway import peermessages
+from briarfall.gateway.gossip import peermessages
 from briarfall.platform import manifest
 from briarfall.standins.prepared import testbed
 from tests import test_odd_records
--- a/tests/test_odd_numbers.py
+++ b/tests/test_odd_numbers.py
@@ -6,8 +6,8 @@
 
 from briarfall import exceptions
 from briarfall import sockets
-from briarfall.gateway import events
-from briarfall.gateway import targetconnection
+from briarfall.gateway.exchanges import events
+from briarfall.gateway.exchanges import targetconnection
 from briarfall.standins.prepared import testbed
 
 _DIGITS_5000 = "9" * 5000
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -6,11 +6,11 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import crashes
-from briarfall.gateway import leasing
-from briarfall.gateway import peers
-from briarfall.gateway import poisonpersistence
-from briarfall.gateway import sources
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.crashes import poisonpersistence
+from briarfall.gateway.peers import peers
+from briarfall.gateway.placement import leasing
 from briarfall.platform import epochs
 from briarfall.platform import leasetopic
 from briarfall.platform import store
--- a/tests/test_odd_store_pages.py
+++ b/tests/test_odd_store_pages.py
@@ -8,11 +8,11 @@
 import pytest
 
 from briarfall import exceptions
-from briarfall.gateway import catalogue
-from briarfall.gateway import connections
-from briarfall.gateway import messages
-from briarfall.gateway import sources
-from briarfall.gateway import summary
+from briarfall.gateway.catalogue import catalogue
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.exchanges import messages
+from briarfall.gateway.instance import summary
 from briarfall.platform import store
 from briarfall.platform import topics
 from briarfall.standins.prepared import testbed
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,11 +7,11 @@
 import pytest
 
 from briarfall import exceptions
-from briarfall.gateway import listener
-from briarfall.gateway import settingswatcher
-from briarfall.gateway import sources
-from briarfall.gateway import summary
-from briarfall.gateway import views
+from briarfall.gateway.callers import listener
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.instance import settingswatcher
+from briarfall.gateway.instance import summary
 from briarfall.platform import earlylisteners
 from briarfall.platform import headers
 from briarfall.platform import leasetopic
--- a/tests/test_platform_entryhistory.py
+++ b/tests/test_platform_entryhistory.py
@@ -4,9 +4,9 @@
 
 from briarfall import ids
 from briarfall.gateway import clocks
-from briarfall.gateway import sources
-from briarfall.gateway import summary
-from briarfall.gateway import targets
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.instance import summary
+from briarfall.gateway.targets import targets
 from briarfall.platform import store
 from briarfall.platform import topics
 from briarfall.standins.prepared import store as storestandin
--- a/tests/test_platform_epochs.py
+++ b/tests/test_platform_epochs.py
@@ -7,13 +7,13 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import catalogue
-from briarfall.gateway import crashes
-from briarfall.gateway import leasing
 from briarfall.gateway import metrics
-from briarfall.gateway import poisonpersistence
-from briarfall.gateway import sources
-from briarfall.gateway import summary
+from briarfall.gateway.catalogue import catalogue
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.crashes import poisonpersistence
+from briarfall.gateway.instance import summary
+from briarfall.gateway.placement import leasing
 from briarfall.platform import epochs
 from briarfall.platform import leasetopic
 from briarfall.platform import main
--- a/tests/test_platform_poisonrecords.py
+++ b/tests/test_platform_poisonrecords.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from briarfall.gateway import crashes
-from briarfall.gateway import crashevidence
-from briarfall.gateway import poisonlist
-from briarfall.gateway import poisonpersistence
-from briarfall.gateway import sources
-from briarfall.gateway import summary
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.crashes import crashes
+from briarfall.gateway.crashes import crashevidence
+from briarfall.gateway.crashes import poisonlist
+from briarfall.gateway.crashes import poisonpersistence
+from briarfall.gateway.instance import summary
 from briarfall.platform import store
 from briarfall.platform import topics
 from briarfall.standins.prepared import store as storestandin
--- a/tests/test_platform_rewriting.py
+++ b/tests/test_platform_rewriting.py
@@ -6,9 +6,9 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import sources
-from briarfall.gateway import summary
 from briarfall.gateway import workers
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.instance import summary
 from briarfall.platform import deferredcalls
 from briarfall.platform import epochs
 from briarfall.platform import leasetopic
--- a/tests/test_platform_storecopies.py
+++ b/tests/test_platform_storecopies.py
@@ -7,9 +7,9 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import leasing
-from briarfall.gateway import sources
-from briarfall.gateway import summary
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.instance import summary
+from briarfall.gateway.placement import leasing
 from briarfall.platform import leasetopic
 from briarfall.platform import store
 from briarfall.standins.prepared import rawhttp
