Ends of answers without a length: a crash is no end, an idle second connection no crash

Cause: silence with a closed second connection, and an entry that is missing or drains, counted as a sound end; the second connection counted whenever it was closed.

--- a/src/briarfall/gateway/forwarding/closedanswers.py
+++ b/src/briarfall/gateway/forwarding/closedanswers.py
@@ -29,6 +29,10 @@
 # The connections of a process that ends are closed one after the other, and a
 # lost packet is sent again after 0.2 s.
 _CLOSE_LAG_S = 0.3
+# The same for a target that is to end after its last answer.
+_LEAVING_CLOSE_LAG_S = 0.05
+# Pieces of an answer that may still arrive after its target has ended.
+_MAX_PIECES_ON_WAY = 2
 
 
 class Verdict(enum.Enum):
@@ -63,6 +67,8 @@
     reachability: liveness.Reachability,
     witness: WitnessState,
     since_end_s: float,
+    *,
+    is_leaving: bool = False,
 ) -> Verdict:
     """Judges whether the process that ended an answer still runs.
 
@@ -70,11 +76,16 @@
         reachability: Result of the newest attempt to connect.
         witness: The second connection, opened while the answer was under way.
         since_end_s: Seconds since the end of the answer.
+        is_leaving: Whether the target was to end after its last answers, so
+            that its end soon after this one is no crash.
     """
     if reachability is liveness.Reachability.OPEN:
         return Verdict.RUNS
     if witness is WitnessState.OPEN:
-        return Verdict.RUNS if since_end_s >= _CLOSE_LAG_S else Verdict.UNKNOWN
+        lag_s = _LEAVING_CLOSE_LAG_S if is_leaving else _CLOSE_LAG_S
+        return Verdict.RUNS if since_end_s >= lag_s else Verdict.UNKNOWN
+    if witness is WitnessState.MISSING and is_leaving:
+        return Verdict.RUNS
     if (
         witness is WitnessState.CLOSED
         and reachability is liveness.Reachability.REFUSED
@@ -157,11 +168,24 @@
         self._started_ms = started_ms
         self._dialer = dialer
         self._witness = Witness(address, dialer)
+        self._pieces_since_close = 0
 
     def close(self) -> None:
         """Closes the second connection."""
         self._witness.close()
 
+    def record_progress(self) -> None:
+        """Records that the answer goes on.
+
+        A second connection that was closed while the answer went on says
+        nothing of its end: the target has closed it as idle, or had too many.
+        """
+        if self._witness.state is not WitnessState.CLOSED:
+            return
+        self._pieces_since_close += 1
+        if self._pieces_since_close > _MAX_PIECES_ON_WAY:
+            self._witness.close()
+
     def run(
         self, watch: targetconnection.CallerWatch | None, deadline_s: float
     ) -> None:
@@ -176,9 +200,8 @@
                 it still runs.
             CallerGoneError: The caller has left.
         """
-        if self._has_announced_end():
-            return
         end_s = clocks.boot_s()
+        is_leaving = self._is_leaving()
         until_s = min(deadline_s, end_s + _MAX_WAIT_S)
         was_refused = False
         while True:
@@ -188,7 +211,9 @@
             was_refused |= reachability is liveness.Reachability.REFUSED
             now_s = clocks.boot_s()
             witness = self._witness.state
-            verdict = judge(reachability, witness, now_s - end_s)
+            verdict = judge(
+                reachability, witness, now_s - end_s, is_leaving=is_leaving
+            )
             if self._is_replaced():
                 verdict = Verdict.ENDED
             if verdict is Verdict.RUNS:
@@ -196,7 +221,8 @@
             if verdict is Verdict.ENDED or now_s >= until_s:
                 break
             _pause(watch, min(_PROBE_INTERVAL_S, until_s - now_s))
-        if verdict is Verdict.UNKNOWN and not was_refused:
+        is_unreached = verdict is Verdict.UNKNOWN and not was_refused
+        if is_unreached and witness is not WitnessState.CLOSED:
             # A machine that went dark could not have closed the connection.
             return
         raise targetconnection.BrokenExchangeError(
@@ -206,7 +232,7 @@
             saw_response=True,
         )
 
-    def _has_announced_end(self) -> bool:
+    def _is_leaving(self) -> bool:
         """Whether the target was to end after its last answers.
 
         The entry of a crashed target is removed only seconds after its
--- a/src/briarfall/gateway/forwarding/relayexchanges.py
+++ b/src/briarfall/gateway/forwarding/relayexchanges.py
@@ -76,6 +76,11 @@
     def finish(self) -> None:
         """Sends what the caller still lacks of the response."""
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether a response that has begun can be continued elsewhere."""
+        return False
+
     def record_runs(self, count: int) -> None:
         """Counts runs whose outcome is unknown."""
         self.call.possible_runs += count
@@ -155,6 +160,11 @@
         """Heads that count towards the bound of the route."""
         return len(self._stream.heads)
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether a response that has begun can be continued elsewhere."""
+        return True
+
     @property
     def heads(self) -> list[ids.TargetId]:
         """Engines that ran the stream as heads and may still live."""
--- a/src/briarfall/gateway/forwarding/relaying.py
+++ b/src/briarfall/gateway/forwarding/relaying.py
@@ -35,6 +35,8 @@
 # Interval of checks whether a silent peer still sends its status.
 _PEER_CHECK_S = 0.5
 _REFUSAL_TIMEOUT_S = 0.3
+# Lowest HTTP status that counts as a failure of the target.
+_FIRST_FAILURE_STATUS = 500
 
 
 class PeerRefusedError(exceptions.PeerError):
@@ -207,7 +209,9 @@
                 call.deadline_s,
             )
             head = self._read_head(call, conn, peer, state, asked)
-            self._apply_response(call, conn, state, head)
+            self._apply_response(
+                call, conn, state, head, bool(exchange.suspended_connections)
+            )
             head.headers = messages.end_to_end(head.headers)
             call.relayed_to = peer.id
             exchange.receive(conn, head)
@@ -304,9 +308,13 @@
         conn: targetconnection.TargetConnection,
         state: relaymessages.RelayedRequest,
         head: messages.ResponseHead,
+        may_still_answer: bool,
     ) -> None:
         """Counts a peer's attempts; returns if the response is a target's.
 
+        A target's failure is dropped while another exchange of the request is
+        open, which may still answer.
+
         Raises:
             PeerRefusedError: The peer has caused no run of the request.
             PeerFailedError: The request failed at the peer and may have run.
@@ -327,13 +335,17 @@
         targetbackoff.adopt(
             self._targets, relaybackoffs.decode(answer.backoffs)
         )
+        runs = answer.runs - state.runs
         if answer.outcome is relaymessages.RelayOutcome.TARGET:
-            return
+            if head.status < _FIRST_FAILURE_STATUS or not may_still_answer:
+                return
+            # The run that failed is not among those of unknown outcome.
+            runs += 1
         conn.drain(min(call.deadline_s, clocks.boot_s() + _REFUSAL_TIMEOUT_S))
         text = f"{conn.address}: status {head.status}"
         if answer.outcome is relaymessages.RelayOutcome.NOT_RUN:
             raise PeerRefusedError(text)
-        raise PeerFailedError(text, runs=answer.runs - state.runs)
+        raise PeerFailedError(text, runs=runs)
 
     def _record_break(
         self,
@@ -359,5 +371,7 @@
         )
         if not call.route.is_retryable or call.left_s <= 0:
             raise exc
+        if call.conn.has_sent_head and not exchange.may_resume:
+            raise exc
         if exchange.used_runs >= call.max_runs:
             raise exc
--- a/src/briarfall/gateway/forwarding/runfollowing.py
+++ b/src/briarfall/gateway/forwarding/runfollowing.py
@@ -132,7 +132,7 @@
         streamresponses.check_head(
             run.conn.address, head, self._names, is_resumed=run.is_resumed
         )
-        if head.ends_with_connection:
+        if head.ends_with_connection and call.req.method != b"HEAD":
             stage = run.chain.head
             run.completion = closedanswers.CompletionCheck(
                 self._targets,
@@ -290,6 +290,8 @@
             )
         if stream.suspended:
             self._drop_suspended(stream, run)
+        if run.completion is not None:
+            run.completion.record_progress()
         self._rerouter.record_progress(run.chain, now_s)
         if stream.excluded:
             self._rerouter.clear_suspicion(stream, run.chain)
--- a/src/briarfall/gateway/forwarding/streams.py
+++ b/src/briarfall/gateway/forwarding/streams.py
@@ -192,6 +192,9 @@
             return self._relay.forward(exchange)
         except targetconnection.CallerGoneError:
             raise
+        except targetconnection.OtherConnectionReadyError:
+            # The peer may have caused all runs that it was allowed.
+            exchange.record_runs(exchange.max_runs - exchange.used_runs)
         except exceptions.BriarfallError:
             if not stream.suspended:
                 raise
--- a/tests/test_gateway_closedanswers.py
+++ b/tests/test_gateway_closedanswers.py
@@ -57,6 +57,12 @@
         assert pool.crashes <= poisonparts.MAX_CRASHES
 
 
+@pytest.fixture(autouse=True)
+def wait_for_evidence(monkeypatch):
+    """Waits until a cut has healed, however busy the machine is."""
+    monkeypatch.setattr(closedanswers, "_MAX_WAIT_S", testbed.WAIT_S)
+
+
 @pytest.fixture
 def net():
     with contextlib.closing(network.Network()) as links:
