A heartbeat does not wait for the member table while it holds the gossip's lock

The dump of its stacks: one thread merges a member, holds the table's lock and waits for the gossip's in _on_member_change; another composes a heartbeat, holds the gossip's lock and waits for the table's in digest(). An instance that meets this answers no peer any more.

The digest is read before the lock is taken. TestHeartbeat failed before, passes now.

--- a/src/briarfall/membership/gossip.py
+++ b/src/briarfall/membership/gossip.py
@@ -260,13 +260,16 @@
 
     def _compose_heartbeat(self, peer: str) -> messages.Heartbeat:
         now = time.monotonic()
+        # The table calls back into this object while it is locked, so that its
+        # lock must not be waited for under this one.
+        digest = self._members.digest()
         with self._lock:
             outbox = self._outbox(peer)
             message = messages.Heartbeat(
                 self._members.me.id,
                 self._follower.next_offset,
                 self._follower.caught_up.is_set(),
-                self._members.digest(),
+                digest,
                 _pop_first(outbox.members, _MAX_MEMBERS),
                 [],
                 _pop_first(outbox.draining, _MAX_NOTICES),
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 import concurrent.futures
 import threading
+import types
 
 import cbor2
 import msgspec
@@ -11,7 +12,9 @@
 from briarfall import exceptions
 from briarfall import settings
 from briarfall.adapters import instancelist
+from briarfall.membership import gossip
 from briarfall.membership import links
+from briarfall.membership import messages
 from briarfall.membership import table as tables
 
 STATES = tables.MemberState
@@ -74,6 +77,46 @@
         assert table.count_applied(7) == (1, 2)
 
 
+class TestHeartbeat:
+    def _gossip(self, table):
+        follower = types.SimpleNamespace(
+            next_offset=0, caught_up=threading.Event()
+        )
+        return gossip.Gossip(
+            table, None, None, types.SimpleNamespace(), None, follower, None
+        )
+
+    def test_member_that_is_merged_meanwhile_does_not_block_it(self):
+        table = tables.MemberTable(member("r1", 5), clock.ManualClock())
+        row = self._gossip(table)
+        reached = threading.Event()
+        merged = threading.Event()
+        read = table.digest
+        notify = table.on_change
+
+        def digest():
+            reached.set()
+            return read()
+
+        def compose():
+            row.handle_heartbeat(messages.Heartbeat("r3", 0, False, 0))
+
+        def change(changed):
+            # The table is locked here.
+            threading.Thread(target=compose, daemon=True).start()
+            assert reached.wait(10)
+            notify(changed)
+
+        def merge():
+            table.merge(member())
+            merged.set()
+
+        table.digest = digest
+        table.on_change = change
+        threading.Thread(target=merge, daemon=True).start()
+        assert merged.wait(10)
+
+
 class _Echo(msgspec.Struct):
     text: str
 
