--- a/tests/test_gateway_dispatchgate.py
+++ b/tests/test_gateway_dispatchgate.py
@@ -24,7 +24,12 @@
 # Modules that open an exchange with a target, or with a peer that sends the
 # request on. `connections` makes the instance's own calls: to the store, and to
 # engines for commands and reports.
-_SENDERS = {"connections.py", "plain.py", "streams.py", "relaying.py"}
+_SENDERS = {
+    "exchanges/connections.py",
+    "forwarding/plain.py",
+    "forwarding/streams.py",
+    "forwarding/relaying.py",
+}
 
 
 @pytest.fixture
@@ -62,26 +67,26 @@
 class TestPathsToTargets:
     def test_only_known_modules_take_connections_to_targets(self):
         found = set()
-        for path in _GATEWAY.glob("*.py"):
+        for path in _GATEWAY.rglob("*.py"):
             if _takes_connection(ast.parse(path.read_text())):
-                found.add(path.name)
+                found.add(path.relative_to(_GATEWAY).as_posix())
         assert found == _SENDERS
 
     @pytest.mark.parametrize("name", ["plain.py", "streams.py"])
     def test_forwarders_pass_the_gate(self, name):
-        tree = ast.parse((_GATEWAY / name).read_text())
+        tree = ast.parse((_GATEWAY / "forwarding" / name).read_text())
         owners = [
             ast.unparse(f.value) for f in _calls_of(tree, "start_attempt")
         ]
         assert owners == ["self._gate"]
 
     def test_relayed_requests_pass_the_gate_before_a_peer_gets_them(self):
-        tree = ast.parse((_GATEWAY / "relaying.py").read_text())
+        tree = ast.parse((_GATEWAY / "forwarding" / "relaying.py").read_text())
         owners = [ast.unparse(f.value) for f in _calls_of(tree, "check")]
         assert owners == ["self._gate"]
 
     def test_rerouted_chains_pass_the_gate(self):
-        tree = ast.parse((_GATEWAY / "rerouting.py").read_text())
+        tree = ast.parse((_GATEWAY / "forwarding" / "rerouting.py").read_text())
         owners = [ast.unparse(f.value) for f in _calls_of(tree, "check")]
         assert "self._gate" in owners
 
