--- a/src/briarfall/gateway/callers/peerconnections.py
+++ b/src/briarfall/gateway/callers/peerconnections.py
@@ -114,12 +114,3 @@
 
 
 _NO_REQUEST = relaymessages.RelayedRequest("", "", 0, 0, 0, False)
-
-
-def _with_private_header(limits: views.CallerLimits) -> views.CallerLimits:
-    """Returns limits that leave room for the private header."""
-    return msgspec.structs.replace(
-        limits,
-        max_header_bytes=limits.max_header_bytes
-        + relaymessages.MAX_HEADER_BYTES,
-    )
--- a/src/briarfall/gateway/forwarding/runfollowing.py
+++ b/src/briarfall/gateway/forwarding/runfollowing.py
@@ -132,15 +132,13 @@
         streamresponses.check_head(
             run.conn.address, head, self._names, is_resumed=run.is_resumed
         )
-        if head.ends_with_connection and call.req.method != b"HEAD":
-            stage = run.chain.head
-            run.completion = closedanswers.CompletionCheck(
-                self._targets,
-                stage.target,
-                stage.address,
-                stage.started_ms,
-                self._pool.dialer,
-            )
+        run.completion = closedanswers.check_of(
+            call.req.method,
+            head,
+            run.target.entry,
+            self._targets,
+            self._pool.dialer,
+        )
 
     def close_suspended(self, stream: streamstate.Stream) -> None:
         """Closes the suspended runs, which another one has replaced."""
