--- a/src/briarfall/bench/pathchoices.py
+++ b/src/briarfall/bench/pathchoices.py
@@ -16,6 +16,7 @@
 from briarfall.bench import placements
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
+from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import paths
 from briarfall.gateway.placement import placement
 from briarfall.gateway.targets import loads
@@ -138,7 +139,7 @@
         self._kinds = {target.id: target.entry.kind for target in self.targets}
         self._kv_capacities = {}
         for target in self.targets:
-            self._kv_capacities[target.id] = paths.kv_capacity(
+            self._kv_capacities[target.id] = enginecosts.kv_capacity(
                 model, target.entry.kind, target.entry.layers
             )
         self._loads = {target.id: loads.Load() for target in self.targets}
@@ -167,7 +168,7 @@
         total = 0.0
         for stage in chain.stages:
             total += _HOP_MS
-            total += paths.step_time_ms(
+            total += enginecosts.step_time_ms(
                 self.model,
                 self._kinds[stage.target],
                 stage.layers.size,
--- a/src/briarfall/bench/placements.py
+++ b/src/briarfall/bench/placements.py
@@ -12,7 +12,7 @@
 from briarfall import ids
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
-from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import placement
 from briarfall.gateway.targets import loads
 from briarfall.pipelines import maxflow
@@ -164,10 +164,12 @@
     model: views.ModelLayout, engine: placement.EngineInfo
 ) -> float:
     """Returns the tokens per second of an engine whose KV cache is full."""
-    capacity = paths.kv_capacity(model, engine.kind, engine.layers)
+    capacity = enginecosts.kv_capacity(model, engine.kind, engine.layers)
     streams = max(1, int(capacity // _TOKENS_PER_STREAM))
     load = loads.Load(streams, streams * _TOKENS_PER_STREAM)
-    step_ms = paths.step_time_ms(model, engine.kind, engine.layers.size, load)
+    step_ms = enginecosts.step_time_ms(
+        model, engine.kind, engine.layers.size, load
+    )
     return streams / step_ms * 1000
 
 
@@ -205,7 +207,7 @@
 ) -> float:
     capacities = [0.0] * model.layers
     for engine in placed:
-        capacity = paths.kv_capacity(model, engine.kind, engine.layers)
+        capacity = enginecosts.kv_capacity(model, engine.kind, engine.layers)
         for layer in range(engine.layers.first, engine.layers.end):
             capacities[layer] += capacity
     return min(capacities)
--- a/src/briarfall/gateway/placement/paths.py
+++ b/src/briarfall/gateway/placement/paths.py
@@ -9,6 +9,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
+from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.targets import loads
 from briarfall.gateway.targets import targetstate
 
@@ -128,52 +129,6 @@
     return found
 
 
-def kv_capacity(
-    model: views.ModelLayout, kind: str, layers: sources.LayerRange
-) -> float:
-    """Returns the tokens that fit in an engine's KV cache.
-
-    Args:
-        model: The model's layout.
-        kind: Kind of accelerator.
-        layers: Layers whose weights the engine holds.
-    """
-    hardware = model.kinds.get(kind)
-    if hardware is None or not layers.size:
-        return 0.0
-    free_mb = hardware.memory_mb - layers.size * model.layer_mb
-    token_mb = model.kv_bytes / model.layers * layers.size / 1e6
-    return max(0.0, free_mb / token_mb)
-
-
-def step_time_ms(
-    model: views.ModelLayout, kind: str, layers: int, load: loads.Load
-) -> float:
-    """Returns the time of one decoding step over some layers under a load."""
-    hardware = model.kinds[kind]
-    base_ms = (
-        model.step_ms
-        + model.sequence_ms * load.streams
-        + model.context_ms * load.tokens / 1000
-    )
-    return base_ms * hardware.step_factor * layers / model.layers
-
-
-def prefill_time_ms(
-    model: views.ModelLayout, kind: str, layers: int, tokens: float
-) -> float:
-    """Returns the time to prefill prompt tokens through some layers."""
-    hardware = model.kinds[kind]
-    share = layers / model.layers
-    return (
-        tokens
-        * 1000
-        / model.prefill_tokens_per_s
-        * hardware.prefill_factor
-        * share
-    )
-
-
 class _Candidate(msgspec.Struct):
     """An engine with its cost per layer for one request."""
 
@@ -285,15 +240,17 @@
         kind = (entry.kind, entry.layers.size)
         capacity = capacities.get(kind)
         if capacity is None:
-            capacity = capacities[kind] = kv_capacity(
+            capacity = capacities[kind] = enginecosts.kv_capacity(
                 model, entry.kind, entry.layers
             )
         fill = (load.tokens + demand.tokens) / max(1.0, capacity)
         if fill > _MAX_KV_FILL:
             return None
-        step_ms = step_time_ms(model, entry.kind, 1, load)
+        step_ms = enginecosts.step_time_ms(model, entry.kind, 1, load)
         layer_ms = demand.answer * _STEP_WAIT_FACTOR * step_ms
-        layer_ms += prefill_time_ms(model, entry.kind, 1, demand.prompt)
+        layer_ms += enginecosts.prefill_time_ms(
+            model, entry.kind, 1, demand.prompt
+        )
         # A nearly full KV cache makes later requests wait or be refused, so
         # the cost rises steeply towards it.
         layer_ms *= 1 + fill**4
--- a/src/briarfall/gateway/placement/placement.py
+++ b/src/briarfall/gateway/placement/placement.py
@@ -5,7 +5,7 @@
 from briarfall import ids
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
-from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import enginecosts
 
 # Share of an engine's memory for weights; the rest is for the KV cache.
 _WEIGHT_SHARE = 0.66
@@ -72,7 +72,7 @@
         return list(self._cover.get(zone, ()))
 
     def _add(self, engine: EngineInfo, layers: sources.LayerRange) -> None:
-        capacity = paths.kv_capacity(self._model, engine.kind, layers)
+        capacity = enginecosts.kv_capacity(self._model, engine.kind, layers)
         cover = self._cover[engine.zone]
         for block in blocks_within(self._borders, layers):
             cover[block] += capacity
--- a/src/briarfall/gateway/placement/rebalancing.py
+++ b/src/briarfall/gateway/placement/rebalancing.py
@@ -12,7 +12,7 @@
 from briarfall import ids
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
-from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import placement
 from briarfall.gateway.targets import loads
 
@@ -187,7 +187,7 @@
         key = (kind, layers.size)
         capacity = self._capacities.get(key)
         if capacity is None:
-            capacity = paths.kv_capacity(self._model, kind, layers)
+            capacity = enginecosts.kv_capacity(self._model, kind, layers)
             self._capacities[key] = capacity
         for block in placement.blocks_within(self._borders, layers):
             cover[block] += sign * capacity
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -29,6 +29,7 @@
 from briarfall.gateway.gossip import peermessages
 from briarfall.gateway.gossip import targetfollower
 from briarfall.gateway.peers import peers
+from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import leasing
 from briarfall.gateway.placement import paths
 from briarfall.gateway.placement import placement
@@ -404,7 +405,7 @@
             used_mb = layers.size * MODEL.layer_mb
             assert used_mb < MODEL.kinds[row.kind].memory_mb
             assert 0 <= layers.first < layers.end <= MODEL.layers
-            assert paths.kv_capacity(MODEL, row.kind, layers) > 0
+            assert enginecosts.kv_capacity(MODEL, row.kind, layers) > 0
 
     def test_uncovered_layers_are_assigned_first(self):
         rows = self.fleet(("s",))
--- a/tests/test_gateway_rebalancing.py
+++ b/tests/test_gateway_rebalancing.py
@@ -11,7 +11,7 @@
 from briarfall.bench import placements
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
-from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import placement
 from briarfall.gateway.placement import rebalancing
 from briarfall.gateway.targets import loads
@@ -97,7 +97,7 @@
         for zone in zones:
             assert len(gaps(moved, zone)) <= before[zone]
         for row in moved:
-            assert paths.kv_capacity(MODEL, row.kind, row.layers) > 0
+            assert enginecosts.kv_capacity(MODEL, row.kind, row.layers) > 0
 
     def test_zone_with_enough_engines_has_no_uncovered_layers(self):
         for seed in range(30):
@@ -164,7 +164,7 @@
             ranges = plan.assign_all(engines)
             assert min(plan.cover(ids.ZoneId("z"))) > 0
             for layers in ranges.values():
-                capacity = paths.kv_capacity(MODEL, "medium", layers)
+                capacity = enginecosts.kv_capacity(MODEL, "medium", layers)
                 assert capacity > 0
 
     def test_zone_holds_enough_layers_to_lose_one_engine(self):
