A target that left while the store was lost is removed after its grace

Trace: i3 read the store again at 24.460, a list of 13 of the 15 targets that it knew. The two targets went only at 30.469, when i3 stopped and read the store itself. Its answers from the store poller were 0.4 s old.

Cause: ready targets that a full list lacks are kept for 2.2 s after the store came back, since they may register again. The follower goes on from the revision of that list, and changes after it don't name what the list already lacked. A poller that started after the removal never names it at all. So nothing ended the grace but the next full read, which only a store poller makes by itself.

The table now tells that it keeps such targets and when the grace ends; the follower then reads the store once, or asks peers for the full list if that fails. No target kept, no further read: an instance reads once more for each loss of the store in which a target left.

Ruled out: the poller still listed them (it found 13 targets); a call without a bound (age 0.4 s); an older list that undid a newer one (no `target found` again).

--- a/src/briarfall/gateway/gossip/targetfollower.py
+++ b/src/briarfall/gateway/gossip/targetfollower.py
@@ -117,6 +117,9 @@
         if self._is_backing_off(started_s):
             self._ask_peers(self._peers.with_store_access(1))
             share = _PEER_POLL_SHARE
+        elif self._is_full_list_due(started_s):
+            self.read()
+            share = _PEER_POLL_SHARE
         elif self._ask_store_pollers() or not self.read():
             share = _PEER_POLL_SHARE
         self._pool.close_idle()
@@ -124,11 +127,18 @@
         if not self._failures:
             oldest_s = self._draining_bound_s * _REFRESH_SHARE
             left_s = min(left_s, oldest_s - self._table.age_s())
+        due_s = self._table.full_list_due_s
+        if due_s is not None and due_s > started_s:
+            left_s = min(left_s, due_s - clocks.boot_s())
         self.stopped.wait(max(_MIN_PAUSE_S, left_s))
 
     def _is_backing_off(self, now_s: float) -> bool:
         return bool(self._failures) and now_s < self._next_read_s
 
+    def _is_full_list_due(self, now_s: float) -> bool:
+        due_s = self._table.full_list_due_s
+        return due_s is not None and now_s >= due_s
+
     def read(self) -> bool:
         """Reads the list from the source, or from peers if that fails.
 
@@ -181,7 +191,7 @@
                 answer = self._peer_client.ask(
                     peer,
                     self._incarnation,
-                    self._revision,
+                    -1 if self._is_full_list_due(asked_s) else self._revision,
                     self._draining_bound_s * _REQUEST_TIMEOUT_SHARE,
                 )
                 # The peer's last status may still hold an older version.
--- a/src/briarfall/gateway/targets/targets.py
+++ b/src/briarfall/gateway/targets/targets.py
@@ -62,6 +62,9 @@
         self._source_regained_s = 0.0
         self._revision = 0
         self._removed: dict[ids.TargetId, int] = {}
+        # Ready targets that the latest full list lacks. Changes that peers
+        # send after such a list don't name them.
+        self._kept: set[ids.TargetId] = set()
         self._listeners: list[collections.abc.Callable[[], None]] = []
         self._end_listeners: list[EndListener] = []
         # Targets that the update in progress has added.
@@ -157,16 +160,30 @@
         lost.
         """
         listed = {entry.id for entry in entries}
-        keeps_ready = read_s - self._source_regained_s < _REGISTRATION_S
+        keeps_ready = read_s < self._kept_until_s
+        self._kept.clear()
         missing = []
         for target in self._targets.values():
             if target.id in listed:
                 continue
             if keeps_ready and target.entry.state is sources.TargetState.READY:
+                self._kept.add(target.id)
                 continue
             missing.append(target.id)
         return missing
 
+    @property
+    def _kept_until_s(self) -> float:
+        return self._source_regained_s + _REGISTRATION_S
+
+    @property
+    def full_list_due_s(self) -> float | None:
+        """Time on the boot clock from which a full list is needed.
+
+        None if the latest full list lacks no target of the table.
+        """
+        return self._kept_until_s if self._kept else None
+
     @property
     def revision(self) -> int:
         """Number of changes of the table so far."""
@@ -207,6 +224,7 @@
 
     def _remove(self, target_id: ids.TargetId) -> None:
         self._ended_entries.append(self._targets.pop(target_id).entry)
+        self._kept.discard(target_id)
         self._revision += 1
         self._removed[target_id] = self._revision
         while len(self._removed) > _MAX_REMOVED:
@@ -230,6 +248,7 @@
             )
 
     def _apply_entry(self, entry: sources.TargetEntry, read_s: float) -> None:
+        self._kept.discard(entry.id)
         known = self._targets.get(entry.id)
         if known is None or known.entry.started_ms != entry.started_ms:
             if known is not None:
--- /dev/null
+++ b/tests/test_gateway_targetfollower.py
@@ -0,0 +1,175 @@
+"""Targets that leave while an instance can't read the store."""
+
+import pytest
+
+from briarfall import exceptions
+from briarfall import ids
+from briarfall.gateway.catalogue import catalogue
+from briarfall.gateway.catalogue import sources
+from briarfall.gateway.catalogue import views
+from briarfall.gateway.exchanges import connections
+from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.gossip import peerresponder
+from briarfall.gateway.gossip import targetfollower
+from briarfall.gateway.peers import peers
+from briarfall.gateway.targets import targets
+
+_BOUND_S = 2.0
+# A ready target may be missing for 2.2 s after the store came back.
+_BEFORE_S = 1.5
+_AFTER_S = 1.4
+
+
+def _entry(name: str) -> sources.TargetEntry:
+    return sources.TargetEntry(
+        id=ids.TargetId(name),
+        service=views.ServiceName("desk"),
+        address=f"10.0.0.1:{8000 + ord(name)}",
+        zone=ids.ZoneId("z"),
+        state=sources.TargetState.READY,
+        started_ms=1,
+    )
+
+
+class _Catalogue(sources.CatalogueSource):
+    """A catalogue that never changes."""
+
+    def read_newest(self, timeout_s):
+        return sources.CatalogueRead(0, b"1")
+
+    def wait_newer(self, position, wait_s, timeout_s):
+        return sources.CatalogueRead(0, b"1")
+
+    def parse(self, raw):
+        return views.build_view(
+            1, [], [], {}, has_accounts=True, limits=views.CallerLimits()
+        )
+
+
+class _Store(sources.TargetSource):
+    """The entries of targets, and whether the store answers."""
+
+    def __init__(self, *names):
+        self.names = list(names)
+        self.is_down = False
+        self.reads = 0
+
+    def list_targets(self, timeout_s):
+        if self.is_down:
+            raise exceptions.LogUnavailableError("down")
+        self.reads += 1
+        return [_entry(name) for name in self.names]
+
+
+class _Poller:
+    """A store poller of the zone; its table is read anew for each question."""
+
+    def __init__(self, clock, follower, store):
+        self._clock = clock
+        self._store = store
+        self.table = targets.TargetTable()
+        self._responder = peerresponder.PeerResponder(self.table, follower)
+        self.is_silent = False
+
+    def ask(self, peer, incarnation, revision, timeout_s):
+        if self.is_silent:
+            raise exceptions.PeerError("silent")
+        self.table.update(self._store.list_targets(1.0), self._clock.now_s)
+        request = peermessages.FreshnessRequest(1, incarnation, revision)
+        return self._responder.answer(request)
+
+    def fetch_changes(self, peer, answer, timeout_s):
+        return answer.changes
+
+
+class TestTargetThatLeavesWhileTheStoreIsLost:
+    @pytest.fixture
+    def store(self):
+        """The store as this instance reaches it."""
+        return _Store("a", "b")
+
+    @pytest.fixture
+    def table(self):
+        return targets.TargetTable()
+
+    @pytest.fixture
+    def poller(self, clock):
+        """A poller that has started after target b left."""
+        follower = catalogue.CatalogueFollower(_Catalogue(), 5.0, lambda: True)
+        follower.step()
+        return _Poller(clock, follower, _Store("a"))
+
+    @pytest.fixture
+    def worker(self, clock, monkeypatch, store, table, poller):
+        members = peers.PeerTable("i1", "z")
+        peer = members.add(
+            sources.InstanceRecord(
+                ids.InstanceId("i2"), "10.0.0.1:7000", ids.ZoneId("z"), 1.0
+            )
+        )
+        peer.heard_s = float("inf")
+        peer.reaches_store = True
+        follower = catalogue.CatalogueFollower(_Catalogue(), 5.0, lambda: True)
+        follower.step()
+        row = targetfollower.TargetFollower(
+            store,
+            table,
+            follower,
+            connections.ConnectionPool(),
+            members,
+            poller,
+            _BOUND_S,
+        )
+        monkeypatch.setattr(members, "store_pollers", lambda count: [peer])
+
+        def wait(seconds):
+            clock.now_s += seconds
+
+        monkeypatch.setattr(row.stopped, "wait", wait)
+        return row
+
+    def lose_and_regain(self, clock, worker, store, poller):
+        """Reads the store, loses it with the peers, and reads it again."""
+        worker.read()
+        store.is_down = True
+        poller.is_silent = True
+        worker.read()
+        clock.now_s += 2.0
+        store.is_down = False
+        poller.is_silent = False
+        store.names = ["a"]
+        assert worker.read()
+
+    def follow(self, clock, worker, seconds):
+        end_s = clock.now_s + seconds
+        while clock.now_s < end_s:
+            worker.step()
+
+    def test_it_is_removed_once_it_had_time_to_register(
+        self, clock, worker, store, table, poller
+    ):
+        self.lose_and_regain(clock, worker, store, poller)
+        self.follow(clock, worker, _BEFORE_S)
+        assert table.get("b") is not None
+        self.follow(clock, worker, _AFTER_S)
+        assert table.get("b") is None
+        assert table.get("a") is not None
+
+    def test_a_peer_tells_if_the_store_is_lost_again(
+        self, clock, worker, store, table, poller
+    ):
+        self.lose_and_regain(clock, worker, store, poller)
+        self.follow(clock, worker, _BEFORE_S)
+        store.is_down = True
+        self.follow(clock, worker, _AFTER_S)
+        assert table.get("b") is None
+
+    def test_target_that_registers_again_costs_no_read(
+        self, clock, worker, store, table, poller
+    ):
+        self.lose_and_regain(clock, worker, store, poller)
+        poller._store.names = ["a", "b"]
+        reads = store.reads
+        self.follow(clock, worker, _BEFORE_S + _AFTER_S)
+        assert table.get("b") is not None
+        assert store.reads == reads
