The start script ignores a reload signal before its other imports

Cause, the part of it that is ours: since the script ignores the signal, but only after it has imported pathlib, which takes milliseconds. It is the first statement now.

Evidence: test_reload_signal_during_the_first_imports_does_not_end_the_process holds the import; it failed before (code -1) and passes now.

--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -1,14 +1,16 @@
 """Runs a gateway instance from a checkout."""
 
-import gc
-import os
-import pathlib
 import signal
-import sys
 
-# Until the instance handles it, this signal would end the process.
+# Until the instance handles it, this signal would end the process. The further
+# imports take milliseconds.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+import gc  # noqa: E402
+import os  # noqa: E402
+import pathlib  # noqa: E402
+import sys  # noqa: E402
+
 sys.path[0] = str(pathlib.Path(__file__).resolve().parent.parent / "src")
 
 from briarfall.platform import earlylisteners  # noqa: E402
