The soak sends a reload signal only once the interpreter has started

Trace: the signal came 39 and 41 ms after the process was started, when SIGHUP was neither ignored nor caught. Alone, the first line of the soak's wrapper runs 22 ms after the start, the first line of deploy/gateway.py 42 ms after it (medians of 9): the interpreter and the wrapper take most of the time, and none of the gateway's code can handle the signal before.

Now each process starts through the wrapper, which ignores the signal in its first statement and tells by a file that it runs; the soak waits for that file, and for nothing else, before it sends the signal. Right before the script the wrapper gives the signal its default action back, so a script that doesn't ignore it at once still ends with -1 and is reported, as before; the second new test shows that. The wrapper runs the script itself, since runpy imports modules for 10 ms in between.

Evidence: test_reload_signal_right_after_the_start_does_not_end_the_process failed before, passes now.

--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import threading
+import time
 
 from briarfall.standins.prepared import links
 
@@ -17,6 +18,8 @@
 CHECKOUT = pathlib.Path(__file__).parents[5]
 _START = pathlib.Path("deploy") / "gateway.py"
 _TRANSLATED_START = pathlib.Path(__file__).parent / "translatedstart.py"
+# Pause between two looks whether the interpreter of a process has started.
+_BEGIN_PAUSE_S = 0.002
 # Time that a process has for a planned stop.
 GRACE_S = 8.0
 # Ports of all processes so far.
@@ -50,6 +53,8 @@
         self.ready = (host, ready)
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
+        # Exists once the interpreter of the process runs its first script.
+        self._begun = folder / f"{name}.begun"
         self._settings.write_text(
             json.dumps(
                 {
@@ -67,7 +72,7 @@
             )
         )
         self._checkout = CHECKOUT
-        self._translated: tuple[str, str] | None = None
+        self._translated: tuple[str, ...] = ()
         self._process: subprocess.Popen | None = None
         self._lock = threading.Lock()
         self._is_closed = False
@@ -92,13 +97,11 @@
 
     @property
     def _command(self) -> list[str]:
-        start = str(self._checkout / _START)
-        if self._translated is None:
-            return [sys.executable, start]
         return [
             sys.executable,
             str(_TRANSLATED_START),
-            start,
+            str(self._begun),
+            str(self._checkout / _START),
             *self._translated,
         ]
 
@@ -127,6 +130,7 @@
     def _start(self) -> None:
         self.record_own_end()
         self._is_ending = False
+        self._begun.unlink(missing_ok=True)
         env = {**os.environ, "BRIARFALL_SETTINGS": str(self._settings)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
@@ -143,7 +147,13 @@
         return self._process is not None and self._process.poll() is None
 
     def signal(self, number: signal.Signals) -> None:
-        """Sends a signal if the process is running."""
+        """Sends a signal if the process is running.
+
+        A reload signal waits until the interpreter of the process has started:
+        before, no code of the process can handle it.
+        """
+        if number is signal.SIGHUP:
+            self._wait_begun()
         if not self.is_running:
             return
         if number in (signal.SIGTERM, signal.SIGKILL):
@@ -151,6 +161,10 @@
         self._process.send_signal(number)
         self.is_paused = number is signal.SIGSTOP
 
+    def _wait_begun(self) -> None:
+        while self.is_running and not self._begun.exists():
+            time.sleep(_BEGIN_PAUSE_S)
+
     def wait(self, timeout_s: float = GRACE_S + 2) -> bool:
         """Waits for the exit; kills the process and returns False if late."""
         try:
--- a/src/briarfall/standins/prepared/faultsoak/translatedstart.py
+++ b/src/briarfall/standins/prepared/faultsoak/translatedstart.py
@@ -1,15 +1,24 @@
-"""Starts a gateway process that connects to one host instead of another.
+"""Starts a gateway process, which may connect to one host instead of another.
 
 So each process of a soak test reaches the targets at an address of its own,
 while all of them know the same addresses: the network between one instance and
 the targets can be cut without root and without a change of the gateway.
 
-Usage: translatedstart.py SCRIPT HOST OWN_HOST
+A reload signal would end a process whose interpreter is still starting, before
+any code can handle it. A file tells that this is over. The signal is ignored
+until the script begins; from then on the script has to handle it.
+
+Usage: translatedstart.py BEGUN_FILE SCRIPT [HOST OWN_HOST]
 """
 
-import runpy
-import socket
-import sys
+import signal
+
+if __name__ == "__main__":
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import pathlib  # noqa: E402
+import socket  # noqa: E402
+import sys  # noqa: E402
 
 
 def _translate(host: str, own_host: str) -> None:
@@ -32,10 +41,14 @@
 
 def main() -> None:
     """Runs the script with translated hosts."""
-    script, host, own_host = sys.argv[1:]
-    _translate(host, own_host)
+    begun, script, *hosts = sys.argv[1:]
+    pathlib.Path(begun).touch()
+    if hosts:
+        _translate(*hosts)
     sys.argv = [script]
-    runpy.run_path(script, run_name="__main__")
+    code = compile(pathlib.Path(script).read_bytes(), script, "exec")
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    exec(code, {"__name__": "__main__", "__file__": script})
 
 
 if __name__ == "__main__":
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -1,11 +1,13 @@
 """A short seeded soak of gateway processes, and tests of its checks."""
 
 import pathlib
+import signal
 
 import pytest
 
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import registeredtarget
+from briarfall.standins.prepared import testbed
 from briarfall.standins.prepared.faultsoak import callers
 from briarfall.standins.prepared.faultsoak import faultsets
 from briarfall.standins.prepared.faultsoak import limitchecks
@@ -91,6 +93,34 @@
         row.start()
         assert not row.is_running
 
+    def test_reload_signal_right_after_the_start_does_not_end_the_process(
+        self, row
+    ):
+        row.start()
+        row.signal(signal.SIGHUP)
+        testbed.until(lambda: processes.accepts_connections(row.front), "start")
+        row.record_own_end()
+        assert row.own_ends == []
+
+    def test_reload_signal_ends_a_script_that_does_not_handle_it(
+        self, row, tmp_path
+    ):
+        begun = tmp_path / "script_begun"
+        script = tmp_path / "deploy" / "gateway.py"
+        script.parent.mkdir()
+        script.write_text(
+            "import pathlib, signal\n"
+            f"pathlib.Path({str(begun)!r}).touch()\n"
+            "signal.pause()\n"
+        )
+        row.run_release(tmp_path)
+        row.start()
+        testbed.until(begun.exists, "script")
+        row.signal(signal.SIGHUP)
+        testbed.until(lambda: not row.is_running, "end")
+        row.record_own_end()
+        assert row.own_ends == [-signal.SIGHUP]
+
 
 class TestSoakChecks:
     """Each check reports the violation that it is made for."""
--- a/tests/test_standin_faults.py
+++ b/tests/test_standin_faults.py
@@ -259,13 +259,15 @@
             "print(socket.create_connection(address).getpeername()[0])\n"
         )
         start = pathlib.Path(translatedstart.__file__)
+        begun = tmp_path / "begun"
         done = subprocess.run(
-            [sys.executable, start, script, HOST, LINK_HOST],
+            [sys.executable, start, begun, script, HOST, LINK_HOST],
             capture_output=True,
             text=True,
             check=True,
         )
         assert done.stdout.strip() == LINK_HOST
+        assert begun.exists()
 
 
 class TestMisdirectedRequest:
