The grace of missing targets starts when a peer shows that the store is back

What callers saw: after the store came back, requests still went to targets that had left, 2.2 s from the instance's own first read on. That read is made up to a second after the store is back, and 5 s after in a zone of 50 instances, which take turns; meanwhile peers have told the list.

Cause: only an own read ended the loss of the list, though a loss begins only when neither the store nor peers provide it. A later own read then started a new grace. For the same reason a full list of a peer that came during the loss removed ready targets at once, which may just not have registered again.

A list that a peer read after the loss was last noticed ends it now, and its time starts the grace; an older one doesn't, and removes no ready target.

Evidence: three tests in tests/test_gateway_targetfollower.py failed before, pass now. The log line tells the age of the list in place of its length.

--- a/src/briarfall/gateway/targets/targets.py
+++ b/src/briarfall/gateway/targets/targets.py
@@ -59,6 +59,7 @@
         # Revision from which `_by_service` was built.
         self._indexed_revision = 0
         self._is_source_lost = False
+        self._source_lost_s = 0.0
         self._source_regained_s = 0.0
         self._revision = 0
         self._removed: dict[ids.TargetId, int] = {}
@@ -93,12 +94,7 @@
         with self._lock:
             if self.read_s is not None and read_s < self.read_s:
                 return gone
-            if self._is_source_lost:
-                self._is_source_lost = False
-                self._source_regained_s = read_s
-                logging.info(
-                    "target list readable again entries=%d", len(entries)
-                )
+            self._end_loss(read_s)
             self.read_s = read_s
             for entry in entries:
                 self._apply_entry(entry, read_s)
@@ -135,6 +131,7 @@
         """
         removed = []
         with self._lock:
+            self._end_loss(read_s)
             self.read_s = read_s
             for entry in changed:
                 self._apply_entry(entry, read_s)
@@ -151,6 +148,17 @@
         self._notify_ended()
         return removed
 
+    def _end_loss(self, read_s: float) -> None:
+        """Ends a loss of the source if a list was read after it began."""
+        if not self._is_source_lost or read_s < self._source_lost_s:
+            return
+        self._is_source_lost = False
+        self._source_regained_s = read_s
+        logging.info(
+            "target list readable again age_ms=%d",
+            (clocks.boot_s() - read_s) * 1000,
+        )
+
     def _missing_from(
         self, entries: list[sources.TargetEntry], read_s: float
     ) -> list[ids.TargetId]:
@@ -160,7 +168,7 @@
         lost.
         """
         listed = {entry.id for entry in entries}
-        keeps_ready = read_s < self._kept_until_s
+        keeps_ready = self._is_source_lost or read_s < self._kept_until_s
         self._kept.clear()
         missing = []
         for target in self._targets.values():
@@ -392,6 +400,7 @@
                     self.read_s,
                 )
             self._is_source_lost = True
+            self._source_lost_s = clocks.boot_s()
 
     def age_s(self) -> float:
         """Returns the seconds since the list was read; infinite before."""
--- a/tests/test_gateway_targetfollower.py
+++ b/tests/test_gateway_targetfollower.py
@@ -66,7 +66,7 @@
 
     def __init__(self, clock, follower, store):
         self._clock = clock
-        self._store = store
+        self.store = store
         self.table = targets.TargetTable()
         self._responder = peerresponder.PeerResponder(self.table, follower)
         self.is_silent = False
@@ -74,7 +74,7 @@
     def ask(self, peer, incarnation, revision, timeout_s):
         if self.is_silent:
             raise exceptions.PeerError("silent")
-        self.table.update(self._store.list_targets(1.0), self._clock.now_s)
+        self.table.update(self.store.list_targets(1.0), self._clock.now_s)
         request = peermessages.FreshnessRequest(1, incarnation, revision)
         return self._responder.answer(request)
 
@@ -168,8 +168,50 @@
         self, clock, worker, store, table, poller
     ):
         self.lose_and_regain(clock, worker, store, poller)
-        poller._store.names = ["a", "b"]
+        poller.store.names = ["a", "b"]
         reads = store.reads
         self.follow(clock, worker, _BEFORE_S + _AFTER_S)
         assert table.get("b") is not None
         assert store.reads == reads
+
+    def lose(self, worker, store, poller):
+        """Reads the store, then loses it and the peers."""
+        worker.read()
+        store.is_down = True
+        poller.is_silent = True
+        worker.read()
+
+    def test_list_of_a_peer_leaves_it_time_to_register(
+        self, clock, worker, store, table, poller
+    ):
+        self.lose(worker, store, poller)
+        poller.is_silent = False
+        self.follow(clock, worker, _BEFORE_S)
+        assert table.get("b") is not None
+        self.follow(clock, worker, _AFTER_S)
+        assert table.get("b") is None
+
+    def test_own_read_gives_no_more_time_than_the_list_of_a_peer(
+        self, clock, worker, store, table, poller
+    ):
+        self.lose(worker, store, poller)
+        poller.is_silent = False
+        poller.store.names = ["a", "b"]
+        self.follow(clock, worker, _BEFORE_S)
+        poller.is_silent = True
+        store.is_down = False
+        store.names = ["a"]
+        assert worker.read()
+        self.follow(clock, worker, _AFTER_S)
+        assert table.get("b") is None
+
+    def test_list_read_before_the_loss_ends_no_loss(
+        self, clock, worker, store, table, poller
+    ):
+        self.lose(worker, store, poller)
+        lost_s = clock.now_s
+        clock.now_s += 0.5
+        table.apply_changes([_entry("a")], [], lost_s - 0.1, is_full=True)
+        clock.now_s += _BEFORE_S
+        table.update([_entry("a")], clock.now_s)
+        assert table.full_list_due_s > clock.now_s + _BEFORE_S
