The store is read as soon as the backoff of the target follower is over

What was seen: after a loss of the store an instance read it up to 0.25 s later than its backoff says (model); with that, targets that had left got requests for longer.

Cause: while the follower backs off it asks a peer each 0.2 of the bound, and looked only then whether the backoff was over. Its pause now ends with the backoff.

Evidence: test_store_is_read_as_soon_as_the_backoff_is_over, 0.25 s before, at most 0.05 s now.

--- a/src/briarfall/gateway/gossip/targetfollower.py
+++ b/src/briarfall/gateway/gossip/targetfollower.py
@@ -124,7 +124,9 @@
             share = _PEER_POLL_SHARE
         self._pool.close_idle()
         left_s = self._draining_bound_s * share - (clocks.boot_s() - started_s)
-        if not self._failures:
+        if self._failures:
+            left_s = min(left_s, self._next_read_s - clocks.boot_s())
+        else:
             oldest_s = self._draining_bound_s * _REFRESH_SHARE
             left_s = min(left_s, oldest_s - self._table.age_s())
         due_s = self._table.full_list_due_s
--- a/tests/test_gateway_targetfollower.py
+++ b/tests/test_gateway_targetfollower.py
@@ -53,8 +53,10 @@
         self.names = list(names)
         self.is_down = False
         self.reads = 0
+        self.tries = 0
 
     def list_targets(self, timeout_s):
+        self.tries += 1
         if self.is_down:
             raise exceptions.LogUnavailableError("down")
         self.reads += 1
@@ -215,3 +217,17 @@
         clock.now_s += _BEFORE_S
         table.update([_entry("a")], clock.now_s)
         assert table.full_list_due_s > clock.now_s + _BEFORE_S
+
+    def test_store_is_read_as_soon_as_the_backoff_is_over(
+        self, clock, worker, store, poller
+    ):
+        self.lose(worker, store, poller)
+        late_s = []
+        for _ in range(20):
+            tries = store.tries
+            due_s = worker._next_read_s
+            while store.tries == tries:
+                now_s = clock.now_s
+                worker.step()
+            late_s.append(now_s - due_s)
+        assert max(late_s) <= 0.05
