--- a/src/briarfall/gateway/targets/targets.py
+++ b/src/briarfall/gateway/targets/targets.py
@@ -59,9 +59,13 @@
         # Revision from which `_by_service` was built.
         self._indexed_revision = 0
         self._is_source_lost = False
+        self._source_lost_s = 0.0
         self._source_regained_s = 0.0
         self._revision = 0
         self._removed: dict[ids.TargetId, int] = {}
+        # Ready targets that the latest full list lacks. Changes that peers
+        # send after such a list don't name them.
+        self._kept: set[ids.TargetId] = set()
         self._listeners: list[collections.abc.Callable[[], None]] = []
         self._end_listeners: list[EndListener] = []
         # Targets that the update in progress has added.
@@ -90,12 +94,7 @@
         with self._lock:
             if self.read_s is not None and read_s < self.read_s:
                 return gone
-            if self._is_source_lost:
-                self._is_source_lost = False
-                self._source_regained_s = read_s
-                logging.info(
-                    "target list readable again entries=%d", len(entries)
-                )
+            self._end_loss(read_s)
             self.read_s = read_s
             for entry in entries:
                 self._apply_entry(entry, read_s)
@@ -132,6 +131,7 @@
         """
         removed = []
         with self._lock:
+            self._end_loss(read_s)
             self.read_s = read_s
             for entry in changed:
                 self._apply_entry(entry, read_s)
@@ -148,6 +148,17 @@
         self._notify_ended()
         return removed
 
+    def _end_loss(self, read_s: float) -> None:
+        """Ends a loss of the source if a list was read after it began."""
+        if not self._is_source_lost or read_s < self._source_lost_s:
+            return
+        self._is_source_lost = False
+        self._source_regained_s = read_s
+        logging.info(
+            "target list readable again age_ms=%d",
+            (clocks.boot_s() - read_s) * 1000,
+        )
+
     def _missing_from(
         self, entries: list[sources.TargetEntry], read_s: float
     ) -> list[ids.TargetId]:
@@ -157,16 +168,30 @@
         lost.
         """
         listed = {entry.id for entry in entries}
-        keeps_ready = read_s - self._source_regained_s < _REGISTRATION_S
+        keeps_ready = self._is_source_lost or read_s < self._kept_until_s
+        self._kept.clear()
         missing = []
         for target in self._targets.values():
             if target.id in listed:
                 continue
             if keeps_ready and target.entry.state is sources.TargetState.READY:
+                self._kept.add(target.id)
                 continue
             missing.append(target.id)
         return missing
 
+    @property
+    def _kept_until_s(self) -> float:
+        return self._source_regained_s + _REGISTRATION_S
+
+    @property
+    def full_list_due_s(self) -> float | None:
+        """Time on the boot clock from which a full list is needed.
+
+        None if the latest full list lacks no target of the table.
+        """
+        return self._kept_until_s if self._kept else None
+
     @property
     def revision(self) -> int:
         """Number of changes of the table so far."""
@@ -207,6 +232,7 @@
 
     def _remove(self, target_id: ids.TargetId) -> None:
         self._ended_entries.append(self._targets.pop(target_id).entry)
+        self._kept.discard(target_id)
         self._revision += 1
         self._removed[target_id] = self._revision
         while len(self._removed) > _MAX_REMOVED:
@@ -230,6 +256,7 @@
             )
 
     def _apply_entry(self, entry: sources.TargetEntry, read_s: float) -> None:
+        self._kept.discard(entry.id)
         known = self._targets.get(entry.id)
         if known is None or known.entry.started_ms != entry.started_ms:
             if known is not None:
@@ -373,6 +400,7 @@
                     self.read_s,
                 )
             self._is_source_lost = True
+            self._source_lost_s = clocks.boot_s()
 
     def age_s(self) -> float:
         """Returns the seconds since the list was read; infinite before."""
