The fault soak restores the store from older copies

A set `restores` of its own: the store is away for a moment (calls refused or reset, or decided answers that arrive late) and comes back from a copy up to 4 s old, in all topics, in some, or with copies of two ages; three in ten times it is restored twice in a row. What the operator and the targets wrote is written again up to 2 s later. The checks of the soak are unchanged; the time until the records are written again counts as a fault of the store.

--- a/src/briarfall/cli/benches.py
+++ b/src/briarfall/cli/benches.py
@@ -101,9 +101,9 @@
         seconds: Duration of the faults for each seed.
         instances: Number of gateway processes to run.
         sets: Sets of faults: usual (the default), silence, cuts, exchanges,
-            catalogue, entries, gone, limits, pairs. The pairs are disruptions
-            beside changes; eight seeds from a multiple of eight on, with
-            eight seconds each, play all of them.
+            catalogue, entries, gone, limits, restores, pairs. The pairs are
+            disruptions beside changes; eight seeds from a multiple of eight
+            on, with eight seconds each, play all of them.
         keep: Folder to keep settings and logs in; not kept if empty.
         old: Checkout of an earlier release that runs at first; instances are
             upgraded one after the other. Empty starts with this release.
--- a/src/briarfall/standins/prepared/faultsoak/faultsets.py
+++ b/src/briarfall/standins/prepared/faultsoak/faultsets.py
@@ -8,6 +8,7 @@
 from briarfall.standins.prepared.faultsoak import keptconnections
 from briarfall.standins.prepared.faultsoak import linkcuts
 from briarfall.standins.prepared.faultsoak import oddentries
+from briarfall.standins.prepared.faultsoak import restores
 from briarfall.standins.prepared.faultsoak import storefaults
 from briarfall.standins.prepared.faultsoak import targetfaults
 from briarfall.standins.prepared.faultsoak import targetlimits
@@ -25,6 +26,7 @@
     ENTRIES = "entries"
     GONE = "gone"
     LIMITS = "limits"
+    RESTORES = "restores"
     # Played beside the other sets, in an order of its own; see pairs.py.
     PAIRS = "pairs"
 
@@ -66,6 +68,7 @@
         targetsilence.Silence(),
     ],
     FaultSet.LIMITS: [targetlimits.RateLimits()],
+    FaultSet.RESTORES: [restores.StoreRestore()],
     FaultSet.PAIRS: [],
 }
 
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -37,6 +37,7 @@
             ("entries", 1, 4.0),
             ("catalogue", 1, 4.0),
             ("limits", 1, 2.0),
+            ("restores", 1502, 4.0),
         ],
     )
     def test_guarantees_hold(self, name, seed, seconds, tmp_path):
