Own path: claims, edits and leases outlive a log that lost records

What callers saw when the log came back from an older copy: a call ran a second time under its key, at an instance that had not read the lost claim; lost edits were gone, and instances that had read further than the copy read no edit until the log had grown past their offset (a pull from peers mixed both); a fencing number was given out again.

Cause: the log's protocol has no epoch, and readers compared bare offsets. Now responses bear it (`Log-Epoch`); one class reads it, the reader of streams reads all again in a new epoch, drops late batches, and gives up nothing that it knows.

- Claims: a claim wins only if it is read back in the epoch in which it was queued.
Claims and answers that are missing are written again after up to 2 s, unless another was first.
A key made before the epoch was first seen, here or by the writer of a claim in the log, runs only under a known claim; else it is refused as `key_expired`, outcome unknown.
So no call runs twice when every instance that knew of its claim has died.
- Catalogue: the one in force stays until the restored log has all applied edits again; each is written again on the entry's current version, so that it does not replace an edit made since.
Peers exchange records of one epoch only.
- Leases on engines lapse; fencing numbers hold the epoch above the offset.

--- a/src/briarfall/adapters/log.py
+++ b/src/briarfall/adapters/log.py
@@ -8,6 +8,7 @@
 from briarfall import exceptions
 from briarfall import httpclient
 from briarfall import ids
+from briarfall.adapters import logepochs
 
 _APPEND_TIMEOUT_S = 2.0
 _READ_SLACK_S = 2.0
@@ -41,11 +42,13 @@
         records: Records in offset order.
         first: Oldest offset that is still kept.
         end: Offset that the next appended record will get.
+        epoch: Epoch of the log in which the read was decided.
     """
 
     records: list[LogRecord]
     first: int
     end: int
+    epoch: ids.LogEpoch = logepochs.FIRST_EPOCH
 
 
 class AppendResult(msgspec.Struct):
@@ -57,6 +60,11 @@
 class LogAdapter(abc.ABC):
     """Appends to and reads from named streams."""
 
+    @property
+    def epoch(self) -> logepochs.SeenEpoch:
+        """The newest epoch in any response; a log without one has the first."""
+        return logepochs.SeenEpoch()
+
     @abc.abstractmethod
     def append(self, stream: str, data: bytes) -> ids.Offset:
         """Appends one record and returns its offset.
@@ -73,7 +81,8 @@
         """Returns records from `start` on; waits up to `wait_s` for one.
 
         Raises:
-            LogGapError: Records at `start` are no longer kept.
+            LogGapError: Records at `start` are no longer kept, or the log came
+                back from a copy that ends before it.
             LogUnavailableError: The log did not answer.
         """
 
@@ -87,6 +96,12 @@
 
     def __init__(self, url: str):
         self._http = httpclient.HttpClient(url)
+        self._epochs = logepochs.EpochTracker()
+
+    @property
+    def epoch(self) -> logepochs.SeenEpoch:
+        """The newest epoch in any response."""
+        return self._epochs.newest
 
     def append(self, stream: str, data: bytes) -> ids.Offset:
         """Appends one record; see the base class."""
@@ -101,6 +116,7 @@
             raise exceptions.LogUnavailableError(
                 exc.message, outcome=exc.outcome
             ) from exc
+        self._epochs.observe(reply.headers.get(logepochs.HEADER))
         if reply.status != 200:
             raise exceptions.LogUnavailableError(
                 f"append answered {reply.status}",
@@ -128,6 +144,7 @@
             )
         except exceptions.TargetError as exc:
             raise exceptions.LogUnavailableError(exc.message) from exc
+        epoch = self._epochs.observe(reply.headers.get(logepochs.HEADER))
         if reply.status == 410:
             text = reply.headers.get("Log-First", "0")
             first = decoding.parse_count(text, _MAX_OFFSET)
@@ -142,12 +159,14 @@
             raise exceptions.LogUnavailableError(
                 f"read answered {reply.status}"
             )
-        return decoding.decode_json(
+        batch = decoding.decode_json(
             reply.body,
             LogBatch,
             "response to a read",
             exceptions.LogUnavailableError,
         )
+        batch.epoch = epoch
+        return batch
 
     def close(self) -> None:
         """Closes pooled connections."""
--- a/src/briarfall/adapters/reader.py
+++ b/src/briarfall/adapters/reader.py
@@ -6,6 +6,7 @@
 from absl import logging
 
 from briarfall import exceptions
+from briarfall import ids
 from briarfall.adapters import log
 
 _MAX_RECORDS = 500
@@ -29,6 +30,8 @@
         self._log = log_adapter
         self.log_up = True
         self._stopping = threading.Event()
+        # Epoch of the offsets that were read, None before the first read.
+        self._epoch: ids.LogEpoch | None = None
 
     def start(self) -> None:
         """Starts the reading thread."""
@@ -52,6 +55,14 @@
     def _handle_gap(self, first: int) -> None:
         """Continues although records before `first` are no longer kept."""
 
+    @abc.abstractmethod
+    def _handle_restore(self) -> None:
+        """Prepares to read all again; nothing believed so far is given up.
+
+        The log came back from an older copy: its offsets were given out again,
+        and the newest records that were read may be gone.
+        """
+
     def _wait_s(self) -> float:
         """Returns how long a read may wait for new records."""
         return _READ_WAIT_S
@@ -71,10 +82,42 @@
             )
         except exceptions.LogGapError as exc:
             self.log_up = True
-            self._handle_gap(exc.first)
+            # An offset after the first one is not kept only if the log ends
+            # before it.
+            ends_before = 0 < self._next_offset() >= exc.first
+            if not self._notice_restore(self._log.epoch.epoch, ends_before):
+                self._handle_gap(exc.first)
             return
         self.log_up = True
-        self._apply_batch(batch)
+        if self._epoch is not None and batch.epoch < self._epoch:
+            return
+        ends_before = batch.end < self._next_offset()
+        if not self._notice_restore(batch.epoch, ends_before):
+            self._apply_batch(batch)
+
+    def _notice_restore(self, epoch: ids.LogEpoch, ends_before: bool) -> bool:
+        """Begins to read all again if the log came back from an older copy.
+
+        Args:
+            epoch: Epoch of a response.
+            ends_before: Whether the log ends before the next offset to read.
+
+        Returns:
+            Whether it did; the response has to be dropped then.
+        """
+        old = self._epoch
+        self._epoch = epoch
+        if not ends_before and old in (None, epoch):
+            return False
+        logging.warning(
+            "log stream %s restored from an older copy epoch=%d before=%s; "
+            "all records are read again from the oldest on",
+            self.stream,
+            epoch,
+            old,
+        )
+        self._handle_restore()
+        return True
 
     def _read_loop(self) -> None:
         while not self._stopping.is_set():
--- a/src/briarfall/catalogue/fold.py
+++ b/src/briarfall/catalogue/fold.py
@@ -136,6 +136,10 @@
         digest = records.digest_state(self.next_offset, states, edit_ids)
         return records.Snapshot(self.next_offset, states, edit_ids, digest)
 
+    def has_edit(self, edit_id: str) -> bool:
+        """Whether an edit was decided, as far as its id is still kept."""
+        return edit_id in self._edit_ids
+
     def digest(self) -> str:
         """Returns a digest of the complete state."""
         return self.snapshot().digest
--- a/src/briarfall/catalogue/follower.py
+++ b/src/briarfall/catalogue/follower.py
@@ -1,23 +1,31 @@
 """Keeps an instance's catalogue up to date from the log and from peers."""
 
 import collections
+import random
 import threading
+import time
 
 from absl import logging
 import msgspec
 
 from briarfall import clock as clocks
 from briarfall import exceptions
+from briarfall import ids
 from briarfall.adapters import log
+from briarfall.adapters import logepochs
 from briarfall.adapters import reader
 from briarfall.catalogue import entries
 from briarfall.catalogue import fold
+from briarfall.catalogue import lostedits
 from briarfall.catalogue import records
 
 _READ_LIMIT = 500
 _READ_WAIT_S = 5.0
 _RETRY_S = 0.2
 _RECENT_RECORDS = 2048
+# Longest time until lost edits are written again; each instance draws its own,
+# so that most find what the first one wrote.
+_MAX_REWRITE_DELAY_S = 2.0
 
 
 class View(msgspec.Struct, frozen=True):
@@ -50,17 +58,32 @@
 
 
 class PullCall(msgspec.Struct):
-    """Requests records from a peer, starting at an offset."""
+    """Requests records from a peer, starting at an offset.
+
+    Attributes:
+        start: Offset of the first record.
+        limit: Most records in the result.
+        epoch: Epoch of the log that gave out the offset, None if the log was
+            not read yet.
+    """
 
     start: int
     limit: int
+    epoch: ids.LogEpoch | None = None
 
 
 class PullResult(msgspec.Struct):
-    """Records in offset order, or a snapshot if they are not held."""
+    """Records in offset order, or a snapshot if they are not held.
+
+    Attributes:
+        records: The records.
+        snapshot: The snapshot, or empty.
+        epoch: Epoch of the log that gave out the offsets.
+    """
 
     records: list[log.LogRecord]
     snapshot: bytes = b""
+    epoch: ids.LogEpoch = logepochs.FIRST_EPOCH
 
 
 class PendingVerdict(msgspec.Struct):
@@ -97,6 +120,11 @@
             maxlen=_RECENT_RECORDS
         )
         self._has_gap = False
+        self._rng = random.Random()
+        # Set from a restore of the log until it has all accepted edits again;
+        # meanwhile the catalogue of the earlier epoch stays in force.
+        self._lost: lostedits.LostEdits | None = None
+        self._rewrite_s = 0.0
         self.view = View(0, {}, {})
         self.caught_up = threading.Event()
 
@@ -138,12 +166,13 @@
     def audit(self) -> list[fold.AuditRecord]:
         """Returns the retained audit trail, oldest record first."""
         with self._changed:
-            return list(self._state.audit)
+            return list(self._state_in_force().audit)
 
     def states(self) -> list[records.EntryState]:
         """Returns all entries with their versions."""
         with self._changed:
-            return [self._state.states[k] for k in sorted(self._state.states)]
+            states = self._state_in_force().states
+            return [states[name] for name in sorted(states)]
 
     def snapshot(self) -> records.Snapshot:
         """Returns the current state as a snapshot record."""
@@ -173,6 +202,8 @@
         While the first read of the log is under way, peers are needed only if
         the log has a gap or does not answer.
         """
+        if self._lost is not None:
+            return False
         if self.caught_up.is_set():
             return True
         return self._has_gap or not self.log_up
@@ -184,8 +215,12 @@
             call: Calls the peer with a method, a message and a result type.
             limit: Most records in one result.
         """
-        request = PullCall(self.next_offset, limit)
+        request = PullCall(self.next_offset, limit, self._epoch)
         result = call("catalogue.pull", request, PullResult)
+        if self._epoch not in (None, result.epoch) or self._lost is not None:
+            return
+        if self._epoch is None and (result.snapshot or result.records):
+            self._epoch = result.epoch
         if result.snapshot:
             found = records.decode(result.snapshot)
             if isinstance(found, records.Snapshot):
@@ -193,24 +228,64 @@
         self.merge_records(result.records)
 
     def handle_pull(self, request: "PullCall") -> "PullResult":
-        """Handles the request of a peer that is behind."""
+        """Handles the request of a peer that is behind.
+
+        Offsets of another epoch of the log say nothing about its records.
+        """
+        epoch = self._epoch or logepochs.FIRST_EPOCH
+        if self._lost is not None or request.epoch not in (None, epoch):
+            return PullResult([], epoch=epoch)
         found = self.records_from(request.start, request.limit)
         if found:
-            return PullResult(found)
+            return PullResult(found, epoch=epoch)
         if self.next_offset > request.start:
-            return PullResult([], records.encode(self.snapshot()))
-        return PullResult([])
+            return PullResult([], records.encode(self.snapshot()), epoch)
+        return PullResult([], epoch=epoch)
+
+    def _state_in_force(self) -> fold.CatalogueState:
+        return self._state if self._lost is None else self._lost.earlier
 
     def _next_offset(self) -> int:
         return self._state.next_offset
 
     def _wait_s(self) -> float:
+        if self._lost is not None:
+            return max(0.0, self._rewrite_s - time.monotonic())
         return _READ_WAIT_S if self.caught_up.is_set() else 0.0
 
     def _apply_batch(self, batch: log.LogBatch) -> None:
         self._apply(batch.records)
-        if self._state.next_offset >= batch.end:
-            self.caught_up.set()
+        if self._state.next_offset < batch.end:
+            return
+        self.caught_up.set()
+        if self._lost is not None and time.monotonic() >= self._rewrite_s:
+            self._rewrite_lost(self._lost)
+
+    def _handle_restore(self) -> None:
+        """Reads all again; the catalogue in force stays meanwhile."""
+        delay_s = self._rng.uniform(0.0, _MAX_REWRITE_DELAY_S)
+        with self._changed:
+            self._lost = lostedits.LostEdits(self._state_in_force())
+            self._state = fold.CatalogueState()
+            self._recent.clear()
+            self._rewrite_s = time.monotonic() + delay_s
+
+    def _rewrite_lost(self, lost: lostedits.LostEdits) -> None:
+        """Appends lost edits; if none are left, what was read is in force."""
+        edits = lost.next_edits(self._state)
+        for edit in edits:
+            logging.warning(
+                "catalogue edit %s of %s was lost by the log and is written "
+                "again",
+                edit.id,
+                edit.entry,
+            )
+            self._log.append(self.stream, records.encode(edit))
+        if edits:
+            return
+        with self._changed:
+            self._lost = None
+            self._publish()
 
     def _handle_gap(self, first: int) -> None:
         """Loads the newest snapshot that joins the retained records."""
@@ -244,7 +319,7 @@
                 return
             self._state.load(snapshot)
             self._recent.clear()
-            self._publish()
+            self._publish_unless_restoring()
 
     def _apply(self, batch: list[log.LogRecord]) -> None:
         now_s = self._clock.wall()
@@ -257,7 +332,7 @@
                     break
                 self._apply_one(record, now_s)
             if self._state.next_offset != before:
-                self._publish()
+                self._publish_unless_restoring()
 
     def _apply_one(self, record: log.LogRecord, now_s: float) -> None:
         verdict = self._state.apply(
@@ -281,6 +356,11 @@
             pending.detail = line.detail
             pending.offset = record.offset
 
+    def _publish_unless_restoring(self) -> None:
+        """Puts the state in force, unless accepted edits may lack in it."""
+        if self._lost is None:
+            self._publish()
+
     def _publish(self) -> None:
         values = dict(self._state.values)
         self.view = View(self._state.next_offset, values, _index_keys(values))
--- a/src/briarfall/engineorders/leases.py
+++ b/src/briarfall/engineorders/leases.py
@@ -1,6 +1,8 @@
 """Leases that instances acquire through the log.
 
-The fencing number of a lease is the offset of its record plus 1.
+The fencing number of a lease is the offset of its record plus 1, above it the
+epoch of the log. So it also grows over a restore of the log from an older copy,
+which gives out offsets again.
 
 Whether an earlier lease has lapsed is decided by the log's record times alone,
 so that every reader comes to the same decision. A holder uses its own
@@ -24,6 +26,8 @@
 # Share of the duration of a lease for which its holder uses it, by its own
 # clock.
 _USABLE_SHARE = 0.8
+# Bits of a fencing number that hold the offset.
+_OFFSET_BITS = 40
 
 
 class LeaseRequest(msgspec.Struct, frozen=True):
@@ -63,8 +67,13 @@
         self.next_offset = 0
         self.leases: dict[str, Lease] = {}
 
-    def apply(self, record: log.LogRecord) -> None:
-        """Applies one record; a record that cannot be decoded is skipped."""
+    def apply(self, record: log.LogRecord, epoch: ids.LogEpoch) -> None:
+        """Applies one record; a record that cannot be decoded is skipped.
+
+        Args:
+            record: The record.
+            epoch: Epoch of the log in which it was read.
+        """
         self.next_offset = record.offset + 1
         try:
             request = decoding.decode_json(
@@ -82,7 +91,7 @@
             request.lease,
             request.holder,
             request.nonce,
-            record.offset + 1,
+            (epoch << _OFFSET_BITS) + record.offset + 1,
             record.time_s + request.duration_s,
         )
 
@@ -183,7 +192,13 @@
         with self._lock:
             for record in batch.records:
                 if record.offset >= self._lease_table.next_offset:
-                    self._lease_table.apply(record)
+                    self._lease_table.apply(record, batch.epoch)
+
+    def _handle_restore(self) -> None:
+        """Drops all leases, so that all readers decide by the same records."""
+        with self._lock:
+            self._lease_table = LeaseTable()
+            self._valid_until_s.clear()
 
     def _handle_gap(self, first: int) -> None:
         # Leases whose records are no longer retained lapsed long ago.
--- a/src/briarfall/ids.py
+++ b/src/briarfall/ids.py
@@ -12,4 +12,6 @@
 IdempotencyKey = typing.NewType("IdempotencyKey", str)
 Nonce = typing.NewType("Nonce", str)
 Offset = typing.NewType("Offset", int)
+# Rises each time the log comes back from an older copy; 0 if it never did.
+LogEpoch = typing.NewType("LogEpoch", int)
 Fingerprint = typing.NewType("Fingerprint", str)
--- a/src/briarfall/orders/claims.py
+++ b/src/briarfall/orders/claims.py
@@ -12,9 +12,16 @@
 from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
+from briarfall.adapters import logepochs
 
 
-class Claim(msgspec.Struct, frozen=True, tag="claim", tag_field="op"):
+class Claim(
+    msgspec.Struct,
+    frozen=True,
+    tag="claim",
+    tag_field="op",
+    omit_defaults=True,
+):
     """Requests the exclusive right to send a call.
 
     Attributes:
@@ -22,12 +29,16 @@
         nonce: Identifies this claim; appending it twice has no further effect.
         digest: Digest of the call's method, path and body.
         instance: The instance that makes the claim.
+        epoch: Epoch of the log that the writer knew; it had begun by then.
+        is_rewritten: Whether the log had lost this claim; it won earlier.
     """
 
     key: str
     nonce: ids.Nonce
     digest: str
     instance: ids.InstanceId
+    epoch: ids.LogEpoch = logepochs.FIRST_EPOCH
+    is_rewritten: bool = False
 
 
 class Done(msgspec.Struct, frozen=True, tag="done", tag_field="op"):
@@ -74,6 +85,10 @@
 
     Args:
         retention_s: Age by log time after which a key is removed, in seconds.
+
+    Attributes:
+        epoch: Newest epoch of the log that a claim names.
+        epoch_since_s: Log time of the first claim that names it.
     """
 
     def __init__(self, retention_s: float):
@@ -81,19 +96,23 @@
         self.next_offset = 0
         self.covered_since_s = 0.0
         self.malformed = 0
+        self.epoch = logepochs.FIRST_EPOCH
+        self.epoch_since_s = 0.0
         self._states: collections.OrderedDict[str, ClaimState] = (
             collections.OrderedDict()
         )
         self._abandoned: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        # Claims from before the log was restored that it may have lost.
+        self._earlier: dict[str, ClaimState] = {}
 
     def __len__(self) -> int:
         return len(self._states)
 
     def lookup(self, key: str) -> ClaimState | None:
         """Returns the live claim on a key, or None."""
-        return self._states.get(key)
+        return self._states.get(key) or self._earlier.get(key)
 
     def apply(self, offset: int, time_s: float, data: bytes) -> list[Operation]:
         """Applies the record at `offset` and returns its operations."""
@@ -115,15 +134,34 @@
         self.next_offset = first
         self.covered_since_s = covered_since_s
 
+    def read_again(self) -> None:
+        """Continues at the oldest record; keeps the claims known so far."""
+        self._earlier.update(self._states)
+        self._states.clear()
+        self.next_offset = 0
+
+    def take_lost(self) -> list[Operation]:
+        """Returns what the log has lost, to be appended again."""
+        lost: list[Operation] = []
+        for key, known in list(self._earlier.items()):
+            state = self._states.get(key)
+            if state is None or state.nonce != known.nonce:
+                lost.append(_rewritten(key, known))
+            elif known.done is None or state.done is not None:
+                del self._earlier[key]
+                continue
+            if known.done is not None:
+                lost.append(known.done)
+        return lost
+
     def _apply_one(self, operation: Operation, time_s: float) -> None:
-        state = self._states.get(operation.key)
         if isinstance(operation, Claim):
-            if state is not None or operation.nonce in self._abandoned:
-                return
-            self._states[operation.key] = ClaimState(
-                operation.nonce, operation.digest, operation.instance, time_s
-            )
+            self._apply_claim(operation, time_s)
             return
+        earlier = self._earlier.get(operation.key)
+        if earlier is not None and earlier.nonce == operation.nonce:
+            self._end_earlier(earlier, operation)
+        state = self._states.get(operation.key)
         if isinstance(operation, Abandon):
             # The nonce is kept, so that a claim that arrives after its own
             # abandonment has no effect.
@@ -138,8 +176,34 @@
         if state.done is None:
             state.done = operation
 
+    def _apply_claim(self, claim: Claim, time_s: float) -> None:
+        if claim.epoch > self.epoch:
+            self.epoch = claim.epoch
+            self.epoch_since_s = time_s
+        if claim.nonce in self._abandoned:
+            return
+        state = self._states.get(claim.key)
+        if state is not None:
+            if state.nonce == claim.nonce or not claim.is_rewritten:
+                return
+            # Only a claim that can't win was made since the log lost this one.
+            del self._states[claim.key]
+        self._states[claim.key] = ClaimState(
+            claim.nonce, claim.digest, claim.instance, time_s
+        )
+
+    def _end_earlier(self, earlier: ClaimState, end: Done | Abandon) -> None:
+        """Ends a claim that may have to be written again."""
+        if isinstance(end, Done):
+            earlier.done = earlier.done or end
+        elif earlier.done is None:
+            del self._earlier[end.key]
+
     def _expire(self, now_s: float) -> None:
         oldest_s = now_s - self.retention_s
+        for key, earlier in list(self._earlier.items()):
+            if earlier.time_s < oldest_s:
+                del self._earlier[key]
         while self._states:
             key = next(iter(self._states))
             if self._states[key].time_s >= oldest_s:
@@ -152,6 +216,12 @@
             del self._abandoned[nonce]
 
 
+def _rewritten(key: str, state: ClaimState) -> Claim:
+    return Claim(
+        key, state.nonce, state.digest, state.instance, is_rewritten=True
+    )
+
+
 def encode(operations: list[Operation]) -> bytes:
     """Returns a log record that holds `operations`."""
     return msgspec.json.encode(operations)
--- a/src/briarfall/orders/dispatch.py
+++ b/src/briarfall/orders/dispatch.py
@@ -156,7 +156,8 @@
                 req.name, req.service, _make_abandon(claim)
             )
             raise exceptions.KeyExpiredError(
-                "the log no longer keeps the time at which the key was made"
+                "the log no longer knows all calls of the time at which the "
+                "key was made"
             )
         return self._send_claimed(req, claim)
 
--- a/src/briarfall/orders/partitions.py
+++ b/src/briarfall/orders/partitions.py
@@ -1,5 +1,6 @@
 """Partitions of claims: each reads its stream and appends in groups."""
 
+import random
 import threading
 import time
 
@@ -7,13 +8,18 @@
 import msgspec
 
 from briarfall import exceptions
+from briarfall import ids
 from briarfall.adapters import log
+from briarfall.adapters import logepochs
 from briarfall.adapters import reader
 from briarfall.orders import claims
 
 _RETRY_S = 0.1
 _MAX_GROUP = 256
 _GROUP_INTERVAL_S = 0.02
+# Longest time until lost claims are written again; each reader draws its own,
+# so that most find what the first one wrote.
+_MAX_REWRITE_DELAY_S = 2.0
 
 
 class ClaimResult(msgspec.Struct):
@@ -22,8 +28,8 @@
     Attributes:
         won: Whether this claim is the live claim on its key.
         state: The live claim on the key, or None if there is none.
-        covered_since_s: Log time since which all claims are known, 0 if no
-            record was missed.
+        covered_since_s: Time since which all claims are known, 0 if no record
+            was missed or lost by the log.
     """
 
     won: bool
@@ -31,6 +37,25 @@
     covered_since_s: float = 0.0
 
 
+class _PendingClaim(msgspec.Struct):
+    """A claim that waits for the log's decision.
+
+    Attributes:
+        epoch: Newest epoch of the log when it was queued.
+        result: The decision, or None until it is known.
+        is_void: Whether the log was restored meanwhile; it decides nothing.
+    """
+
+    epoch: ids.LogEpoch
+    result: ClaimResult | None = None
+    is_void: bool = False
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether waiting is over."""
+        return self.result is not None or self.is_void
+
+
 class Partition(reader.StreamReader):
     """Reads one stream of claims and appends to it.
 
@@ -53,7 +78,10 @@
         self._changed = threading.Condition()
         self._queue: list[claims.Operation] = []
         self._queued = threading.Condition()
-        self._decisions: dict[str, ClaimResult | None] = {}
+        self._pending: dict[ids.Nonce, _PendingClaim] = {}
+        # When claims that the log has lost are due, None if none are.
+        self._rewrite_s: float | None = None
+        self._rng = random.Random()
         self._is_idle = threading.Event()
         self._is_idle.set()
 
@@ -87,26 +115,23 @@
         with self._changed:
             state = self._claim_table.lookup(claim.key)
             if state is not None and state.nonce != claim.nonce:
-                return ClaimResult(
-                    False, state, self._claim_table.covered_since_s
-                )
-            self._decisions[claim.nonce] = None
-        self._enqueue(claim)
+                return ClaimResult(False, state, self._covered_since_s())
+            pending = _PendingClaim(self._log.epoch.epoch)
+            self._pending[claim.nonce] = pending
+        self._enqueue(msgspec.structs.replace(claim, epoch=pending.epoch))
         with self._changed:
             self._changed.wait_for(
-                lambda: (
-                    self._decisions[claim.nonce] is not None
-                    or self._stopping.is_set()
-                ),
+                lambda: pending.is_settled or self._stopping.is_set(),
                 timeout_s,
             )
-            result = self._decisions.pop(claim.nonce)
-        if result is None:
+            self._pending.pop(claim.nonce, None)
+        if pending.result is None:
             raise exceptions.LogUnavailableError(
-                f"the log did not decide on the claim in {timeout_s:.1f} s",
+                f"the log did not decide on the claim in {timeout_s:.1f} s, "
+                "or came back from an older copy meanwhile",
                 outcome=exceptions.Outcome.UNKNOWN,
             )
-        return result
+        return pending.result
 
     def submit(self, operation: claims.Operation) -> None:
         """Queues an operation; its append is retried until it succeeds."""
@@ -182,7 +207,62 @@
     def _next_offset(self) -> int:
         return self._claim_table.next_offset
 
+    def _wait_s(self) -> float:
+        if self._rewrite_s is None:
+            return super()._wait_s()
+        return max(0.0, self._rewrite_s - time.monotonic())
+
+    def _covered_since_s(self) -> float:
+        """Returns the time since which all claims are known.
+
+        Claims of before the epoch's begin may be lost; what is known of it is
+        that it had begun when it was first seen, here or by a claim's writer.
+        """
+        table = self._claim_table
+        seen = self._log.epoch
+        if seen.epoch == logepochs.FIRST_EPOCH:
+            return table.covered_since_s
+        since_s = seen.seen_s
+        if table.epoch == seen.epoch:
+            since_s = min(since_s, table.epoch_since_s)
+        return max(since_s, table.covered_since_s)
+
+    def _handle_restore(self) -> None:
+        """Reads all again; known claims stay, undecided ones are void."""
+        delay_s = self._rng.uniform(0.0, _MAX_REWRITE_DELAY_S)
+        with self._changed:
+            self._claim_table.read_again()
+            self._rewrite_s = time.monotonic() + delay_s
+            for pending in self._pending.values():
+                is_new = logepochs.FIRST_EPOCH < pending.epoch == self._epoch
+                pending.is_void |= not is_new
+            self._changed.notify_all()
+
+    def _rewrite_if_due(self, end: int) -> None:
+        """Queues what the log has lost, once all of it was read again."""
+        if self._rewrite_s is None or time.monotonic() < self._rewrite_s:
+            return
+        with self._changed:
+            if self._claim_table.next_offset < end:
+                return
+            lost = self._claim_table.take_lost()
+        self._rewrite_s = None
+        epoch = self._log.epoch.epoch
+        for operation in lost:
+            if isinstance(operation, claims.Claim):
+                operation = msgspec.structs.replace(operation, epoch=epoch)
+            self._enqueue(operation)
+        logging.info(
+            "stream %s: %d operations that the log lost are written again",
+            self.stream,
+            len(lost),
+        )
+
     def _apply_batch(self, batch: log.LogBatch) -> None:
+        self._apply_records(batch)
+        self._rewrite_if_due(batch.end)
+
+    def _apply_records(self, batch: log.LogBatch) -> None:
         if not batch.records:
             return
         with self._changed:
@@ -197,13 +277,16 @@
         for operation in operations:
             if not isinstance(operation, claims.Claim):
                 continue
-            if self._decisions.get(operation.nonce, True) is not None:
+            pending = self._pending.get(operation.nonce)
+            if pending is None or pending.is_settled:
+                continue
+            if pending.epoch != self._epoch:
+                # The log may have lost an earlier claim on the key.
+                pending.is_void = True
                 continue
             state = self._claim_table.lookup(operation.key)
             won = state is not None and state.nonce == operation.nonce
-            self._decisions[operation.nonce] = ClaimResult(
-                won, state, self._claim_table.covered_since_s
-            )
+            pending.result = ClaimResult(won, state, self._covered_since_s())
 
     def _handle_gap(self, first: int) -> None:
         """Restarts at the oldest retained record, without earlier claims."""
--- a/src/briarfall/standins/log.py
+++ b/src/briarfall/standins/log.py
@@ -3,12 +3,27 @@
 import threading
 import time
 
+import msgspec
+
 from briarfall import exceptions
 from briarfall import httpserver
 from briarfall.adapters import log
+from briarfall.adapters import logepochs
 from briarfall.standins import base
 
 
+class LogCopy(msgspec.Struct, frozen=True):
+    """Contents of the log at an earlier time.
+
+    Attributes:
+        records: Records by stream.
+        first: Offset of the first one, by stream.
+    """
+
+    records: dict[str, list[log.LogRecord]]
+    first: dict[str, int]
+
+
 class _Stream:
     """Records of one log stream; `first` is the offset of `records[0]`."""
 
@@ -32,6 +47,7 @@
     Attributes:
         on_append: Called with stream and data after an append has taken
             effect and before its response.
+        epoch: Epoch in all responses, which rises with each restore.
     """
 
     def __init__(self, *, retention_s: float = 3600.0, port: int = 0):
@@ -39,6 +55,7 @@
         self.retention_s = retention_s
         self.appends = 0
         self.on_append = None
+        self.epoch = logepochs.FIRST_EPOCH
         self._streams: dict[str, _Stream] = {}
         self._lock = threading.RLock()
         path = "/streams/{stream}/records"
@@ -83,6 +100,26 @@
             del log_stream.records[:drop_count]
             log_stream.first += drop_count
 
+    def snapshot(self) -> LogCopy:
+        """Returns a copy of the contents, for a later restore."""
+        with self._lock:
+            return LogCopy(
+                {
+                    name: list(row.records)
+                    for name, row in self._streams.items()
+                },
+                {name: row.first for name, row in self._streams.items()},
+            )
+
+    def restore(self, copy: LogCopy) -> None:
+        """Replaces the contents by an earlier copy, in a new epoch."""
+        with self._lock:
+            self.epoch += 1
+            for name, log_stream in self._streams.items():
+                log_stream.records = list(copy.records.get(name, ()))
+                log_stream.first = copy.first.get(name, 0)
+                log_stream.changed.notify_all()
+
     def _stream(self, name: str) -> _Stream:
         log_stream = self._streams.get(name)
         if log_stream is None:
@@ -103,11 +140,15 @@
 
     def _handle_append(self, req: httpserver.Request):
         self.fault_injector.before_call()
-        offset = self.put(req.params["stream"], req.body)
+        with self._lock:
+            offset = self.put(req.params["stream"], req.body)
+            epoch = self.epoch
         if self.on_append:
             self.on_append(req.params["stream"], req.body)
         self.fault_injector.after_call()
-        return httpserver.json_response(log.AppendResult(offset))
+        return _with_epoch(
+            httpserver.json_response(log.AppendResult(offset)), epoch
+        )
 
     def _handle_read(self, req: httpserver.Request):
         self.fault_injector.before_call()
@@ -118,19 +159,29 @@
         with self._lock:
             self._expire(stream)
             log_stream = self._streams[stream]
-            if start < log_stream.first:
-                return _gone(log_stream.first)
-            log_stream.changed.wait_for(
-                lambda: (
-                    log_stream.end > start or self.fault_injector.faults.down
-                ),
-                wait_s,
-            )
+            before = self.epoch
+            if log_stream.first <= start <= log_stream.end:
+                log_stream.changed.wait_for(
+                    lambda: (
+                        log_stream.end > start
+                        or self.fault_injector.faults.down
+                        or self.epoch != before
+                    ),
+                    wait_s,
+                )
+            epoch = self.epoch
+            if not log_stream.first <= start <= log_stream.end:
+                return _with_epoch(_gone(log_stream.first), epoch)
             start_index = max(0, start - log_stream.first)
             records = log_stream.records[start_index : start_index + limit]
             batch = log.LogBatch(records, log_stream.first, log_stream.end)
         self.fault_injector.before_call()
-        return httpserver.json_response(batch)
+        return _with_epoch(httpserver.json_response(batch), epoch)
+
+
+def _with_epoch(resp: httpserver.Response, epoch: int) -> httpserver.Response:
+    resp.headers.append((logepochs.HEADER, str(epoch)))
+    return resp
 
 
 def _gone(first: int) -> httpserver.Response:
