Instances find each other although a restored store lacks their records

What callers saw: an instance that started just after the store came back from a copy without the records of the others knew no peer, and none of them knew it, for as long as it ran: it kept the copy's older catalogue (a key taken away since was served), and crash, draining and load reports passed it by.

Cause: instances are listed once, at the start. The others wrote their records again, but nobody listed afterwards, and the newcomer had listed before. An instance that writes its record again now lists the records after that: of two such instances one always finds the other's. What it finds is no candidate for the store poller before its first status, since a copy may name dead ones.

--- a/src/briarfall/gateway/catalogue/sources.py
+++ b/src/briarfall/gateway/catalogue/sources.py
@@ -1,6 +1,7 @@
 """Interfaces that a platform implements for the gateway, and their data."""
 
 import abc
+import collections.abc
 import enum
 import typing
 
@@ -245,6 +246,17 @@
 class InstanceSource(abc.ABC):
     """Source in which instances announce themselves."""
 
+    def set_listener(
+        self,
+        listener: collections.abc.Callable[[list["InstanceRecord"]], None],
+    ) -> None:
+        """Calls `listener` with all records after records may have been lost.
+
+        An instance that started meanwhile has not found those whose records
+        were lost. A source that loses none ignores it.
+        """
+        del listener
+
     @abc.abstractmethod
     def announce(self, record: InstanceRecord, timeout_s: float) -> None:
         """Publishes the address at which this instance listens for others."""
--- a/src/briarfall/gateway/gossip/gossip.py
+++ b/src/briarfall/gateway/gossip/gossip.py
@@ -75,6 +75,7 @@
     ):
         self._activity = activity
         self._source = source
+        source.set_listener(self._add_listed_again)
         self._peers = peer_table
         self._loads = load_table
         self._status = status
@@ -317,6 +318,12 @@
         logging.info("announced peers=%d", len(records) - 1)
         self._wake.set()
 
+    def _add_listed_again(self, records: list[sources.InstanceRecord]) -> None:
+        """Adds instances that started while this one's record was lost."""
+        for record in records:
+            self._peers.add(record, is_just_announced=False)
+        self._wake.set()
+
     def _send_loop(self) -> None:
         sent_s: dict[ids.InstanceId, float] = {}
         while not self._closed.is_set():
--- a/src/briarfall/gateway/peers/peers.py
+++ b/src/briarfall/gateway/peers/peers.py
@@ -95,9 +95,19 @@
         self._remote_interval_s = _REMOTE_INTERVAL_S
         self.reaches_store = True
 
-    def add(self, record: sources.InstanceRecord) -> Peer | None:
+    def add(
+        self,
+        record: sources.InstanceRecord,
+        *,
+        is_just_announced: bool = True,
+    ) -> Peer | None:
         """Adds or updates a peer.
 
+        Args:
+            record: Its record.
+            is_just_announced: Whether it may be a store poller before its
+                first status arrives.
+
         Returns:
             The peer, or None if the record is this instance's own or is
             invalid.
@@ -113,12 +123,15 @@
             peer = self._peers.get(record.id)
             is_new = peer is None
             if is_new:
+                found_s = clocks.boot_s()
+                if not is_just_announced:
+                    found_s -= _DISCOVERY_S
                 peer = Peer(
                     record.id,
                     endpoint,
                     record.zone,
                     record.cores,
-                    clocks.boot_s(),
+                    found_s,
                 )
                 self._peers[record.id] = peer
             peer.address = endpoint
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -191,6 +191,13 @@
     return record
 
 
+RecordListener = collections.abc.Callable[[list[sources.InstanceRecord]], None]
+
+
+def _ignore_records(records: list[sources.InstanceRecord]) -> None:
+    """Stands for a missing listener."""
+
+
 class InstanceTopic(sources.InstanceSource):
     """The records in which instances announce their addresses.
 
@@ -209,6 +216,13 @@
         # Record of this instance and its latest position in the store.
         self._announced: sources.InstanceRecord | None = None
         self._position: sources.LogPosition | None = None
+        self._listener: RecordListener = _ignore_records
+        # Epoch of the list that the listener has got.
+        self._listed_epoch = client.tracker.current
+
+    def set_listener(self, listener: RecordListener) -> None:
+        """Calls `listener` with all records after a restore of the store."""
+        self._listener = listener
 
     def announce(
         self, record: sources.InstanceRecord, timeout_s: float
@@ -226,16 +240,22 @@
     def announce_again(self) -> None:
         """Publishes the record again if the store was restored since.
 
+        It then lists the records: an instance that started since the restore
+        has not found this one, or is in the list by now.
+
         Raises:
             LogUnavailableError: The store did not answer.
         """
         record = self._announced
         if record is None:
             return
-        if self._position.epoch == self._store.tracker.current:
-            return
-        self.announce(record, _REWRITE_TIMEOUT_S)
-        logging.info("announced again after the store's restore")
+        epoch = self._store.tracker.current
+        if self._position.epoch != epoch:
+            self.announce(record, _REWRITE_TIMEOUT_S)
+            logging.info("announced again after the store's restore")
+        if self._listed_epoch != epoch:
+            self._listener(self.list_instances(_REWRITE_TIMEOUT_S))
+            self._listed_epoch = epoch
 
     def list_instances(self, timeout_s: float) -> list[sources.InstanceRecord]:
         """Returns all valid records."""
--- /dev/null
+++ b/tests/test_gateway_restoredpeers.py
@@ -0,0 +1,68 @@
+"""Instances that start just after the store came back from an older copy."""
+
+import threading
+
+import pytest
+
+from briarfall.platform import deferredcalls
+from briarfall.platform import topics
+from briarfall.standins.prepared import testbed
+
+
+@pytest.fixture
+def noticed(monkeypatch):
+    """Set once running instances may act on a restore."""
+    found = threading.Event()
+    announce_again = topics.InstanceTopic.announce_again
+
+    def wait_and_announce(topic):
+        found.wait()
+        announce_again(topic)
+
+    monkeypatch.setattr(
+        topics.InstanceTopic, "announce_again", wait_and_announce
+    )
+    yield found
+    found.set()
+
+
+@pytest.fixture
+def scene(monkeypatch):
+    monkeypatch.setattr(deferredcalls, "_SPREAD_S", 0.0)
+    with testbed.world() as world:
+        world.service("d1")
+        world.service("d2", zone="z2")
+        yield world
+
+
+@pytest.mark.parametrize("zone", ["z1", "z2"])
+class TestStartAfterARestore:
+    def wait_announced(self, scene, name):
+        testbed.until(
+            lambda: scene.store.keys("keyed.briarfall-instances") == [name],
+            f"only {name} is announced",
+        )
+
+    def test_instances_whose_records_were_lost_find_each_other(
+        self, noticed, scene, zone
+    ):
+        """The records of all others may be missing from the copy."""
+        copy = scene.store.snapshot()
+        first = scene.instance("i1")
+        self.wait_announced(scene, "i1")
+        scene.store.restore(copy)
+        second = scene.instance("i2", zone)
+        self.wait_announced(scene, "i2")
+        noticed.set()
+        testbed.until(lambda: first.peers.alive(), "i1 hears i2")
+        testbed.until(lambda: second.peers.alive(), "i2 hears i1")
+
+    def test_peers_tell_it_the_version_that_the_copy_lacks(self, scene, zone):
+        copy = scene.store.snapshot()
+        first = scene.instance("i1")
+        scene.publish(testbed.manifest(2, keys=("other",)))
+        testbed.until(lambda: first.follower.view.version == 2, "2 in force")
+        scene.store.restore(copy)
+        second = scene.instance("i2", zone)
+        testbed.until(lambda: second.follower.view.version == 2, "2 told")
+        assert testbed.call(second, "/views/1").status == 401
