--- a/src/briarfall/cli/benches.py
+++ b/src/briarfall/cli/benches.py
@@ -146,6 +146,19 @@
     return int(broken > 0)
 
 
+def store_restore(*, instances: list[int] | None = None) -> None:
+    """Counts calls to the prepared store after a restore from a copy.
+
+    Args:
+        instances: Numbers of instances to measure.
+    """
+    from briarfall.bench import storerestore
+
+    for count in instances or [30, 100, 300]:
+        for row in storerestore.run(count):
+            print(row.text)
+
+
 def once_soak(
     *, seed: int = 1, seeds: int = 1, seconds: float = 10.0, keep: str = ""
 ) -> int:
@@ -338,4 +351,5 @@
     "fault-soak": fault_soak,
     "once-soak": once_soak,
     "permits": permits,
+    "store-restore": store_restore,
 }
--- a/src/briarfall/standins/prepared/store.py
+++ b/src/briarfall/standins/prepared/store.py
@@ -51,6 +51,7 @@
         status: Status of every response; 0 serves calls, -1 resets connections.
         loses_appends: Whether appends take effect without a response.
         calls: Number of calls by name.
+        body_bytes: Bytes in the bodies of all calls and responses.
         waiting: Number of reads that wait for a record.
         epoch: Epoch in all responses, which rises with each restore.
         answers: Holds back responses that are already decided.
@@ -65,6 +66,7 @@
         self.status = 0
         self.loses_appends = False
         self.calls: dict[str, int] = {}
+        self.body_bytes = 0
         self.waiting = 0
         self.epoch = 1
         self.answers = gates.Gate()
@@ -187,6 +189,7 @@
         name = req.path.rpartition("/")[2]
         with self._changed:
             self.calls[name] = self.calls.get(name, 0) + 1
+            self.body_bytes += len(req.body)
         if self.status == -1:
             conn.reset()
             return False
@@ -213,6 +216,7 @@
             epoch = self.epoch
         with self._changed:
             self.held_answers += 1
+            self.body_bytes += len(body)
         self.answers.wait()
         with self._changed:
             self.held_answers -= 1
--- a/tests/test_platform_rewriting.py
+++ b/tests/test_platform_rewriting.py
@@ -67,6 +67,41 @@
         topic.look()
         assert platform.calls["log-append"] == 2
 
+    def test_list_is_read_once_after_the_record_is_written_again(
+        self, platform, topic
+    ):
+        lists = []
+        topic.set_listener(lists.append)
+        copy = platform.snapshot()
+        self.announce(topic)
+        platform.restore(copy)
+        topic.look()
+        testbed.until(lambda: lists, "the list is read")
+        assert [row.id for row in lists[0]] == ["i1"]
+        calls = dict(platform.calls)
+        topic.announce_again()
+        assert (platform.calls, len(lists)) == (calls, 1)
+
+    def test_list_that_is_not_read_is_tried_again(
+        self, platform, topic, monkeypatch
+    ):
+        monkeypatch.setattr(workers, "backoff_s", lambda *args: 0.01)
+        lists = []
+        topic.set_listener(lists.append)
+        list_instances = topic.list_instances
+
+        def fail_once(timeout_s):
+            topic.list_instances = list_instances
+            raise exceptions.LogUnavailableError("injected")
+
+        topic.list_instances = fail_once
+        copy = platform.snapshot()
+        self.announce(topic)
+        platform.restore(copy)
+        topic.look()
+        testbed.until(lambda: lists, "the list is read")
+        assert platform.calls["log-append"] == 2
+
     def test_record_is_written_again_when_the_store_serves(
         self, platform, topic, monkeypatch
     ):
