--- a/tests/test_gateway_relaysends.py
+++ b/tests/test_gateway_relaysends.py
@@ -7,13 +7,17 @@
 import pytest
 
 from briarfall import ids
+from briarfall.gateway.forwarding import relayexchanges
+from briarfall.gateway.forwarding import streamstate
 from briarfall.gateway.peers import peers
 from briarfall.gateway.peers import relaypeers
+from briarfall.gateway.placement import paths
 from briarfall.standins.prepared import network
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_decisions as decisions
 from tests import test_gateway_silence as silence
+from tests import test_gateway_streams as streams
 
 _DEADLINE_MS = 15_000
 _ATTEMPTS = 2
@@ -263,3 +267,29 @@
         assert choice.choose("desk", {"i2"}, missing_s) is None
         other.heard_s = missing_s + 0.1
         assert choice.choose("desk", {"i2"}, missing_s) is other
+
+
+class TestUnnamedHeads:
+    """Each run at a peer that named no head counts as one more head."""
+
+    def _exchange(self, *heads):
+        call = streams.a_call(1000.0)
+        stream = streamstate.Stream(call, paths.Demand(700, 200))
+        stream.heads.update(heads)
+        return relayexchanges.StreamExchange(stream, None, lambda: None), stream
+
+    def test_count_after_a_named_head_has_died(self):
+        exchange, stream = self._exchange("e1")
+        exchange.record_runs(1)
+        stream.heads.discard("e1")
+        exchange.record_runs(1)
+        assert exchange.used_runs == 2
+
+    def test_are_taken_back_without_the_named_ones(self):
+        exchange, stream = self._exchange("e1")
+        exchange.record_runs(3)
+        exchange.release_runs(2)
+        assert exchange.used_runs == 2
+        assert "e1" in stream.heads
+        exchange.record_runs(1)
+        assert exchange.used_runs == 3
