A start after a restore of the store lets peers tell a newer catalogue first

Cause: the first read confirmed its version, whatever the peers had. Now the first version that is read from a store that was ever restored is confirmed only once a peer was heard, or no other is announced, or 0.3 s are over; a version that peers report as newer is fetched before. A peer with a newer version answers an older one's status at once. A store in its first epoch costs no wait; a start after one waits 0.3 s at most, when all whom the copy names are dead.

With no other announced it serves at once (a test).

--- a/src/briarfall/gateway/catalogue/catalogue.py
+++ b/src/briarfall/gateway/catalogue/catalogue.py
@@ -32,7 +32,16 @@
 # Share of the key TTL that is reserved for the request to reach its target.
 _KEY_MARGIN_SHARE = 0.12
 
+# Longest time for which a new instance waits for its peers before it serves by
+# the catalogue of a store that was once restored from an older copy.
+_FIRST_LOOK_S = 0.3
+
 Fetcher = collections.abc.Callable[[int], bytes]
+PeerWaiter = collections.abc.Callable[[float], None]
+
+
+def _wait_for_nobody(timeout_s: float) -> None:
+    """Stands for a missing waiter."""
 
 
 class CatalogueFollower(workers.Worker):
@@ -69,6 +78,7 @@
         # Consecutive failed reads of the source.
         self._failures = 0
         self._fetcher: Fetcher | None = None
+        self._wait_for_peers: PeerWaiter = _wait_for_nobody
         self._instances = instances
         self._position: sources.LogPosition | None = None
         self.confirmed_s: float | None = None
@@ -154,6 +164,22 @@
         """Sets the function that fetches a minimum version from a peer."""
         self._fetcher = fetch
 
+    def set_peer_waiter(self, wait: PeerWaiter) -> None:
+        """Sets what waits, for some seconds, until a peer was heard of."""
+        self._wait_for_peers = wait
+
+    def _look_for_newer(self) -> None:
+        """Lets peers tell a newer version than the first one that was read.
+
+        The store may have come back from an older copy just now.
+        """
+        until_s = clocks.boot_s() + _FIRST_LOOK_S
+        self._wait_for_peers(_FIRST_LOOK_S)
+        while self._newest_version > self.view.version:
+            if self._fetch_from_peer() or clocks.boot_s() >= until_s:
+                return
+            self.stopped.wait(_STORE_LAG_RETRY_S)
+
     def _fetch_from_peer(self) -> bool:
         """Fetches the newest reported version; returns whether it succeeded."""
         if self._fetcher is None:
@@ -190,8 +216,12 @@
             self.apply(read.raw)
         self._position = read.position
         self._failures = 0
-        if self.view is not None:
-            self.confirm(sent_s)
+        if self.view is None:
+            return
+        if self.confirmed_s is None:
+            if self._source.epoch > sources.FIRST_EPOCH:
+                self._look_for_newer()
+        self.confirm(sent_s)
 
     def apply(self, raw: bytes) -> None:
         """Puts a catalogue in force unless its version is not a newer one."""
--- a/src/briarfall/gateway/catalogue/sources.py
+++ b/src/briarfall/gateway/catalogue/sources.py
@@ -64,6 +64,8 @@
 
 # Rises each time the platform's store comes back from an older copy.
 StoreEpoch = typing.NewType("StoreEpoch", int)
+# Epoch of a store that was never restored; 0 if it tells none.
+FIRST_EPOCH = StoreEpoch(1)
 
 
 class LogPosition(msgspec.Struct, frozen=True):
@@ -169,6 +171,11 @@
 class CatalogueSource(abc.ABC):
     """Source to which operators publish the catalogue."""
 
+    @property
+    def epoch(self) -> StoreEpoch:
+        """Epoch of the store; rises when it may have lost versions."""
+        return FIRST_EPOCH
+
     @abc.abstractmethod
     def read_newest(self, timeout_s: float) -> CatalogueRead:
         """Returns the newest complete catalogue."""
--- a/src/briarfall/gateway/gossip/gossip.py
+++ b/src/briarfall/gateway/gossip/gossip.py
@@ -82,6 +82,8 @@
         self._responder = responder
         self._wake = threading.Event()
         self._closed = threading.Event()
+        # Set once a peer was heard, or if no other instance is announced.
+        self._knows_peers = threading.Event()
         self._respond_to_permit = _refuse_permit
         self._refresh_permits = _do_nothing
         self._lock = threading.Lock()
@@ -315,9 +317,15 @@
         records = self._source.list_instances(_STORE_TIMEOUT_S)
         for record in records:
             self._peers.add(record)
+        if len(records) <= 1:
+            self._knows_peers.set()
         logging.info("announced peers=%d", len(records) - 1)
         self._wake.set()
 
+    def wait_for_peers(self, timeout_s: float) -> None:
+        """Waits until a peer was heard, unless no other is announced."""
+        self._knows_peers.wait(timeout_s)
+
     def _add_listed_again(self, records: list[sources.InstanceRecord]) -> None:
         """Adds instances that started while this one's record was lost."""
         for record in records:
@@ -391,6 +399,10 @@
     ) -> None:
         if isinstance(message, peermessages.Status):
             self._status.apply(message)
+            self._knows_peers.set()
+            if self._status.is_behind(message):
+                # It may be new and have read an older copy of the store.
+                self._send(self._status.build(self._record), address)
             return
         if isinstance(message, peermessages.FreshnessRequest):
             self._send(self._responder.answer(message), address)
--- a/src/briarfall/gateway/gossip/peerstatus.py
+++ b/src/briarfall/gateway/gossip/peerstatus.py
@@ -135,6 +135,11 @@
             gives_permits=True,
         )
 
+    def is_behind(self, status: peermessages.Status) -> bool:
+        """Whether a peer serves by an older version of the catalogue."""
+        view = self._follower.view
+        return view is not None and 0 <= status.version < view.version
+
     def apply(self, status: peermessages.Status) -> None:
         """Applies the status of a peer."""
         peer = self._peers.add(
--- a/src/briarfall/gateway/instance/instance.py
+++ b/src/briarfall/gateway/instance/instance.py
@@ -155,6 +155,7 @@
         self.rate_limits.add_listener(self.gossip.send_status_now)
         self.follower.add_listener(self.gossip.send_status_now)
         self.follower.set_fetcher(self.gossip.fetch_version)
+        self.follower.set_peer_waiter(self.gossip.wait_for_peers)
         self.targets.add_listener(self.gossip.send_status_now)
         self.links = linkmonitor.LinkMonitor(self.targets, pool, peer_pool, rng)
         self.links.add_listener(self.gossip.send_status_now)
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -38,6 +38,11 @@
     def __init__(self, client: store.StoreClient):
         self._store = client
 
+    @property
+    def epoch(self) -> sources.StoreEpoch:
+        """Newest epoch of the store in any answer."""
+        return self._store.tracker.current
+
     def read_newest(self, timeout_s: float) -> sources.CatalogueRead:
         """Returns the newest manifest."""
         records, end = self._store.newest(_OPERATOR_TOPIC, timeout_s)
--- a/tests/test_gateway_restoredpeers.py
+++ b/tests/test_gateway_restoredpeers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from briarfall.gateway.catalogue import catalogue
 from briarfall.platform import deferredcalls
 from briarfall.platform import topics
 from briarfall.standins.prepared import testbed
@@ -57,12 +58,22 @@
         testbed.until(lambda: first.peers.alive(), "i1 hears i2")
         testbed.until(lambda: second.peers.alive(), "i2 hears i1")
 
-    def test_peers_tell_it_the_version_that_the_copy_lacks(self, scene, zone):
-        copy = scene.store.snapshot()
+    def test_peers_tell_it_the_version_that_the_copy_lacks(
+        self, scene, zone, monkeypatch
+    ):
+        """A key that was taken away since the copy is not served at first."""
+        monkeypatch.setattr(catalogue, "_FIRST_LOOK_S", testbed.WAIT_S)
         first = scene.instance("i1")
+        self.wait_announced(scene, "i1")
+        copy = scene.store.snapshot()
         scene.publish(testbed.manifest(2, keys=("other",)))
         testbed.until(lambda: first.follower.view.version == 2, "2 in force")
         scene.store.restore(copy)
         second = scene.instance("i2", zone)
-        testbed.until(lambda: second.follower.view.version == 2, "2 told")
+        assert second.follower.view.version == 2
         assert testbed.call(second, "/views/1").status == 401
+
+    def test_it_serves_by_the_copy_if_no_peer_is_announced(self, scene, zone):
+        scene.store.restore(scene.store.snapshot())
+        second = scene.instance("i2", zone)
+        assert testbed.call(second, "/views/1").status == 200
