A death counts against a request only before its answer, and in a trial on live engines

Hypotheses: (1) the trial after the first death meets an engine that died along with the first one and that nobody has found out about: "died together" was known only for engines of the same route; (2) one death is counted by two instances, as a resumed stream goes to the dead stage first; (3) the engine of the trial dies too, by chance; (4) a trial shares an engine outside its reservation. (1) to (3) are shown by tests that fail before; (4) follows from the code (engines before the crashed layer are not reserved) and is mended with them, without a test of its own.

Cause: a death was evidence whenever an attempt failed on a target that was not ejected. That a target fails does not show that it was alive when the attempt began, nor that the request is to blame.

Now (crashjudge.py): a death does not count once the attempt has passed two tokens on the engine; the stream goes elsewhere without suspicion or trial. Before, the first death makes a suspect, as ever, and further ones count only in a trial, on an engine reserved for it that answered just before (its load report; one that does not answer is ejected and another route is chosen).

A poison request still costs two engines; one that crashes them in mid-answer costs three (two before), as its first death is no evidence. A pool with a single engine convicts now: before, the second death of the same engine never counted and the request crashed it until its attempts were used up.

Left: an engine that dies by chance in a trial, under a request that had no answer yet, still convicts it.

--- a/src/briarfall/pipelines/poison.py
+++ b/src/briarfall/pipelines/poison.py
@@ -1,8 +1,9 @@
 """Detection of poison requests, which crash the targets that run them.
 
-A request that was in flight on a target when it crashed is a suspect. A
-suspect runs on targets without other suspects until it has passed the token
-at which the crash happened, so a second crash can be attributed to it.
+A request that was in flight on a target when it crashed is a suspect, unless
+the target had begun to answer it. A suspect runs on targets without other
+suspects until it has passed the token at which the crash happened, so a second
+crash can be attributed to it.
 """
 
 import enum
@@ -116,6 +117,17 @@
         self.notify_peers(suspicion)
         return self.status(fingerprint)
 
+    def suspect(self, fingerprint: str) -> FingerprintStatus:
+        """Suspects a request that was in flight at a crash outside a trial.
+
+        The crash may have had another cause, so further ones of this kind do
+        not count.
+        """
+        status = self.status(fingerprint)
+        if status is FingerprintStatus.CLEAR:
+            return self.record_crash(fingerprint)
+        return status
+
     def clear(self, fingerprint: str) -> None:
         """Clears a suspect that has passed the token of the crash."""
         with self._changed:
--- a/src/briarfall/pipelines/runs.py
+++ b/src/briarfall/pipelines/runs.py
@@ -10,10 +10,10 @@
 from briarfall import sockets
 from briarfall.adapters import engine as engines
 from briarfall.pipelines import acceptance
+from briarfall.pipelines import crashjudge
 from briarfall.pipelines import graph as graphs
 from briarfall.pipelines import kvimports
 from briarfall.pipelines import models
-from briarfall.pipelines import poison as poisons
 from briarfall.pipelines import policies
 from briarfall.pipelines import pump as pumps
 from briarfall.pipelines import streams
@@ -55,10 +55,8 @@
         self._avoid: set[str] = set()
         self._previous_route: list[engines.Hop] = []
         self._previous_cause: models.Cause | None = None
-        self._down_before_attempt: set[str] = set()
-        self._crash_route: set[str] = set()
         self._trial = suspecttrial.SuspectTrial(relay, req)
-        self._crash_layer = 0
+        self._judge = crashjudge.CrashJudge(relay, req, self._trial)
         self._done = False
         self._started = False
         self._stream: engines.EngineStream | None = None
@@ -129,9 +127,7 @@
         planned_s = time.monotonic()
         names = [hop.target for hop in route]
         table = self._relay.table
-        self._down_before_attempt = {
-            name for name in names if table.is_ejected(name)
-        }
+        self._judge.start_attempt(names, self._accepted.index)
         rank = self._req.priority.rank
         table.add_in_flight(names, rank)
         try:
@@ -295,7 +291,7 @@
         except exceptions.LocalLimitError:
             raise
         except exceptions.TargetUnreachableError:
-            self._down_before_attempt.add(route[0].target)
+            self._judge.record_unreachable(route[0].target)
             self._handle_attempt_end(route, models.Cause.TARGET_DIED, "")
         except exceptions.TargetError:
             self._handle_attempt_end(
@@ -356,29 +352,8 @@
             self._avoid.add(failed_id)
         else:
             self._avoid.update(hop.target for hop in route)
-        if cause is models.Cause.TARGET_DIED and self._is_new_crash(failed_id):
-            self._crash_layer = _first_layer_of(route, failed_id)
-            self._crash_route = {hop.target for hop in route}
-            self._record_crash()
-
-    def _is_new_crash(self, failed_id: str) -> bool:
-        """Returns whether a crash may be attributed to the request.
-
-        A target that was already ejected or unreachable did not crash because
-        of the request. If several targets of one route crash together, for
-        example in one rack, this counts as one crash.
-        """
-        if failed_id in self._down_before_attempt:
-            return False
-        return failed_id not in self._crash_route
-
-    def _record_crash(self) -> None:
-        status = self._relay.guard.record_crash(self._req.fingerprint)
-        if status is poisons.FingerprintStatus.POISON:
-            raise exceptions.PoisonError(
-                "targets died twice while they ran this request",
-                outcome=exceptions.Outcome.RAN,
-            )
+        if cause is models.Cause.TARGET_DIED:
+            self._judge.record_death(route, failed_id, self._accepted.index)
 
     def _route_request(self) -> policies.RouteRequest:
         req = self._req
@@ -392,14 +367,13 @@
 
     def _plan(self) -> list[engines.Hop]:
         """Returns a route; waits until there is one or the deadline is near."""
-        status = self._relay.guard.status(self._req.fingerprint)
-        is_suspect = status is poisons.FingerprintStatus.SUSPECT
+        is_suspect = self._judge.is_suspect()
         while True:
             try:
                 if is_suspect:
                     route = self._trial.plan(
                         self._route_request,
-                        self._crash_layer,
+                        self._judge.crash_layer,
                         self._accepted.index,
                         self._failure_outcome(),
                     )
@@ -438,11 +412,3 @@
         if self._started:
             return exceptions.Outcome.RAN
         return exceptions.Outcome.NOT_RUN
-
-
-def _first_layer_of(route: list[engines.Hop], target: str) -> int:
-    """Returns the first layer that a target runs on a route, or 0."""
-    for hop in route:
-        if hop.target == target:
-            return hop.start
-    return 0
--- a/src/briarfall/pipelines/suspecttrial.py
+++ b/src/briarfall/pipelines/suspecttrial.py
@@ -9,9 +9,10 @@
 from briarfall.pipelines import policies
 
 _RETRY_S = 0.01
-# An engine may have computed one more token that did not arrive, and crashed
-# on the next one. The request is cleared only beyond that token.
-_TOKENS_PAST_CRASH = 2
+_CHECK_TIMEOUT_S = 0.25
+# Tokens after which an attempt has passed the point of a crash: an engine may
+# have computed one more token that did not arrive, and crashed on the next one.
+TOKENS_PAST_CRASH = 2
 
 
 class SuspectTrial:
@@ -26,12 +27,17 @@
         self._relay = relay
         self._req = req
         self._clear_at_index: int | None = None
+        self._reserved: list[str] = []
 
     @property
     def is_open(self) -> bool:
         """Whether targets are reserved for the trial."""
         return self._clear_at_index is not None
 
+    def is_reserved(self, target: str) -> bool:
+        """Returns whether a target runs no other suspect and was alive."""
+        return target in self._reserved
+
     def plan(
         self,
         route_request: collections.abc.Callable[[], policies.RouteRequest],
@@ -41,6 +47,9 @@
     ) -> list[engines.Hop]:
         """Returns a route without other suspects, with its targets reserved.
 
+        The reserved targets have just answered, as others may have died along
+        with the one that crashed.
+
         Args:
             route_request: Returns the request for the route.
             crash_layer: First layer of the target that crashed.
@@ -76,11 +85,35 @@
             occupied = relay.trials.reserve(
                 req.model_name, req.fingerprint, names
             )
-            if not occupied:
-                self._clear_at_index = index + _TOKENS_PAST_CRASH
-                return route
+            if occupied:
+                continue
+            is_alive = False
+            try:
+                is_alive = self._are_alive(route, names)
+            finally:
+                if not is_alive:
+                    relay.trials.release(req.model_name, req.fingerprint)
+            if not is_alive:
+                continue
+            self._reserved = names
+            self._clear_at_index = index + TOKENS_PAST_CRASH
+            return route
         raise exceptions.DeadlineError("the deadline passed", outcome=outcome)
 
+    def _are_alive(self, route: list[engines.Hop], names: list[str]) -> bool:
+        """Returns whether all targets answer; ejects one that does not."""
+        for hop in route:
+            if hop.target not in names:
+                continue
+            try:
+                self._relay.connect(hop.url).load(_CHECK_TIMEOUT_S)
+            except exceptions.LocalLimitError:
+                raise
+            except exceptions.TargetError:
+                self._relay.table.record_failure(hop.target, is_silent=True)
+                return False
+        return True
+
     def record_progress(self, index: int, *, is_done: bool) -> None:
         """Clears the request once it has passed the token of the crash."""
         if not is_done and index < self._clear_at_index:
@@ -93,4 +126,5 @@
         if self._clear_at_index is None:
             return
         self._clear_at_index = None
+        self._reserved = []
         self._relay.trials.release(self._req.model_name, self._req.fingerprint)
