The own path finds the words of prompts that crash engines

Scenario "requests that differ but share the part that crashes engines", known red: 8 crashes, allowed 5.

What stands for a part, as these prompts declare none? Weighed: - client account and model: the sound requests of the client are refused too; - lines of the prompt: the scenario's prompts are one line that differs; - the blocks of 16 words of the engines' prefix cache: short prompts have none, and a part need not stand at the beginning; - the prefix by which routes are chosen (16 words): as before, but it finds a preamble whose single words are harmless; - words: found wherever they stand; most words of a prompt are proven by other traffic, so few are ever suspected. Chosen: words and, where there is one, the affinity prefix, keyed by model.

Deciding is as in the gateway. `crashevidence` and `provenparts` are free of its I/O and are used as they are: a crash is blamed on the parts with most crashes, those that ran in the last minute are not suspected, suspects that always came together are told apart. Not used: `CrashTable` and `PartHolds`. They refuse held requests at once (503), read the boot clock and convict without trials; here requests wait for their turn, the clock is given, and a part is poison only after three deaths of which one was in a trial on an engine that was alive, so that a zone that fails convicts nothing.

Why it works: from the first death on, one request with a suspected part runs at a time. Its death adds one; the third refuses all requests that have every suspect that always came along. A sound request lacks one of them, so it is tried, passes, and clears the parts it has, here and at the peers.

The tag known_red is off, the bound unchanged.

Left: 256 words of a prompt and 64 suspects are considered; a harmful phrase of words that run elsewhere is found only in the first 16 words, or request by request; one that crashes engines in mid-answer is found request by request.

--- a/features/draft_faults.feature
+++ b/features/draft_faults.feature
@@ -97,8 +97,27 @@
       | 4 times to the same instance |
       | 4 times to instances in turn |
 
-  @known_red
   Scenario: requests that differ but share the part that crashes engines
     Given engines that crash on the word "poison" and restart
     When a caller sends 8 different requests with that word
     Then it crashed at most 5 engines
+
+  Scenario: such requests at instances in turn
+    Given engines that crash on the word "poison" and restart
+    When a caller sends 8 different requests with that word to instances in turn
+    Then it crashed at most 5 engines
+
+  Scenario: sound requests that share all other parts with them
+    Given engines that crash on the word "poison" and restart
+    When a caller sends 8 different requests with that word
+    And the caller sends 8 requests with all of their words but that one
+    Then every draft is complete
+    And it crashed at most 5 engines
+
+  Scenario: sound requests beside them
+    Given engines that crash on the word "poison" and restart
+    And other drafts that share the engines
+    When a caller sends 8 different requests with that word to instances in turn
+    And the caller sends 8 requests with all of their words but that one
+    Then every draft is complete
+    And it crashed at most 5 engines
--- a/features/steps/draft_faults.py
+++ b/features/steps/draft_faults.py
@@ -158,16 +158,37 @@
         context.codes.append(draft.wait().code)
 
 
+def _send_numbered(context, text, number, first=0):
+    return worlds.BackgroundDraft(
+        context.world.session(first),
+        f"{text}, number {number}",
+        1,
+        worlds.TOKENS,
+    )
+
+
 @when("a caller sends {count:d} different requests with that word")
 def when_different_poison(context, count):
     for number in range(count):
-        draft = worlds.BackgroundDraft(
-            context.world.session(0),
-            f"a poison prompt, number {number}",
-            1,
-            worlds.TOKENS,
-        )
-        draft.wait()
+        _send_numbered(context, "a poison prompt", number).wait()
+
+
+@when(
+    "a caller sends {count:d} different requests with that word to instances "
+    "in turn"
+)
+def when_different_poison_in_turn(context, count):
+    for number in range(count):
+        _send_numbered(context, "a poison prompt", number, number % 2).wait()
+
+
+@when(
+    "the caller sends {count:d} requests with all of their words but that one"
+)
+def when_sound_with_their_words(context, count):
+    for number in range(count):
+        draft = _send_numbered(context, "a sound prompt", number, number % 2)
+        context.world.drafts.append(draft)
 
 
 @then("the fault has happened")
--- a/src/briarfall/pipelines/poison.py
+++ b/src/briarfall/pipelines/poison.py
@@ -6,6 +6,7 @@
 crash can be attributed to it.
 """
 
+import collections.abc
 import enum
 import threading
 
@@ -13,7 +14,14 @@
 
 from briarfall import clock as clocks
 from briarfall import exceptions
-
+from briarfall.gateway.crashes import crashevidence
+from briarfall.pipelines import partguard
+
+REQUEST_MESSAGE = "targets died twice while they ran this request"
+PART_MESSAGE = (
+    "targets died while they began to answer requests with a part of this "
+    "prompt"
+)
 MAX_CRASHES = 2
 _TTL_S = 600.0
 _MAX_FINGERPRINTS = 4096
@@ -36,12 +44,16 @@
         crashes: Number of crashes while the request was in flight.
         trial_instance: Instance that runs the request on trial, or empty.
         cleared: Whether the request has since passed the token of the crash.
+        parts: Parts of its prompt that may have caused the crashes.
+        deaths: The crashes.
     """
 
     fingerprint: str
     crashes: int = 0
     trial_instance: str = ""
     cleared: bool = False
+    parts: list[str] = []
+    deaths: list[partguard.Death] = []
 
 
 class PoisonGuard:
@@ -55,6 +67,9 @@
         query_peer: Called with an instance and a fingerprint; returns the
             suspicion at that instance, or None if it has none or cannot be
             reached.
+
+    Attributes:
+        parts: Parts of prompts that crash targets.
     """
 
     def __init__(
@@ -64,6 +79,7 @@
         self._clock = clock or clocks.Clock()
         self.notify_peers = notify_peers or (lambda suspicion: None)
         self.query_peer = query_peer or (lambda peer, fingerprint: None)
+        self.parts = partguard.PartGuard(self._clock)
         self._known: dict[str, tuple[Suspicion, float]] = {}
         self._changed = threading.Condition()
 
@@ -88,46 +104,100 @@
                 return None
             return suspicion
 
-    def check(self, fingerprint: str) -> None:
+    def check(
+        self,
+        fingerprint: str,
+        parts: collections.abc.Collection[crashevidence.SuspectKey] = (),
+    ) -> None:
         """Refuses a poison request.
 
         If another instance runs the request on trial, waits a limited time
         for the result.
 
+        Args:
+            fingerprint: Fingerprint of the request.
+            parts: Parts of its prompt.
+
         Raises:
-            PoisonError: The request was in flight at two crashes.
+            PoisonError: The request was in flight at two crashes, or shares a
+                part of its prompt with requests that crashed targets.
         """
+        if self.parts.is_poison(parts):
+            raise exceptions.PoisonError(PART_MESSAGE)
         suspicion = self.lookup(fingerprint)
         if suspicion is None:
             return
         if self.status(fingerprint) is FingerprintStatus.SUSPECT:
             self._await_trial(suspicion)
         if self.status(fingerprint) is FingerprintStatus.POISON:
-            raise exceptions.PoisonError(
-                "targets died twice while they ran this request"
-            )
-
-    def record_crash(self, fingerprint: str) -> FingerprintStatus:
-        """Counts a crash of a target that was running the request."""
+            raise exceptions.PoisonError(REQUEST_MESSAGE)
+
+    def record_crash(
+        self,
+        fingerprint: str,
+        death: partguard.Death | None = None,
+        parts: collections.abc.Collection[crashevidence.SuspectKey] = (),
+    ) -> FingerprintStatus:
+        """Counts a crash of a target that was running the request.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            death: The crash, to tell peers of, or None.
+            parts: Parts of the prompt that may have caused it.
+        """
         with self._changed:
             entry = self._known.get(fingerprint)
-            crashes = entry[0].crashes if entry and not entry[0].cleared else 0
-            suspicion = Suspicion(fingerprint, crashes + 1, self._instance)
+            known = entry[0] if entry and not entry[0].cleared else None
+            suspicion = Suspicion(
+                fingerprint,
+                known.crashes + 1 if known else 1,
+                self._instance,
+                parts=list(parts),
+                deaths=list(known.deaths) if known else [],
+            )
+            if death is not None:
+                suspicion.deaths.append(death)
             self._store(suspicion)
         self.notify_peers(suspicion)
         return self.status(fingerprint)
 
-    def suspect(self, fingerprint: str) -> FingerprintStatus:
+    def suspect(
+        self,
+        fingerprint: str,
+        death: partguard.Death | None = None,
+        parts: collections.abc.Collection[crashevidence.SuspectKey] = (),
+    ) -> FingerprintStatus:
         """Suspects a request that was in flight at a crash outside a trial.
 
         The crash may have had another cause, so further ones of this kind do
         not count.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            death: The crash, to tell peers of, or None.
+            parts: Parts of the prompt that may have caused it.
         """
         status = self.status(fingerprint)
         if status is FingerprintStatus.CLEAR:
-            return self.record_crash(fingerprint)
+            return self.record_crash(fingerprint, death, parts)
         return status
 
+    def announce_trial(
+        self,
+        fingerprint: str,
+        parts: collections.abc.Collection[crashevidence.SuspectKey],
+    ) -> None:
+        """Tells peers that a request runs as a trial of suspected parts."""
+        with self._changed:
+            entry = self._known.get(fingerprint)
+            if entry is not None and not entry[0].cleared:
+                return
+            suspicion = Suspicion(
+                fingerprint, 0, self._instance, parts=list(parts)
+            )
+            self._store(suspicion)
+        self.notify_peers(suspicion)
+
     def clear(self, fingerprint: str) -> None:
         """Clears a suspect that has passed the token of the crash."""
         with self._changed:
@@ -157,7 +227,22 @@
             if entry is not None and not _is_newer(suspicion, entry[0]):
                 return False
             self._store(suspicion)
-            return True
+        self._merge_parts(suspicion)
+        return True
+
+    def _merge_parts(self, suspicion: Suspicion) -> None:
+        parts = [crashevidence.SuspectKey(part) for part in suspicion.parts]
+        if not parts:
+            return
+        if suspicion.cleared:
+            self.parts.record_proven(parts)
+        else:
+            for death in suspicion.deaths:
+                self.parts.record_death(death, parts)
+        self.parts.end_trial(suspicion.fingerprint)
+        if suspicion.trial_instance:
+            suspected = self.parts.suspected(parts)
+            self.parts.start_trial(suspected, suspicion.fingerprint)
 
     def _store(self, suspicion: Suspicion) -> None:
         until_s = self._clock.now() + _TTL_S
--- a/src/briarfall/pipelines/relay.py
+++ b/src/briarfall/pipelines/relay.py
@@ -12,6 +12,7 @@
 from briarfall.pipelines import planning
 from briarfall.pipelines import poison as poisons
 from briarfall.pipelines import policies
+from briarfall.pipelines import promptwords
 from briarfall.pipelines import runs
 from briarfall.pipelines import streams
 from briarfall.pipelines import targets as target_tables
@@ -73,9 +74,12 @@
         """Returns the run of a stream, which yields lists of accepted tokens.
 
         Raises:
-            PoisonError: The request was in flight at two crashes of targets.
+            PoisonError: The request or a part of its prompt crashes targets.
         """
-        self.guard.check(req.fingerprint)
+        parts = []
+        if not self.guard.parts.is_empty:
+            parts = promptwords.shared_parts(req)
+        self.guard.check(req.fingerprint, parts)
         self.budget.record_first_attempt()
         return runs.StreamRun(self, req)
 
--- a/src/briarfall/pipelines/runs.py
+++ b/src/briarfall/pipelines/runs.py
@@ -108,6 +108,7 @@
             self._active.detach()
             relay.watchdog.remove(self._active)
             relay.dropped_tokens += self._accepted.dropped
+            relay.guard.parts.end_trial(self._req.fingerprint)
             if not self._done:
                 relay.guard.end_trial(self._req.fingerprint)
                 if self.route:
@@ -187,6 +188,10 @@
                     recovery_cause = None
                 if tokens[-1].finish:
                     self._done = True
+                if not self._judge.is_proven:
+                    self._judge.record_progress(
+                        self._accepted.index, is_done=self._done
+                    )
                 if self._trial.is_open:
                     self._trial.record_progress(
                         self._accepted.index, is_done=self._done
@@ -367,10 +372,9 @@
 
     def _plan(self) -> list[engines.Hop]:
         """Returns a route; waits until there is one or the deadline is near."""
-        is_suspect = self._judge.is_suspect()
         while True:
             try:
-                if is_suspect:
+                if self._judge.needs_trial():
                     route = self._trial.plan(
                         self._route_request,
                         self._judge.crash_layer,
--- a/src/briarfall/pipelines/suspecttrial.py
+++ b/src/briarfall/pipelines/suspecttrial.py
@@ -128,3 +128,4 @@
         self._clear_at_index = None
         self._reserved = []
         self._relay.trials.release(self._req.model_name, self._req.fingerprint)
+        self._relay.guard.parts.end_trial(self._req.fingerprint)
--- a/tests/enginefakes.py
+++ b/tests/enginefakes.py
@@ -1,5 +1,6 @@
 """Engines in this process, and the pipeline part of instances that use them."""
 
+import itertools
 import time
 
 from briarfall import exceptions
@@ -8,6 +9,7 @@
 from briarfall.pipelines import models
 from briarfall.pipelines import planning
 from briarfall.pipelines import poison
+from briarfall.pipelines import promptwords
 from briarfall.pipelines import relay as relays
 from briarfall.pipelines import streams
 from briarfall.pipelines import targets
@@ -28,6 +30,7 @@
         crash_index: Token at which a poison prompt kills the first engine
             of its route.
         restarts: Whether killed engines are up again at once.
+        poison: Whether a prompt kills engines.
         on_token: Called with the call and the index before each token.
     """
 
@@ -36,6 +39,7 @@
         self.crashed = []
         self.crash_index = 0
         self.restarts = False
+        self.poison = lambda prompt: "poison" in prompt
         self.on_token = lambda call, index: None
 
     def connect(self, url):
@@ -45,7 +49,7 @@
         """Returns the batch after `index` tokens, or the failure."""
         self.on_token(call, index)
         head = call.route[0].target
-        if "poison" in call.prompt and index >= self.crash_index:
+        if self.poison(call.prompt) and index >= self.crash_index:
             self.crashed.append(head)
             if not self.restarts:
                 self.dead.add(head)
@@ -114,22 +118,34 @@
 class _Alone:
     """Peers of an instance that knows no others."""
 
+    def __init__(self, name):
+        self._name = name
+
     def live(self):
-        return ["i0"]
+        return [self._name]
 
 
 class Instance:
     """The pipeline part of one instance."""
 
-    def __init__(self, engines, seed=1, heads=HEADS, lasts=LASTS):
-        self.guard = poison.PoisonGuard("i0")
+    def __init__(
+        self,
+        engines,
+        seed=1,
+        heads=HEADS,
+        lasts=LASTS,
+        name="i0",
+        clock=None,
+    ):
+        self.guard = poison.PoisonGuard(name, clock)
+        self._ids = itertools.count()
         table = targets.TargetTable()
         self.relay = relays.Relay(
             planning.Planner(table, seed=seed),
             table,
             streams.Watchdog(table, engines.connect),
             self.guard,
-            trialreservations.TrialReservations("i0", _Alone()),
+            trialreservations.TrialReservations(name, _Alone(name)),
             engines.connect,
         )
         self.model = entries.Model("draft", 24, _stage(heads, 0))
@@ -137,10 +153,17 @@
 
     def run(self, prompt="a prompt", **changes):
         """Returns the run of a request."""
-        req = models.StreamRequest(
-            "s1",
+        return self.relay.run(self._request(prompt, **changes))
+
+    def parts_of(self, prompt):
+        """Returns the keys of the parts of a prompt."""
+        return promptwords.shared_parts(self._request(prompt))
+
+    def _request(self, prompt, model_name="draft", **changes):
+        return models.StreamRequest(
+            f"s{next(self._ids)}",
             "crew",
-            "draft",
+            model_name,
             self.model,
             prompt,
             TOKENS,
@@ -150,7 +173,6 @@
             fingerprint=prompt,
             **changes,
         )
-        return self.relay.run(req)
 
 
 def texts(run):
