--- a/tests/test_gateway_review.py
+++ b/tests/test_gateway_review.py
@@ -10,6 +10,7 @@
 from briarfall.gateway.forwarding import plainresponses
 from briarfall.gateway.forwarding import relayexchanges
 from briarfall.standins.prepared import network
+from briarfall.standins.prepared import rawcaller
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_answerends as answerends
@@ -26,6 +27,20 @@
         yield links
 
 
+def _note_bodies(monkeypatch, target_id):
+    """Returns an event: the body of a target is awaited from a peer."""
+    begun = threading.Event()
+    receive = relayexchanges.PlainExchange.receive
+
+    def record(exchange, conn, head, *args):
+        if head.header(b"x-response-signature") == target_id.encode():
+            begun.set()
+        return receive(exchange, conn, head, *args)
+
+    monkeypatch.setattr(relayexchanges.PlainExchange, "receive", record)
+    return begun
+
+
 class TestRelayBesideAnOwnTarget:
     """An own target is suspended while a peer runs the request."""
 
@@ -49,6 +64,31 @@
         other.speak()
         scene.check_answered_by(other)
 
+    @pytest.mark.known_red
+    def test_own_target_answers_though_the_peer_stops_after_its_head(
+        self, world, net, monkeypatch
+    ):
+        scene = silentcalls._Scene(world, attempts=2, dialer=net)
+        answerends.TestRelayedSiblings()._cut_second(world, scene, net)
+        own, other = scene.desks
+        begun = _note_bodies(monkeypatch, other.id)
+        _HeldAnswers(world, monkeypatch, other.id, b"r")
+        left_s = []
+        pass_on = plainresponses.Body.pass_on
+
+        def record(body, call, head):
+            left_s.append(call.left_s)
+            pass_on(body, call, head)
+
+        monkeypatch.setattr(plainresponses.Body, "pass_on", record)
+        other.speak()
+        assert scene.start() is own
+        assert begun.wait(testbed.WAIT_S)
+        left_s.clear()
+        own.speak()
+        scene.check_answered_by(own)
+        assert left_s[-1] > 0
+
     @pytest.mark.known_red
     def test_peer_streams_though_the_own_engine_fails(self, world, net):
         pool = silence.Pool(world, 2, dialer=net)
@@ -158,19 +198,43 @@
         scene.lose_status()
         testbed.until(lambda: scene.second.ran, "the other peer runs it")
 
+    def test_both_runs_end_if_the_caller_leaves(self, world, monkeypatch):
+        # Longer than the test waits, so that no run ends for want of time.
+        timeout_ms = 60_000
+        row = testbed.route(
+            "views",
+            "/views/",
+            "idempotent",
+            "desk",
+            timeout_ms=timeout_ms,
+            attempts=2,
+        )
+
+        def start(inst, path, **extra):
+            caller = rawcaller.RawCaller(inst.caller_address)
+            fields = {"X-Deadline-Ms": str(timeout_ms)}
+            caller.send(rawcaller.request(path, method="POST", headers=fields))
+            return caller
+
+        monkeypatch.setattr(relayscenes, "_ROUTES", [row])
+        monkeypatch.setattr(silence, "Caller", start)
+        with contextlib.ExitStack() as stack:
+            scene = relayscenes._Scene(world, stack, "/views/x")
+            self._ask_spare(scene)
+            assert scene.peer.loads.own() and scene.spare.loads.own()
+            scene.caller.sock.close()
+            testbed.until(
+                lambda: (
+                    not scene.peer.loads.own() and not scene.spare.loads.own()
+                ),
+                "no peer has a run",
+            )
+
     @pytest.mark.known_red
     def test_first_peer_answers_though_the_other_stops_after_its_head(
         self, world, scene, monkeypatch
     ):
-        begun = threading.Event()
-        receive = relayexchanges.PlainExchange.receive
-
-        def record(exchange, conn, head, *args):
-            if head.header(b"x-response-signature") == scene.second.id.encode():
-                begun.set()
-            return receive(exchange, conn, head, *args)
-
-        monkeypatch.setattr(relayexchanges.PlainExchange, "receive", record)
+        begun = _note_bodies(monkeypatch, scene.second.id)
         _HeldAnswers(world, monkeypatch, scene.second.id, b"r")
         self._ask_spare(scene)
         scene.second.speak()
