A stream that met a dead engine waits for others rather than use up its attempts

A stream whose answer had begun no longer goes through a trial, which never plans a route over ejected engines. A plain plan falls back to ejected engines when the others have no route. While poison requests have crashed all engines of a stage, the six attempts are used up on engines that are known to be dead, within milliseconds.

Now a stream that has met a dead engine plans without ejected ones and waits, up to its deadline, until one may be used again, as a suspect always did.

--- a/src/briarfall/pipelines/runs.py
+++ b/src/briarfall/pipelines/runs.py
@@ -57,6 +57,7 @@
         self._previous_cause: models.Cause | None = None
         self._trial = suspecttrial.SuspectTrial(relay, req)
         self._judge = crashjudge.CrashJudge(relay, req, self._trial)
+        self._has_met_death = False
         self._done = False
         self._started = False
         self._stream: engines.EngineStream | None = None
@@ -358,6 +359,7 @@
         else:
             self._avoid.update(hop.target for hop in route)
         if cause is models.Cause.TARGET_DIED:
+            self._has_met_death = True
             self._judge.record_death(route, failed_id, self._accepted.index)
 
     def _route_request(self) -> policies.RouteRequest:
@@ -366,10 +368,24 @@
             req.model,
             req.prompt_tokens,
             avoid=frozenset(self._avoid),
+            banned=self._banned(),
             affinity=req.affinity,
             rank=req.priority.rank,
         )
 
+    def _banned(self) -> frozenset[str]:
+        """Returns the targets that must not be planned.
+
+        A planner that lacks targets falls back to ejected ones. A stream that
+        has met a dead target waits for others instead, as attempts on targets
+        that are still dead would be used up in no time.
+        """
+        if not self._has_met_death:
+            return frozenset()
+        table = self._relay.table
+        targets = self._req.model.targets
+        return frozenset(t.id for t in targets if table.is_ejected(t.id))
+
     def _plan(self) -> list[engines.Hop]:
         """Returns a route; waits until there is one or the deadline is near."""
         while True:
--- a/tests/enginefakes.py
+++ b/tests/enginefakes.py
@@ -139,7 +139,7 @@
     ):
         self.guard = poison.PoisonGuard(name, clock)
         self._ids = itertools.count()
-        table = targets.TargetTable()
+        table = targets.TargetTable(clock)
         self.relay = relays.Relay(
             planning.Planner(table, seed=seed),
             table,
--- a/tests/test_pipeline_crashes.py
+++ b/tests/test_pipeline_crashes.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from briarfall import clock
 from briarfall import exceptions
 from briarfall.pipelines import poison
+from briarfall.pipelines import targets
 from tests import enginefakes
 
 
@@ -92,6 +94,30 @@
         assert enginefakes.texts(inst.run()) == enginefakes.EXPECTED
         assert inst.guard.lookup("a prompt") is None
 
+    def test_they_wait_for_engines_once_all_known_ones_are_ejected(self):
+        engines = enginefakes.Engines()
+        time = clock.ManualClock()
+        inst = enginefakes.Instance(engines, clock=time)
+
+        def kill(call, index):
+            if index == 12:
+                engines.on_token = lambda call, index: None
+                engines.dead = set(enginefakes.HEADS)
+
+        engines.on_token = kill
+        plan = inst.relay.planner.plan
+
+        def plan_or_restart(req):
+            try:
+                return plan(req)
+            except exceptions.NoRouteError:
+                engines.dead.clear()
+                time.advance(targets.EJECT_S + 0.1)
+                raise
+
+        inst.relay.planner.plan = plan_or_restart
+        assert enginefakes.texts(inst.run()) == enginefakes.EXPECTED
+
 
 class TestPoisonRequest:
     def test_costs_two_engines(self):
