A peer that stops after its head no longer loses the request

A request that two peers ran got 504 if the second one stopped after the head of its response, although the first had answered: while a body was read, only the caller was watched, and what was read of it was kept in local variables, so that the exchange could not be suspended.

The reader of a response (of a body, or of events) belongs to the exchange with the peer now, and the suspended peers are watched until on_answer. An exchange that is overtaken amid its body goes on where it was. No further peer is asked while a suspended one has a head. A stream's error response is still read without a look at other exchanges.

The test failed each time before (504) and passes now; its mark is off.

--- a/src/briarfall/gateway/forwarding/relayexchanges.py
+++ b/src/briarfall/gateway/forwarding/relayexchanges.py
@@ -22,6 +22,9 @@
 _UNNAMED_HEAD = "unnamed head "
 
 
+Reader = plainresponses.BodyReader | events.EventSplitter
+
+
 class Exchange(abc.ABC):
     """A request that is relayed, over all peers that are asked.
 
@@ -52,6 +55,11 @@
         """Connections on which the request may still go on."""
         return []
 
+    @property
+    def rivals(self) -> list[targetconnection.TargetConnection]:
+        """Those of them for which a peer is left that has sent a head."""
+        return []
+
     @property
     def heads(self) -> list[ids.TargetId]:
         """Engines that ran the request as heads and may still live."""
@@ -61,11 +69,25 @@
         """Returns the headers that a peer gets in place of the caller's."""
         return []
 
+    @abc.abstractmethod
+    def start_reading(
+        self,
+        conn: targetconnection.TargetConnection,
+        head: messages.ResponseHead,
+    ) -> Reader:
+        """Returns what keeps a response from a peer that is partly read.
+
+        Args:
+            conn: Connection to the peer.
+            head: Head of the response, with the headers for the caller.
+        """
+
     @abc.abstractmethod
     def receive(
         self,
         conn: targetconnection.TargetConnection,
         head: messages.ResponseHead,
+        reader: Reader,
         on_answer: collections.abc.Callable[[], None],
     ) -> None:
         """Reads a target's response from a peer, and passes it on.
@@ -73,6 +95,7 @@
         Args:
             conn: Connection to the peer.
             head: Head of the response, with the headers for the caller.
+            reader: Keeps what was read if the exchange is suspended.
             on_answer: Called when a complete response has arrived, or a part
                 that the caller gets, such as the first event of a stream; no
                 other peer is needed from then on.
@@ -122,22 +145,30 @@
         """Runs that count towards the bound of the route."""
         return self.call.possible_runs
 
+    def start_reading(
+        self,
+        conn: targetconnection.TargetConnection,
+        head: messages.ResponseHead,
+    ) -> Reader:
+        """Returns the reader of the body."""
+        return plainresponses.BodyReader(conn, head)
+
     def receive(
         self,
         conn: targetconnection.TargetConnection,
         head: messages.ResponseHead,
+        reader: Reader,
         on_answer: collections.abc.Callable[[], None],
     ) -> None:
         """Reads a response; passes a long one on directly."""
-        conn.watch(self.call.watch)
         self._head = head
 
         def commit():
+            conn.watch(self.call.watch)
             on_answer()
             self._sends.close()
 
-        body = plainresponses.BodyReader(conn, head)
-        self._body = body.read(self.call, commit)
+        self._body = reader.read(self.call, commit)
         commit()
 
     def finish(self) -> None:
@@ -172,6 +203,11 @@
         """Connections of the stream's suspended runs."""
         return self._stream.suspended_connections
 
+    @property
+    def rivals(self) -> list[targetconnection.TargetConnection]:
+        """All of them, until an event has come from the peer."""
+        return self.suspended_connections
+
     @property
     def used_runs(self) -> int:
         """Heads that count towards the bound of the route."""
@@ -194,41 +230,53 @@
             return []
         return [(names.last_event, str(last_id).encode())]
 
+    def start_reading(
+        self,
+        conn: targetconnection.TargetConnection,
+        head: messages.ResponseHead,
+    ) -> Reader:
+        """Returns the splitter of the events."""
+        return events.EventSplitter()
+
     def receive(
         self,
         conn: targetconnection.TargetConnection,
         head: messages.ResponseHead,
+        reader: Reader,
         on_answer: collections.abc.Callable[[], None],
     ) -> None:
         """Passes events on as they arrive, or a complete error response."""
         if not head.is_success:
+            # What was read of it is not kept.
+            conn.watch(self.call.watch)
             self._pass_on_error(conn, head)
             return
         is_resumed = self._stream.response_started
         streamresponses.check_head(
             conn.address, head, self._names, is_resumed=is_resumed
         )
-        splitter = events.EventSplitter()
+        has_answered = False
         while True:
             event = conn.read_event(self.call.deadline_s)
             if isinstance(event, h11.EndOfMessage):
                 break
             data = streamresponses.accept_events(
                 conn.address,
-                splitter,
+                reader,
                 self._stream.sequence,
                 bytes(event.data),
                 is_resumed=is_resumed,
             )
             if not data:
                 continue
-            on_answer()
-            if self.suspended_connections:
-                self._on_start()
+            if not has_answered:
+                has_answered = True
                 conn.watch(self.call.watch)
+                on_answer()
+                self._on_start()
             self._stream.start_response(head)
             self.call.conn.send_data(data)
-        if splitter.incomplete_event:
+        if reader.incomplete_event:
             raise targetconnection.BrokenExchangeError(
                 f"{conn.address}: ended inside an event", saw_response=True
             )
--- a/src/briarfall/gateway/forwarding/relaying.py
+++ b/src/briarfall/gateway/forwarding/relaying.py
@@ -219,18 +219,17 @@
         exchange = sends.exchange
         try:
             self._send(sends, send)
-            head = self._read_head(sends, send)
-            relayresponses.check(
-                exchange.call,
-                send,
-                head,
-                self._targets,
-                has_others=bool(sends.other_connections),
-            )
-            head.headers = messages.end_to_end(head.headers)
-            exchange.call.relayed_to = send.peer.id
-            send.conn.watch(exchange.call.watch, exchange.suspended_connections)
-            exchange.receive(send.conn, head, sends.close)
+            if send.reader is None:
+                head = self._read_head(sends, send)
+                relayresponses.check(
+                    exchange.call,
+                    send,
+                    head,
+                    self._targets,
+                    has_others=bool(sends.other_connections),
+                )
+                send.start_reading(exchange)
+            send.read(sends)
         except relaysends.PeerMissingError:
             sends.suspend(send)
             raise
--- a/src/briarfall/gateway/forwarding/relaysends.py
+++ b/src/briarfall/gateway/forwarding/relaysends.py
@@ -48,6 +48,8 @@
         conn: The connection.
         is_sent: Whether the request was sent.
         head: Head of the response, or None if it has not arrived.
+        reader: Keeps what was read of a target's response, or None while no
+            head of one has arrived.
         counted_runs: Runs of it that count towards the bound of the route.
         outcome: How it ended, for the metrics.
     """
@@ -66,6 +68,7 @@
         self.conn = conn
         self.is_sent = False
         self.head: messages.ResponseHead | None = None
+        self.reader: relayexchanges.Reader | None = None
         self.counted_runs = 0
         self.outcome = "answered"
         self._choice = choice
@@ -77,6 +80,24 @@
         """Number of runs that the peer may have caused."""
         return self.state.max_runs - self.state.runs
 
+    def start_reading(self, exchange: relayexchanges.Exchange) -> None:
+        """Begins with the body of a target's response."""
+        self.head.headers = messages.end_to_end(self.head.headers)
+        self.reader = exchange.start_reading(self.conn, self.head)
+
+    def read(self, sends: "RelaySends") -> None:
+        """Reads the body of a target's response, and passes it on.
+
+        Raises:
+            OtherConnectionReadyError: Another exchange can be read.
+            BriarfallError: The response is missing or damaged.
+        """
+        exchange = sends.exchange
+        exchange.call.relayed_to = self.peer.id
+        others = [*sends.connections, *exchange.rivals]
+        self.conn.watch(exchange.call.watch, others)
+        exchange.receive(self.conn, self.head, self.reader, sends.close)
+
     def end(self) -> None:
         """Ends it; its connection is reused if the response is complete."""
         self._choice.end(self.peer)
@@ -129,6 +150,9 @@
         call = self.exchange.call
         if len(self.asked) >= _MAX_PEERS or clocks.boot_s() >= self._until_s:
             return False
+        if any(send.reader is not None for send in self._suspended):
+            # A target's response is on its way.
+            return False
         if self.has_suspended and self.exchange.used_runs >= call.max_runs:
             return False
         return call.left_s > 0
--- a/tests/test_gateway_review.py
+++ b/tests/test_gateway_review.py
@@ -229,7 +229,6 @@
                 "no peer has a run",
             )
 
-    @pytest.mark.known_red
     def test_first_peer_answers_though_the_other_stops_after_its_head(
         self, world, scene, monkeypatch
     ):
