--- a/src/briarfall/standins/prepared/faultsoak/faultsets.py
+++ b/src/briarfall/standins/prepared/faultsoak/faultsets.py
@@ -31,6 +31,9 @@
     PAIRS = "pairs"
 
 
+# How often the restore is in its set, so that it is drawn beside others.
+_RESTORE_WEIGHT = 5
+
 # The order decides which fault a seed draws.
 _KINDS: dict[FaultSet, list[faults.FaultKind]] = {
     FaultSet.USUAL: [
@@ -68,7 +71,7 @@
         targetsilence.Silence(),
     ],
     FaultSet.LIMITS: [targetlimits.RateLimits()],
-    FaultSet.RESTORES: [restores.StoreRestore()],
+    FaultSet.RESTORES: [restores.StoreRestore()] * _RESTORE_WEIGHT,
     FaultSet.PAIRS: [],
 }
 
