Only plain calls switch to a suspended answer that has ended

Since the end of a suspended answer without a length counts as data. A crash ends such an answer too. A plain call keeps the exchange that it leaves for the ended one, but a relayed request drops its exchange with a peer: it could have lost a live one to a crashed target. Found by reading, not seen.

The plain follower alone asks for these ends now; streams and relays ignore them as before.

Evidence: test_does_not_end_a_wait_that_would_lose_its_exchange failed before and passes; its twin shows that the wait of a plain call still ends.

--- a/src/briarfall/gateway/exchanges/targetconnection.py
+++ b/src/briarfall/gateway/exchanges/targetconnection.py
@@ -163,6 +163,7 @@
         self._poller: select.poll | None = None
         self._watch: CallerWatch | None = None
         self._others: list[TargetConnection] = []
+        self._heeds_ends = False
         self._saw_bytes = False
         self._late_reads = 0
         self._ends_answer = False
@@ -271,6 +272,8 @@
         self,
         watch: CallerWatch | None,
         others: "collections.abc.Sequence[TargetConnection]" = (),
+        *,
+        heeds_ends: bool = False,
     ) -> None:
         """Sets what else ends a wait for bytes.
 
@@ -278,9 +281,13 @@
             watch: The caller, whose disconnection ends the exchange.
             others: Other connections of the same request. A wait ends if data
                 can be read from one of them.
+            heeds_ends: Whether a wait also ends if another connection has
+                ended an answer without a length. Only for a caller that keeps
+                this exchange, since a crash ends an answer in the same way.
         """
         self._watch = watch
         self._others = list(others)
+        self._heeds_ends = heeds_ends
         self._poller = select.poll()
         self._poller.register(self.sock, self._poll_events)
         if watch is not None:
@@ -334,9 +341,9 @@
     def _check_other(self, other: "TargetConnection") -> None:
         """Raises if another connection has data, or has ended its answer.
 
-        The end of one without an answer, or amid one, is ignored.
+        Other ends are ignored.
         """
-        if other.has_data or other._ends_answer:
+        if other.has_data or (self._heeds_ends and other._ends_answer):
             raise OtherConnectionReadyError(
                 f"{other.address}: can be read before {self.address}", other
             )
--- a/src/briarfall/gateway/forwarding/plainfollowing.py
+++ b/src/briarfall/gateway/forwarding/plainfollowing.py
@@ -107,7 +107,7 @@
                 calls.headers_for(call, self._names, exchange.target.entry),
                 call.req.body,
             )
-        exchange.conn.watch(call.watch, sends.connections)
+        exchange.conn.watch(call.watch, sends.connections, heeds_ends=True)
 
     def _receive_head(
         self,
@@ -143,7 +143,7 @@
             self._pool.dialer,
         )
         exchange.body = plainresponses.BodyReader(conn, head)
-        conn.watch(call.watch, sends.connections)
+        conn.watch(call.watch, sends.connections, heeds_ends=True)
 
     def _receive_body(
         self,
--- a/tests/test_gateway_answerends.py
+++ b/tests/test_gateway_answerends.py
@@ -7,9 +7,13 @@
 
 import pytest
 
+from briarfall.gateway import clocks
+from briarfall.gateway.exchanges import matching
+from briarfall.gateway.exchanges import targetconnection
 from briarfall.gateway.forwarding import closedanswers
 from briarfall.gateway.forwarding import dispatchgate
 from briarfall.standins.prepared import network
+from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_closedanswers as closed
@@ -155,6 +159,45 @@
         assert found == [200] * 4
 
 
+class TestEndOfASuspendedAnswer:
+    """A crash ends an answer without a length as its completion does."""
+
+    @pytest.fixture
+    def conns(self, world):
+        """A connection without bytes, and one whose answer has ended."""
+
+        def answer(conn, req):
+            conn.send(b"HTTP/1.1 200 X\r\n\r\nran")
+            return False
+
+        server = rawhttp.RawServer(answer)
+        world.on_close(server.close)
+        rows = []
+        for _ in range(2):
+            rows.append(targetconnection.TargetConnection(server.address, 5.0))
+            world.on_close(rows[-1].close)
+        current, ended = rows
+        deadline_s = clocks.boot_s() + testbed.WAIT_S
+        ended.history.start(matching.RequestIdentity())
+        ended.watch(None)
+        ended.send(b"GET", b"/", [(b"Host", b"x")], b"")
+        ended.read_head(deadline_s)
+        assert ended.read_event(deadline_s).data == b"ran"
+        testbed.until(lambda: not ended.is_open, "it has ended")
+        return current, ended
+
+    def test_does_not_end_a_wait_that_would_lose_its_exchange(self, conns):
+        current, ended = conns
+        current.watch(None, [ended])
+        assert not current.wait(clocks.boot_s())
+
+    def test_ends_a_wait_that_keeps_its_exchange(self, conns):
+        current, ended = conns
+        current.watch(None, [ended], heeds_ends=True)
+        with pytest.raises(targetconnection.OtherConnectionReadyError):
+            current.wait(clocks.boot_s())
+
+
 class _AnswerInParts:
     """A plain service that stops amid its answer, and then closes."""
 
