The gate's check is the only function of that name in relaying.py

test_gateway_dispatchgate.py counts the calls of check there and failed since, which called one of another module; that one is validate now.

--- a/src/briarfall/gateway/forwarding/relaying.py
+++ b/src/briarfall/gateway/forwarding/relaying.py
@@ -220,7 +220,7 @@
         try:
             self._send(sends, send)
             head = self._read_head(sends, send)
-            relayresponses.check(
+            relayresponses.validate(
                 exchange.call,
                 send,
                 head,
--- a/src/briarfall/gateway/forwarding/relayresponses.py
+++ b/src/briarfall/gateway/forwarding/relayresponses.py
@@ -37,7 +37,7 @@
         self.runs = runs
 
 
-def check(
+def validate(
     call: calls.Call,
     send: relaysends.RelaySend,
     head: messages.ResponseHead,
