A peer that starts no thread for a relayed request tells that it has not run

What callers saw: an instance that is cut off from its targets relays a request that may run once. A peer at the limit of its threads refuses the connection with a 503 that carries no private header, so that the asking instance counts a run: the caller gets 502, and no other peer is asked, though nothing was read.

The refusal of the peers' listener carries the private header briarfall-relay-unread. It is sent in place of a thread, so that no byte of the connection is ever read. The asking instance takes it as not run, on a fresh connection only and only without the state of a request beside it. Callers never get the header.

--- a/src/briarfall/gateway/callers/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -10,12 +10,14 @@
 from briarfall.gateway import clocks
 from briarfall.gateway import metrics
 from briarfall.gateway.callers import errorguard
+from briarfall.gateway.callers import listener
 from briarfall.gateway.callers import peerconnections
 from briarfall.gateway.callers import plannedstop
 from briarfall.gateway.calls import budgets
 from briarfall.gateway.calls import callers
 from briarfall.gateway.calls import calls
 from briarfall.gateway.calls import promptparts
+from briarfall.gateway.calls import relaymessages
 from briarfall.gateway.catalogue import catalogue
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.exchanges import headernames
@@ -77,6 +79,7 @@
         """Serves a caller's requests on a connection until it is closed."""
         self._serve(callers.CallerConnection(sock, self._limits))
 
+    @listener.refused_with([relaymessages.UNREAD_HEADER])
     def serve_peer(self, sock: socket.socket) -> None:
         """Serves requests that a peer relays, until it closes the connection.
 
--- a/src/briarfall/gateway/callers/listener.py
+++ b/src/briarfall/gateway/callers/listener.py
@@ -4,11 +4,13 @@
 import collections.abc
 import socket
 import threading
+import typing
 
 from absl import logging
 
 from briarfall.gateway import clocks
 from briarfall.gateway.callers import listensocket
+from briarfall.gateway.exchanges import messages
 
 _ACCEPT_TIMEOUT_S = 0.5
 # The Python frames of a connection need little; the default stack is 8 MB.
@@ -21,10 +23,41 @@
 # Nothing was read, so that the request has not run.
 _REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
-    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n"
 )
+# Attribute of a handler with the further headers of its refusal.
+_REFUSAL_HEADERS = "refusal_headers"
 
 Handler = collections.abc.Callable[[socket.socket], None]
+# A function, or a method that is a handler once it is bound.
+Handling = typing.TypeVar("Handling", bound=collections.abc.Callable)
+
+
+def refused_with(
+    headers: messages.Headers,
+) -> collections.abc.Callable[[Handling], Handling]:
+    """Adds headers to the refusal of connections that a handler can't serve.
+
+    Args:
+        headers: Further headers of the refusal.
+
+    Returns:
+        A decorator of the handler.
+    """
+
+    def mark(handler: Handling) -> Handling:
+        setattr(handler, _REFUSAL_HEADERS, headers)
+        return handler
+
+    return mark
+
+
+def _refusal_of(handler: Handler) -> bytes:
+    """Returns the refusal of connections for which no thread starts."""
+    lines = [_REFUSAL]
+    for key, value in getattr(handler, _REFUSAL_HEADERS, []):
+        lines.append(key + b": " + value + b"\r\n")
+    return b"".join([*lines, b"\r\n"])
 
 
 class Listener(threading.Thread):
@@ -49,6 +82,7 @@
     ):
         super().__init__(name=f"listen-{name}", daemon=True)
         self._handler = handler
+        self._refusal = _refusal_of(handler)
         self._label = name
         self._stopped = threading.Event()
         self._sock = sock or listensocket.open_listener(host, port)
@@ -123,7 +157,7 @@
             self._open_count -= 1
         try:
             sock.setblocking(False)
-            sock.send(_REFUSAL)
+            sock.send(self._refusal)
             sock.shutdown(socket.SHUT_WR)
         except OSError as exc:
             logging.debug("refusal not sent on %s: %s", self._label, exc)
--- a/src/briarfall/gateway/calls/relaymessages.py
+++ b/src/briarfall/gateway/calls/relaymessages.py
@@ -14,6 +14,9 @@
 from briarfall.gateway.targets import relaybackoffs
 
 _HEADER = b"briarfall-relay"
+_UNREAD = b"briarfall-relay-unread"
+# Header of the refusal of a connection from which nothing was read.
+UNREAD_HEADER = (_UNREAD, b"1")
 # Added to the size limit of request heads for the private header.
 MAX_HEADER_BYTES = 4096
 _ENCODER = msgspec.json.Encoder()
@@ -109,6 +112,16 @@
     return _decode(headers, RelayedResponse)
 
 
+def says_unread(headers: messages.Headers) -> bool:
+    """Whether a response says that nothing of its connection was read.
+
+    It then belongs to no request, and carries the state of none.
+    """
+    if messages.find(headers, _HEADER) is not None:
+        return False
+    return messages.find(headers, _UNREAD) is not None
+
+
 def _decode(headers: messages.Headers, kind):
     value = messages.find(headers, _HEADER)
     if value is None:
--- a/src/briarfall/gateway/forwarding/relayresponses.py
+++ b/src/briarfall/gateway/forwarding/relayresponses.py
@@ -61,6 +61,9 @@
         BrokenExchangeError: The response belongs to no such request.
     """
     conn = send.conn
+    # On a reused connection it may belong to an earlier request.
+    if conn.is_fresh and relaymessages.says_unread(head.headers):
+        raise PeerRefusedError(f"{conn.address}: the peer has read nothing")
     answer = _decode(send, head)
     call.attempt_count = max(call.attempt_count, answer.sends)
     targetbackoff.adopt(target_table, relaybackoffs.decode(answer.backoffs))
