A long relayed request is sent while its response is awaited

What callers saw: a peer without a thread for a relayed request refuses it and reads nothing. With a body longer than the buffers (4 MB) the asking instance waits in the send until the peer closes, a second later, and does not look at the refusal: 502 in place of 503, and no other peer is asked.

The request is sent without a wait, as requests to targets of plain services are. The rest is sent while the response is awaited, so that a refusal is read at once. A send that fails shows where the response is read, and counts as a run as before, unless the peer has said otherwise.

--- a/src/briarfall/gateway/forwarding/relaying.py
+++ b/src/briarfall/gateway/forwarding/relaying.py
@@ -268,20 +268,22 @@
     def _send(
         self, sends: relaysends.RelaySends, send: relaysends.RelaySend
     ) -> None:
-        """Sends a request, unless its exchange was suspended and goes on."""
+        """Sends a request, unless its exchange was suspended and goes on.
+
+        What the peer does not take at once is sent while its response is
+        awaited, since it may refuse the request without reading it.
+        """
         call = sends.exchange.call
+        if not send.is_sent:
+            send.is_sent = True
+            self.sent += 1
+            send.conn.send(
+                call.req.method,
+                call.req.request_target,
+                self._headers(sends.exchange, send.state),
+                call.req.body,
+            )
         send.conn.watch(call.watch, sends.other_connections)
-        if send.is_sent:
-            return
-        send.is_sent = True
-        self.sent += 1
-        send.conn.send(
-            call.req.method,
-            call.req.request_target,
-            self._headers(sends.exchange, send.state),
-            call.req.body,
-            call.deadline_s,
-        )
 
     def _headers(
         self,
--- a/tests/test_gateway_unreadrelays.py
+++ b/tests/test_gateway_unreadrelays.py
@@ -1,5 +1,6 @@
 """A peer that starts no thread for a connection has not run its request."""
 
+import socket
 import threading
 import types
 
@@ -17,6 +18,7 @@
 
 _UNREAD = "briarfall-relay-unread"
 _CALLERS = 8
+_LONG_BODY_BYTES = 4_000_000
 
 
 @pytest.fixture
@@ -76,6 +78,24 @@
             assert answer.status == 200
         assert sorted(desk.ran_ids()) == wanted
 
+    def test_longer_than_the_buffers_are_answered_as_not_run(
+        self, world, no_threads
+    ):
+        doc = testbed.manifest(2)
+        doc["limits"]["max_body_bytes"] = _LONG_BODY_BYTES
+        world.publish(doc)
+        cut, desk = _cut_instance(world, no_threads, 2)
+        testbed.until(lambda: cut.follower.view.version == 2, "version 2")
+        # Accepted connections inherit the size of the buffer.
+        world.instances[1]._relay_listener._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, 4096
+        )
+        answer = testbed.call(
+            cut, "/orders/x", method="POST", body=b"a" * _LONG_BODY_BYTES
+        )
+        assert answer.status == 503
+        assert desk.ran == []
+
 
 class TestRefusal:
     @pytest.mark.parametrize("name", ["callers", "peers"])
