--- a/tests/test_gateway_review.py
+++ b/tests/test_gateway_review.py
@@ -122,7 +122,6 @@
 
 
 class TestTargetThatAnswersBesideOneThatFails:
-    @pytest.mark.known_red
     def test_no_third_target_is_asked_while_the_second_answers(
         self, world, monkeypatch
     ):
@@ -242,7 +241,6 @@
         scene.first.speak()
         scene.check_answered_by(scene.first)
 
-    @pytest.mark.known_red
     def test_run_ends_once_the_caller_gets_a_part_of_a_long_answer(
         self, world, scene, monkeypatch
     ):
