--- a/src/briarfall/gateway/targets/targets.py
+++ b/src/briarfall/gateway/targets/targets.py
@@ -12,11 +12,9 @@
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.targets import incarnations
 from briarfall.gateway.targets import reachability
+from briarfall.gateway.targets import sourceloss
 from briarfall.gateway.targets import targetstate
 
-# The platform registers live targets again within about this time after its
-# store comes back. An entry that is still missing afterwards is removed.
-_REGISTRATION_S = 2.2
 _FIRST_BLOCK_S = 0.5
 _MAX_BLOCK_S = 4.0
 # A target that made progress on a stream of this instance within this time is
@@ -58,14 +56,9 @@
         self._by_service = {}
         # Revision from which `_by_service` was built.
         self._indexed_revision = 0
-        self._is_source_lost = False
-        self._source_lost_s = 0.0
-        self._source_regained_s = 0.0
+        self._loss = sourceloss.SourceLoss()
         self._revision = 0
         self._removed: dict[ids.TargetId, int] = {}
-        # Ready targets that the latest full list lacks. Changes that peers
-        # send after such a list don't name them.
-        self._kept: set[ids.TargetId] = set()
         self._listeners: list[collections.abc.Callable[[], None]] = []
         self._end_listeners: list[EndListener] = []
         # Targets that the update in progress has added.
@@ -94,11 +87,14 @@
         with self._lock:
             if self.read_s is not None and read_s < self.read_s:
                 return gone
-            self._end_loss(read_s)
+            self._loss.end(read_s)
             self.read_s = read_s
             for entry in entries:
                 self._apply_entry(entry, read_s)
-            for target_id in self._missing_from(entries, read_s):
+            missing = self._loss.missing_from(
+                entries, self._targets.values(), read_s
+            )
+            for target_id in missing:
                 gone.append(self._targets[target_id])
                 self._remove(target_id)
             self._rebuild_index()
@@ -131,12 +127,15 @@
         """
         removed = []
         with self._lock:
-            self._end_loss(read_s)
+            self._loss.end(read_s)
             self.read_s = read_s
             for entry in changed:
                 self._apply_entry(entry, read_s)
             if is_full:
-                gone = [*gone, *self._missing_from(changed, read_s)]
+                missing = self._loss.missing_from(
+                    changed, self._targets.values(), read_s
+                )
+                gone = [*gone, *missing]
             for target_id in gone:
                 target = self._targets.get(target_id)
                 if target is None:
@@ -148,49 +147,13 @@
         self._notify_ended()
         return removed
 
-    def _end_loss(self, read_s: float) -> None:
-        """Ends a loss of the source if a list was read after it began."""
-        if not self._is_source_lost or read_s < self._source_lost_s:
-            return
-        self._is_source_lost = False
-        self._source_regained_s = read_s
-        logging.info(
-            "target list readable again age_ms=%d",
-            (clocks.boot_s() - read_s) * 1000,
-        )
-
-    def _missing_from(
-        self, entries: list[sources.TargetEntry], read_s: float
-    ) -> list[ids.TargetId]:
-        """Returns the targets that are gone, since a full list lacks them.
-
-        Targets that are ready may be missing for a while after the store was
-        lost.
-        """
-        listed = {entry.id for entry in entries}
-        keeps_ready = self._is_source_lost or read_s < self._kept_until_s
-        self._kept.clear()
-        missing = []
-        for target in self._targets.values():
-            if target.id in listed:
-                continue
-            if keeps_ready and target.entry.state is sources.TargetState.READY:
-                self._kept.add(target.id)
-                continue
-            missing.append(target.id)
-        return missing
-
-    @property
-    def _kept_until_s(self) -> float:
-        return self._source_regained_s + _REGISTRATION_S
-
     @property
     def full_list_due_s(self) -> float | None:
         """Time on the boot clock from which a full list is needed.
 
         None if the latest full list lacks no target of the table.
         """
-        return self._kept_until_s if self._kept else None
+        return self._loss.full_list_due_s
 
     @property
     def revision(self) -> int:
@@ -232,7 +195,7 @@
 
     def _remove(self, target_id: ids.TargetId) -> None:
         self._ended_entries.append(self._targets.pop(target_id).entry)
-        self._kept.discard(target_id)
+        self._loss.discard(target_id)
         self._revision += 1
         self._removed[target_id] = self._revision
         while len(self._removed) > _MAX_REMOVED:
@@ -256,7 +219,7 @@
             )
 
     def _apply_entry(self, entry: sources.TargetEntry, read_s: float) -> None:
-        self._kept.discard(entry.id)
+        self._loss.discard(entry.id)
         known = self._targets.get(entry.id)
         if known is None or known.entry.started_ms != entry.started_ms:
             if known is not None:
@@ -394,13 +357,7 @@
         The table keeps its entries.
         """
         with self._lock:
-            if not self._is_source_lost:
-                logging.warning(
-                    "target list unreadable, keeping the last one read_s=%s",
-                    self.read_s,
-                )
-            self._is_source_lost = True
-            self._source_lost_s = clocks.boot_s()
+            self._loss.begin(self.read_s)
 
     def age_s(self) -> float:
         """Returns the seconds since the list was read; infinite before."""
