The soak does not start a target again that has left for good

Trace: the set of odd entries removed the target's entry for good (20.128 s of that minute; gone in i0, i1, i2 by 20.65). The fault 'draining' had drawn the same target and closed it at 20.641, and the soak's heartbeat started it again as a crashed one: a new incarnation, ready, in the list at 20.93 ('target found' in all instances). So the instances were right to send, and the check took the time of the first end.

A target that was withdrawn is neither renewed nor started again. The check is unchanged. TestCrashedTarget in test_standin_faults.py: 1 of 2 fails without the condition.

--- a/src/briarfall/standins/prepared/faultsoak/scenes.py
+++ b/src/briarfall/standins/prepared/faultsoak/scenes.py
@@ -7,6 +7,7 @@
 from briarfall.standins.prepared import engines
 from briarfall.standins.prepared import links
 from briarfall.standins.prepared import rawhttp
+from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared import store
 from briarfall.standins.prepared.faultsoak import catalogues
@@ -144,12 +145,22 @@
         """Renews the entries of running targets; restarts crashed ones."""
         while not stopped.wait(_HEARTBEAT_S):
             for row in self.targets:
-                if row.closing.is_set():
-                    row.restart()
-                elif not row.is_withdrawn:
-                    row.register()
+                renew_entry(row)
 
     def close(self) -> None:
         """Kills the processes."""
         for row in self.instances:
             row.close()
+
+
+def renew_entry(target: registeredtarget.RegisteredTarget) -> None:
+    """Renews the entry of a running target; restarts a crashed one.
+
+    One whose entry was removed for good does neither.
+    """
+    if target.is_withdrawn:
+        return
+    if target.closing.is_set():
+        target.restart()
+    else:
+        target.register()
--- a/tests/test_standin_faults.py
+++ b/tests/test_standin_faults.py
@@ -17,6 +17,7 @@
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import services
 from briarfall.standins.prepared import store
+from briarfall.standins.prepared.faultsoak import scenes
 from briarfall.standins.prepared.faultsoak import translatedstart
 
 # Long enough for an answer on loopback, also beside load.
@@ -270,6 +271,35 @@
         assert begun.exists()
 
 
+class TestCrashedTarget:
+    """The soak starts crashed targets again with their next heartbeat."""
+
+    _TARGETS = "keyed.servers"
+
+    @pytest.fixture
+    def crashed(self):
+        platform = store.StoreStandin()
+        target = services.ServiceStandin(platform, "d0", host=HOST)
+        target.close()
+        yield platform, target
+        target.close()
+        platform.close()
+
+    def test_is_listed_again_in_a_new_incarnation(self, crashed):
+        platform, target = crashed
+        target.remove()
+        scenes.renew_entry(target)
+        assert platform.keys(self._TARGETS) == ["d0"]
+        assert target.incarnation == 2
+
+    def test_is_not_listed_again_once_it_has_left(self, crashed):
+        platform, target = crashed
+        target.is_withdrawn = True
+        target.remove()
+        scenes.renew_entry(target)
+        assert platform.keys(self._TARGETS) == []
+
+
 class TestMisdirectedRequest:
     def test_response_names_its_request(self, service):
         service.fault = registeredtarget.Fault.MISDIRECTED
