--- a/tests/test_gateway_unreadrelays.py
+++ b/tests/test_gateway_unreadrelays.py
@@ -132,7 +132,7 @@
         )
         send = types.SimpleNamespace(conn=conn, state=state)
         call = types.SimpleNamespace(attempt_count=0, deadline_s=0.0)
-        relayresponses.check(
+        relayresponses.validate(
             call,
             send,
             messages.ResponseHead(503, b"", headers),
