--- a/src/briarfall/bench/storerestore.py
+++ b/src/briarfall/bench/storerestore.py
@@ -188,8 +188,8 @@
         count,
         condition,
         sum(samples[-1].values()) - sum(samples[0].values()),
-        _most(samples, ("log-append",)),
-        _most(samples, ("log-read", "log-newest")),
+        _most(samples, storestandin.WRITE_CALLS),
+        _most(samples, storestandin.READ_CALLS),
         platform.body_bytes - first_bytes,
     )
 
--- a/src/briarfall/standins/prepared/store.py
+++ b/src/briarfall/standins/prepared/store.py
@@ -13,6 +13,9 @@
 from briarfall.standins.prepared import gates
 from briarfall.standins.prepared import rawhttp
 
+# Names of calls, as in the counts of a store.
+WRITE_CALLS = ("log-append",)
+READ_CALLS = ("log-read", "log-newest")
 _MAX_WAIT_S = 30.0
 
 
