Review, case 1: a bare 200 of a faulty engine reaches callers as a success

Plain calls never look at the signature of a success, so that bytes without request id and signature are taken for the answer of a request that may run once.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A short partition of one machine makes the whole fleet refuse a sound GET."""
+"""A bare 200 of a faulty engine reaches callers as the success of an order."""
 
 import itertools
 import pathlib
@@ -11,26 +11,22 @@
 
 import scene  # noqa: E402
 
-from briarfall.standins.prepared import links  # noqa: E402
 from briarfall.standins.prepared import services  # noqa: E402
 from briarfall.standins.prepared import store  # noqa: E402
 
-ZONES = ("suva", "nausori", "lautoka")
-CUT_ZONE = "suva"
-LENGTH_S = 50.0
-CUT_AT_S = 5.0
-CUT_S = 4.0
-ENGINES = 5
-SLOTS = 6
-WORK_S = 0.09
-# Callers by zone. The look-up of one pipe is asked for most in one zone.
-VIEWERS = {"suva": 6, "nausori": 1, "lautoka": 1}
-BOOKERS = 4
-PERIOD_S = 0.1
-VIEW_PATH = "/views/pipe-17"
-# A kind of request that is served less than this share as often as all
-# requests breaks the rule.
-STARVED_SHARE = 0.25
+ZONES = ("suva", "nausori")
+MACHINES_PER_ZONE = 2
+LENGTH_S = 60.0
+GARBLED_AT_S = 5.0
+GARBLED_FOR_S = 50.0
+# One answer of 20 is garbled, at one engine of three.
+GARBLED_EVERY = 20
+# Bytes that are no answer in the protocol: neither the id of a request nor the
+# signature of an engine.
+GARBLED = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nOK\n"
+WORK_S = 0.045
+PERIOD_S = 1.0
+CALLERS = {"order": 3, "view": 1}
 
 MANIFEST = {
     "version": 1,
@@ -65,175 +61,141 @@
         "header_timeout_ms": 3000,
         "idle_timeout_ms": 15000,
     },
-    "tenants": [
-        {"name": "crew", "api_keys": ["crew-key"]},
-        {"name": "office", "api_keys": ["office-key"]},
-    ],
+    "tenants": [{"name": "crew", "api_keys": ["crew-key"]}],
 }
 
 
-class Counts:
-    """Requests that were asked and served, by kind and phase."""
-
-    def __init__(self):
-        self._lock = threading.Lock()
-        self.asked: dict[tuple[str, str, str], int] = {}
-        self.served: dict[tuple[str, str, str], int] = {}
-
-    def add(self, key: tuple[str, str, str], *, is_served: bool) -> None:
-        """Counts a request of a kind, a phase and a zone."""
-        with self._lock:
-            self.asked[key] = self.asked.get(key, 0) + 1
-            self.served[key] = self.served.get(key, 0) + is_served
+class Desk(services.ServiceStandin):
+    """An engine that garbles some of its answers while it is faulty."""
 
-    def share(self, kind: str = "", phase: str = "", zone: str = "") -> float:
-        """Returns the share that was served."""
-        asked = served = 0
-        for key, count in self.asked.items():
-            wanted = (kind, phase, zone)
-            if any(w and w != k for w, k in zip(wanted, key, strict=True)):
-                continue
-            asked += count
-            served += self.served[key]
-        return served / max(1, asked)
+    def __init__(self, platform: store.StoreStandin, name: str, zone: str):
+        self.is_faulty = False
+        self.garbled: list[str] = []
+        self._count = 0
+        super().__init__(platform, name, "works-desk", zone)
+        self.processing_s = WORK_S
 
-
-def phase_of(now_s: float) -> str:
-    """Returns the part of the run to which a time belongs."""
-    if now_s < CUT_AT_S:
-        return "before"
-    return "cut" if now_s < CUT_AT_S + CUT_S else "after"
+    def handle(self, conn, req) -> bool:
+        """Handles a request; returns whether the connection stays open."""
+        with self.lock:
+            self._count += 1
+            is_garbled = self.is_faulty and self._count % GARBLED_EVERY == 0
+        if not is_garbled:
+            return super().handle(conn, req)
+        self.garbled.append(req.headers.get("x-request-id", ""))
+        conn.send(GARBLED)
+        return False
 
 
 def run_caller(
     gateway: scene.Gateway,
     kind: str,
     number: int,
-    counts: Counts,
+    unsigned: list[str],
     record: scene.Record,
 ) -> None:
     """Sends requests at a steady pace until the end."""
-    key = "crew-key" if kind == "view" else "office-key"
-    caller = scene.Caller(gateway.front, key)
-    next_s = record.now_s + PERIOD_S * (number % 7) / 7
+    caller = scene.Caller(gateway.front, "crew-key")
+    next_s = record.now_s + PERIOD_S * number / 4
     for round_number in itertools.count():
         time.sleep(max(0.0, next_s - record.now_s))
         next_s += PERIOD_S
         sent_s = record.now_s
         if sent_s > LENGTH_S:
             break
-        request_id = f"{kind}-{gateway.zone}-{number}-{round_number}"
-        if kind == "view":
-            status, data = caller.call("GET", VIEW_PATH, request_id)
-        else:
-            body = f"order {request_id}".encode()
-            status, data = caller.call(
-                "POST", f"/orders/{number}", request_id, body
-            )
-        is_served = status == 200
-        counts.add((kind, phase_of(sent_s), gateway.zone), is_served=is_served)
-        text = "" if is_served else data[:160].decode("latin-1").strip()
-        record.write(f"{request_id} sent={sent_s:.3f} status={status} {text}")
+        request_id = f"{kind}-{gateway.name}-{number}-{round_number}"
+        method, path, body = "GET", f"/views/{request_id}", b""
+        if kind == "order":
+            method, path, body = "POST", "/orders/x", request_id.encode()
+        status, data = caller.call(method, path, request_id, body)
+        signature = caller.headers.get("x-response-signature")
+        record.write(
+            f"{request_id} sent={sent_s:.3f} status={status} "
+            f"signature={signature} body={data[:40]!r}"
+        )
+        if 200 <= status < 300 and signature is None:
+            unsigned.append(request_id)
     caller.close()
 
 
-def judge(counts: Counts, record: scene.Record) -> int:
-    """Reports the shares that were served; returns the exit code."""
-    for phase in ("before", "cut", "after"):
-        for zone in ZONES:
-            record.say(
-                f"served {phase:6} {zone:8} "
-                f"view={counts.share('view', phase, zone):.3f} "
-                f"order={counts.share('order', phase, zone):.3f}"
-            )
-    overall = counts.share()
-    is_broken = False
-    for kind in ("view", "order"):
-        share = counts.share(kind)
-        record.say(f"kind {kind}: served {share:.3f}, all {overall:.3f}")
-        is_broken |= share < STARVED_SHARE * overall
-    record.say("rule Starved: " + ("broken" if is_broken else "held"))
-    return scene.BROKEN if is_broken else scene.HELD
-
-
 def main() -> int:
     """Runs the case; returns its exit code."""
     record = scene.Record(FOLDER)
     folder = scene.new_folder()
     standin = store.StoreStandin()
     standin.put("keyed.op", "config", MANIFEST)
-    cut_host = links.own_host(1)
-    engines = []
-    for number in range(ENGINES):
-        zone = ZONES[number % len(ZONES)]
-        engine = services.ServiceStandin(
-            standin, f"i-desk{number}", "works-desk", zone
-        )
-        engine.processing_s = WORK_S
-        engine.capacity = threading.BoundedSemaphore(SLOTS)
-        engine.add_link(cut_host)
-        engine.register(slots=SLOTS)
-        engines.append(engine)
-    view = scene.StoreView(standin, "127.0.0.1", cut_host)
+    desks = [
+        Desk(standin, f"i-desk{number}", ZONES[number % 2])
+        for number in range(3)
+    ]
     gateways = []
     try:
-        for zone in ZONES:
-            address = view.address if zone == CUT_ZONE else standin.address
+        for zone, number in itertools.product(
+            ZONES, range(1, MACHINES_PER_ZONE + 1)
+        ):
             gateway = scene.Gateway(
-                f"edge-{zone}-1", zone, address, pathlib.Path(folder.name)
+                f"edge-{zone}-{number}",
+                zone,
+                standin.address,
+                pathlib.Path(folder.name),
             )
             gateway.start()
             gateways.append(gateway)
         for gateway in gateways:
             scene.wait_until(gateway.is_ready, f"{gateway.name} is ready")
         time.sleep(2.0)
-        return play(gateways, engines, cut_host, record)
+        return play(gateways, desks, record)
     finally:
         for gateway in gateways:
             gateway.kill()
-        for engine in engines:
-            engine.close()
-        view.close()
+        for desk in desks:
+            desk.close()
         standin.close()
         record.close()
         folder.cleanup()
 
 
 def play(
-    gateways: list[scene.Gateway],
-    engines: list[services.ServiceStandin],
-    cut_host: str,
-    record: scene.Record,
+    gateways: list[scene.Gateway], desks: list[Desk], record: scene.Record
 ) -> int:
-    """Plays traffic and the partition; returns the exit code."""
-    counts = Counts()
-    record._start_s = time.monotonic()
+    """Plays the traffic and the garbled answers; returns the exit code."""
+    record.restart()
+    unsigned: list[str] = []
     threads = []
     for gateway in gateways:
-        jobs = [("view", n) for n in range(VIEWERS[gateway.zone])]
-        jobs += [("order", n) for n in range(BOOKERS)]
-        for kind, number in jobs:
-            thread = threading.Thread(
-                target=run_caller,
-                args=(gateway, kind, number, counts, record),
-                daemon=True,
-            )
-            thread.start()
-            threads.append(thread)
+        for kind, count in CALLERS.items():
+            for number in range(count):
+                thread = threading.Thread(
+                    target=run_caller,
+                    args=(gateway, kind, number, unsigned, record),
+                )
+                thread.start()
+                threads.append(thread)
     if scene.has_trouble():
-        time.sleep(CUT_AT_S - record.now_s)
-        record.say(f"{CUT_ZONE} is partitioned from all engines")
-        for engine in engines:
-            engine.links[cut_host].set_cut(links.Cut.RESET)
-        time.sleep(CUT_S)
-        for engine in engines:
-            engine.links[cut_host].set_cut(links.Cut.NONE)
-        record.say("the partition is over")
+        time.sleep(GARBLED_AT_S - record.now_s)
+        desks[0].is_faulty = True
+        time.sleep(GARBLED_FOR_S)
+        desks[0].is_faulty = False
     for thread in threads:
         thread.join()
-    for engine in engines:
-        record.write(f"{engine.id} ran {len(engine.ran)} requests")
-    return judge(counts, record)
+    return judge(desks, unsigned, record)
+
+
+def judge(desks: list[Desk], unsigned: list[str], record: scene.Record) -> int:
+    """Applies the rule; returns the exit code."""
+    ran = set()
+    garbled = []
+    for desk in desks:
+        ran.update(desk.ran_ids())
+        garbled += desk.garbled
+    for request_id in garbled:
+        record.write(f"garbled answer to {request_id}")
+    lost = [row for row in unsigned if row not in ran]
+    record.say(f"garbled answers: {len(garbled)}")
+    record.say(f"successes without a signature at callers: {len(unsigned)}")
+    record.say(f"of these never run by any engine: {len(lost)}")
+    record.say("rule MIXED: " + ("broken" if unsigned else "held"))
+    return scene.BROKEN if unsigned else scene.HELD
 
 
 if __name__ == "__main__":
--- a/review/scene.py
+++ b/review/scene.py
@@ -294,6 +294,8 @@
         self._address = address
         self._key = key
         self._conn: http.client.HTTPConnection | None = None
+        # Headers of the last answer, by lower-case name.
+        self.headers: dict[str, str] = {}
 
     def call(
         self,
@@ -317,6 +319,7 @@
         try:
             self._conn.request(method, path, body=body, headers=headers)
             resp = self._conn.getresponse()
+            self.headers = {k.lower(): v for k, v in resp.getheaders()}
             data = resp.read()
             if resp.will_close:
                 self.close()
