--- a/review/scene.py
+++ b/review/scene.py
@@ -164,6 +164,13 @@
         )
         self.process: subprocess.Popen | None = None
 
+    def change_settings(self, **fields) -> None:
+        """Replaces the settings file, as the platform does."""
+        found = json.loads(self.settings_path.read_text())
+        new_path = self.settings_path.with_suffix(".new")
+        new_path.write_text(json.dumps({**found, **fields}))
+        os.replace(new_path, self.settings_path)
+
     def start(self) -> None:
         """Starts the process with the command of the deploy file."""
         env = {
