Review, case 1: garbled answers in spells, over eight machines

The spells stay within the length that the site files play, and more of the connections are new, as at the usual rate of orders.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,10 +15,11 @@
 from briarfall.standins.prepared import store  # noqa: E402
 
 ZONES = ("suva", "nausori")
-MACHINES_PER_ZONE = 2
+MACHINES_PER_ZONE = 4
 LENGTH_S = 60.0
-GARBLED_AT_S = 5.0
-GARBLED_FOR_S = 50.0
+# Times at which the engine begins to garble answers.
+GARBLED_AT_S = (4.0, 13.0, 22.0, 31.0, 40.0, 49.0)
+GARBLED_FOR_S = 5.5
 # One answer of 20 is garbled, at one engine of three.
 GARBLED_EVERY = 20
 # Bytes that are no answer in the protocol: neither the id of a request nor the
@@ -26,7 +27,7 @@
 GARBLED = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nOK\n"
 WORK_S = 0.045
 PERIOD_S = 1.0
-CALLERS = {"order": 3, "view": 1}
+CALLERS = {"order": 2, "view": 1}
 
 MANIFEST = {
     "version": 1,
@@ -96,7 +97,7 @@
 ) -> None:
     """Sends requests at a steady pace until the end."""
     caller = scene.Caller(gateway.front, "crew-key")
-    next_s = record.now_s + PERIOD_S * number / 4
+    next_s = record.now_s + PERIOD_S * number / 3
     for round_number in itertools.count():
         time.sleep(max(0.0, next_s - record.now_s))
         next_s += PERIOD_S
@@ -172,10 +173,11 @@
                 thread.start()
                 threads.append(thread)
     if scene.has_trouble():
-        time.sleep(GARBLED_AT_S - record.now_s)
-        desks[0].is_faulty = True
-        time.sleep(GARBLED_FOR_S)
-        desks[0].is_faulty = False
+        for start_s in GARBLED_AT_S:
+            time.sleep(start_s - record.now_s)
+            desks[0].is_faulty = True
+            time.sleep(GARBLED_FOR_S)
+            desks[0].is_faulty = False
     for thread in threads:
         thread.join()
     return judge(desks, unsigned, record)
@@ -187,6 +189,7 @@
     garbled = []
     for desk in desks:
         ran.update(desk.ran_ids())
+        record.write(f"{desk.id} ran {' '.join(desk.ran_ids())}")
         garbled += desk.garbled
     for request_id in garbled:
         record.write(f"garbled answer to {request_id}")
