--- a/review/1/case.py
+++ b/review/1/case.py
@@ -202,4 +202,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    scene.run(main)
--- a/review/scene.py
+++ b/review/scene.py
@@ -17,6 +17,8 @@
 import tempfile
 import threading
 import time
+import traceback
+import typing
 
 CHECKOUT = pathlib.Path(__file__).resolve().parents[1]
 sys.path[:0] = [str(CHECKOUT / "src"), str(CHECKOUT / "target" / "deps")]
@@ -57,6 +59,20 @@
 }
 
 
+def run(main: collections.abc.Callable[[], int]) -> typing.NoReturn:
+    """Runs a case and exits with its code, or with 2 if it can't run.
+
+    A case that is told to stop ends the processes that it started.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    try:
+        code = main()
+    except Exception:
+        traceback.print_exc()
+        code = COULD_NOT_RUN
+    sys.exit(code)
+
+
 def has_trouble() -> bool:
     """Returns whether the case is to be run with its disruption."""
     return os.environ.get("TROUBLE", "1") != "0"
