--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,13 +15,13 @@
 from briarfall.standins.prepared import store  # noqa: E402
 
 ZONES = ("suva", "nausori")
-MACHINES_PER_ZONE = 4
+MACHINES_PER_ZONE = 7
 LENGTH_S = 60.0
 # Times at which the engine begins to garble answers.
 GARBLED_AT_S = (4.0, 13.0, 22.0, 31.0, 40.0, 49.0)
 GARBLED_FOR_S = 5.5
-# One answer of 20 is garbled, at one engine of three.
-GARBLED_EVERY = 20
+# One answer of 50 is garbled, at one engine of three.
+GARBLED_EVERY = 50
 # Bytes that are no answer in the protocol: neither the id of a request nor the
 # signature of an engine.
 GARBLED = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nOK\n"
--- a/review/scene.py
+++ b/review/scene.py
@@ -4,7 +4,6 @@
 The stand-ins of the store and of targets are the project's own.
 """
 
-import base64
 import collections.abc
 import http.client
 import json
@@ -23,8 +22,6 @@
 CHECKOUT = pathlib.Path(__file__).resolve().parents[1]
 sys.path[:0] = [str(CHECKOUT / "src"), str(CHECKOUT / "target" / "deps")]
 
-from briarfall.standins.prepared import rawhttp  # noqa: E402
-from briarfall.standins.prepared import store  # noqa: E402
 
 HOST = "site.example"
 KEYS = {"crew-key": "crew", "office-key": "office"}
@@ -78,50 +75,6 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-class StoreView:
-    """The store as the machines of one zone see it.
-
-    The entries of targets name another host there, so that the network between
-    these machines and the targets can be cut.
-
-    Args:
-        standin: The store.
-        host: Host of the targets in their entries.
-        own_host: Host at which these machines reach them.
-    """
-
-    def __init__(self, standin: store.StoreStandin, host: str, own_host: str):
-        self._store = standin
-        self._hosts = (f'"{host}:'.encode(), f'"{own_host}:'.encode())
-        self._server = rawhttp.RawServer(self._handle)
-        self.address = self._server.address
-
-    def _handle(self, conn, req) -> bool:
-        is_list = req.path.endswith("log-newest")
-        if not (is_list and "keyed.servers" in req.target):
-            return self._store._handle(conn, req)
-        items = []
-        for key in self._store.keys("keyed.servers"):
-            value = self._store.value("keyed.servers", key)
-            if value is None:
-                continue
-            value = value.replace(*self._hosts)
-            text = base64.b64encode(value).decode()
-            items.append({"key": key, "value": text, "offset": 0})
-        page = {
-            "items": items,
-            "has_more": False,
-            "end": self._store._end("keyed.servers"),
-        }
-        body = json.dumps(page).encode()
-        conn.respond(200, body, {"Store-Era": str(self._store.epoch)})
-        return True
-
-    def close(self) -> None:
-        """Resets all connections and stops listening."""
-        self._server.close()
-
-
 class Gateway:
     """A gateway in a process of its own.
 
