--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,13 @@
 #!/bin/sh
-# The stand-ins are Python and need no build; this checks that they load.
+# The stand-ins are Python and need no build; this checks that they load, with
+# the libraries of the deploy file alone.
 set -eu
 cd "$(dirname "$0")/.."
-PYTHONDONTWRITEBYTECODE=1 python3 -c 'import sys
-sys.path.insert(0, "review")
-import scene'
+PYTHONDONTWRITEBYTECODE=1 python3 -S -c 'import sys
+sys.path[:0] = ["review", "review/3"]
+import scene
+import standins
+from briarfall.standins.prepared import manifests
+from briarfall.standins.prepared import registeredtarget
+from briarfall.standins.prepared import services
+from briarfall.standins.prepared import store'
