An instance that is told to stop always stops

Callers saw: requests in progress ended without an answer when an instance that had ignored SIGTERM was killed at the end of its grace period.

Cause: the handler is Python code, which only the main thread runs, and that thread waited in a lock for up to 3,600 s. A signal between its last look and the wait interrupted nothing; a handler that ran while the thread held the lock of the event waited for that lock for good.

Change: both signals stay blocked in all threads; a thread that only waits for them (sigwait) takes them, pending ones at once. No handler runs any more.

--- a/src/briarfall/gateway/callers/plannedstop.py
+++ b/src/briarfall/gateway/callers/plannedstop.py
@@ -60,8 +60,7 @@
 
     def wait(self) -> None:
         """Waits until a stop is requested."""
-        while not self._requested.wait(3600):
-            continue
+        self._requested.wait()
 
     @property
     def is_requested(self) -> bool:
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -17,6 +17,7 @@
 from briarfall.platform import headers
 from briarfall.platform import leasetopic
 from briarfall.platform import settings
+from briarfall.platform import signals
 from briarfall.platform import store
 from briarfall.platform import topics
 
@@ -59,10 +60,6 @@
         self.engines = engines.EngineCalls(pool)
 
 
-# Signals that the main thread handles.
-_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
-
-
 def run(data: bytes, listeners: dict[str, socket.socket]) -> None:
     """Runs an instance until it receives SIGTERM and has stopped.
 
@@ -72,25 +69,27 @@
         data: Content of the settings file.
         listeners: Open listening sockets, keyed by `<IP number>:<port>`.
     """
-    # Threads inherit this mask. The kernel gives a signal that came while the
-    # process was frozen to any thread that takes it, but only the main thread
-    # runs handlers, and another thread doesn't wake it.
-    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
+    # Threads inherit the mask, so that only the receiver takes these signals.
+    signals.block((signal.SIGTERM, signal.SIGHUP))
     cfg = settings.parse(data)
     logs.configure_bounded(cfg.instance)
     pool = connections.ConnectionPool()
     platform = StorePlatform(cfg.store_address, pool)
     gateway_instance = instance.Instance(cfg, platform, pool, listeners)
     add_store_gauges(gateway_instance.metrics, platform.epochs)
-    signal.signal(signal.SIGTERM, lambda *_: gateway_instance.stop.request())
     path = os.environ[earlylisteners.SETTINGS_VARIABLE]
     watcher = settingswatcher.SettingsWatcher(
         path, settings.parse, gateway_instance.reload
     )
-    signal.signal(signal.SIGHUP, lambda *_: watcher.request_reload())
+    receiver = signals.SignalReceiver(
+        {
+            signal.SIGTERM: gateway_instance.stop.request,
+            signal.SIGHUP: watcher.request_reload,
+        }
+    )
     gateway_instance.start()
     watcher.start()
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, _SIGNALS)
+    receiver.start()
     gateway_instance.wait_for_stop()
 
 
