The question whether a part is poison and its trial are one step

Callers saw: a prompt part that crashes engines cost four engines in place of three.

Cause: crashjudge.needs_trial asked whether a part is poison and started its own trial afterwards; the other trial ended in between, with the third crash. The dispatch gate of gateways had the same gap between its look at holds and the start of a trial.

Change: PartGuard.start_trial refuses a part that is poison, and CrashTable.start_trials looks at holds and starts the trials of a request, each under one lock.

--- a/src/briarfall/gateway/crashes/crashes.py
+++ b/src/briarfall/gateway/crashes/crashes.py
@@ -150,14 +150,21 @@
             part: A part of the request's prompt.
             parts: All shared parts of the request's prompt.
         """
-        now_s = clocks.boot_s()
         with self._lock:
-            blamed = self._evidence.blamed_count(part)
-            if not blamed:
-                return 0.0
-            if blamed < _HOLD_CRASHES or self._tells_apart(part, parts):
-                return self._holds.trial_left_s(part, now_s)
-            return self._holds.left_s(part, now_s)
+            return self._held_s(part, parts)
+
+    def _held_s(
+        self,
+        part: crashevidence.SuspectKey,
+        parts: collections.abc.Collection[crashevidence.SuspectKey],
+    ) -> float:
+        now_s = clocks.boot_s()
+        blamed = self._evidence.blamed_count(part)
+        if not blamed:
+            return 0.0
+        if blamed < _HOLD_CRASHES or self._tells_apart(part, parts):
+            return self._holds.trial_left_s(part, now_s)
+        return self._holds.left_s(part, now_s)
 
     def _tells_apart(
         self,
@@ -166,15 +173,38 @@
     ) -> bool:
         return not self._evidence.twins(part).issubset(parts)
 
-    def start_trial(self, part: crashevidence.SuspectKey) -> None:
-        """Records that one request with a suspected part runs as a trial."""
+    def start_trials(
+        self,
+        suspected: collections.abc.Collection[crashevidence.SuspectKey],
+        parts: collections.abc.Collection[crashevidence.SuspectKey] = (),
+    ) -> float:
+        """Makes a request the trial of all its suspected parts, or of none.
+
+        Args:
+            suspected: Parts of its prompt that are suspected.
+            parts: All shared parts of its prompt.
+
+        Returns:
+            The seconds for which the request must wait, as `held_s` returns
+            them; 0 if it runs as a trial.
+        """
         with self._lock:
-            self._holds.start_trial(part, clocks.boot_s())
-        logging.warning(
-            "trial of a suspected part, others are held back fingerprint=%s",
-            part,
-        )
-        self._notify_changed()
+            for part in suspected:
+                held_s = self._held_s(part, parts)
+                if held_s:
+                    return held_s
+            now_s = clocks.boot_s()
+            for part in suspected:
+                self._holds.start_trial(part, now_s)
+        for part in suspected:
+            logging.warning(
+                "trial of a suspected part, others are held back "
+                "fingerprint=%s",
+                part,
+            )
+        if suspected:
+            self._notify_changed()
+        return 0.0
 
     @property
     def has_poison(self) -> bool:
--- a/src/briarfall/gateway/forwarding/dispatchgate.py
+++ b/src/briarfall/gateway/forwarding/dispatchgate.py
@@ -95,12 +95,7 @@
                 continue
             held_s = self._crashes.held_s(part, parts)
             if held_s:
-                raise exceptions.HeldRequestError(
-                    "a part of the prompt is suspected of crashing targets: "
-                    f"fingerprint={part} for_s={held_s:.1f}",
-                    outcome=call.outcome,
-                    retry_after_s=min(held_s, _MAX_RETRY_AFTER_S),
-                )
+                raise _held_error(call, [part], held_s)
             suspected.append(part)
         return suspected
 
@@ -178,11 +173,38 @@
             raise TargetAvoidedError(f"{target.id}: takes no requests")
         if call.attempt_count and not self._budget.take_retry():
             raise _budget_error(call)
-        for part in suspected:
-            self._crashes.start_trial(part)
+        self._start_trials(call, suspected)
         targetbackoff.clear_backoff(target)
         call.attempt_count += 1
 
+    def _start_trials(
+        self, call: calls.Call, suspected: list[crashevidence.SuspectKey]
+    ) -> None:
+        """Makes a request the only trial of its suspected parts.
+
+        Raises:
+            HeldRequestError: Another request has started one in the meantime.
+        """
+        if not suspected:
+            return
+        parts = crashes.shared_parts(call)
+        held_s = self._crashes.start_trials(suspected, parts)
+        if held_s:
+            raise _held_error(call, suspected, held_s)
+
+
+def _held_error(
+    call: calls.Call,
+    parts: list[crashevidence.SuspectKey],
+    held_s: float,
+) -> exceptions.HeldRequestError:
+    return exceptions.HeldRequestError(
+        "a part of the prompt is suspected of crashing targets: "
+        f"fingerprint={','.join(parts)} for_s={held_s:.1f}",
+        outcome=call.outcome,
+        retry_after_s=min(held_s, _MAX_RETRY_AFTER_S),
+    )
+
 
 def _budget_error(call: calls.Call) -> exceptions.RetryBudgetError:
     return exceptions.RetryBudgetError(
--- a/src/briarfall/pipelines/partguard.py
+++ b/src/briarfall/pipelines/partguard.py
@@ -171,10 +171,16 @@
             return False
         with self._changed:
             self._forget_expired(self._clock.now())
-            for part in parts:
-                if self._is_convicted(part):
-                    if self._evidence.twins(part).issubset(parts):
-                        return True
+            return self._has_convicted(parts)
+
+    def _has_convicted(
+        self, parts: collections.abc.Collection[crashevidence.SuspectKey]
+    ) -> bool:
+        for part in parts:
+            if not self._is_convicted(part):
+                continue
+            if self._evidence.twins(part).issubset(parts):
+                return True
         return False
 
     def start_trial(
@@ -182,7 +188,7 @@
         parts: collections.abc.Collection[crashevidence.SuspectKey],
         holder: str,
     ) -> bool:
-        """Starts a trial unless one of the parts is on trial elsewhere.
+        """Starts a trial unless a part is on trial elsewhere, or is poison.
 
         Args:
             parts: Suspected parts of the request.
@@ -191,6 +197,8 @@
         """
         now_s = self._clock.now()
         with self._changed:
+            if self._has_convicted(parts):
+                return False
             for part in parts:
                 other, until_s = self._trials.get(part, (holder, 0.0))
                 if other != holder and until_s > now_s:
--- a/tests/test_gateway_poisonparts.py
+++ b/tests/test_gateway_poisonparts.py
@@ -116,14 +116,14 @@
         table, peer = self.table(), self.table()
         clock.now_s += _AFTER_HOLD_S
         assert table.held_s(_PART) == peer.held_s(_PART) == 0
-        table.start_trial(_PART)
+        assert table.start_trials([_PART]) == 0
         peer.merge_holds(table.holds_to_report())
         assert table.held_s(_PART) > 0
         assert peer.held_s(_PART) > 0
 
     def test_request_of_the_first_crash_is_tried_before_others(self, clock):
         table, peer = self.table("a"), self.table("a")
-        table.start_trial(_PART)
+        assert table.start_trials([_PART]) == 0
         peer.merge_holds(table.holds_to_report())
         assert table.held_s(_PART) > 0
         assert peer.held_s(_PART) > 0
@@ -132,7 +132,7 @@
 
     def test_report_of_an_unknown_part_holds_back_nothing(self, clock):
         table, peer = self.table("a"), crashes.CrashTable()
-        table.start_trial(_PART)
+        assert table.start_trials([_PART]) == 0
         peer.merge_holds(table.holds_to_report())
         assert peer.held_s(_PART) == 0
         assert peer.held_count == 0
@@ -208,6 +208,28 @@
         assert caught.value.retry_after_s > 0
         gate.start_attempt(_call(clock.now_s, "first"), target)
 
+    # Guards against two trials of a part: the second request was asked whether
+    # the part is held back before the first one started its trial.
+    def test_of_two_requests_at_once_only_one_is_tried(
+        self, clock, monkeypatch
+    ):
+        table = TestHolds().table()
+        clock.now_s += _AFTER_HOLD_S
+        gate = self.gate(table)
+        target = test_gateway_decisions.target("t")
+        first = _call(clock.now_s, DEADLY)
+        second = _call(clock.now_s, DEADLY)
+        second.attempt_count = 1
+
+        def start_first(budget):
+            gate.start_attempt(first, target)
+            return True
+
+        monkeypatch.setattr(budgets.RetryBudget, "take_retry", start_first)
+        with pytest.raises(exceptions.HeldRequestError):
+            gate.start_attempt(second, target)
+        assert first.attempt_count == second.attempt_count == 1
+
     def test_request_that_tells_two_suspects_apart_is_tried_at_once(
         self, clock
     ):
--- a/tests/test_pipeline_poisonparts.py
+++ b/tests/test_pipeline_poisonparts.py
@@ -210,3 +210,12 @@
         assert not guard.parts.start_trial(["part:x"], "s2")
         guard.merge(poison.Suspicion("f", 1, parts=["part:x"], deaths=deaths))
         assert guard.parts.start_trial(["part:x"], "s2")
+
+    # Guards against a fourth crash: the other trial has ended with the third
+    # one after this request had last asked whether the part is poison.
+    def test_no_trial_starts_of_a_part_that_became_poison(self):
+        guard = partguard.PartGuard()
+        for number, is_trial in enumerate([False, False, True]):
+            death = partguard.Death(f"h{number}", number * 10_000, is_trial)
+            guard.record_death(death, ["part:x"])
+        assert not guard.start_trial(["part:x"], "s2")
