--- a/src/briarfall/gateway/forwarding/plainfollowing.py
+++ b/src/briarfall/gateway/forwarding/plainfollowing.py
@@ -7,6 +7,7 @@
 from briarfall.gateway.exchanges import connections
 from briarfall.gateway.exchanges import headernames
 from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import proofs
 from briarfall.gateway.exchanges import targetconnection
 from briarfall.gateway.forwarding import closedanswers
 from briarfall.gateway.forwarding import dispatchgate
@@ -118,6 +119,7 @@
 
         Raises:
             RefusedByTargetError: The target did not run the call.
+            BrokenExchangeError: The target did not write the response.
             SilentTargetError: Another target can be tried meanwhile.
             OtherConnectionReadyError: A suspended exchange can be read.
         """
@@ -127,14 +129,18 @@
         head = self._read_head(sends, exchange)
         # The rest of a refusal is read without a look at other connections.
         conn.watch(call.watch)
-        exchange.head = head
         self._links.record_answer(target, is_new=conn.is_fresh)
+        proofs.check_attributable(
+            conn.address, head, self._names, call.request_id
+        )
+        exchange.head = head
         self._target_signals.handle(target, head, exchange.sent_s)
         try:
             calls.raise_if_refused(call, conn, head, self._names, target.id)
         except calls.RefusedByTargetError:
             sends.record_refusal(exchange)
             raise
+        proofs.check_signed(conn.address, head, self._names)
         exchange.completion = closedanswers.check_of(
             call.req.method,
             head,
--- a/src/briarfall/gateway/forwarding/relaying.py
+++ b/src/briarfall/gateway/forwarding/relaying.py
@@ -14,6 +14,7 @@
 from briarfall.gateway.exchanges import headernames
 from briarfall.gateway.exchanges import matching
 from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import proofs
 from briarfall.gateway.exchanges import targetconnection
 from briarfall.gateway.forwarding import dispatchgate
 from briarfall.gateway.forwarding import relayexchanges
@@ -228,6 +229,8 @@
                     self._targets,
                     has_others=bool(sends.other_connections),
                 )
+                # A peer of an earlier release passes on what nobody signed.
+                proofs.check_signed(send.conn.address, head, self._names)
                 send.start_reading(exchange)
             send.read(sends)
         except relaysends.PeerMissingError:
--- a/src/briarfall/gateway/forwarding/runfollowing.py
+++ b/src/briarfall/gateway/forwarding/runfollowing.py
@@ -9,6 +9,7 @@
 from briarfall.gateway.exchanges import connections
 from briarfall.gateway.exchanges import headernames
 from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import proofs
 from briarfall.gateway.exchanges import targetconnection
 from briarfall.gateway.forwarding import closedanswers
 from briarfall.gateway.forwarding import dispatchgate
@@ -122,12 +123,16 @@
         call = stream.call
         self._await_bytes(stream, run)
         head = run.conn.read_head(call.deadline_s)
-        run.response = head
         self._links.record_answer(run.target, is_new=run.conn.is_fresh)
+        proofs.check_attributable(
+            run.conn.address, head, self._names, call.request_id
+        )
+        run.response = head
         self._target_signals.handle(run.target, head, run.sent_s)
         calls.raise_if_refused(call, run.conn, head, self._names, run.target.id)
         run.is_resumed = stream.response_started
         if not head.is_success:
+            proofs.check_signed(run.conn.address, head, self._names)
             return
         streamresponses.check_head(
             run.conn.address, head, self._names, is_resumed=run.is_resumed
--- a/src/briarfall/gateway/forwarding/streamresponses.py
+++ b/src/briarfall/gateway/forwarding/streamresponses.py
@@ -4,6 +4,7 @@
 from briarfall.gateway.exchanges import events
 from briarfall.gateway.exchanges import headernames
 from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import proofs
 from briarfall.gateway.exchanges import targetconnection
 
 _IDENTITY = b"identity"
@@ -34,12 +35,7 @@
         BrokenExchangeError: An engine did not write the response, or its body
             can't be the rest of the stream.
     """
-    if head.header(header_names.signature) is None:
-        raise _broken(
-            address,
-            f"status {head.status} without "
-            f"{header_names.signature.decode()}: not an engine's response",
-        )
+    proofs.check_signed(address, head, header_names)
     if not is_resumed:
         return
     if head.status != 200:
--- a/tests/test_gateway_oddexchanges.py
+++ b/tests/test_gateway_oddexchanges.py
@@ -17,7 +17,8 @@
 CUT = rawcaller.Ending.CUT
 # Longer than what the gateway buffers before it passes a response on.
 _LONG = b"a" * 400_000
-_ECHO = b"X-Request-Id: r1\r\nX-Response-Signature: s\r\n"
+_SIGNATURE = b"X-Response-Signature: s\r\n"
+_ECHO = b"X-Request-Id: r1\r\n" + _SIGNATURE
 
 
 def _chunked(body: bytes) -> bytes:
@@ -79,6 +80,7 @@
         assert len(desk.ran) + len(other.ran) == 1
         assert not unexpected()
 
+    @pytest.mark.parametrize("signature", [b"", _SIGNATURE], ids=["", "signed"])
     @pytest.mark.parametrize("closes", [True, False], ids=["closes", "keeps"])
     @pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
     @pytest.mark.parametrize(
@@ -140,9 +142,9 @@
         ],
     )
     def test_caller_gets_a_complete_answer(
-        self, inst, desk, unexpected, script, method, closes
+        self, inst, desk, unexpected, script, method, closes, signature
     ):
-        desk.script = script
+        desk.script = script.replace(b"\r\n", b"\r\n" + signature, 1)
         desk.closes = closes
         data = rawcaller.request(
             "/orders/x", method=method, headers={"X-Deadline-Ms": "500"}
@@ -174,8 +176,6 @@
         "method", ["GET", "HEAD", "POST", "PUT", "OPTIONS"]
     )
     def test_call_is_served(self, inst, desk, unexpected, method, headers):
-        if method == "HEAD":
-            desk.script = desk.script[:-3]
         answer = rawcaller.exchange(
             inst,
             rawcaller.request("/views/x", method=method, headers=headers),
@@ -306,13 +306,25 @@
         headers=_headers(_RESPONSE_NAMES),
         body=st.sampled_from([b"", b"abc", _chunked(b"abc"), _LONG]),
         has_length=st.booleans(),
+        is_signed=st.booleans(),
         method=st.sampled_from(["GET", "HEAD", "POST"]),
         path=st.sampled_from(["/views/x", "/orders/x"]),
     )
     def test_response_reaches_the_caller_or_is_replaced(
-        self, inst, desk, status, headers, body, has_length, method, path
+        self,
+        inst,
+        desk,
+        status,
+        headers,
+        body,
+        has_length,
+        is_signed,
+        method,
+        path,
     ):
         lines = [f"HTTP/1.1 {status:03} X", "X-Request-Id: r1"]
+        if is_signed:
+            lines.append("X-Response-Signature: s")
         if has_length:
             lines.append(f"Content-Length: {len(body)}")
         for name, value in headers:
--- a/tests/test_gateway_runsonce.py
+++ b/tests/test_gateway_runsonce.py
@@ -160,7 +160,8 @@
             self._end(conn)
             return False
         self._served.add(conn)
-        echo = {"X-Request-Id": req.headers["x-request-id"]}
+        request_id = req.headers["x-request-id"]
+        echo = {"X-Request-Id": request_id, "X-Response-Signature": self.id}
         conn.respond(200, b"ran:" + req.body, echo)
         if self._has_read:
             return True
