Settings that change during the start come into force

Cause: the file was read for the start and once more by the watcher, which took the second content as the one in force.

Change: the watcher compares with what the start has read, and looks at the file at once, without a signal.

--- a/src/briarfall/gateway/instance/settingswatcher.py
+++ b/src/briarfall/gateway/instance/settingswatcher.py
@@ -24,18 +24,21 @@
 
     Args:
         path: Path of the settings file.
+        applied: Content of the file that is in force. The file may have changed
+            since it was read.
         parse: Parses and checks the content of the file.
         apply: Puts parsed settings in force.
     """
 
-    def __init__(self, path: str, parse: Parse, apply: Apply):
+    def __init__(self, path: str, applied: bytes, parse: Parse, apply: Apply):
         super().__init__("settings")
         self._path = pathlib.Path(path)
         self._parse = parse
         self._apply = apply
-        self._raw = self._path.read_bytes()
-        self._stamp = self._stat()
+        self._raw = applied
+        self._stamp: tuple[int, int, int] | None = None
         self._reload_requested = threading.Event()
+        self.request_reload()
 
     def request_reload(self) -> None:
         """Makes the watcher read the file at once."""
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -79,7 +79,7 @@
     add_store_gauges(gateway_instance.metrics, platform.epochs)
     path = os.environ[earlylisteners.SETTINGS_VARIABLE]
     watcher = settingswatcher.SettingsWatcher(
-        path, settings.parse, gateway_instance.reload
+        path, data, settings.parse, gateway_instance.reload
     )
     receiver = signals.SignalReceiver(
         {
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -97,11 +97,25 @@
             done.set()
 
         watcher = settingswatcher.SettingsWatcher(
-            str(path), settings.parse, apply
+            str(path), settings_file(), settings.parse, apply
         )
         watcher.request_reload()
         return path, watcher
 
+    # Guards against a change that is lost, since the file is read once for the
+    # start and once more as what later changes are compared with.
+    def test_change_during_the_start_is_applied_without_a_signal(
+        self, tmp_path
+    ):
+        path = tmp_path / "node.json"
+        path.write_bytes(settings_file(bounds={"revoke_ms": 4000}))
+        applied = []
+        watcher = settingswatcher.SettingsWatcher(
+            str(path), settings_file(), settings.parse, applied.append
+        )
+        watcher.step()
+        assert applied[0].key_ttl_s == 4.0
+
     def test_changed_bounds_are_applied(self, tmp_path):
         applied = []
         path, watcher = self.watch(tmp_path, applied)
