A target whose responses are none is ejected

Cause: such a target fails requests at once, is free soonest, and so is chosen first, until the retry budget is used up.

Change: three invalid responses in a row eject a target for 0.5 s, doubled up to 2 s, for at most half of a service's targets; then a single request at a time tries it, until one is answered. Cuts and refusals eject nobody.

--- a/src/briarfall/gateway/forwarding/plain.py
+++ b/src/briarfall/gateway/forwarding/plain.py
@@ -262,6 +262,8 @@
         if reachability is not liveness.Reachability.OPEN:
             self._links.record_unreachable(target, reachability)
             self._targets.record_failure(target, exc.message)
+        elif isinstance(exc, targetconnection.InvalidResponseError):
+            self._targets.record_invalid_response(target, exc.message)
         elif not exc.saw_response:
             self._links.record_reset(target)
         self._record_failed(sends, exchange, reachability, exc)
@@ -347,6 +349,7 @@
             self._pool.return_unused(conn)
             raise
         sends.attempted.add(target.id)
+        self._targets.record_attempt(target)
         return plainexchanges.TargetExchange(
             target, conn, self._loads, self._pool
         )
--- a/src/briarfall/gateway/forwarding/plainfollowing.py
+++ b/src/briarfall/gateway/forwarding/plainfollowing.py
@@ -138,6 +138,7 @@
         try:
             calls.raise_if_refused(call, conn, head, self._names, target.id)
         except calls.RefusedByTargetError:
+            self._targets.record_response(target)
             sends.record_refusal(exchange)
             raise
         proofs.check_signed(conn.address, head, self._names)
@@ -176,6 +177,7 @@
         body = exchange.body.read(call, commit)
         if exchange.completion is not None:
             exchange.completion.run(call.watch, call.deadline_s)
+        self._targets.record_response(exchange.target)
         if not body.is_sent and _should_retry(sends, exchange):
             sends.count(exchange)
             raise calls.RefusedByTargetError("target failed the request", head)
--- a/src/briarfall/gateway/forwarding/runfollowing.py
+++ b/src/briarfall/gateway/forwarding/runfollowing.py
@@ -80,6 +80,7 @@
                 self._relay_events(stream, run)
             else:
                 self._relay_error(stream, run.conn, run.response)
+            self._targets.record_response(run.target)
             self._targets.record_success(run.target)
             if stream.chain_first_event_s:
                 self._gate.record_survived(stream.call)
--- a/src/briarfall/gateway/forwarding/streamfailures.py
+++ b/src/briarfall/gateway/forwarding/streamfailures.py
@@ -157,5 +157,7 @@
             if target is not None:
                 self._links.record_unreachable(target, reachability)
             self.record_failure(stream, head.target, exc.message)
+        elif target is not None and is_faulty:
+            self._targets.record_invalid_response(target, exc.message)
         elif target is not None and not exc.saw_response:
             self._links.record_reset(target)
--- a/src/briarfall/gateway/forwarding/streams.py
+++ b/src/briarfall/gateway/forwarding/streams.py
@@ -350,6 +350,7 @@
         except exceptions.BriarfallError:
             self._pool.return_unused(conn)
             raise
+        self._targets.record_attempt(target)
         run = streamstate.ChainRun(chain, target, conn)
         self._loads.reserve(chain.target_ids(), stream.demand.tokens)
         if call.attempt_count > 1:
--- a/src/briarfall/gateway/targets/targets.py
+++ b/src/briarfall/gateway/targets/targets.py
@@ -10,6 +10,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
+from briarfall.gateway.targets import ejection
 from briarfall.gateway.targets import incarnations
 from briarfall.gateway.targets import reachability
 from briarfall.gateway.targets import sourceloss
@@ -438,6 +439,35 @@
             reason,
         )
 
+    def record_invalid_response(
+        self, target: targetstate.Target, reason: str
+    ) -> None:
+        """Records a response that was none; ejects a target with many."""
+        rows = self._by_service.get(target.entry.service, [])
+        with self._lock:
+            ejection_s = ejection.record_invalid(target, rows)
+        if not ejection_s:
+            return
+        self.block(target, ejection_s)
+        logging.warning(
+            "target ejected, single requests try it later target=%s "
+            "for_s=%.1f invalid_responses=%d reason=%s",
+            target.id,
+            ejection_s,
+            target.invalid_responses,
+            reason,
+        )
+
+    def record_response(self, target: targetstate.Target) -> None:
+        """Records a whole response, whatever it says; ends an ejection."""
+        target.invalid_responses = 0
+
+    def record_attempt(self, target: targetstate.Target) -> None:
+        """Records that a request is sent, a trial if the target was ejected."""
+        trial_s = ejection.trial_block_s(target)
+        if trial_s:
+            self.block(target, trial_s)
+
     def block(self, target: targetstate.Target, seconds: float) -> None:
         """Blocks a target for new requests for at least `seconds` from now."""
         until_s = clocks.boot_s() + seconds
--- a/src/briarfall/gateway/targets/targetstate.py
+++ b/src/briarfall/gateway/targets/targetstate.py
@@ -39,6 +39,7 @@
         blocked_until_s: Time until which it gets no new requests, unless all
             targets of its service are blocked.
         failures: Consecutive failures.
+        invalid_responses: Consecutive responses that were none.
         failed_s: Time of the last failure, here or at a peer.
         last_active_s: Time at which a stream of this instance last saw it
             make progress.
@@ -65,6 +66,7 @@
     blocked_until_s: float = 0.0
     suspected_until_s: float = 0.0
     failures: int = 0
+    invalid_responses: int = 0
     failed_s: float = 0.0
     last_active_s: float = 0.0
     is_draining: bool = False
