A long event in many pieces is within the bounds of idle input

Read on the diff: 200 KB in pieces of 100 bytes passed the bound of 1,024 pieces. Pieces count beyond one for each 16 bytes now, as for bodies.

--- a/src/briarfall/gateway/exchanges/inputbounds.py
+++ b/src/briarfall/gateway/exchanges/inputbounds.py
@@ -39,7 +39,8 @@
     @property
     def is_exceeded(self) -> bool:
         """Whether more arrived than any sound target sends."""
-        return self.size > MAX_IDLE_BYTES or self.pieces > MAX_IDLE_PIECES
+        most = MAX_IDLE_PIECES + self.size // _SMALL_PIECE_BYTES
+        return self.size > MAX_IDLE_BYTES or self.pieces > most
 
     @property
     def is_flood(self) -> bool:
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -221,6 +221,12 @@
         assert not idle.is_exceeded
         assert not idle.is_flood
 
+    def test_of_a_long_event_in_many_pieces_is_within_the_bounds(self):
+        idle = inputbounds.IdleInput()
+        for _ in range(2500):
+            idle.add(100)
+        assert not idle.is_exceeded
+
     def test_starts_again_with_progress(self):
         idle = inputbounds.IdleInput()
         idle.add(inputbounds.MAX_IDLE_BYTES + 1)
