Entries of an unknown service take no target out of use

Cause: of several targets with one address the table keeps the newest, whether or not its service exists.

Change: the table is told the services of the catalogue; entries of others take over no address until the catalogue names their service.

--- a/src/briarfall/gateway/targets/targets.py
+++ b/src/briarfall/gateway/targets/targets.py
@@ -55,8 +55,10 @@
         # lock.
         self._by_service: dict[views.ServiceName, list[targetstate.Target]]
         self._by_service = {}
-        # Revision from which `_by_service` was built.
-        self._indexed_revision = 0
+        # Revision from which `_by_service` was built, or None.
+        self._indexed_revision: int | None = 0
+        # Services of the catalogue; None before its first version.
+        self._services: frozenset[views.ServiceName] | None = None
         self._loss = sourceloss.SourceLoss()
         self._revision = 0
         self._removed: dict[ids.TargetId, int] = {}
@@ -174,6 +176,19 @@
                     gone.append(target_id)
             return Changes(self._revision, changed, gone)
 
+    def set_services(
+        self, services: collections.abc.Iterable[views.ServiceName]
+    ) -> None:
+        """Sets the services of the catalogue.
+
+        An entry of any other service names no target to use, so that it takes
+        over no address.
+        """
+        with self._lock:
+            self._services = frozenset(services)
+            self._indexed_revision = None
+            self._rebuild_index()
+
     def _rebuild_index(self) -> None:
         """Groups targets by service for look-ups.
 
@@ -187,13 +202,17 @@
             self._targets.values(), key=lambda row: row.entry.started_ms
         )
         for row in rows:
-            newest[row.entry.address] = row
+            if self._is_known(row.entry.service):
+                newest[row.entry.address] = row
         by_service: dict[views.ServiceName, list[targetstate.Target]] = {}
         for row in self._targets.values():
-            if newest[row.entry.address] is row:
+            if newest.get(row.entry.address) is row:
                 by_service.setdefault(row.entry.service, []).append(row)
         self._by_service = by_service
 
+    def _is_known(self, service: views.ServiceName) -> bool:
+        return self._services is None or service in self._services
+
     def _remove(self, target_id: ids.TargetId) -> None:
         self._ended_entries.append(self._targets.pop(target_id).entry)
         self._loss.discard(target_id)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -628,6 +628,47 @@
         table.record_failure(table.get("b"), "reset")
         assert len(table.usable(views.ServiceName("pool"))) == 2
 
+    # Guards against entries of another writer, for a service that nobody names,
+    # which take the sound targets at their addresses out of use.
+    @pytest.mark.parametrize("started_ms", [1, 2, 3])
+    @pytest.mark.parametrize("is_first", [True, False])
+    def test_entry_of_an_unknown_service_takes_over_no_address(
+        self, clock, started_ms, is_first
+    ):
+        sound = entry("a", started_ms=2)
+        foreign = msgspec.structs.replace(
+            sound,
+            id=ids.TargetId("x"),
+            service=views.ServiceName("unknown"),
+            started_ms=started_ms,
+        )
+        rows = [foreign, sound] if is_first else [sound, foreign]
+        table = targets.TargetTable()
+        table.set_services([views.ServiceName("pool")])
+        table.update(rows, clock.now_s)
+        usable = table.usable(views.ServiceName("pool"))
+        assert [row.id for row in usable] == ["a"]
+        table.update([sound], clock.now_s)
+        assert table.usable(views.ServiceName("pool"))
+
+    def test_entry_of_a_service_that_becomes_known_takes_its_address(
+        self, clock
+    ):
+        old = entry("a", started_ms=2)
+        new = msgspec.structs.replace(
+            old,
+            id=ids.TargetId("x"),
+            service=views.ServiceName("added"),
+            started_ms=3,
+        )
+        table = targets.TargetTable()
+        table.set_services([old.service])
+        table.update([old, new], clock.now_s)
+        assert not table.usable(new.service)
+        table.set_services([old.service, new.service])
+        assert [row.id for row in table.usable(new.service)] == ["x"]
+        assert not table.usable(old.service)
+
     def test_simultaneous_failures_count_once(self, clock):
         table = targets.TargetTable()
         table.update([entry("a")], clock.now_s)
