--- a/src/briarfall/standins/prepared/rawhttp.py
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -42,7 +42,7 @@
     ):
         self.sock = sock
         self._gates = passed
-        self._rest = b""
+        self._rest = bytearray()
         self._has_chunks = True
 
     @property
@@ -76,8 +76,8 @@
             if not data:
                 return None
             self._rest += data
-        body = self._rest[:length]
-        self._rest = self._rest[length:]
+        body = bytes(self._rest[:length])
+        del self._rest[:length]
         return RawRequest(method, target, headers, body)
 
     def send(self, data: bytes) -> None:
