--- a/src/briarfall/gateway/exchanges/inputbounds.py
+++ b/src/briarfall/gateway/exchanges/inputbounds.py
@@ -48,6 +48,6 @@
         return self.size > _MIN_FLOOD_BYTES
 
 
-def is_crumbled(size: int, pieces: int) -> bool:
+def is_fragmented(size: int, pieces: int) -> bool:
     """Whether a body of `size` bytes so far came in many small pieces."""
     return pieces > _FREE_PIECES + size // _SMALL_PIECE_BYTES
--- a/src/briarfall/gateway/exchanges/targetconnection.py
+++ b/src/briarfall/gateway/exchanges/targetconnection.py
@@ -535,7 +535,7 @@
             pieces += 1
             if len(body) > max_bytes:
                 raise self._broken_error("a body without end")
-            if inputbounds.is_crumbled(len(body), pieces):
+            if inputbounds.is_fragmented(len(body), pieces):
                 raise self._invalid_error("a body in small pieces, no end")
 
     def drain(self, deadline_s: float) -> None:
--- a/src/briarfall/gateway/forwarding/plainresponses.py
+++ b/src/briarfall/gateway/forwarding/plainresponses.py
@@ -108,7 +108,7 @@
         self._pieces += 1
         if self._pieces % _PIECES_PER_TURN:
             return
-        if not inputbounds.is_crumbled(self._size, self._pieces):
+        if not inputbounds.is_fragmented(self._size, self._pieces):
             return
         if not self._head.is_success:
             raise targetconnection.InvalidResponseError(
