--- a/src/briarfall/gateway/instance/instance.py
+++ b/src/briarfall/gateway/instance/instance.py
@@ -154,7 +154,7 @@
         self.peer_status.set_others_listener(self.permits.record_others)
         self.rate_limits.add_listener(self.gossip.send_status_now)
         self.follower.add_listener(
-            lambda: self.targets.set_services(self.follower.view.services)
+            lambda: self.targets.add_services(self.follower.view.services)
         )
         self.follower.add_listener(self.gossip.send_status_now)
         self.follower.set_fetcher(self.gossip.fetch_version)
--- a/src/briarfall/gateway/targets/targets.py
+++ b/src/briarfall/gateway/targets/targets.py
@@ -57,8 +57,9 @@
         self._by_service = {}
         # Revision from which `_by_service` was built, or None.
         self._indexed_revision: int | None = 0
-        # Services of the catalogue; None before its first version.
-        self._services: frozenset[views.ServiceName] | None = None
+        # Services that some version of the catalogue names; empty before the
+        # first one.
+        self._services: set[views.ServiceName] = set()
         self._loss = sourceloss.SourceLoss()
         self._revision = 0
         self._removed: dict[ids.TargetId, int] = {}
@@ -176,16 +177,19 @@
                     gone.append(target_id)
             return Changes(self._revision, changed, gone)
 
-    def set_services(
+    def add_services(
         self, services: collections.abc.Iterable[views.ServiceName]
     ) -> None:
-        """Sets the services of the catalogue.
+        """Adds the services of a version of the catalogue.
 
         An entry of any other service names no target to use, so that it takes
-        over no address.
+        over no address. Services that a later version lacks stay: requests
+        that came before it still need their targets.
         """
         with self._lock:
-            self._services = frozenset(services)
+            if self._services.issuperset(services):
+                return
+            self._services.update(services)
             self._indexed_revision = None
             self._rebuild_index()
 
@@ -211,7 +215,7 @@
         self._by_service = by_service
 
     def _is_known(self, service: views.ServiceName) -> bool:
-        return self._services is None or service in self._services
+        return not self._services or service in self._services
 
     def _remove(self, target_id: ids.TargetId) -> None:
         self._ended_entries.append(self._targets.pop(target_id).entry)
--- a/tests/test_gateway_answerends.py
+++ b/tests/test_gateway_answerends.py
@@ -102,6 +102,8 @@
         monkeypatch.setattr(closedanswers.Witness, "__init__", record)
         draft = closed._OpenEndedDraft(world, net, count, resumable=True)
         engine = [row for row in draft.pool.engines if row.ran][0]
+        # The engine has sent its events; the instance may not have read them.
+        testbed.until(lambda: witnesses, "the second connection is opened")
         local = witnesses[0]._sock.getsockname()
 
         def far_end():
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -644,13 +644,22 @@
         )
         rows = [foreign, sound] if is_first else [sound, foreign]
         table = targets.TargetTable()
-        table.set_services([views.ServiceName("pool")])
+        table.add_services([views.ServiceName("pool")])
         table.update(rows, clock.now_s)
         usable = table.usable(views.ServiceName("pool"))
         assert [row.id for row in usable] == ["a"]
         table.update([sound], clock.now_s)
         assert table.usable(views.ServiceName("pool"))
 
+    # Guards against a call that finds no target, since a change has removed its
+    # service after it came.
+    def test_service_that_a_later_version_lacks_keeps_its_targets(self, clock):
+        table = targets.TargetTable()
+        table.add_services([views.ServiceName("pool")])
+        table.update([entry("a")], clock.now_s)
+        table.add_services([views.ServiceName("added")])
+        assert table.usable(views.ServiceName("pool"))
+
     def test_entry_of_a_service_that_becomes_known_takes_its_address(
         self, clock
     ):
@@ -662,10 +671,10 @@
             started_ms=3,
         )
         table = targets.TargetTable()
-        table.set_services([old.service])
+        table.add_services([old.service])
         table.update([old, new], clock.now_s)
         assert not table.usable(new.service)
-        table.set_services([old.service, new.service])
+        table.add_services([new.service])
         assert [row.id for row in table.usable(new.service)] == ["x"]
         assert not table.usable(old.service)
 
