Log lines that attribute two runs of one order

`request not served by a peer` gave the status, but not what the peer had said about the run.

Now: `request done` names the targets of this instance in order, and for a request that may run once also its fingerprint, which is the same for all ids of one order; each of these requests is logged (one line a request). Refusals name the request and whether the not-run header or the status said so; a peer's answer tells `told=`, `told_sends=`, `told_runs=`. No logic changed.

--- a/src/briarfall/gateway/callers/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -20,6 +20,7 @@
 from briarfall.gateway.calls import relaymessages
 from briarfall.gateway.catalogue import catalogue
 from briarfall.gateway.catalogue import views
+from briarfall.gateway.crashes import crashes
 from briarfall.gateway.exchanges import headernames
 from briarfall.gateway.exchanges import messages
 from briarfall.gateway.exchanges import targetconnection
@@ -196,7 +197,11 @@
             self._plain.forward(call)
 
     def _record_outcome(self, call: calls.Call, outcome: str) -> None:
-        """Counts a request; logs failures and a sample of the successes."""
+        """Counts a request; logs it.
+
+        Of the requests that may be repeated and succeed at once, only a sample
+        is logged.
+        """
         route = call.route
         self._metrics.count(
             "briarfall_requests", route.name, route.kind.value, outcome
@@ -208,6 +213,7 @@
             )
         is_first_attempt_success = (
             outcome == "answered"
+            and route.is_retryable
             and call.attempt_count == 1
             and call.conn.status < _FIRST_FAILURE_STATUS
         )
@@ -215,18 +221,21 @@
             return
         logging.info(
             "request done request=%s route=%s outcome=%s status=%d sends=%d "
-            "runs=%d age_ms=%d version=%s view_age_ms=%d peer=%s from_peer=%s",
+            "runs=%d targets=%s age_ms=%d version=%s view_age_ms=%d peer=%s "
+            "from_peer=%s fingerprint=%s",
             call.request_id,
             route.name,
             outcome,
             call.conn.status if call.conn.has_sent_head else 0,
             call.attempt_count,
             call.possible_runs,
+            ",".join(call.sent_to) or None,
             call.age_s * 1000,
             self._follower.view.version,
             self._follower.age_s * 1000,
             call.relayed_to or None,
             call.relayed.sender if call.relayed else None,
+            None if route.is_retryable else crashes.fingerprint(call),
         )
 
     def _prepare(
--- a/src/briarfall/gateway/calls/calls.py
+++ b/src/briarfall/gateway/calls/calls.py
@@ -43,6 +43,7 @@
         deadline_s: Time on the boot clock at which the caller stops waiting or
             the route's timeout passes.
         attempt_count: How often it was sent to a target.
+        sent_to: Targets to which this instance sent it, in order.
         possible_runs: How often it may have run.
         has_unknown_outcome: Whether the outcome of an attempt is unknown.
         relayed: State with which a peer relayed it, or None if it came from a
@@ -67,6 +68,7 @@
     relayed: relaymessages.RelayedRequest | None = None
     relayed_to: str = ""
     has_no_peer: bool = False
+    sent_to: list[ids.TargetId] = msgspec.field(default_factory=list)
 
     @property
     def max_runs(self) -> int:
--- a/src/briarfall/gateway/forwarding/dispatchgate.py
+++ b/src/briarfall/gateway/forwarding/dispatchgate.py
@@ -176,6 +176,7 @@
         self._start_trials(call, suspected)
         targetbackoff.clear_backoff(target)
         call.attempt_count += 1
+        call.sent_to.append(target.id)
 
     def _start_trials(
         self, call: calls.Call, suspected: list[crashevidence.SuspectKey]
--- a/src/briarfall/gateway/forwarding/plain.py
+++ b/src/briarfall/gateway/forwarding/plain.py
@@ -164,6 +164,13 @@
                     exc,
                 )
             except targetconnection.NotSentError as exc:
+                logging.info(
+                    "request not sent, choosing another target request=%s "
+                    "target=%s: %s",
+                    call.request_id,
+                    target.id,
+                    exc.message,
+                )
                 sends.attempted.add(target.id)
                 self._links.record_failed(target, exc.__cause__)
                 self._targets.record_failure(target, exc.message)
@@ -218,7 +225,7 @@
         try:
             body = self._follower.receive(sends, exchange)
         except calls.RefusedByTargetError as exc:
-            self._handle_refusal(target, exc)
+            self._handle_refusal(sends.call, target, exc)
             return False
         except targetconnection.BrokenExchangeError as exc:
             self._handle_break(sends, exchange, exc)
@@ -237,10 +244,17 @@
         return True
 
     def _handle_refusal(
-        self, target: targetstate.Target, exc: calls.RefusedByTargetError
+        self,
+        call: calls.Call,
+        target: targetstate.Target,
+        exc: calls.RefusedByTargetError,
     ) -> None:
         logging.info(
-            "request refused target=%s status=%d", target.id, exc.head.status
+            "request refused request=%s target=%s status=%d not_run=%s",
+            call.request_id,
+            target.id,
+            exc.head.status,
+            exc.head.header(self._names.not_run) is not None,
         )
         if exc.head.status == 421:
             self._targets.record_failure(target, "another target's address")
--- a/src/briarfall/gateway/forwarding/relayresponses.py
+++ b/src/briarfall/gateway/forwarding/relayresponses.py
@@ -74,7 +74,11 @@
         # The run that failed is not among those of unknown outcome.
         runs += 1
     conn.drain(min(call.deadline_s, clocks.boot_s() + _REFUSAL_TIMEOUT_S))
-    text = f"{conn.address}: status {head.status}"
+    text = (
+        f"{conn.address}: status {head.status} "
+        f"told={answer.outcome.value} told_sends={answer.sends} "
+        f"told_runs={answer.runs}"
+    )
     if answer.outcome is relaymessages.RelayOutcome.NOT_RUN:
         raise PeerRefusedError(text)
     raise PeerFailedError(text, runs=runs)
--- a/src/briarfall/gateway/forwarding/streamfailures.py
+++ b/src/briarfall/gateway/forwarding/streamfailures.py
@@ -75,10 +75,13 @@
             named_stage = chain.stage_at(address.decode("latin-1"))
         target_id = (named_stage or chain.head).target
         logging.info(
-            "stream refused request=%s status=%d target=%s age_ms=%d",
+            "stream refused request=%s status=%d target=%s head=%s "
+            "not_run=%s age_ms=%d",
             stream.call.request_id,
             exc.head.status,
             target_id,
+            chain.head.target,
+            exc.head.header(self._names.not_run) is not None,
             stream.call.age_s * 1000,
         )
         target = self._targets.get(target_id)
--- a/src/briarfall/gateway/forwarding/streams.py
+++ b/src/briarfall/gateway/forwarding/streams.py
@@ -259,6 +259,13 @@
                     exc,
                 )
             except targetconnection.NotSentError as exc:
+                logging.info(
+                    "stream not sent, choosing another chain request=%s "
+                    "target=%s: %s",
+                    stream.call.request_id,
+                    target.id,
+                    exc.message,
+                )
                 self._links.record_failed(target, exc.__cause__)
                 self._diagnosis.record_failure(
                     stream, chain.head.target, exc.message
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -11,6 +11,9 @@
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
 
+# Targets are drawn at random; so many orders never miss one of two.
+_ORDERS = 30
+
 
 class _Recorder(logging.Handler):
     """Records log lines in the format that an instance writes."""
@@ -55,6 +58,34 @@
         assert last.startswith("cause: i1: request failed")
         assert "outcome=not_run" in last
 
+    def test_lines_of_an_order_name_its_targets_and_why_it_went_on(
+        self, recorded, capsys
+    ):
+        scene, path = recorded
+        targets = [scene.service(f"d{number}") for number in range(2)]
+        targets[0].fault = registeredtarget.Fault.REFUSE
+        inst = scene.instance()
+        scene.wait_for_targets(*targets)
+        for number in range(_ORDERS):
+            order = f"/orders/{number}"
+            testbed.call(inst, order, method="POST", request_id=f"abc{number}")
+        # A line is written after its response.
+        testbed.until(
+            lambda: (
+                pathlib.Path(path()).read_text().count("targets=") == _ORDERS
+            ),
+            "all orders are logged",
+        )
+        refused = 0
+        for number in range(_ORDERS):
+            assert explanation.explain(f"abc{number}", path()) == 0
+            out = capsys.readouterr().out
+            assert "fingerprint=" in out
+            if "targets=d0,d1" in out:
+                assert "target=d0 status=503 not_run=True" in out
+                refused += 1
+        assert refused
+
     def test_failure_of_the_target_itself(self, recorded, capsys):
         scene, path = recorded
         target = scene.service("d1")
