--- a/tests/test_gateway_peeranswers.py
+++ b/tests/test_gateway_peeranswers.py
@@ -85,11 +85,11 @@
         self._server.close()
 
 
-def _state(exchange, outcome, *, runs=0, sends=0, **changes):
+def _state(exchange, outcome, *, runs=0, sends=0, of=None):
     """Returns the private header of an answer, as bytes."""
     name, value = relaymessages.header_of(
         relaymessages.RelayedResponse(
-            changes.get("exchange", exchange.exchange),
+            exchange.exchange if of is None else of,
             outcome,
             exchange.sends + sends,
             exchange.runs + runs,
@@ -161,9 +161,9 @@
     "unknown, 421": _answer(421, _told(UNKNOWN)),
     "not run, one run": _answer(503, _told(NOT_RUN, runs=1, sends=1)),
     "not run of another exchange": _answer(
-        503, _told(NOT_RUN, exchange="other")
+        503, _told(NOT_RUN, of="other")
     ),
-    "not run of no exchange": _answer(503, _told(NOT_RUN, exchange="")),
+    "not run of no exchange": _answer(503, _told(NOT_RUN, of="")),
     "unread, with a state": _answer(503, _UNREAD, _told(UNKNOWN)),
     "500 without a state": _answer(500),
     "503 without a state": _answer(503),
