A relayed request is judged by the strictest version of its route

Callers saw: an order ran 3 times and a stream that may not be resumed 6 times with one id; an order that ran was answered 408, 429 or 503.

Cause: while a new version of the configuration spreads, the instance that is asked and the peer that it relays to judge by their own views whether a request may run again. The peer repeated what only its view lets be repeated (`attempts` of the sender were its bound on runs), or passed a target's 503 on, which its view does not take for a promise; the sender asked another peer for what only the first one's view forbids to repeat.

Why this works: both directions of a relay tell `is_single_run`, and `Call. may_repeat`, which all checks use now, needs the consent of each instance that has handled the request. Earlier releases ignore the field; they get a bound of one further run, which keeps their plain calls to one. A stream that such a peer may resume is not covered.

--- a/src/briarfall/gateway/callers/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -213,7 +213,7 @@
             )
         is_first_attempt_success = (
             outcome == "answered"
-            and route.is_retryable
+            and call.may_repeat
             and call.attempt_count == 1
             and call.conn.status < _FIRST_FAILURE_STATUS
         )
@@ -235,7 +235,7 @@
             self._follower.age_s * 1000,
             call.relayed_to or None,
             call.relayed.sender if call.relayed else None,
-            None if route.is_retryable else crashes.fingerprint(call),
+            None if call.may_repeat else crashes.fingerprint(call),
         )
 
     def _prepare(
--- a/src/briarfall/gateway/callers/peerconnections.py
+++ b/src/briarfall/gateway/callers/peerconnections.py
@@ -62,6 +62,7 @@
         call.attempt_count = self.relayed.sends
         call.possible_runs = self.relayed.runs
         call.has_unknown_outcome = self.relayed.has_unknown_outcome
+        call.is_single_run = self.relayed.is_single_run
 
     def send_head(self, status: int, headers: messages.Headers) -> None:
         """Sends status and headers of the response, with its outcome."""
@@ -79,9 +80,11 @@
             relayed = _NO_REQUEST
         sends = relayed.sends
         runs = relayed.runs
+        is_single_run = relayed.is_single_run
         if self._call is not None:
             sends = self._call.attempt_count
             runs = self._call.possible_runs
+            is_single_run = not self._call.may_repeat
         outcome = relaymessages.RelayOutcome.TARGET
         if self.failure is not None or self.relayed is None:
             outcome = relaymessages.RelayOutcome.NOT_RUN
@@ -94,6 +97,7 @@
                 sends,
                 runs,
                 relaybackoffs.encode(self._backoffs.asked_until_s),
+                is_single_run,
             )
         )
 
--- a/src/briarfall/gateway/calls/calls.py
+++ b/src/briarfall/gateway/calls/calls.py
@@ -50,6 +50,8 @@
             caller.
         relayed_to: Peer that served it, or empty.
         has_no_peer: Whether no peer could serve it.
+        is_single_run: Whether an instance that handles it knows a version of
+            its route by which it may run only once.
     """
 
     req: messages.CallerRequest
@@ -68,8 +70,18 @@
     relayed: relaymessages.RelayedRequest | None = None
     relayed_to: str = ""
     has_no_peer: bool = False
+    is_single_run: bool = False
     sent_to: list[ids.TargetId] = msgspec.field(default_factory=list)
 
+    @property
+    def may_repeat(self) -> bool:
+        """Whether it may be sent again after an unknown outcome.
+
+        Instances may know different versions of its route; the strictest one
+        counts.
+        """
+        return self.route.is_retryable and not self.is_single_run
+
     @property
     def max_runs(self) -> int:
         """How often it may run at most, runs through peers included."""
@@ -194,7 +206,7 @@
     is_refusal = (
         head.status == 421 or head.header(header_names.not_run) is not None
     )
-    is_promise = head.status in _PROMISES and not call.route.is_retryable
+    is_promise = head.status in _PROMISES and not call.may_repeat
     if not is_refusal and not is_promise:
         return
     conn.drain(min(call.deadline_s, clocks.boot_s() + _DRAIN_TIMEOUT_S))
--- a/src/briarfall/gateway/calls/relaymessages.py
+++ b/src/briarfall/gateway/calls/relaymessages.py
@@ -49,6 +49,7 @@
         heads: Engines that ran it as the head of a chain and may still live.
         backoffs: Backoffs that targets of its service asked the sender for,
             as `relaybackoffs` encodes them.
+        is_single_run: Whether it may run only once by what the sender knows.
     """
 
     exchange: str
@@ -59,6 +60,7 @@
     has_unknown_outcome: bool
     heads: list[ids.TargetId] = []
     backoffs: msgspec.Raw = relaybackoffs.NONE
+    is_single_run: bool = False
 
 
 class RelayedResponse(msgspec.Struct, frozen=True):
@@ -71,6 +73,7 @@
         runs: How often it may have run so far.
         backoffs: Backoffs that targets asked for in response to it, as
             `relaybackoffs` encodes them.
+        is_single_run: Whether it may run only once by what the peer knows.
     """
 
     exchange: str
@@ -78,6 +81,7 @@
     sends: int
     runs: int
     backoffs: msgspec.Raw = relaybackoffs.NONE
+    is_single_run: bool = False
 
 
 def without_private(headers: messages.Headers) -> messages.Headers:
--- a/src/briarfall/gateway/forwarding/dispatchgate.py
+++ b/src/briarfall/gateway/forwarding/dispatchgate.py
@@ -101,7 +101,7 @@
 
     def may_retry(self, call: calls.Call) -> bool:
         """Whether a request may be sent once more; counts nothing."""
-        return call.route.is_retryable and self._budget.has_retry()
+        return call.may_repeat and self._budget.has_retry()
 
     def admit(
         self, call: calls.Call, target: targetstate.Target
--- a/src/briarfall/gateway/forwarding/plain.py
+++ b/src/briarfall/gateway/forwarding/plain.py
@@ -347,7 +347,7 @@
         """
         call = sends.call
         permit = self._gate.admit(call, target)
-        runs_once = not call.route.is_retryable
+        runs_once = not call.may_repeat
         timeout_s = call.left_s
         if sends.has_suspended:
             timeout_s = min(timeout_s, _MOVE_CONNECT_TIMEOUT_S)
--- a/src/briarfall/gateway/forwarding/plainexchanges.py
+++ b/src/briarfall/gateway/forwarding/plainexchanges.py
@@ -153,7 +153,7 @@
         runs = self.call.possible_runs
         if exchange is not None and not exchange.is_counted:
             runs += 1
-        return self.call.route.is_retryable and runs < self.call.max_runs
+        return self.call.may_repeat and runs < self.call.max_runs
 
     def count(self, exchange: TargetExchange) -> None:
         """Counts an exchange as a possible run, once."""
--- a/src/briarfall/gateway/forwarding/relayexchanges.py
+++ b/src/briarfall/gateway/forwarding/relayexchanges.py
@@ -46,6 +46,9 @@
 
         One run is kept for another peer, if more than one is left.
         """
+        if not self.call.may_repeat:
+            # A peer of an earlier release knows no other bound.
+            return self.used_runs + 1
         left = max(0, self.call.max_runs - self.used_runs)
         return self.used_runs + max(min(left, 1), left - 1)
 
--- a/src/briarfall/gateway/forwarding/relaying.py
+++ b/src/briarfall/gateway/forwarding/relaying.py
@@ -129,7 +129,7 @@
         """Connects to a peer; returns None if it can't be reached."""
         call = sends.exchange.call
         max_idle_s = _MAX_SINGLE_RUN_IDLE_S
-        if call.route.is_retryable:
+        if call.may_repeat:
             max_idle_s = _MAX_IDLE_S
         timeout_s = _CONNECT_TIMEOUT_S
         if sends.has_suspended:
@@ -264,6 +264,7 @@
             has_unknown_outcome=call.has_unknown_outcome,
             heads=exchange.heads,
             backoffs=relaybackoffs.encode(targetbackoff.ends_of(rows)),
+            is_single_run=not call.may_repeat,
         )
 
     def _send(
@@ -397,5 +398,5 @@
             raise exc
         if sends.has_suspended:
             return
-        if not call.route.is_retryable or exchange.used_runs >= call.max_runs:
+        if not call.may_repeat or exchange.used_runs >= call.max_runs:
             raise exc
--- a/src/briarfall/gateway/forwarding/relayresponses.py
+++ b/src/briarfall/gateway/forwarding/relayresponses.py
@@ -66,6 +66,7 @@
         raise PeerRefusedError(f"{conn.address}: the peer has read nothing")
     answer = _decode(send, head)
     call.attempt_count = max(call.attempt_count, answer.sends)
+    call.is_single_run = call.is_single_run or answer.is_single_run
     targetbackoff.adopt(target_table, relaybackoffs.decode(answer.backoffs))
     runs = answer.runs - send.state.runs
     if answer.outcome is relaymessages.RelayOutcome.TARGET:
--- a/src/briarfall/gateway/forwarding/relaysends.py
+++ b/src/briarfall/gateway/forwarding/relaysends.py
@@ -165,7 +165,7 @@
     def may_ask_beside(self, send: RelaySend) -> bool:
         """Whether another peer may run a request that a peer may run."""
         call = self.exchange.call
-        if not call.route.is_retryable or len(self.asked) >= _MAX_PEERS:
+        if not call.may_repeat or len(self.asked) >= _MAX_PEERS:
             return False
         # All runs that the peer may have caused count.
         uncounted = send.max_runs - send.counted_runs
--- a/src/briarfall/gateway/forwarding/streams.py
+++ b/src/briarfall/gateway/forwarding/streams.py
@@ -325,7 +325,7 @@
         )
         if isinstance(exc, targetconnection.BrokenExchangeError):
             self._diagnosis.handle_broken_head(stream, chain.head, exc)
-        if not call.route.is_retryable or call.left_s <= 0:
+        if not call.may_repeat or call.left_s <= 0:
             raise exc
 
     def _start_run(
--- a/tests/test_gateway_peeranswers.py
+++ b/tests/test_gateway_peeranswers.py
@@ -160,9 +160,7 @@
     "unknown, fewer runs": _answer(503, _told(UNKNOWN, runs=-1)),
     "unknown, 421": _answer(421, _told(UNKNOWN)),
     "not run, one run": _answer(503, _told(NOT_RUN, runs=1, sends=1)),
-    "not run of another exchange": _answer(
-        503, _told(NOT_RUN, of="other")
-    ),
+    "not run of another exchange": _answer(503, _told(NOT_RUN, of="other")),
     "not run of no exchange": _answer(503, _told(NOT_RUN, of="")),
     "unread, with a state": _answer(503, _UNREAD, _told(UNKNOWN)),
     "500 without a state": _answer(500),
--- a/tests/test_gateway_secondruns.py
+++ b/tests/test_gateway_secondruns.py
@@ -171,7 +171,6 @@
     # Guards against a peer that repeats an order since its older view says so.
     @pytest.mark.parametrize("fault", _FAULTS, ids=lambda row: row.value)
     @pytest.mark.parametrize("is_peer_newer", [False, True])
-    @pytest.mark.known_red
     def test_order_runs_once_though_the_peer_may_repeat_it(
         self, world, monkeypatch, fault, is_peer_newer
     ):
@@ -190,7 +189,6 @@
 
     # Guards against a peer that resumes a stream which may run once.
     @pytest.mark.parametrize("is_peer_newer", [False, True])
-    @pytest.mark.known_red
     def test_stream_runs_once_though_the_peer_may_resume_it(
         self, world, monkeypatch, is_peer_newer
     ):
@@ -208,7 +206,6 @@
     # Guards against an instance that asks another peer for what its older view
     # may repeat, though the peer that ran it may not.
     @PATHS
-    @pytest.mark.known_red
     def test_request_runs_once_though_only_the_peer_may_not_repeat_it(
         self, world, monkeypatch, path
     ):
@@ -235,7 +232,6 @@
     # instance that was asked.
     @pytest.mark.parametrize("status", [408, 429, 503])
     @PATHS
-    @pytest.mark.known_red
     def test_order_that_ran_is_not_answered_with_a_promise(
         self, world, monkeypatch, status, path
     ):
