Removals and draining that peers told hold after a restore as well

The table of targets decides now, with what it has heard from anyone: EntryHistory for entries that a list holds in an older form, SourceLoss for those that it lacks. The source tells the epoch of its list and nothing else; answers to peers bear it too (-1 from releases that don't tell it), so that the time to write again begins once.

The tests move with the module; each case stays as it is.

--- a/src/briarfall/gateway/catalogue/sources.py
+++ b/src/briarfall/gateway/catalogue/sources.py
@@ -199,6 +199,11 @@
 class TargetSource(abc.ABC):
     """Source in which targets register."""
 
+    @property
+    def epoch(self) -> StoreEpoch:
+        """Epoch of the store that the latest list is of."""
+        return FIRST_EPOCH
+
     @abc.abstractmethod
     def list_targets(self, timeout_s: float) -> list[TargetEntry]:
         """Returns all valid entries."""
--- a/src/briarfall/gateway/gossip/peermessages.py
+++ b/src/briarfall/gateway/gossip/peermessages.py
@@ -146,6 +146,7 @@
         parts: Number of parts; the further ones are requested one by one.
         since: Revision of the table after which the changes start.
         revision: Revision of the table with which the changes end.
+        epoch: Epoch of the store that the peer's target list is of, or -1.
     """
 
     number: int
@@ -157,6 +158,7 @@
     parts: int = 1
     since: int = -1
     revision: int = -1
+    epoch: int = -1
 
 
 class PartRequest(
--- a/src/briarfall/gateway/gossip/peerresponder.py
+++ b/src/briarfall/gateway/gossip/peerresponder.py
@@ -86,6 +86,7 @@
         # The age is taken before the changes, so that the changes sent can only
         # be newer than it says.
         targets_age_ms = _age_ms(self._targets.read_s)
+        epoch = self._targets.epoch
         revision, data = self.packed_changes(since)
         return peermessages.FreshnessResponse(
             number=request.number,
@@ -97,6 +98,7 @@
             parts=_part_count(data),
             since=since,
             revision=revision,
+            epoch=-1 if epoch is None else epoch,
         )
 
     def packed_changes(self, since: int) -> tuple[int, bytes]:
--- a/src/briarfall/gateway/gossip/targetfollower.py
+++ b/src/briarfall/gateway/gossip/targetfollower.py
@@ -167,7 +167,9 @@
             return False
         self._peers.reaches_store = True
         self._failures = 0
-        self._close_connections(self._table.update(entries, sent_s))
+        self._close_connections(
+            self._table.update(entries, sent_s, self._source.epoch)
+        )
         if self._follower.is_source_lost:
             self._ask_peers(self._peers.with_store_access(_MAX_PEERS_ASKED))
         return True
@@ -245,6 +247,7 @@
                 read_s,
                 # Earlier releases don't tell the revision.
                 is_full=answer.since < 0 <= answer.revision,
+                epoch=None if answer.epoch < 0 else answer.epoch,
             )
         )
         return True
--- a/src/briarfall/gateway/targets/sourceloss.py
+++ b/src/briarfall/gateway/targets/sourceloss.py
@@ -1,4 +1,4 @@
-"""Which targets are gone after the instance list could not be read."""
+"""Which targets are gone after a loss of the list's source or its entries."""
 
 import collections.abc
 
@@ -12,6 +12,8 @@
 # The platform registers live targets again within about this time after its
 # store comes back. An entry that is still missing afterwards is removed.
 _REGISTRATION_S = 2.2
+# Age up to which a list is recent enough for entries that a copy lacks.
+_MAX_LIST_AGE_S = 10.0
 
 
 class SourceLoss:
@@ -27,6 +29,10 @@
         # Ready targets that the latest full list lacks. Changes that peers
         # send after such a list don't name them.
         self._kept: set[ids.TargetId] = set()
+        # Ready targets that the store has not listed since it was restored,
+        # and the time on the boot clock of the first list since then.
+        self._unlisted: set[ids.TargetId] = set()
+        self._restored_s = 0.0
 
     def begin(self, read_s: float | None) -> None:
         """Records that neither the store nor peers provide the list.
@@ -57,9 +63,41 @@
             (clocks.boot_s() - read_s) * 1000,
         )
 
-    def discard(self, target_id: ids.TargetId) -> None:
-        """Records that a target is listed again, or was removed."""
+    def begin_epoch(
+        self,
+        rows: collections.abc.Iterable[targetstate.Target],
+        last_read_s: float | None,
+        read_s: float,
+    ) -> None:
+        """Records that the store came back from an older copy.
+
+        Args:
+            rows: The targets of the table.
+            last_read_s: Time on the boot clock of the last list before it, or
+                None.
+            read_s: Time on the boot clock of the first list since then.
+        """
+        self._restored_s = read_s
+        self._unlisted.clear()
+        if last_read_s is None or read_s - last_read_s > _MAX_LIST_AGE_S:
+            return
+        for target in rows:
+            if target.entry.state is sources.TargetState.READY:
+                self._unlisted.add(target.id)
+
+    def confirm(self, entries: list[sources.TargetEntry]) -> None:
+        """Records the entries of a list that was read from the store."""
+        self._unlisted.difference_update(entry.id for entry in entries)
+
+    def discard(self, target_id: ids.TargetId) -> bool:
+        """Records that a target is listed again, or was removed.
+
+        Returns:
+            Whether it was kept though the latest full list lacked it.
+        """
+        was_kept = target_id in self._kept
         self._kept.discard(target_id)
+        return was_kept
 
     @property
     def full_list_due_s(self) -> float | None:
@@ -71,7 +109,7 @@
 
     @property
     def _kept_until_s(self) -> float:
-        return self._regained_s + _REGISTRATION_S
+        return max(self._regained_s, self._restored_s) + _REGISTRATION_S
 
     def missing_from(
         self,
@@ -81,7 +119,8 @@
     ) -> list[ids.TargetId]:
         """Returns the targets that are gone, since a full list lacks them.
 
-        Targets that are ready may be missing for a while after a loss.
+        Targets that are ready may be missing for a while after a loss of the
+        source. After a restore this holds for those that were not listed again.
 
         Args:
             entries: The full list.
@@ -89,14 +128,29 @@
             read_s: Time on the boot clock at which the list was read.
         """
         listed = {entry.id for entry in entries}
-        keeps_ready = self._is_lost or read_s < self._kept_until_s
-        self._kept.clear()
         missing = []
         for target in rows:
             if target.id in listed:
                 continue
-            if keeps_ready and target.entry.state is sources.TargetState.READY:
+            if self._may_be_missing(target, read_s):
                 self._kept.add(target.id)
                 continue
+            if target.id in self._kept:
+                logging.info(
+                    "target not written again after a loss of the store, "
+                    "taken for gone target=%s",
+                    target.id,
+                )
             missing.append(target.id)
         return missing
+
+    def _may_be_missing(
+        self, target: targetstate.Target, read_s: float
+    ) -> bool:
+        if target.entry.state is not sources.TargetState.READY:
+            return False
+        if self._is_lost or read_s < self._regained_s + _REGISTRATION_S:
+            return True
+        if target.id not in self._unlisted:
+            return False
+        return read_s < self._restored_s + _REGISTRATION_S
--- a/src/briarfall/gateway/targets/targets.py
+++ b/src/briarfall/gateway/targets/targets.py
@@ -11,6 +11,7 @@
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.targets import ejection
+from briarfall.gateway.targets import entryhistory
 from briarfall.gateway.targets import incarnations
 from briarfall.gateway.targets import reachability
 from briarfall.gateway.targets import sourceloss
@@ -61,6 +62,9 @@
         # first one.
         self._services: set[views.ServiceName] = set()
         self._loss = sourceloss.SourceLoss()
+        self._history = entryhistory.EntryHistory()
+        # Epoch of the store that the latest list is of; None if unknown.
+        self._epoch: sources.StoreEpoch | None = None
         self._revision = 0
         self._removed: dict[ids.TargetId, int] = {}
         self._listeners: list[collections.abc.Callable[[], None]] = []
@@ -74,15 +78,20 @@
         self.has_entries = threading.Event()
 
     def update(
-        self, entries: list[sources.TargetEntry], read_s: float
+        self,
+        entries: list[sources.TargetEntry],
+        read_s: float,
+        epoch: sources.StoreEpoch = sources.FIRST_EPOCH,
     ) -> list[targetstate.Target]:
         """Replaces the table's contents by a full read of the instance list.
 
-        A read that is older than the one in force is ignored.
+        A read that is older than the one in force is ignored. After a restore
+        of the store, what is known to be newer than an entry stays in force.
 
         Args:
             entries: All valid entries.
             read_s: Time on the boot clock at which the read was sent.
+            epoch: Epoch of the store that was read.
 
         Returns:
             Targets that were removed.
@@ -91,8 +100,11 @@
         with self._lock:
             if self.read_s is not None and read_s < self.read_s:
                 return gone
+            self._begin_epoch(epoch, read_s)
             self._loss.end(read_s)
+            self._loss.confirm(entries)
             self.read_s = read_s
+            entries = self._history.merge(entries)
             for entry in entries:
                 self._apply_entry(entry, read_s)
             missing = self._loss.missing_from(
@@ -114,6 +126,7 @@
         read_s: float,
         *,
         is_full: bool = False,
+        epoch: sources.StoreEpoch | None = None,
     ) -> list[targetstate.Target]:
         """Applies changes that another instance has read from the store.
 
@@ -125,14 +138,19 @@
             is_full: Whether `changed` holds all entries. The other instance may
                 have started after a target was removed, so that `gone` lacks
                 it.
+            epoch: Epoch of the store that the other instance has read, or None
+                if it does not tell it.
 
         Returns:
             Targets that were removed.
         """
         removed = []
         with self._lock:
+            if epoch is not None and (self._epoch or 0) < epoch:
+                self._begin_epoch(epoch, read_s)
             self._loss.end(read_s)
             self.read_s = read_s
+            changed = self._history.merge(changed)
             for entry in changed:
                 self._apply_entry(entry, read_s)
             if is_full:
@@ -151,6 +169,20 @@
         self._notify_ended()
         return removed
 
+    def _begin_epoch(self, epoch: sources.StoreEpoch, read_s: float) -> None:
+        if epoch == self._epoch:
+            return
+        rows = self._targets.values()
+        self._history.begin_epoch(rows)
+        if self._epoch is not None:
+            self._loss.begin_epoch(rows, self.read_s, read_s)
+        self._epoch = epoch
+
+    @property
+    def epoch(self) -> sources.StoreEpoch | None:
+        """Epoch of the store that the latest list is of; None if unknown."""
+        return self._epoch
+
     @property
     def full_list_due_s(self) -> float | None:
         """Time on the boot clock from which a full list is needed.
@@ -218,8 +250,10 @@
         return not self._services or service in self._services
 
     def _remove(self, target_id: ids.TargetId) -> None:
-        self._ended_entries.append(self._targets.pop(target_id).entry)
-        self._loss.discard(target_id)
+        entry = self._targets.pop(target_id).entry
+        self._ended_entries.append(entry)
+        if not self._loss.discard(target_id):
+            self._history.record_removed(entry)
         self._revision += 1
         self._removed[target_id] = self._revision
         while len(self._removed) > _MAX_REMOVED:
@@ -253,6 +287,7 @@
             target.is_draining = self._draining.has(target.incarnation)
             self._targets[entry.id] = target
             self._removed.pop(entry.id, None)
+            self._history.record_listed(entry.id)
             self._added.append(entry)
             return
         if known.entry.beat != entry.beat:
--- a/src/briarfall/platform/topics.py
+++ b/src/briarfall/platform/topics.py
@@ -9,12 +9,10 @@
 from briarfall import decoding
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import clocks
 from briarfall.gateway.catalogue import recordchecks
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.instance import summary
-from briarfall.platform import entryhistory
 from briarfall.platform import ignoredrecords
 from briarfall.platform import manifest
 from briarfall.platform import store
@@ -167,18 +165,21 @@
     ):
         self._store = client
         self._ignored = _ignored("target entry", counts)
-        self._history = entryhistory.EntryHistory()
+        self._epoch = sources.FIRST_EPOCH
+
+    @property
+    def epoch(self) -> sources.StoreEpoch:
+        """Epoch of the store that the latest list is of."""
+        return self._epoch
 
     def list_targets(self, timeout_s: float) -> list[sources.TargetEntry]:
         """Returns all valid entries.
 
-        A target whose entry is no longer valid is not listed. After a restore
-        of the store, entries that were listed before are returned in place of
-        older ones.
+        A target whose entry is no longer valid is not listed.
         """
         records, end = self._store.newest(_TARGETS_TOPIC, timeout_s)
-        entries = _parse_all(records, parse_entry, self._ignored)
-        return self._history.merge(entries, end.epoch, clocks.boot_s())
+        self._epoch = end.epoch
+        return _parse_all(records, parse_entry, self._ignored)
 
 
 _INSTANCE_DECODER = msgspec.json.Decoder(sources.InstanceRecord)
--- a/tests/test_platform_entryhistory.py
+++ b/tests/test_gateway_entryhistory.py
@@ -27,10 +27,15 @@
     def __init__(self, platform):
         self.platform = platform
         self.table = targets.TargetTable()
-        client = store.StoreClient(
-            platform.address, summary.CallCounts(), "test"
+        self._topic = self._new_topic()
+        # Read by another instance.
+        self._peer_topic = self._new_topic()
+
+    def _new_topic(self) -> topics.TargetTopic:
+        counts = summary.CallCounts()
+        return topics.TargetTopic(
+            store.StoreClient(self.platform.address, counts, "test")
         )
-        self._topic = topics.TargetTopic(client)
 
     def write(self, name, beat, *, state="ready", born=1) -> None:
         """Writes an entry, as a target does."""
@@ -46,7 +51,20 @@
 
     def read(self) -> None:
         """Reads the list into the table."""
-        self.table.update(self._topic.list_targets(5.0), clocks.boot_s())
+        entries = self._topic.list_targets(5.0)
+        self.table.update(entries, clocks.boot_s(), self._topic.epoch)
+
+    def hear(self, changed, gone, epoch=None) -> None:
+        """Applies the changes that a peer tells, which has read the store."""
+        raw = {}
+        for row in self._peer_topic.list_targets(5.0):
+            raw[row.id] = row
+        self.table.apply_changes(
+            [raw[name] for name in changed],
+            gone,
+            clocks.boot_s(),
+            epoch=epoch,
+        )
 
     def state(self, name="d1") -> sources.TargetState | None:
         """Returns a target's state, or None if it is not known."""
@@ -191,6 +209,85 @@
         assert listed.state("d2") is None
 
 
+class TestRemovalHeardFromAPeer:
+    """Instances that are no store pollers hear of removals from their peers."""
+
+    @pytest.fixture
+    def removed(self, listed):
+        """The list; a peer has told that d2 is gone, read before that."""
+        listed.write("d2", 1)
+        listed.read()
+        listed.copy = listed.platform.snapshot()
+        listed.platform.drop(_TARGETS, "d2")
+        listed.hear([], ["d2"])
+        assert listed.state("d2") is None
+        return listed
+
+    def test_copy_that_still_holds_the_entry_does_not_bring_it_back(
+        self, removed, clock
+    ):
+        removed.platform.restore(removed.copy)
+        for _ in range(4):
+            removed.read()
+            assert removed.state("d2") is None
+            clock.now_s += _LONG_S
+
+    def test_copy_that_lacks_the_entry_does_not_bring_it_back(self, listed):
+        """Soak seed 1734: a poller listed again what its peers had removed."""
+        copy = listed.platform.snapshot()
+        listed.write("d2", 1)
+        listed.read()
+        listed.platform.restore(copy)
+        listed.read()
+        assert listed.state("d2") is _READY
+        listed.hear([], ["d2"])
+        listed.read()
+        assert listed.state("d2") is None
+
+    def test_target_that_starts_again_is_listed(self, removed):
+        removed.platform.restore(removed.copy)
+        removed.read()
+        removed.write("d2", 1, born=2)
+        removed.read()
+        assert removed.state("d2") is _READY
+
+    def test_target_that_writes_again_is_listed(self, removed):
+        removed.platform.restore(removed.copy)
+        removed.read()
+        removed.write("d2", 2)
+        removed.read()
+        assert removed.state("d2") is _READY
+
+    def test_draining_heard_from_a_peer_is_not_undone(self, listed):
+        copy = listed.platform.snapshot()
+        listed.write("d1", 2, state="draining")
+        listed.hear(["d1"], [])
+        assert listed.state() is _DRAINING
+        listed.platform.restore(copy)
+        listed.read()
+        assert listed.state() is _DRAINING
+
+
+class TestEpochHeardFromAPeer:
+    def test_time_to_write_again_is_not_given_twice(self, listed, clock):
+        """The own read of the new epoch may come long after a peer's list."""
+        listed.platform.restore(listed.platform.snapshot())
+        listed.hear([], [], epoch=listed.platform.epoch)
+        clock.now_s += _PAST_REWRITE_S
+        listed.hear([], [], epoch=listed.platform.epoch)
+        listed.platform.drop(_TARGETS, "d1")
+        listed.read()
+        assert listed.state() is None
+
+    def test_peer_of_an_earlier_release_begins_no_epoch(self, listed):
+        listed.write("d2", 1)
+        listed.read()
+        listed.hear([], [], epoch=None)
+        listed.platform.drop(_TARGETS, "d2")
+        listed.read()
+        assert listed.state("d2") is None
+
+
 class TestOneEpoch:
     def test_list_of_a_calm_day_is_taken_as_it_is(self, listed):
         listed.write("d1", 5, state="draining")
