A peer's list does not add a target again whose removal was seen

Three of the tests of TestPeerThatListsATargetThatLeft fail before: b is in the table after the peer's full list, and the store is not asked. The fixtures of the file serve both classes now.

--- a/src/briarfall/gateway/targets/entryhistory.py
+++ b/src/briarfall/gateway/targets/entryhistory.py
@@ -50,6 +50,27 @@
                 found.append(kept)
         return found
 
+    def unless_removed(
+        self, entries: list[sources.TargetEntry]
+    ) -> list[sources.TargetEntry]:
+        """Returns a peer's entries without those whose removal was seen.
+
+        The peer may keep a target that the store's list lacks, or may have read
+        an older copy. An entry that was written since the removal is returned.
+        """
+        found = []
+        for entry in entries:
+            removed = self._removed.get(entry.id)
+            if removed is None or _is_older(removed, entry):
+                found.append(entry)
+                continue
+            logging.info(
+                "target not added, a peer lists the entry that was removed "
+                "target=%s",
+                entry.id,
+            )
+        return found
+
     def record_removed(self, entry: sources.TargetEntry) -> None:
         """Records that a target's entry was removed."""
         self._removed[entry.id] = entry
--- a/src/briarfall/gateway/targets/sourceloss.py
+++ b/src/briarfall/gateway/targets/sourceloss.py
@@ -33,6 +33,9 @@
         # and the time on the boot clock of the first list since then.
         self._unlisted: set[ids.TargetId] = set()
         self._restored_s = 0.0
+        # Time on the boot clock from which a full list tells whether peers are
+        # right who list targets whose removal was seen; None without any.
+        self._recheck_s: float | None = None
 
     def begin(self, read_s: float | None) -> None:
         """Records that neither the store nor peers provide the list.
@@ -89,6 +92,16 @@
         """Records the entries of a list that was read from the store."""
         self._unlisted.difference_update(entry.id for entry in entries)
 
+    def recheck(self, read_s: float) -> None:
+        """Asks for a full list once a target had time to register again.
+
+        Args:
+            read_s: Time on the boot clock of a peer's list that contradicts
+                what was seen here.
+        """
+        if self._recheck_s is None:
+            self._recheck_s = read_s + _REGISTRATION_S
+
     def discard(self, target_id: ids.TargetId) -> bool:
         """Records that a target is listed again, or was removed.
 
@@ -103,9 +116,14 @@
     def full_list_due_s(self) -> float | None:
         """Time on the boot clock from which a full list is needed.
 
-        None if the latest full list lacks no target of the table.
+        None if the latest full list lacks no target of the table, and no peer
+        lists a target whose removal was seen.
         """
-        return self._kept_until_s if self._kept else None
+        if not self._kept:
+            return self._recheck_s
+        if self._recheck_s is None:
+            return self._kept_until_s
+        return min(self._kept_until_s, self._recheck_s)
 
     @property
     def _kept_until_s(self) -> float:
@@ -127,6 +145,8 @@
             rows: The targets of the table.
             read_s: Time on the boot clock at which the list was read.
         """
+        if self._recheck_s is not None and read_s >= self._recheck_s:
+            self._recheck_s = None
         listed = {entry.id for entry in entries}
         missing = []
         for target in rows:
--- a/src/briarfall/gateway/targets/targets.py
+++ b/src/briarfall/gateway/targets/targets.py
@@ -130,6 +130,8 @@
     ) -> list[targetstate.Target]:
         """Applies changes that another instance has read from the store.
 
+        A target whose removal was seen is added only with a newer entry.
+
         Args:
             changed: New and changed entries.
             gone: Targets that were removed.
@@ -150,7 +152,10 @@
                 self._begin_epoch(epoch, read_s)
             self._loss.end(read_s)
             self.read_s = read_s
-            changed = self._history.merge(changed)
+            known = self._history.unless_removed(changed)
+            if len(known) < len(changed):
+                self._loss.recheck(read_s)
+            changed = self._history.merge(known)
             for entry in changed:
                 self._apply_entry(entry, read_s)
             if is_full:
@@ -187,7 +192,7 @@
     def full_list_due_s(self) -> float | None:
         """Time on the boot clock from which a full list is needed.
 
-        None if the latest full list lacks no target of the table.
+        None if no full list is needed.
         """
         return self._loss.full_list_due_s
 
--- a/tests/test_gateway_targetfollower.py
+++ b/tests/test_gateway_targetfollower.py
@@ -20,13 +20,14 @@
 _AFTER_S = 1.4
 
 
-def _entry(name: str) -> sources.TargetEntry:
+def _entry(name: str, beat: int = 0) -> sources.TargetEntry:
     return sources.TargetEntry(
         id=ids.TargetId(name),
         service=views.ServiceName("desk"),
         address=f"10.0.0.1:{8000 + ord(name)}",
         zone=ids.ZoneId("z"),
         state=sources.TargetState.READY,
+        beat=beat,
         started_ms=1,
     )
 
@@ -51,6 +52,7 @@
 
     def __init__(self, *names):
         self.names = list(names)
+        self.beat = 0
         self.is_down = False
         self.reads = 0
         self.tries = 0
@@ -60,7 +62,7 @@
         if self.is_down:
             raise exceptions.LogUnavailableError("down")
         self.reads += 1
-        return [_entry(name) for name in self.names]
+        return [_entry(name, self.beat) for name in self.names]
 
 
 class _Poller:
@@ -84,52 +86,62 @@
         return answer.changes
 
 
-class TestTargetThatLeavesWhileTheStoreIsLost:
-    @pytest.fixture
-    def store(self):
-        """The store as this instance reaches it."""
-        return _Store("a", "b")
+@pytest.fixture
+def store():
+    """The store as this instance reaches it."""
+    return _Store("a", "b")
 
-    @pytest.fixture
-    def table(self):
-        return targets.TargetTable()
 
-    @pytest.fixture
-    def poller(self, clock):
-        """A poller that has started after target b left."""
-        follower = catalogue.CatalogueFollower(_Catalogue(), 5.0, lambda: True)
-        follower.step()
-        return _Poller(clock, follower, _Store("a"))
+@pytest.fixture
+def table():
+    return targets.TargetTable()
 
-    @pytest.fixture
-    def worker(self, clock, monkeypatch, store, table, poller):
-        members = peers.PeerTable("i1", "z")
-        peer = members.add(
-            sources.InstanceRecord(
-                ids.InstanceId("i2"), "10.0.0.1:7000", ids.ZoneId("z"), 1.0
-            )
-        )
-        peer.heard_s = float("inf")
-        peer.reaches_store = True
-        follower = catalogue.CatalogueFollower(_Catalogue(), 5.0, lambda: True)
-        follower.step()
-        row = targetfollower.TargetFollower(
-            store,
-            table,
-            follower,
-            connections.ConnectionPool(),
-            members,
-            poller,
-            _BOUND_S,
+
+@pytest.fixture
+def poller(clock):
+    """A poller that has started after target b left."""
+    follower = catalogue.CatalogueFollower(_Catalogue(), 5.0, lambda: True)
+    follower.step()
+    return _Poller(clock, follower, _Store("a"))
+
+
+@pytest.fixture
+def worker(clock, monkeypatch, store, table, poller):
+    members = peers.PeerTable("i1", "z")
+    peer = members.add(
+        sources.InstanceRecord(
+            ids.InstanceId("i2"), "10.0.0.1:7000", ids.ZoneId("z"), 1.0
         )
-        monkeypatch.setattr(members, "store_pollers", lambda count: [peer])
+    )
+    peer.heard_s = float("inf")
+    peer.reaches_store = True
+    follower = catalogue.CatalogueFollower(_Catalogue(), 5.0, lambda: True)
+    follower.step()
+    row = targetfollower.TargetFollower(
+        store,
+        table,
+        follower,
+        connections.ConnectionPool(),
+        members,
+        poller,
+        _BOUND_S,
+    )
+    monkeypatch.setattr(members, "store_pollers", lambda count: [peer])
+
+    def wait(seconds):
+        clock.now_s += seconds
+
+    monkeypatch.setattr(row.stopped, "wait", wait)
+    return row
+
 
-        def wait(seconds):
-            clock.now_s += seconds
+def _follow(clock, worker, seconds) -> None:
+    end_s = clock.now_s + seconds
+    while clock.now_s < end_s:
+        worker.step()
 
-        monkeypatch.setattr(row.stopped, "wait", wait)
-        return row
 
+class TestTargetThatLeavesWhileTheStoreIsLost:
     def lose_and_regain(self, clock, worker, store, poller):
         """Reads the store, loses it with the peers, and reads it again."""
         worker.read()
@@ -142,18 +154,13 @@
         store.names = ["a"]
         assert worker.read()
 
-    def follow(self, clock, worker, seconds):
-        end_s = clock.now_s + seconds
-        while clock.now_s < end_s:
-            worker.step()
-
     def test_it_is_removed_once_it_had_time_to_register(
         self, clock, worker, store, table, poller
     ):
         self.lose_and_regain(clock, worker, store, poller)
-        self.follow(clock, worker, _BEFORE_S)
+        _follow(clock, worker, _BEFORE_S)
         assert table.get("b") is not None
-        self.follow(clock, worker, _AFTER_S)
+        _follow(clock, worker, _AFTER_S)
         assert table.get("b") is None
         assert table.get("a") is not None
 
@@ -161,9 +168,9 @@
         self, clock, worker, store, table, poller
     ):
         self.lose_and_regain(clock, worker, store, poller)
-        self.follow(clock, worker, _BEFORE_S)
+        _follow(clock, worker, _BEFORE_S)
         store.is_down = True
-        self.follow(clock, worker, _AFTER_S)
+        _follow(clock, worker, _AFTER_S)
         assert table.get("b") is None
 
     def test_target_that_registers_again_costs_no_read(
@@ -172,7 +179,7 @@
         self.lose_and_regain(clock, worker, store, poller)
         poller.store.names = ["a", "b"]
         reads = store.reads
-        self.follow(clock, worker, _BEFORE_S + _AFTER_S)
+        _follow(clock, worker, _BEFORE_S + _AFTER_S)
         assert table.get("b") is not None
         assert store.reads == reads
 
@@ -188,9 +195,9 @@
     ):
         self.lose(worker, store, poller)
         poller.is_silent = False
-        self.follow(clock, worker, _BEFORE_S)
+        _follow(clock, worker, _BEFORE_S)
         assert table.get("b") is not None
-        self.follow(clock, worker, _AFTER_S)
+        _follow(clock, worker, _AFTER_S)
         assert table.get("b") is None
 
     def test_own_read_gives_no_more_time_than_the_list_of_a_peer(
@@ -199,12 +206,12 @@
         self.lose(worker, store, poller)
         poller.is_silent = False
         poller.store.names = ["a", "b"]
-        self.follow(clock, worker, _BEFORE_S)
+        _follow(clock, worker, _BEFORE_S)
         poller.is_silent = True
         store.is_down = False
         store.names = ["a"]
         assert worker.read()
-        self.follow(clock, worker, _AFTER_S)
+        _follow(clock, worker, _AFTER_S)
         assert table.get("b") is None
 
     def test_list_read_before_the_loss_ends_no_loss(
@@ -231,3 +238,43 @@
                 worker.step()
             late_s.append(now_s - due_s)
         assert max(late_s) <= 0.05
+
+
+class TestPeerThatListsATargetThatLeft:
+    """Soak seed 1734: the peer keeps it, or has read an older copy."""
+
+    @pytest.fixture
+    def removed(self, worker, store, poller):
+        """The worker has read that b left; its store poller still has b."""
+        worker.read()
+        store.names = ["a"]
+        worker.read()
+        poller.store.names = ["a", "b"]
+        return worker
+
+    def test_it_is_not_added_again(self, clock, removed, table):
+        for _ in range(40):
+            removed.step()
+            assert table.get("b") is None
+        assert table.get("a") is not None
+
+    def test_it_is_added_with_a_newer_entry(
+        self, clock, removed, table, poller
+    ):
+        poller.store.beat = 1
+        _follow(clock, removed, _BEFORE_S)
+        assert table.get("b") is not None
+
+    def test_store_decides_once_the_target_had_time_to_register(
+        self, clock, removed, table, store
+    ):
+        store.names = ["a", "b"]
+        _follow(clock, removed, _BEFORE_S)
+        assert table.get("b") is None
+        _follow(clock, removed, _AFTER_S)
+        assert table.get("b") is not None
+
+    def test_store_is_read_once_for_it(self, clock, removed, store):
+        reads = store.reads
+        _follow(clock, removed, 5 * (_BEFORE_S + _AFTER_S))
+        assert store.reads == reads + 1
