fault-soak: a request that reached no instance is none of a peer

The check of cuts asks whether an instance with links ran undisturbed during a request.

The same requests no longer count among the others that were not served, which excused cut instances: there the check is stricter. Both tests fail before.

--- a/src/briarfall/standins/prepared/faultsoak/cutchecks.py
+++ b/src/briarfall/standins/prepared/faultsoak/cutchecks.py
@@ -13,10 +13,14 @@
 def check(
     done: records.Records, outcomes: list[callers.RequestOutcome]
 ) -> list[str]:
-    """Returns a line for each cut whose instances served far worse."""
+    """Returns a line for each cut whose instances served far worse.
+
+    Requests that reached no instance tell nothing of any.
+    """
+    reached = [row for row in outcomes if row.instance]
     broken = []
     for cut in done.cuts:
-        broken += _check_cut(done, cut, outcomes)
+        broken += _check_cut(done, cut, reached)
     return broken
 
 
--- a/tests/test_faultsoak_checks.py
+++ b/tests/test_faultsoak_checks.py
@@ -392,7 +392,15 @@
     """Callers of instances that have no links to targets."""
 
     def check(
-        self, failed, served, *, others_served=50, cut_s=5.0, stops=(), at_s=3.5
+        self,
+        failed,
+        served,
+        *,
+        others_served=50,
+        cut_s=5.0,
+        stops=(),
+        at_s=3.5,
+        more=(),
     ):
         """Checks a cut of i0.
 
@@ -403,6 +411,7 @@
             cut_s: Duration of the cut.
             stops: Name, start and end of planned stops.
             at_s: When the requests of i0 were sent.
+            more: Further requests.
         """
         done = records.Records()
         for name, start_s, end_s in stops:
@@ -417,7 +426,7 @@
             )
         )
         sent_s = START_S + at_s
-        rows = []
+        rows = list(more)
         for number in range(failed + served):
             status = 503 if number < failed else 200
             rows.append(
@@ -448,6 +457,23 @@
         assert self.check(20, 0, stops=stops, at_s=4.5) == []
         assert self.check(20, 0, stops=stops, at_s=3.9)
 
+    def test_requests_at_no_instance_are_none_of_a_peer(self):
+        stops = [("i1", 4.0, 8.0)]
+        nowhere = [make_outcome(instance="", sent_s=START_S + 4.5)]
+        assert self.check(20, 0, stops=stops, at_s=4.5, more=nowhere) == []
+        assert self.check(20, 0, more=nowhere)
+
+    def test_requests_at_no_instance_are_none_of_others(self):
+        sent_s = START_S + 3.5
+        nowhere = []
+        for _ in range(150):
+            nowhere.append(
+                make_outcome(
+                    instance="", status=0, sent_s=sent_s, ended_s=sent_s
+                )
+            )
+        assert self.check(30, 10, more=nowhere)
+
     def test_stop_of_another_cut_instance_is_no_excuse(self):
         assert self.check(20, 0, stops=[("i2", 4.0, 8.0)], at_s=4.5)
 
