--- a/tests/test_gateway_restoredpeers.py
+++ b/tests/test_gateway_restoredpeers.py
@@ -1,6 +1,7 @@
 """Instances that start just after the store came back from an older copy."""
 
 import threading
+import time
 
 import pytest
 
@@ -77,3 +78,63 @@
         scene.store.restore(scene.store.snapshot())
         second = scene.instance("i2", zone)
         assert testbed.call(second, "/views/1").status == 200
+
+
+# Time in which instances treat an entry that is still missing as gone, with
+# some for the load of the machine.
+_GONE_S = 5.0
+# Several reads of the list of targets.
+_WATCH_S = 2.0
+
+
+@pytest.mark.parametrize("zone", ["z1", "z2"])
+class TestTargetThatLeftBeforeTheLoss:
+    """A target that left; the copy holds or lacks its entry."""
+
+    @pytest.fixture
+    def rows(self, scene, zone):
+        """Two instances that know each other."""
+        rows = [scene.instance("i1"), scene.instance("i2", zone)]
+        for inst in rows:
+            testbed.until(lambda inst=inst: inst.peers.alive(), "a peer")
+        return rows
+
+    def wait_gone(self, rows, target):
+        for inst in rows:
+            testbed.until(
+                lambda inst=inst: inst.targets.get(target.id) is None,
+                f"{target.id} is gone",
+            )
+
+    def test_removal_that_no_instance_has_read(self, scene, rows, zone):
+        """The review's sequence, and soak seed 1737."""
+        copy = scene.store.snapshot()
+        target = scene.service("n1")
+        scene.wait_for_targets(target)
+        scene.store.status = -1
+        target.remove()
+        time.sleep(0.6)
+        scene.store.restore(copy)
+        scene.store.status = 0
+        back_s = time.monotonic()
+        self.wait_gone(rows, target)
+        assert time.monotonic() - back_s < _GONE_S
+
+    def test_removal_that_all_instances_have_read(self, scene, rows, zone):
+        target = scene.service("n1")
+        scene.wait_for_targets(target)
+        copy = scene.store.snapshot()
+        target.remove()
+        self.wait_gone(rows, target)
+        scene.store.restore(copy)
+        until_s = time.monotonic() + _WATCH_S
+        while time.monotonic() < until_s:
+            for inst in rows:
+                assert inst.targets.get(target.id) is None
+            time.sleep(0.01)
+        for inst in rows:
+            testbed.until(
+                lambda inst=inst: inst.targets.epoch == scene.store.epoch,
+                "a list of the new epoch",
+            )
+            assert inst.targets.get(target.id) is None
