--- a/tests/test_orders_restores.py
+++ b/tests/test_orders_restores.py
@@ -1,8 +1,11 @@
 """Claims when the log comes back from an older copy of its contents."""
 
+import collections
 import threading
 import time
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from briarfall import exceptions
@@ -42,9 +45,11 @@
 
     def __init__(self):
         self.ran = 0
+        self.ran_by_body = collections.Counter()
 
     def send(self, call, timeout_s):
         self.ran += 1
+        self.ran_by_body[call.body] += 1
         return httpclient.Reply(200, b"done")
 
 
@@ -82,17 +87,23 @@
     opened = []
 
     def start(name):
-        adapter = log.HttpLogAdapter(standin.url)
-        # An instance reads the catalogue before it serves anybody.
-        adapter.read("catalogue", 0, limit=1, wait_s=0.0)
-        found = partitions.PartitionSet(adapter, _SKEW_S)
+        found = _start(standin, target, name)
         opened.append(found)
-        directory = claimrouting.StandaloneDirectory(ids.InstanceId(name))
-        return _Instance(name, found, directory, target)
+        return found
 
     yield start
     for found in opened:
-        found.stop()
+        found.partitions.stop()
+
+
+def _start(standin, target, name):
+    """Starts an instance."""
+    adapter = log.HttpLogAdapter(standin.url)
+    # An instance reads the catalogue before it serves anybody.
+    adapter.read("catalogue", 0, limit=1, wait_s=0.0)
+    found = partitions.PartitionSet(adapter, _SKEW_S)
+    directory = claimrouting.StandaloneDirectory(ids.InstanceId(name))
+    return _Instance(name, found, directory, target)
 
 
 class _Instance:
@@ -122,12 +133,12 @@
     def partition(self):
         return self.partitions.get("s", 0, self.service.window_s)
 
-    def send(self, key, timeout_s=3.0):
+    def send(self, key, timeout_s=3.0, body=b"x"):
         req = dispatch.OrderRequest(
             ids.ClientId("crew"),
             ids.EntryName("s"),
             self.service,
-            dispatch.services.ServiceCall("POST", "/orders", b"x", {}),
+            dispatch.services.ServiceCall("POST", "/orders", body, {}),
             key,
             time.monotonic() + timeout_s,
         )
@@ -242,3 +253,82 @@
 
 def _text(standin):
     return b"\n".join(row.data for row in standin.records(_STREAM))
+
+
+class _RandomDay:
+    """Instances that claim calls in a log that is restored at random."""
+
+    def __init__(self):
+        self._standin = log_standins.LogStandin()
+        self._standin.start()
+        self._target = _Target()
+        self._instances = []
+        for number in range(2):
+            self._instances.append(self._start(number))
+        self._keys = [keys.new_key()]
+        self._copies = [self._standin.snapshot()]
+
+    def _start(self, number):
+        return _start(self._standin, self._target, f"i{number}")
+
+    def close(self) -> None:
+        """Ends all instances and the log."""
+        for inst in self._instances:
+            inst.partitions.stop()
+        self._standin.stop()
+
+    def make_key(self, number) -> None:
+        """A caller makes a key."""
+        del number
+        self._keys.append(keys.new_key())
+
+    def send(self, number) -> None:
+        """A caller sends one of the newest keys to an instance."""
+        key = self._keys[-1 - number // 2 % len(self._keys)]
+        body = key.encode()
+        try:
+            self._instances[number % 2].send(key, _SEND_S, body)
+        except exceptions.BriarfallError:
+            return
+        finally:
+            assert self._target.ran_by_body[body] <= 1
+
+    def copy(self, number) -> None:
+        """A copy of the log is made."""
+        del number
+        self._copies.append(self._standin.snapshot())
+
+    def restore(self, number) -> None:
+        """The log comes back from one of the newest copies."""
+        del self._copies[max(1, len(self._copies) - number) :]
+        self._standin.restore(self._copies[-1])
+
+    def restart(self, number) -> None:
+        """An instance ends and another one knows nothing."""
+        number %= 2
+        self._instances[number].partitions.stop()
+        self._instances[number] = self._start(number)
+
+
+_SEND_S = 0.5
+_STEPS = "make_key send send copy restore restart".split()
+
+
+class TestRandomRestores:
+    @hypothesis.settings(max_examples=30)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(_STEPS), strategies.integers(0, 3)
+            ),
+            min_size=10,
+            max_size=30,
+        )
+    )
+    def test_no_call_runs_twice(self, steps):
+        day = _RandomDay()
+        try:
+            for name, number in steps:
+                getattr(day, name)(number)
+        finally:
+            day.close()
