--- a/src/briarfall/gateway/gossip/peerresponder.py
+++ b/src/briarfall/gateway/gossip/peerresponder.py
@@ -86,8 +86,9 @@
         # The age is taken before the changes, so that the changes sent can only
         # be newer than it says.
         targets_age_ms = _age_ms(self._targets.read_s)
-        epoch = self._targets.epoch
         revision, data = self.packed_changes(since)
+        # Taken after them: an epoch that is told too early undoes nothing.
+        epoch = self._targets.epoch
         return peermessages.FreshnessResponse(
             number=request.number,
             incarnation=self._incarnation,
--- a/src/briarfall/gateway/targets/sourceloss.py
+++ b/src/briarfall/gateway/targets/sourceloss.py
@@ -106,7 +106,8 @@
         """Records that a target is listed again, or was removed.
 
         Returns:
-            Whether it was kept though the latest full list lacked it.
+            Whether it was kept although a full list lacked it. Its removal was
+            then not seen.
         """
         was_kept = target_id in self._kept
         self._kept.discard(target_id)
