--- a/src/briarfall/gateway/gossip/peerresponder.py
+++ b/src/briarfall/gateway/gossip/peerresponder.py
@@ -87,6 +87,8 @@
         # be newer than it says.
         targets_age_ms = _age_ms(self._targets.read_s)
         revision, data = self.packed_changes(since)
+        # Taken after them: an epoch that is told too early undoes nothing.
+        epoch = self._targets.epoch
         return peermessages.FreshnessResponse(
             number=request.number,
             incarnation=self._incarnation,
@@ -97,6 +99,7 @@
             parts=_part_count(data),
             since=since,
             revision=revision,
+            epoch=-1 if epoch is None else epoch,
         )
 
     def packed_changes(self, since: int) -> tuple[int, bytes]:
