--- a/src/briarfall/cli/benches.py
+++ b/src/briarfall/cli/benches.py
@@ -160,7 +160,15 @@
 
 
 def once_soak(
-    *, seed: int = 1, seeds: int = 1, seconds: float = 10.0, keep: str = ""
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 10.0,
+    keep: str = "",
+    wide: bool = False,
+    sound: bool = False,
+    old: str = "",
+    old_use: str = "first",
 ) -> int:
     """Looks for orders that run twice while targets break connections.
 
@@ -169,13 +177,25 @@
         seeds: Number of consecutive seeds to run.
         seconds: Duration of the faults for each seed.
         keep: Folder to keep settings and logs in; not kept if empty.
+        wide: Whether to run four instances with cut links, relays, silent
+            targets and changes of the configuration.
+        sound: Whether the targets of a wide run keep to the protocol.
+        old: Checkout of an earlier release for a wide run; empty for none.
+        old_use: Instances that run it: first (all, until each is upgraded),
+            half or all.
     """
-    from briarfall.standins.prepared.faultsoak import oncesoak as bench
+    from briarfall.standins.prepared.faultsoak import oncesoak
+    from briarfall.standins.prepared.faultsoak import oncewide
 
+    options = oncewide.WideOptions(sound, old, oncewide.OldUse(old_use))
     failed_seeds = 0
     for number in range(seed, seed + seeds):
         folder = f"{keep}/{number}" if keep else ""
-        failed_seeds += bool(bench.run(number, seconds, folder))
+        if wide:
+            broken = oncewide.run(number, seconds, folder, options)
+        else:
+            broken = oncesoak.run(number, seconds, folder)
+        failed_seeds += bool(broken)
     return int(failed_seeds > 0)
 
 
--- a/src/briarfall/standins/prepared/faultsoak/catalogues.py
+++ b/src/briarfall/standins/prepared/faultsoak/catalogues.py
@@ -38,11 +38,13 @@
         time_s: When it was written, in seconds of the monotonic clock.
         services: Service of each route.
         timeouts_s: Timeout of each route, in seconds.
+        kinds: Kind of each route.
     """
 
     time_s: float
     services: dict[str, str]
     timeouts_s: dict[str, float]
+    kinds: dict[str, str]
 
 
 class Catalogue:
@@ -55,6 +57,9 @@
 
     Attributes:
         routes: The routes by name, which is also their first path segment.
+        attempts: Targets to which one request may be sent.
+        idle_timeout_ms: Time for which connections may be idle, or 0 for the
+            default of the instances.
         published: The versions that were written.
         revoked: Revoked keys and the time of each revocation.
     """
@@ -67,6 +72,8 @@
         self._version = 0
         self._key_number = 0
         self._lock = threading.Lock()
+        self.attempts = 2
+        self.idle_timeout_ms = 0
         self.published: list[Published] = []
         self.revoked: list[tuple[str, float]] = []
         self.routes = {
@@ -110,6 +117,26 @@
             self.routes[name].timeout_ms = timeout_ms
             self._publish()
 
+    def set_kind(self, name: str, kind: str) -> None:
+        """Changes whether the requests of a route may be repeated."""
+        with self._lock:
+            self.routes[name].kind = kind
+            self._publish()
+
+    def set_limits(self, attempts: int, idle_timeout_ms: int) -> None:
+        """Changes the targets of a request and the time of idle connections."""
+        with self._lock:
+            self.attempts = attempts
+            self.idle_timeout_ms = idle_timeout_ms
+            self._publish()
+
+    def may_repeat(self, name: str, start_s: float, end_s: float) -> bool:
+        """Whether some version in a period lets a route's requests repeat."""
+        for row in self.within(start_s, end_s):
+            if row.kinds[name] != "mutating":
+                return True
+        return False
+
     def timeout_s(self, name: str, start_s: float, end_s: float) -> float:
         """Returns the shortest timeout that a route had in a period."""
         found_s = [row.timeouts_s[name] for row in self.within(start_s, end_s)]
@@ -140,7 +167,7 @@
                     "timeout_ms": route.timeout_ms,
                     "slo_ms": 500,
                     "service": route.service,
-                    "attempts": 2,
+                    "attempts": self.attempts,
                     "resumable": route.is_resumable,
                     "gap_aim_ms": _GAP_SLO_MS,
                 }
@@ -151,6 +178,8 @@
             "routes": rows,
             "tenants": [{"name": "crew", "api_keys": ["stable", self.key]}],
         }
+        if self.idle_timeout_ms:
+            manifest["limits"] = {"idle_timeout_ms": self.idle_timeout_ms}
         self.published.append(
             Published(
                 time.monotonic(),
@@ -159,6 +188,7 @@
                     name: row.timeout_ms / 1000
                     for name, row in self.routes.items()
                 },
+                {name: row.kind for name, row in self.routes.items()},
             )
         )
         self._store.put("keyed.op", "config", manifest)
--- a/src/briarfall/standins/prepared/faultsoak/hostileservice.py
+++ b/src/briarfall/standins/prepared/faultsoak/hostileservice.py
@@ -73,26 +73,41 @@
         platform: Stand-in of the store.
         target_id: Its id.
         seed: Determines the behaviours.
+        zone: Its availability zone.
+        service: Name of the service.
+        host: Loopback address to listen at.
 
     Attributes:
         behaviours: Behaviours to draw from, besides SERVE.
         drawn: Number of requests by behaviour.
+        hosts: Loopback host at which each request that ran arrived, with its
+            id; it tells the instance that sent it.
     """
 
-    def __init__(self, platform, target_id: str, seed: int, zone="z0"):
-        super().__init__(platform, target_id, "desk", zone)
+    def __init__(
+        self,
+        platform,
+        target_id: str,
+        seed: int,
+        zone="z0",
+        service="desk",
+        host=rawhttp.HOST,
+    ):
+        super().__init__(platform, target_id, service, zone, host)
         self._rng = random.Random(seed)
         self.behaviours = list(Behaviour)
         self.drawn: dict[Behaviour, int] = dict.fromkeys(Behaviour, 0)
+        self.hosts: list[tuple[str, str]] = []
         self._last: dict[rawhttp.RawConnection, bytes] = {}
 
     def handle(self, conn: rawhttp.RawConnection, req) -> bool:
         """Handles a request; returns whether the connection stays open."""
         self.record_arrival(req)
+        request_id = req.headers.get("x-request-id", "")
         behaviour = self._draw()
         if behaviour not in _WITHOUT_RUN:
             self.record_run(req)
-        request_id = req.headers.get("x-request-id", "")
+            self.hosts.append((request_id, conn.sock.getsockname()[0]))
         if behaviour in _REFUSALS:
             return self._refuse(conn, request_id, *_REFUSALS[behaviour])
         if behaviour in (Behaviour.RESET, Behaviour.RUN_AND_RESET):
@@ -107,7 +122,7 @@
         if behaviour is Behaviour.GARBAGE:
             conn.send(b"\x00\x01 no response\r\n\r\n")
             return False
-        return self._serve(conn, behaviour, echo, b"ran:" + req.body)
+        return self._serve(conn, behaviour, echo, b"ran:" + request_id.encode())
 
     def _draw(self) -> Behaviour:
         with self.lock:
--- a/src/briarfall/standins/prepared/faultsoak/instancefaults.py
+++ b/src/briarfall/standins/prepared/faultsoak/instancefaults.py
@@ -18,6 +18,38 @@
 _READY_PAUSE_S = 0.1
 
 
+def stop(scene: scenes.Scene, row: processes.GatewayProcess) -> None:
+    """Stops an instance as planned and starts it again."""
+    start_s = time.monotonic()
+    row.signal(signal.SIGTERM)
+    row.wait()
+    row.start()
+    scene.records.disturb(row.name, start_s, is_planned=True)
+
+
+def kill(
+    scene: scenes.Scene, row: processes.GatewayProcess, gone_s: float
+) -> None:
+    """Kills an instance and starts it again after a time."""
+    start_s = time.monotonic()
+    row.signal(signal.SIGKILL)
+    row.wait()
+    time.sleep(gone_s)
+    row.start()
+    scene.records.disturb(row.name, start_s)
+
+
+def pause(
+    scene: scenes.Scene, row: processes.GatewayProcess, pause_s: float
+) -> None:
+    """Stops an instance from running for a time."""
+    start_s = time.monotonic()
+    row.signal(signal.SIGSTOP)
+    time.sleep(pause_s)
+    row.signal(signal.SIGCONT)
+    scene.records.disturb(row.name, start_s)
+
+
 class Restart(faults.FaultKind):
     """Stops an instance as planned and starts it again."""
 
@@ -30,11 +62,7 @@
         row = scene.pick_instance()
         if row is None:
             return "none"
-        start_s = time.monotonic()
-        row.signal(signal.SIGTERM)
-        row.wait()
-        row.start()
-        scene.records.disturb(row.name, start_s, is_planned=True)
+        stop(scene, row)
         return row.name
 
 
@@ -50,12 +78,7 @@
         row = scene.pick_instance()
         if row is None:
             return "none"
-        start_s = time.monotonic()
-        row.signal(signal.SIGKILL)
-        row.wait()
-        time.sleep(fault_s / 4)
-        row.start()
-        scene.records.disturb(row.name, start_s)
+        kill(scene, row, fault_s / 4)
         return row.name
 
 
@@ -71,11 +94,7 @@
         row = scene.pick_instance()
         if row is None:
             return "none"
-        start_s = time.monotonic()
-        row.signal(signal.SIGSTOP)
-        time.sleep(fault_s * 2)
-        row.signal(signal.SIGCONT)
-        scene.records.disturb(row.name, start_s)
+        pause(scene, row, fault_s * 2)
         return row.name
 
 
@@ -119,11 +138,7 @@
         names = []
         with self._lock:
             for row in scene.instances:
-                start_s = time.monotonic()
-                row.signal(signal.SIGTERM)
-                row.wait()
-                row.start()
-                scene.records.disturb(row.name, start_s, is_planned=True)
+                stop(scene, row)
                 _wait_ready(row)
                 names.append(row.name)
         return ",".join(names)
--- a/src/briarfall/standins/prepared/faultsoak/linkcuts.py
+++ b/src/briarfall/standins/prepared/faultsoak/linkcuts.py
@@ -16,6 +16,7 @@
     """Cuts some, most or all instances, or a zone, off from all targets."""
 
     name = "link_cut"
+    durations_s: tuple[tuple[float, float], ...] = _DURATIONS_S
 
     def apply(
         self, scene: scenes.Scene, rng: random.Random, fault_s: float
@@ -26,7 +27,7 @@
             return "none"
         kinds = list(links.Cut)
         kind = rng.choice(kinds[1:])
-        cut_s = rng.uniform(*rng.choice(_DURATIONS_S))
+        cut_s = rng.uniform(*rng.choice(self.durations_s))
         with scene.records.cut(names, kind):
             scene.set_cut(names, kind)
             time.sleep(cut_s)
--- a/src/briarfall/standins/prepared/faultsoak/oncesoak.py
+++ b/src/briarfall/standins/prepared/faultsoak/oncesoak.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 import pathlib
 import random
 import signal
@@ -18,13 +19,13 @@
 from briarfall.standins.prepared.faultsoak import callers
 from briarfall.standins.prepared.faultsoak import hostileservice
 from briarfall.standins.prepared.faultsoak import oncecallers
+from briarfall.standins.prepared.faultsoak import oncechecks
 from briarfall.standins.prepared.faultsoak import processes
 from briarfall.standins.prepared.faultsoak import proxy
 
 _INSTANCES = 2
 _SERVICES = 3
 _CALLERS = 10
-_PROMISES = (408, 421, 429, 503)
 _HEARTBEAT_S = 1.0
 _MAX_PAUSE_S = 0.4
 _MAX_FAULT_S = 0.5
@@ -47,34 +48,46 @@
 
     def __init__(self, seed: int, seconds: float, folder: pathlib.Path):
         self._rng = random.Random(seed)
+        self._seed = seed
         self._seconds = seconds
+        self._folder = folder
         self._stopped = threading.Event()
         self.fault_count = 0
         self.outcomes: list[oncecallers.OnceOutcome] = []
+        self.services: list[hostileservice.HostileService] = []
+        self._instances: list[processes.GatewayProcess] = []
+        self._build()
+
+    def _build(self) -> None:
+        """Starts the store and the services; prepares the instances."""
         self._store = store.StoreStandin()
         self._publish()
-        self.services = []
         self._links = []
         for number in range(_SERVICES):
             service = hostileservice.HostileService(
-                self._store, f"d{number}", seed * 100 + number
+                self._store, f"d{number}", self._seed * 100 + number
             )
             link = proxy.Proxy(service.address)
             service.address = link.address
             self.services.append(service)
             self._links.append(link)
-        self._instances = []
         for number in range(_INSTANCES):
             self._instances.append(
                 processes.GatewayProcess(
-                    f"i{number}", "z0", self._store.address, folder
+                    f"i{number}", "z0", self._store.address, self._folder
                 )
             )
+        self._add_callers(("orders",), _CALLERS)
+
+    def _add_callers(self, paths: tuple[str, ...], count: int) -> None:
         self._callers = []
-        for number in range(_CALLERS):
+        for number in range(count):
             self._callers.append(
                 oncecallers.OnceCaller(
-                    f"c{number}", self._instances, "orders", seed * 100 + number
+                    f"c{number}",
+                    self._instances,
+                    paths,
+                    self._seed * 100 + number,
                 )
             )
 
@@ -179,18 +192,12 @@
         time.sleep(fault_s)
         link.set_fault(proxy.LinkFault.NONE)
 
-    def _runs(self) -> collections.Counter[str]:
-        runs = collections.Counter()
-        for service in self.services:
-            runs.update(service.ran_ids())
-        return runs
-
     def unanswered_runs(self) -> list[str]:
         """Returns requests that ran and got no response.
 
         A killed instance leaves such requests; others should not.
         """
-        runs = self._runs()
+        runs = oncechecks.runs_of(self.services)
         found = []
         for row in self.outcomes:
             if runs[row.id] and not row.status and not row.has_left:
@@ -199,19 +206,11 @@
 
     def check(self) -> list[str]:
         """Returns a line for each violated guarantee."""
-        runs = self._runs()
-        broken = []
-        for row in self.outcomes:
-            count = runs[row.id]
-            if count > 1:
-                broken.append(f"{row.id}: ran {count} times")
-            if count and row.status in _PROMISES:
-                broken.append(f"{row.id}: status {row.status} although it ran")
-            if count and row.was_reset:
-                broken.append(f"{row.id}: reset unread although it ran")
-            if row.status == 200 and row.body != b"ran:" + row.id.encode():
-                broken.append(f"{row.id}: body {row.body[:40]!r}")
-        return broken
+        return oncechecks.check(self.outcomes, self.services, self._is_judged)
+
+    def _is_judged(self, row: oncecallers.OnceOutcome) -> bool:
+        """Whether an attempt may run at most once by all versions in force."""
+        return True
 
     def summary(self) -> str:
         """Returns what happened, in one line."""
@@ -223,6 +222,7 @@
         resets = sum(row.was_reset for row in self.outcomes)
         return (
             f"faults={self.fault_count} requests={len(self.outcomes)} "
+            f"orders={len({row.order for row in self.outcomes})} "
             f"resets={resets} unanswered_runs={len(self.unanswered_runs())} "
             f"statuses={dict(sorted(statuses.items()))} "
             f"behaviours={dict(sorted(drawn.items()))}"
@@ -246,12 +246,23 @@
         seconds: Duration of the faults, in seconds.
         keep: Folder for settings and logs; if empty, they are deleted.
     """
+    with folder_of(keep) as folder:
+        return report(seed, OnceSoak(seed, seconds, folder))
+
+
+@contextlib.contextmanager
+def folder_of(keep: str):
+    """Yields the folder to keep, or one that is deleted afterwards."""
     with tempfile.TemporaryDirectory() as scratch:
         folder = pathlib.Path(keep or scratch)
         folder.mkdir(parents=True, exist_ok=True)
-        soak = OnceSoak(seed, seconds, folder)
-        broken = soak.run()
-        print(f"seed {seed}: {len(broken)} broken, {soak.summary()}")
-        for line in broken[:20]:
-            print(f"  {line}")
-        return broken
+        yield folder
+
+
+def report(seed: int, soak: OnceSoak) -> list[str]:
+    """Runs a soak; prints and returns the violated guarantees."""
+    broken = soak.run()
+    print(f"seed {seed}: {len(broken)} broken, {soak.summary()}", flush=True)
+    for line in broken[:20]:
+        print(f"  {line}", flush=True)
+    return broken
--- a/src/briarfall/standins/prepared/faultsoak/scenes.py
+++ b/src/briarfall/standins/prepared/faultsoak/scenes.py
@@ -125,6 +125,10 @@
         """All services and engines."""
         return [*self.plain_services, *self.engines]
 
+    def host_of(self, name: str) -> str:
+        """Returns the host at which an instance reaches all targets."""
+        return self._hosts[name]
+
     def set_cut(self, names: frozenset[str], cut: links.Cut) -> None:
         """Cuts instances off from all targets, or ends that."""
         for target in self.targets:
