Sound services of the wide once-soak refuse and close as the protocol allows

Targets that are full refuse with the not-run header, and idle connections are closed; both give a reason to send a request again, which services that only serve late don't. Slowed instances, links to the store and faults of the store give instances differing views.

--- a/src/briarfall/standins/prepared/faultsoak/hostileservice.py
+++ b/src/briarfall/standins/prepared/faultsoak/hostileservice.py
@@ -65,6 +65,14 @@
     Behaviour.MISDIRECT: (421, False),
 }
 
+# Behaviours that the protocol allows a sound service.
+SOUND = (
+    Behaviour.SERVE_LATE,
+    Behaviour.SERVE_LATE,
+    Behaviour.SERVE_AND_CLOSE,
+    Behaviour.REFUSE,
+)
+
 
 class HostileService(registeredtarget.RegisteredTarget):
     """A plain service that draws a behaviour for each request.
--- a/src/briarfall/standins/prepared/faultsoak/oncefaults.py
+++ b/src/briarfall/standins/prepared/faultsoak/oncefaults.py
@@ -11,6 +11,7 @@
 from briarfall.standins.prepared.faultsoak import linkcuts
 from briarfall.standins.prepared.faultsoak import processes
 from briarfall.standins.prepared.faultsoak import scenes
+from briarfall.standins.prepared.faultsoak import storefaults
 from briarfall.standins.prepared.faultsoak import targetsilence
 
 # Route whose kind changes; that of the other one stays.
@@ -179,4 +180,7 @@
     instancefaults.Kill(),
     instancefaults.Restart(),
     instancefaults.Reload(),
+    instancefaults.Slow(),
+    storefaults.StoreLink(),
+    storefaults.Store(),
 ]
--- a/src/briarfall/standins/prepared/faultsoak/oncewide.py
+++ b/src/briarfall/standins/prepared/faultsoak/oncewide.py
@@ -100,7 +100,7 @@
             self._target_host,
         )
         if self._is_sound:
-            target.behaviours = [hostileservice.Behaviour.SERVE_LATE]
+            target.behaviours = list(hostileservice.SOUND)
         self.plain_services.append(target)
         return target
 
--- a/tests/test_oncesoak.py
+++ b/tests/test_oncesoak.py
@@ -181,6 +181,20 @@
         assert len(old) == old_count
         assert processes.CHECKOUT != pathlib.Path("elsewhere")
 
+    def test_sound_services_draw_only_what_the_protocol_allows(self, tmp_path):
+        options = oncewide.WideOptions(is_sound=True)
+        scene = oncewide.OnceScene(1, tmp_path, options)
+        service = scene.plain_services[0]
+        for _ in range(200):
+            service._draw()
+        drawn = {row for row, count in service.drawn.items() if count}
+        assert drawn == {
+            hostileservice.Behaviour.SERVE,
+            hostileservice.Behaviour.SERVE_LATE,
+            hostileservice.Behaviour.SERVE_AND_CLOSE,
+            hostileservice.Behaviour.REFUSE,
+        }
+
     def test_every_change_keeps_the_orders_route_mutating(self, soak):
         rng = random.Random(1)
         for _ in range(30):
