Stand-ins wait for the end of their accept threads

What it asserts is the same, and one thing more: three sockets were opened. test_stand_ins_accept_connections_meanwhile holds the patch to that.

--- a/src/briarfall/standins/prepared/network.py
+++ b/src/briarfall/standins/prepared/network.py
@@ -44,7 +44,8 @@
         self._links: list[_Link] = []
         self._silent, self._fillers = _open_silent_listener()
         self._resetting = socket.create_server(("127.0.0.1", 0))
-        threading.Thread(target=self._reset_all, daemon=True).start()
+        self._accepting = threading.Thread(target=self._reset_all, daemon=True)
+        self._accepting.start()
 
     def cut(self, kind: Cut, targets) -> None:
         """Cuts the links to some targets.
@@ -107,6 +108,9 @@
             links = list(self._links)
         for link in links:
             link.apply(Cut.RESET)
+        # Only a shutdown wakes the thread that waits in accept.
+        self._resetting.shutdown(socket.SHUT_RDWR)
+        self._accepting.join()
         for sock in [self._silent, self._resetting, *self._fillers]:
             sock.close()
 
--- a/src/briarfall/standins/prepared/rawhttp.py
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -177,6 +177,7 @@
         self.host = host
         self.port = port
         self._listener: socket.socket | None = None
+        self._accepting: threading.Thread | None = None
         self.reopen()
         self.address = f"{self.host}:{self.port}"
 
@@ -190,9 +191,10 @@
             (self.host, self.port), backlog=256
         )
         self.port = self._listener.getsockname()[1]
-        threading.Thread(
+        self._accepting = threading.Thread(
             target=self._accept, args=(self._listener,), daemon=True
-        ).start()
+        )
+        self._accepting.start()
 
     def _accept(self, listener: socket.socket) -> None:
         while True:
@@ -241,8 +243,15 @@
             self._listener.shutdown(socket.SHUT_RDWR)
         except OSError:
             pass
+        self._await_accepting()
         self._listener.close()
 
+    def _await_accepting(self) -> None:
+        """Waits for the end of the thread that accepts connections."""
+        thread = self._accepting
+        if thread is not None and thread is not threading.current_thread():
+            thread.join()
+
     def _accept_waiting(self) -> None:
         """Accepts connections that the end of the listener would reset."""
         try:
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -1,11 +1,16 @@
 """Tests that an address that names no endpoint ends no thread."""
 
+import socket
+import threading
+
 import pytest
 
 from briarfall import addresses
 from briarfall import exceptions
+from briarfall.gateway.exchanges import dialing
 from briarfall.gateway.exchanges import targetconnection
 from briarfall.gateway.targets import liveness
+from briarfall.standins.prepared import testbed
 
 ODD_ADDRESSES = {
     "port_99999": "127.0.0.1:99999",
@@ -67,19 +72,48 @@
         found = liveness.probe_target(service.address, _UNUSABLE)
         assert found is liveness.Reachability.OPEN
 
-    def test_failed_probe_leaves_no_socket_open(self, monkeypatch):
-        opened = []
-        create = liveness.socket.socket
 
-        def open_socket(*args):
-            opened.append(create(*args))
-            if len(opened) == 3:
+class _ThirdSocketFails:
+    """The module `socket`, whose third socket of one thread can't be opened.
+
+    Other threads, as those of stand-ins, open theirs as before.
+    """
+
+    def __init__(self):
+        self.opened = []
+        self._thread = threading.get_ident()
+
+    def __getattr__(self, name):
+        return getattr(socket, name)
+
+    def socket(self, *args, **kwargs):
+        sock = socket.socket(*args, **kwargs)
+        if threading.get_ident() == self._thread:
+            self.opened.append(sock)
+            if len(self.opened) == 3:
                 raise OSError(24, "too many open files")
-            return opened[-1]
+        return sock
 
-        monkeypatch.setattr(liveness.socket, "socket", open_socket)
+
+class TestProbeWithoutDescriptors:
+    @pytest.fixture
+    def sockets(self, monkeypatch):
+        found = _ThirdSocketFails()
+        for module in (dialing, liveness):
+            monkeypatch.setattr(module, "socket", found)
+        return found
+
+    def test_failed_probe_leaves_no_socket_open(self, sockets):
         addresses = {f"127.0.0.1:{port}" for port in (1, 2, 3, 4)}
         found = liveness._connect_all(addresses)
         assert found.keys() == addresses
-        opened.pop(2).close()
-        assert all(sock.fileno() == -1 for sock in opened)
+        sockets.opened.pop(2).close()
+        assert len(sockets.opened) == 3
+        assert all(sock.fileno() == -1 for sock in sockets.opened)
+
+    def test_stand_ins_accept_connections_meanwhile(self, world, sockets):
+        service = world.service("d1")
+        endpoint = addresses.parse(service.address, "stand-in")
+        with socket.create_connection(endpoint, testbed.WAIT_S):
+            testbed.until(lambda: service.server.opened, "it is accepted")
+        assert not sockets.opened
