An instance that is closed closes the connections of its pools

Instance.close left the idle connections of both pools and of the store's clients open until the garbage collector came by: about five descriptors for each test with an instance (13 tests of test_gateway_changes: 52 sockets of the pools of an instance and its store clients, with their other ends). A process of the product ends after its stop, so that callers never saw it.

--- a/src/briarfall/gateway/exchanges/connections.py
+++ b/src/briarfall/gateway/exchanges/connections.py
@@ -22,6 +22,7 @@
         self.dialer = dialer
         self._lock = threading.Lock()
         self._idle: dict[str, list[targetconnection.TargetConnection]] = {}
+        self._is_closed = False
         self.opened = 0
 
     def acquire(
@@ -72,13 +73,21 @@
         return None
 
     def put(self, conn: targetconnection.TargetConnection) -> None:
-        """Adds an idle connection to the pool."""
+        """Adds an idle connection to the pool; a closed pool closes it."""
+        surplus = self._add(conn)
+        if surplus is not None:
+            surplus.close()
+
+    def _add(
+        self, conn: targetconnection.TargetConnection
+    ) -> targetconnection.TargetConnection | None:
+        """Adds an idle connection; returns one that is not to be kept."""
         with self._lock:
+            if self._is_closed:
+                return conn
             idle = self._idle.setdefault(conn.address, [])
             idle.append(conn)
-            surplus = idle.pop(0) if len(idle) > _MAX_IDLE_PER_TARGET else None
-        if surplus is not None:
-            surplus.close()
+            return idle.pop(0) if len(idle) > _MAX_IDLE_PER_TARGET else None
 
     def return_to_pool(
         self,
@@ -129,6 +138,14 @@
         for conn in idle:
             conn.close()
 
+    def close(self) -> None:
+        """Closes all idle connections; those in use are closed afterwards."""
+        with self._lock:
+            self._is_closed = True
+            addresses = list(self._idle)
+        for address in addresses:
+            self.drop(address)
+
 
 def send_request(
     pool: ConnectionPool,
--- a/src/briarfall/gateway/instance/instance.py
+++ b/src/briarfall/gateway/instance/instance.py
@@ -104,6 +104,7 @@
         self._cfg = cfg
         self._platform = platform
         self._pool = pool
+        self._peer_pool = peer_pool
         self.metrics = metrics.Metrics()
         self.crashes = crashes.CrashTable(rng)
         activity = liveness.ReceiveActivity()
@@ -401,3 +402,5 @@
         self._poison_persister.stop()
         self._summary.stop()
         self.gossip.close()
+        self._pool.close()
+        self._peer_pool.close()
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -35,11 +35,14 @@
         self.store_calls = summary.CallCounts()
         self.ignored_records = summary.CallCounts()
         self.epochs = epochs.EpochTracker()
+        self._clients: list[store.StoreClient] = []
 
         def new_client(purpose: str) -> store.StoreClient:
-            return store.StoreClient(
+            client = store.StoreClient(
                 address, self.store_calls, purpose, self.epochs
             )
+            self._clients.append(client)
+            return client
 
         self.catalogue = topics.CatalogueTopic(new_client("catalogue"))
         self.targets = topics.TargetTopic(
@@ -59,6 +62,11 @@
         )
         self.engines = engines.EngineCalls(pool)
 
+    def close(self) -> None:
+        """Closes the connections to the store."""
+        for client in self._clients:
+            client.close()
+
 
 def run(data: bytes, listeners: dict[str, socket.socket]) -> None:
     """Runs an instance until it receives SIGTERM and has stopped.
--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -78,6 +78,10 @@
             collections.deque(maxlen=_REMEMBERED_APPENDS)
         )
 
+    def close(self) -> None:
+        """Closes the connections to the store."""
+        self._pool.close()
+
     def newest(
         self, topic: str, timeout_s: float
     ) -> tuple[list[KeyedRecord], sources.LogPosition]:
--- a/src/briarfall/standins/prepared/testbed.py
+++ b/src/briarfall/standins/prepared/testbed.py
@@ -101,6 +101,7 @@
         self.store = store.StoreStandin()
         self.fleet = {}
         self.instances: list[instance.Instance] = []
+        self.platforms: list[main.StorePlatform] = []
         self._closers = [self.store.close]
         self.publish(manifest(1))
 
@@ -159,15 +160,17 @@
             **extra,
         )
         pool = connections.ConnectionPool(dialer)
+        platform = main.StorePlatform(cfg.store_address, pool)
         inst = instance.Instance(
             cfg,
-            main.StorePlatform(cfg.store_address, pool),
+            platform,
             pool,
             peer_pool=connections.ConnectionPool(peer_dialer),
         )
         inst.start()
         self.instances.append(inst)
-        self._closers.append(inst.close)
+        self.platforms.append(platform)
+        self._closers.extend((platform.close, inst.close))
         return inst
 
     def instance(self, name="i1", zone="z1", **extra) -> instance.Instance:
