The scene of the fault soak closes its stand-ins

Each soak, and each of some sixty tests of its checks, left its stand-ins of targets and its proxies open for the rest of the process: 41 to 118 descriptors and as many threads each. One worker of a whole run on held 3,477 descriptors and 3,313 threads at its end, 2,700 of them from test_faultsoak_checks.py.

Scene.close closes them all, after the thread that would restart closed targets has ended; Proxy.close wakes its accept thread, waits for it and resets what is open. test_standin_closing.py TestScene: 2 of 2 failed before; TestProxy: the three first failed before, the rest was not awaited (20 s each).

--- a/src/briarfall/standins/prepared/faultsoak/proxy.py
+++ b/src/briarfall/standins/prepared/faultsoak/proxy.py
@@ -1,5 +1,6 @@
 """A loopback TCP proxy that can inject faults into its connections."""
 
+import contextlib
 import enum
 import socket
 import struct
@@ -37,20 +38,30 @@
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         port = self._listener.getsockname()[1]
         self.address = f"127.0.0.1:{port}"
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._accepting = threading.Thread(target=self._accept, daemon=True)
+        self._accepting.start()
 
     def set_fault(self, fault: LinkFault) -> None:
         """Sets the fault of all open and future connections."""
         self._fault = fault
         if fault is LinkFault.RESET:
-            with self._lock:
-                rows = list(self._open)
-            for sock in rows:
-                _reset(sock)
+            self._reset_all()
+
+    def _reset_all(self) -> None:
+        with self._lock:
+            rows = list(self._open)
+        for sock in rows:
+            _reset(sock)
 
     def close(self) -> None:
-        """Stops accepting connections."""
+        """Stops accepting connections and resets the open ones."""
+        # Only a shutdown wakes the thread that waits in accept.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._accepting.join()
         self._listener.close()
+        # Connections that a fault holds back end, too.
+        self.set_fault(LinkFault.RESET)
 
     def _accept(self) -> None:
         while True:
--- a/src/briarfall/standins/prepared/faultsoak/scenes.py
+++ b/src/briarfall/standins/prepared/faultsoak/scenes.py
@@ -148,9 +148,10 @@
                 renew_entry(row)
 
     def close(self) -> None:
-        """Kills the processes."""
-        for row in self.instances:
+        """Kills the processes and closes all stand-ins."""
+        for row in [*self.instances, *self.targets, *self.store_links]:
             row.close()
+        self.store.close()
 
 
 def renew_entry(target: registeredtarget.RegisteredTarget) -> None:
--- a/src/briarfall/standins/prepared/faultsoak/soak.py
+++ b/src/briarfall/standins/prepared/faultsoak/soak.py
@@ -92,12 +92,11 @@
         """Runs the soak and returns a line for each violated guarantee."""
         for row in self.scene.instances:
             row.start()
+        renewing = threading.Thread(
+            target=self.scene.renew_entries, args=(self._stopped,), daemon=True
+        )
+        renewing.start()
         try:
-            threading.Thread(
-                target=self.scene.renew_entries,
-                args=(self._stopped,),
-                daemon=True,
-            ).start()
             count = len(self.scene.instances)
             if not self._wait_served(_READY_S + count * _READY_S_PER_INSTANCE):
                 return ["not ready: a kind of request was not served in time"]
@@ -105,6 +104,8 @@
         finally:
             self._stopped.set()
             self._rotation.stop()
+            # It would restart a target that is closed.
+            renewing.join()
             self.scene.close()
 
     def _run_with_callers(self) -> list[str]:
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -130,7 +130,7 @@
     def scene(self, tmp_path: pathlib.Path):
         scene = soak.Soak(3, 1.0, tmp_path)
         yield scene
-        scene.store.close()
+        scene.scene.close()
 
     def make_outcomes(self, kind, **extra):
         row = callers.RequestOutcome("r1", kind, "stable", 0.0)
@@ -191,7 +191,7 @@
     def service(self, tmp_path: pathlib.Path):
         scene = soak.Soak(3, 1.0, tmp_path)
         yield scene.plain_services[0]
-        scene.store.close()
+        scene.scene.close()
 
     def sent(self, service, request_id, time_s, sent_s=None):
         service.arrivals.append(registeredtarget.Arrival(time_s, request_id))
--- a/tests/test_faultsoak_checks.py
+++ b/tests/test_faultsoak_checks.py
@@ -34,7 +34,7 @@
     """A scene whose processes are not started."""
     run = soak.Soak(3, 1.0, tmp_path, 2, (faultsets.FaultSet.CUTS,))
     yield run.scene
-    run.store.close()
+    run.scene.close()
 
 
 def make_outcome(request_id="r1", **extra):
--- a/tests/test_standin_closing.py
+++ b/tests/test_standin_closing.py
@@ -5,9 +5,14 @@
 
 import pytest
 
+from briarfall import addresses
 from briarfall.standins.prepared import network
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import testbed
+from briarfall.standins.prepared.faultsoak import faultsets
+from briarfall.standins.prepared.faultsoak import proxy
+from briarfall.standins.prepared.faultsoak import soak
+from tests import descriptors
 
 
 def _accept_threads():
@@ -41,6 +46,14 @@
     return True
 
 
+def _await_end(sock):
+    """Waits until the other side has closed or reset a connection."""
+    try:
+        assert not sock.recv(1)
+    except ConnectionResetError:
+        pass
+
+
 class TestRawServer:
     def test_accepts_nothing_after_its_close(self, earlier):
         server = _SlowServer(_answer)
@@ -67,3 +80,32 @@
     def test_accepts_nothing_after_its_close(self, earlier):
         network.Network().close()
         assert _accept_threads() <= earlier
+
+
+class TestProxy:
+    @pytest.mark.parametrize("fault", list(proxy.LinkFault))
+    def test_resets_its_connections_at_its_close(self, earlier, fault):
+        server = rawhttp.RawServer(_answer)
+        link = proxy.Proxy(server.address)
+        endpoint = addresses.parse(link.address, "proxy")
+        with socket.create_connection(endpoint, testbed.WAIT_S) as sock:
+            testbed.until(lambda: server.opened, "it is passed on")
+            link.set_fault(fault)
+            link.close()
+            _await_end(sock)
+        testbed.until(lambda: not server._open, "no connection is open")
+        server.close()
+        assert _accept_threads() <= earlier
+
+
+class TestScene:
+    @pytest.mark.parametrize(
+        "sets", [(), (faultsets.FaultSet.CUTS,)], ids=["usual", "cuts"]
+    )
+    def test_closes_all_stand_ins(self, earlier, tmp_path, sets):
+        before = descriptors.count_open()
+        run = soak.Soak(3, 1.0, tmp_path, 2, sets or soak._USUAL)
+        assert descriptors.count_open() > before + 10
+        run.scene.close()
+        assert descriptors.count_open() <= before
+        assert _accept_threads() <= earlier
