test_websockets: the server keeps its connection until it was looked at

Failed once in a whole run with three workers at load average 14: Bad file descriptor. The handler of the server returned after its message, which closes both ends, maybe before the test read the options of the client's socket.

--- a/tests/test_gateway_socketoptions.py
+++ b/tests/test_gateway_socketoptions.py
@@ -117,6 +117,8 @@
         def handle(conn):
             found.append(_options(conn.socket))
             conn.send("done")
+            # The end of this function closes the connection at both ends.
+            assert conn.recv() == "read"
 
         with server.serve(handle, "127.0.0.1", 0) as door:
             thread = threading.Thread(target=door.serve_forever)
@@ -125,6 +127,7 @@
             with client.connect(f"ws://{host}:{port}") as conn:
                 found.append(_options(conn.socket))
                 assert conn.recv() == "done"
+                conn.send("read")
             door.shutdown()
             thread.join()
         assert found == [(0, 0)] * 2
