A run of tests fails if a process holds 300 descriptors at its end

Each process that runs tests counts its open descriptors at the end; 300 or more in one of them fail the run, and the tests during which they rose most are named (tests/descriptors.py). The counts are printed in any case.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 from briarfall.gateway import clocks
 from briarfall.standins.prepared import repeatedresponses
 from briarfall.standins.prepared import testbed
+from tests import descriptors
 
 # Runs use the same examples and no deadline, so that results don't depend on
 # chance or on the load of the machine.
@@ -13,6 +14,11 @@
 hypothesis.settings.load_profile("same")
 
 
+def pytest_configure(config):
+    """Fails the run if it leaves many descriptors open."""
+    config.pluginmanager.register(descriptors.DescriptorCheck(config))
+
+
 @pytest.fixture
 def clock(monkeypatch):
     """A boot clock that moves only when a test sets `now_s`."""
