--- a/tests/test_gateway_dispatchgate.py
+++ b/tests/test_gateway_dispatchgate.py
@@ -164,7 +164,7 @@
         answers = []
         thread = threading.Thread(
             target=lambda: answers.append(
-                testbed.call(inst, "/drafts/x", method="POST", deadline_ms=8000)
+                testbed.call(inst, "/drafts/x", method="POST", deadline_ms=4000)
             )
         )
         thread.start()
