Links with TLS send no session tickets, which could hang a new link

A loop of links beside load shows it: 7 of 1,004 hang for 10 s. The client's receiving thread sits in the TLS library's read, woken by a session ticket, while another thread sends the request; the listener waits and nothing is unread at either end. A link then fails to open for those 10 s.

--- a/src/briarfall/membership/links.py
+++ b/src/briarfall/membership/links.py
@@ -94,6 +94,12 @@
         context.load_verify_locations(self._tls.authority)
         context.verify_mode = ssl.CERT_REQUIRED
         context.check_hostname = not server
+        if server:
+            # No link resumes a session. A ticket arrives after the handshake:
+            # the client's thread would read it, and wait for more in the TLS
+            # library, while another one sends the first request, which may
+            # then hang.
+            context.num_tickets = 0
         return context
 
     def proofs(self, role: bytes, nonces: bytes) -> list[bytes]:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,5 @@
 import concurrent.futures
+import socket
 import threading
 import types
 
@@ -16,6 +17,7 @@
 from briarfall.membership import links
 from briarfall.membership import messages
 from briarfall.membership import table as tables
+from briarfall.standins.prepared import testbed
 
 STATES = tables.MemberState
 
@@ -122,6 +124,11 @@
 
 
 class TestLinks:
+    @pytest.fixture(autouse=True)
+    def wait_for_handshakes(self, monkeypatch):
+        """A busy machine needs over a second for one, which is no fault."""
+        monkeypatch.setattr(links, "_CONNECT_TIMEOUT_S", testbed.WAIT_S)
+
     def _listener(self, security):
         handlers = links.Handlers()
         handlers.add("echo", _Echo, lambda message: message)
@@ -223,6 +230,20 @@
         conn.close()
         listener.stop()
 
+    def test_tls_session_has_no_ticket(self, tmp_path):
+        security = self._tls(tmp_path, trustme.CA(), "one")
+        listener = self._listener(security)
+        host, _, port = listener.address.rpartition(":")
+        context = security.context(server=False)
+        with (
+            socket.create_connection((host, int(port)), 10) as plain,
+            context.wrap_socket(plain, server_hostname=host) as sock,
+        ):
+            sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            assert sock.recv(100)
+            assert not sock.session.has_ticket
+        listener.stop()
+
     def _tls(self, folder, authority, name):
         cert = authority.issue_cert("127.0.0.1")
         paths = [str(folder / f"{name}-{part}.pem") for part in "cka"]
