test_poison_request...: waits for the restart of the target that crashed

Failed once in make test beside eight busy processes: "target crashed" 4 times in place of 3. The test waited until the instance knew the target's incarnation, which is also true right after a crash, before the target's thread has begun the next one: the second request then crashed the same incarnation, which counts once. It waits for a later incarnation than that of the request now; what it asserts is the same.

--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -95,17 +95,21 @@
         target = scene.service("d1")
         target.fault = registeredtarget.Fault.CRASH_AND_RESTART
         inst = scene.instance()
+        scene.wait_for_targets(target)
         for number in range(4):
+            incarnation = inst.targets.get("d1").entry.started_ms
             testbed.call(
                 inst, "/orders/x", method="POST", request_id=f"abc{number}"
             )
+            if number == 3:
+                break
             testbed.until(
-                lambda: (
-                    inst.targets.get("d1").entry.started_ms
-                    == target.incarnation
+                lambda incarnation=incarnation: (
+                    inst.targets.get("d1").entry.started_ms > incarnation
                 ),
                 "the next incarnation is known",
             )
+        assert target.incarnation == inst.targets.get("d1").entry.started_ms
         explanation.explain("abc3", path())
         out = capsys.readouterr().out
         assert out.count("target crashed") == 3
