An event or an event id that is too long is an invalid response

Change: streamresponses.accept_events tells EventTooLongError from a gap.

Evidence: before, TestAcceptEvents fails with BrokenExchangeError for an event and for an id without end, and test_is_completed_by_another_engine[flood_event] finds no invalid response of the engine; after, 30 of 30 tests of the file pass. That a gap stays a broken exchange is checked too.

--- a/src/briarfall/gateway/forwarding/runfollowing.py
+++ b/src/briarfall/gateway/forwarding/runfollowing.py
@@ -259,9 +259,9 @@
         """Returns the bytes of complete events that the caller lacks.
 
         Raises:
-            BrokenExchangeError: An event is missing, too long or none of this
-                stream.
-            InvalidResponseError: No event came for many bytes or pieces.
+            InvalidResponseError: An event is too long, or none came for many
+                bytes or pieces.
+            BrokenExchangeError: An event is missing, or none of this stream.
         """
         accepted = streamresponses.accept_events(
             run.conn.address,
--- a/src/briarfall/gateway/forwarding/streamresponses.py
+++ b/src/briarfall/gateway/forwarding/streamresponses.py
@@ -83,19 +83,20 @@
         is_resumed: Whether the caller already has the head of an earlier run.
 
     Raises:
-        BrokenExchangeError: An event is missing, too long or none of this
-            stream.
+        InvalidResponseError: An event or its id is too long; the engine sends
+            bytes that are no events.
+        BrokenExchangeError: An event is missing, or none of this stream.
     """
     try:
         complete = splitter.feed(received)
         if is_resumed:
             _check_numbered(complete)
         accepted = sequence.accept(complete)
-    except (
-        events.EventGapError,
-        events.EventTooLongError,
-        ForeignResponseError,
-    ) as exc:
+    except events.EventTooLongError as exc:
+        raise targetconnection.InvalidResponseError(
+            f"{address}: {exc.message}"
+        ) from exc
+    except (events.EventGapError, ForeignResponseError) as exc:
         raise _broken(address, exc.message) from exc
     return AcceptedEvents(
         b"".join(event.data for event in accepted),
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -12,6 +12,7 @@
 from briarfall.gateway.exchanges import messages
 from briarfall.gateway.exchanges import targetconnection
 from briarfall.gateway.forwarding import plainresponses
+from briarfall.gateway.forwarding import streamresponses
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
 
@@ -94,6 +95,10 @@
         assert engines[0].arrivals
         assert max(pieces.values()) <= 2 * inputbounds.MAX_IDLE_PIECES
         assert engines[0].sent_bytes < _MAX_SENT_BYTES
+        # A flood of refusals is a refusal whose rest is not read.
+        if fault is not Fault.FLOOD_REFUSAL:
+            row = inst.targets.get(engines[0].id)
+            assert row.invalid_responses > 0
 
 
 class TestEventSplitter:
@@ -124,6 +129,40 @@
         assert b"".join(event.data for event in found) == data
 
 
+class TestAcceptEvents:
+    # Guards against an engine that is neither avoided nor ejected although the
+    # event that it sends has no end.
+    @pytest.mark.parametrize(
+        "received",
+        [
+            b"data: " + b"a" * inputbounds.MAX_IDLE_BYTES,
+            b"id: 99999999999999999999\ndata: x\n\n",
+        ],
+        ids=["an event without end", "an id without end"],
+    )
+    def test_calls_what_is_no_event_an_invalid_response(self, received):
+        with pytest.raises(targetconnection.InvalidResponseError):
+            streamresponses.accept_events(
+                "127.0.0.1:1",
+                events.EventSplitter(),
+                events.EventSequence(),
+                received,
+                is_resumed=False,
+            )
+
+    # A lost event is a fault of the path or of one run.
+    def test_calls_a_gap_a_broken_exchange(self):
+        with pytest.raises(targetconnection.BrokenExchangeError) as info:
+            streamresponses.accept_events(
+                "127.0.0.1:1",
+                events.EventSplitter(),
+                events.EventSequence(1),
+                b"id: 3\ndata: x\n\n",
+                is_resumed=False,
+            )
+        assert not isinstance(info.value, targetconnection.InvalidResponseError)
+
+
 class _Pacer:
     """Counts turns, and waits for none."""
 
