A whole refusal of a stream ends the ejection of its engine

Engines get single requests until one of them runs a stream to its end.

Change: RunFollower records the response of a refusal that was read to its end. A refusal whose body never ends is no answer and ends no ejection.

Evidence: before, test_ends_an_ejection fails with one invalid response still counted; after, 10 of 10 tests of the file pass. test_without_end_does_not guards the other way and passed before.

--- a/src/briarfall/gateway/exchanges/targetconnection.py
+++ b/src/briarfall/gateway/exchanges/targetconnection.py
@@ -18,6 +18,8 @@
 from briarfall.gateway.exchanges import outgoing
 
 _RECEIVE_BYTES = 65_536
+# States of the parser after the end of a response.
+_ENDED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 # A target in the same region accepts a connection within milliseconds.
 CONNECT_TIMEOUT_S = 0.4
 # Used if a target does not announce when it closes idle connections.
@@ -538,6 +540,11 @@
             if inputbounds.is_fragmented(len(body), pieces):
                 raise self._invalid_error("a body in small pieces, no end")
 
+    @property
+    def has_whole_response(self) -> bool:
+        """Whether the response was read to its end."""
+        return self._http.their_state in _ENDED_STATES
+
     def drain(self, deadline_s: float) -> None:
         """Reads and discards the rest of a response, if it arrives in time.
 
--- a/src/briarfall/gateway/forwarding/runfollowing.py
+++ b/src/briarfall/gateway/forwarding/runfollowing.py
@@ -130,7 +130,14 @@
         )
         run.response = head
         self._target_signals.handle(run.target, head, run.sent_s)
-        calls.raise_if_refused(call, run.conn, head, self._names, run.target.id)
+        try:
+            calls.raise_if_refused(
+                call, run.conn, head, self._names, run.target.id
+            )
+        except calls.RefusedByTargetError:
+            if run.conn.has_whole_response:
+                self._targets.record_response(run.target)
+            raise
         run.is_resumed = stream.response_started
         if not head.is_success:
             proofs.check_signed(run.conn.address, head, self._names)
--- a/tests/test_gateway_ejection.py
+++ b/tests/test_gateway_ejection.py
@@ -4,6 +4,7 @@
 
 from briarfall.gateway.targets import ejection
 from briarfall.standins.prepared import rawhttp
+from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_decisions
 
@@ -81,3 +82,38 @@
         faulty.script = None
         testbed.until(lambda: call().body == b"ran", "it is used again")
         assert row.invalid_responses == 0
+
+
+class TestRefusalOfAStream:
+    @pytest.fixture
+    def engine(self, world):
+        return world.engine("e0", kind="large")
+
+    @pytest.fixture
+    def row(self, world, engine):
+        """The engine as an instance sees it, after an invalid response."""
+        inst = world.instance()
+        world.wait_for_layers()
+        row = inst.targets.get(engine.id)
+        row.invalid_responses = 1
+        return row
+
+    def _refuse(self, world):
+        answer = testbed.call(
+            world.instances[0], "/drafts/x", method="POST", deadline_ms=1000
+        )
+        assert answer.status == 503
+
+    # Guards against an engine that answers again, but stays ejected as long as
+    # it is too busy to run a stream.
+    def test_ends_an_ejection(self, world, engine, row):
+        engine.fault = registeredtarget.Fault.REFUSE
+        self._refuse(world)
+        assert engine.arrivals
+        assert row.invalid_responses == 0
+
+    def test_without_end_does_not(self, world, engine, row):
+        engine.fault = registeredtarget.Fault.FLOOD_REFUSAL
+        self._refuse(world)
+        assert engine.arrivals
+        assert row.invalid_responses == 1
