A refusal whose body never ends does not end the ejection of its target

The same cause on the way of plain calls: PlainFollower took a refusal for whole though its body had been given up as endless, and set the target's count of invalid responses back to 0. (Two lines in plainfollowing.py.)

Evidence: before, test_ends_an_ejection_if_it_is_whole fails for flood_refusal (count 0, expected 1); after, both cases pass.

--- a/src/briarfall/gateway/forwarding/plainfollowing.py
+++ b/src/briarfall/gateway/forwarding/plainfollowing.py
@@ -138,7 +138,8 @@
         try:
             calls.raise_if_refused(call, conn, head, self._names, target.id)
         except calls.RefusedByTargetError:
-            self._targets.record_response(target)
+            if conn.has_whole_response:
+                self._targets.record_response(target)
             sends.record_refusal(exchange)
             raise
         proofs.check_signed(conn.address, head, self._names)
--- a/tests/test_gateway_ejection.py
+++ b/tests/test_gateway_ejection.py
@@ -117,3 +117,27 @@
         self._refuse(world)
         assert engine.arrivals
         assert row.invalid_responses == 1
+
+
+class TestRefusalOfACall:
+    # Guards against a target whose refusals never end and that therefore is
+    # never ejected for its other responses.
+    @pytest.mark.parametrize(
+        "fault,counted",
+        [
+            (registeredtarget.Fault.REFUSE, 0),
+            (registeredtarget.Fault.FLOOD_REFUSAL, 1),
+        ],
+        ids=lambda value: str(value),
+    )
+    def test_ends_an_ejection_if_it_is_whole(self, world, fault, counted):
+        desk = world.service("d0")
+        inst = world.instance()
+        world.wait_for_targets(desk)
+        row = inst.targets.get(desk.id)
+        row.invalid_responses = 1
+        desk.fault = fault
+        answer = testbed.call(inst, "/views/x", deadline_ms=1000)
+        assert answer.status == 503
+        assert desk.arrivals
+        assert row.invalid_responses == counted
