The signature of a stream's response is checked once an instance

Change: check_signed stands once after raise_if_refused, as for plain calls, and no longer in check_head. What is accepted is unchanged. StreamExchange needs no header names any more (one argument less in relayexchanges.py and streams.py).

--- a/src/briarfall/gateway/forwarding/relayexchanges.py
+++ b/src/briarfall/gateway/forwarding/relayexchanges.py
@@ -211,7 +211,6 @@
 
     Args:
         stream: The stream.
-        header_names: Header names of the platform.
         on_start: Called when the first event comes from a peer.
         follow: Follows a suspended run; returns as `follow_own` does.
     """
@@ -219,13 +218,11 @@
     def __init__(
         self,
         stream: streamstate.Stream,
-        header_names: headernames.HeaderNames,
         on_start: collections.abc.Callable[[], None],
         follow: Follow,
     ):
         self.call = stream.call
         self._stream = stream
-        self._names = header_names
         self._on_start = on_start
         self._follow = follow
 
@@ -280,9 +277,7 @@
             self._pass_on_error(conn, head)
             return
         is_resumed = self._stream.response_started
-        streamresponses.check_head(
-            conn.address, head, self._names, is_resumed=is_resumed
-        )
+        streamresponses.check_head(conn.address, head, is_resumed=is_resumed)
         has_answered = False
         while True:
             event = conn.read_event(self.call.deadline_s)
--- a/src/briarfall/gateway/forwarding/runfollowing.py
+++ b/src/briarfall/gateway/forwarding/runfollowing.py
@@ -138,12 +138,12 @@
             if run.conn.has_whole_response:
                 self._targets.record_response(run.target)
             raise
+        proofs.check_signed(run.conn.address, head, self._names)
         run.is_resumed = stream.response_started
         if not head.is_success:
-            proofs.check_signed(run.conn.address, head, self._names)
             return
         streamresponses.check_head(
-            run.conn.address, head, self._names, is_resumed=run.is_resumed
+            run.conn.address, head, is_resumed=run.is_resumed
         )
         run.completion = closedanswers.check_of(
             call.req.method,
--- a/src/briarfall/gateway/forwarding/streamresponses.py
+++ b/src/briarfall/gateway/forwarding/streamresponses.py
@@ -4,9 +4,7 @@
 
 from briarfall import exceptions
 from briarfall.gateway.exchanges import events
-from briarfall.gateway.exchanges import headernames
 from briarfall.gateway.exchanges import messages
-from briarfall.gateway.exchanges import proofs
 from briarfall.gateway.exchanges import targetconnection
 
 _IDENTITY = b"identity"
@@ -21,23 +19,19 @@
 def check_head(
     address: str,
     head: messages.ResponseHead,
-    header_names: headernames.HeaderNames,
     *,
     is_resumed: bool,
 ) -> None:
-    """Checks the head of a success response to a stream.
+    """Checks the head of a signed success response to a stream.
 
     Args:
         address: Address that sent it.
         head: The head.
-        header_names: Header names of the platform.
         is_resumed: Whether the caller already has the head of an earlier run.
 
     Raises:
-        BrokenExchangeError: An engine did not write the response, or its body
-            can't be the rest of the stream.
+        BrokenExchangeError: Its body can't be the rest of the stream.
     """
-    proofs.check_signed(address, head, header_names)
     if not is_resumed:
         return
     if head.status != 200:
--- a/src/briarfall/gateway/forwarding/streams.py
+++ b/src/briarfall/gateway/forwarding/streams.py
@@ -212,7 +212,6 @@
         """
         exchange = relayexchanges.StreamExchange(
             stream,
-            self._names,
             lambda: self._follower.close_suspended(stream),
             lambda conn: self._follow_beside_peer(stream, conn),
         )
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -8,6 +8,7 @@
 import pytest
 
 from briarfall.gateway.callers import plannedstop
+from briarfall.gateway.exchanges import proofs
 from briarfall.gateway.targets import targetstate
 from briarfall.standins.prepared import network
 from briarfall.standins.prepared import registeredtarget
@@ -526,6 +527,26 @@
             assert (answer.status, answer.error) == (200, None)
             assert testbed.event_ids(answer.body) == list(range(1, 13))
 
+    # Guards against a check of the same head in two places, of which one is
+    # changed without the other.
+    def test_have_their_signature_checked_once_an_instance(
+        self, world, links, monkeypatch
+    ):
+        engines, ((cut, net), *_) = self._start(world, links, 2)
+        net.cut(network.Cut.HANG, engines)
+        _find_cut(cut, "pool", "/drafts/x", deadline_ms=15_000)
+        checked = []
+        check_signed = proofs.check_signed
+
+        def record(address, head, names):
+            checked.append(address)
+            check_signed(address, head, names)
+
+        monkeypatch.setattr(proofs, "check_signed", record)
+        answer = self._draft(cut)
+        assert (answer.status, answer.error) == (200, None)
+        assert len(checked) == len(set(checked)) == 2
+
     def test_resume_through_a_second_peer(self, world, links):
         engines, ((cut, net), *others) = self._start(world, links)
         net.cut(network.Cut.HANG, engines)
--- a/tests/test_gateway_relaysends.py
+++ b/tests/test_gateway_relaysends.py
@@ -277,7 +277,7 @@
         stream = streamstate.Stream(call, paths.Demand(700, 200))
         stream.heads.update(heads)
         exchange = relayexchanges.StreamExchange(
-            stream, None, lambda: None, lambda conn: False
+            stream, lambda: None, lambda conn: False
         )
         return exchange, stream
 
