A response without end takes a tenth of a processor, however large its pieces

Seen: one look-up whose target sends a signed success without end, in pieces of 350 to 1,000 bytes, takes 0.59 to 0.66 of a processor of its instance until its deadline. Only bodies in pieces under 16 bytes were paced, by a fixed wait for 16 pieces, whatever these cost.

Cause, by a profile of BodyReader.read: each piece costs about the same whatever its size (91 us under the profiler); half of it is reading in h11, the other half passing each piece on by itself, with a chunk and a system call.

Change: pieces that arrived together are passed on together, 64 KB at most. pacing.ResponseTime counts a response's own processor time: 20 ms and then 0.005 of a processor are free, more than a sound response uses; beyond it pacing.ProcessorShare, which needs no network, gives all such responses of a process together a tenth of a processor, in turns of 2 ms. Bodies in small pieces are paced by the same rule, still from their 256th piece on.

Evidence: test_takes_a_small_share_of_a_processor showed 0.66, 0.59 and 0.66 for events, comments and known events before (small chunks passed), below 0.25 after; a call of 2 s takes 0.20 to 0.22 s of processor time. test_pieces_that_arrived_together_go_to_the_caller_together showed 9,252 writes for 10,000 pieces, under 70 after. The stand-in pacer of the tests takes the new argument; what it checks is unchanged.

--- a/src/briarfall/gateway/exchanges/targetconnection.py
+++ b/src/briarfall/gateway/exchanges/targetconnection.py
@@ -175,6 +175,8 @@
         self.idle_limit_s = _DEFAULT_KEEP_ALIVE_S
         self.history = matching.ExchangeHistory()
         self._http = h11.Connection(h11.CLIENT)
+        # Event that `has_event` has found.
+        self._found = None
         self._poller: select.poll | None = None
         self._watch: CallerWatch | None = None
         self._others: list[TargetConnection] = []
@@ -383,8 +385,22 @@
         except h11.RemoteProtocolError as exc:
             raise self._broken_error(f"closed: {exc}") from exc
 
+    def has_event(self) -> bool:
+        """Whether the parser has a further event without more data.
+
+        Raises:
+            BrokenExchangeError: The response is damaged.
+        """
+        if self._found is None:
+            self._found = self._parse_event()
+        return self._found is not None
+
     def next_event(self):
         """Returns the parser's next event, or None if it needs data."""
+        event, self._found = self._found, None
+        return event or self._parse_event()
+
+    def _parse_event(self):
         try:
             event = self._http.next_event()
         except h11.RemoteProtocolError as exc:
--- a/src/briarfall/gateway/forwarding/plainresponses.py
+++ b/src/briarfall/gateway/forwarding/plainresponses.py
@@ -5,6 +5,7 @@
 import h11
 import msgspec
 
+from briarfall.gateway import clocks
 from briarfall.gateway.calls import calls
 from briarfall.gateway.exchanges import inputbounds
 from briarfall.gateway.exchanges import messages
@@ -14,8 +15,10 @@
 # Responses up to this size are read completely before the caller gets a byte,
 # so that a failed response can still be retried.
 _MAX_BUFFERED_BYTES = 262_144
-# Pieces that are read in one turn of a paced body.
+# Pieces that are read in one turn of a body that has many small ones.
 _PIECES_PER_TURN = 16
+# Pieces that are passed on to the caller together hold at most so many bytes.
+_MAX_PASSED_BYTES = 65_536
 
 
 class Body(msgspec.Struct, frozen=True):
@@ -45,7 +48,7 @@
     Args:
         conn: Connection from which the response is read.
         head: Head of the response.
-        pacer: Paces a body that comes in many small pieces.
+        pacer: Paces a body that takes much processor time.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         self._size = 0
         self._pieces = 0
         self._is_sent = False
+        self._time = pacing.ResponseTime()
 
     def read(
         self,
@@ -83,43 +87,60 @@
             InvalidResponseError: The body of a failure does not end.
             ResponseTimeoutError: The call is out of time.
         """
+        self._time.resume(clocks.boot_s(), pacing.cpu_s())
         while True:
             event = self._conn.read_event(call.deadline_s)
             if isinstance(event, h11.EndOfMessage):
-                data = b"" if self._is_sent else bytes(self._buffered)
-                return Body(data, self._is_sent)
+                if self._is_sent:
+                    self._pass_on(call)
+                return Body(bytes(self._buffered), self._is_sent)
             self._size += len(event.data)
-            self._await_turn(call)
-            if self._is_sent:
-                call.conn.send_data(bytes(event.data))
-                continue
             self._buffered += event.data
-            if self._size > _MAX_BUFFERED_BYTES:
+            if self._is_sent:
+                if not self._can_wait():
+                    self._pass_on(call)
+            elif self._size > _MAX_BUFFERED_BYTES:
                 if on_start is not None:
                     on_start()
                 self._start_response(call)
+            self._await_turn(call)
+
+    def _can_wait(self) -> bool:
+        """Whether what was read can be passed on with the next piece."""
+        if len(self._buffered) >= _MAX_PASSED_BYTES:
+            return False
+        return self._conn.has_event()
 
     def _await_turn(self, call: calls.Call) -> None:
-        """Waits between the pieces of a body that has many small ones.
+        """Waits between the pieces of a body that takes much processor time.
 
         Raises:
-            InvalidResponseError: It is the body of a failure.
+            InvalidResponseError: It is the body of a failure, in small pieces.
         """
         self._pieces += 1
-        if self._pieces % _PIECES_PER_TURN:
-            return
-        if not inputbounds.is_fragmented(self._size, self._pieces):
-            return
-        if not self._head.is_success:
+        is_fragmented = (
+            self._pieces % _PIECES_PER_TURN == 0
+            and inputbounds.is_fragmented(self._size, self._pieces)
+        )
+        if is_fragmented and not self._head.is_success:
             raise targetconnection.InvalidResponseError(
                 f"{self._conn.address}: status {self._head.status} with "
                 f"{self._size} bytes in {self._pieces} pieces, no end"
             )
-        self._pacer.await_turn(call.deadline_s)
+        used_s = self._time.end_turn(
+            clocks.boot_s(), pacing.cpu_s(), is_paced=is_fragmented
+        )
+        if used_s or is_fragmented:
+            self._pacer.await_turn(used_s, call.deadline_s)
+            self._time.resume(clocks.boot_s(), pacing.cpu_s())
 
     def _start_response(self, call: calls.Call) -> None:
         headers = messages.end_to_end(self._head.headers)
         call.conn.send_head(self._head.status, headers)
-        call.conn.send_data(bytes(self._buffered))
-        self._buffered.clear()
         self._is_sent = True
+        self._pass_on(call)
+
+    def _pass_on(self, call: calls.Call) -> None:
+        if self._buffered:
+            call.conn.send_data(bytes(self._buffered))
+            self._buffered.clear()
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -1,6 +1,8 @@
 """Bytes of a faulty target that bring the caller nothing, without end."""
 
 import collections
+import contextlib
+import time
 import tracemalloc
 
 import h11
@@ -10,6 +12,7 @@
 from briarfall.gateway.exchanges import events
 from briarfall.gateway.exchanges import inputbounds
 from briarfall.gateway.exchanges import messages
+from briarfall.gateway.exchanges import pacing
 from briarfall.gateway.exchanges import targetconnection
 from briarfall.gateway.forwarding import plainresponses
 from briarfall.gateway.forwarding import streamresponses
@@ -169,7 +172,7 @@
     def __init__(self):
         self.turns = 0
 
-    def await_turn(self, until_s):
+    def await_turn(self, used_s, until_s):
         self.turns += 1
 
 
@@ -186,6 +189,9 @@
         self._left -= 1
         return h11.Data(data=bytearray(self._piece))
 
+    def has_event(self):
+        return self._left > 0
+
 
 class _Call:
     deadline_s = 0.0
@@ -225,6 +231,109 @@
         assert pacer.turns == 0
 
 
+class TestLongSuccess:
+    # Guards against a body without end that takes a processor of its own: one
+    # of 350-byte pieces took 0.66 of it.
+    @pytest.mark.parametrize(
+        "fault", _LONG_SUCCESSES, ids=lambda row: row.value
+    )
+    def test_takes_a_small_share_of_a_processor(
+        self, world, monkeypatch, fault
+    ):
+        desk = world.service("d0")
+        inst = world.instance()
+        world.wait_for_targets(desk)
+        used = []
+        read = plainresponses.BodyReader.read
+
+        def measure(reader, call, on_start=None):
+            start_s, start_cpu_s = time.monotonic(), time.thread_time()
+            try:
+                return read(reader, call, on_start)
+            finally:
+                took_s = time.monotonic() - start_s
+                used.append((time.thread_time() - start_cpu_s) / took_s)
+
+        monkeypatch.setattr(plainresponses.BodyReader, "read", measure)
+        desk.fault = fault
+        with contextlib.suppress(OSError):
+            testbed.call(inst, "/views/x", deadline_ms=2000)
+        testbed.until(lambda: used, "the response is given up")
+        assert used[0] < 0.25
+
+
+class TestPassedOn:
+    # Guards against a system call, and a chunk, for each small piece.
+    def test_pieces_that_arrived_together_go_to_the_caller_together(self):
+        sent = []
+
+        class Caller:
+            def send_head(self, status, headers):
+                pass
+
+            def send_data(self, data):
+                sent.append(data)
+
+        class Call:
+            deadline_s = 0.0
+            conn = Caller()
+
+        head = messages.ResponseHead(200, b"", [])
+        conn = _Conn(b"a" * 350, 10_000)
+        reader = plainresponses.BodyReader(conn, head, _Pacer())
+        assert reader.read(Call()).is_sent
+        assert b"".join(sent) == b"a" * 3_500_000
+        assert len(sent) < 70
+
+
+class TestResponseTime:
+    def paced_s(self, turn_s, count, wall_s):
+        """Returns the processor time of the turns that are paced."""
+        row = pacing.ResponseTime()
+        row.resume(100.0, 7.0)
+        total_s = 0.0
+        for number in range(1, count + 1):
+            now_s = 100.0 + wall_s * number / count
+            total_s += row.end_turn(now_s, 7.0 + turn_s * number)
+        return total_s
+
+    def test_of_a_short_response_is_free(self):
+        assert self.paced_s(0.001, 15, 0.02) == 0
+
+    def test_of_a_slow_stream_of_pieces_is_free(self):
+        assert self.paced_s(0.003, 100, 100.0) == 0
+
+    def test_beyond_what_is_free_is_paced(self):
+        assert self.paced_s(0.003, 1000, 3.0) > 2.9
+
+    def test_in_which_the_thread_did_other_work_does_not_count(self):
+        row = pacing.ResponseTime()
+        for number in range(100):
+            row.resume(100.0, number * 1.0)
+            assert row.end_turn(100.0, number * 1.0 + 0.001) == 0
+
+
+class TestProcessorShare:
+    # Guards against many responses that take, each with its share, all of the
+    # processor.
+    @pytest.mark.parametrize("count", [1, 5, 200])
+    def test_is_that_of_all_responses_together(self, count):
+        share = pacing.ProcessorShare(0.1)
+        next_s = [0.0] * count
+        used_s = 0.0
+        while min(next_s) < 10.0:
+            row = next_s.index(min(next_s))
+            used_s += 0.004
+            next_s[row] = share.charge(0.004, next_s[row])
+        # The first turn of each comes before anything is charged.
+        assert 0.9 < used_s < 1.1 + 0.004 * count
+
+    def test_unused_is_not_saved_up(self):
+        share = pacing.ProcessorShare(0.1)
+        assert share.charge(0.002, 50.0) == pytest.approx(50.02)
+        assert share.charge(0.002, 90.0) == pytest.approx(90.02)
+
+
 class TestDeadline:
     # Guards against a deadline that is looked at between reads only, while one
     # read holds thousands of pieces.
