A look-up leaves a target that answers in small pieces without end

They wait for a signed success until their deadline and get 504, though a sound target is free, and the target is never ejected.

Change: beyond the pieces that IdleInput calls more than any sound target sends (1,024, or one for each 16 bytes), a success in small pieces of which the caller has nothing is an invalid response, if the request may run again and another target can take it now, within the budget. An order, or a call without another target, is read on in its turns as before.

Short texts of 300 and 1,000 pieces of two bytes are read to their end.

--- a/src/briarfall/gateway/exchanges/inputbounds.py
+++ b/src/briarfall/gateway/exchanges/inputbounds.py
@@ -39,8 +39,9 @@
     @property
     def is_exceeded(self) -> bool:
         """Whether more arrived than any sound target sends."""
-        most = MAX_IDLE_PIECES + self.size // _SMALL_PIECE_BYTES
-        return self.size > MAX_IDLE_BYTES or self.pieces > most
+        return self.size > MAX_IDLE_BYTES or has_too_many_pieces(
+            self.size, self.pieces
+        )
 
     @property
     def is_flood(self) -> bool:
@@ -48,6 +49,11 @@
         return self.size > _MIN_FLOOD_BYTES
 
 
+def has_too_many_pieces(size: int, pieces: int) -> bool:
+    """Whether `size` bytes came in more pieces than a sound target sends."""
+    return pieces > MAX_IDLE_PIECES + size // _SMALL_PIECE_BYTES
+
+
 def is_fragmented(size: int, pieces: int) -> bool:
     """Whether a body of `size` bytes so far came in many small pieces."""
     return pieces > _FREE_PIECES + size // _SMALL_PIECE_BYTES
--- a/src/briarfall/gateway/forwarding/plainfollowing.py
+++ b/src/briarfall/gateway/forwarding/plainfollowing.py
@@ -175,7 +175,10 @@
             sends.close()
             exchange.conn.watch(call.watch)
 
-        body = exchange.body.read(call, commit)
+        def may_leave():
+            return sends.may_run_again(exchange) and self._can_move(sends)
+
+        body = exchange.body.read(call, commit, may_leave)
         if exchange.completion is not None:
             exchange.completion.run(call.watch, call.deadline_s)
         self._targets.record_response(exchange.target)
--- a/src/briarfall/gateway/forwarding/plainresponses.py
+++ b/src/briarfall/gateway/forwarding/plainresponses.py
@@ -70,6 +70,7 @@
         self,
         call: calls.Call,
         on_start: collections.abc.Callable[[], None] | None = None,
+        may_leave: collections.abc.Callable[[], bool] | None = None,
     ) -> Body:
         """Returns the body; passes a long one on directly.
 
@@ -80,11 +81,14 @@
             call: The request.
             on_start: Called before the caller gets the first part of a long
                 body, after which no other response can answer it.
+            may_leave: Tells whether another target can answer the request in
+                place of one that sends more small pieces than a sound one.
 
         Raises:
             OtherConnectionReadyError: Another connection can be read.
             BrokenExchangeError: The body is damaged or incomplete.
-            InvalidResponseError: The body of a failure does not end.
+            InvalidResponseError: The body comes in small pieces without end,
+                and is that of a failure, or another target can answer.
             ResponseTimeoutError: The call is out of time.
         """
         self._time.resume(clocks.boot_s(), pacing.cpu_s())
@@ -103,7 +107,9 @@
                 if on_start is not None:
                     on_start()
                 self._start_response(call)
-            self._await_turn(call)
+            if self._is_sent:
+                may_leave = None
+            self._await_turn(call, may_leave)
 
     def _can_wait(self) -> bool:
         """Whether what was read can be passed on with the next piece."""
@@ -111,18 +117,23 @@
             return False
         return self._conn.has_event()
 
-    def _await_turn(self, call: calls.Call) -> None:
+    def _await_turn(
+        self,
+        call: calls.Call,
+        may_leave: collections.abc.Callable[[], bool] | None,
+    ) -> None:
         """Waits between the pieces of a body that takes much processor time.
 
         Raises:
-            InvalidResponseError: It is the body of a failure, in small pieces.
+            InvalidResponseError: It has many small pieces, and is that of a
+                failure, or another target can answer.
         """
         self._pieces += 1
         is_fragmented = (
             self._pieces % _PIECES_PER_TURN == 0
             and inputbounds.is_fragmented(self._size, self._pieces)
         )
-        if is_fragmented and not self._head.is_success:
+        if is_fragmented and not self._must_read(may_leave):
             raise targetconnection.InvalidResponseError(
                 f"{self._conn.address}: status {self._head.status} with "
                 f"{self._size} bytes in {self._pieces} pieces, no end"
@@ -134,6 +145,16 @@
             self._pacer.await_turn(used_s, call.deadline_s)
             self._time.resume(clocks.boot_s(), pacing.cpu_s())
 
+    def _must_read(
+        self, may_leave: collections.abc.Callable[[], bool] | None
+    ) -> bool:
+        """Whether a body in small pieces is read all the same."""
+        if not self._head.is_success:
+            return False
+        if not inputbounds.has_too_many_pieces(self._size, self._pieces):
+            return True
+        return may_leave is None or not may_leave()
+
     def _start_response(self, call: calls.Call) -> None:
         headers = messages.end_to_end(self._head.headers)
         call.conn.send_head(self._head.status, headers)
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -29,6 +29,8 @@
     Fault.FLOOD_OLD_EVENTS,
 )
 _NO_SUCCESSES = [row for row in _FLOODS if row not in _LONG_SUCCESSES]
+# Of the successes, one in small pieces is left as long as its caller has none.
+_LEFT = [*_NO_SUCCESSES, Fault.FLOOD_SMALL_CHUNKS]
 # Targets are drawn at random; so many calls never miss one of two.
 _MAX_CALLS = 60
 # What the kernel holds of a connection on its way, beyond what was read.
@@ -54,7 +56,7 @@
 
 class TestLookUp:
     # Guards against a look-up that fails although a sound target is free.
-    @pytest.mark.parametrize("fault", _NO_SUCCESSES, ids=lambda row: row.value)
+    @pytest.mark.parametrize("fault", _LEFT, ids=lambda row: row.value)
     def test_is_answered_by_another_target(self, world, pieces, fault):
         desks = [world.service(f"d{number}") for number in range(2)]
         inst = world.instance()
@@ -222,6 +224,25 @@
         reader.read(_Call())
         assert pacer.turns > 500
 
+    # A body that no other target can give is read to its end.
+    def test_without_another_target_are_read_to_the_end(self):
+        asked = []
+
+        def may_leave():
+            asked.append(1)
+            return False
+
+        reader, _ = self.reader(b"ab", 10_000)
+        assert reader.read(_Call(), None, may_leave).data == b"ab" * 10_000
+        assert asked
+
+    # A sound target may write a short text by words.
+    @pytest.mark.parametrize("count", [300, 1000])
+    def test_of_a_body_with_few_pieces_are_read_to_the_end(self, count):
+        reader, _ = self.reader(b"ab", count)
+        body = reader.read(_Call(), None, lambda: True)
+        assert body.data == b"ab" * count
+
     @pytest.mark.parametrize(
         "piece,count", [(b"ab", 200), (b"a" * 70, 3000), (b"a" * 1400, 150)]
     )
@@ -246,10 +267,10 @@
         used = []
         read = plainresponses.BodyReader.read
 
-        def measure(reader, call, on_start=None):
+        def measure(reader, *args):
             start_s, start_cpu_s = time.monotonic(), time.thread_time()
             try:
-                return read(reader, call, on_start)
+                return read(reader, *args)
             finally:
                 took_s = time.monotonic() - start_s
                 used.append((time.thread_time() - start_cpu_s) / took_s)
