A response that is passed on before its end counts as several requests in flight

Such a success, in pieces of 350 to 1,000 bytes, can't be told from a long one: after 256 KB it is passed on, and ends with its caller's time. The target counted as many requests in flight as the sound one beside it before it was left alone.

Change: an exchange counts as three further requests from the moment that its response is passed on. The choice among targets is otherwise unchanged; it excludes none.

Evidence: test_counts_as_several_requests_until_it_ends failed before (one request).

--- a/src/briarfall/gateway/forwarding/plainexchanges.py
+++ b/src/briarfall/gateway/forwarding/plainexchanges.py
@@ -20,6 +20,11 @@
 from briarfall.gateway.targets import loads
 from briarfall.gateway.targets import targetstate
 
+# Requests as which an exchange counts in addition while its response is passed
+# on. Of two equal targets, one that ends no response then gets a fifth of the
+# requests in flight.
+_FURTHER_LOADS = 3
+
 
 class SilentTargetError(targetconnection.ResponseTimeoutError):
     """A target is silent for long, and another one can take the call."""
@@ -62,12 +67,22 @@
         self.is_counted = False
         self._loads = load_table
         self._pool = pool
+        self._further_loads: list[ids.TargetId] = []
         self._loads.reserve([target.id], 0)
 
     def record_sent(self) -> None:
         """Records that the call is sent now."""
         self.sent_s = clocks.boot_s()
 
+    def record_passing(self) -> None:
+        """Records that its response is passed on before its end was read.
+
+        Nobody knows when such a response ends. It counts as several requests
+        in flight, so that a target that ends none gets few of them.
+        """
+        self._further_loads = [self.target.id] * _FURTHER_LOADS
+        self._loads.reserve(self._further_loads, 0)
+
     def end(self) -> None:
         """Ends it; its connection is reused if the response is complete."""
         self._release()
@@ -82,7 +97,8 @@
         self.conn.close()
 
     def _release(self) -> None:
-        self._loads.release([self.target.id], 0)
+        self._loads.release([self.target.id, *self._further_loads], 0)
+        self._further_loads = []
         if self.completion is not None:
             self.completion.close()
 
--- a/src/briarfall/gateway/forwarding/plainfollowing.py
+++ b/src/briarfall/gateway/forwarding/plainfollowing.py
@@ -174,6 +174,7 @@
         def commit():
             sends.close()
             exchange.conn.watch(call.watch)
+            exchange.record_passing()
 
         def may_leave():
             return sends.may_run_again(exchange) and self._can_move(sends)
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import threading
 import time
 import tracemalloc
 
@@ -283,6 +284,42 @@
         assert used[0] < 0.25
 
 
+class TestLoadOfALongSuccess:
+    @pytest.fixture
+    def desks(self, world):
+        return [world.service(f"d{number}") for number in range(2)]
+
+    @pytest.fixture
+    def inst(self, world, desks):
+        inst = world.instance()
+        world.wait_for_targets(*desks)
+        return inst
+
+    # Guards against a target that ends no response and is yet given as many
+    # requests as the sound one beside it has in flight.
+    def test_counts_as_several_requests_until_it_ends(self, inst, desks):
+        for desk in desks:
+            desk.fault = Fault.FLOOD_EVENT
+
+        def call():
+            with contextlib.suppress(OSError):
+                testbed.call(inst, "/views/x", deadline_ms=2000)
+
+        def streams():
+            return sum(inst.loads.of(desk.id).streams for desk in desks)
+
+        thread = threading.Thread(target=call)
+        thread.start()
+        testbed.until(lambda: streams() == 4, "it counts as four requests")
+        thread.join()
+        testbed.until(lambda: streams() == 0, "it has ended")
+
+    def test_is_no_reason_to_wait_for_another_target(self, inst, desks):
+        for desk in desks:
+            inst.loads.reserve([desk.id] * 40, 0)
+        assert testbed.call(inst, "/views/x").status == 200
+
+
 class TestPassedOn:
     # Guards against a system call, and a chunk, for each small piece.
     def test_pieces_that_arrived_together_go_to_the_caller_together(self):
