A crash is withdrawn once the target writes a further heartbeat

Cause: connections of one instance to all its targets are reset and refused for a moment; each look-up in progress counts as a crash of its target, three make the look-up poison. Nothing tells such a path's fault from a crash at that moment, and nothing looked at it later.

Change: a crash stays recorded at once, so that a poison request is refused as soon as before. But the instance that reads the store compares heartbeats: a first one that was read 0.5 s or more after the crash, and a later one of the same incarnation, which only a living target writes (crashes/alibis.py). Then the crash is withdrawn, here and at others (crashes/withdrawals.py, told beside the suspects that survived), and a suspect that has fewer than three others is free again, in the store too. A target that starts again, is gone, or whose entry comes back from an older copy of the store frees nothing.

--- a/src/briarfall/gateway/crashes/crashdetection.py
+++ b/src/briarfall/gateway/crashes/crashdetection.py
@@ -9,6 +9,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway.calls import calls
 from briarfall.gateway.catalogue import sources
+from briarfall.gateway.crashes import alibis
 from briarfall.gateway.crashes import crashes
 from briarfall.gateway.crashes import crashevidence
 from briarfall.gateway.targets import incarnations
@@ -51,10 +52,13 @@
         self._crashes = crash_table
         self._targets = table
         self._lock = threading.Lock()
+        # Used by the thread that reads the store.
+        self._alibis = alibis.Alibis()
         self._pending: collections.deque[_PendingCase] = collections.deque(
             maxlen=_MAX_PENDING
         )
         table.add_incarnation_end_listener(self._resolve)
+        table.add_read_listener(self._withdraw_disproven)
 
     def record_interruption(
         self,
@@ -113,6 +117,20 @@
                     confirmed.extend(case.crashes)
         self._record(confirmed)
 
+    def _withdraw_disproven(
+        self, entries: list[sources.TargetEntry], read_s: float
+    ) -> None:
+        """Withdraws crashes of targets whose entries show that they live."""
+        if not self._crashes.has_crashes:
+            return
+        alive = self._alibis.find(
+            self._crashes.crashed_s(),
+            {entry.id: entry for entry in entries},
+            read_s,
+        )
+        if alive:
+            self._crashes.withdraw(alive)
+
     def _record(self, found: list[crashevidence.Crash]) -> None:
         for crash in found:
             self._crashes.record(crash)
--- a/src/briarfall/gateway/crashes/crashes.py
+++ b/src/briarfall/gateway/crashes/crashes.py
@@ -18,6 +18,8 @@
 from briarfall.gateway.crashes import partholds
 from briarfall.gateway.crashes import poisonlist
 from briarfall.gateway.crashes import provenparts
+from briarfall.gateway.crashes import withdrawals
+from briarfall.gateway.targets import incarnations
 
 # Number of crashed targets from which a request counts as poison. A harmless
 # request that shares targets with a poison request is involved in one or two
@@ -80,6 +82,7 @@
             tuple[float, crashevidence.Crash]
         ] = collections.deque()
         self._poison = poisonlist.PoisonList()
+        self._withdrawn = withdrawals.Withdrawals()
         self._survived_s: dict[crashevidence.SuspectKey, float] = {}
         self._origins: collections.Counter[str] = collections.Counter()
         self._listeners: list[PoisonListener] = []
@@ -259,6 +262,8 @@
             with self._lock:
                 if self._evidence.has(crash):
                     continue
+                if self._withdrawn.has_crash(crash.incarnation, now_s):
+                    continue
                 if self._proven.has(crash.suspect, now_s):
                     self._survived_s[crash.suspect] = now_s
                     continue
@@ -285,6 +290,8 @@
             with self._lock:
                 if self._proven.has(row.suspect, now_s):
                     continue
+                if self._withdrawn.has_verdict(row.suspect, now_s):
+                    continue
                 is_new = self._poison.merge(row, now_s)
             if is_new:
                 logging.warning(
@@ -352,6 +359,10 @@
         now_s = clocks.boot_s()
         with self._lock:
             for suspect in suspects:
+                withdrawal = withdrawals.parse(suspect)
+                if withdrawal is not None:
+                    self._merge_withdrawal(withdrawal, now_s)
+                    continue
                 if not crashevidence.is_part(suspect):
                     self._evidence.clear(suspect)
                     continue
@@ -359,6 +370,70 @@
                 self._poison.lift(suspect)
                 self._clear_part(suspect)
 
+    def crashed_s(self) -> dict[incarnations.Incarnation, float]:
+        """Returns when the latest crash of each incarnation became known."""
+        with self._lock:
+            return self._evidence.crashed_s()
+
+    def withdraw(
+        self, alive: collections.abc.Iterable[incarnations.Incarnation]
+    ) -> None:
+        """Withdraws the crashes of incarnations that live on.
+
+        A suspect that is refused for too few further crashes is free again,
+        here and at others.
+        """
+        now_s = clocks.boot_s()
+        lifted = []
+        with self._lock:
+            for incarnation in alive:
+                lifted.extend(self._withdraw(incarnation, now_s))
+                key = withdrawals.alive_key(incarnation)
+                self._survived_s[key] = now_s
+                logging.warning(
+                    "target lives on, its crash is withdrawn target=%s "
+                    "lifetime=%d",
+                    incarnation.target,
+                    incarnation.started_ms,
+                )
+            for suspect in lifted:
+                self._survived_s[withdrawals.innocent_key(suspect)] = now_s
+        for suspect in lifted:
+            logging.warning(
+                "request no longer refused, its targets live on fingerprint=%s",
+                suspect,
+            )
+            for listener in self._listeners:
+                listener(poisonlist.PoisonRow(suspect, 0))
+        self._notify_changed()
+
+    def _withdraw(
+        self, incarnation: incarnations.Incarnation, now_s: float
+    ) -> list[crashevidence.SuspectKey]:
+        """Withdraws a crash; returns the suspects that are free again."""
+        self._withdrawn.add(incarnation, now_s)
+        lifted = []
+        for suspect in self._evidence.withdraw(incarnation):
+            blamed = self._evidence.blamed_count(suspect)
+            if not blamed:
+                self._holds.end(suspect)
+            if blamed < _MAX_CRASHES and self._poison.lift(suspect):
+                self._withdrawn.add(suspect, now_s)
+                lifted.append(suspect)
+        return lifted
+
+    def _merge_withdrawal(
+        self, row: withdrawals.Withdrawal, now_s: float
+    ) -> None:
+        """Withdraws what another instance has withdrawn."""
+        if row.incarnation is not None:
+            if not self._withdrawn.has_crash(row.incarnation, now_s):
+                self._withdraw(row.incarnation, now_s)
+            return
+        if self._evidence.blamed_count(row.suspect) < _MAX_CRASHES:
+            self._poison.lift(row.suspect)
+            self._withdrawn.add(row.suspect, now_s)
+
     def crashes_to_report(
         self, interval_s: float = 0.0
     ) -> list[crashevidence.Crash]:
--- a/src/briarfall/gateway/crashes/crashevidence.py
+++ b/src/briarfall/gateway/crashes/crashevidence.py
@@ -116,6 +116,29 @@
             del self._by_suspect[crash.suspect]
         self._discard_suspect(crash)
 
+    def crashed_s(self) -> dict[incarnations.Incarnation, float]:
+        """Returns when the latest crash of each incarnation became known."""
+        found: dict[incarnations.Incarnation, float] = {}
+        for crashes in self._by_suspect.values():
+            for crash, seen_s in crashes.items():
+                known_s = found.get(crash.incarnation, seen_s)
+                found[crash.incarnation] = max(known_s, seen_s)
+        return found
+
+    def withdraw(
+        self, incarnation: incarnations.Incarnation
+    ) -> set[SuspectKey]:
+        """Removes the crash of an incarnation; returns who was involved."""
+        involved = self._suspects.pop(incarnation, set())
+        for suspect in involved:
+            known = self._by_suspect[suspect]
+            del known[
+                Crash(suspect, incarnation.target, incarnation.started_ms)
+            ]
+            if not known:
+                del self._by_suspect[suspect]
+        return involved
+
     def clear(self, suspect: SuspectKey) -> None:
         """Removes all crashes of a suspect."""
         for crash in self._by_suspect.pop(suspect, ()):
--- a/src/briarfall/gateway/targets/targets.py
+++ b/src/briarfall/gateway/targets/targets.py
@@ -43,6 +43,9 @@
 
 
 EndListener = collections.abc.Callable[[sources.TargetEntry], None]
+ReadListener = collections.abc.Callable[
+    [list[sources.TargetEntry], float], None
+]
 
 
 class TargetTable:
@@ -65,6 +68,7 @@
         self._removed: dict[ids.TargetId, int] = {}
         self._listeners: list[collections.abc.Callable[[], None]] = []
         self._end_listeners: list[EndListener] = []
+        self._read_listeners: list[ReadListener] = []
         # Targets that the update in progress has added.
         self._added: list[sources.TargetEntry] = []
         # Incarnations that the update in progress has ended.
@@ -105,6 +109,8 @@
             self._log_added()
         self.has_entries.set()
         self._notify_ended()
+        for listener in self._read_listeners:
+            listener(entries, read_s)
         return gone
 
     def apply_changes(
@@ -278,6 +284,14 @@
         """Calls `listener` with the entry of each incarnation that ended."""
         self._end_listeners.append(listener)
 
+    def add_read_listener(self, listener: ReadListener) -> None:
+        """Calls `listener` with each full read of the store by this instance.
+
+        It gets the entries, and the time on the boot clock at which the read
+        was sent.
+        """
+        self._read_listeners.append(listener)
+
     def _notify_ended(self) -> None:
         with self._lock:
             ended = self._ended_entries
