--- a/src/briarfall/cli/benches.py
+++ b/src/briarfall/cli/benches.py
@@ -253,6 +253,22 @@
     _write_report("quiet", bench.run(seed), out)
 
 
+def floods(
+    *, seconds: float = 7.0, place: list[str] | None = None, out: str = ""
+) -> None:
+    """Measures what callers get while targets send answers without end.
+
+    Args:
+        seconds: Duration of each flood.
+        place: Places of an answer to flood, such as `flood_comments`; all of
+            them by default.
+        out: File to write the report to, as JSON.
+    """
+    from briarfall.bench import floods as bench
+
+    _write_report("floods", bench.run(seconds, place or []), out)
+
+
 def soak(*, seed: int = 1, seconds: float = 30.0) -> int:
     """Runs a workload under seeded random faults and checks guarantees.
 
@@ -347,6 +363,7 @@
     "edits": edits,
     "overload": overload,
     "quiet": quiet,
+    "floods": floods,
     "soak": soak,
     "fault-soak": fault_soak,
     "once-soak": once_soak,
--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -141,6 +141,11 @@
                 stdin=subprocess.DEVNULL,
             )
 
+    @property
+    def pid(self) -> int:
+        """Id of the process that was started last."""
+        return self._process.pid
+
     @property
     def is_running(self) -> bool:
         """Whether the process is running."""
