A target that answers after its crash, and whose entry stays, has not crashed

Its targets write no further heartbeats, and peers that don't read the store see none of any target.

Change: any instance that gets an answer of the incarnation 0.5 s or more after the crash, and whose list of targets, read 4 s later, still has the incarnation, withdraws the crash. A target that has started again writes its new entry within that time (three heartbeats are 3.6 s).

Evidence: test_of_targets_that_stay_listed_free_the_request fails before (still poison); targets that have started again, and answers from before the crash, free nothing.

--- a/src/briarfall/gateway/crashes/crashdetection.py
+++ b/src/briarfall/gateway/crashes/crashdetection.py
@@ -52,7 +52,7 @@
         self._crashes = crash_table
         self._targets = table
         self._lock = threading.Lock()
-        # Used by the thread that reads the store.
+        # Used by the thread that reads the list of targets.
         self._alibis = alibis.Alibis()
         self._pending: collections.deque[_PendingCase] = collections.deque(
             maxlen=_MAX_PENDING
@@ -127,10 +127,19 @@
             self._crashes.crashed_s(),
             {entry.id: entry for entry in entries},
             read_s,
+            self._answered_s,
         )
         if alive:
             self._crashes.withdraw(alive)
 
+    def _answered_s(
+        self, incarnation: incarnations.Incarnation
+    ) -> float | None:
+        target = self._targets.in_incarnation(
+            incarnation.target, incarnation.started_ms
+        )
+        return None if target is None else target.answered_s
+
     def _record(self, found: list[crashevidence.Crash]) -> None:
         for crash in found:
             self._crashes.record(crash)
--- a/src/briarfall/gateway/targets/targets.py
+++ b/src/briarfall/gateway/targets/targets.py
@@ -155,6 +155,8 @@
             self._rebuild_index()
             self._log_added()
         self._notify_ended()
+        for listener in self._read_listeners:
+            listener([], read_s)
         return removed
 
     @property
@@ -285,9 +287,10 @@
         self._end_listeners.append(listener)
 
     def add_read_listener(self, listener: ReadListener) -> None:
-        """Calls `listener` with each full read of the store by this instance.
+        """Calls `listener` after each read of the list of targets.
 
-        It gets the entries, and the time on the boot clock at which the read
+        It gets all entries if this instance has read the store, none if a peer
+        has told what changed, and the time on the boot clock at which the read
         was sent.
         """
         self._read_listeners.append(listener)
--- a/tests/test_gateway_alibis.py
+++ b/tests/test_gateway_alibis.py
@@ -50,6 +50,16 @@
         self._clock.now_s += _WAIT_S
         self.table.update(rows, self._clock.now_s)
 
+    def read_by_peer(self, *, seconds):
+        """Hears from a peer that nothing has changed."""
+        self._clock.now_s += seconds
+        self.table.apply_changes([], [], self._clock.now_s)
+
+    def answer(self):
+        """Records that all targets have answered a request."""
+        for name in _NAMES:
+            self.table.get(name).answered_s = self._clock.now_s
+
     @property
     def is_poison(self):
         return self.crashes.is_poison(self.suspect)
@@ -112,6 +122,51 @@
         assert scene.is_poison
 
 
+class TestAnswers:
+    """A target whose heartbeat nobody here reads has answered a request."""
+
+    @pytest.fixture
+    def scene(self, clock):
+        return _Scene(clock)
+
+    def test_of_targets_that_stay_listed_free_the_request(self, scene):
+        for _ in range(4):
+            scene.read_by_peer(seconds=1.0)
+            scene.answer()
+        assert scene.is_poison
+        scene.read_by_peer(seconds=1.0)
+        assert not scene.is_poison
+
+    # Guards against a target that crashed and answers again before its entry
+    # shows that it has started again.
+    def test_of_targets_that_have_started_again_free_nothing(self, scene):
+        scene.read_by_peer(seconds=1.0)
+        scene.answer()
+        scene.read_by_peer(seconds=3.0)
+        scene.read(1, started_ms=4)
+        scene.answer()
+        for _ in range(9):
+            scene.read_by_peer(seconds=1.0)
+            scene.answer()
+        assert scene.is_poison
+
+    def test_from_before_the_crash_free_nothing(self, scene):
+        scene.answer()
+        for _ in range(9):
+            scene.read_by_peer(seconds=1.0)
+        assert scene.is_poison
+
+    def test_before_a_further_crash_free_nothing(self, scene):
+        scene.read_by_peer(seconds=1.0)
+        scene.answer()
+        scene.read_by_peer(seconds=3.0)
+        scene.crashes.record_survived(scene.suspect)
+        for name in _NAMES:
+            scene.interrupt(name)
+        scene.read_by_peer(seconds=2.0)
+        assert scene.crashes.count(scene.suspect) == 3
+
+
 class TestPeers:
     def peer(self, scene):
         peer = crashes.CrashTable()
