A request that a target survives is no longer refused

By the log of the gateways: a look-up that was in progress at another instance ends well 5 ms after the verdict; all instances forget the crashes, but the verdict stays, without a crash behind it that could be withdrawn.

Change: record_survived lifts the verdict of a request as record_proven does that of a part, here, at others and in the store; reports of its earlier crashes and of the verdict are ignored for 5 and 60 s. A poison request crashes each target that begins to run it (PROTOCOL.md), so it never survives; if it crashes three further targets that an instance sees, it is refused again.

Tests of poison requests and parts pass unchanged.

--- a/src/briarfall/gateway/crashes/crashes.py
+++ b/src/briarfall/gateway/crashes/crashes.py
@@ -264,6 +264,8 @@
                     continue
                 if self._withdrawn.has_crash(crash.incarnation, now_s):
                     continue
+                if self._withdrawn.has_crash(crash.suspect, now_s):
+                    continue
                 if self._proven.has(crash.suspect, now_s):
                     self._survived_s[crash.suspect] = now_s
                     continue
@@ -318,17 +320,40 @@
         self._report_poison(suspect, now_s)
 
     def record_survived(self, request: crashevidence.SuspectKey) -> None:
-        """Forgets the crashes of a request that now ran without a crash."""
-        if request not in self._evidence:
-            return
+        """Forgets the crashes of a request that now ran without a crash.
+
+        It is no longer refused either: a poison request crashes each target
+        that begins to run it.
+        """
         now_s = clocks.boot_s()
         with self._lock:
-            self._evidence.clear(request)
+            if request not in self._evidence and request not in self._poison:
+                return
             self._survived_s[request] = now_s
+            was_poison = self._clear_request(request, now_s)
+            if was_poison:
+                self._survived_s[withdrawals.innocent_key(request)] = now_s
         logging.info(
-            "request ran without a crash, older ones forgotten fingerprint=%s",
+            "request ran without a crash, older ones forgotten fingerprint=%s "
+            "was_poison=%s",
             request,
+            was_poison,
         )
+        if was_poison:
+            self._report_lifted(request)
+            self._notify_changed()
+
+    def _clear_request(
+        self, request: crashevidence.SuspectKey, now_s: float
+    ) -> bool:
+        """Clears a request that survived; returns whether it was refused."""
+        self._evidence.clear(request)
+        self._withdrawn.add(request, now_s)
+        return self._poison.lift(request)
+
+    def _report_lifted(self, suspect: crashevidence.SuspectKey) -> None:
+        for listener in self._listeners:
+            listener(poisonlist.PoisonRow(suspect, 0))
 
     def record_proven(self, part: crashevidence.SuspectKey) -> None:
         """Records that a target wrote an answer on a part of prompts.
@@ -350,8 +375,7 @@
             was_poison,
         )
         if was_poison:
-            for listener in self._listeners:
-                listener(poisonlist.PoisonRow(part, 0))
+            self._report_lifted(part)
         self._notify_changed()
 
     def merge_survived(self, suspects: list[crashevidence.SuspectKey]) -> None:
@@ -364,7 +388,8 @@
                     self._merge_withdrawal(withdrawal, now_s)
                     continue
                 if not crashevidence.is_part(suspect):
-                    self._evidence.clear(suspect)
+                    if suspect in self._evidence or suspect in self._poison:
+                        self._clear_request(suspect, now_s)
                     continue
                 self._proven.record(suspect, now_s)
                 self._poison.lift(suspect)
@@ -403,8 +428,7 @@
                 "request no longer refused, its targets live on fingerprint=%s",
                 suspect,
             )
-            for listener in self._listeners:
-                listener(poisonlist.PoisonRow(suspect, 0))
+            self._report_lifted(suspect)
         self._notify_changed()
 
     def _withdraw(
--- a/src/briarfall/gateway/crashes/poisonlist.py
+++ b/src/briarfall/gateway/crashes/poisonlist.py
@@ -32,6 +32,9 @@
     def __len__(self) -> int:
         return len(self._until_s)
 
+    def __contains__(self, suspect: crashevidence.SuspectKey) -> bool:
+        return suspect in self._until_s
+
     def left_s(self, suspect: crashevidence.SuspectKey, now_s: float) -> float:
         """Returns the seconds for which a suspect is still refused, or 0."""
         return max(0.0, self._until_s.get(suspect, 0.0) - now_s)
--- a/src/briarfall/gateway/crashes/withdrawals.py
+++ b/src/briarfall/gateway/crashes/withdrawals.py
@@ -86,10 +86,12 @@
             del self._withdrawn_s[next(iter(self._withdrawn_s))]
 
     def has_crash(
-        self, incarnation: incarnations.Incarnation, now_s: float
+        self,
+        row: incarnations.Incarnation | crashevidence.SuspectKey,
+        now_s: float,
     ) -> bool:
-        """Whether reports of an incarnation's crash are still ignored."""
-        return self._has(incarnation, now_s, _IGNORE_CRASH_S)
+        """Whether crashes of an incarnation or suspect are still ignored."""
+        return self._has(row, now_s, _IGNORE_CRASH_S)
 
     def has_verdict(
         self, suspect: crashevidence.SuspectKey, now_s: float
--- a/src/briarfall/gateway/forwarding/dispatchgate.py
+++ b/src/briarfall/gateway/forwarding/dispatchgate.py
@@ -69,7 +69,7 @@
 
     def record_survived(self, call: calls.Call) -> None:
         """Records that a target completed a request without a crash."""
-        if self._crashes.has_crashes:
+        if self._crashes.has_crashes or self._crashes.has_poison:
             self._crashes.record_survived(crashes.fingerprint(call))
         self.record_proven(call)
 
--- a/tests/test_gateway_alibis.py
+++ b/tests/test_gateway_alibis.py
@@ -210,6 +210,38 @@
         assert peer.is_poison(scene.suspect)
 
 
+class TestSurvivedRequest:
+    """A request that was in progress elsewhere ends without a crash."""
+
+    @pytest.fixture
+    def scene(self, clock):
+        return _Scene(clock)
+
+    # Guards against a verdict without any crash behind it: the survival made
+    # all instances forget the crashes, but not what followed from them.
+    def test_is_free_at_all_instances(self, scene):
+        peer = crashes.CrashTable()
+        peer.merge_crashes(scene.crashes.crashes_to_report())
+        stale = scene.crashes.crashes_to_report()
+        refused = scene.crashes.poison_to_report()
+        peer.record_survived(scene.suspect)
+        assert not peer.is_poison(scene.suspect)
+        scene.crashes.merge_survived(peer.survived_to_report())
+        assert not scene.is_poison
+        # A third instance that was not told yet.
+        for table in (peer, scene.crashes):
+            table.merge_crashes(stale)
+            table.merge_poison(refused)
+            assert not table.is_poison(scene.suspect)
+
+    def test_that_crashes_three_targets_again_is_refused(self, scene):
+        scene.crashes.record_survived(scene.suspect)
+        assert not scene.is_poison
+        for name in _NAMES:
+            scene.interrupt(name)
+        assert scene.is_poison
+
+
 class TestKeys:
     def test_are_told_apart_from_suspects(self):
         row = incarnations.Incarnation("i:1", 7)
