The instance that had a verdict stored also has it removed

Cause: an instance that lifts a verdict when a peer says so told no listener, and the peer may lift before it has the verdict.

Change: what this instance has reported as refused is reported as free once it is lifted, whoever lifts it.

Evidence: test_is_free_at_all_instances fails before (no row without time left).

--- a/src/briarfall/gateway/crashes/crashes.py
+++ b/src/briarfall/gateway/crashes/crashes.py
@@ -83,6 +83,8 @@
         ] = collections.deque()
         self._poison = poisonlist.PoisonList()
         self._withdrawn = withdrawals.Withdrawals()
+        # Refused suspects that this instance has reported to its listeners.
+        self._reported: set[crashevidence.SuspectKey] = set()
         self._survived_s: dict[crashevidence.SuspectKey, float] = {}
         self._origins: collections.Counter[str] = collections.Counter()
         self._listeners: list[PoisonListener] = []
@@ -352,6 +354,7 @@
         return self._poison.lift(request)
 
     def _report_lifted(self, suspect: crashevidence.SuspectKey) -> None:
+        self._reported.discard(suspect)
         for listener in self._listeners:
             listener(poisonlist.PoisonRow(suspect, 0))
 
@@ -394,6 +397,15 @@
                 self._proven.record(suspect, now_s)
                 self._poison.lift(suspect)
                 self._clear_part(suspect)
+            lifted = [
+                suspect
+                for suspect in self._reported
+                if suspect not in self._poison
+            ]
+        # The instance that had a verdict stored also has it removed: another
+        # one may have lifted it before it was stored.
+        for suspect in lifted:
+            self._report_lifted(suspect)
 
     def crashed_s(self) -> dict[incarnations.Incarnation, float]:
         """Returns when the latest crash of each incarnation became known."""
@@ -534,6 +546,7 @@
         self, suspect: crashevidence.SuspectKey, now_s: float
     ) -> None:
         left_s = self._poison.left_s(suspect, now_s)
+        self._reported.add(suspect)
         logging.warning(
             "poison request fingerprint=%s crashes=%d",
             suspect,
--- a/tests/test_gateway_alibis.py
+++ b/tests/test_gateway_alibis.py
@@ -228,6 +228,8 @@
         assert not peer.is_poison(scene.suspect)
         scene.crashes.merge_survived(peer.survived_to_report())
         assert not scene.is_poison
+        # The verdict leaves the store too, though no one else knew of it.
+        assert [row.left_ms > 0 for row in scene.reported] == [True, False]
         # A third instance that was not told yet.
         for table in (peer, scene.crashes):
             table.merge_crashes(stale)
