--- a/src/briarfall/gateway/crashes/crashes.py
+++ b/src/briarfall/gateway/crashes/crashes.py
@@ -18,6 +18,8 @@
 from briarfall.gateway.crashes import partholds
 from briarfall.gateway.crashes import poisonlist
 from briarfall.gateway.crashes import provenparts
+from briarfall.gateway.crashes import withdrawals
+from briarfall.gateway.targets import incarnations
 
 # Number of crashed targets from which a request counts as poison. A harmless
 # request that shares targets with a poison request is involved in one or two
@@ -80,6 +82,9 @@
             tuple[float, crashevidence.Crash]
         ] = collections.deque()
         self._poison = poisonlist.PoisonList()
+        self._withdrawn = withdrawals.Withdrawals()
+        # Refused suspects that this instance has reported to its listeners.
+        self._reported: set[crashevidence.SuspectKey] = set()
         self._survived_s: dict[crashevidence.SuspectKey, float] = {}
         self._origins: collections.Counter[str] = collections.Counter()
         self._listeners: list[PoisonListener] = []
@@ -259,6 +264,10 @@
             with self._lock:
                 if self._evidence.has(crash):
                     continue
+                if self._withdrawn.has_crash(crash.incarnation, now_s):
+                    continue
+                if self._withdrawn.has_crash(crash.suspect, now_s):
+                    continue
                 if self._proven.has(crash.suspect, now_s):
                     self._survived_s[crash.suspect] = now_s
                     continue
@@ -285,6 +294,8 @@
             with self._lock:
                 if self._proven.has(row.suspect, now_s):
                     continue
+                if self._withdrawn.has_verdict(row.suspect, now_s):
+                    continue
                 is_new = self._poison.merge(row, now_s)
             if is_new:
                 logging.warning(
@@ -311,17 +322,41 @@
         self._report_poison(suspect, now_s)
 
     def record_survived(self, request: crashevidence.SuspectKey) -> None:
-        """Forgets the crashes of a request that now ran without a crash."""
-        if request not in self._evidence:
-            return
+        """Forgets the crashes of a request that now ran without a crash.
+
+        It is no longer refused either: a poison request crashes each target
+        that begins to run it.
+        """
         now_s = clocks.boot_s()
         with self._lock:
-            self._evidence.clear(request)
+            if request not in self._evidence and request not in self._poison:
+                return
             self._survived_s[request] = now_s
+            was_poison = self._clear_request(request, now_s)
+            if was_poison:
+                self._survived_s[withdrawals.innocent_key(request)] = now_s
         logging.info(
-            "request ran without a crash, older ones forgotten fingerprint=%s",
+            "request ran without a crash, older ones forgotten fingerprint=%s "
+            "was_poison=%s",
             request,
+            was_poison,
         )
+        if was_poison:
+            self._report_lifted(request)
+            self._notify_changed()
+
+    def _clear_request(
+        self, request: crashevidence.SuspectKey, now_s: float
+    ) -> bool:
+        """Clears a request that survived; returns whether it was refused."""
+        self._evidence.clear(request)
+        self._withdrawn.add(request, now_s)
+        return self._poison.lift(request)
+
+    def _report_lifted(self, suspect: crashevidence.SuspectKey) -> None:
+        self._reported.discard(suspect)
+        for listener in self._listeners:
+            listener(poisonlist.PoisonRow(suspect, 0))
 
     def record_proven(self, part: crashevidence.SuspectKey) -> None:
         """Records that a target wrote an answer on a part of prompts.
@@ -343,8 +378,7 @@
             was_poison,
         )
         if was_poison:
-            for listener in self._listeners:
-                listener(poisonlist.PoisonRow(part, 0))
+            self._report_lifted(part)
         self._notify_changed()
 
     def merge_survived(self, suspects: list[crashevidence.SuspectKey]) -> None:
@@ -352,12 +386,89 @@
         now_s = clocks.boot_s()
         with self._lock:
             for suspect in suspects:
+                withdrawal = withdrawals.parse(suspect)
+                if withdrawal is not None:
+                    self._merge_withdrawal(withdrawal, now_s)
+                    continue
                 if not crashevidence.is_part(suspect):
-                    self._evidence.clear(suspect)
+                    if suspect in self._evidence or suspect in self._poison:
+                        self._clear_request(suspect, now_s)
                     continue
                 self._proven.record(suspect, now_s)
                 self._poison.lift(suspect)
                 self._clear_part(suspect)
+            lifted = [
+                suspect
+                for suspect in self._reported
+                if suspect not in self._poison
+            ]
+        # The instance that had a verdict stored also has it removed: another
+        # one may have lifted it before it was stored.
+        for suspect in lifted:
+            self._report_lifted(suspect)
+
+    def crashed_s(self) -> dict[incarnations.Incarnation, float]:
+        """Returns when the latest crash of each incarnation became known."""
+        with self._lock:
+            return self._evidence.crashed_s()
+
+    def withdraw(
+        self, alive: collections.abc.Iterable[incarnations.Incarnation]
+    ) -> None:
+        """Withdraws the crashes of incarnations that live on.
+
+        A suspect that is refused for too few further crashes is free again,
+        here and at others.
+        """
+        now_s = clocks.boot_s()
+        lifted = []
+        with self._lock:
+            for incarnation in alive:
+                lifted.extend(self._withdraw(incarnation, now_s))
+                key = withdrawals.alive_key(incarnation)
+                self._survived_s[key] = now_s
+                logging.warning(
+                    "target lives on, its crash is withdrawn target=%s "
+                    "lifetime=%d",
+                    incarnation.target,
+                    incarnation.started_ms,
+                )
+            for suspect in lifted:
+                self._survived_s[withdrawals.innocent_key(suspect)] = now_s
+        for suspect in lifted:
+            logging.warning(
+                "request no longer refused, its targets live on fingerprint=%s",
+                suspect,
+            )
+            self._report_lifted(suspect)
+        self._notify_changed()
+
+    def _withdraw(
+        self, incarnation: incarnations.Incarnation, now_s: float
+    ) -> list[crashevidence.SuspectKey]:
+        """Withdraws a crash; returns the suspects that are free again."""
+        self._withdrawn.add(incarnation, now_s)
+        lifted = []
+        for suspect in self._evidence.withdraw(incarnation):
+            blamed = self._evidence.blamed_count(suspect)
+            if not blamed:
+                self._holds.end(suspect)
+            if blamed < _MAX_CRASHES and self._poison.lift(suspect):
+                self._withdrawn.add(suspect, now_s)
+                lifted.append(suspect)
+        return lifted
+
+    def _merge_withdrawal(
+        self, row: withdrawals.Withdrawal, now_s: float
+    ) -> None:
+        """Withdraws what another instance has withdrawn."""
+        if row.incarnation is not None:
+            if not self._withdrawn.has_crash(row.incarnation, now_s):
+                self._withdraw(row.incarnation, now_s)
+            return
+        if self._evidence.blamed_count(row.suspect) < _MAX_CRASHES:
+            self._poison.lift(row.suspect)
+            self._withdrawn.add(row.suspect, now_s)
 
     def crashes_to_report(
         self, interval_s: float = 0.0
@@ -435,6 +546,7 @@
         self, suspect: crashevidence.SuspectKey, now_s: float
     ) -> None:
         left_s = self._poison.left_s(suspect, now_s)
+        self._reported.add(suspect)
         logging.warning(
             "poison request fingerprint=%s crashes=%d",
             suspect,
--- a/src/briarfall/gateway/exchanges/targetconnection.py
+++ b/src/briarfall/gateway/exchanges/targetconnection.py
@@ -18,6 +18,8 @@
 from briarfall.gateway.exchanges import outgoing
 
 _RECEIVE_BYTES = 65_536
+# States of the parser after the end of a response.
+_ENDED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 # A target in the same region accepts a connection within milliseconds.
 CONNECT_TIMEOUT_S = 0.4
 # Used if a target does not announce when it closes idle connections.
@@ -173,6 +175,8 @@
         self.idle_limit_s = _DEFAULT_KEEP_ALIVE_S
         self.history = matching.ExchangeHistory()
         self._http = h11.Connection(h11.CLIENT)
+        # Event that `has_event` has found.
+        self._found = None
         self._poller: select.poll | None = None
         self._watch: CallerWatch | None = None
         self._others: list[TargetConnection] = []
@@ -381,8 +385,22 @@
         except h11.RemoteProtocolError as exc:
             raise self._broken_error(f"closed: {exc}") from exc
 
+    def has_event(self) -> bool:
+        """Whether the parser has a further event without more data.
+
+        Raises:
+            BrokenExchangeError: The response is damaged.
+        """
+        if self._found is None:
+            self._found = self._parse_event()
+        return self._found is not None
+
     def next_event(self):
         """Returns the parser's next event, or None if it needs data."""
+        event, self._found = self._found, None
+        return event or self._parse_event()
+
+    def _parse_event(self):
         try:
             event = self._http.next_event()
         except h11.RemoteProtocolError as exc:
@@ -538,6 +556,11 @@
             if inputbounds.is_fragmented(len(body), pieces):
                 raise self._invalid_error("a body in small pieces, no end")
 
+    @property
+    def has_whole_response(self) -> bool:
+        """Whether the response was read to its end."""
+        return self._http.their_state in _ENDED_STATES
+
     def drain(self, deadline_s: float) -> None:
         """Reads and discards the rest of a response, if it arrives in time.
 
--- a/src/briarfall/gateway/forwarding/plainfollowing.py
+++ b/src/briarfall/gateway/forwarding/plainfollowing.py
@@ -138,7 +138,8 @@
         try:
             calls.raise_if_refused(call, conn, head, self._names, target.id)
         except calls.RefusedByTargetError:
-            self._targets.record_response(target)
+            if conn.has_whole_response:
+                self._targets.record_response(target)
             sends.record_refusal(exchange)
             raise
         proofs.check_signed(conn.address, head, self._names)
@@ -173,8 +174,12 @@
         def commit():
             sends.close()
             exchange.conn.watch(call.watch)
+            exchange.record_passing()
 
-        body = exchange.body.read(call, commit)
+        def may_leave():
+            return sends.may_run_again(exchange) and self._can_move(sends)
+
+        body = exchange.body.read(call, commit, may_leave)
         if exchange.completion is not None:
             exchange.completion.run(call.watch, call.deadline_s)
         self._targets.record_response(exchange.target)
--- a/src/briarfall/gateway/forwarding/runfollowing.py
+++ b/src/briarfall/gateway/forwarding/runfollowing.py
@@ -130,13 +130,20 @@
         )
         run.response = head
         self._target_signals.handle(run.target, head, run.sent_s)
-        calls.raise_if_refused(call, run.conn, head, self._names, run.target.id)
+        try:
+            calls.raise_if_refused(
+                call, run.conn, head, self._names, run.target.id
+            )
+        except calls.RefusedByTargetError:
+            if run.conn.has_whole_response:
+                self._targets.record_response(run.target)
+            raise
+        proofs.check_signed(run.conn.address, head, self._names)
         run.is_resumed = stream.response_started
         if not head.is_success:
-            proofs.check_signed(run.conn.address, head, self._names)
             return
         streamresponses.check_head(
-            run.conn.address, head, self._names, is_resumed=run.is_resumed
+            run.conn.address, head, is_resumed=run.is_resumed
         )
         run.completion = closedanswers.check_of(
             call.req.method,
@@ -259,9 +266,9 @@
         """Returns the bytes of complete events that the caller lacks.
 
         Raises:
-            BrokenExchangeError: An event is missing, too long or none of this
-                stream.
-            InvalidResponseError: No event came for many bytes or pieces.
+            InvalidResponseError: An event is too long, or none came for many
+                bytes or pieces.
+            BrokenExchangeError: An event is missing, or none of this stream.
         """
         accepted = streamresponses.accept_events(
             run.conn.address,
--- a/src/briarfall/gateway/forwarding/streamresponses.py
+++ b/src/briarfall/gateway/forwarding/streamresponses.py
@@ -4,9 +4,7 @@
 
 from briarfall import exceptions
 from briarfall.gateway.exchanges import events
-from briarfall.gateway.exchanges import headernames
 from briarfall.gateway.exchanges import messages
-from briarfall.gateway.exchanges import proofs
 from briarfall.gateway.exchanges import targetconnection
 
 _IDENTITY = b"identity"
@@ -21,23 +19,19 @@
 def check_head(
     address: str,
     head: messages.ResponseHead,
-    header_names: headernames.HeaderNames,
     *,
     is_resumed: bool,
 ) -> None:
-    """Checks the head of a success response to a stream.
+    """Checks the head of a signed success response to a stream.
 
     Args:
         address: Address that sent it.
         head: The head.
-        header_names: Header names of the platform.
         is_resumed: Whether the caller already has the head of an earlier run.
 
     Raises:
-        BrokenExchangeError: An engine did not write the response, or its body
-            can't be the rest of the stream.
+        BrokenExchangeError: Its body can't be the rest of the stream.
     """
-    proofs.check_signed(address, head, header_names)
     if not is_resumed:
         return
     if head.status != 200:
@@ -83,19 +77,20 @@
         is_resumed: Whether the caller already has the head of an earlier run.
 
     Raises:
-        BrokenExchangeError: An event is missing, too long or none of this
-            stream.
+        InvalidResponseError: An event or its id is too long; the engine sends
+            bytes that are no events.
+        BrokenExchangeError: An event is missing, or none of this stream.
     """
     try:
         complete = splitter.feed(received)
         if is_resumed:
             _check_numbered(complete)
         accepted = sequence.accept(complete)
-    except (
-        events.EventGapError,
-        events.EventTooLongError,
-        ForeignResponseError,
-    ) as exc:
+    except events.EventTooLongError as exc:
+        raise targetconnection.InvalidResponseError(
+            f"{address}: {exc.message}"
+        ) from exc
+    except (events.EventGapError, ForeignResponseError) as exc:
         raise _broken(address, exc.message) from exc
     return AcceptedEvents(
         b"".join(event.data for event in accepted),
