A stand-in that is down for a fault keeps its port

While it was down its port was free for the local end of any connection, and the system gave it away. Ports of the listeners lie in the range of local ports.

A stand-in that is aborted, and an engine that is cut, hold the port with a bound socket that does not listen: connections are refused as before, and the system gives the port to nobody.

--- a/features/steps/order_faults.py
+++ b/features/steps/order_faults.py
@@ -69,7 +69,7 @@
 
     def _all_targets_down(self, what):
         for target in self.world.platform.orders:
-            target.server.abort()
+            target.abort()
 
     def _target_answer_lost(self, what):
         for target in self.world.platform.orders:
--- a/src/briarfall/standins/base.py
+++ b/src/briarfall/standins/base.py
@@ -2,6 +2,7 @@
 
 from briarfall import httpserver
 from briarfall.standins import faults
+from briarfall.standins import heldport
 
 
 class HttpStandin:
@@ -26,6 +27,7 @@
         self.server = httpserver.HttpServer(
             "127.0.0.1", port, self.routes.handle, name=name
         )
+        self._held_port: heldport.HeldPort | None = None
 
     @property
     def url(self) -> str:
@@ -36,6 +38,20 @@
         """Starts listening."""
         self.server.start()
 
+    def abort(self) -> None:
+        """Resets all connections and refuses new ones, as in a crash.
+
+        The port stays its own until `stop`.
+        """
+        self.server.abort()
+        self._held_port = heldport.HeldPort(self.server.address)
+
     def stop(self) -> None:
         """Stops listening."""
         self.server.stop()
+        self.release_port()
+
+    def release_port(self) -> None:
+        """Gives the port back that `abort` has kept."""
+        if self._held_port is not None:
+            self._held_port.release()
--- a/src/briarfall/standins/enginelistener.py
+++ b/src/briarfall/standins/enginelistener.py
@@ -9,6 +9,7 @@
 from briarfall import httpserver
 from briarfall.adapters import engine as engines
 from briarfall.standins import engine
+from briarfall.standins import heldport
 
 _STALL_POLL_S = 0.05
 _STALL_POLLS = 200
@@ -29,6 +30,7 @@
         self._port = 0
         self.server = self._new_server()
         self._port = self.server.address[1]
+        self._held_port: heldport.HeldPort | None = None
 
     def _new_server(self) -> httpserver.HttpServer:
         routes = httpserver.Router()
@@ -57,6 +59,7 @@
         """Resets all connections and stops listening, as in a crash."""
         server = self.server
         server.abort()
+        self._held_port = heldport.HeldPort(server.address)
         self.end_streams()
         threading.Thread(target=server.stop, daemon=True).start()
 
@@ -65,12 +68,19 @@
         if self.server.is_aborted:
             self.server = self._new_server()
             self.server.start()
+            self._release_port()
 
     def close(self) -> None:
         """Ends all streams and stops listening."""
         self._closing.set()
         self.end_streams()
         self.server.stop()
+        self._release_port()
+
+    def _release_port(self) -> None:
+        if self._held_port is not None:
+            self._held_port.release()
+            self._held_port = None
 
     def end_streams(self) -> None:
         """Ends the responses of all streams without a final event."""
--- a/src/briarfall/standins/platform.py
+++ b/src/briarfall/standins/platform.py
@@ -143,11 +143,12 @@
             if not standin.server.is_aborted:
                 continue
             port = standin.server.address[1]
-            standin.stop()
+            standin.server.stop()
             self.orders[number] = orders.OrderStandin(
                 standin.name, self.order_ledger, port
             )
             self.orders[number].start()
+            standin.release_port()
 
     def model(self, name: str, layers: int, **changes) -> entries.Model:
         """Returns the entry of a model on the engines named after it."""
