A relayed request of an earlier release may run once, unless it says otherwise

Cause: a field that is missing counted as 'may be repeated'. What nobody told is now judged as the stricter case, both ways. Price: while releases are mixed, a look-up that is relayed from or to an earlier release and fails is not repeated by the newer side; its caller gets 502 and may send it again.

--- a/src/briarfall/gateway/calls/relaymessages.py
+++ b/src/briarfall/gateway/calls/relaymessages.py
@@ -50,6 +50,7 @@
         backoffs: Backoffs that targets of its service asked the sender for,
             as `relaybackoffs` encodes them.
         is_single_run: Whether it may run only once by what the sender knows.
+            Earlier releases don't tell it.
     """
 
     exchange: str
@@ -60,7 +61,7 @@
     has_unknown_outcome: bool
     heads: list[ids.TargetId] = []
     backoffs: msgspec.Raw = relaybackoffs.NONE
-    is_single_run: bool = False
+    is_single_run: bool = True
 
 
 class RelayedResponse(msgspec.Struct, frozen=True):
@@ -74,6 +75,7 @@
         backoffs: Backoffs that targets asked for in response to it, as
             `relaybackoffs` encodes them.
         is_single_run: Whether it may run only once by what the peer knows.
+            Earlier releases don't tell it.
     """
 
     exchange: str
@@ -81,7 +83,7 @@
     sends: int
     runs: int
     backoffs: msgspec.Raw = relaybackoffs.NONE
-    is_single_run: bool = False
+    is_single_run: bool = True
 
 
 def without_private(headers: messages.Headers) -> messages.Headers:
