A request is judged by the newest version of its route that is known at each send

It needs no relay and no cut, only a change beside a target that is silent.

Cause: the route was kept as it was at the arrival. Call.may_repeat, which all checks use, now also asks the view in force; the strictest one that was ever known to a request counts. A route that is gone changes nothing.

The log line at the end named the version in force then, not the one that judged; and an instance that was killed amid an order had logged nothing of it. 'request done' names the version at the arrival, and each send of a request that may run once has a line with target, lifetime and version.

--- a/src/briarfall/gateway/callers/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -232,7 +232,7 @@
             call.possible_runs,
             ",".join(call.sent_to) or None,
             call.age_s * 1000,
-            self._follower.view.version,
+            call.version,
             self._follower.age_s * 1000,
             call.relayed_to or None,
             call.relayed.sender if call.relayed else None,
@@ -276,11 +276,20 @@
             account=account,
             urgency=urgency,
             deadline_s=calls.deadline_of(req, self._names.time_left, route),
+            version=view.version,
+            newest_route=lambda: self._newest_route(req),
             parts=promptparts.parse(req, self._names),
         )
         conn.start_call(call)
         return call
 
+    def _newest_route(self, req: messages.CallerRequest) -> views.Route | None:
+        """Returns a request's route in the version that is in force."""
+        try:
+            return self._follower.view.match(req.host, req.path)
+        except exceptions.NotFoundError:
+            return None
+
     def _stale_error(self) -> exceptions.NotReadyError:
         return exceptions.NotReadyError(
             f"the catalogue is {self._follower.age_s:.1f} s old",
--- a/src/briarfall/gateway/calls/calls.py
+++ b/src/briarfall/gateway/calls/calls.py
@@ -1,5 +1,7 @@
 """A caller's request while the gateway handles it."""
 
+import collections.abc
+
 import msgspec
 
 from briarfall import decoding
@@ -35,6 +37,10 @@
     remedy = "look the result up before sending the request again"
 
 
+def _unknown_route() -> views.Route | None:
+    return None
+
+
 class Call(msgspec.Struct):
     """A request, the route that it takes, and its limits.
 
@@ -62,6 +68,9 @@
             its route by which it may run only once.
         open_sends: How often it was sent, also to peers, without a proof that
             this caused no run.
+        version: Version of the catalogue that `route` is of.
+        newest_route: Returns the route that it would take now, or None if
+            there is none any more.
     """
 
     req: messages.CallerRequest
@@ -82,16 +91,24 @@
     has_no_peer: bool = False
     is_single_run: bool = False
     open_sends: int = 0
+    version: int = 0
+    newest_route: collections.abc.Callable[[], views.Route | None] = (
+        _unknown_route
+    )
     sent_to: list[ids.TargetId] = msgspec.field(default_factory=list)
 
     @property
     def may_repeat(self) -> bool:
         """Whether it may be sent again after an unknown outcome.
 
-        Instances may know different versions of its route; the strictest one
-        counts.
+        Instances may know different versions of its route, and a newer one may
+        have come into force since it arrived; the strictest one counts.
         """
-        return self.route.is_retryable and not self.is_single_run
+        if self.is_single_run or not self.route.is_retryable:
+            return False
+        newest = self.newest_route()
+        self.is_single_run = newest is not None and not newest.is_retryable
+        return not self.is_single_run
 
     @property
     def max_runs(self) -> int:
--- a/src/briarfall/gateway/forwarding/dispatchgate.py
+++ b/src/briarfall/gateway/forwarding/dispatchgate.py
@@ -179,6 +179,16 @@
         call.record_send()
         call.attempt_count += 1
         call.sent_to.append(target.id)
+        if not call.may_repeat:
+            logging.info(
+                "request that may run once sent request=%s target=%s "
+                "lifetime=%d version=%s sends=%d",
+                call.request_id,
+                target.id,
+                target.entry.started_ms,
+                call.version,
+                call.attempt_count,
+            )
 
     def _start_trials(
         self, call: calls.Call, suspected: list[crashevidence.SuspectKey]
