--- a/tests/test_gateway_strictestviews.py
+++ b/tests/test_gateway_strictestviews.py
@@ -3,6 +3,11 @@
 import logging
 import threading
 
+import pytest
+
+from briarfall.gateway.callers import peerconnections
+from briarfall.gateway.peers import relaypeers
+from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
 from tests import test_gateway_secondruns as secondruns
 
@@ -102,3 +107,46 @@
         ]
         assert len(lines) == 1
         assert "target=d" in lines[0]
+
+
+class TestPeerThatEndsWithoutAnAnswer:
+    # Guards against a peer that runs what the ended one knew to run only once.
+    @pytest.mark.known_red
+    def test_order_is_not_run_by_another_peer(self, world, monkeypatch):
+        scene = secondruns.Scene(world, orders="idempotent")
+        third = world.instance("i2")
+        world.wait_for_targets(*scene.desks)
+        world.wait_for_layers()
+        testbed.until(
+            lambda: len(scene.cut.peers.uncut("desk")) == 2, "both peers"
+        )
+        older = [scene.cut, third]
+        views = [inst.follower.view for inst in older]
+        world.publish(testbed.manifest(3, routes=secondruns.routes()))
+        secondruns.wait_for_version(3, *world.instances)
+        for inst, view in zip(older, views, strict=True):
+            monkeypatch.setattr(inst.follower, "apply", lambda *_: None)
+            inst.follower.view = view
+        choose = relaypeers.RelayPeers.choose
+
+        def choose_strict(choice, service, excluded, *args):
+            if "i1" not in excluded:
+                excluded = {*excluded, "i2"}
+            return choose(choice, service, excluded, *args)
+
+        monkeypatch.setattr(relaypeers.RelayPeers, "choose", choose_strict)
+        answer = peerconnections.PeerConnection.answer
+
+        def end_if_strict(conn, *args):
+            if not conn._call.route.is_retryable:
+                raise OSError("ended")
+            answer(conn, *args)
+
+        monkeypatch.setattr(
+            peerconnections.PeerConnection, "answer", end_if_strict
+        )
+        for row in scene.desks:
+            row.fault = registeredtarget.Fault.RESET_AFTER_RUN
+        secondruns.send_order(scene.cut)
+        secondruns.wait_until_idle(scene.cut)
+        assert secondruns.runs(scene.desks) == 1
