--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -94,7 +94,10 @@
         testbed.call(inst, "/orders/x", method="POST", request_id="abc5")
         # The log line is written after the response is sent.
         testbed.until(
-            lambda: "abc5" in pathlib.Path(path()).read_text(), "the line"
+            lambda: (
+                "request done request=abc5" in pathlib.Path(path()).read_text()
+            ),
+            "the last line",
         )
         assert explanation.explain("abc5", path()) == 0
         last = capsys.readouterr().out.splitlines()[-1]
