Manifest: decoding, route, service and limits can be converted one by one

Cause: a check of a configuration needs the decoder's rules row by row (all refused rows, not only the first), without writing them twice. parse() does what it did; no behaviour changes. Checks: tests/test_odd_manifests.py and tests/test_platform.py pass (run with -n 2).

--- a/src/briarfall/platform/manifest.py
+++ b/src/briarfall/platform/manifest.py
@@ -42,7 +42,9 @@
     weight: _Finite = 1.0
 
 
-class _Route(msgspec.Struct):
+class RouteRow(msgspec.Struct):
+    """A route in the manifest."""
+
     name: str
     host: str
     path_prefix: str
@@ -119,7 +121,9 @@
     usual: _MeanTokens = msgspec.field(default_factory=_MeanTokens)
 
 
-class _Service(msgspec.Struct):
+class ServiceRow(msgspec.Struct):
+    """A service in the manifest."""
+
     name: str
     # Limit of connections to a target; the gateway doesn't use it.
     max_conns: _Count = 0
@@ -127,7 +131,9 @@
     engine: _Engine | None = None
 
 
-class _Limits(msgspec.Struct):
+class LimitsRow(msgspec.Struct):
+    """Limits of callers' requests in the manifest."""
+
     max_header_bytes: _Count = 16_384
     max_body_bytes: _Count = 4_194_304
     header_timeout_ms: _Finite = _HEADER_TIMEOUT_MS
@@ -143,16 +149,18 @@
     priority: _Count | None = None
 
 
-class _Manifest(msgspec.Struct):
+class Manifest(msgspec.Struct):
+    """A manifest as the operator writes it."""
+
     version: _Version
-    routes: list[_Route]
-    services: list[_Service] = []
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    routes: list[RouteRow]
+    services: list[ServiceRow] = []
+    limits: LimitsRow = msgspec.field(default_factory=LimitsRow)
     # Client accounts; without this field callers need no key.
     tenants: list[_Tenant] | None = None
 
 
-_DECODER = msgspec.json.Decoder(_Manifest, strict=False)
+_DECODER = msgspec.json.Decoder(Manifest, strict=False)
 
 
 def parse(raw: bytes) -> views.CatalogueView:
@@ -162,13 +170,13 @@
         CatalogueError: The manifest can't be decoded, a route has an unknown
             kind, or a value is out of its range.
     """
-    manifest = decoding.decode(_DECODER, raw, "manifest")
+    manifest = decode(raw)
     routes = []
     for row in manifest.routes:
-        routes.append(_convert_route(row))
+        routes.append(convert_route(row))
     services = []
     for row in manifest.services:
-        services.append(_convert_service(row))
+        services.append(convert_service(row))
     keys = {}
     for tenant in manifest.tenants or []:
         account = views.ClientAccount(
@@ -176,21 +184,32 @@
         )
         for key in tenant.api_keys:
             keys[key] = account
-    limits = manifest.limits
     return views.build_view(
         manifest.version,
         routes,
         services,
         keys,
         has_accounts=manifest.tenants is not None,
-        limits=views.CallerLimits(
-            max_header_bytes=limits.max_header_bytes,
-            max_body_bytes=limits.max_body_bytes,
-            header_timeout_s=_limit_s(
-                limits.header_timeout_ms, _HEADER_TIMEOUT_MS
-            ),
-            idle_timeout_s=_limit_s(limits.idle_timeout_ms, _IDLE_TIMEOUT_MS),
-        ),
+        limits=convert_limits(manifest.limits),
+    )
+
+
+def decode(raw: bytes) -> Manifest:
+    """Returns a manifest as it was written, before any conversion.
+
+    Raises:
+        CatalogueError: The manifest can't be decoded.
+    """
+    return decoding.decode(_DECODER, raw, "manifest")
+
+
+def convert_limits(row: LimitsRow) -> views.CallerLimits:
+    """Returns the limits of callers' requests."""
+    return views.CallerLimits(
+        max_header_bytes=row.max_header_bytes,
+        max_body_bytes=row.max_body_bytes,
+        header_timeout_s=_limit_s(row.header_timeout_ms, _HEADER_TIMEOUT_MS),
+        idle_timeout_s=_limit_s(row.idle_timeout_ms, _IDLE_TIMEOUT_MS),
     )
 
 
@@ -208,7 +227,12 @@
     return min(max(0.0, value_ms) / 1000, _MAX_TIME_S)
 
 
-def _convert_route(row: _Route) -> views.Route:
+def convert_route(row: RouteRow) -> views.Route:
+    """Returns the route of a row.
+
+    Raises:
+        CatalogueError: The row has an unknown kind.
+    """
     kind = _ROUTE_KINDS.get(row.kind)
     if kind is None:
         raise exceptions.CatalogueError(
@@ -242,7 +266,12 @@
     )
 
 
-def _convert_service(row: _Service) -> views.Service:
+def convert_service(row: ServiceRow) -> views.Service:
+    """Returns the service of a row.
+
+    Raises:
+        CatalogueError: A value by which the layout divides is too small.
+    """
     name = views.ServiceName(row.name)
     engine = row.engine
     if engine is None or not engine.layers:
