briarfall check FILE: checks a configuration before it is sent

An operator saw a typing error in a configuration only when instances refused the version or callers got 503.

Change: pure checks over the decoded entries (gateway/catalogue/configcheck.py, routechecks.py, modelchecks.py), differences from the version in force with what callers notice (configdiff.py, routediff.py); platform/configreading.py reads the manifest with the decoder's own functions and notes what they refuse or replace; cli/configchecks.py prints text or JSON. Exit codes 0 to 3.

Tests: tests/test_configcheck.py, a test for each code; hypothesis: what it calls refused is exactly what manifest.parse refuses, and its view equals manifest.parse's.

--- a/src/briarfall/cli/serve.py
+++ b/src/briarfall/cli/serve.py
@@ -4,6 +4,7 @@
 import secrets
 import signal
 import threading
+import typing
 
 import msgspec
 
@@ -46,22 +47,46 @@
     inst.drain()
 
 
-def check(*, config: str = "", entries_file: str = "") -> None:
-    """Checks a settings file, a catalogue file, or both.
+def check(
+    file: str = "",
+    *,
+    against: str = "",
+    format: typing.Literal["text", "json"] = "text",
+    config: str = "",
+    entries_file: str = "",
+) -> int:
+    """Checks a platform's configuration, a settings file, a catalogue file.
+
+    For a platform's configuration the exit code is 0 without findings, 1 with
+    warnings only, 2 with errors and 3 if a file can't be read.
 
     Args:
+        file: Configuration that an operator is about to send to the platform,
+            or `-` for standard input.
+        against: Configuration in force, to show what differs from it.
+        format: Output of the check of a configuration.
         config: JSON file with settings.
         entries_file: JSON file with one entry, or entries by name.
     """
-    if not config and not entries_file:
+    if not file and not config and not entries_file:
         raise exceptions.SettingsError(
-            "nothing to check", remedy="use --config or --entries-file"
+            "nothing to check",
+            remedy="give a file, or use --config or --entries-file",
+        )
+    if against and not file:
+        raise exceptions.SettingsError(
+            "--against has nothing to compare", remedy="give a file"
         )
     if config:
         cfg = settings.load(config)
         print(f"settings of {cfg.instance} are valid")
     if entries_file:
         print(f"{catalogue.check_file(entries_file)} valid")
+    if not file:
+        return console.ExitCode.OK
+    from briarfall.cli import configchecks
+
+    return configchecks.check_file(file, against, format)
 
 
 def status(
