Check of a configuration: misspelt fields, operators' page

Cause: instances skip fields that they don't read, so a misspelt one silently leaves a default in force. Change: platform/fieldchecks.py compares them with the decoder's unset fields; docs/operators/check.md lists findings, exit codes and the JSON shape, and a test keeps the list complete.

Tests: test_an_unread_field_that_is_no_text_hides_nothing seen failing (CatalogueError) without the guard in configreading.read.

--- a/src/briarfall/gateway/catalogue/configfindings.py
+++ b/src/briarfall/gateway/catalogue/configfindings.py
@@ -74,6 +74,7 @@
     IGNORED_SERVICE = "ignored_service"
     DUPLICATE_SERVICE = "duplicate_service"
     SHARED_KEY = "shared_key"
+    MISSPELT_FIELD = "misspelt_field"
     VERSION_NOT_NEWER = "version_not_newer"
     # Entries that can't match or serve.
     HIDDEN_ROUTE = "hidden_route"
--- a/src/briarfall/platform/configreading.py
+++ b/src/briarfall/platform/configreading.py
@@ -9,6 +9,7 @@
 from briarfall import ids
 from briarfall.gateway.catalogue import configfindings
 from briarfall.gateway.catalogue import views
+from briarfall.platform import fieldchecks
 from briarfall.platform import manifest
 
 _Code = configfindings.Code
@@ -100,6 +101,11 @@
         )
     limits = manifest.convert_limits(rows.limits)
     findings.extend(_dropped_of_limits(rows.limits, limits))
+    try:
+        findings.extend(fieldchecks.check_fields(raw))
+    except exceptions.CatalogueError:
+        # The decoder skips fields that it doesn't read, also malformed ones.
+        pass
     configuration = configfindings.Configuration(
         version=rows.version,
         routes=tuple(routes),
--- a/tests/test_configcheck.py
+++ b/tests/test_configcheck.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+import pathlib
 
 from hypothesis import given
 from hypothesis import settings
@@ -19,6 +20,7 @@
 from briarfall.standins.prepared import testbed
 
 _Code = configfindings.Code
+_PAGE = pathlib.Path(__file__).parents[1] / "docs" / "operators" / "check.md"
 _KEY = "yhks8nbkxxmibw6kpqk8"
 _OTHER_KEY = "bdk9eevyxq2yyazax6pw"
 # A configuration of the sort that the platform's pages show.
@@ -263,6 +265,67 @@
         assert is_error(finding)
 
 
+class TestMisspeltFields:
+    @pytest.mark.parametrize(
+        ("changes", "subject", "name", "meant"),
+        [
+            ({"routes__2__slo_m": 100}, "routes[2]", "slo_m", "slo_ms"),
+            ({"routes__0__resumeable": True}, "routes[0]", "resumeable", ""),
+            ({"tenants__0__api_key": ["a"]}, "tenants[0]", "api_key", ""),
+            ({"limit": {}}, "configuration", "limit", "limits"),
+            (
+                {"services__0__engine__kinds__0__read": 2.0},
+                "services[0].engine.kinds[0]",
+                "read",
+                "read_x",
+            ),
+        ],
+        ids=str,
+    )
+    def test_misspelt_field(self, changes, subject, name, meant):
+        # The field that is meant is left out, as a misspelt one is.
+        (path,) = changes
+        written = example(**changes)
+        row = written
+        for part in path.split("__")[:-1]:
+            row = row[int(part)] if part.isdigit() else row[part]
+        for field in (meant, "resumable", "api_keys"):
+            if field != path.split("__")[-1]:
+                row.pop(field, None)
+        found = configchecks.check(encode(written)).findings
+        (finding,) = [row for row in found if row.code is _Code.MISSPELT_FIELD]
+        assert (finding.subject, finding.field) == (subject, name)
+        assert meant in finding.expectation
+
+    def test_a_field_that_resembles_a_field_that_is_set_is_no_finding(self):
+        assert findings(routes__2__slo_m=100) == []
+
+    def test_a_field_of_the_pages_that_is_not_read_is_no_finding(self):
+        # With none of the optional fields that it might resemble.
+        bare = {
+            name: _STREAM[name]
+            for name in ("name", "host", "path_prefix", "kind", "timeout_ms")
+        }
+        bare |= {"sticky": True, "service": "huvo11a"}
+        engine = {
+            name: value
+            for name, value in _ENGINE.items()
+            if name not in ("slots", "kv_token_bytes", "pipe_mbps", "act_bytes")
+        }
+        services = [
+            {"name": "huvo11a", "health_path": "/healthz", "engine": engine},
+            {"name": "wuno96b", "protocol": "h1", "tls": False, "cold_s": 1},
+        ]
+        assert findings(routes__0=bare, services=services) == []
+
+    def test_an_unread_field_that_is_no_text_hides_nothing(self):
+        raw = encode(example(unread="*", routes__0__service="typo"))
+        raw = raw.replace(b'"*"', b'"\xff"')
+        assert manifest.parse(raw).version == 7
+        found = configchecks.check(raw).findings
+        assert [row.code for row in found] == [_Code.UNKNOWN_SERVICE]
+
+
 class TestAddresses:
     def test_hidden_route(self):
         hidden = _READ | {"name": "r-late", "host": "FICU95.example".lower()}
@@ -790,7 +853,7 @@
 
     @pytest.mark.parametrize("output", ["text", "json"])
     def test_no_key_is_printed_in_full(self, write, capsys, output):
-        secrets = ["k" * 15, "short", _KEY, _OTHER_KEY, " spaced key of some"]
+        secrets = ["k" * 15, "wxyz", _KEY, _OTHER_KEY, " spaced key of some"]
         rows = [
             {"name": "a", "api_keys": secrets},
             {"name": "b", "api_keys": [*secrets, *secrets]},
@@ -816,6 +879,20 @@
         assert "give a file" in capsys.readouterr().err
 
 
+class TestPage:
+    def test_lists_each_code_with_its_severity(self):
+        rows = {}
+        for line in _PAGE.read_text().splitlines():
+            cells = [cell.strip() for cell in line.strip("|").split("|")]
+            if cells[0].strip("`") in {code.value for code in _Code}:
+                rows[cells[0].strip("`")] = cells[1]
+        expected = {}
+        for code in _Code:
+            finding = configfindings.Finding(code, *[""] * 6)
+            expected[code.value] = finding.severity.value
+        assert rows == expected
+
+
 _NAMES = st.sampled_from(["", "a", "b", "é", "a\nb", "A.example", "x" * 300])
 _FINITE = st.floats(-1e300, 1e300) | st.integers(-5, 10**6)
 _POSITIVE = st.floats(0, 1e12) | st.sampled_from([0, 1, 100])
