Status lines: only HTTP/1 and 100 to 599 begin a response

Here 000 reaches no caller, but 600 to 999 and odd versions did. h11 and http.client accept each status up to 999, h11 each version, http.client what `int` reads.

Such a response is invalid: nothing of it is used, the request may have run, and the target counts it as a response that is none. Interim responses count over all waits; a connection that ends after them sent an invalid response.

--- a/src/briarfall/exceptions.py
+++ b/src/briarfall/exceptions.py
@@ -278,6 +278,13 @@
     outcome = Outcome.UNKNOWN
 
 
+class InvalidStatusError(TargetError):
+    """A response begins with a status or a version that HTTP/1 doesn't have."""
+
+    code = "invalid_status"
+    remedy = "operators: check what listens at the target's address"
+
+
 class TargetUnreachableError(TargetError):
     """No byte of the request can have reached the target."""
 
--- a/src/briarfall/gateway/exchanges/targetconnection.py
+++ b/src/briarfall/gateway/exchanges/targetconnection.py
@@ -10,6 +10,7 @@
 from briarfall import addresses
 from briarfall import decoding
 from briarfall import exceptions
+from briarfall import statuslines
 from briarfall.gateway import clocks
 from briarfall.gateway.exchanges import dialing
 from briarfall.gateway.exchanges import inputbounds
@@ -186,6 +187,7 @@
         self._late_pieces = 0
         self._is_closed = False
         self._ends_answer = False
+        self._interim_responses = 0
         if timeout_s <= 0:
             raise NotSentError(f"{address}: no time left to connect")
         try:
@@ -493,20 +495,33 @@
         raise self._broken_error("responses of other requests")
 
     def _read_next_head(self, deadline_s: float) -> messages.ResponseHead:
-        interim = 0
         while True:
-            event = self.read_event(deadline_s)
-            if isinstance(event, h11.InformationalResponse):
-                interim += 1
-                if interim > _MAX_INTERIM_RESPONSES:
-                    raise self._invalid_error("interim responses without end")
-                continue
-            if not isinstance(event, h11.Response):
+            event = self._read_head_event(deadline_s)
+            if not isinstance(event, (h11.InformationalResponse, h11.Response)):
                 raise self._broken_error("no response head")
-            headers = list(event.headers.raw_items())
-            return messages.ResponseHead(
-                event.status_code, event.reason, headers
-            )
+            try:
+                statuslines.check(event.http_version, event.status_code)
+            except exceptions.InvalidStatusError as exc:
+                raise self._invalid_error(exc.message) from exc
+            if isinstance(event, h11.Response):
+                headers = list(event.headers.raw_items())
+                return messages.ResponseHead(
+                    event.status_code, event.reason, headers
+                )
+            self._interim_responses += 1
+            if self._interim_responses > _MAX_INTERIM_RESPONSES:
+                raise self._invalid_error("interim responses without end")
+
+    def _read_head_event(self, deadline_s: float):
+        """Returns the next event; an interim response may not be the last."""
+        try:
+            return self.read_event(deadline_s)
+        except BrokenExchangeError as exc:
+            if not self._interim_responses or not self._is_closed:
+                raise
+            raise self._invalid_error(
+                f"closed after {self._interim_responses} interim responses"
+            ) from exc
 
     def _skip_mismatched_body(self, deadline_s: float) -> None:
         """Skips the body of a response that belongs to another request."""
@@ -523,6 +538,7 @@
             raise self._broken_error("closed after another request's response")
         # h11 now regards our request as answered. A new parser that is brought
         # to the same state accepts the next response.
+        self._interim_responses = 0
         self._http = h11.Connection(h11.CLIENT)
         self._http.send(
             h11.Request(method=b"GET", target=b"/", headers=[(b"Host", b"-")])
@@ -590,6 +606,7 @@
         self._saw_bytes = False
         self._late_reads = 0
         self._late_pieces = 0
+        self._interim_responses = 0
         return True
 
     def close(self) -> None:
--- a/src/briarfall/standins/prepared/testbed.py
+++ b/src/briarfall/standins/prepared/testbed.py
@@ -137,6 +137,7 @@
         zone="z1",
         dialer=dialing.SYSTEM_DIALER,
         peer_dialer=dialing.SYSTEM_DIALER,
+        retry_slack=100.0,
         **extra,
     ) -> instance.Instance:
         """Starts a gateway instance.
@@ -146,6 +147,7 @@
             zone: Its availability zone.
             dialer: Opens its connections to targets.
             peer_dialer: Opens its connections to other instances.
+            retry_slack: Retries that its budget allows at first.
             **extra: Further settings.
         """
         local = settings.Listener("127.0.0.1", 0)
@@ -156,7 +158,7 @@
             status=local,
             peer=local,
             store_address=self.store.address,
-            retry_slack=100.0,
+            retry_slack=retry_slack,
             **extra,
         )
         pool = connections.ConnectionPool(dialer)
--- a/tests/test_strictheads.py
+++ b/tests/test_strictheads.py
@@ -1,5 +1,6 @@
 """Responses that end within their head."""
 
+import contextlib
 import http.client
 import socket
 import threading
@@ -9,6 +10,7 @@
 from briarfall import exceptions
 from briarfall import httpclient
 from briarfall import strictheads
+from tests import statusforms
 
 CUTS = {
     "after the status": b"HTTP/1.1 200 OK\r\n",
@@ -38,9 +40,11 @@
             with conn:
                 conn.recv(65536)
                 conn.sendall(data)
-                conn.shutdown(socket.SHUT_WR)
-                while conn.recv(65536):
-                    continue
+                # A client that refuses the response resets its connection.
+                with contextlib.suppress(ConnectionError):
+                    conn.shutdown(socket.SHUT_WR)
+                    while conn.recv(65536):
+                        continue
 
         threading.Thread(target=answer, daemon=True).start()
         return "{}:{}".format(*sock.getsockname())
@@ -72,6 +76,37 @@
         assert reply.headers["X-One"] == "1"
 
 
+class TestStatus:
+    # Guards against a response that HTTP doesn't have, taken for an answer.
+    @statusforms.EACH_INVALID
+    def test_of_an_invalid_form_is_no_answer(self, serve, name):
+        client = httpclient.HttpClient(
+            f"http://{serve(statusforms.response(name))}"
+        )
+        with pytest.raises(exceptions.TargetError):
+            client.send("GET", "/", timeout_s=5.0)
+
+    @statusforms.EACH_INVALID
+    def test_of_an_invalid_form_ends_a_started_request(self, serve, name):
+        client = httpclient.HttpClient(
+            f"http://{serve(statusforms.response(name))}"
+        )
+        conn = client.start("GET", "/", b"", 5.0)
+        with pytest.raises((http.client.HTTPException, OSError)):
+            conn.getresponse()
+        conn.close()
+
+    # Guards against rules that sound targets don't meet.
+    @statusforms.EACH_VALID
+    def test_of_a_valid_form_is_an_answer(self, serve, name):
+        client = httpclient.HttpClient(
+            f"http://{serve(statusforms.valid_response(name))}"
+        )
+        reply = client.send("GET", "/", timeout_s=5.0)
+        assert reply.status == statusforms.VALID[name][1]
+        assert reply.body == statusforms.BODY
+
+
 class TestStrictConnection:
     @pytest.mark.parametrize("name", CUTS)
     def test_callers_of_tests_see_a_cut_head(self, serve, name):
