Scheduling: who goes first when there is too little room

A request's urgency, the work that it needs and its time left were used by no decision about room: the link admitted an equal share of all requests, waiting requests polled in no order, and the last room of a KV cache went to whoever came.

Decisions that hold or refuse are logged and counted (briarfall_room_decisions). With one urgency in demand and nobody waiting, requests are served as before.

--- a/src/briarfall/gateway/forwarding/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -1,29 +1,31 @@
 """Choice of a chain of engines for a stream, with a short wait for capacity."""
 
+import collections
 import random
 
 from briarfall import exceptions
 from briarfall import ids
 from briarfall.gateway import clocks
 from briarfall.gateway import retryafter
+from briarfall.gateway.forwarding import roomreports
 from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
+from briarfall.gateway.scheduling import kvreserve
+from briarfall.gateway.scheduling import waiting
 from briarfall.gateway.targets import targetbackoff
 from briarfall.gateway.targets import targets
 from briarfall.gateway.targets import targetstate
 
 _MAX_ATTEMPTS = 6
-# First pause of a request that waits for free KV capacity. Each further pause
-# is twice as long, so that many waiting requests leave processor time to the
-# others.
-_CAPACITY_PAUSE_S = 0.03
 # Share of the first byte SLO for which a new request waits for capacity. The
 # rest is needed to run it, so that a longer wait would be in vain.
 _CAPACITY_WAIT_SHARE = 0.6
 # A stream that its caller already reads waits this many times its SLO for gaps
 # between events.
 _MAX_GAP_SLOS = 4
+_ORDER_REMEDY = "a look for room by the requests before it"
 # Time in which engines are reassigned to the uncovered layers of a zone, after
 # which its chains no longer need the inter-zone link.
 FULL_LINK_PAUSE = retryafter.UnavailablePeriod(1.0, 4.0)
@@ -45,6 +47,8 @@
         finder: Finds the cheapest chain.
         link: Admits chains with cross-zone hops.
         rng: Random number generator that spreads callers' retries.
+        reserve: Keeps room in KV caches for more urgent requests.
+        reports: Reports requests that lack room.
     """
 
     def __init__(
@@ -53,8 +57,15 @@
         finder: paths.ChainFinder,
         link: linkadmission.LinkAdmission,
         rng: random.Random,
+        reserve: kvreserve.KvReserve,
+        reports: roomreports.RoomReports,
     ):
         self._link = link
+        self._reserve = reserve
+        self._reports = reports
+        self._rooms: dict[str, waiting.WaitingRoom] = collections.defaultdict(
+            waiting.WaitingRoom
+        )
         self._targets = table
         self._finder = finder
         self._rng = rng
@@ -69,28 +80,152 @@
                 has used up its attempts or its time.
         """
         call = stream.call
-        wait_s = call.route.first_byte_slo_s * _CAPACITY_WAIT_SHARE
-        if stream.response_started:
-            wait_s = call.route.event_gap_slo_s * _MAX_GAP_SLOS
-        until_s = clocks.boot_s() + wait_s
-        pause_s = _CAPACITY_PAUSE_S
+        self._check_deadline(stream)
+        room = self._rooms[call.service.name]
+        waiter = _new_waiter(stream)
+        chain = None
+        try:
+            chain = self._wait(stream, room, waiter)
+        finally:
+            room.leave(waiter, is_admitted=chain is not None)
+        if not waiter.has_started:
+            self._reserve.record_admitted(stream.demand_class)
+        if waiter.is_reported:
+            self._reports.served(stream)
+        return chain
+
+    def _wait(
+        self,
+        stream: streamstate.Stream,
+        room: waiting.WaitingRoom,
+        waiter: waiting.Waiter,
+    ) -> paths.Chain:
+        """Returns a chain once one has room for a request that may look.
+
+        Raises:
+            BriarfallError: No chain became available in time.
+        """
+        call = stream.call
         while True:
             if call.attempt_count >= _MAX_ATTEMPTS or call.left_s <= 0:
                 raise stream.abandon_error("too many tries")
+            has_time = self._has_time(stream, room, waiter)
+            pause_s = room.pause_before_look(waiter) if has_time else 0.0
+            if pause_s:
+                self._report_held(stream, room, waiter, _ORDER_REMEDY)
+                call.watch.pause(min(pause_s, _left_s(waiter)))
+                continue
             rows = self._targets.usable(call.service.name)
-            heads = _heads(stream, rows)
-            chain = self._find(stream, rows, heads, may_cross=True)
-            if chain is not None:
-                chain = self._admitted(stream, rows, heads, chain)
+            chain = self._look(stream, room, waiter, rows)
             if chain is not None:
                 return chain
-            self._check_links(stream)
-            if heads != stream.allowed_heads and not stream.response_started:
-                self._refuse_if_held(stream, rows, until_s)
-            if clocks.boot_s() >= until_s:
-                raise stream.abandon_error(_describe_lack(stream, rows))
-            call.watch.pause(min(pause_s, until_s - clocks.boot_s()))
-            pause_s *= 2
+            if not has_time:
+                lack = _describe_lack(stream, rows)
+                self._reports.refused(
+                    stream, waiter, "kv", room.count_before(waiter), lack
+                )
+                raise stream.abandon_error(lack)
+            pause_s = room.record_look(waiter)
+            call.watch.pause(min(pause_s, _left_s(waiter)))
+
+    def _look(
+        self,
+        stream: streamstate.Stream,
+        room: waiting.WaitingRoom,
+        waiter: waiting.Waiter,
+        rows: list[targetstate.Target],
+    ) -> paths.Chain | None:
+        """Returns a chain with room now, or None if the request may wait.
+
+        Raises:
+            BriarfallError: A wait would be in vain.
+        """
+        heads = _heads(stream, rows)
+        chain = self._find(stream, rows, heads, may_cross=True)
+        if chain is not None:
+            chain = self._admitted(stream, rows, heads, chain, waiter)
+        if chain is not None:
+            return chain
+        self._check_links(stream)
+        if heads != stream.allowed_heads and not stream.response_started:
+            self._refuse_if_held(stream, rows, waiter.until_s)
+        if not waiter.looks:
+            self._report_lack(stream, room, waiter, rows, heads)
+        return None
+
+    def _has_time(
+        self,
+        stream: streamstate.Stream,
+        room: waiting.WaitingRoom,
+        waiter: waiting.Waiter,
+    ) -> bool:
+        """Whether a request may still wait, and not in vain."""
+        left_s = _left_s(waiter)
+        if not left_s:
+            return False
+        if waiter.has_started or stream.call.attempt_count:
+            return True
+        return room.expected_wait_s(waiter) <= left_s
+
+    def _check_deadline(self, stream: streamstate.Stream) -> None:
+        """Refuses a new request that can't begin before its caller leaves.
+
+        Raises:
+            OverloadError: Its prompt alone takes longer than is left.
+        """
+        call = stream.call
+        if stream.response_started or call.attempt_count:
+            return
+        needed_s = enginecosts.shortest_prefill_s(
+            call.service.model, stream.demand.prompt
+        )
+        if needed_s < call.left_s:
+            return
+        reason = (
+            f"the caller leaves before the prompt is read ({needed_s:.2f}s)"
+        )
+        self._reports.refused(
+            stream, _new_waiter(stream), "time", 0, "later deadline"
+        )
+        raise stream.abandon_error(reason)
+
+    def _report_lack(
+        self,
+        stream: streamstate.Stream,
+        room: waiting.WaitingRoom,
+        waiter: waiting.Waiter,
+        rows: list[targetstate.Target],
+        heads: frozenset[ids.TargetId] | None,
+    ) -> None:
+        """Reports what a request lacks and counts what the reserve holds."""
+        remedy = _describe_lack(stream, rows)
+        cls = stream.demand_class
+        max_fill = self._max_fill(stream)
+        if max_fill < kvreserve.MAX_FILL and self._find(
+            stream, rows, heads, may_cross=True, max_fill=kvreserve.MAX_FILL
+        ):
+            self._reserve.record_held(cls)
+            remedy = f"fill below {max_fill:.2f} or no more urgent requests"
+        self._report_held(stream, room, waiter, remedy)
+
+    def _report_held(
+        self,
+        stream: streamstate.Stream,
+        room: waiting.WaitingRoom,
+        waiter: waiting.Waiter,
+        remedy: str,
+    ) -> None:
+        if waiter.is_reported:
+            return
+        waiter.is_reported = True
+        before = room.count_before(waiter)
+        self._reports.held(stream, waiter, before, remedy)
+
+    def _max_fill(self, stream: streamstate.Stream) -> float:
+        has_started = stream.response_started or bool(stream.suspended)
+        return self._reserve.max_fill(
+            stream.demand_class, has_started=has_started
+        )
 
     def find_replacement(
         self,
@@ -187,7 +322,10 @@
         heads: frozenset[ids.TargetId] | None,
         *,
         may_cross: bool,
+        max_fill: float | None = None,
     ) -> paths.Chain | None:
+        if max_fill is None:
+            max_fill = self._max_fill(stream)
         return self._finder.find(
             stream.call.service.model,
             rows,
@@ -198,6 +336,8 @@
             if stream.call.has_unknown_outcome
             else None,
             may_cross=may_cross,
+            max_fill=max_fill,
+            gap_s=stream.call.route.event_gap_slo_s,
         )
 
     def _admitted(
@@ -206,6 +346,7 @@
         rows: list[targetstate.Target],
         heads: frozenset[ids.TargetId] | None,
         chain: paths.Chain,
+        waiter: waiting.Waiter,
     ) -> paths.Chain | None:
         """Returns the chain if the inter-zone link admits it.
 
@@ -224,7 +365,10 @@
             may_cross = self._link.admits_started(model)
         elif stream.link_admitted is None:
             may_cross = self._link.admit(
-                model, cross_zone_hops, stream.demand.tokens
+                model,
+                cross_zone_hops,
+                stream.demand.tokens,
+                stream.demand_class,
             )
             stream.link_admitted = may_cross
         else:
@@ -234,6 +378,10 @@
         chain = self._find(stream, rows, heads, may_cross=False)
         if chain is None and not stream.response_started:
             self._link.refusals += 1
+            share = self._link.class_share(model, stream.demand_class)
+            self._reports.refused(
+                stream, waiter, "link", 0, f"1 in {1 / max(share, 1e-3):.1f}"
+            )
             raise stream.abandon_error(
                 "the link between zones is full",
                 retryafter.retry_after_s(FULL_LINK_PAUSE, self._rng),
@@ -268,6 +416,25 @@
         )
 
 
+def _new_waiter(stream: streamstate.Stream) -> waiting.Waiter:
+    call = stream.call
+    wait_s = call.route.first_byte_slo_s * _CAPACITY_WAIT_SHARE
+    if stream.response_started:
+        wait_s = call.route.event_gap_slo_s * _MAX_GAP_SLOS
+    return waiting.Waiter(
+        stream.demand_class,
+        stream.demand.tokens,
+        aim_s=call.req.received_s + call.route.first_byte_slo_s,
+        until_s=clocks.boot_s() + wait_s,
+        has_started=stream.response_started,
+        is_restricted=bool(stream.avoided) or stream.allowed_heads is not None,
+    )
+
+
+def _left_s(waiter: waiting.Waiter) -> float:
+    return max(0.0, waiter.until_s - clocks.boot_s())
+
+
 def _heads(
     stream: streamstate.Stream,
     rows: list[targetstate.Target],
--- a/src/briarfall/gateway/forwarding/rerouting.py
+++ b/src/briarfall/gateway/forwarding/rerouting.py
@@ -357,6 +357,7 @@
             stream.call.service.model,
             linkadmission.count_cross_zone_hops(chain, run.chain),
             tokens,
+            stream.demand_class,
         )
         run.chain = chain
         stream.start_chain()
--- a/src/briarfall/gateway/forwarding/streams.py
+++ b/src/briarfall/gateway/forwarding/streams.py
@@ -20,12 +20,16 @@
 from briarfall.gateway.forwarding import relayexchanges
 from briarfall.gateway.forwarding import relaying
 from briarfall.gateway.forwarding import rerouting
+from briarfall.gateway.forwarding import roomreports
 from briarfall.gateway.forwarding import runfollowing
 from briarfall.gateway.forwarding import streamfailures
 from briarfall.gateway.forwarding import streamstate
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
 from briarfall.gateway.ratelimits import permits
+from briarfall.gateway.scheduling import accountshares
+from briarfall.gateway.scheduling import classes
+from briarfall.gateway.scheduling import kvreserve
 from briarfall.gateway.targets import linkmonitor
 from briarfall.gateway.targets import liveness
 from briarfall.gateway.targets import loads
@@ -60,6 +64,7 @@
         counters: Metrics.
         activity: When this process last received anything.
         rng: Spreads the retries of refused callers over time.
+        reserve: Keeps room in KV caches for more urgent requests.
     """
 
     def __init__(
@@ -79,6 +84,7 @@
         counters: metrics.Metrics,
         activity: liveness.ReceiveActivity,
         rng: random.Random,
+        reserve: kvreserve.KvReserve | None = None,
     ):
         self._names = header_names
         self._targets = table
@@ -88,7 +94,16 @@
         self._relay = relay
         self._gate = gate
         self._link = link
-        self._search = chainsearch.ChainSearch(table, finder, link, rng)
+        self._accounts = accountshares.AccountShares()
+        self._reserve = reserve or kvreserve.KvReserve()
+        self._search = chainsearch.ChainSearch(
+            table,
+            finder,
+            link,
+            rng,
+            self._reserve,
+            roomreports.RoomReports(counters, load_table),
+        )
         self._diagnosis = streamfailures.StreamDiagnosis(
             header_names, table, detector, links, pool.dialer
         )
@@ -125,7 +140,11 @@
             BriarfallError: The caller got no response, or the stream ended
                 early and the caller's connection has to be closed.
         """
-        stream = streamstate.Stream(call, self._estimate_demand(call))
+        demand = self._estimate_demand(call)
+        stream = streamstate.Stream(
+            call, demand, demand_class=self._class_of(call, demand)
+        )
+        self._reserve.record(stream.demand_class, demand.tokens)
         if call.relayed is not None:
             stream.heads.update(call.relayed.heads)
         last_event_id = call.req.header(self._names.last_event)
@@ -299,6 +318,21 @@
             answer = _parse_tokens(hint, answer)
         return paths.Demand(int(prompt), int(answer))
 
+    def _class_of(
+        self, call: calls.Call, demand: paths.Demand
+    ) -> classes.DemandClass:
+        """Returns the class of a request; its account's demand is recorded."""
+        is_excess = call.account is not None and self._accounts.record(
+            call.account.name, demand.tokens
+        )
+        model = call.service.model
+        return classes.class_of(
+            call.urgency,
+            demand.tokens,
+            model.mean_prompt_tokens + model.mean_answer_tokens,
+            is_excess=is_excess,
+        )
+
     def _handle_break(
         self,
         stream: streamstate.Stream,
@@ -365,6 +399,7 @@
                 call.service.model,
                 linkadmission.count_cross_zone_hops(chain),
                 stream.demand.tokens,
+                stream.demand_class,
             )
         return run
 
--- a/src/briarfall/gateway/forwarding/streamstate.py
+++ b/src/briarfall/gateway/forwarding/streamstate.py
@@ -13,6 +13,7 @@
 from briarfall.gateway.forwarding import closedanswers
 from briarfall.gateway.forwarding import plainexchanges
 from briarfall.gateway.placement import paths
+from briarfall.gateway.scheduling import classes
 from briarfall.gateway.targets import targetstate
 
 # A stream counts as stalled after no less than this time without events, and no
@@ -61,6 +62,7 @@
         suspended: Runs whose engines may have failed, though their connections
             are open. Whichever sends first goes on.
         peers: Exchanges with peers while a run is followed beside them.
+        demand_class: Its class among requests that need room.
     """
 
     call: calls.Call
@@ -82,6 +84,7 @@
     )
     suspended: "list[ChainRun]" = msgspec.field(default_factory=list)
     peers: plainexchanges.PeerExchanges | None = None
+    demand_class: classes.DemandClass = classes.DEFAULT_CLASS
 
     @property
     def allowed_heads(self) -> frozenset[ids.TargetId] | None:
--- a/src/briarfall/gateway/gossip/peermessages.py
+++ b/src/briarfall/gateway/gossip/peermessages.py
@@ -14,6 +14,7 @@
 from briarfall.gateway.crashes import crashevidence
 from briarfall.gateway.crashes import partholds
 from briarfall.gateway.crashes import poisonlist
+from briarfall.gateway.scheduling import demands
 from briarfall.gateway.targets import incarnations
 from briarfall.gateway.targets import ratelimits
 
@@ -76,6 +77,7 @@
         limits: Rate limits of targets that the sender knows.
         gives_permits: Whether the sender gives out permits for limited
             targets and sends them no request without one.
+        class_demands: What each class of requests asks for at the sender.
     """
 
     sender: ids.InstanceId
@@ -99,6 +101,7 @@
     cut_services: list[views.ServiceName] = []
     limits: list[ratelimits.LimitRow] = []
     gives_permits: bool = False
+    class_demands: list[demands.DemandRow] = []
 
 
 class FreshnessRequest(
--- a/src/briarfall/gateway/gossip/peerstatus.py
+++ b/src/briarfall/gateway/gossip/peerstatus.py
@@ -14,6 +14,8 @@
 from briarfall.gateway.peers import peers
 from briarfall.gateway.placement import leasing
 from briarfall.gateway.placement import linkadmission
+from briarfall.gateway.scheduling import demands
+from briarfall.gateway.scheduling import kvreserve
 from briarfall.gateway.targets import loads
 from briarfall.gateway.targets import ratelimits
 from briarfall.gateway.targets import targets
@@ -49,6 +51,8 @@
         crash_table: Requests that crashed their targets.
         link: Demand of this instance on the inter-zone link.
         limits: Rate limits of targets.
+        demand_table: Demand of other instances by class.
+        reserve: Demand of this instance for KV caches.
     """
 
     def __init__(
@@ -61,6 +65,8 @@
         crash_table: crashes.CrashTable,
         link: linkadmission.LinkAdmission,
         limits: ratelimits.RateLimitTable,
+        demand_table: demands.DemandTable,
+        reserve: kvreserve.KvReserve,
     ):
         self._peers = peer_table
         self._loads = load_table
@@ -70,6 +76,8 @@
         self._crashes = crash_table
         self._link = link
         self._limits = limits
+        self._demands = demand_table
+        self._reserve = reserve
         self._is_stopping = False
         self._relay_status = RelayStatus
         self._record_others: collections.abc.Callable[[StartedCounts], None] = (
@@ -133,6 +141,9 @@
             cut_services=relay_status.cut_services,
             limits=self._limits.to_report(),
             gives_permits=True,
+            class_demands=demands.to_rows(
+                self._link.demand_by_class, self._reserve.own_demand
+            ),
         )
 
     def is_behind(self, status: peermessages.Status) -> bool:
@@ -153,6 +164,7 @@
             peer.is_stopping = True
             self._peers.remove(status.sender)
             self._loads.merge(status.sender, {})
+            self._demands.remove(status.sender)
             return
         now_s = clocks.boot_s()
         peer.heard_s = now_s
@@ -176,6 +188,9 @@
             )
         interval_s = self._peers.interval_s(status.zone)
         started = self._loads.merge(status.sender, rows, interval_s)
+        self._demands.merge(
+            status.sender, status.class_demands, peer.link_mbps, interval_s
+        )
         if not status.gives_permits:
             self._record_others(started)
         self._crashes.merge_survived(status.survived)
--- a/src/briarfall/gateway/instance/instance.py
+++ b/src/briarfall/gateway/instance/instance.py
@@ -39,6 +39,8 @@
 from briarfall.gateway.placement import paths
 from briarfall.gateway.placement import placementcontroller
 from briarfall.gateway.ratelimits import permits
+from briarfall.gateway.scheduling import demands
+from briarfall.gateway.scheduling import kvreserve
 from briarfall.gateway.targets import linkmonitor
 from briarfall.gateway.targets import liveness
 from briarfall.gateway.targets import loads
@@ -113,7 +115,13 @@
         self.rate_limits = ratelimits.RateLimitTable(self.targets)
         self.targets.add_incarnation_end_listener(self.rate_limits.remove_ended)
         self.peers = peers.PeerTable(cfg.instance, cfg.zone, cfg.cores)
-        self.link = linkadmission.LinkAdmission(self.peers.link_demand_mbps)
+        self.demands = demands.DemandTable()
+        self.link = linkadmission.LinkAdmission(
+            self.peers.link_demand_mbps,
+            others_by_class=self.demands.link_mbps,
+            rng=rng,
+        )
+        self.reserve = kvreserve.KvReserve(self.demands.kv_tokens)
         self.follower = catalogue.CatalogueFollower(
             platform.catalogue,
             cfg.key_ttl_s,
@@ -131,6 +139,8 @@
             self.crashes,
             self.link,
             self.rate_limits,
+            self.demands,
+            self.reserve,
         )
         self.gossip = gossip.Gossip(
             sources.InstanceRecord(
@@ -246,6 +256,7 @@
                 self.metrics,
                 activity,
                 rng,
+                self.reserve,
             ),
             self._poison_persister.loaded,
             self.budget,
--- a/src/briarfall/gateway/metrics.py
+++ b/src/briarfall/gateway/metrics.py
@@ -70,6 +70,11 @@
             "Requests relayed to peers while their targets are not reached.",
             ("outcome",),
         )
+        self._add_counter(
+            "briarfall_room_decisions",
+            "Streams that were held, then served, or refused for lack of room.",
+            ("route", "urgency", "outcome"),
+        )
         self._add_histogram(
             "briarfall_answer_seconds",
             "Time to the first byte of the response.",
--- a/src/briarfall/gateway/placement/enginecosts.py
+++ b/src/briarfall/gateway/placement/enginecosts.py
@@ -4,6 +4,11 @@
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.targets import loads
 
+# Share of the longest time between two events that a decoding step may take.
+# The rest is for hand-overs, and for requests that other instances have sent
+# since their last status.
+_PACE_SHARE = 0.8
+
 
 def kv_capacity(
     model: views.ModelLayout, kind: str, layers: sources.LayerRange
@@ -49,3 +54,38 @@
         * hardware.prefill_factor
         * share
     )
+
+
+def shortest_prefill_s(model: views.ModelLayout, tokens: float) -> float:
+    """Returns the time to prefill prompt tokens on idle engines, at least."""
+    if not model.kinds:
+        return 0.0
+    factor = min(row.prefill_factor for row in model.kinds.values())
+    return tokens / model.prefill_tokens_per_s * factor
+
+
+def is_overloaded(
+    model: views.ModelLayout,
+    kind: str,
+    load: loads.Load,
+    tokens: int,
+    gap_s: float,
+) -> bool:
+    """Whether an engine's load keeps one more request from its pace.
+
+    A step over a chain of engines like it then takes more than a stated share
+    of the longest time between two events, though it would not at an idle one.
+
+    Args:
+        model: The model's layout.
+        kind: Kind of accelerator.
+        load: The engine's load without the request.
+        tokens: Tokens of the request.
+        gap_s: Longest time between two events that is on time.
+    """
+    max_ms = gap_s * 1000 * _PACE_SHARE
+    alone = loads.Load(1, tokens)
+    if step_time_ms(model, kind, model.layers, alone) > max_ms:
+        return False
+    more = loads.Load(load.streams + 1, load.tokens + tokens)
+    return step_time_ms(model, kind, model.layers, more) > max_ms
--- a/src/briarfall/gateway/placement/linkadmission.py
+++ b/src/briarfall/gateway/placement/linkadmission.py
@@ -4,16 +4,18 @@
 free KV capacity, the zone's chains have hops to other zones. All chains share
 the inter-zone link. Once it is full, the tokens of every stream queue behind
 prompts whose callers have already left, so that no caller is served. Requests
-over the link are therefore limited to what it carries.
+over the link are therefore limited to what it carries, by their class.
 """
 
-import collections
 import collections.abc
+import random
 import threading
 
-from briarfall.gateway import clocks
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.placement import paths
+from briarfall.gateway.scheduling import classes
+from briarfall.gateway.scheduling import demands
+from briarfall.gateway.scheduling import shares
 
 # Share of the link's capacity that is used; near the full rate queues grow.
 _MAX_LINK_SHARE = 0.8
@@ -28,51 +30,73 @@
     """Admits the share of cross-zone requests that the link can carry.
 
     Each instance reports its demand for the link to the others, so that all
-    instances admit the same share of their requests, whatever their own load.
+    instances admit the same share of a class, whatever their own load.
 
     Args:
         others_mbps: Returns the demand of all other instances for the link, in
             Mbit/s.
         clock: Returns the time in seconds; the boot clock by default.
+        others_by_class: Returns the same demand by class; without it, all of
+            it counts as one class.
+        rng: Spreads the first admissions of a class over instances.
     """
 
     def __init__(
         self,
         others_mbps: collections.abc.Callable[[], float],
         clock: collections.abc.Callable[[], float] | None = None,
+        others_by_class: collections.abc.Callable[[], demands.Amounts]
+        | None = None,
+        rng: random.Random | None = None,
     ):
         self._others_mbps = others_mbps
-        self._clock = clock or (lambda: clocks.boot_s())
+        self._others_by_class = others_by_class
+        self._rng = rng
         self._lock = threading.Lock()
-        # Time and megabits of each request in the window.
-        self._demands: collections.deque[tuple[float, float]] = (
-            collections.deque()
-        )
-        self._window_mb = 0.0
-        # Each request adds the admitted share; a request is admitted, and one
-        # is subtracted, once the sum reaches one.
-        self._credit = 0.5
+        self._window = demands.DemandWindow(_WINDOW_S, clock)
+        # Each request adds the admitted share of its megabits to the credit of
+        # its class; it is admitted, and its megabits are subtracted, once the
+        # credit covers them.
+        self._credits_mb: dict[classes.DemandClass, float] = {}
         # Number of requests refused because the link was full.
         self.refusals = 0
 
     @property
     def demand_mbps(self) -> float:
         """Demand of this instance's requests for the link, in Mbit/s."""
-        with self._lock:
-            self._expire()
-            return self._window_mb / _WINDOW_S
+        return self._window.total()
+
+    @property
+    def demand_by_class(self) -> demands.Amounts:
+        """The same demand by class."""
+        return self._window.rates()
 
     def admitted_share(self, model: views.ModelLayout) -> float:
         """Returns the share of cross-zone requests that the link can carry."""
         if model.inter_zone_mbps <= 0:
             return 1.0
-        total_mbps = self.demand_mbps + self._others_mbps()
+        total_mbps = sum(self._all_demand().values())
         if total_mbps <= 0:
             return 1.0
         return min(1.0, model.inter_zone_mbps * _MAX_LINK_SHARE / total_mbps)
 
+    def class_share(
+        self, model: views.ModelLayout, cls: classes.DemandClass
+    ) -> float:
+        """Returns the share of a class's requests that the link can carry."""
+        if model.inter_zone_mbps <= 0:
+            return 1.0
+        found = shares.ratios(
+            model.inter_zone_mbps * _MAX_LINK_SHARE, self._all_demand()
+        )
+        return found.get(cls, 1.0)
+
     def record(
-        self, model: views.ModelLayout, hops: int, tokens: float
+        self,
+        model: views.ModelLayout,
+        hops: int,
+        tokens: float,
+        cls: classes.DemandClass = classes.DEFAULT_CLASS,
     ) -> None:
         """Adds the activations of some tokens to the demand for the link.
 
@@ -80,35 +104,46 @@
             model: The model's layout.
             hops: Number of cross-zone hops of the chain.
             tokens: Tokens that pass each hop.
+            cls: Class of the request.
         """
         request_mb = megabits(model, hops, tokens)
-        if not request_mb:
-            return
-        with self._lock:
-            self._demands.append((self._clock(), request_mb))
-            self._window_mb += request_mb
+        if request_mb:
+            self._window.add(cls, request_mb)
 
-    def admit(self, model: views.ModelLayout, hops: int, tokens: float) -> bool:
+    def admit(
+        self,
+        model: views.ModelLayout,
+        hops: int,
+        tokens: float,
+        cls: classes.DemandClass = classes.DEFAULT_CLASS,
+    ) -> bool:
         """Records the demand of a new request; returns whether to admit it."""
-        self.record(model, hops, tokens)
-        share = self.admitted_share(model)
+        self.record(model, hops, tokens, cls)
+        request_mb = megabits(model, hops, tokens)
+        share = self.class_share(model, cls)
         with self._lock:
-            self._credit += share
-            if self._credit < 1.0:
-                return False
-            self._credit -= 1.0
-            return True
+            credit_mb = self._credits_mb.get(cls)
+            if credit_mb is None:
+                first = 0.5 if self._rng is None else self._rng.random()
+                credit_mb = first * request_mb
+            credit_mb += share * request_mb
+            is_admitted = credit_mb >= request_mb
+            if is_admitted:
+                credit_mb -= request_mb
+            self._credits_mb[cls] = credit_mb
+            return is_admitted
 
     def admits_started(self, model: views.ModelLayout) -> bool:
         """Whether streams that callers already read may use the link."""
         return self.admitted_share(model) >= 1.0 / _STARTED_DEMAND_FACTOR
 
-    def _expire(self) -> None:
-        oldest_s = self._clock() - _WINDOW_S
-        while self._demands and self._demands[0][0] < oldest_s:
-            self._window_mb -= self._demands.popleft()[1]
-        if not self._demands:
-            self._window_mb = 0.0
+    def _all_demand(self) -> demands.Amounts:
+        """Returns the demand of all instances by class, in Mbit/s."""
+        if self._others_by_class is not None:
+            others = self._others_by_class()
+        else:
+            others = {classes.DEFAULT_CLASS: self._others_mbps()}
+        return demands.sum_of(self._window.rates(), others)
 
 
 def megabits(model: views.ModelLayout, hops: int, tokens: float) -> float:
--- a/src/briarfall/gateway/placement/paths.py
+++ b/src/briarfall/gateway/placement/paths.py
@@ -10,6 +10,7 @@
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.placement import enginecosts
+from briarfall.gateway.scheduling import kvreserve
 from briarfall.gateway.targets import loads
 from briarfall.gateway.targets import targetstate
 
@@ -32,9 +33,10 @@
 # before instances have reported their choices to each other. The larger spread
 # keeps them from all choosing the same engine.
 FAILOVER_NOISE = 1.5
-# Share of the KV cache that new requests may fill. The rest is kept for
-# answers that become longer than expected.
-_MAX_KV_FILL = 0.92
+# Factor on the cost of an engine whose load keeps a request from its pace. It
+# is above the spread of costs between engines of one zone, so that any other
+# engine there goes first.
+_SLOW_FACTOR = 8.0
 _MAX_STAGES = 32
 
 
@@ -178,6 +180,8 @@
         heads: frozenset[ids.TargetId] | None = None,
         noise: float | None = None,
         may_cross: bool = True,
+        max_fill: float = kvreserve.MAX_FILL,
+        gap_s: float = 0.0,
     ) -> Chain | None:
         """Returns the cheapest chain with free KV capacity, or None.
 
@@ -195,6 +199,11 @@
             noise: Spread of the random factor on costs; None for that of new
                 requests.
             may_cross: Whether the chain may have cross-zone hops.
+            max_fill: Fill of a KV cache up to which the request may reserve
+                room.
+            gap_s: Longest time between two events; engines whose load keeps
+                the request from it are used if no others have room. 0 if none
+                is set.
         """
         span = layers or sources.LayerRange(0, model.layers)
         if noise is None:
@@ -204,7 +213,9 @@
         for row in rows:
             if row.id in excluded:
                 continue
-            candidate = self._candidate(model, row, demand, noise, capacities)
+            candidate = self._candidate(
+                model, row, demand, noise, capacities, max_fill, gap_s
+            )
             if candidate is not None:
                 candidates.append(candidate)
         chains = self._cheapest_chains(
@@ -219,6 +230,8 @@
         demand: Demand,
         noise: float,
         capacities: dict[tuple[str, int], float],
+        max_fill: float,
+        gap_s: float,
     ) -> _Candidate | None:
         """Returns an engine with its cost, or None if it can't be used.
 
@@ -232,6 +245,8 @@
             noise: Spread of the random factor on costs.
             capacities: Cache of KV capacities in tokens, by kind and number
                 of layers; filled here.
+            max_fill: Fill of its KV cache up to which it can be used.
+            gap_s: Longest time between two events, or 0.
         """
         entry = row.entry
         if entry.layers is None or entry.kind not in model.kinds:
@@ -244,7 +259,7 @@
                 model, entry.kind, entry.layers
             )
         fill = (load.tokens + demand.tokens) / max(1.0, capacity)
-        if fill > _MAX_KV_FILL:
+        if fill > max_fill:
             return None
         step_ms = enginecosts.step_time_ms(model, entry.kind, 1, load)
         layer_ms = demand.answer * _STEP_WAIT_FACTOR * step_ms
@@ -254,6 +269,10 @@
         # A nearly full KV cache makes later requests wait or be refused, so
         # the cost rises steeply towards it.
         layer_ms *= 1 + fill**4
+        if gap_s and enginecosts.is_overloaded(
+            model, entry.kind, load, demand.tokens, gap_s
+        ):
+            layer_ms *= _SLOW_FACTOR
         layer_ms *= 1 + noise * self._rng.random()
         return _Candidate(row, entry.layers, layer_ms)
 
--- a/src/briarfall/gateway/targets/loads.py
+++ b/src/briarfall/gateway/targets/loads.py
@@ -28,6 +28,7 @@
 
 
 class _Report(msgspec.Struct):
+    heard_s: float
     until_s: float
     loads: dict[ids.TargetId, Load]
 
@@ -97,8 +98,8 @@
             known = self._reports.get(instance)
             before = known.loads if known is not None else {}
             self._subtract(before)
-            until_s = clocks.boot_s() + ttl_s
-            self._reports[instance] = _Report(until_s, loads)
+            now_s = clocks.boot_s()
+            self._reports[instance] = _Report(now_s, now_s + ttl_s, loads)
             self._add(loads)
         started = {}
         for target, load in loads.items():
@@ -115,6 +116,14 @@
                     del self._reports[instance]
                     self._subtract(report.loads)
 
+    def oldest_report_age_s(self) -> float:
+        """Returns the age of the oldest report that counts; 0 without one."""
+        with self._lock:
+            if not self._reports:
+                return 0.0
+            oldest_s = min(row.heard_s for row in self._reports.values())
+        return clocks.boot_s() - oldest_s
+
     def _add(self, loads: dict[ids.TargetId, Load]) -> None:
         for target, load in loads.items():
             total = self._others.get(target)
--- a/tests/test_gateway_rooms.py
+++ b/tests/test_gateway_rooms.py
@@ -23,6 +23,7 @@
     "targets",
     "exchanges",
     "peers",
+    "scheduling",
     "catalogue",
     "",
 )
