--- a/src/briarfall/gateway/forwarding/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -5,9 +5,10 @@
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import clocks
 from briarfall.gateway import retryafter
+from briarfall.gateway.forwarding import chainheads
 from briarfall.gateway.forwarding import roomreports
+from briarfall.gateway.forwarding import roomwaits
 from briarfall.gateway.forwarding import streamstate
 from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import linkadmission
@@ -19,13 +20,6 @@
 from briarfall.gateway.targets import targetstate
 
 _MAX_ATTEMPTS = 6
-# Share of the first byte SLO for which a new request waits for capacity. The
-# rest is needed to run it, so that a longer wait would be in vain.
-_CAPACITY_WAIT_SHARE = 0.6
-# A stream that its caller already reads waits this many times its SLO for gaps
-# between events.
-_MAX_GAP_SLOS = 4
-_ORDER_REMEDY = "a look for room by the requests before it"
 # Time in which engines are reassigned to the uncovered layers of a zone, after
 # which its chains no longer need the inter-zone link.
 FULL_LINK_PAUSE = retryafter.UnavailablePeriod(1.0, 4.0)
@@ -81,24 +75,22 @@
         """
         call = stream.call
         self._check_deadline(stream)
-        room = self._rooms[call.service.name]
-        waiter = _new_waiter(stream)
+        wait = roomwaits.RoomWait(
+            stream, self._rooms[call.service.name], self._reports
+        )
         chain = None
         try:
-            chain = self._wait(stream, room, waiter)
+            chain = self._wait(stream, wait)
         finally:
-            room.leave(waiter, is_admitted=chain is not None)
-        if not waiter.has_started:
+            wait.end(is_admitted=chain is not None)
+        if not stream.response_started:
             self._reserve.record_admitted(stream.demand_class)
-        if waiter.is_reported:
-            self._reports.served(stream)
         return chain
 
     def _wait(
         self,
         stream: streamstate.Stream,
-        room: waiting.WaitingRoom,
-        waiter: waiting.Waiter,
+        wait: roomwaits.RoomWait,
     ) -> paths.Chain:
         """Returns a chain once one has room for a request that may look.
 
@@ -109,30 +101,23 @@
         while True:
             if call.attempt_count >= _MAX_ATTEMPTS or call.left_s <= 0:
                 raise stream.abandon_error("too many tries")
-            has_time = self._has_time(stream, room, waiter)
-            pause_s = room.pause_before_look(waiter) if has_time else 0.0
-            if pause_s:
-                self._report_held(stream, room, waiter, _ORDER_REMEDY)
-                call.watch.pause(min(pause_s, _left_s(waiter)))
+            has_time = wait.has_time
+            if has_time and wait.pause_for_order():
                 continue
             rows = self._targets.usable(call.service.name)
-            chain = self._look(stream, room, waiter, rows)
+            chain = self._look(stream, wait, rows)
             if chain is not None:
                 return chain
             if not has_time:
                 lack = _describe_lack(stream, rows)
-                self._reports.refused(
-                    stream, waiter, "kv", room.count_before(waiter), lack
-                )
+                wait.report_refused("kv", lack)
                 raise stream.abandon_error(lack)
-            pause_s = room.record_look(waiter)
-            call.watch.pause(min(pause_s, _left_s(waiter)))
+            wait.pause_after_look()
 
     def _look(
         self,
         stream: streamstate.Stream,
-        room: waiting.WaitingRoom,
-        waiter: waiting.Waiter,
+        wait: roomwaits.RoomWait,
         rows: list[targetstate.Target],
     ) -> paths.Chain | None:
         """Returns a chain with room now, or None if the request may wait.
@@ -140,33 +125,19 @@
         Raises:
             BriarfallError: A wait would be in vain.
         """
-        heads = _heads(stream, rows)
+        heads = chainheads.heads_of(stream, rows)
         chain = self._find(stream, rows, heads, may_cross=True)
         if chain is not None:
-            chain = self._admitted(stream, rows, heads, chain, waiter)
+            chain = self._admitted(stream, rows, heads, chain, wait)
         if chain is not None:
             return chain
         self._check_links(stream)
         if heads != stream.allowed_heads and not stream.response_started:
-            self._refuse_if_held(stream, rows, waiter.until_s)
-        if not waiter.looks:
-            self._report_lack(stream, room, waiter, rows, heads)
+            self._refuse_if_held(stream, rows, wait.until_s)
+        if wait.is_first_look:
+            self._report_lack(stream, wait, rows, heads)
         return None
 
-    def _has_time(
-        self,
-        stream: streamstate.Stream,
-        room: waiting.WaitingRoom,
-        waiter: waiting.Waiter,
-    ) -> bool:
-        """Whether a request may still wait, and not in vain."""
-        left_s = _left_s(waiter)
-        if not left_s:
-            return False
-        if waiter.has_started or stream.call.attempt_count:
-            return True
-        return room.expected_wait_s(waiter) <= left_s
-
     def _check_deadline(self, stream: streamstate.Stream) -> None:
         """Refuses a new request that can't begin before its caller leaves.
 
@@ -184,16 +155,13 @@
         reason = (
             f"the caller leaves before the prompt is read ({needed_s:.2f}s)"
         )
-        self._reports.refused(
-            stream, _new_waiter(stream), "time", 0, "later deadline"
-        )
+        self._reports.refused(stream, "time", 0, "a later deadline")
         raise stream.abandon_error(reason)
 
     def _report_lack(
         self,
         stream: streamstate.Stream,
-        room: waiting.WaitingRoom,
-        waiter: waiting.Waiter,
+        wait: roomwaits.RoomWait,
         rows: list[targetstate.Target],
         heads: frozenset[ids.TargetId] | None,
     ) -> None:
@@ -206,20 +174,7 @@
         ):
             self._reserve.record_held(cls)
             remedy = f"fill below {max_fill:.2f} or no more urgent requests"
-        self._report_held(stream, room, waiter, remedy)
-
-    def _report_held(
-        self,
-        stream: streamstate.Stream,
-        room: waiting.WaitingRoom,
-        waiter: waiting.Waiter,
-        remedy: str,
-    ) -> None:
-        if waiter.is_reported:
-            return
-        waiter.is_reported = True
-        before = room.count_before(waiter)
-        self._reports.held(stream, waiter, before, remedy)
+        wait.report_held(remedy)
 
     def _max_fill(self, stream: streamstate.Stream) -> float:
         has_started = stream.response_started or bool(stream.suspended)
@@ -246,7 +201,7 @@
         else:
             may_cross = stream.link_admitted is not False
         rows = self._targets.usable(call.service.name)
-        heads = _heads(stream, rows, head)
+        heads = chainheads.heads_of(stream, rows, head)
         return self._find(stream, rows, heads, may_cross=may_cross)
 
     def needs_peer(
@@ -305,7 +260,7 @@
         if not unreached:
             return []
         unreached_ids = frozenset(row.id for row in unreached)
-        heads = _without_held(stream.heads_after(head), rows)
+        heads = chainheads.without_held(stream.heads_after(head), rows)
         chain = self._finder.find(
             call.service.model,
             rows,
@@ -346,7 +301,7 @@
         rows: list[targetstate.Target],
         heads: frozenset[ids.TargetId] | None,
         chain: paths.Chain,
-        waiter: waiting.Waiter,
+        wait: roomwaits.RoomWait,
     ) -> paths.Chain | None:
         """Returns the chain if the inter-zone link admits it.
 
@@ -379,9 +334,7 @@
         if chain is None and not stream.response_started:
             self._link.refusals += 1
             share = self._link.class_share(model, stream.demand_class)
-            self._reports.refused(
-                stream, waiter, "link", 0, f"1 in {1 / max(share, 1e-3):.1f}"
-            )
+            wait.report_refused("link", f"a share of {share:.3f}")
             raise stream.abandon_error(
                 "the link between zones is full",
                 retryafter.retry_after_s(FULL_LINK_PAUSE, self._rng),
@@ -402,7 +355,7 @@
             OverloadError: A chain exists, but not with another head.
         """
         call = stream.call
-        if any(_has_permit_by(row, until_s) for row in rows):
+        if any(chainheads.has_permit_by(row, until_s) for row in rows):
             return
         period = targetbackoff.first_held(rows)
         if period is None or not self._find(
@@ -416,73 +369,6 @@
         )
 
 
-def _new_waiter(stream: streamstate.Stream) -> waiting.Waiter:
-    call = stream.call
-    wait_s = call.route.first_byte_slo_s * _CAPACITY_WAIT_SHARE
-    if stream.response_started:
-        wait_s = call.route.event_gap_slo_s * _MAX_GAP_SLOS
-    return waiting.Waiter(
-        stream.demand_class,
-        stream.demand.tokens,
-        aim_s=call.req.received_s + call.route.first_byte_slo_s,
-        until_s=clocks.boot_s() + wait_s,
-        has_started=stream.response_started,
-        is_restricted=bool(stream.avoided) or stream.allowed_heads is not None,
-    )
-
-
-def _left_s(waiter: waiting.Waiter) -> float:
-    return max(0.0, waiter.until_s - clocks.boot_s())
-
-
-def _heads(
-    stream: streamstate.Stream,
-    rows: list[targetstate.Target],
-    head: ids.TargetId | None = None,
-) -> frozenset[ids.TargetId] | None:
-    """Returns the engines that may be the head, or None for any.
-
-    Engines that get no requests now and those that this instance can't reach
-    may not.
-
-    Args:
-        stream: The stream.
-        rows: Engines that take requests.
-        head: Head of its current chain if that is to be counted as a run.
-    """
-    unreached = set()
-    for row in rows:
-        if row.link_fault is None:
-            continue
-        is_refused = row.link_fault is targetstate.LinkFault.REFUSED
-        if not (is_refused and stream.call.has_no_peer):
-            unreached.add(row.id)
-    allowed = stream.heads_after(head)
-    if not unreached and not _held_ids(rows):
-        return allowed
-    return _without_held(allowed, rows) - unreached
-
-
-def _without_held(
-    allowed: frozenset[ids.TargetId] | None, rows: list[targetstate.Target]
-) -> frozenset[ids.TargetId]:
-    """Returns the allowed engines, or all, that may get requests now."""
-    if allowed is None:
-        allowed = frozenset(row.id for row in rows)
-    return allowed - _held_ids(rows)
-
-
-def _held_ids(rows: list[targetstate.Target]) -> frozenset[ids.TargetId]:
-    return frozenset(row.id for row in rows if row.is_held)
-
-
-def _has_permit_by(row: targetstate.Target, until_s: float) -> bool:
-    """Whether a limited target may have a permit free before a time."""
-    if not row.is_held or row.is_in_backoff:
-        return False
-    return row.limited_until_s < until_s
-
-
 def _describe_lack(
     stream: streamstate.Stream, rows: list[targetstate.Target]
 ) -> str:
--- a/src/briarfall/gateway/forwarding/roomreports.py
+++ b/src/briarfall/gateway/forwarding/roomreports.py
@@ -6,7 +6,6 @@
 
 from briarfall.gateway import metrics
 from briarfall.gateway.forwarding import streamstate
-from briarfall.gateway.scheduling import waiting
 from briarfall.gateway.targets import loads
 
 
@@ -33,12 +32,11 @@
     def held(
         self,
         stream: streamstate.Stream,
-        waiter: waiting.Waiter,
         before: int,
         remedy: str,
     ) -> None:
         """Reports a request that waits for room."""
-        self._report(Decision.HELD, stream, waiter, "kv", before, remedy)
+        self._report(Decision.HELD, stream, "kv", before, remedy)
 
     def served(self, stream: streamstate.Stream) -> None:
         """Counts a request that has got room after it was held."""
@@ -47,24 +45,22 @@
     def refused(
         self,
         stream: streamstate.Stream,
-        waiter: waiting.Waiter,
         room: str,
         before: int,
         remedy: str,
     ) -> None:
         """Reports a request that is refused for lack of room."""
-        self._report(Decision.REFUSED, stream, waiter, room, before, remedy)
+        self._report(Decision.REFUSED, stream, room, before, remedy)
 
     def _report(
         self,
         decision: Decision,
         stream: streamstate.Stream,
-        waiter: waiting.Waiter,
         room: str,
         before: int,
         remedy: str,
     ) -> None:
-        cls = waiter.demand_class
+        cls = stream.demand_class
         logging.info(
             "room %s request=%s room=%s room_age_ms=%d urgency=%d size=%s "
             "started=%s tokens=%d before=%d age_ms=%d left_ms=%d let_in_by=%s",
@@ -74,7 +70,7 @@
             self._loads.oldest_report_age_s() * 1000,
             cls.urgency,
             cls.band.name.lower(),
-            waiter.has_started,
+            stream.response_started,
             stream.demand.tokens,
             before,
             stream.call.age_s * 1000,
--- /dev/null
+++ b/src/briarfall/gateway/forwarding/streamdemands.py
@@ -0,0 +1,66 @@
+"""Work that a stream needs, and its class among requests that need room."""
+
+from briarfall import decoding
+from briarfall.gateway.calls import calls
+from briarfall.gateway.exchanges import headernames
+from briarfall.gateway.placement import paths
+from briarfall.gateway.scheduling import accountshares
+from briarfall.gateway.scheduling import classes
+from briarfall.gateway.scheduling import kvreserve
+
+# A request that states more tokens counts as one that states none.
+_MAX_TOKENS = 10**9
+
+
+class StreamDemands:
+    """Finds what streams need and records it.
+
+    Args:
+        header_names: Header names of the platform.
+        reserve: Demand of this instance for KV caches.
+    """
+
+    def __init__(
+        self,
+        header_names: headernames.HeaderNames,
+        reserve: kvreserve.KvReserve,
+    ):
+        self._names = header_names
+        self._reserve = reserve
+        self._accounts = accountshares.AccountShares()
+
+    def of(self, call: calls.Call) -> tuple[paths.Demand, classes.DemandClass]:
+        """Returns the tokens and the class of a new stream."""
+        demand = self._estimate(call)
+        is_excess = call.account is not None and self._accounts.record(
+            call.account.name, demand.tokens
+        )
+        model = call.service.model
+        cls = classes.class_of(
+            call.urgency,
+            demand.tokens,
+            model.mean_prompt_tokens + model.mean_answer_tokens,
+            is_excess=is_excess,
+        )
+        self._reserve.record(cls, demand.tokens)
+        return demand, cls
+
+    def _estimate(self, call: calls.Call) -> paths.Demand:
+        model = call.service.model
+        prompt = model.mean_prompt_tokens
+        answer = model.mean_answer_tokens
+        usage = call.req.header(self._names.token_usage)
+        if usage is not None:
+            prompt_text, _, answer_text = usage.partition(b",")
+            prompt = _parse_tokens(prompt_text, prompt)
+            answer = min(answer, _parse_tokens(answer_text, answer))
+        hint = call.req.header(self._names.length_hint)
+        if hint is not None:
+            answer = _parse_tokens(hint, answer)
+        return paths.Demand(int(prompt), int(answer))
+
+
+def _parse_tokens(text: bytes, default: float) -> float:
+    """Returns a number of tokens; `default` if the text is none."""
+    count = decoding.parse_count(text.strip(), _MAX_TOKENS)
+    return default if count is None else count
--- a/src/briarfall/gateway/forwarding/streams.py
+++ b/src/briarfall/gateway/forwarding/streams.py
@@ -22,13 +22,12 @@
 from briarfall.gateway.forwarding import rerouting
 from briarfall.gateway.forwarding import roomreports
 from briarfall.gateway.forwarding import runfollowing
+from briarfall.gateway.forwarding import streamdemands
 from briarfall.gateway.forwarding import streamfailures
 from briarfall.gateway.forwarding import streamstate
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
 from briarfall.gateway.ratelimits import permits
-from briarfall.gateway.scheduling import accountshares
-from briarfall.gateway.scheduling import classes
 from briarfall.gateway.scheduling import kvreserve
 from briarfall.gateway.targets import linkmonitor
 from briarfall.gateway.targets import liveness
@@ -41,8 +40,6 @@
 # Longest wait for a connection while the stream has suspended runs, whose bytes
 # and whose caller are not looked at meanwhile.
 _MOVE_CONNECT_TIMEOUT_S = 0.1
-# A request that states more tokens counts as one that states none.
-_MAX_TOKENS = 10**9
 
 
 class StreamForwarder:
@@ -94,14 +91,14 @@
         self._relay = relay
         self._gate = gate
         self._link = link
-        self._accounts = accountshares.AccountShares()
-        self._reserve = reserve or kvreserve.KvReserve()
+        reserve = reserve or kvreserve.KvReserve()
+        self._demands = streamdemands.StreamDemands(header_names, reserve)
         self._search = chainsearch.ChainSearch(
             table,
             finder,
             link,
             rng,
-            self._reserve,
+            reserve,
             roomreports.RoomReports(counters, load_table),
         )
         self._diagnosis = streamfailures.StreamDiagnosis(
@@ -140,11 +137,8 @@
             BriarfallError: The caller got no response, or the stream ended
                 early and the caller's connection has to be closed.
         """
-        demand = self._estimate_demand(call)
-        stream = streamstate.Stream(
-            call, demand, demand_class=self._class_of(call, demand)
-        )
-        self._reserve.record(stream.demand_class, demand.tokens)
+        demand, demand_class = self._demands.of(call)
+        stream = streamstate.Stream(call, demand, demand_class=demand_class)
         if call.relayed is not None:
             stream.heads.update(call.relayed.heads)
         last_event_id = call.req.header(self._names.last_event)
@@ -304,35 +298,6 @@
             raise chainsearch.CutOffError("another head is not reached")
         return chain
 
-    def _estimate_demand(self, call: calls.Call) -> paths.Demand:
-        model = call.service.model
-        prompt = model.mean_prompt_tokens
-        answer = model.mean_answer_tokens
-        usage = call.req.header(self._names.token_usage)
-        if usage is not None:
-            prompt_text, _, answer_text = usage.partition(b",")
-            prompt = _parse_tokens(prompt_text, prompt)
-            answer = min(answer, _parse_tokens(answer_text, answer))
-        hint = call.req.header(self._names.length_hint)
-        if hint is not None:
-            answer = _parse_tokens(hint, answer)
-        return paths.Demand(int(prompt), int(answer))
-
-    def _class_of(
-        self, call: calls.Call, demand: paths.Demand
-    ) -> classes.DemandClass:
-        """Returns the class of a request; its account's demand is recorded."""
-        is_excess = call.account is not None and self._accounts.record(
-            call.account.name, demand.tokens
-        )
-        model = call.service.model
-        return classes.class_of(
-            call.urgency,
-            demand.tokens,
-            model.mean_prompt_tokens + model.mean_answer_tokens,
-            is_excess=is_excess,
-        )
-
     def _handle_break(
         self,
         stream: streamstate.Stream,
@@ -402,9 +367,3 @@
                 stream.demand_class,
             )
         return run
-
-
-def _parse_tokens(text: bytes, default: float) -> float:
-    """Returns a number of tokens; `default` if the text is none."""
-    count = decoding.parse_count(text.strip(), _MAX_TOKENS)
-    return default if count is None else count
--- a/src/briarfall/gateway/scheduling/waiting.py
+++ b/src/briarfall/gateway/scheduling/waiting.py
@@ -54,7 +54,6 @@
         round: Number of the last round in which it has looked, or did not need
             to.
         looks: How often it has looked in vain.
-        is_reported: Whether it was reported that it waits.
     """
 
     demand_class: classes.DemandClass
@@ -65,7 +64,6 @@
     is_restricted: bool = False
     round: int = -1
     looks: int = 0
-    is_reported: bool = False
 
 
 class WaitingRoom:
