--- a/src/briarfall/gateway/scheduling/waiting.py
+++ b/src/briarfall/gateway/scheduling/waiting.py
@@ -34,8 +34,13 @@
 _MAX_FAILED = 16
 # Admissions are counted over this window.
 _WINDOW_S = 1.0
-# The time until a request gets room is estimated only with so many before it.
+# Admissions that came in a burst count as spread over this time.
+_MIN_WINDOW_S = 0.2
+# The time until a request gets room is estimated only with so many before it,
+# and from so many admissions. At a start, or while engines load layers, nothing
+# is known, and requests wait.
 _MIN_BEFORE = 4
+_MIN_ADMISSIONS = 4
 
 _Rank = tuple[bool, int, bool, int, float, int]
 
@@ -162,16 +167,18 @@
         """Returns the expected seconds until a request gets room.
 
         That is the time in which as many requests as go before it got room
-        lately; 0 if few go before it, infinity if none got room.
+        lately; 0 if few go before it or too few got room to tell.
         """
         before = self.count_before(waiter)
         if before < _MIN_BEFORE:
             return 0.0
         with self._lock:
-            self._expire(self._clock())
-            if not self._admissions:
-                return float("inf")
-            return before * _WINDOW_S / len(self._admissions)
+            now_s = self._clock()
+            self._expire(now_s)
+            if len(self._admissions) < _MIN_ADMISSIONS:
+                return 0.0
+            passed_s = max(_MIN_WINDOW_S, now_s - self._admissions[0])
+            return before * passed_s / len(self._admissions)
 
     def _round_at(self, now_s: float) -> int:
         return math.floor((now_s - self._rounds_from_s) / _ROUND_S)
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -1,5 +1,6 @@
 """`briarfall explain` names the cause of failed requests."""
 
+import copy
 import logging
 import pathlib
 
@@ -47,6 +48,27 @@
 
 
 class TestExplain:
+    def test_refused_for_lack_of_room(self, recorded, capsys):
+        scene, path = recorded
+        narrow = copy.deepcopy(testbed.manifest(2))
+        for service in narrow["services"]:
+            if "engine" in service:
+                service["engine"]["act_bytes"] = 1e6
+                service["engine"]["pipe_mbps"] = 1.0
+        scene.publish(narrow)
+        scene.engine("a", zone="z1")
+        scene.engine("b", zone="z2")
+        inst = scene.instance()
+        scene.wait_for_layers()
+        testbed.call(inst, "/drafts/x", method="POST", request_id="abc1")
+        assert explanation.explain("abc1", path()) == 0
+        lines = capsys.readouterr().out.splitlines()
+        refused = [line for line in lines if "room refused" in line]
+        assert len(refused) == 1
+        assert "room=link" in refused[0]
+        assert "let_in_by=more link, its class gets" in refused[0]
+        assert lines[-1].startswith("cause: i1: request failed")
+
     def test_refused_before_it_ran(self, recorded, capsys):
         scene, path = recorded
         target = scene.service("d1")
