--- a/src/briarfall/cli/benches.py
+++ b/src/briarfall/cli/benches.py
@@ -371,7 +371,21 @@
     _write_report("full link", {"rows": rows}, out)
 
 
+def admission(*, seconds: float = 3.0, out: str = "") -> None:
+    """Measures the decisions about room, in microseconds.
+
+    Args:
+        seconds: Duration for each number of waiting requests.
+        out: File to write the report to, as JSON.
+    """
+    from briarfall.bench import admission
+
+    rows = [msgspec.to_builtins(row) for row in admission.run(seconds)]
+    _write_report("admission", {"rows": rows}, out)
+
+
 BENCHES = {
+    "admission": admission,
     "full-link": full_link,
     "placement": placement,
     "path-choice": path_choice,
--- a/src/briarfall/gateway/forwarding/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -334,7 +334,9 @@
         if chain is None and not stream.response_started:
             self._link.refusals += 1
             share = self._link.class_share(model, stream.demand_class)
-            wait.report_refused("link", f"more link, its class gets {share:.3f}")
+            wait.report_refused(
+                "link", f"more link, its class gets {share:.3f}"
+            )
             raise stream.abandon_error(
                 "the link between zones is full",
                 retryafter.retry_after_s(FULL_LINK_PAUSE, self._rng),
--- a/src/briarfall/gateway/instance/instance.py
+++ b/src/briarfall/gateway/instance/instance.py
@@ -115,7 +115,9 @@
         self.rate_limits = ratelimits.RateLimitTable(self.targets)
         self.targets.add_incarnation_end_listener(self.rate_limits.remove_ended)
         self.peers = peers.PeerTable(cfg.instance, cfg.zone, cfg.cores)
-        self.demands = demands.DemandTable()
+        self.demands = demands.DemandTable(
+            count_unheard=self.peers.count_unheard
+        )
         self.link = linkadmission.LinkAdmission(
             self.peers.link_demand_mbps,
             others_by_class=self.demands.link_mbps,
--- a/src/briarfall/gateway/peers/peers.py
+++ b/src/briarfall/gateway/peers/peers.py
@@ -31,6 +31,9 @@
 # first status arrives. Without it, every new instance would read the store
 # until it has received a status from the others.
 _DISCOVERY_S = 1.0
+# Time after it was found in which a peer that sent no status yet may live. The
+# longest status interval is shorter.
+_UNHEARD_S = 12.0
 # Time after which an unresponsive instance is removed from the table. Until
 # then it still gets the status.
 _REMOVAL_S = 60.0
@@ -249,6 +252,14 @@
             total += peer.link_mbps
         return total
 
+    def count_unheard(self) -> int:
+        """Returns how many peers were found lately and sent no status yet."""
+        oldest_s = clocks.boot_s() - _UNHEARD_S
+        count = 0
+        for peer in self.all():
+            count += not peer.heard_s and peer.found_s > oldest_s
+        return count
+
     def store_pollers(self, count: int) -> list[Peer | None]:
         """Returns the store pollers of the zone, first choice first.
 
--- a/src/briarfall/gateway/scheduling/accountshares.py
+++ b/src/briarfall/gateway/scheduling/accountshares.py
@@ -30,6 +30,7 @@
             collections.deque()
         )
         self._work: dict[ids.ClientId, float] = {}
+        self._total = 0.0
         self._counts: collections.Counter[ids.ClientId] = collections.Counter()
 
     def record(self, account: ids.ClientId, work: float) -> bool:
@@ -39,11 +40,12 @@
             self._expire(now_s)
             self._rows.append((now_s, account, work))
             self._work[account] = self._work.get(account, 0.0) + work
+            self._total += work
             self._counts[account] += 1
             if self._counts[account] < _MIN_REQUESTS or len(self._work) < 2:
                 return False
             own = self._work[account]
-            others = sum(self._work.values()) - own
+            others = self._total - own
             fair = others / (len(self._work) - 1)
             return own > fair * _FAIR_FACTOR
 
@@ -51,7 +53,10 @@
         while self._rows and self._rows[0][0] < now_s - _WINDOW_S:
             _, account, work = self._rows.popleft()
             self._work[account] -= work
+            self._total -= work
             self._counts[account] -= 1
             if not self._counts[account]:
                 del self._counts[account]
                 del self._work[account]
+        if not self._rows:
+            self._total = 0.0
--- a/src/briarfall/gateway/scheduling/demands.py
+++ b/src/briarfall/gateway/scheduling/demands.py
@@ -24,6 +24,10 @@
 # no more than its share.
 _REACHED_SHARE = 0.5
 _CUT_OFF_TTL_S = 30.0
+# While some instances have not reported yet, they count as the mean of those
+# that have, up to this multiple of what was reported.
+_MAX_UNHEARD_FACTOR = 2.0
+_UNHEARD_INTERVAL_S = 0.25
 
 Amounts = dict[classes.DemandClass, float]
 
@@ -109,12 +113,19 @@
 
     Args:
         clock: Returns the time in seconds; the boot clock by default.
+        count_unheard: Returns how many instances were found lately and have
+            not reported yet.
     """
 
     def __init__(
-        self, clock: collections.abc.Callable[[], float] | None = None
+        self,
+        clock: collections.abc.Callable[[], float] | None = None,
+        count_unheard: collections.abc.Callable[[], int] = int,
     ):
         self._clock = clock or (lambda: clocks.boot_s())
+        self._count_unheard = count_unheard
+        self._unheard_count = 0
+        self._unheard_until_s = 0.0
         self._lock = threading.Lock()
         self._reports: dict[ids.InstanceId, _Report] = {}
         self._link_mbps: Amounts = {}
@@ -170,13 +181,13 @@
         """Returns the demand for the inter-zone link by class, in Mbit/s."""
         with self._lock:
             self._expire()
-            return dict(self._link_mbps)
+            return self._scaled(self._link_mbps)
 
     def kv_tokens(self) -> Amounts:
         """Returns the demand for KV caches by class, in tokens per second."""
         with self._lock:
             self._expire()
-            return dict(self._kv_tokens)
+            return self._scaled(self._kv_tokens)
 
     def _expire(self) -> None:
         now_s = self._clock()
@@ -195,6 +206,18 @@
             if not is_cut_off or report.until_s + _CUT_OFF_TTL_S <= now_s:
                 self._drop(instance)
 
+    def _scaled(self, amounts: Amounts) -> Amounts:
+        """Returns amounts with the part of those that have not reported."""
+        now_s = self._clock()
+        if now_s >= self._unheard_until_s:
+            self._unheard_until_s = now_s + _UNHEARD_INTERVAL_S
+            self._unheard_count = self._count_unheard()
+        if not self._unheard_count or not self._reports:
+            return dict(amounts)
+        factor = 1 + self._unheard_count / len(self._reports)
+        factor = min(_MAX_UNHEARD_FACTOR, factor)
+        return {cls: amount * factor for cls, amount in amounts.items()}
+
     def _drop(self, instance: ids.InstanceId) -> None:
         report = self._reports.pop(instance, None)
         if report is None:
--- a/src/briarfall/gateway/scheduling/kvreserve.py
+++ b/src/briarfall/gateway/scheduling/kvreserve.py
@@ -104,12 +104,13 @@
         It grows with the part of the demand that is more urgent. With one
         urgency in demand, nothing is kept.
         """
-        found = demands.sum_of(self._window.rates(), self._others())
-        total = sum(found.values())
+        total = 0.0
         more_urgent = 0.0
-        for other, amount in found.items():
-            if other.urgency < cls.urgency:
-                more_urgent += amount
+        for found in (self._window.rates(), self._others()):
+            for other, amount in found.items():
+                total += amount
+                if other.urgency < cls.urgency:
+                    more_urgent += amount
         if not more_urgent:
             return 0.0
         reserve = _MAX_RESERVE * more_urgent / total
--- a/tests/test_scheduling_demands.py
+++ b/tests/test_scheduling_demands.py
@@ -106,6 +106,23 @@
         clock.now_s += 40.0
         assert table.link_mbps() == {}
 
+    def test_instances_that_have_not_reported_count_as_the_mean(self, clock):
+        unheard = 0
+        table = demands.DemandTable(count_unheard=lambda: unheard)
+        unheard = 5
+        assert table.link_mbps() == {}
+        row = demands.DemandRow(classes.key_of(URGENT), 10)
+        for number in range(10):
+            table.merge(ids.InstanceId(f"i{number}"), [row], 10.0)
+        clock.now_s += 0.3
+        assert table.link_mbps() == {URGENT: pytest.approx(150.0)}
+        unheard = 50
+        clock.now_s += 0.3
+        assert table.link_mbps() == {URGENT: pytest.approx(200.0)}
+        unheard = 0
+        clock.now_s += 0.3
+        assert table.link_mbps() == {URGENT: pytest.approx(100.0)}
+
     def test_odd_rows_are_ignored_or_bounded(self, clock):
         table = demands.DemandTable()
         rows = [
