--- a/src/briarfall/gateway/forwarding/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -145,12 +145,13 @@
             OverloadError: Its prompt alone takes longer than is left.
         """
         call = stream.call
-        if stream.response_started or call.attempt_count:
+        if stream.response_started or call.attempt_count or call.parts.shared:
+            # An engine may have read shared parts already.
             return
         needed_s = enginecosts.shortest_prefill_s(
             call.service.model, stream.demand.prompt
         )
-        if needed_s < call.left_s:
+        if not 0 < call.left_s <= needed_s:
             return
         reason = (
             f"the caller leaves before the prompt is read ({needed_s:.2f}s)"
--- a/src/briarfall/gateway/scheduling/demands.py
+++ b/src/briarfall/gateway/scheduling/demands.py
@@ -62,7 +62,7 @@
         self._window_s = window_s
         self._clock = clock or (lambda: clocks.boot_s())
         self._lock = threading.Lock()
-        # Time, class and amount of each request in the window.
+        # Time, class and amount per second of each request in the window.
         self._rows: collections.deque[
             tuple[float, classes.DemandClass, float]
         ] = collections.deque()
@@ -70,6 +70,7 @@
 
     def add(self, cls: classes.DemandClass, amount: float) -> None:
         """Adds what a request asks for."""
+        amount /= self._window_s
         with self._lock:
             self._rows.append((self._clock(), cls, amount))
             self._sums[cls] = self._sums.get(cls, 0.0) + amount
@@ -78,10 +79,7 @@
         """Returns the demand per second of each class that has one."""
         with self._lock:
             self._expire()
-            return {
-                cls: amount / self._window_s
-                for cls, amount in self._sums.items()
-            }
+            return dict(self._sums)
 
     def total(self) -> float:
         """Returns the demand per second of all classes."""
--- a/tests/test_scheduling_waiting.py
+++ b/tests/test_scheduling_waiting.py
@@ -13,6 +13,7 @@
 from briarfall import ids
 from briarfall.bench import placements
 from briarfall.gateway import metrics
+from briarfall.gateway.calls import promptparts
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.forwarding import chainsearch
@@ -269,6 +270,15 @@
         assert clock.now_s == started_s
         assert scene.counts("refused") == 1
 
+    def test_prompt_that_engines_may_have_read_in_part_is_not_refused(
+        self, clock, scene
+    ):
+        stream = scene.stream(prompt=1_000_000, left_s=1.0)
+        stream.call.parts = promptparts.PromptParts(("shared",), "own")
+        with pytest.raises(exceptions.OverloadError) as caught:
+            scene.search.wait_for_chain(stream)
+        assert "before the prompt is read" not in caught.value.message
+
     def test_room_is_kept_from_less_urgent_requests(self, clock, scene):
         scene.others = {classes.DemandClass(0, classes.Band.USUAL): 100.0}
         scene.fill(0.8)
