--- a/src/briarfall/gateway/forwarding/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -1,29 +1,25 @@
 """Choice of a chain of engines for a stream, with a short wait for capacity."""
 
+import collections
 import random
 
 from briarfall import exceptions
 from briarfall import ids
-from briarfall.gateway import clocks
 from briarfall.gateway import retryafter
+from briarfall.gateway.forwarding import chainheads
+from briarfall.gateway.forwarding import roomreports
+from briarfall.gateway.forwarding import roomwaits
 from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
+from briarfall.gateway.scheduling import kvreserve
+from briarfall.gateway.scheduling import waiting
 from briarfall.gateway.targets import targetbackoff
 from briarfall.gateway.targets import targets
 from briarfall.gateway.targets import targetstate
 
 _MAX_ATTEMPTS = 6
-# First pause of a request that waits for free KV capacity. Each further pause
-# is twice as long, so that many waiting requests leave processor time to the
-# others.
-_CAPACITY_PAUSE_S = 0.03
-# Share of the first byte SLO for which a new request waits for capacity. The
-# rest is needed to run it, so that a longer wait would be in vain.
-_CAPACITY_WAIT_SHARE = 0.6
-# A stream that its caller already reads waits this many times its SLO for gaps
-# between events.
-_MAX_GAP_SLOS = 4
 # Time in which engines are reassigned to the uncovered layers of a zone, after
 # which its chains no longer need the inter-zone link.
 FULL_LINK_PAUSE = retryafter.UnavailablePeriod(1.0, 4.0)
@@ -45,6 +41,8 @@
         finder: Finds the cheapest chain.
         link: Admits chains with cross-zone hops.
         rng: Random number generator that spreads callers' retries.
+        reserve: Keeps room in KV caches for more urgent requests.
+        reports: Reports requests that lack room.
     """
 
     def __init__(
@@ -53,8 +51,15 @@
         finder: paths.ChainFinder,
         link: linkadmission.LinkAdmission,
         rng: random.Random,
+        reserve: kvreserve.KvReserve,
+        reports: roomreports.RoomReports,
     ):
         self._link = link
+        self._reserve = reserve
+        self._reports = reports
+        self._rooms: dict[str, waiting.WaitingRoom] = collections.defaultdict(
+            waiting.WaitingRoom
+        )
         self._targets = table
         self._finder = finder
         self._rng = rng
@@ -69,28 +74,114 @@
                 has used up its attempts or its time.
         """
         call = stream.call
-        wait_s = call.route.first_byte_slo_s * _CAPACITY_WAIT_SHARE
-        if stream.response_started:
-            wait_s = call.route.event_gap_slo_s * _MAX_GAP_SLOS
-        until_s = clocks.boot_s() + wait_s
-        pause_s = _CAPACITY_PAUSE_S
+        self._check_deadline(stream)
+        wait = roomwaits.RoomWait(
+            stream, self._rooms[call.service.name], self._reports
+        )
+        chain = None
+        try:
+            chain = self._wait(stream, wait)
+        finally:
+            wait.end(is_admitted=chain is not None)
+        if not stream.response_started:
+            self._reserve.record_admitted(stream.demand_class)
+        return chain
+
+    def _wait(
+        self,
+        stream: streamstate.Stream,
+        wait: roomwaits.RoomWait,
+    ) -> paths.Chain:
+        """Returns a chain once one has room for a request that may look.
+
+        Raises:
+            BriarfallError: No chain became available in time.
+        """
+        call = stream.call
         while True:
             if call.attempt_count >= _MAX_ATTEMPTS or call.left_s <= 0:
                 raise stream.abandon_error("too many tries")
+            has_time = wait.has_time
+            if has_time and wait.pause_for_order():
+                continue
             rows = self._targets.usable(call.service.name)
-            heads = _heads(stream, rows)
-            chain = self._find(stream, rows, heads, may_cross=True)
-            if chain is not None:
-                chain = self._admitted(stream, rows, heads, chain)
+            chain = self._look(stream, wait, rows)
             if chain is not None:
                 return chain
-            self._check_links(stream)
-            if heads != stream.allowed_heads and not stream.response_started:
-                self._refuse_if_held(stream, rows, until_s)
-            if clocks.boot_s() >= until_s:
-                raise stream.abandon_error(_describe_lack(stream, rows))
-            call.watch.pause(min(pause_s, until_s - clocks.boot_s()))
-            pause_s *= 2
+            if not has_time:
+                lack = _describe_lack(stream, rows)
+                wait.report_refused("kv", lack)
+                raise stream.abandon_error(lack)
+            wait.pause_after_look()
+
+    def _look(
+        self,
+        stream: streamstate.Stream,
+        wait: roomwaits.RoomWait,
+        rows: list[targetstate.Target],
+    ) -> paths.Chain | None:
+        """Returns a chain with room now, or None if the request may wait.
+
+        Raises:
+            BriarfallError: A wait would be in vain.
+        """
+        heads = chainheads.heads_of(stream, rows)
+        chain = self._find(stream, rows, heads, may_cross=True)
+        if chain is not None:
+            chain = self._admitted(stream, rows, heads, chain, wait)
+        if chain is not None:
+            return chain
+        self._check_links(stream)
+        if heads != stream.allowed_heads and not stream.response_started:
+            self._refuse_if_held(stream, rows, wait.until_s)
+        if wait.is_first_look:
+            self._report_lack(stream, wait, rows, heads)
+        return None
+
+    def _check_deadline(self, stream: streamstate.Stream) -> None:
+        """Refuses a new request that can't begin before its caller leaves.
+
+        Raises:
+            OverloadError: Its prompt alone takes longer than is left.
+        """
+        call = stream.call
+        if stream.response_started or call.attempt_count or call.parts.shared:
+            # An engine may have read shared parts already.
+            return
+        needed_s = enginecosts.shortest_prefill_s(
+            call.service.model, stream.demand.prompt
+        )
+        if not 0 < call.left_s <= needed_s:
+            return
+        reason = (
+            f"the caller leaves before the prompt is read ({needed_s:.2f}s)"
+        )
+        self._reports.refused(stream, "time", 0, "a later deadline")
+        raise stream.abandon_error(reason)
+
+    def _report_lack(
+        self,
+        stream: streamstate.Stream,
+        wait: roomwaits.RoomWait,
+        rows: list[targetstate.Target],
+        heads: frozenset[ids.TargetId] | None,
+    ) -> None:
+        """Reports what a request lacks and counts what the reserve holds."""
+        remedy = _describe_lack(stream, rows)
+        cls = stream.demand_class
+        max_fill = self._max_fill(stream)
+        if max_fill < kvreserve.MAX_FILL and self._find(
+            stream, rows, heads, may_cross=True, max_fill=kvreserve.MAX_FILL
+        ):
+            self._reserve.record_held(cls)
+            remedy = f"fill below {max_fill:.2f} or no more urgent requests"
+        wait.report_held(remedy)
+
+    def _max_fill(self, stream: streamstate.Stream) -> float:
+        has_started = stream.response_started or bool(stream.suspended)
+        return self._reserve.max_fill(
+            stream.demand_class, has_started=has_started
+        )
 
     def find_replacement(
         self,
@@ -111,7 +202,7 @@
         else:
             may_cross = stream.link_admitted is not False
         rows = self._targets.usable(call.service.name)
-        heads = _heads(stream, rows, head)
+        heads = chainheads.heads_of(stream, rows, head)
         return self._find(stream, rows, heads, may_cross=may_cross)
 
     def needs_peer(
@@ -170,7 +261,7 @@
         if not unreached:
             return []
         unreached_ids = frozenset(row.id for row in unreached)
-        heads = _without_held(stream.heads_after(head), rows)
+        heads = chainheads.without_held(stream.heads_after(head), rows)
         chain = self._finder.find(
             call.service.model,
             rows,
@@ -187,7 +278,10 @@
         heads: frozenset[ids.TargetId] | None,
         *,
         may_cross: bool,
+        max_fill: float | None = None,
     ) -> paths.Chain | None:
+        if max_fill is None:
+            max_fill = self._max_fill(stream)
         return self._finder.find(
             stream.call.service.model,
             rows,
@@ -198,6 +292,8 @@
             if stream.call.has_unknown_outcome
             else None,
             may_cross=may_cross,
+            max_fill=max_fill,
+            gap_s=stream.call.route.event_gap_slo_s,
         )
 
     def _admitted(
@@ -206,6 +302,7 @@
         rows: list[targetstate.Target],
         heads: frozenset[ids.TargetId] | None,
         chain: paths.Chain,
+        wait: roomwaits.RoomWait,
     ) -> paths.Chain | None:
         """Returns the chain if the inter-zone link admits it.
 
@@ -224,7 +321,10 @@
             may_cross = self._link.admits_started(model)
         elif stream.link_admitted is None:
             may_cross = self._link.admit(
-                model, cross_zone_hops, stream.demand.tokens
+                model,
+                cross_zone_hops,
+                stream.demand.tokens,
+                stream.demand_class,
             )
             stream.link_admitted = may_cross
         else:
@@ -234,6 +334,10 @@
         chain = self._find(stream, rows, heads, may_cross=False)
         if chain is None and not stream.response_started:
             self._link.refusals += 1
+            share = self._link.class_share(model, stream.demand_class)
+            wait.report_refused(
+                "link", f"more link, its class gets {share:.3f}"
+            )
             raise stream.abandon_error(
                 "the link between zones is full",
                 retryafter.retry_after_s(FULL_LINK_PAUSE, self._rng),
@@ -254,7 +358,7 @@
             OverloadError: A chain exists, but not with another head.
         """
         call = stream.call
-        if any(_has_permit_by(row, until_s) for row in rows):
+        if any(chainheads.has_permit_by(row, until_s) for row in rows):
             return
         period = targetbackoff.first_held(rows)
         if period is None or not self._find(
@@ -268,54 +372,6 @@
         )
 
 
-def _heads(
-    stream: streamstate.Stream,
-    rows: list[targetstate.Target],
-    head: ids.TargetId | None = None,
-) -> frozenset[ids.TargetId] | None:
-    """Returns the engines that may be the head, or None for any.
-
-    Engines that get no requests now and those that this instance can't reach
-    may not.
-
-    Args:
-        stream: The stream.
-        rows: Engines that take requests.
-        head: Head of its current chain if that is to be counted as a run.
-    """
-    unreached = set()
-    for row in rows:
-        if row.link_fault is None:
-            continue
-        is_refused = row.link_fault is targetstate.LinkFault.REFUSED
-        if not (is_refused and stream.call.has_no_peer):
-            unreached.add(row.id)
-    allowed = stream.heads_after(head)
-    if not unreached and not _held_ids(rows):
-        return allowed
-    return _without_held(allowed, rows) - unreached
-
-
-def _without_held(
-    allowed: frozenset[ids.TargetId] | None, rows: list[targetstate.Target]
-) -> frozenset[ids.TargetId]:
-    """Returns the allowed engines, or all, that may get requests now."""
-    if allowed is None:
-        allowed = frozenset(row.id for row in rows)
-    return allowed - _held_ids(rows)
-
-
-def _held_ids(rows: list[targetstate.Target]) -> frozenset[ids.TargetId]:
-    return frozenset(row.id for row in rows if row.is_held)
-
-
-def _has_permit_by(row: targetstate.Target, until_s: float) -> bool:
-    """Whether a limited target may have a permit free before a time."""
-    if not row.is_held or row.is_in_backoff:
-        return False
-    return row.limited_until_s < until_s
-
-
 def _describe_lack(
     stream: streamstate.Stream, rows: list[targetstate.Target]
 ) -> str:
--- a/src/briarfall/gateway/forwarding/streams.py
+++ b/src/briarfall/gateway/forwarding/streams.py
@@ -20,12 +20,15 @@
 from briarfall.gateway.forwarding import relayexchanges
 from briarfall.gateway.forwarding import relaying
 from briarfall.gateway.forwarding import rerouting
+from briarfall.gateway.forwarding import roomreports
 from briarfall.gateway.forwarding import runfollowing
+from briarfall.gateway.forwarding import streamdemands
 from briarfall.gateway.forwarding import streamfailures
 from briarfall.gateway.forwarding import streamstate
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
 from briarfall.gateway.ratelimits import permits
+from briarfall.gateway.scheduling import kvreserve
 from briarfall.gateway.targets import linkmonitor
 from briarfall.gateway.targets import liveness
 from briarfall.gateway.targets import loads
@@ -37,8 +40,6 @@
 # Longest wait for a connection while the stream has suspended runs, whose bytes
 # and whose caller are not looked at meanwhile.
 _MOVE_CONNECT_TIMEOUT_S = 0.1
-# A request that states more tokens counts as one that states none.
-_MAX_TOKENS = 10**9
 
 
 class StreamForwarder:
@@ -60,6 +61,7 @@
         counters: Metrics.
         activity: When this process last received anything.
         rng: Spreads the retries of refused callers over time.
+        reserve: Keeps room in KV caches for more urgent requests.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         counters: metrics.Metrics,
         activity: liveness.ReceiveActivity,
         rng: random.Random,
+        reserve: kvreserve.KvReserve | None = None,
     ):
         self._names = header_names
         self._targets = table
@@ -88,7 +91,16 @@
         self._relay = relay
         self._gate = gate
         self._link = link
-        self._search = chainsearch.ChainSearch(table, finder, link, rng)
+        reserve = reserve or kvreserve.KvReserve()
+        self._demands = streamdemands.StreamDemands(header_names, reserve)
+        self._search = chainsearch.ChainSearch(
+            table,
+            finder,
+            link,
+            rng,
+            reserve,
+            roomreports.RoomReports(counters, load_table),
+        )
         self._diagnosis = streamfailures.StreamDiagnosis(
             header_names, table, detector, links, pool.dialer
         )
@@ -125,7 +137,8 @@
             BriarfallError: The caller got no response, or the stream ended
                 early and the caller's connection has to be closed.
         """
-        stream = streamstate.Stream(call, self._estimate_demand(call))
+        demand, demand_class = self._demands.of(call)
+        stream = streamstate.Stream(call, demand, demand_class=demand_class)
         if call.relayed is not None:
             stream.heads.update(call.relayed.heads)
         last_event_id = call.req.header(self._names.last_event)
@@ -285,20 +298,6 @@
             raise chainsearch.CutOffError("another head is not reached")
         return chain
 
-    def _estimate_demand(self, call: calls.Call) -> paths.Demand:
-        model = call.service.model
-        prompt = model.mean_prompt_tokens
-        answer = model.mean_answer_tokens
-        usage = call.req.header(self._names.token_usage)
-        if usage is not None:
-            prompt_text, _, answer_text = usage.partition(b",")
-            prompt = _parse_tokens(prompt_text, prompt)
-            answer = min(answer, _parse_tokens(answer_text, answer))
-        hint = call.req.header(self._names.length_hint)
-        if hint is not None:
-            answer = _parse_tokens(hint, answer)
-        return paths.Demand(int(prompt), int(answer))
-
     def _handle_break(
         self,
         stream: streamstate.Stream,
@@ -365,11 +364,6 @@
                 call.service.model,
                 linkadmission.count_cross_zone_hops(chain),
                 stream.demand.tokens,
+                stream.demand_class,
             )
         return run
-
-
-def _parse_tokens(text: bytes, default: float) -> float:
-    """Returns a number of tokens; `default` if the text is none."""
-    count = decoding.parse_count(text.strip(), _MAX_TOKENS)
-    return default if count is None else count
