Placement: blocks of layers as large as the cache for usual requests allows

Cause: an engine kept a third of its memory for KV cache whatever a request needs. Where requests are short beside it, the cache of an engine held many times what its head's slots let in, chains had 16 engines, each loss of an engine hit a sixth of all streams, and a zone had two replicas of a layer. Change: a block is as large as 40 mean requests' cache allows, never smaller than before; a fleet that holds layers by an earlier release's blocks keeps them, and so does one of which a zone could not cover all layers otherwise. The blocks have a module of their own.

--- a/src/briarfall/bench/placements.py
+++ b/src/briarfall/bench/placements.py
@@ -155,9 +155,8 @@
 
 def _max_layers(model: views.ModelLayout, kind: str) -> int:
     """Returns how many layers fit in the gateway's share for weights."""
-    blocks = placement.usual_block_count(model, kind)
-    boundaries = placement.block_borders(model)
-    return boundaries[min(blocks, len(boundaries) - 1)]
+    blocks = placement.choose_blocks(model, [])
+    return blocks.borders[min(blocks.usual_count(kind), blocks.count)]
 
 
 def engine_rate(
--- a/src/briarfall/gateway/placement/placement.py
+++ b/src/briarfall/gateway/placement/placement.py
@@ -6,13 +6,8 @@
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.placement import enginecosts
+from briarfall.gateway.placement import layerblocks
 
-# Share of an engine's memory for weights; the rest is for the KV cache.
-_WEIGHT_SHARE = 0.66
-# In a zone with too few engines to cover all layers, an engine holds more
-# layers than that share allows, but keeps KV cache for this many requests of
-# mean size.
-_MIN_CACHED_REQUESTS = 32
 # Tokens added to the capacity of a block, so that the scarcity of a block
 # without any capacity is finite.
 _SCARCITY_OFFSET = 1000.0
@@ -40,9 +35,7 @@
 class Plan:
     """The coverage of a model's layers, and layer ranges for empty engines.
 
-    A layer range consists of complete blocks. A block is as many layers as the
-    smallest kind of accelerator can hold. Engines whose ranges begin and end at
-    the same block borders can replace each other in a chain.
+    A layer range consists of complete blocks.
 
     Args:
         model: The model's layout.
@@ -51,8 +44,8 @@
 
     def __init__(self, model: views.ModelLayout, engines: list[EngineInfo]):
         self._model = model
-        self._borders = block_borders(model)
-        blocks = len(self._borders) - 1
+        self._blocks = choose_blocks(model, engines)
+        blocks = self._blocks.count
         self._cover: dict[ids.ZoneId, list[float]] = {}
         by_zone: dict[ids.ZoneId, list[EngineInfo]] = {}
         for engine in engines:
@@ -64,7 +57,7 @@
         self._block_counts: dict[ids.TargetId, int] = {}
         for rows in by_zone.values():
             self._block_counts.update(
-                _block_counts_in_zone(model, rows, blocks)
+                _block_counts_in_zone(model, rows, self._blocks)
             )
 
     def cover(self, zone: ids.ZoneId) -> list[float]:
@@ -74,7 +67,7 @@
     def _add(self, engine: EngineInfo, layers: sources.LayerRange) -> None:
         capacity = enginecosts.kv_capacity(self._model, engine.kind, layers)
         cover = self._cover[engine.zone]
-        for block in blocks_within(self._borders, layers):
+        for block in self._blocks.within(layers):
             cover[block] += capacity
 
     def assign_all(
@@ -101,7 +94,7 @@
         The range is added to the coverage. None is returned if the engine
         can't hold a block.
         """
-        blocks = len(self._borders) - 1
+        blocks = self._blocks.count
         count = min(self._block_counts.get(engine.id, 0), blocks)
         if count < 1:
             return None
@@ -111,9 +104,8 @@
             if best is None or value > best[0]:
                 best = (value, start)
         start = best[1]
-        layers = sources.LayerRange(
-            self._borders[start], self._borders[start + count]
-        )
+        borders = self._blocks.borders
+        layers = sources.LayerRange(borders[start], borders[start + count])
         self._add(engine, layers)
         return layers
 
@@ -131,6 +123,39 @@
         return total_scarcity
 
 
+def choose_blocks(
+    model: views.ModelLayout, engines: list[EngineInfo]
+) -> layerblocks.LayerBlocks:
+    """Returns the blocks for the engines of a model.
+
+    Large blocks are used unless a zone has too few engines to hold all of
+    them, but could hold all of the smaller ones. Engines that hold layers by
+    other blocks go on to do so, since loading takes seconds in which an engine
+    serves nobody.
+    """
+    large, small = layerblocks.candidates(model)
+    if large.borders == small.borders:
+        return large
+    lead = 0
+    for engine in engines:
+        if engine.layers is not None:
+            lead += large.matches(engine.layers) - small.matches(engine.layers)
+    if not lead:
+        lead = _count_covered(large, engines) - _count_covered(small, engines)
+    return large if lead >= 0 else small
+
+
+def _count_covered(
+    blocks: layerblocks.LayerBlocks, engines: list[EngineInfo]
+) -> int:
+    """Returns the number of zones whose engines can hold all blocks."""
+    held: dict[ids.ZoneId, int] = {}
+    for engine in engines:
+        count = min(blocks.count, blocks.max_count(engine.kind))
+        held[engine.zone] = held.get(engine.zone, 0) + count
+    return sum(count >= blocks.count for count in held.values())
+
+
 def _aligned_starts(blocks: int, count: int) -> list[int]:
     """Returns the first blocks of the ranges of `count` blocks to consider.
 
@@ -143,16 +168,6 @@
     return aligned
 
 
-def blocks_within(borders: list[int], layers: sources.LayerRange) -> list[int]:
-    """Returns the blocks that lie completely within a layer range."""
-    found = []
-    for block in range(len(borders) - 1):
-        span = sources.LayerRange(borders[block], borders[block + 1])
-        if layers.contains(span):
-            found.append(block)
-    return found
-
-
 def scarcity(capacity: float) -> float:
     """Returns the scarcity of a block, which falls with the squared capacity.
 
@@ -163,7 +178,9 @@
 
 
 def _block_counts_in_zone(
-    model: views.ModelLayout, engines: list[EngineInfo], blocks: int
+    model: views.ModelLayout,
+    engines: list[EngineInfo],
+    layer_blocks: layerblocks.LayerBlocks,
 ) -> dict[ids.TargetId, int]:
     """Returns the number of blocks that each empty engine of a zone shall hold.
 
@@ -171,10 +188,11 @@
     not cover all layers after the loss of its largest engine.
     """
     counts = {}
+    blocks = layer_blocks.count
     wanted = blocks
     held = 0
     for engine in engines:
-        usual = usual_block_count(model, engine.kind)
+        usual = layer_blocks.usual_count(engine.kind)
         wanted = max(wanted, blocks + usual)
         if engine.layers is not None:
             held += engine.layers.size * blocks // model.layers
@@ -186,45 +204,10 @@
         grows = False
         for engine in engines:
             count = counts.get(engine.id)
-            max_count = min(blocks, max_block_count(model, engine.kind))
+            max_count = min(blocks, layer_blocks.max_count(engine.kind))
             if count is None or held >= wanted or count >= max_count:
                 continue
             counts[engine.id] = count + 1
             held += 1
             grows = True
     return counts
-
-
-def max_block_count(model: views.ModelLayout, kind: str) -> int:
-    """Returns the blocks that an engine can hold beside a small KV cache."""
-    hardware = model.kinds.get(kind)
-    if hardware is None:
-        return 0
-    request_tokens = model.mean_prompt_tokens + model.mean_answer_tokens
-    tokens = _MIN_CACHED_REQUESTS * request_tokens
-    layer_mb = model.layer_mb + tokens * model.kv_bytes / model.layers / 1e6
-    fits = int(hardware.memory_mb // layer_mb)
-    return max(usual_block_count(model, kind), fits // _block_size(model))
-
-
-def usual_block_count(model: views.ModelLayout, kind: str) -> int:
-    """Returns the blocks that an engine of a kind holds by default."""
-    hardware = model.kinds.get(kind)
-    if hardware is None:
-        return 0
-    size = _block_size(model)
-    fits = int(hardware.memory_mb * _WEIGHT_SHARE // model.layer_mb)
-    return fits // size
-
-
-def block_borders(model: views.ModelLayout) -> list[int]:
-    """Returns the first layer of each block, then the number of layers."""
-    size = _block_size(model)
-    count = -(-model.layers // size)
-    return [round(i * model.layers / count) for i in range(count + 1)]
-
-
-def _block_size(model: views.ModelLayout) -> int:
-    smallest = min(kind.memory_mb for kind in model.kinds.values())
-    size = int(smallest * _WEIGHT_SHARE // model.layer_mb)
-    return max(1, min(size, model.layers))
--- a/src/briarfall/gateway/placement/rebalancing.py
+++ b/src/briarfall/gateway/placement/rebalancing.py
@@ -13,6 +13,7 @@
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.placement import enginecosts
+from briarfall.gateway.placement import layerblocks
 from briarfall.gateway.placement import placement
 from briarfall.gateway.targets import loads
 
@@ -70,10 +71,11 @@
             gains, that of the least loaded engine is chosen.
     """
     best = None
+    blocks = placement.choose_blocks(model, engines)
     zones = sorted({engine.zone for engine in engines})
     for zone in zones:
         rows = [row for row in engines if row.zone == zone and row.layers]
-        found = _Zone(model, rows).best_reassignment(fixed, load_of)
+        found = _Zone(model, blocks, rows).best_reassignment(fixed, load_of)
         if found is not None and (best is None or found[0] < best[0]):
             best = found
     return best[1] if best else None
@@ -84,17 +86,21 @@
 
     Args:
         model: The model's layout.
+        blocks: The blocks of layers.
         engines: Engines of the zone that hold layers.
     """
 
     def __init__(
-        self, model: views.ModelLayout, engines: list[placement.EngineInfo]
+        self,
+        model: views.ModelLayout,
+        blocks: layerblocks.LayerBlocks,
+        engines: list[placement.EngineInfo],
     ):
         self._model = model
         self._engines = engines
-        self._borders = placement.block_borders(model)
+        self._blocks = blocks
         self._capacities: dict[tuple[str, int], float] = {}
-        self._cover = [0.0] * (len(self._borders) - 1)
+        self._cover = [0.0] * blocks.count
         for engine in engines:
             self._add_capacity(self._cover, engine.kind, engine.layers, 1)
 
@@ -145,29 +151,25 @@
         engine's own range extended to it, if that fits.
         """
         blocks = len(self._cover)
-        usual_count = min(
-            blocks, placement.usual_block_count(self._model, engine.kind)
-        )
-        max_count = min(
-            blocks, placement.max_block_count(self._model, engine.kind)
-        )
+        borders = self._blocks.borders
+        usual_count = min(blocks, self._blocks.usual_count(engine.kind))
+        max_count = min(blocks, self._blocks.max_count(engine.kind))
         ranges = set()
         for block in self._scarce_blocks():
             first = max(0, block - usual_count + 1)
             for start in range(first, min(block, blocks - usual_count) + 1):
                 ranges.add(self._range(start, start + usual_count))
             wider = sources.LayerRange(
-                min(engine.layers.first, self._borders[block]),
-                max(engine.layers.end, self._borders[block + 1]),
+                min(engine.layers.first, borders[block]),
+                max(engine.layers.end, borders[block + 1]),
             )
-            if wider.size <= self._borders[max_count]:
+            if wider.size <= borders[max_count]:
                 ranges.add(wider)
         return ranges
 
     def _range(self, first_block: int, end_block: int) -> sources.LayerRange:
-        return sources.LayerRange(
-            self._borders[first_block], self._borders[end_block]
-        )
+        borders = self._blocks.borders
+        return sources.LayerRange(borders[first_block], borders[end_block])
 
     def _coverage_after(
         self, engine: placement.EngineInfo, layers: sources.LayerRange
@@ -189,7 +191,7 @@
         if capacity is None:
             capacity = enginecosts.kv_capacity(self._model, kind, layers)
             self._capacities[key] = capacity
-        for block in placement.blocks_within(self._borders, layers):
+        for block in self._blocks.within(layers):
             cover[block] += sign * capacity
 
 
--- a/tests/test_gateway_rebalancing.py
+++ b/tests/test_gateway_rebalancing.py
@@ -18,7 +18,7 @@
 from briarfall.standins.prepared import testbed
 
 MODEL = placements.layout()
-BLOCKS = len(placement.block_borders(MODEL)) - 1
+BLOCKS = placement.choose_blocks(MODEL, []).count
 # More reassignments per engine would mean that engines alternate between layer
 # ranges.
 MAX_MOVES_PER_ENGINE = 3
@@ -31,7 +31,7 @@
 
 def gaps(rows, zone):
     """Returns the blocks that no engine of a zone holds."""
-    borders = placement.block_borders(MODEL)
+    borders = placement.choose_blocks(MODEL, []).borders
     missing = []
     for block in range(BLOCKS):
         span = sources.LayerRange(borders[block], borders[block + 1])
@@ -115,7 +115,7 @@
             assert after_moves(rows)[1] <= 2, seed
 
     def test_least_loaded_of_equal_engines_is_reassigned(self):
-        borders = placement.block_borders(MODEL)
+        borders = placement.choose_blocks(MODEL, []).borders
         rows = []
         for block in range(BLOCKS):
             span = sources.LayerRange(borders[block], borders[block + 1])
@@ -156,7 +156,7 @@
                     ids.TargetId(f"m{number}"), ids.ZoneId("z"), "medium"
                 )
             )
-        usual = placement.usual_block_count(MODEL, "medium")
+        usual = placement.choose_blocks(MODEL, []).usual_count("medium")
         few = rows[: BLOCKS // usual]
         for count in range(len(few), len(rows)):
             engines = rows[:count]
@@ -182,7 +182,9 @@
             )
         ranges = placement.Plan(model, rows).assign_all(rows)
         held = sum(layers.size for layers in ranges.values())
-        assert held >= model.layers + max(placement.block_borders(model)[1], 1)
+        assert held >= model.layers + max(
+            placement.choose_blocks(model, []).borders[1], 1
+        )
 
 
 class TestPlacementController:
