Tests: crowds of clients outside the limits, at a real process

Clients that we don't control may send bodies of any form and stay open. The tests start the process of an instance with lowered limits (body 2 MiB, ram_mb 64, max_fds 400) and 40 clients, and check that it lives, that its peak rises by at most half of ram_mb (32,768 KiB) above that after one warm-up order, that its sockets stay under max_fds less the 200 for files, and that an ordinary order is answered. 'make crowds' runs them one at a time, after the other tests of 'make test'.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 WORKERS ?= 4
 BEHAVE := .venv/bin/behave --no-capture --logging-level=ERROR --format progress2
 
-.PHONY: demo test lint known-red bench soak fault-soak
+.PHONY: demo test crowds lint known-red bench soak fault-soak
 
 .venv/.ready: pyproject.toml
 	python3 -m venv .venv
@@ -18,7 +18,12 @@
 
 test: .venv/.ready
 	ls features/*.feature | xargs -P $(WORKERS) -n 1 $(BEHAVE) --tags='not @known_red'
-	$(PY) -m pytest -n $(WORKERS) -m 'not known_red'
+	$(PY) -m pytest -n $(WORKERS) -m 'not known_red and not crowd'
+	$(MAKE) crowds
+
+# Crowds of clients, one test at a time.
+crowds: .venv/.ready
+	$(PY) -m pytest -p no:xdist -m 'crowd and not known_red' tests/crowds
 
 lint: .venv/.ready
 	.venv/bin/ruff check .
--- a/src/briarfall/standins/prepared/faultsoak/processes.py
+++ b/src/briarfall/standins/prepared/faultsoak/processes.py
@@ -34,6 +34,7 @@
         zone: Its availability zone.
         store: Address of the store, or of a proxy in front of it.
         folder: Folder for its settings and logs.
+        limits: Limits of the process in its settings, such as its memory.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         zone: str,
         store: str,
         folder: pathlib.Path,
+        limits: dict[str, float] | None = None,
     ):
         self.name = name
         self.zone = zone
@@ -68,6 +70,7 @@
                     "port_range": [peer, peer + 1],
                     "platform": {"address": store},
                     "bounds": {"grace_s": GRACE_S, "retry_slack": 400},
+                    "limits": limits or {},
                 }
             )
         )
