Bounds the memory of all request bodies, connections and their threads

Cause: nothing bounded the bodies of all requests together, so that a crowd whose bodies stop short of their end took a process over its memory. An announced body over the limit was read up to the limit. Freed bodies stayed in heaps of the C allocator, one a thread. A long body was copied three times for its send, and the last copy stayed with the pooled connection. Each chunk costs processor time, however small it is.

Announced lengths over the limit get 413 at once. Bodies in small chunks share a quarter of a processor. A peer's refusal of an unfinished relayed request says not run, with its exchange.

--- a/src/briarfall/exceptions.py
+++ b/src/briarfall/exceptions.py
@@ -181,6 +181,12 @@
     """The request would need a retry, and the retry budget is used up."""
 
 
+class BodyMemoryError(OverloadError):
+    """An unfinished request was refused for lack of memory or connections."""
+
+    code = "body_memory"
+
+
 class HeldRequestError(OverloadError):
     """Requests with a part of the prompt wait until one of them was tried.
 
--- a/src/briarfall/gateway/callers/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -13,6 +13,7 @@
 from briarfall.gateway.callers import listener
 from briarfall.gateway.callers import peerconnections
 from briarfall.gateway.callers import plannedstop
+from briarfall.gateway.calls import bodybudget
 from briarfall.gateway.calls import budgets
 from briarfall.gateway.calls import callers
 from briarfall.gateway.calls import calls
@@ -58,6 +59,7 @@
         stop: plannedstop.PlannedStop,
         counters: metrics.Metrics,
         guard: errorguard.ErrorGuard,
+        body_budget: bodybudget.BodyBudget,
         rng: random.Random,
     ):
         self._names = header_names
@@ -74,11 +76,12 @@
         self._stop = stop
         self._metrics = counters
         self._guard = guard
+        self._bodies = body_budget
         self._rng = rng
 
     def serve(self, sock: socket.socket) -> None:
         """Serves a caller's requests on a connection until it is closed."""
-        self._serve(callers.CallerConnection(sock, self._limits))
+        self._serve(callers.CallerConnection(sock, self._limits, self._bodies))
 
     @listener.refused_with([relaymessages.UNREAD_HEADER])
     def serve_peer(self, sock: socket.socket) -> None:
@@ -86,7 +89,9 @@
 
         They are served like those of callers, but not relayed again.
         """
-        self._serve(peerconnections.PeerConnection(sock, self._limits))
+        self._serve(
+            peerconnections.PeerConnection(sock, self._limits, self._bodies)
+        )
 
     def _serve(self, conn: callers.CallerConnection) -> None:
         linger = False
@@ -339,11 +344,14 @@
             exc.status,
             exc,
         )
+        self._metrics.count("briarfall_refused_messages", str(exc.status))
         conn.closes_after_response = True
+        headers = [(b"Content-Type", b"text/plain")]
+        if exc.retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.2f" % exc.retry_after_s))
+        conn.release_body()
         try:
-            conn.answer(
-                exc.status, [(b"Content-Type", b"text/plain")], b"refused\n"
-            )
+            conn.answer(exc.status, headers, b"refused\n")
         except targetconnection.CallerGoneError as error:
             logging.info("refusal not delivered to the caller: %s", error)
         except Exception as error:
--- a/src/briarfall/gateway/callers/listener.py
+++ b/src/briarfall/gateway/callers/listener.py
@@ -20,6 +20,7 @@
 # is a reset, which can overtake the refusal.
 _LINGER_S = 1.0
 _MAX_LINGERING = 64
+_LINGERING_SHARE = 0.125
 # Nothing was read, so that the request has not run.
 _REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
@@ -28,6 +29,11 @@
 # Attribute of a handler with the further headers of its refusal.
 _REFUSAL_HEADERS = "refusal_headers"
 
+# Share of the allowed connections from which stalled requests make room.
+_CROWDED_SHARE = 0.8
+# Interval of log lines on refused connections.
+_LOG_INTERVAL_S = 1.0
+
 Handler = collections.abc.Callable[[socket.socket], None]
 # A function, or a method that is a handler once it is bound.
 Handling = typing.TypeVar("Handling", bound=collections.abc.Callable)
@@ -69,6 +75,12 @@
         handler: Function that serves one connection and closes it.
         name: Name of the listener in logs and thread names.
         sock: Socket that already listens on this address, or None to open one.
+        max_connections: Most connections that are served at once, or None.
+        make_room: Called for a new connection when hardly any more may be
+            open.
+
+    Attributes:
+        refused: Number of connections that were refused.
     """
 
     def __init__(
@@ -79,6 +91,8 @@
         *,
         name: str,
         sock: socket.socket | None = None,
+        max_connections: int | None = None,
+        make_room: collections.abc.Callable[[], object] = lambda: None,
     ):
         super().__init__(name=f"listen-{name}", daemon=True)
         self._handler = handler
@@ -88,6 +102,15 @@
         self._sock = sock or listensocket.open_listener(host, port)
         self._sock.settimeout(_ACCEPT_TIMEOUT_S)
         self._open_count = 0
+        self.refused = 0
+        self._max_connections = max_connections
+        self._make_room = make_room
+        # Refused connections that stay open count towards the descriptors.
+        self._max_lingering = _MAX_LINGERING
+        if max_connections is not None:
+            share = int(max_connections * _LINGERING_SHARE)
+            self._max_lingering = min(_MAX_LINGERING, share)
+        self._next_log_s = 0.0
         # Refused connections, with the time on the boot clock of their close.
         self._lingering: collections.deque[tuple[socket.socket, float]]
         self._lingering = collections.deque()
@@ -125,6 +148,9 @@
             # planned stop does not miss it.
             with self._lock:
                 self._open_count += 1
+            if not self._has_room():
+                self._refuse(sock)
+                continue
             thread = threading.Thread(
                 target=self._serve, args=(sock,), daemon=True
             )
@@ -136,6 +162,34 @@
                 )
                 self._refuse(sock)
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether hardly any more connections may be open."""
+        if self._max_connections is None:
+            return False
+        return self._open_count > self._max_connections * _CROWDED_SHARE
+
+    def _has_room(self) -> bool:
+        """Returns whether the newest connection may be served."""
+        if self.is_crowded:
+            self._make_room()
+        if self._max_connections is None:
+            return True
+        if self._open_count <= self._max_connections:
+            return True
+        self.refused += 1
+        now_s = clocks.boot_s()
+        if now_s >= self._next_log_s:
+            self._next_log_s = now_s + _LOG_INTERVAL_S
+            logging.warning(
+                "connection refused on %s, %d are open, allowed=%d refused=%d",
+                self._label,
+                self._open_count - 1,
+                self._max_connections,
+                self.refused,
+            )
+        return False
+
     def _serve(self, sock: socket.socket) -> None:
         try:
             self._handler(sock)
@@ -167,7 +221,7 @@
         now_s = clocks.boot_s()
         while self._lingering:
             sock, close_s = self._lingering[0]
-            if close_s > now_s and len(self._lingering) <= _MAX_LINGERING:
+            if close_s > now_s and len(self._lingering) <= self._max_lingering:
                 return
             sock.close()
             self._lingering.popleft()
--- a/src/briarfall/gateway/callers/peerconnections.py
+++ b/src/briarfall/gateway/callers/peerconnections.py
@@ -1,10 +1,12 @@
 """Connection of a peer that relays its callers' requests."""
 
+import contextlib
 import socket
 
 import msgspec
 
 from briarfall import exceptions
+from briarfall.gateway.calls import bodybudget
 from briarfall.gateway.calls import callers
 from briarfall.gateway.calls import calls
 from briarfall.gateway.calls import relaymessages
@@ -19,10 +21,16 @@
     Args:
         sock: The accepted socket.
         limits: Limits on size and duration of callers' requests.
+        budget: Memory for the bodies of all requests, or None for no bound.
     """
 
-    def __init__(self, sock: socket.socket, limits: views.CallerLimits):
-        super().__init__(sock, _with_private_header(limits))
+    def __init__(
+        self,
+        sock: socket.socket,
+        limits: views.CallerLimits,
+        budget: bodybudget.BodyBudget | None = None,
+    ):
+        super().__init__(sock, _with_private_header(limits), budget)
         self._call: calls.Call | None = None
         self._backoffs = relaybackoffs.RequestBackoffs({})
 
@@ -39,7 +47,11 @@
         self._call = None
         self.failure = None
         relaybackoffs.set_current(None)
-        req = self.read_message()
+        try:
+            req = self.read_message()
+        except callers.MessageRefusedError as exc:
+            self._record_refusal(exc)
+            raise
         if req is None:
             return None
         try:
@@ -52,6 +64,15 @@
         relaybackoffs.set_current(self._backoffs)
         return req
 
+    def _record_refusal(self, exc: callers.MessageRefusedError) -> None:
+        """Makes the response say that this request was not run."""
+        self.failure = exceptions.OverloadError(str(exc))
+        self.relayed = None
+        if self.head_headers is None:
+            return
+        with contextlib.suppress(exceptions.PeerError):
+            self.relayed = relaymessages.decode_request(self.head_headers)
+
     def start_call(self, call: calls.Call) -> None:
         """Sets the call that the current request has become.
 
--- /dev/null
+++ b/src/briarfall/gateway/calls/bodyreading.py
@@ -0,0 +1,79 @@
+"""Reads the body of a request into the budget of its instance.
+
+Each chunk of a body costs processor time, however small it is. Bodies in many
+small chunks together get a share of one processor, so that they don't keep
+the other requests from being served.
+"""
+
+from briarfall.gateway.calls import bodybudget
+from briarfall.gateway.exchanges import inputbounds
+from briarfall.gateway.exchanges import pacing
+
+# Share of one processor for all bodies in small chunks together.
+_SHARE = 0.25
+# Bytes of small pieces from which they are added to the budget.
+_ADDED_BYTES = 4096
+# Small chunks that are read in one turn.
+_TURN_PIECES = 64
+
+_PACER = pacing.Pacer(_SHARE)
+
+
+class BodyReader:
+    """Adds the pieces of one body to what is held of it.
+
+    Args:
+        held: What is held of the body.
+        max_bytes: Longest body.
+    """
+
+    def __init__(self, held: bodybudget.HeldBody, max_bytes: int):
+        self._held = held
+        self._max_bytes = max_bytes
+        self._pieces = 0
+        self._size = 0
+        # Bytes of small pieces, which are added together.
+        self._small = bytearray()
+        self._turn_pieces = 0
+        self._turn_cpu_s = 0.0
+
+    def is_too_long(self, more: int) -> bool:
+        """Whether the body is longer than allowed with `more` bytes."""
+        return self._size + more > self._max_bytes
+
+    def add(self, data: bytes, deadline_s: float) -> None:
+        """Adds a piece, and waits between the turns of a body in small ones.
+
+        Args:
+            data: The piece.
+            deadline_s: Time on the boot clock until which to wait.
+
+        Raises:
+            BodyMemoryError: The request was refused.
+        """
+        self._size += len(data)
+        self._pieces += 1
+        self._small += data
+        if len(self._small) >= _ADDED_BYTES:
+            self.flush()
+        if not inputbounds.is_fragmented(self._size, self._pieces):
+            return
+        if self._turn_pieces == 0:
+            self._turn_cpu_s = pacing.cpu_s()
+        self._turn_pieces += 1
+        if self._turn_pieces < _TURN_PIECES:
+            return
+        self._turn_pieces = 0
+        used_s = pacing.cpu_s() - self._turn_cpu_s
+        _PACER.await_turn(used_s, deadline_s)
+        self._held.check()
+
+    def flush(self) -> None:
+        """Adds the pieces that were not added yet.
+
+        Raises:
+            BodyMemoryError: The request was refused.
+        """
+        if self._small:
+            self._held.append(self._small)
+            self._small = bytearray()
--- a/src/briarfall/gateway/calls/callers.py
+++ b/src/briarfall/gateway/calls/callers.py
@@ -9,12 +9,19 @@
 
 from briarfall import exceptions
 from briarfall.gateway import clocks
+from briarfall.gateway.calls import bodybudget
+from briarfall.gateway.calls import bodyreading
 from briarfall.gateway.calls import relaymessages
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.exchanges import messages
 from briarfall.gateway.exchanges import targetconnection
 
 _RECEIVE_BYTES = 65_536
+# Interval of looks whether an unfinished request was refused meanwhile.
+_REFUSAL_POLL_S = 1.0
+# Retry-After of a request that was refused for lack of memory.
+_REFUSED_RETRY_S = 1.0
+_UNBOUNDED_BYTES = 1 << 62
 # The connection is closed if the caller reads nothing for this long.
 _SEND_TIMEOUT_S = 10.0
 # Longest time for one piece of a response, however the caller reads it.
@@ -22,6 +29,7 @@
 # Timeout of each read while a closing connection lingers.
 _LINGER_S = 0.5
 _MAX_LINGER_S = 5.0
+_MAX_LINGER_BYTES = 8 * 1024 * 1024
 # Closes a connection with a reset.
 _RESET = struct.pack("ii", 1, 0)
 _UNEXPECTED_ERROR = b"[internal] unexpected error; remedy: report the request\n"
@@ -32,11 +40,15 @@
 
     Attributes:
         status: HTTP status of the response.
+        retry_after_s: Retry-After of the response, or None.
     """
 
-    def __init__(self, status: int, text: str):
+    def __init__(
+        self, status: int, text: str, retry_after_s: float | None = None
+    ):
         super().__init__(text)
         self.status = status
+        self.retry_after_s = retry_after_s
 
 
 def _new_parser(limits: views.CallerLimits) -> h11.Connection:
@@ -51,16 +63,26 @@
     Args:
         sock: The accepted socket.
         limits: Limits on size and duration of the caller's requests.
+        budget: Memory for the bodies of all requests, or None for no bound.
     """
 
-    def __init__(self, sock: socket.socket, limits: views.CallerLimits):
+    def __init__(
+        self,
+        sock: socket.socket,
+        limits: views.CallerLimits,
+        budget: bodybudget.BodyBudget | None = None,
+    ):
         self.sock = sock
+        self._budget = budget or bodybudget.BodyBudget(_UNBOUNDED_BYTES)
+        self._body: bodybudget.HeldBody | None = None
         self.limits = limits
         self._set_limits = limits
         self._announced_idle_s = 0.0
         self.closes_after_response = False
         # The request that is being answered, once it was read completely.
         self.request: messages.CallerRequest | None = None
+        # Headers of the current request, once its head was read.
+        self.head_headers: messages.Headers | None = None
         # Whether bytes of a request have arrived that is not answered yet.
         self._is_response_due = False
         # Whether bytes of the response may have been sent.
@@ -121,72 +143,101 @@
     def read_message(self) -> messages.CallerRequest | None:
         """Returns the next request with all headers; see `read_request`."""
         self._is_response_due = True
+        self.head_headers = None
+        self._body = self._budget.open()
+        try:
+            return self._read_message(self._body)
+        except exceptions.BodyMemoryError as exc:
+            raise MessageRefusedError(
+                503, exc.message, _REFUSED_RETRY_S
+            ) from exc
+
+    def _read_message(
+        self, held: bodybudget.HeldBody
+    ) -> messages.CallerRequest | None:
         received_s = clocks.boot_s()
         deadline_s = received_s + self.limits.header_timeout_s
         head = None
-        chunks = []
-        size = 0
+        body = bodyreading.BodyReader(held, self.limits.max_body_bytes)
         while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise MessageRefusedError(
-                    exc.error_status_hint, str(exc)
-                ) from exc
+            event = self._next_event()
             if event is h11.NEED_DATA:
-                if not self._receive(deadline_s, head is not None):
+                held.check()
+                if not self._receive(deadline_s, held):
                     return None
                 continue
             if isinstance(event, h11.Request):
                 head = event
-                self._is_head_request = event.method == b"HEAD"
                 # The body may take as long as a connection may stay idle.
                 deadline_s = clocks.boot_s() + self.limits.idle_timeout_s
-                if self._http.they_are_waiting_for_100_continue:
-                    self._send(
-                        h11.InformationalResponse(status_code=100, headers=[])
-                    )
+                self._begin_body(event)
                 continue
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self.limits.max_body_bytes:
-                    raise MessageRefusedError(
-                        413,
-                        "request body larger than "
-                        f"{self.limits.max_body_bytes} bytes",
-                    )
-                chunks.append(bytes(event.data))
+                if body.is_too_long(len(event.data)):
+                    raise self._too_long_error()
+                body.add(event.data, deadline_s)
                 continue
             if isinstance(event, h11.EndOfMessage) and head is not None:
                 break
             return None
+        body.flush()
         self.request = messages.CallerRequest(
             method=head.method,
             request_target=head.target,
             headers=list(head.headers.raw_items()),
-            body=b"".join(chunks),
+            body=held.complete(),
             received_s=received_s,
         )
         return self.request
 
-    def _receive(self, deadline_s: float, has_head: bool) -> bool:
-        left_s = deadline_s - clocks.boot_s()
-        if left_s <= 0:
-            raise MessageRefusedError(
-                408, "request incomplete after the time for head or body"
-            )
-        self.sock.settimeout(left_s)
+    def _next_event(self):
         try:
-            data = self.sock.recv(_RECEIVE_BYTES)
-        except TimeoutError as exc:
-            raise MessageRefusedError(
-                408, "request incomplete after the time for head or body"
-            ) from exc
-        except OSError:
-            return False
+            return self._http.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise MessageRefusedError(exc.error_status_hint, str(exc)) from exc
+
+    def _begin_body(self, head: h11.Request) -> None:
+        self._is_head_request = head.method == b"HEAD"
+        self.head_headers = list(head.headers.raw_items())
+        length = messages.find(self.head_headers, b"content-length")
+        is_chunked = messages.find(self.head_headers, b"transfer-encoding")
+        if length is not None and not is_chunked:
+            if int(length) > self.limits.max_body_bytes:
+                raise self._too_long_error()
+        if self._http.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _too_long_error(self) -> MessageRefusedError:
+        return MessageRefusedError(
+            413, f"request body larger than {self.limits.max_body_bytes} bytes"
+        )
+
+    def _receive(self, deadline_s: float, held: bodybudget.HeldBody) -> bool:
+        """Receives once; returns False if the caller is gone."""
+        while True:
+            left_s = deadline_s - clocks.boot_s()
+            if left_s <= 0:
+                raise MessageRefusedError(
+                    408, "request incomplete after the time for head or body"
+                )
+            self.sock.settimeout(min(left_s, _REFUSAL_POLL_S))
+            try:
+                data = self.sock.recv(_RECEIVE_BYTES)
+                break
+            except TimeoutError:
+                held.check()
+            except OSError:
+                return False
         self._http.receive_data(data)
         return bool(data)
 
+    def release_body(self) -> None:
+        """Gives the memory of the current request's body back."""
+        self.request = None
+        if self._body is not None:
+            self._body.release()
+            self._body = None
+
     def start_call(self, call) -> None:
         """Sets the call that the current request has become."""
 
@@ -293,7 +344,7 @@
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
-        self.request = None
+        self.release_body()
         self._is_response_due = False
         self._is_head_request = False
         self.has_sent_head = False
@@ -311,6 +362,7 @@
             linger: Whether to read what the caller still sends, although no
                 unread bytes have arrived yet.
         """
+        self.release_body()
         if self.sock.fileno() < 0:
             return
         try:
@@ -334,6 +386,10 @@
     def _discard_received(self) -> None:
         """Reads until the caller closes or pauses, for a limited time."""
         until_s = clocks.boot_s() + _MAX_LINGER_S
+        left = _MAX_LINGER_BYTES
         self.sock.settimeout(_LINGER_S)
-        while clocks.boot_s() < until_s and self.sock.recv(_RECEIVE_BYTES):
-            continue
+        while clocks.boot_s() < until_s and left > 0:
+            count = len(self.sock.recv(_RECEIVE_BYTES))
+            if not count:
+                return
+            left -= count
--- a/src/briarfall/gateway/exchanges/outgoing.py
+++ b/src/briarfall/gateway/exchanges/outgoing.py
@@ -64,4 +64,7 @@
                 self._has_failed = True
                 return
             self._rest = self._rest[count:]
+            if not self._rest:
+                # An empty view would keep the whole request in memory.
+                self._rest = memoryview(b"")
             self.last_sent_s = clocks.boot_s()
--- a/src/briarfall/gateway/exchanges/pacing.py
+++ b/src/briarfall/gateway/exchanges/pacing.py
@@ -90,11 +90,15 @@
 
 
 class Pacer:
-    """Gives the responses that it paces turns, one after the other."""
+    """Gives what it paces turns, one after the other.
 
-    def __init__(self):
+    Args:
+        share: Share of one processor for all of it together.
+    """
+
+    def __init__(self, share: float = _SHARE):
         self._lock = threading.Lock()
-        self._share = ProcessorShare()
+        self._share = ProcessorShare(share)
 
     def await_turn(self, used_s: float, until_s: float) -> None:
         """Waits for a turn, at most until a time on the boot clock.
--- a/src/briarfall/gateway/exchanges/targetconnection.py
+++ b/src/briarfall/gateway/exchanges/targetconnection.py
@@ -266,12 +266,14 @@
         headers: messages.Headers,
         body: bytes,
     ) -> bytes:
-        data = self._http.send(
+        pieces = self._http.send_with_data_passthrough(
             h11.Request(method=method, target=target, headers=headers)
         )
         if body:
-            data += self._http.send(h11.Data(data=body))
-        return data + self._http.send(h11.EndOfMessage())
+            pieces += self._http.send_with_data_passthrough(h11.Data(data=body))
+        pieces += self._http.send_with_data_passthrough(h11.EndOfMessage())
+        # Long bodies are copied only once.
+        return b"".join(pieces)
 
     @property
     def last_sent_s(self) -> float:
--- a/src/briarfall/gateway/instance/config.py
+++ b/src/briarfall/gateway/instance/config.py
@@ -32,6 +32,8 @@
             instances.
         retry_window_s: Time window over which that share is counted.
         retry_slack: Retries per window that are allowed beyond the share.
+        memory_mb: Memory of the machine, in megabytes.
+        max_descriptors: Descriptors that the process may have open.
         is_first_start: Whether the whole system starts for the first time.
     """
 
@@ -50,6 +52,8 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
+    memory_mb: float = 250.0
+    max_descriptors: int = 1535
     is_first_start: bool = True
 
 
@@ -74,6 +78,8 @@
         "leaving_bound_s",
         "drain_grace_s",
         "retry_window_s",
+        "memory_mb",
+        "max_descriptors",
     ):
         if not getattr(cfg, name) > 0:
             raise exceptions.SettingsError(f"{name} must be above 0")
--- a/src/briarfall/gateway/instance/gauges.py
+++ b/src/briarfall/gateway/instance/gauges.py
@@ -106,6 +106,18 @@
             "Open connections on which peers relay requests.",
             lambda: inst.open_relay_connections,
         ),
+        "body_bytes": (
+            "Bytes that the bodies of all requests hold.",
+            lambda: inst.bodies.held,
+        ),
+        "body_refusals": (
+            "Unfinished requests refused for lack of memory or connections.",
+            lambda: inst.bodies.refusals,
+        ),
+        "refused_connections": (
+            "Connections refused because as many as allowed are open.",
+            lambda: inst.refused_connections,
+        ),
         "open_connections": (
             "Open connections of callers.",
             lambda: inst.open_connections,
--- a/src/briarfall/gateway/instance/instance.py
+++ b/src/briarfall/gateway/instance/instance.py
@@ -12,6 +12,7 @@
 from briarfall.gateway.callers import listener
 from briarfall.gateway.callers import listensocket
 from briarfall.gateway.callers import plannedstop
+from briarfall.gateway.calls import bodybudget
 from briarfall.gateway.calls import budgets
 from briarfall.gateway.catalogue import catalogue
 from briarfall.gateway.catalogue import sources
@@ -30,6 +31,7 @@
 from briarfall.gateway.gossip import targetfollower
 from briarfall.gateway.instance import config
 from briarfall.gateway.instance import gauges
+from briarfall.gateway.instance import processlimits
 from briarfall.gateway.instance import statushandler
 from briarfall.gateway.instance import summary
 from briarfall.gateway.peers import peers
@@ -106,6 +108,8 @@
         self._pool = pool
         self._peer_pool = peer_pool
         self.metrics = metrics.Metrics()
+        bounds = processlimits.of(cfg.memory_mb, cfg.max_descriptors)
+        self.bodies = bodybudget.BodyBudget(bounds.body_bytes)
         self.crashes = crashes.CrashTable(rng)
         activity = liveness.ReceiveActivity()
         self.loads = loads.LoadTable()
@@ -254,6 +258,7 @@
             errorguard.ErrorGuard(
                 "callers", platform.header_names, self.metrics
             ),
+            self.bodies,
             rng,
         )
         own_gauges = gauges.of_instance(self)
@@ -268,6 +273,8 @@
             self._caller_handler.serve,
             name="callers",
             sock=listeners.get(f"{cfg.caller.host}:{cfg.caller.port}"),
+            max_connections=bounds.caller_connections,
+            make_room=self.bodies.refuse_slowest,
         )
         self._relay_listener = listener.Listener(
             cfg.peer.host,
@@ -275,6 +282,8 @@
             self._caller_handler.serve_peer,
             name="peers",
             sock=peer_sock,
+            max_connections=bounds.peer_connections,
+            make_room=self.bodies.refuse_slowest,
         )
         self._status_listener = listener.Listener(
             cfg.status.host,
@@ -324,6 +333,11 @@
         """Number of open connections on which peers relay requests."""
         return self._relay_listener.open_connections
 
+    @property
+    def refused_connections(self) -> int:
+        """Number of connections that were refused, as too many were open."""
+        return self._caller_listener.refused + self._relay_listener.refused
+
     @property
     def _has_connections(self) -> bool:
         return bool(self.open_connections or self.open_relay_connections)
--- a/src/briarfall/gateway/metrics.py
+++ b/src/briarfall/gateway/metrics.py
@@ -55,6 +55,11 @@
             "Requests that ended with an unexpected error.",
             ("listener",),
         )
+        self._add_counter(
+            "briarfall_refused_messages",
+            "Messages refused before they were requests, by status.",
+            ("status",),
+        )
         self._add_counter(
             "briarfall_repaths",
             "Changes of the chain of a request in flight.",
--- a/src/briarfall/platform/main.py
+++ b/src/briarfall/platform/main.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 
+from briarfall import allocator
 from briarfall import logs
 from briarfall.gateway import metrics
 from briarfall.gateway.exchanges import connections
@@ -80,6 +81,7 @@
     # Threads inherit the mask, so that only the receiver takes these signals.
     signals.block((signal.SIGTERM, signal.SIGHUP))
     cfg = settings.parse(data)
+    allocator.configure()
     logs.configure_bounded(cfg.instance)
     pool = connections.ConnectionPool()
     platform = StorePlatform(cfg.store_address, pool)
--- a/src/briarfall/platform/settings.py
+++ b/src/briarfall/platform/settings.py
@@ -50,6 +50,10 @@
     cpu_share: float = 1.0
     # Speed of a core, not the number of cores.
     cores: float = 1.0
+    # Memory and descriptors of each process. Files without them get the
+    # defaults of the gateway.
+    ram_mb: float | None = None
+    max_fds: int | None = None
 
 
 class _StoreAddress(msgspec.Struct):
@@ -119,11 +123,22 @@
         retry_window_s=bounds.retry_window_s,
         retry_slack=bounds.retry_slack,
         is_first_start=raw.bootstrap is not False,
+        **_process_limits(raw.limits),
     )
     config.check(cfg)
     return cfg
 
 
+def _process_limits(limits: _Limits) -> dict[str, float]:
+    """Returns the limits of the process that the file sets."""
+    found = {}
+    if limits.ram_mb is not None:
+        found["memory_mb"] = limits.ram_mb
+    if limits.max_fds is not None:
+        found["max_descriptors"] = limits.max_fds
+    return found
+
+
 def _parse_listener(name: str, address: str) -> settings.Listener:
     endpoint = addresses.parse(address, name, exceptions.SettingsError)
     return settings.Listener(endpoint.host, endpoint.port)
