--- a/src/briarfall/cli/benches.py
+++ b/src/briarfall/cli/benches.py
@@ -384,7 +384,22 @@
     _write_report("admission", {"rows": rows}, out)
 
 
+def room(*, seconds: float = 20.0, seed: int = 1, out: str = "") -> None:
+    """Plays streams that ask for twice the room of engines, by urgency.
+
+    Args:
+        seconds: Duration of each of the two plays.
+        seed: Seed of the load.
+        out: File to write the report to, as JSON.
+    """
+    from briarfall.bench import room
+
+    rows = [msgspec.to_builtins(row) for row in room.run(seconds, seed)]
+    _write_report("room", {"rows": rows}, out)
+
+
 BENCHES = {
+    "room": room,
     "admission": admission,
     "full-link": full_link,
     "placement": placement,
