--- a/src/briarfall/gateway/scheduling/waiting.py
+++ b/src/briarfall/gateway/scheduling/waiting.py
@@ -95,7 +95,9 @@
         # in a round.
         self._failed_round = -1
         self._failed: list[tuple[bool, int, float]] = []
-        self._admissions: collections.deque[float] = collections.deque()
+        self._admissions: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
 
     def __len__(self) -> int:
         return len(self._ranks)
@@ -151,7 +153,7 @@
         now_s = self._clock()
         with self._lock:
             if is_admitted:
-                self._admissions.append(now_s)
+                self._admissions.append((now_s, waiter.demand_class.urgency))
                 self._expire(now_s)
             self._remove(waiter)
 
@@ -167,18 +169,26 @@
         """Returns the expected seconds until a request gets room.
 
         That is the time in which as many requests as go before it got room
-        lately; 0 if few go before it or too few got room to tell.
+        lately. More urgent ones, whether they wait or are still to come, are
+        left out on both sides. 0 if few go before it or too few got room to
+        tell; infinity if only more urgent ones did.
         """
-        before = self.count_before(waiter)
-        if before < _MIN_BEFORE:
-            return 0.0
+        urgency = waiter.demand_class.urgency
         with self._lock:
             now_s = self._clock()
+            rank = self._rank_of.get(waiter) or self._new_rank(waiter, now_s)
+            before = bisect.bisect_left(self._ranks, rank)
             self._expire(now_s)
-            if len(self._admissions) < _MIN_ADMISSIONS:
+            if before < _MIN_BEFORE or len(self._admissions) < _MIN_ADMISSIONS:
                 return 0.0
-            passed_s = max(_MIN_WINDOW_S, now_s - self._admissions[0])
-            return before * passed_s / len(self._admissions)
+            first = bisect.bisect_left(self._ranks, rank[:2])
+            passed_s = max(_MIN_WINDOW_S, now_s - self._admissions[0][0])
+            count = 0
+            for _, other in self._admissions:
+                count += other >= urgency
+        if not count:
+            return math.inf
+        return (before - first + 1) * passed_s / count
 
     def _round_at(self, now_s: float) -> int:
         return math.floor((now_s - self._rounds_from_s) / _ROUND_S)
@@ -267,5 +277,5 @@
         del self._ranks[bisect.bisect_left(self._ranks, rank)]
 
     def _expire(self, now_s: float) -> None:
-        while self._admissions and self._admissions[0] < now_s - _WINDOW_S:
+        while self._admissions and self._admissions[0][0] < now_s - _WINDOW_S:
             self._admissions.popleft()
--- a/tests/test_scheduling_waiting.py
+++ b/tests/test_scheduling_waiting.py
@@ -129,18 +129,29 @@
         room = waiting.WaitingRoom()
         last = a_waiter(clock.now_s, 9)
         for _ in range(3):
-            room.record_look(a_waiter(clock.now_s, 0))
+            room.record_look(a_waiter(clock.now_s, 9))
         assert room.expected_wait_s(last) == 0.0
         for _ in range(3):
-            room.record_look(a_waiter(clock.now_s, 0))
+            room.record_look(a_waiter(clock.now_s, 9))
         assert room.expected_wait_s(last) == 0.0
         for _ in range(12):
             clock.now_s += 0.05
-            room.leave(a_waiter(clock.now_s), is_admitted=True)
-        assert room.expected_wait_s(last) == pytest.approx(0.275)
+            room.leave(a_waiter(clock.now_s, 9), is_admitted=True)
+        assert room.expected_wait_s(last) == pytest.approx(7 * 0.55 / 12)
+        urgent = a_waiter(clock.now_s, 0)
+        assert room.expected_wait_s(urgent) == 0.0
         clock.now_s += 5.0
         assert room.expected_wait_s(last) == 0.0
 
+    def test_no_room_is_expected_if_only_more_urgent_ones_get_some(self, clock):
+        room = waiting.WaitingRoom()
+        for _ in range(4):
+            room.record_look(a_waiter(clock.now_s, 5))
+        for _ in range(8):
+            room.leave(a_waiter(clock.now_s, 0), is_admitted=True)
+        last = a_waiter(clock.now_s, 9)
+        assert room.expected_wait_s(last) == float("inf")
+
 
 class _Scene:
     """Requests of one instance that look for room, in simulated time."""
