Demand windows: requests of no tokens don't break the sums

A second request of no tokens in a class (token usage "0,0,0" or a manifest with means of zero), or a small one beside a huge one, dropped the class's sum while rows of it were still in the window. The expiry of the next row then raised KeyError in the threads that look for room or build a status. Rows are now counted by class. Both tests were seen to fail before the change.

--- a/src/briarfall/gateway/scheduling/demands.py
+++ b/src/briarfall/gateway/scheduling/demands.py
@@ -67,13 +67,19 @@
             tuple[float, classes.DemandClass, float]
         ] = collections.deque()
         self._sums: Amounts = {}
+        self._counts: collections.Counter[classes.DemandClass] = (
+            collections.Counter()
+        )
 
     def add(self, cls: classes.DemandClass, amount: float) -> None:
         """Adds what a request asks for."""
         amount /= self._window_s
+        if amount <= 0:
+            return
         with self._lock:
             self._rows.append((self._clock(), cls, amount))
             self._sums[cls] = self._sums.get(cls, 0.0) + amount
+            self._counts[cls] += 1
 
     def rates(self) -> Amounts:
         """Returns the demand per second of each class that has one."""
@@ -89,12 +95,13 @@
         oldest_s = self._clock() - self._window_s
         while self._rows and self._rows[0][0] < oldest_s:
             _, cls, amount = self._rows.popleft()
-            self._sums[cls] -= amount
-            # Sums of amounts that were added and subtracted end near zero.
-            if self._sums[cls] <= amount * 1e-9:
+            self._counts[cls] -= 1
+            if not self._counts[cls]:
+                del self._counts[cls]
                 del self._sums[cls]
-        if not self._rows:
-            self._sums.clear()
+                continue
+            # Differences of rounded sums may end below zero.
+            self._sums[cls] = max(0.0, self._sums[cls] - amount)
 
 
 class _Report(msgspec.Struct):
--- a/tests/test_scheduling_demands.py
+++ b/tests/test_scheduling_demands.py
@@ -34,6 +34,25 @@
         assert window.rates() == {}
         assert window.total() == 0.0
 
+    def test_requests_of_no_tokens_count_nothing(self, clock):
+        window = demands.DemandWindow(2.0)
+        window.add(URGENT, 10.0)
+        for _ in range(3):
+            window.add(URGENT, 0.0)
+            clock.now_s += 0.5
+        clock.now_s += 1.0
+        assert window.rates() == {}
+
+    def test_small_request_counts_beside_a_huge_one(self, clock):
+        window = demands.DemandWindow(2.0)
+        window.add(URGENT, 4e9)
+        clock.now_s += 1.0
+        window.add(URGENT, 2.0)
+        clock.now_s += 1.5
+        assert window.rates() == {URGENT: 1.0}
+        clock.now_s += 1.0
+        assert window.rates() == {}
+
 
 class TestRows:
     @given(link=_AMOUNTS, kv=_AMOUNTS)
