--- a/src/briarfall/gateway/placement/layerblocks.py
+++ b/src/briarfall/gateway/placement/layerblocks.py
@@ -79,7 +79,7 @@
 
     def _usual_layers(self, memory_mb: float) -> int:
         layers = int(memory_mb * _WEIGHT_SHARE // self._model.layer_mb)
-        if self._cached_requests is None:
+        if self._cached_requests is None or not _request_tokens(self._model):
             return layers
         return max(
             layers,
@@ -99,7 +99,11 @@
     model: views.ModelLayout, memory_mb: float, cached_requests: int
 ) -> int:
     """Returns the layers that fit beside KV cache for some mean requests."""
-    request_tokens = model.mean_prompt_tokens + model.mean_answer_tokens
-    tokens = cached_requests * request_tokens
+    tokens = cached_requests * _request_tokens(model)
     layer_mb = model.layer_mb + tokens * model.kv_bytes / model.layers / 1e6
     return int(memory_mb // layer_mb)
+
+
+def _request_tokens(model: views.ModelLayout) -> float:
+    """Returns the tokens of the mean request; 0 if they are unknown."""
+    return model.mean_prompt_tokens + model.mean_answer_tokens
--- a/tests/test_gateway_layerblocks.py
+++ b/tests/test_gateway_layerblocks.py
@@ -52,6 +52,16 @@
         large, small = layerblocks.candidates(LONG)
         assert large.borders == small.borders
 
+    # Layers alone would fill the engines and leave no cache.
+    def test_of_unknown_requests_are_those_of_earlier_releases(self):
+        model = msgspec.structs.replace(
+            SHORT, mean_prompt_tokens=0.0, mean_answer_tokens=0.0
+        )
+        large, small = layerblocks.candidates(model)
+        assert large.borders == small.borders
+        for kind in KINDS:
+            assert large.usual_count(kind) == small.usual_count(kind)
+
     @hypothesis.given(
         strategies.floats(10, 50_000),
         strategies.floats(10, 5_000),
