Room: requests that are refused don't overtake those before them

A request whose wait is in vain, or at its end, looked for room out of order before it was refused. Such a request now looks in its turn (two rounds at most if the wait is in vain), and once it has had its turn it leaves what became free to those before it. Streams that have started may look as before. The simulated scene follows the search, as before.

--- a/src/briarfall/gateway/forwarding/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -102,10 +102,12 @@
             if call.attempt_count >= _MAX_ATTEMPTS or call.left_s <= 0:
                 raise stream.abandon_error("too many tries")
             has_time = wait.has_time
-            if has_time and wait.pause_for_order():
+            if wait.pause_for_order(has_time=has_time):
                 continue
             rows = self._targets.usable(call.service.name)
-            chain = self._look(stream, wait, rows)
+            chain = None
+            if has_time or wait.may_look:
+                chain = self._look(stream, wait, rows)
             if chain is not None:
                 return chain
             if not has_time:
--- a/src/briarfall/gateway/forwarding/roomwaits.py
+++ b/src/briarfall/gateway/forwarding/roomwaits.py
@@ -70,10 +70,24 @@
     def _left_s(self) -> float:
         return max(0.0, self.until_s - clocks.boot_s())
 
-    def pause_for_order(self) -> bool:
-        """Pauses if others go first; returns whether it did."""
+    @property
+    def may_look(self) -> bool:
+        """Whether it may look though it may wait no longer."""
+        return self._room.may_look_last(self._waiter)
+
+    def pause_for_order(self, *, has_time: bool) -> bool:
+        """Pauses if others go first; returns whether it did.
+
+        Args:
+            has_time: Whether it may wait; otherwise it pauses only until its
+                first turn to look.
+        """
+        if not self._left_s:
+            return False
+        if not has_time and self._waiter.had_turn:
+            return False
         pause_s = self._room.pause_before_look(self._waiter)
-        if not pause_s:
+        if not pause_s or (not has_time and self._waiter.had_turn):
             return False
         self.report_held("a look for room by the requests before it")
         self._pause(pause_s)
--- a/src/briarfall/gateway/scheduling/waiting.py
+++ b/src/briarfall/gateway/scheduling/waiting.py
@@ -59,6 +59,7 @@
         round: Number of the last round in which it has looked, or did not need
             to.
         looks: How often it has looked in vain.
+        had_turn: Whether it has looked in its turn, or did not need to.
     """
 
     demand_class: classes.DemandClass
@@ -69,6 +70,7 @@
     is_restricted: bool = False
     round: int = -1
     looks: int = 0
+    had_turn: bool = False
 
 
 class WaitingRoom:
@@ -126,9 +128,27 @@
                 return _ORDER_PAUSE_S
             if self._is_in_vain(waiter, round_number):
                 waiter.round = round_number
+                waiter.had_turn = True
                 return self._until_round(round_number + 1, now_s)
             return 0.0
 
+    def may_look_last(self, waiter: Waiter) -> bool:
+        """Whether a request that may wait no longer may look once more.
+
+        If others go before it, what became free since its last turn is left
+        for them. A stream that has started may always look, since to cut it
+        costs most.
+        """
+        if waiter.has_started or not waiter.had_turn:
+            return True
+        now_s = self._clock()
+        with self._lock:
+            rank = self._rank_of.get(waiter) or self._new_rank(waiter, now_s)
+            round_number = self._round_at(now_s)
+            return not self._is_behind(
+                rank, round_number, now_s, is_waiting=False
+            )
+
     def record_look(self, waiter: Waiter) -> float:
         """Records a look in vain; returns the pause until the next one.
 
@@ -142,6 +162,7 @@
             self._place(waiter, now_s, join=True)
             waiter.round = self._round_at(now_s)
             waiter.looks += 1
+            waiter.had_turn = True
             if not waiter.is_restricted:
                 self._record_failed(waiter)
             return self._until_round(waiter.round + 1, now_s)
--- a/tests/test_scheduling_waiting.py
+++ b/tests/test_scheduling_waiting.py
@@ -174,15 +174,16 @@
     def look(self, waiter):
         now_s = self.clock_s[0]
         left_s = waiter.until_s - now_s
-        has_time = self.room.expected_wait_s(waiter) <= left_s
-        pause_s = self.room.pause_before_look(waiter) if has_time else 0.0
-        if pause_s and now_s < waiter.until_s:
-            left_s = waiter.until_s - now_s
-            self.at(now_s + min(pause_s, left_s), self.look, waiter)
-            return
-        self.looks += 1
-        is_vain = self.room.expected_wait_s(waiter) > waiter.until_s - now_s
-        if self.free:
+        is_vain = self.room.expected_wait_s(waiter) > left_s
+        if left_s > 0 and not (is_vain and waiter.had_turn):
+            pause_s = self.room.pause_before_look(waiter)
+            if pause_s and not (is_vain and waiter.had_turn):
+                self.at(now_s + min(pause_s, left_s), self.look, waiter)
+                return
+        may_look = left_s > 0 and not is_vain
+        may_look = may_look or self.room.may_look_last(waiter)
+        self.looks += may_look
+        if self.free and may_look:
             self.free -= 1
             self.got.append((now_s, waiter))
             self.room.leave(waiter, is_admitted=True)
@@ -215,6 +216,25 @@
         # All wait before the first room is free, and the aims are alike.
         assert max(got) <= min(refused)
 
+    @given(seed=st.integers(0, 1000))
+    def test_it_goes_to_the_most_urgent_in_a_lasting_peak(self, seed):
+        rng = random.Random(seed)
+        scene = _Scene([0.0])
+        for number in range(200):
+            when_s = number * 0.025 + rng.uniform(0.0, 0.02)
+            urgency = 0 if number % 4 == 0 else 9
+            scene.at(when_s, scene.arrive, a_waiter(when_s, urgency))
+        for number in range(50):
+            scene.at(number * 0.1, scene.add_room, 1)
+        scene.play()
+        got = [
+            row.demand_class.urgency
+            for when_s, row in scene.got
+            if when_s > 1.0
+        ]
+        # There is room for the urgent ones, of which 10 arrive each second.
+        assert got.count(0) >= 0.9 * len(got)
+
     @given(seed=st.integers(0, 1000))
     def test_nobody_waits_longer_than_its_bound(self, seed):
         rng = random.Random(seed)
@@ -239,6 +259,20 @@
         assert len(scene.refused) == 100
         assert scene.looks < 100 * 6
 
+    def test_request_at_the_end_of_its_wait_leaves_it_to_those_before(
+        self, clock
+    ):
+        room = waiting.WaitingRoom()
+        urgent = a_waiter(clock.now_s, 0)
+        other = a_waiter(clock.now_s, 9)
+        assert room.may_look_last(other)
+        room.record_look(other)
+        assert room.may_look_last(other)
+        room.record_look(urgent)
+        assert not room.may_look_last(other)
+        other.has_started = True
+        assert room.may_look_last(other)
+
 
 class _Watch:
     """A caller whose waits advance the clock and may change the load."""
@@ -317,6 +351,44 @@
         assert scene.counts("held") == 1
         assert scene.counts("served_after_hold") == 1
 
+    def test_request_that_would_wait_in_vain_overtakes_nobody(
+        self, clock, scene
+    ):
+        room = scene.search._rooms["pool"]
+        for _ in range(8):
+            room.leave(a_waiter(clock.now_s), is_admitted=True)
+            clock.now_s += 0.1
+        for _ in range(100):
+            room.record_look(a_waiter(clock.now_s, 0, work=1.0))
+        # The engine has room, which the first of those before it takes.
+        watch = _Watch(clock, lambda: scene.fill(0.999))
+        stream = scene.stream(urgency=9, watch=watch)
+        started_s = clock.now_s
+        with pytest.raises(exceptions.OverloadError):
+            scene.search.wait_for_chain(stream)
+        # Two rounds at most, as a late refusal costs its caller.
+        assert 0.0 < clock.now_s - started_s < 0.2
+
+    def test_request_whose_wait_ends_leaves_room_to_those_before_it(
+        self, clock, scene
+    ):
+        scene.fill(0.999)
+        room = scene.search._rooms["pool"]
+        urgent = a_waiter(clock.now_s, 0, work=1.0)
+        stream = scene.stream(urgency=9)
+
+        def on_pause():
+            if room.pause_before_look(urgent) == 0.0:
+                room.record_look(urgent)
+            wait_s = stream.call.route.first_byte_slo_s * 0.6
+            if clock.now_s - started_s >= wait_s - 1e-6:
+                scene.fill(0.1)
+
+        stream.call.watch = _Watch(clock, on_pause)
+        started_s = clock.now_s
+        with pytest.raises(exceptions.OverloadError):
+            scene.search.wait_for_chain(stream)
+
 
 class _SearchScene:
     """One engine that holds all layers."""
