Room: who is held up or refused by what is not its lack

- A request whose class may use the reserve did not look if one of a class that may not had looked in vain, so that the bound against starvation had no effect behind it.
- A request that no peer can serve may lack a link, not room; those behind it waited though a peer could serve them.
- A request that states no prompt tokens was refused by the mean prompt's time, though its prompt may be short.

Each test was seen to fail before the change (without the new fields).

--- a/src/briarfall/gateway/forwarding/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -102,7 +102,8 @@
             if call.attempt_count >= _MAX_ATTEMPTS or call.left_s <= 0:
                 raise stream.abandon_error("too many tries")
             has_time = wait.has_time
-            if wait.pause_for_order(has_time=has_time):
+            max_fill = self._max_fill(stream)
+            if wait.pause_for_order(has_time=has_time, max_fill=max_fill):
                 continue
             rows = self._targets.usable(call.service.name)
             chain = None
@@ -147,8 +148,10 @@
             OverloadError: Its prompt alone takes longer than is left.
         """
         call = stream.call
-        if stream.response_started or call.attempt_count or call.parts.shared:
-            # An engine may have read shared parts already.
+        if stream.response_started or call.attempt_count:
+            return
+        if call.parts.shared or not stream.demand.is_prompt_stated:
+            # Engines may have read shared parts; an unknown prompt may be short.
             return
         needed_s = enginecosts.shortest_prefill_s(
             call.service.model, stream.demand.prompt
--- a/src/briarfall/gateway/forwarding/roomwaits.py
+++ b/src/briarfall/gateway/forwarding/roomwaits.py
@@ -42,8 +42,10 @@
             aim_s=stream.call.req.received_s + route.first_byte_slo_s,
             until_s=clocks.boot_s() + wait_s,
             has_started=stream.response_started,
+            # What one that no peer can serve lacks may be a link.
             is_restricted=bool(stream.avoided)
-            or stream.allowed_heads is not None,
+            or stream.allowed_heads is not None
+            or stream.call.has_no_peer,
         )
 
     @property
@@ -75,13 +77,15 @@
         """Whether it may look though it may wait no longer."""
         return self._room.may_look_last(self._waiter)
 
-    def pause_for_order(self, *, has_time: bool) -> bool:
+    def pause_for_order(self, *, has_time: bool, max_fill: float) -> bool:
         """Pauses if others go first; returns whether it did.
 
         Args:
             has_time: Whether it may wait; otherwise it pauses only until its
                 first turn to look.
+            max_fill: Fill of a KV cache up to which it may reserve room now.
         """
+        self._waiter.max_fill = max_fill
         if not self._left_s:
             return False
         if not has_time and self._waiter.had_turn:
--- a/src/briarfall/gateway/forwarding/streamdemands.py
+++ b/src/briarfall/gateway/forwarding/streamdemands.py
@@ -49,15 +49,18 @@
         model = call.service.model
         prompt = model.mean_prompt_tokens
         answer = model.mean_answer_tokens
+        is_prompt_stated = False
         usage = call.req.header(self._names.token_usage)
         if usage is not None:
             prompt_text, _, answer_text = usage.partition(b",")
-            prompt = _parse_tokens(prompt_text, prompt)
+            stated = _parse_tokens(prompt_text, -1)
+            is_prompt_stated = stated >= 0
+            prompt = stated if is_prompt_stated else prompt
             answer = min(answer, _parse_tokens(answer_text, answer))
         hint = call.req.header(self._names.length_hint)
         if hint is not None:
             answer = _parse_tokens(hint, answer)
-        return paths.Demand(int(prompt), int(answer))
+        return paths.Demand(int(prompt), int(answer), is_prompt_stated)
 
 
 def _parse_tokens(text: bytes, default: float) -> float:
--- a/src/briarfall/gateway/placement/paths.py
+++ b/src/briarfall/gateway/placement/paths.py
@@ -101,10 +101,13 @@
     Attributes:
         prompt: Number of prompt tokens.
         answer: Expected number of output tokens.
+        is_prompt_stated: Whether the caller has told the number of prompt
+            tokens; otherwise it is that of the mean request.
     """
 
     prompt: int
     answer: int
+    is_prompt_stated: bool = True
 
     @property
     def tokens(self) -> int:
--- a/src/briarfall/gateway/scheduling/waiting.py
+++ b/src/briarfall/gateway/scheduling/waiting.py
@@ -32,6 +32,9 @@
 _ORDER_PAUSE_S = 0.004
 # Looks in vain that are kept for a round.
 _MAX_FAILED = 16
+# A request that may fill caches by this much more may find room where another
+# found none. Smaller differences come from the time of the estimate.
+_FILL_STEP = 0.02
 # Admissions are counted over this window.
 _WINDOW_S = 1.0
 # Admissions that came in a burst count as spread over this time.
@@ -56,6 +59,7 @@
         has_started: Whether its caller already reads the answer.
         is_restricted: Whether it may use only some of the engines. Others then
             don't wait for it, since what it lacks may not be room.
+        max_fill: Fill of a KV cache up to which it may reserve room now.
         round: Number of the last round in which it has looked, or did not need
             to.
         looks: How often it has looked in vain.
@@ -68,6 +72,7 @@
     until_s: float
     has_started: bool = False
     is_restricted: bool = False
+    max_fill: float = 0.0
     round: int = -1
     looks: int = 0
     had_turn: bool = False
@@ -93,10 +98,10 @@
         self._rank_of: dict[Waiter, _Rank] = {}
         self._sequence = 0
         self._rounds_from_s = 0.0
-        # Whether it had started, urgency and work of those that looked in vain
-        # in a round.
+        # Whether it had started, urgency, work and largest fill of those that
+        # looked in vain in a round.
         self._failed_round = -1
-        self._failed: list[tuple[bool, int, float]] = []
+        self._failed: list[tuple[bool, int, float, float]] = []
         self._admissions: collections.deque[float] = collections.deque()
 
     def __len__(self) -> int:
@@ -235,9 +240,11 @@
         """Whether one that may use as much found too little room just now."""
         if self._failed_round != round_number:
             return False
-        for has_started, urgency, work in self._failed:
+        for has_started, urgency, work, max_fill in self._failed:
             if has_started != waiter.has_started:
                 continue
+            if max_fill < waiter.max_fill - _FILL_STEP:
+                continue
             if urgency <= waiter.demand_class.urgency and work <= waiter.work:
                 return True
         return False
@@ -250,6 +257,7 @@
             waiter.has_started,
             waiter.demand_class.urgency,
             waiter.work,
+            waiter.max_fill,
         )
         if len(self._failed) < _MAX_FAILED:
             self._failed.append(row)
--- a/tests/test_scheduling_waiting.py
+++ b/tests/test_scheduling_waiting.py
@@ -18,6 +18,7 @@
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.forwarding import chainsearch
 from briarfall.gateway.forwarding import roomreports
+from briarfall.gateway.forwarding import roomwaits
 from briarfall.gateway.forwarding import streamstate
 from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import linkadmission
@@ -389,6 +390,42 @@
         with pytest.raises(exceptions.OverloadError):
             scene.search.wait_for_chain(stream)
 
+    def test_class_that_may_use_the_reserve_looks_behind_one_that_may_not(
+        self, clock, scene
+    ):
+        scene.others = {classes.DemandClass(0, classes.Band.USUAL): 10_000.0}
+        scene.fill(0.8)
+        for _ in range(4):
+            scene.reserve.record_held(
+                classes.DemandClass(9, classes.Band.USUAL)
+            )
+        room = scene.search._rooms["pool"]
+        before = a_waiter(clock.now_s, 3, work=1.0, max_fill=0.72)
+        room.record_look(before)
+
+        def on_pause():
+            if room.pause_before_look(before) == 0.0:
+                room.record_look(before)
+
+        stream = scene.stream(urgency=9, watch=_Watch(clock, on_pause))
+        assert scene.search.wait_for_chain(stream)
+
+    def test_request_that_no_peer_can_serve_holds_up_nobody(self, clock, scene):
+        room = scene.search._rooms["pool"]
+        reports = roomreports.RoomReports(scene.metrics, scene.loads)
+        cut_off = scene.stream(urgency=0)
+        cut_off.call.has_no_peer = True
+        roomwaits.RoomWait(cut_off, room, reports).pause_after_look()
+        wait = roomwaits.RoomWait(scene.stream(urgency=9), room, reports)
+        assert not wait.pause_for_order(has_time=True, max_fill=0.92)
+
+    def test_prompt_of_unknown_length_is_not_refused_for_it(self, clock, scene):
+        stream = scene.stream(prompt=1_000_000, left_s=1.0)
+        stream.demand = paths.Demand(1_000_000, 10, is_prompt_stated=False)
+        with pytest.raises(exceptions.OverloadError) as caught:
+            scene.search.wait_for_chain(stream)
+        assert "before the prompt is read" not in caught.value.message
+
 
 class _SearchScene:
     """One engine that holds all layers."""
