--- a/src/briarfall/gateway/forwarding/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -151,7 +151,7 @@
         if stream.response_started or call.attempt_count:
             return
         if call.parts.shared or not stream.demand.is_prompt_stated:
-            # Engines may have read shared parts; an unknown prompt may be short.
+            # Engines may have read shared parts; the prompt may be short.
             return
         needed_s = enginecosts.shortest_prefill_s(
             call.service.model, stream.demand.prompt
