--- a/src/briarfall/gateway/scheduling/waiting.py
+++ b/src/briarfall/gateway/scheduling/waiting.py
@@ -32,6 +32,9 @@
 _ORDER_PAUSE_S = 0.004
 # Looks in vain that are kept for a round.
 _MAX_FAILED = 16
+# A request that may fill caches by this much more may find room where another
+# found none. Smaller differences come from the time of the estimate.
+_FILL_STEP = 0.02
 # Admissions are counted over this window.
 _WINDOW_S = 1.0
 # Admissions that came in a burst count as spread over this time.
@@ -56,9 +59,11 @@
         has_started: Whether its caller already reads the answer.
         is_restricted: Whether it may use only some of the engines. Others then
             don't wait for it, since what it lacks may not be room.
+        max_fill: Fill of a KV cache up to which it may reserve room now.
         round: Number of the last round in which it has looked, or did not need
             to.
         looks: How often it has looked in vain.
+        had_turn: Whether it has looked in its turn, or did not need to.
     """
 
     demand_class: classes.DemandClass
@@ -67,8 +72,10 @@
     until_s: float
     has_started: bool = False
     is_restricted: bool = False
+    max_fill: float = 0.0
     round: int = -1
     looks: int = 0
+    had_turn: bool = False
 
 
 class WaitingRoom:
@@ -91,10 +98,10 @@
         self._rank_of: dict[Waiter, _Rank] = {}
         self._sequence = 0
         self._rounds_from_s = 0.0
-        # Whether it had started, urgency and work of those that looked in vain
-        # in a round.
+        # Whether it had started, urgency, work and largest fill of those that
+        # looked in vain in a round.
         self._failed_round = -1
-        self._failed: list[tuple[bool, int, float]] = []
+        self._failed: list[tuple[bool, int, float, float]] = []
         self._admissions: collections.deque[tuple[float, int]] = (
             collections.deque()
         )
@@ -128,9 +135,27 @@
                 return _ORDER_PAUSE_S
             if self._is_in_vain(waiter, round_number):
                 waiter.round = round_number
+                waiter.had_turn = True
                 return self._until_round(round_number + 1, now_s)
             return 0.0
 
+    def may_look_last(self, waiter: Waiter) -> bool:
+        """Whether a request that may wait no longer may look once more.
+
+        If others go before it, what became free since its last turn is left
+        for them. A stream that has started may always look, since to cut it
+        costs most.
+        """
+        if waiter.has_started or not waiter.had_turn:
+            return True
+        now_s = self._clock()
+        with self._lock:
+            rank = self._rank_of.get(waiter) or self._new_rank(waiter, now_s)
+            round_number = self._round_at(now_s)
+            return not self._is_behind(
+                rank, round_number, now_s, is_waiting=False
+            )
+
     def record_look(self, waiter: Waiter) -> float:
         """Records a look in vain; returns the pause until the next one.
 
@@ -144,6 +169,7 @@
             self._place(waiter, now_s, join=True)
             waiter.round = self._round_at(now_s)
             waiter.looks += 1
+            waiter.had_turn = True
             if not waiter.is_restricted:
                 self._record_failed(waiter)
             return self._until_round(waiter.round + 1, now_s)
@@ -224,9 +250,11 @@
         """Whether one that may use as much found too little room just now."""
         if self._failed_round != round_number:
             return False
-        for has_started, urgency, work in self._failed:
+        for has_started, urgency, work, max_fill in self._failed:
             if has_started != waiter.has_started:
                 continue
+            if max_fill < waiter.max_fill - _FILL_STEP:
+                continue
             if urgency <= waiter.demand_class.urgency and work <= waiter.work:
                 return True
         return False
@@ -239,6 +267,7 @@
             waiter.has_started,
             waiter.demand_class.urgency,
             waiter.work,
+            waiter.max_fill,
         )
         if len(self._failed) < _MAX_FAILED:
             self._failed.append(row)
--- a/tests/test_scheduling_waiting.py
+++ b/tests/test_scheduling_waiting.py
@@ -18,6 +18,7 @@
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.forwarding import chainsearch
 from briarfall.gateway.forwarding import roomreports
+from briarfall.gateway.forwarding import roomwaits
 from briarfall.gateway.forwarding import streamstate
 from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import linkadmission
@@ -185,15 +186,16 @@
     def look(self, waiter):
         now_s = self.clock_s[0]
         left_s = waiter.until_s - now_s
-        has_time = self.room.expected_wait_s(waiter) <= left_s
-        pause_s = self.room.pause_before_look(waiter) if has_time else 0.0
-        if pause_s and now_s < waiter.until_s:
-            left_s = waiter.until_s - now_s
-            self.at(now_s + min(pause_s, left_s), self.look, waiter)
-            return
-        self.looks += 1
-        is_vain = self.room.expected_wait_s(waiter) > waiter.until_s - now_s
-        if self.free:
+        is_vain = self.room.expected_wait_s(waiter) > left_s
+        if left_s > 0 and not (is_vain and waiter.had_turn):
+            pause_s = self.room.pause_before_look(waiter)
+            if pause_s and not (is_vain and waiter.had_turn):
+                self.at(now_s + min(pause_s, left_s), self.look, waiter)
+                return
+        may_look = left_s > 0 and not is_vain
+        may_look = may_look or self.room.may_look_last(waiter)
+        self.looks += may_look
+        if self.free and may_look:
             self.free -= 1
             self.got.append((now_s, waiter))
             self.room.leave(waiter, is_admitted=True)
@@ -226,6 +228,25 @@
         # All wait before the first room is free, and the aims are alike.
         assert max(got) <= min(refused)
 
+    @given(seed=st.integers(0, 1000))
+    def test_it_goes_to_the_most_urgent_in_a_lasting_peak(self, seed):
+        rng = random.Random(seed)
+        scene = _Scene([0.0])
+        for number in range(200):
+            when_s = number * 0.025 + rng.uniform(0.0, 0.02)
+            urgency = 0 if number % 4 == 0 else 9
+            scene.at(when_s, scene.arrive, a_waiter(when_s, urgency))
+        for number in range(50):
+            scene.at(number * 0.1, scene.add_room, 1)
+        scene.play()
+        got = [
+            row.demand_class.urgency
+            for when_s, row in scene.got
+            if when_s > 1.0
+        ]
+        # There is room for the urgent ones, of which 10 arrive each second.
+        assert got.count(0) >= 0.9 * len(got)
+
     @given(seed=st.integers(0, 1000))
     def test_nobody_waits_longer_than_its_bound(self, seed):
         rng = random.Random(seed)
@@ -250,6 +271,20 @@
         assert len(scene.refused) == 100
         assert scene.looks < 100 * 6
 
+    def test_request_at_the_end_of_its_wait_leaves_it_to_those_before(
+        self, clock
+    ):
+        room = waiting.WaitingRoom()
+        urgent = a_waiter(clock.now_s, 0)
+        other = a_waiter(clock.now_s, 9)
+        assert room.may_look_last(other)
+        room.record_look(other)
+        assert room.may_look_last(other)
+        room.record_look(urgent)
+        assert not room.may_look_last(other)
+        other.has_started = True
+        assert room.may_look_last(other)
+
 
 class _Watch:
     """A caller whose waits advance the clock and may change the load."""
@@ -328,6 +363,80 @@
         assert scene.counts("held") == 1
         assert scene.counts("served_after_hold") == 1
 
+    def test_request_that_would_wait_in_vain_overtakes_nobody(
+        self, clock, scene
+    ):
+        room = scene.search._rooms["pool"]
+        for _ in range(8):
+            room.leave(a_waiter(clock.now_s), is_admitted=True)
+            clock.now_s += 0.1
+        for _ in range(100):
+            room.record_look(a_waiter(clock.now_s, 0, work=1.0))
+        # The engine has room, which the first of those before it takes.
+        watch = _Watch(clock, lambda: scene.fill(0.999))
+        stream = scene.stream(urgency=9, watch=watch)
+        started_s = clock.now_s
+        with pytest.raises(exceptions.OverloadError):
+            scene.search.wait_for_chain(stream)
+        # Two rounds at most, as a late refusal costs its caller.
+        assert 0.0 < clock.now_s - started_s < 0.2
+
+    def test_request_whose_wait_ends_leaves_room_to_those_before_it(
+        self, clock, scene
+    ):
+        scene.fill(0.999)
+        room = scene.search._rooms["pool"]
+        urgent = a_waiter(clock.now_s, 0, work=1.0)
+        stream = scene.stream(urgency=9)
+
+        def on_pause():
+            if room.pause_before_look(urgent) == 0.0:
+                room.record_look(urgent)
+            wait_s = stream.call.route.first_byte_slo_s * 0.6
+            if clock.now_s - started_s >= wait_s - 1e-6:
+                scene.fill(0.1)
+
+        stream.call.watch = _Watch(clock, on_pause)
+        started_s = clock.now_s
+        with pytest.raises(exceptions.OverloadError):
+            scene.search.wait_for_chain(stream)
+
+    def test_class_that_may_use_the_reserve_looks_behind_one_that_may_not(
+        self, clock, scene
+    ):
+        scene.others = {classes.DemandClass(0, classes.Band.USUAL): 10_000.0}
+        scene.fill(0.8)
+        for _ in range(4):
+            scene.reserve.record_held(
+                classes.DemandClass(9, classes.Band.USUAL)
+            )
+        room = scene.search._rooms["pool"]
+        before = a_waiter(clock.now_s, 3, work=1.0, max_fill=0.72)
+        room.record_look(before)
+
+        def on_pause():
+            if room.pause_before_look(before) == 0.0:
+                room.record_look(before)
+
+        stream = scene.stream(urgency=9, watch=_Watch(clock, on_pause))
+        assert scene.search.wait_for_chain(stream)
+
+    def test_request_that_no_peer_can_serve_holds_up_nobody(self, clock, scene):
+        room = scene.search._rooms["pool"]
+        reports = roomreports.RoomReports(scene.metrics, scene.loads)
+        cut_off = scene.stream(urgency=0)
+        cut_off.call.has_no_peer = True
+        roomwaits.RoomWait(cut_off, room, reports).pause_after_look()
+        wait = roomwaits.RoomWait(scene.stream(urgency=9), room, reports)
+        assert not wait.pause_for_order(has_time=True, max_fill=0.92)
+
+    def test_prompt_of_unknown_length_is_not_refused_for_it(self, clock, scene):
+        stream = scene.stream(prompt=1_000_000, left_s=1.0)
+        stream.demand = paths.Demand(1_000_000, 10, is_prompt_stated=False)
+        with pytest.raises(exceptions.OverloadError) as caught:
+            scene.search.wait_for_chain(stream)
+        assert "before the prompt is read" not in caught.value.message
+
 
 class _SearchScene:
     """One engine that holds all layers."""
