Relays: a peer tells before it sends that a request may run once

The asking instance and another peer hold the older version, by which it may repeat, and it ran again.

A peer that may send a relayed request only once, and was not told so, now says so in a 102 with the private header right before its first send (Call.record_send). The asking instance adopts it. Earlier releases skip interim responses. Nothing is sent if both know the same, as usual. For peers of earlier releases, and a word that is lost: a peer whose known version is newer than the own one at the time, and which ends without an answer, counts as one that knows so, and no other peer is asked beside it.

The test that was known_red is now test_order_is_not_run_by_another_peer, for streams too, and each of both means alone has its test. A look-up whose peer ends is still run by another peer (test_look_up_is_run_by_another_peer).

--- a/src/briarfall/gateway/callers/peerconnections.py
+++ b/src/briarfall/gateway/callers/peerconnections.py
@@ -1,7 +1,9 @@
 """Connection of a peer that relays its callers' requests."""
 
+import http
 import socket
 
+import h11
 import msgspec
 
 from briarfall import exceptions
@@ -24,6 +26,8 @@
     def __init__(self, sock: socket.socket, limits: views.CallerLimits):
         super().__init__(sock, _with_private_header(limits))
         self._call: calls.Call | None = None
+        # Whether the peer knows that its request may run only once.
+        self._is_announced = False
         self._backoffs = relaybackoffs.RequestBackoffs({})
 
     def set_limits(self, limits: views.CallerLimits) -> None:
@@ -58,12 +62,40 @@
         It counts on from the attempts that the peer has made.
         """
         self._call = call
+        self._is_announced = self.relayed.is_single_run
         call.relayed = self.relayed
         call.attempt_count = self.relayed.sends
         call.possible_runs = self.relayed.runs
         call.has_unknown_outcome = self.relayed.has_unknown_outcome
         call.is_single_run = self.relayed.is_single_run
 
+    def announce_single_run(self) -> None:
+        """Tells the peer, in an interim response, before a target runs it.
+
+        Otherwise a peer with another version of the route would repeat the
+        request if this instance ended without a response. Earlier releases
+        skip interim responses.
+
+        Raises:
+            CallerGoneError: The peer has left.
+        """
+        if self._is_announced or self.has_sent_head:
+            return
+        self._is_announced = True
+        state = relaymessages.RelayedResponse(
+            self.relayed.exchange,
+            relaymessages.RelayOutcome.UNKNOWN,
+            self._call.attempt_count,
+            self._call.possible_runs,
+            is_single_run=True,
+        )
+        self._send(
+            h11.InformationalResponse(
+                status_code=http.HTTPStatus.PROCESSING,
+                headers=[relaymessages.header_of(state)],
+            )
+        )
+
     def send_head(self, status: int, headers: messages.Headers) -> None:
         """Sends status and headers of the response, with its outcome."""
         super().send_head(status, [*headers, self._outcome_header()])
--- a/src/briarfall/gateway/calls/callers.py
+++ b/src/briarfall/gateway/calls/callers.py
@@ -190,6 +190,9 @@
     def start_call(self, call) -> None:
         """Sets the call that the current request has become."""
 
+    def announce_single_run(self) -> None:
+        """Tells a peer, before a run, that the request may run only once."""
+
     def send_head(self, status: int, headers: messages.Headers) -> None:
         """Sends status and headers of the response."""
         fields = list(headers)
--- a/src/briarfall/gateway/calls/calls.py
+++ b/src/briarfall/gateway/calls/calls.py
@@ -149,8 +149,11 @@
 
         Raises:
             SecondRunError: It may have run, and may not be repeated.
+            CallerGoneError: The peer that relayed it has left.
         """
         self.check_repeat()
+        if self.relayed is not None and not self.may_repeat:
+            self.conn.announce_single_run()
         self.open_sends += 1
 
     def record_not_run(self) -> None:
--- a/src/briarfall/gateway/exchanges/targetconnection.py
+++ b/src/briarfall/gateway/exchanges/targetconnection.py
@@ -43,6 +43,10 @@
 _MAX_LATE_PIECES = 256
 
 
+# Called with the headers of an interim response.
+InterimListener = collections.abc.Callable[[messages.Headers], None]
+
+
 class CallerGoneError(exceptions.BriarfallError, ConnectionError):
     """The caller closed its connection."""
 
@@ -188,6 +192,7 @@
         self._is_closed = False
         self._ends_answer = False
         self._interim_responses = 0
+        self._on_interim: InterimListener | None = None
         if timeout_s <= 0:
             raise NotSentError(f"{address}: no time left to connect")
         try:
@@ -316,6 +321,10 @@
         for other in others:
             self._poller.register(other.sock, other._poll_events)
 
+    def set_interim_listener(self, listener: InterimListener) -> None:
+        """Calls `listener` for each interim response to the current request."""
+        self._on_interim = listener
+
     @property
     def _poll_events(self) -> int:
         if self._outgoing.is_pending:
@@ -511,6 +520,8 @@
             self._interim_responses += 1
             if self._interim_responses > _MAX_INTERIM_RESPONSES:
                 raise self._invalid_error("interim responses without end")
+            if self._on_interim is not None:
+                self._on_interim(list(event.headers.raw_items()))
 
     def _read_head_event(self, deadline_s: float):
         """Returns the next event; an interim response may not be the last."""
@@ -607,6 +618,7 @@
         self._late_reads = 0
         self._late_pieces = 0
         self._interim_responses = 0
+        self._on_interim = None
         return True
 
     def close(self) -> None:
--- a/src/briarfall/gateway/forwarding/relaying.py
+++ b/src/briarfall/gateway/forwarding/relaying.py
@@ -1,5 +1,7 @@
 """Relays requests to peers while this instance can't reach their targets."""
 
+import collections.abc
+import functools
 import uuid
 
 from absl import logging
@@ -53,6 +55,7 @@
         gate: Dispatch gate, which refuses poison requests.
         target_table: Targets, with the backoffs that they asked for.
         counters: Metrics.
+        own_version: Returns the version of this instance's catalogue.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         gate: dispatchgate.DispatchGate,
         target_table: targets.TargetTable,
         counters: metrics.Metrics,
+        own_version: collections.abc.Callable[[], int],
     ):
         self._names = header_names
         self._instance = instance
@@ -74,6 +78,7 @@
         self._gate = gate
         self._targets = target_table
         self._metrics = counters
+        self._own_version = own_version
         # Number of requests sent to peers.
         self.sent = 0
 
@@ -279,6 +284,9 @@
         if not send.is_sent:
             call.record_send()
             send.is_sent = True
+            send.conn.set_interim_listener(
+                functools.partial(relayresponses.heed_interim, call, send)
+            )
             self.sent += 1
             send.conn.send(
                 call.req.method,
@@ -361,7 +369,7 @@
         missing. Otherwise this instance may receive no status at all, which
         says nothing about the first peer.
         """
-        if not sends.may_ask_beside(send):
+        if not sends.may_ask_beside(send) or self._is_newer(send.peer):
             return
         missing_s = self._table.missing_since_s(send.peer)
         service = sends.exchange.call.service.name
@@ -372,6 +380,10 @@
             f"{send.peer.id}: sends no status any more"
         )
 
+    def _is_newer(self, peer: peers.Peer) -> bool:
+        """Whether a peer has a newer version of the catalogue."""
+        return peer.version > self._own_version()
+
     def _record_break(
         self,
         sends: relaysends.RelaySends,
@@ -384,6 +396,10 @@
         runs = send.max_runs
         if isinstance(exc, relayresponses.PeerFailedError):
             runs = exc.runs
+        elif self._is_newer(send.peer):
+            # An earlier release tells nothing before its response, and may
+            # know that the request may run only once.
+            call.is_single_run = True
         sends.count_runs(send, runs)
         logging.warning(
             "relayed request broken request=%s peer=%s sends=%d runs=%d: %s",
--- a/src/briarfall/gateway/forwarding/relayresponses.py
+++ b/src/briarfall/gateway/forwarding/relayresponses.py
@@ -89,6 +89,24 @@
     raise PeerFailedError(text, runs=max(0, runs))
 
 
+def heed_interim(
+    call: calls.Call, send: relaysends.RelaySend, headers: messages.Headers
+) -> None:
+    """Adopts a peer's word, ahead of a run, that a request may run only once.
+
+    Args:
+        call: The request.
+        send: The exchange with the peer.
+        headers: Headers of an interim response of the peer.
+    """
+    try:
+        told = relaymessages.decode_response(headers)
+    except exceptions.PeerError:
+        return
+    if told.exchange == send.state.exchange and told.is_single_run:
+        call.is_single_run = True
+
+
 def _decode(
     send: relaysends.RelaySend, head: messages.ResponseHead
 ) -> relaymessages.RelayedResponse:
--- a/src/briarfall/gateway/instance/instance.py
+++ b/src/briarfall/gateway/instance/instance.py
@@ -204,6 +204,7 @@
             dispatch_gate,
             self.targets,
             self.metrics,
+            self._version,
         )
         target_signals = targetsignals.TargetSignals(
             platform.header_names,
@@ -294,6 +295,10 @@
     def _relay_status(self) -> peerstatus.RelayStatus:
         return peerstatus.RelayStatus(self.is_ready, self.links.cut_services)
 
+    def _version(self) -> int:
+        view = self.follower.view
+        return view.version if view else -1
+
     def _is_store_poller(self) -> bool:
         return None in self.peers.store_pollers(
             targetfollower.STORE_POLLERS_PER_ZONE
--- a/tests/test_gateway_strictestviews.py
+++ b/tests/test_gateway_strictestviews.py
@@ -1,11 +1,15 @@
 """Requests that may run once by a version that is learned amid them."""
 
+import functools
 import logging
 import threading
+import types
 
 import pytest
 
 from briarfall.gateway.callers import peerconnections
+from briarfall.gateway.forwarding import relaying
+from briarfall.gateway.forwarding import relayresponses
 from briarfall.gateway.peers import relaypeers
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
@@ -110,10 +114,15 @@
 
 
 class TestPeerThatEndsWithoutAnAnswer:
-    # Guards against a peer that runs what the ended one knew to run only once.
-    @pytest.mark.known_red
-    def test_order_is_not_run_by_another_peer(self, world, monkeypatch):
-        scene = secondruns.Scene(world, orders="idempotent")
+    """It ends after its run; other peers hold the older version."""
+
+    @pytest.fixture
+    def start(self, world, monkeypatch):
+        """Returns a function that prepares the scene and its peers."""
+        return functools.partial(self._start, world, monkeypatch)
+
+    def _start(self, world, monkeypatch, newer=None):
+        scene = secondruns.Scene(world, orders="idempotent", resumable=True)
         third = world.instance("i2")
         world.wait_for_targets(*scene.desks)
         world.wait_for_layers()
@@ -122,31 +131,148 @@
         )
         older = [scene.cut, third]
         views = [inst.follower.view for inst in older]
-        world.publish(testbed.manifest(3, routes=secondruns.routes()))
+        world.publish(testbed.manifest(3, routes=newer or secondruns.routes()))
         secondruns.wait_for_version(3, *world.instances)
         for inst, view in zip(older, views, strict=True):
             monkeypatch.setattr(inst.follower, "apply", lambda *_: None)
             inst.follower.view = view
-        choose = relaypeers.RelayPeers.choose
+        _ask_first(monkeypatch)
+        _end_answers(monkeypatch)
+        for row in scene.desks:
+            row.fault = registeredtarget.Fault.RESET_AFTER_RUN
+        for row in scene.engines:
+            row.crashes_as_head = True
+        return scene
 
-        def choose_strict(choice, service, excluded, *args):
-            if "i1" not in excluded:
-                excluded = {*excluded, "i2"}
-            return choose(choice, service, excluded, *args)
+    def _runs(self, scene, path):
+        secondruns.send_order(scene.cut, path, deadline_ms=4000)
+        secondruns.wait_until_idle(scene.cut)
+        return secondruns.runs(scene.rows)
 
-        monkeypatch.setattr(relaypeers.RelayPeers, "choose", choose_strict)
-        answer = peerconnections.PeerConnection.answer
+    # Guards against a peer that runs what the ended one knew to run only once.
+    @secondruns.PATHS
+    def test_order_is_not_run_by_another_peer(self, start, path):
+        assert self._runs(start(), path) == 1
 
-        def end_if_strict(conn, *args):
-            if not conn._call.route.is_retryable:
-                raise OSError("ended")
-            answer(conn, *args)
+    # Guards against the same while the last status holds the older version.
+    @secondruns.PATHS
+    def test_order_is_not_run_by_another_peer_before_its_status(
+        self, start, monkeypatch, path
+    ):
+        scene = start()
+        monkeypatch.setattr(relaying.Relay, "_is_newer", lambda *_: False)
+        assert self._runs(scene, path) == 1
 
+    # Guards against the same beside an earlier release, which tells nothing
+    # ahead of its response.
+    @secondruns.PATHS
+    def test_order_is_not_run_after_an_earlier_release(
+        self, start, monkeypatch, path
+    ):
+        scene = start()
         monkeypatch.setattr(
-            peerconnections.PeerConnection, "answer", end_if_strict
+            peerconnections.PeerConnection,
+            "announce_single_run",
+            lambda conn: None,
         )
-        for row in scene.desks:
-            row.fault = registeredtarget.Fault.RESET_AFTER_RUN
-        secondruns.send_order(scene.cut)
-        secondruns.wait_until_idle(scene.cut)
-        assert secondruns.runs(scene.desks) == 1
+        testbed.until(
+            lambda: any(row.version == 3 for row in scene.cut.peers.all()),
+            "the newer version is told",
+        )
+        assert self._runs(scene, path) == 1
+
+    # Guards against look-ups that are lost with a peer.
+    def test_look_up_is_run_by_another_peer(self, start, monkeypatch):
+        rows = secondruns.routes(orders="idempotent", resumable=True)
+        scene = start(rows)
+        scene.cut.follower.view = scene.peer.follower.view
+        assert self._runs(scene, "/orders/x") > 1
+
+
+class TestWordAheadOfTheResponse:
+    @pytest.fixture
+    def words(self, monkeypatch):
+        """Headers of the interim responses that peers have got."""
+        rows = []
+        heed = relayresponses.heed_interim
+
+        def record(call, send, headers):
+            rows.append(headers)
+            heed(call, send, headers)
+
+        monkeypatch.setattr(relayresponses, "heed_interim", record)
+        return rows
+
+    # Guards against messages that nobody needs.
+    @pytest.mark.parametrize("orders", ["mutating", "idempotent"])
+    def test_is_not_sent_to_a_peer_with_the_same_version(
+        self, world, words, orders
+    ):
+        scene = secondruns.Scene(world, orders=orders)
+        for number in range(3):
+            answer = secondruns.send_order(scene.cut, request_id=f"r{number}")
+            assert answer.status == 200
+        assert not words
+
+    # Guards against a word that takes the place of the response, or of later
+    # ones on the connection.
+    def test_is_followed_by_the_response(self, world, words, monkeypatch):
+        scene = secondruns.Scene(world, orders="idempotent")
+        scene.change_all_but(scene.cut, monkeypatch, secondruns.routes())
+        for number in range(3):
+            answer = secondruns.send_order(scene.cut, request_id=f"r{number}")
+            assert (answer.status, answer.body) == (200, b"ran:a")
+        assert len(words) == 3
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            [],
+            [(b"briarfall-relay", b"\xff{")],
+            [
+                (
+                    b"briarfall-relay",
+                    b'{"exchange":"other","outcome":"unknown","sends":0,'
+                    b'"runs":0,"is_single_run":true}',
+                )
+            ],
+            [
+                (
+                    b"briarfall-relay",
+                    b'{"exchange":"own","outcome":"unknown","sends":0,'
+                    b'"runs":0,"is_single_run":false}',
+                )
+            ],
+        ],
+    )
+    def test_of_another_exchange_or_kind_is_ignored(self, headers):
+        call = types.SimpleNamespace(is_single_run=False)
+        send = types.SimpleNamespace(
+            state=types.SimpleNamespace(exchange="own")
+        )
+        relayresponses.heed_interim(call, send, headers)
+        assert not call.is_single_run
+
+
+def _ask_first(monkeypatch):
+    """Makes the instance with the newer version the first one asked."""
+    choose = relaypeers.RelayPeers.choose
+
+    def choose_strict(choice, service, excluded, *args):
+        if "i1" not in excluded:
+            excluded = {*excluded, "i2"}
+        return choose(choice, service, excluded, *args)
+
+    monkeypatch.setattr(relaypeers.RelayPeers, "choose", choose_strict)
+
+
+def _end_answers(monkeypatch):
+    """Lets the instance with the newer version end without an answer."""
+    answer = peerconnections.PeerConnection.answer
+
+    def end_if_newer(conn, *args):
+        if conn._call.version == 3:
+            raise OSError("ended")
+        answer(conn, *args)
+
+    monkeypatch.setattr(peerconnections.PeerConnection, "answer", end_if_newer)
