Check of a configuration: no false findings beside a refused entry

Cause: review. Beside a refused entry, others that name it got unknown_service or unreached_service, and the differences showed the refused entry as removed ("requests are refused as not found"), though instances keep the version in force. A share with weight 0 without an entry was an error, though it gets no request. Account names with spaces at their ends passed. Messages named kinds by words of the code (non_idempotent) that no configuration holds. The address of a route was written twice.

--- a/src/briarfall/cli/configchecks.py
+++ b/src/briarfall/cli/configchecks.py
@@ -18,6 +18,16 @@
 # Version of the shape of the JSON output; added fields don't raise it.
 _JSON_FORMAT = 1
 _MAX_LINE_CHARS = 2000
+_REFUSALS = frozenset(
+    (configfindings.Code.UNDECODABLE, configfindings.Code.REFUSED_ENTRY)
+)
+# Findings that a refused entry would cause in entries that name it.
+_OF_OTHER_ENTRIES = frozenset(
+    (
+        configfindings.Code.UNKNOWN_SERVICE,
+        configfindings.Code.UNREACHED_SERVICE,
+    )
+)
 
 Format = typing.Literal["text", "json"]
 
@@ -38,13 +48,14 @@
         version: Version of the configuration, or None if it can't be decoded.
         against: Version in force, or None if there is none.
         findings: Findings, errors first.
-        changes: Differences from the version in force.
+        changes: Differences from the version in force, or None if the
+            configuration would be refused as a whole or there is no other.
     """
 
     version: int | None
     against: int | None
     findings: tuple[configfindings.Finding, ...]
-    changes: tuple[differences.Difference, ...] = ()
+    changes: tuple[differences.Difference, ...] | None = None
 
     def count(self, severity: configfindings.Severity) -> int:
         """Returns the number of findings of a severity."""
@@ -93,8 +104,11 @@
     reading = configreading.read(raw)
     found = list(reading.findings)
     cfg = reading.configuration
+    is_refused = any(row.code in _REFUSALS for row in found)
     if cfg is not None:
-        found.extend(configcheck.check(cfg))
+        for row in configcheck.check(cfg):
+            if not is_refused or row.code not in _OF_OTHER_ENTRIES:
+                found.append(row)
     version = None if cfg is None else cfg.version
     if in_force_raw is None:
         return Report(version, None, _sorted(found))
@@ -112,9 +126,10 @@
             )
         )
         return Report(version, None, _sorted(found))
-    if cfg is None:
-        return Report(None, in_force.version, _sorted(found))
-    found.extend(configcheck.check_version(cfg, in_force))
+    if cfg is not None:
+        found.extend(configcheck.check_version(cfg, in_force))
+    if cfg is None or is_refused:
+        return Report(version, in_force.version, _sorted(found))
     return Report(
         version,
         in_force.version,
@@ -138,7 +153,7 @@
         row["field"] = configreading.field_name(finding.field)
         findings.append(row)
     rows = []
-    for difference in report.changes:
+    for difference in report.changes or ():
         row = msgspec.to_builtins(difference)
         row["field"] = configreading.field_name(difference.field)
         rows.append(row)
@@ -159,14 +174,16 @@
     lines = []
     for finding in report.findings:
         lines.append(_finding_line(finding))
-    for difference in report.changes:
+    for difference in report.changes or ():
         lines.append(_difference_line(difference))
     errors = report.count(configfindings.Severity.ERROR)
     warnings = report.count(configfindings.Severity.WARNING)
     last = f"version {report.version}: {errors} errors, {warnings} warnings"
     if report.version is None:
         last = f"not decodable: {errors} errors, {warnings} warnings"
-    if report.against is not None:
+    if report.against is not None and report.changes is None:
+        last += f", not compared with version {report.against}"
+    elif report.changes is not None:
         last += (
             f", {len(report.changes)} differences from version {report.against}"
         )
--- a/src/briarfall/gateway/catalogue/configcheck.py
+++ b/src/briarfall/gateway/catalogue/configcheck.py
@@ -90,13 +90,13 @@
                 "join the entries or rename one of them",
             )
         names.add(name)
-        if not name or not name.isprintable():
+        if not name or not name.isprintable() or name != name.strip():
             yield configfindings.Finding(
                 _Code.UNUSABLE_ACCOUNT_NAME,
                 subject,
                 "name",
                 ascii(name),
-                "one or more printable characters",
+                "one or more printable characters without spaces at the ends",
                 "targets get the name in a header, which can't hold this one",
                 "rename the account",
             )
--- a/src/briarfall/gateway/catalogue/routechecks.py
+++ b/src/briarfall/gateway/catalogue/routechecks.py
@@ -30,7 +30,7 @@
                 "rename one of the routes",
             )
         names.add(route.name)
-        address = _address(route)
+        address = address_of(route)
         if address not in first_of:
             first_of[address] = subject
         else:
@@ -80,11 +80,12 @@
     """Returns the routes that no other one with their address hides."""
     first_of: dict[tuple[str, str], views.Route] = {}
     for route in cfg.routes:
-        first_of.setdefault(_address(route), route)
+        first_of.setdefault(address_of(route), route)
     return list(first_of.values())
 
 
-def _address(route: views.Route) -> tuple[str, str]:
+def address_of(route: views.Route) -> tuple[str, str]:
+    """Returns the host, as requests are matched, and the prefix of a route."""
     return route.host.lower(), route.prefix
 
 
@@ -152,7 +153,8 @@
             "name a service",
         )
         return
-    if len(route.shares) > 1 and not reached_services(route):
+    reached = reached_services(route)
+    if not reached:
         yield configfindings.Finding(
             _Code.SPLIT_WITHOUT_WEIGHT,
             subject,
@@ -166,7 +168,9 @@
     seen = set()
     for share in route.shares:
         name = configfindings.named("service", share.service)
-        if share.service not in services and share.service not in seen:
+        is_known = share.service in services
+        is_reached = share.service in reached
+        if is_reached and not is_known and share.service not in seen:
             yield configfindings.Finding(
                 _Code.UNKNOWN_SERVICE,
                 subject,
@@ -243,7 +247,7 @@
             subject,
             "event_gap_slo_s",
             configfindings.seconds(route.event_gap_slo_s),
-            f"none on a route of kind {route.kind.value}",
+            "none on a route without streams",
             "answers have no events, so the aim has no effect",
             "remove the aim or make the route a stream",
         )
@@ -256,7 +260,7 @@
             subject,
             "is_resumable",
             "true",
-            f"false on a route of kind {route.kind.value}",
+            "false on a route without streams",
             "only streams can be resumed, so it has no effect",
             "remove the field or make the route a stream",
         )
--- a/src/briarfall/gateway/catalogue/routediff.py
+++ b/src/briarfall/gateway/catalogue/routediff.py
@@ -5,6 +5,7 @@
 from briarfall import exceptions
 from briarfall.gateway.catalogue import configfindings
 from briarfall.gateway.catalogue import differences
+from briarfall.gateway.catalogue import routechecks
 from briarfall.gateway.catalogue import views
 
 _Change = differences.Change
@@ -50,7 +51,9 @@
         before.routes, after.routes, lambda route: route.name
     )
     # A route with a new name and its old address is the same to callers.
-    by_address = differences.pair(by_name.removed, by_name.added, _address)
+    by_address = differences.pair(
+        by_name.removed, by_name.added, routechecks.address_of
+    )
     for route in by_address.removed:
         yield _removed(route, views_of[1])
     for route in by_address.added:
@@ -59,10 +62,6 @@
         yield from _changed(old, new, views_of[1])
 
 
-def _address(route: views.Route) -> tuple[str, str]:
-    return route.host.lower(), route.prefix
-
-
 def _removed(route: views.Route, after: views.CatalogueView) -> _Difference:
     return _Difference(
         _Change.REMOVED,
@@ -122,7 +121,7 @@
             new.name,
             "none for callers; logs and metrics use the new name",
         )
-    if _address(old) != _address(new):
+    if routechecks.address_of(old) != routechecks.address_of(new):
         yield _Difference(
             _Change.CHANGED,
             subject,
@@ -205,8 +204,10 @@
 
 
 def _shown_runs(route: views.Route) -> str:
-    if route.kind is not views.RouteKind.STREAM:
-        return route.kind.value
+    if route.kind is views.RouteKind.IDEMPOTENT:
+        return "idempotent"
+    if route.kind is views.RouteKind.NON_IDEMPOTENT:
+        return "at most one run"
     return "resumable stream" if route.is_resumable else "stream"
 
 
