--- a/src/briarfall/gateway/placement/paths.py
+++ b/src/briarfall/gateway/placement/paths.py
@@ -23,6 +23,12 @@
 # A chain whose head is in another zone sends no activations to reach it. The
 # charge keeps requests in their own zone while that costs about as much.
 _REMOTE_HEAD_MS = 1000.0
+# An engine runs a limited number of requests as the head of chains; further
+# ones wait in its queue. The charge begins at a share of its slots, since
+# other instances choose heads by loads that are some hundred ms old.
+_FREE_SLOT_SHARE = 0.8
+# Charge for a head whose slots are all taken; it grows linearly.
+_FULL_HEAD_MS = 1500.0
 # Spread of the random factor on costs, without which all instances would
 # choose the same engines at the same time.
 NOISE = 0.15
@@ -110,6 +116,21 @@
         return self.prompt + self.answer
 
 
+def head_wait_ms(streams: int, slots: int) -> float:
+    """Returns the charge for a wait in the queue of a chain's head.
+
+    Args:
+        streams: Requests that the engine runs or holds in its queue.
+        slots: Requests that it runs at once as a head; 0 if unlimited.
+    """
+    if slots <= 0:
+        return 0.0
+    taken = (streams + 1) / slots
+    return max(0.0, taken - _FREE_SLOT_SHARE) * (
+        _FULL_HEAD_MS / (1.0 - _FREE_SLOT_SHARE)
+    )
+
+
 def uncovered_layers(
     model: views.ModelLayout, rows: list[targetstate.Target]
 ) -> list[sources.LayerRange]:
@@ -130,13 +151,23 @@
 
 
 class _Candidate(msgspec.Struct):
-    """An engine with its cost per layer for one request."""
+    """An engine with its costs for one request.
+
+    Attributes:
+        target: The engine.
+        layers: Its layers.
+        layer_ms: Cost of each layer.
+        head_ms: Further cost if the engine is the head of the chain.
+    """
 
     target: targetstate.Target
     layers: sources.LayerRange
     layer_ms: float
+    head_ms: float
 
 
+# Cost of an engine for some of its layers, and the engine.
+_CostedStage = tuple[float, _Candidate]
 # By zone of the last engine: cost of the cheapest partial chain up to a layer,
 # and its stages as a linked list from the last to the first.
 _ChainsByZone = dict[ids.ZoneId, tuple[float, tuple]]
@@ -255,7 +286,8 @@
         # the cost rises steeply towards it.
         layer_ms *= 1 + fill**4
         layer_ms *= 1 + noise * self._rng.random()
-        return _Candidate(row, entry.layers, layer_ms)
+        head_ms = head_wait_ms(load.streams, model.slots)
+        return _Candidate(row, entry.layers, layer_ms, head_ms)
 
     def _cheapest_chains(
         self,
@@ -273,19 +305,22 @@
         engines, and the zones.
         """
         cuts = _cut_points(candidates, span)
-        stages_from = _cheapest_stages(candidates, cuts, span, heads)
+        begins = zone_before is None
+        stages_from = _cheapest_stages(
+            candidates, cuts, span, heads, begins=begins
+        )
         hop_ms = demand.answer * _HOP_MS
         # Cheapest known partial chain to each (layer, zone): cost and stages.
         best: dict[int, _ChainsByZone] = {cut: {} for cut in cuts}
         best[span.first] = {zone_before or self._zone: (0.0, ())}
         for cut in cuts:
             for zone, (cost, linked_stages) in best[cut].items():
-                for (end, to_zone), row in stages_from[cut].items():
+                for (end, to_zone), (stage_ms, row) in stages_from[cut].items():
                     crosses = to_zone != zone
-                    is_head = cut == span.first and zone_before is None
+                    is_head = cut == span.first and begins
                     if crosses and not is_head and not may_cross:
                         continue
-                    total = cost + hop_ms + row.layer_ms * (end - cut)
+                    total = cost + hop_ms + stage_ms
                     if crosses:
                         total += (
                             _REMOTE_HEAD_MS if is_head else _CROSS_ZONE_HOP_MS
@@ -304,13 +339,22 @@
     cuts: list[int],
     span: sources.LayerRange,
     heads: frozenset[ids.TargetId] | None,
-) -> dict[int, dict[tuple[int, ids.ZoneId], _Candidate]]:
+    *,
+    begins: bool,
+) -> dict[int, dict[tuple[int, ids.ZoneId], _CostedStage]]:
     """Returns the cheapest engine between any two cut points, by zone.
 
     Only these engines can be part of the cheapest chain, so that the search
     need not try every engine for every zone before it.
+
+    Args:
+        candidates: Engines with their costs.
+        cuts: Layers at which the chain may change engines.
+        span: Layers to cover.
+        heads: Engines that may be the first one; None for any.
+        begins: Whether the first engine is the head of the complete chain.
     """
-    stages: dict[int, dict[tuple[int, ids.ZoneId], _Candidate]] = {
+    stages: dict[int, dict[tuple[int, ids.ZoneId], _CostedStage]] = {
         cut: {} for cut in cuts
     }
     for row in candidates:
@@ -322,10 +366,13 @@
         for index, cut in enumerate(cuts_within):
             if cut == span.first and not may_be_head:
                 continue
+            is_head = begins and cut == span.first
+            head_ms = row.head_ms if is_head else 0.0
             for end in cuts_within[index + 1 :]:
                 known = stages[cut].get((end, zone))
-                if known is None or row.layer_ms < known.layer_ms:
-                    stages[cut][end, zone] = row
+                stage_ms = row.layer_ms * (end - cut) + head_ms
+                if known is None or stage_ms < known[0]:
+                    stages[cut][end, zone] = (stage_ms, row)
     return stages
 
 
--- a/src/briarfall/gateway/placement/placement.py
+++ b/src/briarfall/gateway/placement/placement.py
@@ -1,5 +1,7 @@
 """Choice of layer ranges for empty engines."""
 
+import math
+
 import msgspec
 
 from briarfall import ids
@@ -75,6 +77,9 @@
         capacity = enginecosts.kv_capacity(self._model, engine.kind, layers)
         cover = self._cover[engine.zone]
         for block in blocks_within(self._borders, layers):
+            if block == 0:
+                cover[block] += min(capacity, _head_capacity(self._model))
+                continue
             cover[block] += capacity
 
     def assign_all(
@@ -131,6 +136,17 @@
         return total_scarcity
 
 
+def _head_capacity(model: views.ModelLayout) -> float:
+    """Returns the tokens of the requests that a head runs at once.
+
+    An engine with the first layers is the head of all its chains, so that KV
+    capacity beyond its slots is of no use.
+    """
+    if model.slots <= 0:
+        return math.inf
+    return model.slots * (model.mean_prompt_tokens + model.mean_answer_tokens)
+
+
 def _aligned_starts(blocks: int, count: int) -> list[int]:
     """Returns the first blocks of the ranges of `count` blocks to consider.
 
