--- a/src/briarfall/gateway/placement/placement.py
+++ b/src/briarfall/gateway/placement/placement.py
@@ -1,7 +1,5 @@
 """Choice of layer ranges for empty engines."""
 
-import math
-
 import msgspec
 
 from briarfall import ids
@@ -21,6 +19,9 @@
 # Weight of the capacity in other zones. It counts little, since the inter-zone
 # link carries only a small part of the traffic.
 _REMOTE_WEIGHT = 0.15
+# Smallest share of a head's KV capacity that counts, so that the other blocks
+# keep replicas too where heads have few slots.
+_MIN_HEAD_SHARE = 0.6
 
 
 class EngineInfo(msgspec.Struct, frozen=True):
@@ -78,7 +79,7 @@
         cover = self._cover[engine.zone]
         for block in blocks_within(self._borders, layers):
             if block == 0:
-                cover[block] += min(capacity, _head_capacity(self._model))
+                cover[block] += _head_capacity(self._model, capacity)
                 continue
             cover[block] += capacity
 
@@ -136,15 +137,20 @@
         return total_scarcity
 
 
-def _head_capacity(model: views.ModelLayout) -> float:
-    """Returns the tokens of the requests that a head runs at once.
+def _head_capacity(model: views.ModelLayout, capacity: float) -> float:
+    """Returns the tokens that count of an engine that is the head of chains.
+
+    A head runs a limited number of requests, so that KV capacity beyond its
+    slots is of little use.
 
-    An engine with the first layers is the head of all its chains, so that KV
-    capacity beyond its slots is of no use.
+    Args:
+        model: The model's layout.
+        capacity: KV capacity of the engine, in tokens.
     """
     if model.slots <= 0:
-        return math.inf
-    return model.slots * (model.mean_prompt_tokens + model.mean_answer_tokens)
+        return capacity
+    usual = model.mean_prompt_tokens + model.mean_answer_tokens
+    return min(capacity, max(model.slots * usual, capacity * _MIN_HEAD_SHARE))
 
 
 def _aligned_starts(blocks: int, count: int) -> list[int]:
