Heads: charged by the requests that they received as a head, spread over instances

The charge counted all streams over an engine, also those of which it runs later layers, which take no slot. All instances that heard of a head's last free slots left it at once and came back at once: 60 instances with loads 1 s old. An idle engine with one slot was charged 1500 ms. A configuration without slots counted as one slot per engine.

Change: loads count heads (reserve: the first engine of a chain); a load's row in the status has the count at its end, -1 if the sender doesn't tell, which counts as all its streams. The taken slots get a random factor of 1 to 1.5, drawn only if it could matter, so that choices with free slots are those from before. Untold slots are None and limit nothing. Both decisions are in placement/headslots.py.

--- a/src/briarfall/gateway/catalogue/modelchecks.py
+++ b/src/briarfall/gateway/catalogue/modelchecks.py
@@ -20,7 +20,7 @@
         models[service.name] = service.model
         subject = configfindings.named("service", service.name)
         yield from _check_memory(service.model, subject)
-        if not service.model.slots:
+        if service.model.slots == 0:
             yield configfindings.Finding(
                 _Code.NO_SLOTS,
                 subject,
--- a/src/briarfall/gateway/catalogue/views.py
+++ b/src/briarfall/gateway/catalogue/views.py
@@ -111,7 +111,8 @@
         context_ms: Additional step time for each 1,000 tokens of context.
         prefill_tokens_per_s: Prompt tokens that prefill processes per second
             over all layers, on the reference kind.
-        slots: Requests that one engine runs at once as the head of a chain.
+        slots: Requests that one engine runs at once as the head of a chain;
+            None if that is not known.
         mean_prompt_tokens: Mean number of prompt tokens.
         mean_answer_tokens: Mean number of output tokens.
         activation_bytes: Bytes of activations per token between two engines.
@@ -130,7 +131,7 @@
     sequence_ms: float
     context_ms: float
     prefill_tokens_per_s: float
-    slots: int
+    slots: int | None
     mean_prompt_tokens: float
     mean_answer_tokens: float
     activation_bytes: float
--- a/src/briarfall/gateway/forwarding/plainexchanges.py
+++ b/src/briarfall/gateway/forwarding/plainexchanges.py
@@ -97,7 +97,8 @@
         self.conn.close()
 
     def _release(self) -> None:
-        self._loads.release([self.target.id, *self._further_loads], 0)
+        self._loads.release([self.target.id], 0)
+        self._loads.release(self._further_loads, 0)
         self._further_loads = []
         if self.completion is not None:
             self.completion.close()
--- a/src/briarfall/gateway/gossip/peermessages.py
+++ b/src/briarfall/gateway/gossip/peermessages.py
@@ -25,11 +25,14 @@
         target: Id of the target.
         streams: Number of requests in flight.
         tokens: Tokens that they reserve in the KV cache of the target.
+        heads: Number of them that the target received as the head of their
+            chain, or -1 if the sender doesn't tell.
     """
 
     target: ids.TargetId
     streams: int
     tokens: int
+    heads: int = -1
 
 
 class Suspicion(msgspec.Struct, array_like=True, frozen=True):
--- a/src/briarfall/gateway/gossip/peerstatus.py
+++ b/src/briarfall/gateway/gossip/peerstatus.py
@@ -96,7 +96,11 @@
         """Returns the status of the instance with a record."""
         rows = []
         for target, load in self._loads.own().items():
-            rows.append(peermessages.LoadRow(target, load.streams, load.tokens))
+            rows.append(
+                peermessages.LoadRow(
+                    target, load.streams, load.tokens, load.heads
+                )
+            )
         suspicions = []
         for target, left_s in self._targets.suspicions():
             suspicions.append(
@@ -171,9 +175,7 @@
             )
         rows = {}
         for row in status.loads:
-            rows[row.target] = loads.Load(
-                max(0, row.streams), max(0, row.tokens)
-            )
+            rows[row.target] = _load(row)
         interval_s = self._peers.interval_s(status.zone)
         started = self._loads.merge(status.sender, rows, interval_s)
         if not status.gives_permits:
@@ -194,3 +196,10 @@
 
 def _ignore(started: StartedCounts) -> None:
     """Does nothing with the counts."""
+
+
+def _load(row: peermessages.LoadRow) -> loads.Load:
+    """Returns a peer's load on a target; untold heads count as all streams."""
+    streams = max(0, row.streams)
+    heads = row.heads if 0 <= row.heads <= streams else streams
+    return loads.Load(streams, max(0, row.tokens), heads)
--- a/src/briarfall/gateway/placement/paths.py
+++ b/src/briarfall/gateway/placement/paths.py
@@ -10,6 +10,7 @@
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.placement import enginecosts
+from briarfall.gateway.placement import headslots
 from briarfall.gateway.targets import loads
 from briarfall.gateway.targets import targetstate
 
@@ -23,12 +24,6 @@
 # A chain whose head is in another zone sends no activations to reach it. The
 # charge keeps requests in their own zone while that costs about as much.
 _REMOTE_HEAD_MS = 1000.0
-# An engine runs a limited number of requests as the head of chains; further
-# ones wait in its queue. The charge begins at a share of its slots, since
-# other instances choose heads by loads that are some hundred ms old.
-_FREE_SLOT_SHARE = 0.8
-# Charge for a head whose slots are all taken; it grows linearly.
-_FULL_HEAD_MS = 1500.0
 # Spread of the random factor on costs, without which all instances would
 # choose the same engines at the same time.
 NOISE = 0.15
@@ -116,21 +111,6 @@
         return self.prompt + self.answer
 
 
-def head_wait_ms(streams: int, slots: int) -> float:
-    """Returns the charge for a wait in the queue of a chain's head.
-
-    Args:
-        streams: Requests that the engine runs or holds in its queue.
-        slots: Requests that it runs at once as a head; 0 if unlimited.
-    """
-    if slots <= 0:
-        return 0.0
-    taken = (streams + 1) / slots
-    return max(0.0, taken - _FREE_SLOT_SHARE) * (
-        _FULL_HEAD_MS / (1.0 - _FREE_SLOT_SHARE)
-    )
-
-
 def uncovered_layers(
     model: views.ModelLayout, rows: list[targetstate.Target]
 ) -> list[sources.LayerRange]:
@@ -286,7 +266,9 @@
         # the cost rises steeply towards it.
         layer_ms *= 1 + fill**4
         layer_ms *= 1 + noise * self._rng.random()
-        head_ms = head_wait_ms(load.streams, model.slots)
+        head_ms = headslots.charge_ms(
+            load.heads, model.slots, self._rng if noise else None
+        )
         return _Candidate(row, entry.layers, layer_ms, head_ms)
 
     def _cheapest_chains(
--- a/src/briarfall/gateway/placement/placement.py
+++ b/src/briarfall/gateway/placement/placement.py
@@ -6,6 +6,7 @@
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.placement import enginecosts
+from briarfall.gateway.placement import headslots
 
 # Share of an engine's memory for weights; the rest is for the KV cache.
 _WEIGHT_SHARE = 0.66
@@ -19,9 +20,6 @@
 # Weight of the capacity in other zones. It counts little, since the inter-zone
 # link carries only a small part of the traffic.
 _REMOTE_WEIGHT = 0.15
-# Smallest share of a head's KV capacity that counts, so that the other blocks
-# keep replicas too where heads have few slots.
-_MIN_HEAD_SHARE = 0.6
 
 
 class EngineInfo(msgspec.Struct, frozen=True):
@@ -71,7 +69,11 @@
             )
 
     def cover(self, zone: ids.ZoneId) -> list[float]:
-        """Returns the KV capacity in tokens of a zone's engines, by block."""
+        """Returns the KV capacity in tokens of a zone's engines, by block.
+
+        That of the first block counts only as far as the slots of heads can
+        use it.
+        """
         return list(self._cover.get(zone, ()))
 
     def _add(self, engine: EngineInfo, layers: sources.LayerRange) -> None:
@@ -79,7 +81,7 @@
         cover = self._cover[engine.zone]
         for block in blocks_within(self._borders, layers):
             if block == 0:
-                cover[block] += _head_capacity(self._model, capacity)
+                cover[block] += headslots.usable_capacity(self._model, capacity)
                 continue
             cover[block] += capacity
 
@@ -137,22 +139,6 @@
         return total_scarcity
 
 
-def _head_capacity(model: views.ModelLayout, capacity: float) -> float:
-    """Returns the tokens that count of an engine that is the head of chains.
-
-    A head runs a limited number of requests, so that KV capacity beyond its
-    slots is of little use.
-
-    Args:
-        model: The model's layout.
-        capacity: KV capacity of the engine, in tokens.
-    """
-    if model.slots <= 0:
-        return capacity
-    usual = model.mean_prompt_tokens + model.mean_answer_tokens
-    return min(capacity, max(model.slots * usual, capacity * _MIN_HEAD_SHARE))
-
-
 def _aligned_starts(blocks: int, count: int) -> list[int]:
     """Returns the first blocks of the ranges of `count` blocks to consider.
 
--- a/src/briarfall/gateway/targets/loads.py
+++ b/src/briarfall/gateway/targets/loads.py
@@ -21,10 +21,24 @@
     Attributes:
         streams: Requests in flight.
         tokens: Tokens reserved in its KV cache.
+        heads: Requests in flight that it received as the head of their chain.
     """
 
     streams: int = 0
     tokens: int = 0
+    heads: int = 0
+
+    def add(self, part: "Load") -> None:
+        """Adds another load of the same target."""
+        self.streams += part.streams
+        self.tokens += part.tokens
+        self.heads += part.heads
+
+    def subtract(self, part: "Load") -> None:
+        """Subtracts a load that was added before."""
+        self.streams -= part.streams
+        self.tokens -= part.tokens
+        self.heads -= part.heads
 
 
 class _Report(msgspec.Struct):
@@ -46,24 +60,25 @@
     def reserve(
         self, targets: collections.abc.Iterable[ids.TargetId], tokens: int
     ) -> None:
-        """Adds a request to the load of each target of its chain."""
+        """Adds a request to the targets of its chain, the head first."""
         with self._lock:
-            for target in targets:
+            for index, target in enumerate(targets):
                 load = self._own.setdefault(target, Load())
-                load.streams += 1
-                load.tokens += tokens
+                load.add(Load(1, tokens, heads=int(index == 0)))
 
     def release(
         self, targets: collections.abc.Iterable[ids.TargetId], tokens: int
     ) -> None:
-        """Subtracts a request from the load of each target of its chain."""
+        """Subtracts a request from the load of each target of its chain.
+
+        The targets are those that it was added to, the head first.
+        """
         with self._lock:
-            for target in targets:
+            for index, target in enumerate(targets):
                 load = self._own.get(target)
                 if load is None:
                     continue
-                load.streams -= 1
-                load.tokens -= tokens
+                load.subtract(Load(1, tokens, heads=int(index == 0)))
                 if load.streams <= 0:
                     del self._own[target]
 
@@ -71,7 +86,7 @@
         """Returns a copy of this instance's reservations."""
         with self._lock:
             return {
-                target: Load(load.streams, load.tokens)
+                target: Load(load.streams, load.tokens, load.heads)
                 for target, load in self._own.items()
             }
 
@@ -120,8 +135,7 @@
             total = self._others.get(target)
             if total is None:
                 total = self._others[target] = Load()
-            total.streams += load.streams
-            total.tokens += load.tokens
+            total.add(load)
 
     def _subtract(self, loads: dict[ids.TargetId, Load]) -> None:
         for target, load in loads.items():
@@ -129,8 +143,7 @@
             if total is None:
                 # The report's row was zero, and zero totals are not kept.
                 continue
-            total.streams -= load.streams
-            total.tokens -= load.tokens
+            total.subtract(load)
             if not total.streams and not total.tokens:
                 del self._others[target]
 
@@ -143,6 +156,5 @@
         for part in (own, others):
             if part is None:
                 continue
-            load.streams += part.streams
-            load.tokens += part.tokens
+            load.add(part)
         return load
--- a/src/briarfall/platform/manifest.py
+++ b/src/briarfall/platform/manifest.py
@@ -93,8 +93,8 @@
 
 
 class _Engine(msgspec.Struct):
-    # Requests that one engine accepts as the head of a chain.
-    slots: _Count = 1
+    # Requests that one engine accepts as the head of a chain, if known.
+    slots: _Count | None = None
     # KV cache of one token over all layers, in bytes.
     kv_token_bytes: _Number = 1.0
     # Time of a decode step over all layers on the reference hardware, in
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -715,12 +715,12 @@
         table.reserve(["a"], 100)
         table.merge("i2", {"a": loads.Load(2, 50)})
         table.merge("i3", {"a": loads.Load(1, 25)})
-        assert table.of("a") == loads.Load(4, 175)
+        assert table.of("a") == loads.Load(4, 175, heads=1)
         table.merge("i2", {})
-        assert table.of("a") == loads.Load(2, 125)
+        assert table.of("a") == loads.Load(2, 125, heads=1)
         clock.now_s += 60
         table.expire()
-        assert table.of("a") == loads.Load(1, 100)
+        assert table.of("a") == loads.Load(1, 100, heads=1)
         table.release(["a"], 100)
         assert table.of("a") == loads.Load()
 
--- a/tests/test_odd_datagrams.py
+++ b/tests/test_odd_datagrams.py
@@ -242,6 +242,13 @@
         load = inst.loads.of(ids.TargetId("t1"))
         assert (load.streams, load.tokens) == (0, 0)
 
+    @pytest.mark.parametrize("heads", [-1, -7, 6, 10**9])
+    def test_odd_count_of_heads_counts_as_all_streams(self, world, heads):
+        inst = world.instance("i1")
+        row = peermessages.LoadRow(ids.TargetId("t1"), 5, 1000, heads)
+        inst.peer_status.apply(status(loads=[row]))
+        assert inst.loads.of(ids.TargetId("t1")).heads == 5
+
 
 class _SilentSource(sources.LeaseSource):
     """Store of a lease that must not be asked."""
