Heads: the charge is worked out only for engines with the first layer

Also a test that plain calls take back the heads that they add; seen failing (2 instead of 1) with both releases joined into one.

--- a/src/briarfall/gateway/placement/paths.py
+++ b/src/briarfall/gateway/placement/paths.py
@@ -266,9 +266,11 @@
         # the cost rises steeply towards it.
         layer_ms *= 1 + fill**4
         layer_ms *= 1 + noise * self._rng.random()
-        head_ms = headslots.charge_ms(
-            load.heads, model.slots, self._rng if noise else None
-        )
+        head_ms = 0.0
+        if entry.layers.first == 0:
+            head_ms = headslots.charge_ms(
+                load.heads, model.slots, self._rng if noise else None
+            )
         return _Candidate(row, entry.layers, layer_ms, head_ms)
 
     def _cheapest_chains(
--- a/tests/test_gateway_headslots.py
+++ b/tests/test_gateway_headslots.py
@@ -14,6 +14,7 @@
 from briarfall import ids
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
+from briarfall.gateway.forwarding import plainexchanges
 from briarfall.gateway.gossip import peermessages
 from briarfall.gateway.placement import headslots
 from briarfall.gateway.placement import paths
@@ -152,6 +153,16 @@
         table.merge(ids.InstanceId("i2"), {})
         assert table.of(target) == loads.Load(1, 10, heads=1)
 
+    def test_plain_calls_take_back_all_that_they_add(self):
+        table = filled({"a": 1})
+        row = engine("a")
+        exchange = plainexchanges.TargetExchange(
+            row, _Connection(), table, None
+        )
+        exchange.record_passing()
+        exchange.abandon()
+        assert table.of(row.id) == loads.Load(1, 1000, heads=1)
+
     def test_rows_of_earlier_and_later_builds_are_readable(self):
         row = peermessages.LoadRow(ids.TargetId("a"), 5, 50, 3)
         encoded = msgspec.msgpack.encode(row)
@@ -163,6 +174,13 @@
         assert found.heads == -1
 
 
+class _Connection:
+    """A connection that can only be closed."""
+
+    def close(self):
+        pass
+
+
 class _EarlierRow(msgspec.Struct, array_like=True, frozen=True):
     """The row of a load in builds that don't count heads."""
 
