--- a/src/briarfall/gateway/placement/placement.py
+++ b/src/briarfall/gateway/placement/placement.py
@@ -6,6 +6,7 @@
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.placement import enginecosts
+from briarfall.gateway.placement import headslots
 from briarfall.gateway.placement import layerblocks
 
 # Tokens added to the capacity of a block, so that the scarcity of a block
@@ -61,13 +62,20 @@
             )
 
     def cover(self, zone: ids.ZoneId) -> list[float]:
-        """Returns the KV capacity in tokens of a zone's engines, by block."""
+        """Returns the KV capacity in tokens of a zone's engines, by block.
+
+        That of the first block counts only as far as the slots of heads can
+        use it.
+        """
         return list(self._cover.get(zone, ()))
 
     def _add(self, engine: EngineInfo, layers: sources.LayerRange) -> None:
         capacity = enginecosts.kv_capacity(self._model, engine.kind, layers)
         cover = self._cover[engine.zone]
         for block in self._blocks.within(layers):
+            if block == 0:
+                cover[block] += headslots.usable_capacity(self._model, capacity)
+                continue
             cover[block] += capacity
 
     def assign_all(
