Link: started streams go by what live instances have reported

The demand by class counts instances that have not reported at up to twice what was reported, and for 30 s the last reports of many that went silent at once. Streams that callers already read lost the link by it at half the demand of before, as in a rollout.

--- a/src/briarfall/gateway/placement/linkadmission.py
+++ b/src/briarfall/gateway/placement/linkadmission.py
@@ -72,10 +72,13 @@
         return self._window.rates()
 
     def admitted_share(self, model: views.ModelLayout) -> float:
-        """Returns the share of cross-zone requests that the link can carry."""
+        """Returns the share of cross-zone requests that the link can carry.
+
+        Only the demand counts that live instances have reported.
+        """
         if model.inter_zone_mbps <= 0:
             return 1.0
-        total_mbps = sum(self._all_demand().values())
+        total_mbps = self.demand_mbps + self._others_mbps()
         if total_mbps <= 0:
             return 1.0
         return min(1.0, model.inter_zone_mbps * _MAX_LINK_SHARE / total_mbps)
--- a/tests/test_gateway_linkadmission.py
+++ b/tests/test_gateway_linkadmission.py
@@ -19,6 +19,7 @@
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
+from briarfall.gateway.scheduling import classes
 from briarfall.gateway.targets import loads
 from briarfall.gateway.targets import targetstate
 from briarfall.standins.prepared import testbed
@@ -113,6 +114,17 @@
         others = MODEL.inter_zone_mbps * 5
         assert not link.admits_started(MODEL)
 
+    # Instances that are new or gone count for new requests only: to cut a
+    # stream that its caller reads costs more.
+    def test_started_streams_depend_on_what_was_reported(self, clock):
+        mbps = MODEL.inter_zone_mbps
+        link = linkadmission.LinkAdmission(
+            lambda: mbps * 1.2,
+            others_by_class=lambda: {classes.DEFAULT_CLASS: mbps * 2.4},
+        )
+        assert link.class_share(MODEL, classes.DEFAULT_CLASS) < 0.5
+        assert link.admits_started(MODEL)
+
     def test_model_without_a_link_is_not_limited(self, clock):
         model = _without_link()
         link = linkadmission.LinkAdmission(lambda: 1e9)
