Stream demands: one request of many tokens does not hide the others

A request that states 10^9 tokens (a hint that nothing bounds) was the whole demand of its instance for 2 s: from a less urgent caller it ended the reserve for the urgent ones (0.000005 of the cache in place of 0.2), from an urgent one it took it from all others. A request now counts as 16 mean ones at most; its class and the room that it needs are as before.

--- a/src/briarfall/gateway/forwarding/streamdemands.py
+++ b/src/briarfall/gateway/forwarding/streamdemands.py
@@ -10,6 +10,9 @@
 
 # A request that states more tokens counts as one that states none.
 _MAX_TOKENS = 10**9
+# A request counts in the demand as this many mean ones at most. More is rarely
+# served, and a single one would hide the demand of all others.
+_MAX_COUNTED = 16
 
 
 class StreamDemands:
@@ -32,17 +35,18 @@
     def of(self, call: calls.Call) -> tuple[paths.Demand, classes.DemandClass]:
         """Returns the tokens and the class of a new stream."""
         demand = self._estimate(call)
+        model = call.service.model
+        mean_tokens = model.mean_prompt_tokens + model.mean_answer_tokens
+        counted = demand.tokens
+        if mean_tokens > 0:
+            counted = min(counted, mean_tokens * _MAX_COUNTED)
         is_excess = call.account is not None and self._accounts.record(
-            call.account.name, demand.tokens
+            call.account.name, counted
         )
-        model = call.service.model
         cls = classes.class_of(
-            call.urgency,
-            demand.tokens,
-            model.mean_prompt_tokens + model.mean_answer_tokens,
-            is_excess=is_excess,
+            call.urgency, demand.tokens, mean_tokens, is_excess=is_excess
         )
-        self._reserve.record(cls, demand.tokens)
+        self._reserve.record(cls, counted)
         return demand, cls
 
     def _estimate(self, call: calls.Call) -> paths.Demand:
--- a/tests/test_scheduling_demands.py
+++ b/tests/test_scheduling_demands.py
@@ -6,10 +6,14 @@
 import pytest
 
 from briarfall import ids
+from briarfall.gateway.forwarding import streamdemands
 from briarfall.gateway.gossip import peermessages
 from briarfall.gateway.scheduling import accountshares
 from briarfall.gateway.scheduling import classes
 from briarfall.gateway.scheduling import demands
+from briarfall.gateway.scheduling import kvreserve
+from briarfall.platform import headers
+from tests import test_gateway_streams
 
 _CLASSES = st.builds(
     classes.DemandClass, st.integers(0, 31), st.sampled_from(classes.Band)
@@ -233,3 +237,36 @@
             assert not table.record(ids.ClientId("one"), 100)
         clock.now_s += 60.0
         assert not table.record(ids.ClientId("two"), 100)
+
+
+class TestStreamDemands:
+    """What one request adds to the demand of its class."""
+
+    def stream_demands(self, reserve):
+        return streamdemands.StreamDemands(headers.HEADERS, reserve)
+
+    def call(self, clock, urgency, usage):
+        call = test_gateway_streams.a_call(clock.now_s)
+        call.urgency = urgency
+        call.req.headers.append((headers.HEADERS.token_usage, usage))
+        return call
+
+    def test_one_request_of_many_tokens_does_not_hide_the_others(self, clock):
+        reserve = kvreserve.KvReserve()
+        stream_demands = self.stream_demands(reserve)
+        for _ in range(20):
+            stream_demands.of(self.call(clock, 0, b"750,200"))
+        _, cls = stream_demands.of(self.call(clock, 9, b"1000000000,200"))
+        assert cls == classes.DemandClass(9, classes.Band.LARGE)
+        # More than half of what is kept while all demand is more urgent.
+        assert kvreserve.MAX_FILL - reserve.max_fill(cls) > 0.1
+
+    def test_no_tokens_are_bounded_if_the_mean_request_is_unknown(self, clock):
+        reserve = kvreserve.KvReserve()
+        call = self.call(clock, 0, b"750,200")
+        model = msgspec.structs.replace(
+            call.service.model, mean_prompt_tokens=0.0, mean_answer_tokens=0.0
+        )
+        call.service = msgspec.structs.replace(call.service, model=model)
+        self.stream_demands(reserve).of(call)
+        assert sum(reserve.own_demand.values()) == 375.0
