Paths: slow engines alone are no reason to use the inter-zone link

The factor on the cost of engines that are too slow for a request's pace exceeds the charge of a cross-zone hop, so that such requests took the link from those of zones that have no other way. If a chain crosses only because of the factor, one within a zone is chosen. The test was seen to fail before the change.

--- a/src/briarfall/gateway/placement/paths.py
+++ b/src/briarfall/gateway/placement/paths.py
@@ -74,6 +74,11 @@
         """The first engine, which receives the request and answers it."""
         return self.stages[0]
 
+    @property
+    def crosses(self) -> bool:
+        """Whether it has hops to another zone."""
+        return any(row.zone != self.head.zone for row in self.stages)
+
     def describe(self) -> str:
         """Returns the engines and their layers as text for logs."""
         rows = []
@@ -211,20 +216,45 @@
         span = layers or sources.LayerRange(0, model.layers)
         if noise is None:
             noise = self.usual_noise()
+        usable = [row for row in rows if row.id not in excluded]
+
+        def search(gap_s: float, *, may_cross: bool) -> Chain | None:
+            candidates = self._candidates(
+                model, usable, demand, noise, max_fill, gap_s
+            )
+            chains = self._cheapest_chains(
+                candidates, demand, span, zone, heads, may_cross=may_cross
+            )
+            return _best_chain(chains, next_zone)
+
+        chain = search(gap_s, may_cross=may_cross)
+        if not gap_s or not may_cross or chain is None or not chain.crosses:
+            return chain
+        # Slow engines are no reason to use the link, which others need.
+        usual = search(0.0, may_cross=True)
+        if usual is None or usual.crosses:
+            return chain
+        return search(gap_s, may_cross=False) or chain
+
+    def _candidates(
+        self,
+        model: views.ModelLayout,
+        rows: list[targetstate.Target],
+        demand: Demand,
+        noise: float,
+        max_fill: float,
+        gap_s: float,
+    ) -> list[_Candidate]:
+        """Returns the engines that can be used, with their costs."""
         candidates = []
         capacities: dict[tuple[str, int], float] = {}
         for row in rows:
-            if row.id in excluded:
-                continue
             candidate = self._candidate(
                 model, row, demand, noise, capacities, max_fill, gap_s
             )
             if candidate is not None:
                 candidates.append(candidate)
-        chains = self._cheapest_chains(
-            candidates, demand, span, zone, heads, may_cross=may_cross
-        )
-        return _best_chain(chains, next_zone)
+        return candidates
 
     def _candidate(
         self,
--- a/tests/test_scheduling_waiting.py
+++ b/tests/test_scheduling_waiting.py
@@ -553,3 +553,46 @@
         assert not enginecosts.is_overloaded(
             MODEL, "large", self.load_at(50), 500, 1e-6
         )
+
+    # The link has room for few requests, and those of a zone without some
+    # layers have no other way.
+    def test_slow_engine_of_the_zone_goes_before_one_over_the_link(self, clock):
+        table = loads.LoadTable()
+        rows = []
+        for name, zone, first, end in (
+            ("a", "z1", 0, 15),
+            ("b", "z1", 15, 30),
+            ("c", "z2", 15, 30),
+        ):
+            entry = sources.TargetEntry(
+                id=ids.TargetId(name),
+                service=views.ServiceName("pool"),
+                address=f"{name}:1",
+                zone=ids.ZoneId(zone),
+                state=sources.TargetState.READY,
+                kind="large",
+                layers=sources.LayerRange(first, end),
+            )
+            rows.append(targetstate.Target(entry, 0.0))
+        slow = {ids.TargetId("b"): loads.Load(40, 100)}
+        table.merge(ids.InstanceId("other"), slow, 1000.0)
+        alone_ms, more_ms = (
+            enginecosts.step_time_ms(MODEL, "large", 30, load)
+            for load in (loads.Load(1, 2_000), loads.Load(41, 2_100))
+        )
+        gap_s = (alone_ms + more_ms) / 2 / 0.8 / 1000
+        finder = paths.ChainFinder(table, ids.ZoneId("z1"), random.Random(1))
+        demand = paths.Demand(1_000, 1_000)
+        for gap in (0.0, gap_s):
+            chain = finder.find(MODEL, rows, demand, gap_s=gap, noise=0.0)
+            assert chain.target_ids() == ["a", "b"]
+        # The zone has no other way, so that the link is used.
+        chain = finder.find(
+            MODEL,
+            rows,
+            demand,
+            frozenset([ids.TargetId("b")]),
+            gap_s=gap_s,
+            noise=0.0,
+        )
+        assert chain.target_ids() == ["a", "c"]
