--- a/tests/test_gateway_closedanswers.py
+++ b/tests/test_gateway_closedanswers.py
@@ -212,6 +212,30 @@
         assert len(engine.ran) == 1
 
 
+class TestCompleteStreamsThatEndTogether:
+    # Guards against an end of each that counts as evidence against the others,
+    # and against evidence that they would have to share.
+    @pytest.mark.parametrize("count", [2, 3])
+    def test_are_whole_after_one_run_each(self, world, net, count):
+        pool = silence.Pool(world, 1, resumable=False, dialer=net)
+        (engine,) = pool.engines
+        engine.answers_without_length = True
+        callers = []
+        for number in range(count):
+            callers.append(silence.draft(pool.inst, request_id=f"r{number}"))
+            testbed.until(
+                lambda number=number: len(engine.ran) == number + 1, "it runs"
+            )
+        assert pool.reached.wait(testbed.WAIT_S)
+        net.cut(network.Cut.REFUSE_NEW, pool.engines)
+        pool.release()
+        for caller in callers:
+            answer = caller.finish()
+            assert (answer.status, answer.error) == (200, None)
+            assert testbed.event_ids(answer.body) == silence.EVENTS
+        assert len(engine.ran) == count
+
+
 class TestStreamCutByACrash:
     """The engine's connections end together, and it refuses new ones."""
 
