--- a/src/briarfall/gateway/callers/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -116,6 +116,23 @@
         return views.CallerLimits() if view is None else view.limits
 
     def _wait_for_request(self, conn: callers.CallerConnection) -> bool:
+        """Returns whether a request begins to arrive.
+
+        A connection without any request so far may have to make room.
+        """
+        if conn.status:
+            return self._wait_readable(conn, None)
+        unused = self._bodies.open()
+        try:
+            return self._wait_readable(conn, unused)
+        finally:
+            unused.release()
+
+    def _wait_readable(
+        self,
+        conn: callers.CallerConnection,
+        unused: bodybudget.HeldBody | None,
+    ) -> bool:
         waited_s = 0.0
         while waited_s < conn.limits.idle_timeout_s:
             if conn.wait_readable(_IDLE_POLL_S):
@@ -125,6 +142,9 @@
             waited_s += _IDLE_POLL_S
             if self._stop.closes_connections:
                 return False
+            if unused is not None and unused.is_refused:
+                logging.info("connection without a request makes room")
+                return False
         return False
 
     def _serve_request(self, conn: callers.CallerConnection) -> bool:
--- a/src/briarfall/gateway/calls/bodyreading.py
+++ b/src/briarfall/gateway/calls/bodyreading.py
@@ -9,14 +9,19 @@
 from briarfall.gateway.exchanges import inputbounds
 from briarfall.gateway.exchanges import pacing
 
-# Share of one processor for all bodies in small chunks together.
-_SHARE = 0.25
+# Share of one processor for the only body in small chunks, and for several
+# together.
+_SINGLE_SHARE = 0.5
+_COMMON_SHARE = 0.1
 # Bytes of small pieces from which they are added to the budget.
 _ADDED_BYTES = 4096
 # Small chunks that are read in one turn.
 _TURN_PIECES = 64
 
-_PACER = pacing.Pacer(_SHARE)
+_SINGLE_PACER = pacing.Pacer(_SINGLE_SHARE)
+_COMMON_PACER = pacing.Pacer(_COMMON_SHARE)
+# The readers of all bodies in small chunks.
+_paced: set["BodyReader"] = set()
 
 
 class BodyReader:
@@ -65,9 +70,15 @@
             return
         self._turn_pieces = 0
         used_s = pacing.cpu_s() - self._turn_cpu_s
-        _PACER.await_turn(used_s, deadline_s)
+        _paced.add(self)
+        pacer = _SINGLE_PACER if len(_paced) == 1 else _COMMON_PACER
+        pacer.await_turn(used_s, deadline_s)
         self._held.check()
 
+    def close(self) -> None:
+        """Ends the reading."""
+        _paced.discard(self)
+
     def flush(self) -> None:
         """Adds the pieces that were not added yet.
 
--- a/src/briarfall/gateway/calls/callers.py
+++ b/src/briarfall/gateway/calls/callers.py
@@ -1,5 +1,6 @@
 """HTTP connection to one caller."""
 
+import contextlib
 import select
 import socket
 import struct
@@ -145,20 +146,21 @@
         self._is_response_due = True
         self.head_headers = None
         self._body = self._budget.open()
+        reader = bodyreading.BodyReader(self._body, self.limits.max_body_bytes)
         try:
-            return self._read_message(self._body)
+            with contextlib.closing(reader):
+                return self._read_message(self._body, reader)
         except exceptions.BodyMemoryError as exc:
             raise MessageRefusedError(
                 503, exc.message, _REFUSED_RETRY_S
             ) from exc
 
     def _read_message(
-        self, held: bodybudget.HeldBody
+        self, held: bodybudget.HeldBody, body: bodyreading.BodyReader
     ) -> messages.CallerRequest | None:
         received_s = clocks.boot_s()
         deadline_s = received_s + self.limits.header_timeout_s
         head = None
-        body = bodyreading.BodyReader(held, self.limits.max_body_bytes)
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -131,11 +131,15 @@
         scene: testbed.World,
         folder: pathlib.Path,
         max_fds: int = MAX_FDS,
+        *,
+        ram_mb: int = RAM_MB,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        idle_timeout_ms: int = _IDLE_TIMEOUT_MS,
     ):
         scene.service("s1")
         manifest = testbed.manifest(2)
-        manifest["limits"]["max_body_bytes"] = MAX_BODY_BYTES
-        manifest["limits"]["idle_timeout_ms"] = _IDLE_TIMEOUT_MS
+        manifest["limits"]["max_body_bytes"] = max_body_bytes
+        manifest["limits"]["idle_timeout_ms"] = idle_timeout_ms
         scene.publish(manifest)
         self._max_sockets = max_fds - _FILE_FDS
         self._row = processes.GatewayProcess(
@@ -143,7 +147,7 @@
             "z1",
             scene.store.address,
             folder,
-            {"ram_mb": RAM_MB, "max_fds": max_fds},
+            {"ram_mb": ram_mb, "max_fds": max_fds},
         )
         self._row.start()
         self.order("warm-up")
@@ -162,13 +166,16 @@
         seen = None
         while time.monotonic() < until_s:
             tries += 1
-            seen = self._try_order(f"{name}-{tries}", body)
+            seen = self.try_request("POST", "orders", f"{name}-{tries}", body)
             if seen == 200:
                 return
             time.sleep(0.1)
         raise AssertionError(f"{name}: no answer, the last was {seen}")
 
-    def _try_order(self, request_id: str, body: bytes) -> int | None:
+    def try_request(
+        self, method: str, route: str, request_id: str, body: bytes = b""
+    ) -> int | None:
+        """Sends one request; returns its status, or None without one."""
         conn = strictheads.StrictConnection(*self.address, timeout=HANG_S)
         headers = {
             "Host": testbed.HOST,
@@ -176,7 +183,7 @@
             "X-Request-Id": request_id,
         }
         try:
-            conn.request("POST", "/orders/x", body=body, headers=headers)
+            conn.request(method, f"/{route}/x", body=body, headers=headers)
             answer = conn.getresponse()
             answer.read()
             return answer.status
--- a/tests/crowds/test_crowd_bodies.py
+++ b/tests/crowds/test_crowd_bodies.py
@@ -118,6 +118,31 @@
         press(lambda: [crowd.announced(200), b"a" * 100], self._CLIENTS)
         gateway.check()
 
+    def test_connections_that_send_nothing(self, gateway, press):
+        press(lambda: [], self._CLIENTS)
+        gateway.check()
+
+
+class TestLargestOrders:
+    """Complete orders of nearly the largest size, at a usual machine."""
+
+    _RAM_MB = 222
+    _CLIENTS = 23
+
+    @pytest.fixture
+    def gateway(self, world, tmp_path):
+        row = crowd.Gateway(
+            world, tmp_path, ram_mb=self._RAM_MB, max_body_bytes=4_194_304
+        )
+        yield row
+        row.close()
+
+    def test_many_at_once(self, gateway, press):
+        order = [crowd.announced(4_194_000), b"a" * 4_194_000]
+        press(lambda: order, self._CLIENTS)
+        gateway.order("ordinary")
+        assert gateway.peak_kb() * 1024 < 0.8 * self._RAM_MB * 1_000_000
+
 
 class TestRequestInsideTheLimits:
     """In calm, a single one is served, however it is sent."""
