Paths: chains and the search over cut points in modules of their own

Change: the plain data Stage, Chain and Demand in chains.py, the dynamic programming over cut points in cheapestchain.py; paths.py keeps the engines' costs and the choice. No change of behaviour; tests follow only in their imports and names.

--- a/src/briarfall/bench/pathchoices.py
+++ b/src/briarfall/bench/pathchoices.py
@@ -16,6 +16,7 @@
 from briarfall.bench import placements
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
+from briarfall.gateway.placement import chains
 from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import paths
 from briarfall.gateway.placement import placement
@@ -24,7 +25,7 @@
 
 _SERVICE = views.ServiceName("pool")
 _GOSSIP_INTERVAL_S = 0.25
-_DEMAND = paths.Demand(750, 200)
+_DEMAND = chains.Demand(750, 200)
 _HOP_MS = 0.3
 _CROSS_ZONE_HOP_MS = 0.75
 _TOKENS_PER_EVENT = 5
@@ -65,7 +66,7 @@
     @abc.abstractmethod
     def choose(
         self, model: views.ModelLayout, targets: list[targetstate.Target]
-    ) -> paths.Chain | None:
+    ) -> chains.Chain | None:
         """Returns a chain, or None if it knows none with free capacity."""
 
 
@@ -112,10 +113,10 @@
             entry = self._rng.choice(same_zone or holders).entry
             layers = sources.LayerRange(next_layer, entry.layers.end)
             stages.append(
-                paths.Stage(entry.id, entry.address, entry.zone, layers)
+                chains.Stage(entry.id, entry.address, entry.zone, layers)
             )
             next_layer = entry.layers.end
-        return paths.Chain(tuple(stages), 0.0)
+        return chains.Chain(tuple(stages), 0.0)
 
 
 CHOOSERS: dict[str, type[Chooser]] = {
@@ -144,7 +145,7 @@
             )
         self._loads = {target.id: loads.Load() for target in self.targets}
 
-    def start_stream(self, chain: paths.Chain) -> bool:
+    def start_stream(self, chain: chains.Chain) -> bool:
         """Starts a stream, unless an engine has too little KV capacity."""
         for stage in chain.stages:
             used = self._loads[stage.target].tokens + _DEMAND.tokens
@@ -153,17 +154,17 @@
         self._add_load(chain, 1)
         return True
 
-    def end_stream(self, chain: paths.Chain) -> None:
+    def end_stream(self, chain: chains.Chain) -> None:
         """Ends a stream and releases its load."""
         self._add_load(chain, -1)
 
-    def _add_load(self, chain: paths.Chain, sign: int) -> None:
+    def _add_load(self, chain: chains.Chain, sign: int) -> None:
         for stage in chain.stages:
             load = self._loads[stage.target]
             load.streams += sign
             load.tokens += sign * _DEMAND.tokens
 
-    def token_ms(self, chain: paths.Chain, zone: ids.ZoneId) -> float:
+    def token_ms(self, chain: chains.Chain, zone: ids.ZoneId) -> float:
         """Returns the time of a token under the actual load."""
         total = 0.0
         for stage in chain.stages:
@@ -177,7 +178,7 @@
         return total + _CROSS_ZONE_HOP_MS * count_cross_zone_hops(chain, zone)
 
 
-def count_cross_zone_hops(chain: paths.Chain, zone: ids.ZoneId) -> int:
+def count_cross_zone_hops(chain: chains.Chain, zone: ids.ZoneId) -> int:
     """Returns the cross-zone hops of a chain, from an instance's zone on."""
     count = 0
     for stage in chain.stages:
@@ -211,7 +212,7 @@
         ]
         self._sequence = itertools.count()
         # Time of the end, a number that breaks ties, instance and chain.
-        self._ends: list[tuple[float, int, int, paths.Chain]] = []
+        self._ends: list[tuple[float, int, int, chains.Chain]] = []
         self._streams = 0
         self._refused = 0
         self._cross_zone_hops = 0
@@ -248,7 +249,7 @@
             self._fleet.end_stream(chain)
 
     def _start_stream(
-        self, number: int, chain: paths.Chain | None, now_s: float
+        self, number: int, chain: chains.Chain | None, now_s: float
     ) -> None:
         self._streams += 1
         if chain is None or not self._fleet.start_stream(chain):
--- a/src/briarfall/bench/room.py
+++ b/src/briarfall/bench/room.py
@@ -25,6 +25,7 @@
 from briarfall.gateway.forwarding import chainsearch
 from briarfall.gateway.forwarding import roomreports
 from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import chains
 from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
@@ -185,7 +186,7 @@
         )
         cls = classes.DemandClass(urgency, classes.Band.USUAL)
         self._reserve.record(cls, self._tokens)
-        demand = paths.Demand(self._tokens - 200, 200)
+        demand = chains.Demand(self._tokens - 200, 200)
         return streamstate.Stream(call, demand, demand_class=cls)
 
     def _row(self, urgency: int) -> RoomRow:
--- a/src/briarfall/gateway/forwarding/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -10,6 +10,7 @@
 from briarfall.gateway.forwarding import roomreports
 from briarfall.gateway.forwarding import roomwaits
 from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import chains
 from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
@@ -64,7 +65,7 @@
         self._finder = finder
         self._rng = rng
 
-    def wait_for_chain(self, stream: streamstate.Stream) -> paths.Chain:
+    def wait_for_chain(self, stream: streamstate.Stream) -> chains.Chain:
         """Returns a chain with free KV capacity, after a short wait if needed.
 
         Raises:
@@ -91,7 +92,7 @@
         self,
         stream: streamstate.Stream,
         wait: roomwaits.RoomWait,
-    ) -> paths.Chain:
+    ) -> chains.Chain:
         """Returns a chain once one has room for a request that may look.
 
         Raises:
@@ -122,7 +123,7 @@
         stream: streamstate.Stream,
         wait: roomwaits.RoomWait,
         rows: list[targetstate.Target],
-    ) -> paths.Chain | None:
+    ) -> chains.Chain | None:
         """Returns a chain with room now, or None if the request may wait.
 
         Raises:
@@ -192,7 +193,7 @@
         self,
         stream: streamstate.Stream,
         head: ids.TargetId | None = None,
-    ) -> paths.Chain | None:
+    ) -> chains.Chain | None:
         """Returns a chain to which a stream could move now, or None.
 
         Args:
@@ -284,7 +285,7 @@
         *,
         may_cross: bool,
         max_fill: float | None = None,
-    ) -> paths.Chain | None:
+    ) -> chains.Chain | None:
         if max_fill is None:
             max_fill = self._max_fill(stream)
         return self._finder.find(
@@ -306,9 +307,9 @@
         stream: streamstate.Stream,
         rows: list[targetstate.Target],
         heads: frozenset[ids.TargetId] | None,
-        chain: paths.Chain,
+        chain: chains.Chain,
         wait: roomwaits.RoomWait,
-    ) -> paths.Chain | None:
+    ) -> chains.Chain | None:
         """Returns the chain if the inter-zone link admits it.
 
         Otherwise returns a chain within one zone, or None if there is none and
--- a/src/briarfall/gateway/forwarding/rerouting.py
+++ b/src/briarfall/gateway/forwarding/rerouting.py
@@ -13,6 +13,7 @@
 from briarfall.gateway.forwarding import dispatchgate
 from briarfall.gateway.forwarding import streamprogress
 from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import chains
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
 from briarfall.gateway.targets import linkmonitor
@@ -85,7 +86,7 @@
             dialer, links.record_unanswered
         )
 
-    def record_progress(self, chain: paths.Chain, now_s: float) -> None:
+    def record_progress(self, chain: chains.Chain, now_s: float) -> None:
         """Records an event that all engines of a chain contributed to."""
         self._activity.record()
         self._progress.record(chain, now_s)
@@ -95,7 +96,7 @@
                 target.last_active_s = now_s
 
     def clear_suspicion(
-        self, stream: streamstate.Stream, chain: paths.Chain
+        self, stream: streamstate.Stream, chain: chains.Chain
     ) -> None:
         """Uses engines again that were silent and have gone on."""
         for target_id in stream.excluded.intersection(chain.target_ids()):
@@ -155,7 +156,7 @@
         self,
         stream: streamstate.Stream,
         run: streamstate.ChainRun,
-        failed: paths.Stage,
+        failed: chains.Stage,
         reachability: liveness.Reachability,
     ) -> None:
         """Suspends a run if another chain can take the stream.
@@ -201,7 +202,7 @@
     def _record_interruption(
         self,
         stream: streamstate.Stream,
-        failed: paths.Stage,
+        failed: chains.Stage,
         reachability: liveness.Reachability,
     ) -> None:
         if not stream.is_proven:
@@ -215,7 +216,7 @@
 
     def _find_failed_stages(
         self, stream: streamstate.Stream, run: streamstate.ChainRun
-    ) -> dict[paths.Stage, liveness.Reachability]:
+    ) -> dict[chains.Stage, liveness.Reachability]:
         """Returns the failed stages of a stalled stream."""
         stalled_ms = (clocks.boot_s() - stream.last_event_s) * 1000
         suspects = self._progress.without_progress_since(
@@ -249,8 +250,8 @@
         return failed
 
     def _known_failed(
-        self, suspects: list[paths.Stage], last_event_s: float
-    ) -> dict[paths.Stage, liveness.Reachability]:
+        self, suspects: list[chains.Stage], last_event_s: float
+    ) -> dict[chains.Stage, liveness.Reachability]:
         """Returns suspects that failed other requests since the last event.
 
         An engine that has left the list may still go on: it is checked like
@@ -265,7 +266,7 @@
 
     def _query_head(
         self, stream: streamstate.Stream, run: streamstate.ChainRun
-    ) -> dict[paths.Stage, liveness.Reachability]:
+    ) -> dict[chains.Stage, liveness.Reachability]:
         """Returns the stage that the head reports as stalled.
 
         If the head does not answer, the head itself is returned. A head that
@@ -348,7 +349,7 @@
         self,
         stream: streamstate.Stream,
         run: streamstate.ChainRun,
-        chain: paths.Chain,
+        chain: chains.Chain,
     ) -> None:
         tokens = stream.demand.tokens
         self._loads.reserve(chain.target_ids(), tokens)
@@ -364,8 +365,8 @@
         run.next_check_s = clocks.boot_s() + stream.stall_timeout_s * 2
 
     def _replacement_chain(
-        self, stream: streamstate.Stream, chain: paths.Chain
-    ) -> paths.Chain | None:
+        self, stream: streamstate.Stream, chain: chains.Chain
+    ) -> chains.Chain | None:
         """Returns the chain with its failed stages replaced by other engines.
 
         Returns:
@@ -402,4 +403,4 @@
                 return None
             stages.extend(replacement.stages)
             used.update(replacement.target_ids())
-        return paths.Chain(tuple(stages), chain.cost_ms)
+        return chains.Chain(tuple(stages), chain.cost_ms)
--- a/src/briarfall/gateway/forwarding/runfollowing.py
+++ b/src/briarfall/gateway/forwarding/runfollowing.py
@@ -16,7 +16,7 @@
 from briarfall.gateway.forwarding import rerouting
 from briarfall.gateway.forwarding import streamresponses
 from briarfall.gateway.forwarding import streamstate
-from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import chains
 from briarfall.gateway.targets import linkmonitor
 from briarfall.gateway.targets import loads
 from briarfall.gateway.targets import targets
@@ -182,7 +182,7 @@
         self,
         stream: streamstate.Stream,
         target: sources.TargetEntry,
-        chain: paths.Chain,
+        chain: chains.Chain,
     ) -> messages.Headers:
         stages = [(stage.address, stage.layers) for stage in chain.stages]
         extra = [(self._names.chain, self._engines.chain_header(stages))]
--- a/src/briarfall/gateway/forwarding/streamdemands.py
+++ b/src/briarfall/gateway/forwarding/streamdemands.py
@@ -3,7 +3,7 @@
 from briarfall import decoding
 from briarfall.gateway.calls import calls
 from briarfall.gateway.exchanges import headernames
-from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import chains
 from briarfall.gateway.scheduling import accountshares
 from briarfall.gateway.scheduling import classes
 from briarfall.gateway.scheduling import kvreserve
@@ -32,7 +32,7 @@
         self._reserve = reserve
         self._accounts = accountshares.AccountShares()
 
-    def of(self, call: calls.Call) -> tuple[paths.Demand, classes.DemandClass]:
+    def of(self, call: calls.Call) -> tuple[chains.Demand, classes.DemandClass]:
         """Returns the tokens and the class of a new stream."""
         demand = self._estimate(call)
         model = call.service.model
@@ -49,7 +49,7 @@
         self._reserve.record(cls, counted)
         return demand, cls
 
-    def _estimate(self, call: calls.Call) -> paths.Demand:
+    def _estimate(self, call: calls.Call) -> chains.Demand:
         model = call.service.model
         prompt = model.mean_prompt_tokens
         answer = model.mean_answer_tokens
@@ -64,7 +64,7 @@
         hint = call.req.header(self._names.length_hint)
         if hint is not None:
             answer = _parse_tokens(hint, answer)
-        return paths.Demand(int(prompt), int(answer), is_prompt_stated)
+        return chains.Demand(int(prompt), int(answer), is_prompt_stated)
 
 
 def _parse_tokens(text: bytes, default: float) -> float:
--- a/src/briarfall/gateway/forwarding/streamfailures.py
+++ b/src/briarfall/gateway/forwarding/streamfailures.py
@@ -11,7 +11,7 @@
 from briarfall.gateway.exchanges import targetconnection
 from briarfall.gateway.forwarding import rerouting
 from briarfall.gateway.forwarding import streamstate
-from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import chains
 from briarfall.gateway.targets import linkmonitor
 from briarfall.gateway.targets import liveness
 from briarfall.gateway.targets import targets
@@ -59,7 +59,7 @@
     def handle_refusal(
         self,
         stream: streamstate.Stream,
-        chain: paths.Chain,
+        chain: chains.Chain,
         exc: calls.RefusedByTargetError,
     ) -> None:
         """Avoids the engine that a refusal names, or else the head.
@@ -105,7 +105,7 @@
             else streamstate.OUT_OF_MEMORY_BLOCK_S,
         )
 
-    def _is_dead(self, target: targetstate.Target, head: paths.Stage) -> bool:
+    def _is_dead(self, target: targetstate.Target, head: chains.Stage) -> bool:
         """Whether an engine accepts no connection though the head does.
 
         A refusal may name an engine that is short of memory or one that has
@@ -124,7 +124,7 @@
     def handle_broken_head(
         self,
         stream: streamstate.Stream,
-        head: paths.Stage,
+        head: chains.Stage,
         exc: targetconnection.BrokenExchangeError,
     ) -> None:
         """Distinguishes an ended head from a lost response or connection."""
--- a/src/briarfall/gateway/forwarding/streamprogress.py
+++ b/src/briarfall/gateway/forwarding/streamprogress.py
@@ -6,7 +6,7 @@
 from briarfall import ids
 from briarfall.gateway import clocks
 from briarfall.gateway.exchanges import dialing
-from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import chains
 from briarfall.gateway.targets import liveness
 
 # An engine that accepted a connection within this time is not probed again:
@@ -43,15 +43,15 @@
         # When each engine last accepted a connection.
         self._last_connected_s: dict[ids.TargetId, float] = {}
 
-    def record(self, chain: paths.Chain, now_s: float) -> None:
+    def record(self, chain: chains.Chain, now_s: float) -> None:
         """Records an event that all engines of a chain contributed to."""
         with self._lock:
             for stage in chain.stages:
                 self._last_progress_s[stage.target] = now_s
 
     def without_progress_since(
-        self, chain: paths.Chain, event_s: float
-    ) -> list[paths.Stage]:
+        self, chain: chains.Chain, event_s: float
+    ) -> list[chains.Stage]:
         """Returns the engines without progress in any stream since an event."""
         connected_since_s = clocks.boot_s() - _CONNECT_VALID_S
         with self._lock:
@@ -68,8 +68,8 @@
             return stalled
 
     def find_dead(
-        self, chain: paths.Chain, suspects: list[paths.Stage]
-    ) -> dict[paths.Stage, liveness.Reachability]:
+        self, chain: chains.Chain, suspects: list[chains.Stage]
+    ) -> dict[chains.Stage, liveness.Reachability]:
         """Returns suspects that accept no connection though others do.
 
         Suspects that accept are not suspected again for a while, so that
--- a/src/briarfall/gateway/forwarding/streams.py
+++ b/src/briarfall/gateway/forwarding/streams.py
@@ -25,6 +25,7 @@
 from briarfall.gateway.forwarding import streamdemands
 from briarfall.gateway.forwarding import streamfailures
 from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import chains
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
 from briarfall.gateway.ratelimits import permits
@@ -289,7 +290,7 @@
                     raise stream.abandon_error(exc.message) from exc
                 raise
 
-    def _choose_chain(self, stream: streamstate.Stream) -> paths.Chain | None:
+    def _choose_chain(self, stream: streamstate.Stream) -> chains.Chain | None:
         """Returns the next chain; None if a suspended run has to go on."""
         if not stream.suspended:
             return self._search.wait_for_chain(stream)
@@ -301,7 +302,7 @@
     def _handle_break(
         self,
         stream: streamstate.Stream,
-        chain: paths.Chain,
+        chain: chains.Chain,
         exc: exceptions.BriarfallError,
     ) -> None:
         """Records a broken run; raises if the stream may not be retried."""
@@ -329,7 +330,7 @@
     def _start_run(
         self,
         stream: streamstate.Stream,
-        chain: paths.Chain,
+        chain: chains.Chain,
         target: targetstate.Target,
     ) -> streamstate.ChainRun:
         """Connects to the head of a chain, to send a stream there.
--- a/src/briarfall/gateway/forwarding/streamstate.py
+++ b/src/briarfall/gateway/forwarding/streamstate.py
@@ -12,7 +12,7 @@
 from briarfall.gateway.exchanges import targetconnection
 from briarfall.gateway.forwarding import closedanswers
 from briarfall.gateway.forwarding import plainexchanges
-from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import chains
 from briarfall.gateway.scheduling import classes
 from briarfall.gateway.targets import targetstate
 
@@ -66,7 +66,7 @@
     """
 
     call: calls.Call
-    demand: paths.Demand
+    demand: chains.Demand
     sequence: events.EventSequence = msgspec.field(
         default_factory=events.EventSequence
     )
@@ -283,7 +283,7 @@
         next_check_s: Time on the boot clock of the next liveness check.
     """
 
-    chain: paths.Chain
+    chain: chains.Chain
     target: targetstate.Target
     conn: targetconnection.TargetConnection
     sent_s: float | None = None
--- a/src/briarfall/gateway/placement/linkadmission.py
+++ b/src/briarfall/gateway/placement/linkadmission.py
@@ -12,7 +12,7 @@
 import threading
 
 from briarfall.gateway.catalogue import views
-from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import chains
 from briarfall.gateway.scheduling import classes
 from briarfall.gateway.scheduling import demands
 from briarfall.gateway.scheduling import shares
@@ -155,7 +155,7 @@
 
 
 def count_cross_zone_hops(
-    chain: paths.Chain, before: paths.Chain | None = None
+    chain: chains.Chain, before: chains.Chain | None = None
 ) -> int:
     """Returns the number of a chain's hops between two zones.
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -29,6 +29,7 @@
 from briarfall.gateway.gossip import peermessages
 from briarfall.gateway.gossip import targetfollower
 from briarfall.gateway.peers import peers
+from briarfall.gateway.placement import chains
 from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import leasing
 from briarfall.gateway.placement import paths
@@ -130,7 +131,7 @@
                     f"e{number}", zone=zone, kind=kind, layers=(block * 8, end)
                 )
             )
-        chain = self.finder().find(MODEL, engines, paths.Demand(700, 200))
+        chain = self.finder().find(MODEL, engines, chains.Demand(700, 200))
         if chain is None:
             return
         edge = 0
@@ -162,7 +163,7 @@
             for _ in range(streams):
                 table.reserve([ids.TargetId(name)], 50)
         finder = self.finder(table)
-        demand = paths.Demand(700, 200)
+        demand = chains.Demand(700, 200)
         chain = finder.find(MODEL, engines, demand, noise=0.0)
         alone = [
             finder.find(MODEL, [*some], demand, noise=0.0)
@@ -185,7 +186,7 @@
         chain = self.finder(table).find(
             MODEL,
             engines,
-            paths.Demand(700, 200),
+            chains.Demand(700, 200),
             layers=sources.LayerRange(0, 24),
             noise=0.0,
         )
@@ -222,7 +223,7 @@
                 loads.LoadTable(), ids.ZoneId("z1"), random.Random(seed)
             )
             chain = finder.find(
-                MODEL, engines, paths.Demand(700, 200), noise=paths.NOISE
+                MODEL, engines, chains.Demand(700, 200), noise=paths.NOISE
             )
             assert {part.zone for part in chain.stages} == {"z1"}
 
@@ -246,7 +247,7 @@
                     table, ids.ZoneId("z1"), random.Random(seed)
                 )
                 clock.now_s += age_s
-                chain = finder.find(MODEL, engines, paths.Demand(700, 200))
+                chain = finder.find(MODEL, engines, chains.Demand(700, 200))
                 count += chain.head.target.startswith("busy")
             return count
 
@@ -255,7 +256,7 @@
 
     def test_chain_leaves_its_zone_once_for_an_uncovered_layer(self):
         engines = [row for row in self.mixed_zones() if row.id != "z1-4"]
-        chain = self.finder().find(MODEL, engines, paths.Demand(700, 200))
+        chain = self.finder().find(MODEL, engines, chains.Demand(700, 200))
         zones = [part.zone for part in chain.stages]
         hops = 0
         for before, after in zip(zones, zones[1:], strict=False):
@@ -270,7 +271,7 @@
             if row.id not in ("z1-4", "z2-9")
         ]
         chain = self.finder().find(
-            MODEL, engines, paths.Demand(700, 200), noise=paths.NOISE
+            MODEL, engines, chains.Demand(700, 200), noise=paths.NOISE
         )
         zones = [part.zone for part in chain.stages]
         assert zones == sorted(zones, reverse=True)
@@ -280,7 +281,7 @@
             row for row in self.mixed_zones(fast_blocks=()) if row.id != "z1-4"
         ]
         chain = self.finder().find(
-            MODEL, engines, paths.Demand(700, 200), noise=paths.NOISE
+            MODEL, engines, chains.Demand(700, 200), noise=paths.NOISE
         )
         assert {part.zone for part in chain.stages} == {"z2"}
 
@@ -292,7 +293,7 @@
         middle = self.finder().find(
             MODEL,
             engines,
-            paths.Demand(700, 200),
+            chains.Demand(700, 200),
             layers=sources.LayerRange(8, 16),
             zone=ids.ZoneId("z2"),
             next_zone=ids.ZoneId("z1"),
@@ -302,7 +303,7 @@
         middle = self.finder().find(
             MODEL,
             engines,
-            paths.Demand(700, 200),
+            chains.Demand(700, 200),
             layers=sources.LayerRange(8, 16),
             zone=ids.ZoneId("z1"),
             next_zone=ids.ZoneId("z1"),
@@ -319,12 +320,12 @@
                     target(f"{name}-{block}", layers=(block * 8, block * 8 + 8))
                 )
         table.reserve([ids.TargetId("full-3")], 40_000)
-        chain = self.finder(table).find(MODEL, engines, paths.Demand(700, 200))
+        chain = self.finder(table).find(MODEL, engines, chains.Demand(700, 200))
         assert "full-3" not in chain.target_ids()
 
     def test_no_chain_if_a_layer_is_uncovered(self):
         engines = [target("a", kind="a100", layers=(0, 24))]
-        chain = self.finder().find(MODEL, engines, paths.Demand(700, 200))
+        chain = self.finder().find(MODEL, engines, chains.Demand(700, 200))
         assert chain is None
 
     def test_many_instances_spread_over_equal_engines(self):
@@ -339,7 +340,7 @@
             finder = paths.ChainFinder(
                 loads.LoadTable(), ids.ZoneId("z1"), random.Random(seed)
             )
-            chain = finder.find(MODEL, engines, paths.Demand(700, 200))
+            chain = finder.find(MODEL, engines, chains.Demand(700, 200))
             head = chain.head.target
             counts[head] = counts.get(head, 0) + 1
         assert len(counts) == 4
@@ -354,7 +355,7 @@
         chain = self.finder().find(
             MODEL,
             engines,
-            paths.Demand(700, 200),
+            chains.Demand(700, 200),
             frozenset([ids.TargetId("a")]),
             layers=sources.LayerRange(8, 24),
         )
@@ -731,15 +732,15 @@
         rows = []
         for name, first in (("a", 0), ("b", 8), ("c", 16)):
             rows.append(
-                paths.Stage(
+                chains.Stage(
                     name,
                     "10.0.0.1:1",
                     "z",
                     sources.LayerRange(first, first + 8),
                 )
             )
-        mine = paths.Chain(tuple(rows), 0.0)
-        other = paths.Chain(tuple(rows[:2]), 0.0)
+        mine = chains.Chain(tuple(rows), 0.0)
+        other = chains.Chain(tuple(rows[:2]), 0.0)
         progress.record(mine, 10.0)
         progress.record(other, 10.1)
         suspects = progress.without_progress_since(mine, 10.0)
@@ -751,8 +752,8 @@
         rows = []
         for name, first in (("a", 0), ("b", 8)):
             layers = sources.LayerRange(first, first + 8)
-            rows.append(paths.Stage(name, f"10.0.0.{first}:1", "z", layers))
-        chain = paths.Chain(tuple(rows), 0.0)
+            rows.append(chains.Stage(name, f"10.0.0.{first}:1", "z", layers))
+        chain = chains.Chain(tuple(rows), 0.0)
         monkeypatch.setattr(
             liveness,
             "probe_all",
@@ -827,19 +828,19 @@
         rows = []
         for number, sock in enumerate((listener, unresponsive)):
             rows.append(
-                paths.Stage(
+                chains.Stage(
                     f"e{number}",
                     "{}:{}".format(*sock.getsockname()),
                     "z",
                     sources.LayerRange(number * 8, number * 8 + 8),
                 )
             )
-        chain = paths.Chain(tuple(rows), 0.0)
+        chain = chains.Chain(tuple(rows), 0.0)
         progress = streamprogress.ProgressTable()
         dead = {rows[1]: liveness.Reachability.UNRESPONSIVE}
         assert progress.find_dead(chain, rows[1:]) == dead
         assert progress.find_dead(chain, rows) == dead
-        assert progress.find_dead(paths.Chain((rows[0],), 0.0), rows[:1]) == {}
+        assert progress.find_dead(chains.Chain((rows[0],), 0.0), rows[:1]) == {}
         for sock in [unresponsive, *fillers]:
             sock.close()
 
--- a/tests/test_gateway_headslots.py
+++ b/tests/test_gateway_headslots.py
@@ -16,6 +16,7 @@
 from briarfall.gateway.catalogue import views
 from briarfall.gateway.forwarding import plainexchanges
 from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.placement import chains
 from briarfall.gateway.placement import headslots
 from briarfall.gateway.placement import paths
 from briarfall.gateway.placement import placement
@@ -46,7 +47,7 @@
     },
 )
 UNTOLD = msgspec.structs.replace(MODEL, slots=None)
-DEMAND = paths.Demand(800, 200)
+DEMAND = chains.Demand(800, 200)
 _FIRST = (0, 10)
 _LATER = (10, 40)
 # Time of a request of mean size, and spread of the times about it.
--- a/tests/test_gateway_linkadmission.py
+++ b/tests/test_gateway_linkadmission.py
@@ -17,6 +17,7 @@
 from briarfall.gateway import clocks
 from briarfall.gateway.catalogue import sources
 from briarfall.gateway.catalogue import views
+from briarfall.gateway.placement import chains
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
 from briarfall.gateway.scheduling import classes
@@ -30,7 +31,7 @@
 
 
 def stage(name, zone, first, end):
-    return paths.Stage(
+    return chains.Stage(
         ids.TargetId(name),
         f"{name}:1",
         ids.ZoneId(zone),
@@ -39,7 +40,7 @@
 
 
 def chain(*stages):
-    return paths.Chain(tuple(stages), 0.0)
+    return chains.Chain(tuple(stages), 0.0)
 
 
 class _Clock:
@@ -186,7 +187,7 @@
         finder = paths.ChainFinder(
             loads.LoadTable(), ids.ZoneId("z1"), random.Random(1)
         )
-        demand = paths.Demand(700, 200)
+        demand = chains.Demand(700, 200)
         rows = self.engines()
         assert finder.find(MODEL, rows, demand) is not None
         assert finder.find(MODEL, rows, demand, may_cross=False) is None
--- a/tests/test_gateway_relaysends.py
+++ b/tests/test_gateway_relaysends.py
@@ -11,7 +11,7 @@
 from briarfall.gateway.forwarding import streamstate
 from briarfall.gateway.peers import peers
 from briarfall.gateway.peers import relaypeers
-from briarfall.gateway.placement import paths
+from briarfall.gateway.placement import chains
 from briarfall.standins.prepared import network
 from briarfall.standins.prepared import registeredtarget
 from briarfall.standins.prepared import testbed
@@ -274,7 +274,7 @@
 
     def _exchange(self, *heads):
         call = streams.a_call(1000.0)
-        stream = streamstate.Stream(call, paths.Demand(700, 200))
+        stream = streamstate.Stream(call, chains.Demand(700, 200))
         stream.heads.update(heads)
         exchange = relayexchanges.StreamExchange(
             stream, lambda: None, lambda conn: False
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -20,8 +20,8 @@
 from briarfall.gateway.forwarding import streamfailures
 from briarfall.gateway.forwarding import streams
 from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import chains
 from briarfall.gateway.placement import linkadmission
-from briarfall.gateway.placement import paths
 from briarfall.gateway.targets import linkmonitor
 from briarfall.gateway.targets import liveness
 from briarfall.gateway.targets import loads
@@ -149,7 +149,7 @@
     def test_check_is_postponed_while_nothing_is_received(self, clock):
         activity = liveness.ReceiveActivity()
         rerouter = self.rerouter(activity)
-        run = streamstate.ChainRun(paths.Chain((), 0.0), None, None)
+        run = streamstate.ChainRun(chains.Chain((), 0.0), None, None)
         for _ in range(100):
             activity.record()
             clock.now_s += 0.01
@@ -164,7 +164,7 @@
     def test_instance_that_usually_receives_little_checks_at_once(self, clock):
         activity = liveness.ReceiveActivity()
         rerouter = self.rerouter(activity)
-        run = streamstate.ChainRun(paths.Chain((), 0.0), None, None)
+        run = streamstate.ChainRun(chains.Chain((), 0.0), None, None)
         for _ in range(10):
             activity.record()
             clock.now_s += 0.1
@@ -173,7 +173,7 @@
     def test_check_starts_at_once_if_messages_arrive(self, clock):
         activity = liveness.ReceiveActivity()
         rerouter = self.rerouter(activity)
-        run = streamstate.ChainRun(paths.Chain((), 0.0), None, None)
+        run = streamstate.ChainRun(chains.Chain((), 0.0), None, None)
         clock.now_s += 0.09
         activity.record()
         assert not rerouter.postpone_check(run)
@@ -206,14 +206,16 @@
             old, id=ids.TargetId("new"), layers=None, started_ms=5
         )
         table.update([old, new], clock.now_s)
-        head = paths.Stage(old.id, old.address, old.zone, old.layers)
+        head = chains.Stage(old.id, old.address, old.zone, old.layers)
         stream_diagnosis = streamfailures.StreamDiagnosis(
             headers.HEADERS,
             table,
             crashdetection.CrashDetector(crashes.CrashTable(), table),
             None,
         )
-        stream = streamstate.Stream(a_call(clock.now_s), paths.Demand(700, 200))
+        stream = streamstate.Stream(
+            a_call(clock.now_s), chains.Demand(700, 200)
+        )
         refusal = messages.ResponseHead(
             421,
             b"",
@@ -221,7 +223,7 @@
         )
         stream_diagnosis.handle_refusal(
             stream,
-            paths.Chain((head,), 0.0),
+            chains.Chain((head,), 0.0),
             calls.RefusedByTargetError("refused", refusal),
         )
         assert stream.excluded == {"old"}
--- a/tests/test_scheduling_waiting.py
+++ b/tests/test_scheduling_waiting.py
@@ -20,6 +20,7 @@
 from briarfall.gateway.forwarding import roomreports
 from briarfall.gateway.forwarding import roomwaits
 from briarfall.gateway.forwarding import streamstate
+from briarfall.gateway.placement import chains
 from briarfall.gateway.placement import enginecosts
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
@@ -432,7 +433,7 @@
 
     def test_prompt_of_unknown_length_is_not_refused_for_it(self, clock, scene):
         stream = scene.stream(prompt=1_000_000, left_s=1.0)
-        stream.demand = paths.Demand(1_000_000, 10, is_prompt_stated=False)
+        stream.demand = chains.Demand(1_000_000, 10, is_prompt_stated=False)
         with pytest.raises(exceptions.OverloadError) as caught:
             scene.search.wait_for_chain(stream)
         assert "before the prompt is read" not in caught.value.message
@@ -471,7 +472,7 @@
         cls = classes.DemandClass(urgency, classes.Band.USUAL)
         self.reserve.record(cls, prompt)
         return streamstate.Stream(
-            call, paths.Demand(prompt, 10), demand_class=cls
+            call, chains.Demand(prompt, 10), demand_class=cls
         )
 
     def counts(self, outcome):
@@ -593,7 +594,7 @@
         )
         gap_s = (alone_ms + more_ms) / 2 / 0.8 / 1000
         finder = paths.ChainFinder(table, ids.ZoneId("z1"), random.Random(1))
-        demand = paths.Demand(1_000, 1_000)
+        demand = chains.Demand(1_000, 1_000)
         for gap in (0.0, gap_s):
             chain = finder.find(MODEL, rows, demand, gap_s=gap, noise=0.0)
             assert chain.target_ids() == ["a", "b"]
