--- a/src/briarfall/gateway/callers/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -26,6 +26,7 @@
 from briarfall.gateway.exchanges import targetconnection
 from briarfall.gateway.forwarding import plain
 from briarfall.gateway.forwarding import streams
+from briarfall.gateway.scheduling import returns
 from briarfall.gateway.targets import targets
 
 # Retry-After, in seconds, of refusals because the catalogue is missing or too
@@ -175,6 +176,7 @@
         except exceptions.BriarfallError as exc:
             outcome = exc.code
             call.bound_outcome(exc)
+            exc.retry_after_s = returns.told_s(exc, call.left_s, self._rng)
             raise
         finally:
             self._record_outcome(call, outcome)
--- a/src/briarfall/gateway/calls/budgets.py
+++ b/src/briarfall/gateway/calls/budgets.py
@@ -12,6 +12,7 @@
 
 import collections
 import collections.abc
+import math
 import threading
 
 from briarfall.gateway import clocks
@@ -82,9 +83,19 @@
 
     def take_retry(self) -> bool:
         """Counts a retry and returns True; returns False if none is left."""
+        return self.take_unkept(0)
+
+    def take_unkept(self, kept: int) -> bool:
+        """Counts a retry like `take_retry` if more are left than are kept.
+
+        Args:
+            kept: Retries that must be left afterwards, for others.
+        """
         now_s = clocks.boot_s()
         with self._lock:
             self._expire(now_s)
+            if kept and self._left(now_s) <= kept:
+                return False
             if self._credit > 0:
                 self._credit -= 1.0
                 return True
@@ -95,16 +106,41 @@
 
     def has_retry(self) -> bool:
         """Whether a retry is left; counts none."""
+        return self.left() > 0
+
+    def most(self) -> float:
+        """Returns the retries of a window beyond what requests in it earn."""
+        now_s = clocks.boot_s()
+        with self._lock:
+            slack = self._own_slack(now_s)
+            credit = max(_MIN_CREDIT, slack * _CREDIT_SHARE)
+            if self._has_no_slack(now_s):
+                return credit
+            return credit + slack * _SLACK_SHARE
+
+    def left(self) -> int:
+        """Returns the retries that may start now."""
         now_s = clocks.boot_s()
         with self._lock:
             self._expire(now_s)
-            return self._credit > 0 or self._is_slack_left(now_s)
+            return self._left(now_s)
 
-    def _is_slack_left(self, now_s: float) -> bool:
-        """Whether a retry beyond the credit is left."""
+    def _left(self, now_s: float) -> int:
+        left = math.ceil(max(0.0, self._credit))
+        if self._is_slack_left(now_s):
+            slack = self._own_slack(now_s) * _SLACK_SHARE
+            left += math.ceil(slack - len(self._retries))
+        return left
+
+    def _has_no_slack(self, now_s: float) -> bool:
+        """Whether an earlier process may have used this one's slack."""
         owed_s = self._window_s + _DISCOVERY_S
         is_new = now_s - self._started_s <= owed_s
-        if is_new and not self._is_first_start:
+        return is_new and not self._is_first_start
+
+    def _is_slack_left(self, now_s: float) -> bool:
+        """Whether a retry beyond the credit is left."""
+        if self._has_no_slack(now_s):
             return False
         self._counts.look_up(now_s)
         return len(self._retries) < self._own_slack(now_s) * _SLACK_SHARE
--- a/src/briarfall/gateway/calls/calls.py
+++ b/src/briarfall/gateway/calls/calls.py
@@ -69,6 +69,8 @@
         open_sends: How often it was sent, also to peers, without a proof that
             this caused no run.
         version: Version of the catalogue that `route` is of.
+        may_use_kept_retries: Whether its next attempt may use the retries
+            that are kept for others.
         newest_route: Returns the route that it would take now, or None if
             there is none any more.
     """
@@ -92,6 +94,7 @@
     is_single_run: bool = False
     open_sends: int = 0
     version: int = 0
+    may_use_kept_retries: bool = False
     newest_route: collections.abc.Callable[[], views.Route | None] = (
         _unknown_route
     )
--- a/src/briarfall/gateway/forwarding/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -9,6 +9,7 @@
 from briarfall.gateway.forwarding import streamstate
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
+from briarfall.gateway.scheduling import returns
 from briarfall.gateway.targets import targetbackoff
 from briarfall.gateway.targets import targets
 from briarfall.gateway.targets import targetstate
@@ -29,6 +30,8 @@
 FULL_LINK_PAUSE = retryafter.UnavailablePeriod(1.0, 4.0)
 # Time after which probes may have found the end of a fault of the links.
 CUT_OFF_PERIOD = retryafter.UnavailablePeriod(0.3, 0.3)
+# Time around which engines that had no room may have some again.
+_NO_ROOM_PERIOD = retryafter.UnavailablePeriod(0.25, 0.5)
 
 
 class CutOffError(exceptions.NoRouteError):
@@ -57,7 +60,7 @@
         self._link = link
         self._targets = table
         self._finder = finder
-        self._rng = rng
+        self._returns = returns.ReturnTimes(rng)
 
     def wait_for_chain(self, stream: streamstate.Stream) -> paths.Chain:
         """Returns a chain with free KV capacity, after a short wait if needed.
@@ -76,7 +79,9 @@
         pause_s = _CAPACITY_PAUSE_S
         while True:
             if call.attempt_count >= _MAX_ATTEMPTS or call.left_s <= 0:
-                raise stream.abandon_error("too many tries")
+                raise stream.abandon_error(
+                    "too many tries", self._told_s(stream, _NO_ROOM_PERIOD)
+                )
             rows = self._targets.usable(call.service.name)
             heads = _heads(stream, rows)
             chain = self._find(stream, rows, heads, may_cross=True)
@@ -88,10 +93,23 @@
             if heads != stream.allowed_heads and not stream.response_started:
                 self._refuse_if_held(stream, rows, until_s)
             if clocks.boot_s() >= until_s:
-                raise stream.abandon_error(_describe_lack(stream, rows))
+                raise stream.abandon_error(
+                    _describe_lack(stream, rows),
+                    self._told_s(stream, _NO_ROOM_PERIOD),
+                )
             call.watch.pause(min(pause_s, until_s - clocks.boot_s()))
             pause_s *= 2
 
+    def _told_s(
+        self,
+        stream: streamstate.Stream,
+        period: retryafter.UnavailablePeriod,
+    ) -> float:
+        """Returns after how many seconds a stream's caller should return."""
+        call = stream.call
+        need = returns.ReturnNeed(call.service.name, call.urgency, call.left_s)
+        return self._returns.told_s(period, need, clocks.boot_s())
+
     def find_replacement(
         self,
         stream: streamstate.Stream,
@@ -150,7 +168,7 @@
             return
         raise stream.abandon_error(
             "no engine that could begin is reached from here",
-            retryafter.retry_after_s(CUT_OFF_PERIOD, self._rng),
+            self._told_s(stream, CUT_OFF_PERIOD),
         )
 
     def _unreached_heads(
@@ -236,7 +254,7 @@
             self._link.refusals += 1
             raise stream.abandon_error(
                 "the link between zones is full",
-                retryafter.retry_after_s(FULL_LINK_PAUSE, self._rng),
+                self._told_s(stream, FULL_LINK_PAUSE),
             )
         return chain
 
@@ -264,7 +282,7 @@
         raise exceptions.OverloadError(
             "the engines that could begin take no requests now",
             outcome=call.outcome,
-            retry_after_s=retryafter.retry_after_s(period, self._rng),
+            retry_after_s=self._told_s(stream, period),
         )
 
 
--- a/src/briarfall/gateway/forwarding/dispatchgate.py
+++ b/src/briarfall/gateway/forwarding/dispatchgate.py
@@ -3,11 +3,14 @@
 from absl import logging
 
 from briarfall import exceptions
+from briarfall.gateway import clocks
 from briarfall.gateway.calls import budgets
 from briarfall.gateway.calls import calls
+from briarfall.gateway.catalogue import views
 from briarfall.gateway.crashes import crashes
 from briarfall.gateway.crashes import crashevidence
 from briarfall.gateway.ratelimits import permits
+from briarfall.gateway.scheduling import retries
 from briarfall.gateway.targets import targetbackoff
 from briarfall.gateway.targets import targetstate
 
@@ -43,6 +46,7 @@
         self._budget = budget
         self._crashes = crash_table
         self._permits = permit_source
+        self._reserve = retries.RetryReserve()
 
     def check(self, call: calls.Call) -> None:
         """Raises if no target may run a request.
@@ -101,7 +105,70 @@
 
     def may_retry(self, call: calls.Call) -> bool:
         """Whether a request may be sent once more; counts nothing."""
-        return call.may_repeat and self._budget.has_retry()
+        if not call.may_repeat:
+            return False
+        kept = self._kept(call)
+        if self._budget.left() > kept:
+            return True
+        return bool(kept) and self._reserve.is_due and self._budget.has_retry()
+
+    def _kept(self, call: calls.Call) -> int:
+        """Returns how many retries are kept for others than a request."""
+        return self._reserve.kept(
+            _retry_need(call), self._budget.most(), clocks.boot_s()
+        )
+
+    def _check_budget(self, call: calls.Call) -> None:
+        """Raises if no retry is left for a request; takes none.
+
+        Raises:
+            RetryBudgetError: None is left, or what is left is kept.
+        """
+        kept = self._kept(call)
+        if self._budget.left() > kept:
+            return
+        if not kept or not self._budget.has_retry():
+            raise _budget_error(call)
+        if not self._reserve.passes():
+            raise self._kept_error(call, kept)
+        # The attempt follows at once, and may use the kept part.
+        call.may_use_kept_retries = True
+
+    def _take_retry(self, call: calls.Call) -> None:
+        """Takes a retry of the budget.
+
+        Raises:
+            RetryBudgetError: None is left, or what is left is kept.
+        """
+        kept = 0 if call.may_use_kept_retries else self._kept(call)
+        call.may_use_kept_retries = False
+        if kept and self._budget.take_unkept(kept):
+            return
+        if not kept and self._budget.take_retry():
+            return
+        if not kept or not self._budget.has_retry():
+            raise _budget_error(call)
+        raise self._kept_error(call, kept)
+
+    def _kept_error(
+        self, call: calls.Call, kept: int
+    ) -> exceptions.RetryBudgetError:
+        need = _retry_need(call)
+        logging.info(
+            "retry held back request=%s urgency=%d started=%s in_time=%s "
+            "left=%d kept=%d needs=left>%d",
+            call.request_id,
+            need.urgency,
+            need.is_started,
+            need.is_in_time,
+            self._budget.left(),
+            kept,
+            kept,
+        )
+        return exceptions.RetryBudgetError(
+            "the rest of the retry budget is kept for more urgent requests",
+            outcome=call.outcome,
+        )
 
     def admit(
         self, call: calls.Call, target: targetstate.Target
@@ -120,8 +187,8 @@
         """
         self.check(call)
         self._suspected_parts(call)
-        if call.attempt_count and not self._budget.has_retry():
-            raise _budget_error(call)
+        if call.attempt_count:
+            self._check_budget(call)
         if not target.accepts_requests or target.is_in_backoff:
             raise TargetAvoidedError(f"{target.id}: takes no requests")
         return self._permits.take(call.request_id, target)
@@ -172,8 +239,10 @@
         suspected = self._suspected_parts(call)
         if not target.accepts_requests or target.is_in_backoff:
             raise TargetAvoidedError(f"{target.id}: takes no requests")
-        if call.attempt_count and not self._budget.take_retry():
-            raise _budget_error(call)
+        if call.attempt_count:
+            self._take_retry(call)
+        else:
+            self._reserve.record(call.urgency, clocks.boot_s())
         self._start_trials(call, suspected)
         targetbackoff.clear_backoff(target)
         call.record_send()
@@ -219,6 +288,19 @@
     )
 
 
+def _retry_need(call: calls.Call) -> retries.RetryNeed:
+    """Returns what the loss of a request would cost its caller."""
+    is_started = call.conn is not None and call.conn.has_sent_head
+    if call.relayed is not None and call.relayed.runs:
+        # The peer whose caller it is does not tell whether it has begun.
+        is_started = call.route.kind is views.RouteKind.STREAM
+    return retries.RetryNeed(
+        call.urgency,
+        is_started,
+        is_started or call.age_s < call.route.first_byte_slo_s,
+    )
+
+
 def _budget_error(call: calls.Call) -> exceptions.RetryBudgetError:
     return exceptions.RetryBudgetError(
         "the retry budget is used up", outcome=call.outcome
--- a/src/briarfall/gateway/forwarding/plain.py
+++ b/src/briarfall/gateway/forwarding/plain.py
@@ -6,6 +6,7 @@
 
 from briarfall import exceptions
 from briarfall import ids
+from briarfall.gateway import metrics
 from briarfall.gateway.calls import calls
 from briarfall.gateway.crashes import crashdetection
 from briarfall.gateway.crashes import crashes
@@ -13,12 +14,14 @@
 from briarfall.gateway.exchanges import headernames
 from briarfall.gateway.exchanges import targetconnection
 from briarfall.gateway.forwarding import dispatchgate
+from briarfall.gateway.forwarding import plainadmission
 from briarfall.gateway.forwarding import plainexchanges
 from briarfall.gateway.forwarding import plainfollowing
 from briarfall.gateway.forwarding import plaintargets
 from briarfall.gateway.forwarding import relayexchanges
 from briarfall.gateway.forwarding import relaying
 from briarfall.gateway.ratelimits import permits
+from briarfall.gateway.scheduling import returns
 from briarfall.gateway.targets import linkmonitor
 from briarfall.gateway.targets import liveness
 from briarfall.gateway.targets import loads
@@ -53,6 +56,7 @@
         detector: crashdetection.CrashDetector,
         target_signals: targetsignals.TargetSignals,
         rng: random.Random,
+        counters: metrics.Metrics | None = None,
     ):
         self._names = header_names
         self._targets = table
@@ -62,8 +66,17 @@
         self._relay = relay
         self._gate = gate
         self._detector = detector
+        return_times = returns.ReturnTimes(rng)
+        self._admission = plainadmission.PlainAdmission(
+            table, load_table, return_times, counters
+        )
         self._choice = plaintargets.PlainTargetChoice(
-            zone, table, load_table, rng
+            zone,
+            table,
+            load_table,
+            rng,
+            return_times,
+            self._admission.wait_s,
         )
         self._follower = plainfollowing.PlainFollower(
             header_names,
@@ -81,6 +94,7 @@
         Raises:
             BriarfallError: The caller got no response.
         """
+        self._admission.check(call)
         sends = plainexchanges.CallSends(call)
         try:
             while not self._run_next(sends):
@@ -186,7 +200,7 @@
             if sends.has_suspended and sends.has_readable():
                 return None
         if not sends.has_suspended:
-            raise self._choice.error(call)
+            raise self._admission.record_refusal(call, self._choice.error(call))
         return None
 
     def _relay_to_peer(self, sends: plainexchanges.CallSends) -> bool:
@@ -240,6 +254,8 @@
         # The response is sent only now, so that the target and its connection
         # are free again before the caller's next request can arrive.
         sends.close()
+        if not body.is_sent:
+            self._admission.record_answer(exchange)
         body.pass_on(sends.call, exchange.head)
         return True
 
--- a/src/briarfall/gateway/forwarding/plainexchanges.py
+++ b/src/briarfall/gateway/forwarding/plainexchanges.py
@@ -49,6 +49,8 @@
         body: Reads the body, or None while no head has arrived.
         completion: Checks the end of a response without a length, else None.
         is_counted: Whether it counts as a possible run of the call.
+        in_flight: Requests at the target when the call was sent, this one
+            included.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         self.body: plainresponses.BodyReader | None = None
         self.completion: closedanswers.CompletionCheck | None = None
         self.is_counted = False
+        self.in_flight = 0
         self._loads = load_table
         self._pool = pool
         self._further_loads: list[ids.TargetId] = []
@@ -73,6 +76,7 @@
     def record_sent(self) -> None:
         """Records that the call is sent now."""
         self.sent_s = clocks.boot_s()
+        self.in_flight = self._loads.of(self.target.id).streams
 
     def record_passing(self) -> None:
         """Records that its response is passed on before its end was read.
--- a/src/briarfall/gateway/forwarding/plaintargets.py
+++ b/src/briarfall/gateway/forwarding/plaintargets.py
@@ -1,11 +1,14 @@
 """Chooses the targets of calls to plain services."""
 
+import collections.abc
 import random
 
 from briarfall import exceptions
 from briarfall import ids
+from briarfall.gateway import clocks
 from briarfall.gateway import retryafter
 from briarfall.gateway.calls import calls
+from briarfall.gateway.scheduling import returns
 from briarfall.gateway.targets import loads
 from briarfall.gateway.targets import targetbackoff
 from briarfall.gateway.targets import targets
@@ -16,7 +19,8 @@
 # another zone, and as the upper end of a random share.
 _REMOTE_ZONE_COST = 0.15
 _RANDOM_COST = 0.1
-_RETRY_AFTER_S = 0.3
+# Time around which a target that has just refused may be free again.
+_REFUSED_PERIOD = retryafter.UnavailablePeriod(0.15, 0.3)
 # Time after which probes may have found the end of a fault of the links.
 _CUT_OFF_PERIOD = retryafter.UnavailablePeriod(0.3, 0.3)
 
@@ -35,6 +39,8 @@
         table: Targets.
         load_table: Load that all instances put on targets.
         rng: Spreads calls over equal targets, and the retries of callers.
+        return_times: Tells refused callers when to return.
+        wait_s: Returns the seconds until a target has a free slot.
     """
 
     def __init__(
@@ -43,11 +49,17 @@
         table: targets.TargetTable,
         load_table: loads.LoadTable,
         rng: random.Random,
+        return_times: returns.ReturnTimes | None = None,
+        wait_s: collections.abc.Callable[[targetstate.Target], float] = (
+            lambda _: 0.0
+        ),
     ):
         self._zone = zone
         self._targets = table
         self._loads = load_table
         self._rng = rng
+        self._returns = return_times or returns.ReturnTimes(rng)
+        self._wait_s = wait_s
 
     def error(self, call: calls.Call) -> exceptions.BriarfallError:
         """Returns the error that says why no target can take a call."""
@@ -57,23 +69,27 @@
             return exceptions.OverloadError(
                 f"targets of {call.service.name} take no requests now",
                 outcome=call.outcome,
-                retry_after_s=retryafter.retry_after_s(period, self._rng),
+                retry_after_s=self._told_s(call, period),
             )
         if any(row.link_fault is not None for row in rows):
             return exceptions.NoRouteError(
                 f"no target of {call.service.name} is reached from here, and "
                 "no peer can serve the request",
                 outcome=call.outcome,
-                retry_after_s=retryafter.retry_after_s(
-                    _CUT_OFF_PERIOD, self._rng
-                ),
+                retry_after_s=self._told_s(call, _CUT_OFF_PERIOD),
             )
         return exceptions.NoRouteError(
             f"no target of {call.service.name} is free",
             outcome=call.outcome,
-            retry_after_s=_RETRY_AFTER_S,
+            retry_after_s=self._told_s(call, _REFUSED_PERIOD),
         )
 
+    def _told_s(
+        self, call: calls.Call, period: retryafter.UnavailablePeriod
+    ) -> float:
+        need = returns.ReturnNeed(call.service.name, call.urgency, call.left_s)
+        return self._returns.told_s(period, need, clocks.boot_s())
+
     def choose(
         self, call: calls.Call, attempted: set[ids.TargetId]
     ) -> targetstate.Target | None:
@@ -93,8 +109,10 @@
             if target.entry.zone != self._zone:
                 cost += _REMOTE_ZONE_COST
             cost += _RANDOM_COST * self._rng.random()
-            if best is None or cost < best[0]:
-                best = (cost, target)
+            # A retry has no time to lose; a first send spreads the load.
+            wait_s = self._wait_s(target) if call.attempt_count else 0.0
+            if best is None or (wait_s, cost) < best[0]:
+                best = ((wait_s, cost), target)
         return best[1] if best else None
 
     def is_cut_off(self, call: calls.Call) -> bool:
--- a/src/briarfall/gateway/instance/instance.py
+++ b/src/briarfall/gateway/instance/instance.py
@@ -229,6 +229,7 @@
                 detector,
                 target_signals,
                 rng,
+                self.metrics,
             ),
             streams.StreamForwarder(
                 platform.header_names,
--- a/src/briarfall/gateway/metrics.py
+++ b/src/briarfall/gateway/metrics.py
@@ -50,6 +50,11 @@
             "Attempts sent to targets.",
             ("service", "outcome"),
         )
+        self._add_counter(
+            "briarfall_admissions",
+            "Calls to plain services that found no free slot.",
+            ("route", "outcome"),
+        )
         self._add_counter(
             "briarfall_unexpected_errors",
             "Requests that ended with an unexpected error.",
--- a/src/briarfall/gateway/retryafter.py
+++ b/src/briarfall/gateway/retryafter.py
@@ -30,5 +30,9 @@
         period: The period.
         rng: Spreads the retries of callers.
     """
-    spread_s = max(_MIN_SPREAD_S, min(_MAX_SPREAD_S, period.duration_s))
-    return period.remaining_s + spread_s * rng.random()
+    return period.remaining_s + spread_s(period) * rng.random()
+
+
+def spread_s(period: UnavailablePeriod) -> float:
+    """Returns the seconds after a period over which retries are spread."""
+    return max(_MIN_SPREAD_S, min(_MAX_SPREAD_S, period.duration_s))
--- /dev/null
+++ b/src/briarfall/gateway/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests go first, and when refused callers may return."""
--- a/tests/test_gateway_rooms.py
+++ b/tests/test_gateway_rooms.py
@@ -20,6 +20,7 @@
     "placement",
     "crashes",
     "calls",
+    "scheduling",
     "targets",
     "exchanges",
     "peers",
