--- a/src/briarfall/gateway/callers/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -176,7 +176,9 @@
         except exceptions.BriarfallError as exc:
             outcome = exc.code
             call.bound_outcome(exc)
-            exc.retry_after_s = returns.told_s(exc, call.left_s, self._rng)
+            exc.retry_after_s = returns.told_s(
+                exc, call.caller_left_s, self._rng
+            )
             raise
         finally:
             self._record_outcome(call, outcome)
@@ -278,6 +280,7 @@
             account=account,
             urgency=urgency,
             deadline_s=calls.deadline_of(req, self._names.time_left, route),
+            caller_until_s=calls.caller_until_s(req, self._names.time_left),
             version=view.version,
             newest_route=lambda: self._newest_route(req),
             parts=promptparts.parse(req, self._names),
--- a/src/briarfall/gateway/calls/calls.py
+++ b/src/briarfall/gateway/calls/calls.py
@@ -71,6 +71,8 @@
         version: Version of the catalogue that `route` is of.
         may_use_kept_retries: Whether its next attempt may use the retries
             that are kept for others.
+        caller_until_s: Time on the boot clock at which the caller gives up,
+            its repeats included; 0 if it is `deadline_s` as far as is known.
         newest_route: Returns the route that it would take now, or None if
             there is none any more.
     """
@@ -95,6 +97,7 @@
     open_sends: int = 0
     version: int = 0
     may_use_kept_retries: bool = False
+    caller_until_s: float = 0.0
     newest_route: collections.abc.Callable[[], views.Route | None] = (
         _unknown_route
     )
@@ -130,6 +133,12 @@
         """Seconds until the deadline."""
         return self.deadline_s - clocks.boot_s()
 
+    @property
+    def caller_left_s(self) -> float:
+        """Seconds in which the caller may still return."""
+        until_s = max(self.deadline_s, self.caller_until_s)
+        return until_s - clocks.boot_s()
+
     @property
     def outcome(self) -> exceptions.Outcome:
         """What is known about its execution so far."""
@@ -198,6 +207,21 @@
     req: messages.CallerRequest, header: bytes, route: views.Route
 ) -> float:
     """Returns the time on the boot clock at which a request is abandoned."""
+    until_s = caller_until_s(req, header) - _RESPONSE_MARGIN_S
+    longest_s = min(route.timeout_s, _MAX_TIMEOUT_S)
+    return min(until_s, req.received_s + longest_s)
+
+
+def caller_until_s(req: messages.CallerRequest, header: bytes) -> float:
+    """Returns the time on the boot clock at which a caller gives up.
+
+    Args:
+        req: The request.
+        header: Name of the header that tells the time left.
+
+    Raises:
+        BadRequestError: The header is no number.
+    """
     value = req.header(header)
     time_s = _DEFAULT_TIMEOUT_S
     if value is not None:
@@ -206,8 +230,7 @@
             raise exceptions.BadRequestError(
                 f"{header.decode()} is no finite number"
             )
-        time_s = time_ms / 1000
-    time_s = min(time_s - _RESPONSE_MARGIN_S, route.timeout_s, _MAX_TIMEOUT_S)
+        time_s = min(time_ms / 1000, _MAX_TIMEOUT_S)
     return req.received_s + time_s
 
 
--- a/src/briarfall/gateway/forwarding/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -107,7 +107,9 @@
     ) -> float:
         """Returns after how many seconds a stream's caller should return."""
         call = stream.call
-        need = returns.ReturnNeed(call.service.name, call.urgency, call.left_s)
+        need = returns.ReturnNeed(
+            call.service.name, call.urgency, call.caller_left_s
+        )
         return self._returns.told_s(period, need, clocks.boot_s())
 
     def find_replacement(
--- a/src/briarfall/gateway/forwarding/plainadmission.py
+++ b/src/briarfall/gateway/forwarding/plainadmission.py
@@ -108,12 +108,21 @@
         return self._slots_of(target, clocks.boot_s()).wait_s
 
     def _slots(self, call: calls.Call) -> list[slots.TargetSlots]:
-        """Returns the slots of the targets that may take a call now."""
+        """Returns the slots of the targets that may take a call soon.
+
+        One that has just refused a call is busy for a moment and counts; one
+        that has failed does not.
+        """
         now_s = clocks.boot_s()
         rows = []
-        for target in self._targets.usable(call.service.name):
-            if target.link_fault is None and not target.is_held:
-                rows.append(self._slots_of(target, now_s))
+        for target in self._targets.of_service(call.service.name):
+            if not target.accepts_requests or target.is_held:
+                continue
+            if target.link_fault is not None:
+                continue
+            if target.failures and target.blocked_until_s > now_s:
+                continue
+            rows.append(self._slots_of(target, now_s))
         return rows
 
     def _slots_of(
@@ -169,7 +178,9 @@
             period = retryafter.UnavailablePeriod(
                 decision.wait_s, decision.wait_s
             )
-        need = returns.ReturnNeed(call.service.name, call.urgency, call.left_s)
+        need = returns.ReturnNeed(
+            call.service.name, call.urgency, call.caller_left_s
+        )
         told_s = self._returns.told_s(period, need, now_s)
         logging.info(
             "call refused request=%s service=%s cause=%s slots=%d in_flight=%d "
--- a/src/briarfall/gateway/forwarding/plaintargets.py
+++ b/src/briarfall/gateway/forwarding/plaintargets.py
@@ -87,7 +87,9 @@
     def _told_s(
         self, call: calls.Call, period: retryafter.UnavailablePeriod
     ) -> float:
-        need = returns.ReturnNeed(call.service.name, call.urgency, call.left_s)
+        need = returns.ReturnNeed(
+            call.service.name, call.urgency, call.caller_left_s
+        )
         return self._returns.told_s(period, need, clocks.boot_s())
 
     def choose(
--- a/src/briarfall/gateway/scheduling/slots.py
+++ b/src/briarfall/gateway/scheduling/slots.py
@@ -18,10 +18,16 @@
 # Part of the longest wait that a call has time for, which is left to those that
 # go first: the least urgent of the account with most calls waits no longer than
 # the rest.
-_KEPT_SHARE = 0.5
+_KEPT_SHARE = 0.6
 # Part of the order within one urgency by which calls that may be repeated stand
 # behind those that may not; accounts' numbers of calls decide the rest.
 _ORDERS_PART = 0.25
+# Wait of calls with more time, as a share of the time that calls with less,
+# and as urgent, have been short of.
+_PATIENT_SHARE = 0.75
+# That wait is at least so many times the time of an answer, so that the slots
+# are never idle for it.
+_PATIENT_ROUNDS = 2.0
 # Rounds of admissions, one for each account and urgency of late, after which
 # one that was refused since its last admission is let in.
 _ROUNDS = 8
@@ -189,7 +195,13 @@
         longest_s = need.left_s - best.estimate.work_s
         level = self._level(need, best.wait_s, longest_s, now_s)
         limit_s = longest_s * (1 - _KEPT_SHARE * level)
-        limit_s = min(limit_s, self._tightest_s(need.urgency, now_s))
+        tightest_s = self._tightest_s(need.urgency, now_s)
+        if longest_s > tightest_s:
+            patient_s = max(
+                tightest_s * _PATIENT_SHARE,
+                best.estimate.work_s * _PATIENT_ROUNDS,
+            )
+            limit_s = min(limit_s, patient_s)
         verdict = Verdict.QUEUED
         if best.wait_s > longest_s:
             verdict = Verdict.TOO_LATE
@@ -213,14 +225,16 @@
         self, need: SlotNeed, wait_s: float, longest_s: float, now_s: float
     ) -> float:
         """Returns the place in the order of all calls of late, from 0 to 1."""
-        count = max(1, self._urgencies.count(now_s))
-        rank = min(count - 1, self._urgencies.rank(need.urgency, now_s))
+        rank = self._urgencies.rank(need.urgency, now_s)
         has_orders = now_s - self._orders_s < _RECENT_S
         needs_it = need.runs_once and wait_s > longest_s / 2
         behind_orders = 0.0
         if has_orders and not needs_it:
             behind_orders = _ORDERS_PART
-        return (rank + self._heaviness(need) + behind_orders) / count
+        # Each urgency has half of what those before it leave, so that the
+        # order holds whatever urgencies are seen between two decisions.
+        within = self._heaviness(need) + behind_orders
+        return 1 - (1 - within / 2) * 0.5**rank
 
     def _record_tight(
         self, urgency: int, longest_s: float, now_s: float
@@ -263,7 +277,7 @@
         own = calls[need.account]
         if own <= max(1.0, equal):
             return 0.0
-        return (1 - equal / own) * (1 - _ORDERS_PART)
+        return min(1.0, own / equal - 1) * (1 - _ORDERS_PART)
 
     def _is_due(self, group: _Group) -> bool:
         """Whether a refused group has seen its bound of others' admissions."""
