--- a/src/briarfall/gateway/scheduling/answertimes.py
+++ b/src/briarfall/gateway/scheduling/answertimes.py
@@ -6,6 +6,8 @@
 
 # Weight of each answer in the moving average.
 _WEIGHT = 0.1
+# An answer counts as at most so many times the estimate before it.
+_MAX_RISE = 1.5
 # An estimate needs this many answers, the last one within this time.
 _MIN_ANSWERS = 5
 _MAX_AGE_S = 5.0
@@ -65,8 +67,13 @@
                 self._forget_oldest()
             self._rows[target] = _Row(work_s, 1, now_s)
             return
-        row.work_s += (work_s - row.work_s) * _WEIGHT
         row.answers += 1
+        weight = max(_WEIGHT, 1 / row.answers)
+        if row.answers > _MIN_ANSWERS:
+            # A target that pauses answers many calls late at once; one that has
+            # become slow goes on to.
+            work_s = min(work_s, row.work_s * _MAX_RISE)
+        row.work_s += (work_s - row.work_s) * weight
         row.seen_s = now_s
 
     def of(self, target: ids.TargetId, now_s: float) -> Estimate:
--- a/src/briarfall/gateway/scheduling/slots.py
+++ b/src/briarfall/gateway/scheduling/slots.py
@@ -140,15 +140,92 @@
     return all(row.in_flight >= row.slots for row in rows)
 
 
+class _Groups:
+    """Accounts by urgency that were let in or refused of late, counted."""
+
+    def __init__(self):
+        self._recent: collections.deque[tuple[float, _Group]] = (
+            collections.deque()
+        )
+        self._held: set[_Group] = set()
+        self._admitted: collections.Counter[_Group] = collections.Counter()
+        self._accounts: collections.Counter[int] = collections.Counter()
+        self._admissions: collections.Counter[int] = collections.Counter()
+        # Number of groups.
+        self.count = 0
+
+    def __len__(self) -> int:
+        return len(self._recent)
+
+    def has(self, group: _Group) -> bool:
+        """Whether a group was let in or refused of late."""
+        return group in self._held or group in self._admitted
+
+    def accounts(self, urgency: int) -> int:
+        """Returns the number of accounts with calls of an urgency."""
+        return self._accounts[urgency]
+
+    def admissions(self, urgency: int, account: str | None = None) -> int:
+        """Returns the number of admissions of an urgency, or an account's."""
+        if account is None:
+            return self._admissions[urgency]
+        return self._admitted[urgency, account]
+
+    def admit(self, group: _Group, now_s: float) -> None:
+        """Records an admission."""
+        self._enter(group)
+        self._recent.append((now_s, group))
+        self._admitted[group] += 1
+        self._admissions[group[0]] += 1
+        if len(self._recent) > _RECENT_ADMISSIONS:
+            self._drop_oldest()
+
+    def hold(self, group: _Group) -> None:
+        """Records that a group was refused and waits."""
+        self._enter(group)
+        self._held.add(group)
+
+    def release(self, group: _Group) -> None:
+        """Records that a group waits no more."""
+        self._held.discard(group)
+        self._leave(group)
+
+    def expire(self, oldest_s: float) -> None:
+        """Drops the admissions before a time."""
+        while self._recent and self._recent[0][0] < oldest_s:
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        _, group = self._recent.popleft()
+        self._admissions[group[0]] -= 1
+        if not self._admissions[group[0]]:
+            del self._admissions[group[0]]
+        self._admitted[group] -= 1
+        if not self._admitted[group]:
+            del self._admitted[group]
+            self._leave(group)
+
+    def _enter(self, group: _Group) -> None:
+        if not self.has(group):
+            self.count += 1
+            self._accounts[group[0]] += 1
+
+    def _leave(self, group: _Group) -> None:
+        if self.has(group):
+            return
+        self.count -= 1
+        self._accounts[group[0]] -= 1
+        if not self._accounts[group[0]]:
+            del self._accounts[group[0]]
+
+
 class ServiceSlots:
     """Decides which calls of one service are let in; not thread-safe."""
 
     def __init__(self):
         self._urgencies = urgencies.RecentUrgencies()
         self._orders_s = float("-inf")
-        self._recent: collections.deque[tuple[float, _Group]] = (
-            collections.deque(maxlen=_RECENT_ADMISSIONS)
-        )
+        self._groups = _Groups()
         # Refused groups: the number of admissions at the first refusal, and
         # the time of the last one.
         self._waiting: collections.OrderedDict[_Group, tuple[int, float]] = (
@@ -173,8 +250,7 @@
         self._urgencies.record(need.urgency, now_s)
         if need.runs_once:
             self._orders_s = now_s
-        while self._recent and self._recent[0][0] < now_s - _RECENT_S:
-            self._recent.popleft()
+        self._groups.expire(now_s - _RECENT_S)
         decision = self._decide(need, group, rows, now_s)
         if decision.is_admitted:
             self._record_admission(group, now_s)
@@ -264,17 +340,13 @@
 
         It is 0 up to that share, and at most what `_ORDERS_PART` leaves.
         """
-        calls = collections.Counter(
-            group[1] for _, group in self._recent if group[0] == need.urgency
-        )
-        accounts = set(calls) | {
-            group[1] for group in self._waiting if group[0] == need.urgency
-        }
-        accounts.add(need.account)
-        if len(accounts) == 1:
+        count = self._groups.accounts(need.urgency)
+        if not self._groups.has((need.urgency, need.account)):
+            count += 1
+        if count <= 1:
             return 0.0
-        equal = sum(calls.values()) / len(accounts)
-        own = calls[need.account]
+        equal = self._groups.admissions(need.urgency) / count
+        own = self._groups.admissions(need.urgency, need.account)
         if own <= max(1.0, equal):
             return 0.0
         return min(1.0, own / equal - 1) * (1 - _ORDERS_PART)
@@ -289,21 +361,24 @@
     @property
     def bound(self) -> int:
         """Admissions after which a refused account gets one of its calls in."""
-        groups = {group for _, group in self._recent} | set(self._waiting)
-        return _ROUNDS * max(1, len(groups))
+        return _ROUNDS * max(1, self._groups.count)
 
     def _record_admission(self, group: _Group, now_s: float) -> None:
         self._admissions += 1
-        self._waiting.pop(group, None)
-        self._recent.append((now_s, group))
+        if self._waiting.pop(group, None) is not None:
+            self._groups.release(group)
+        self._groups.admit(group, now_s)
 
     def _record_refusal(self, group: _Group, now_s: float) -> None:
-        since, _ = self._waiting.pop(group, (self._admissions, 0.0))
+        known = self._waiting.pop(group, None)
+        if known is None:
+            self._groups.hold(group)
+        since = self._admissions if known is None else known[0]
         self._waiting[group] = (since, now_s)
-        if len(self._waiting) > _MAX_WAITING:
-            self._waiting.popitem(last=False)
         while self._waiting:
             oldest = next(iter(self._waiting))
-            if self._waiting[oldest][1] >= now_s - _WAITING_S:
+            is_recent = self._waiting[oldest][1] >= now_s - _WAITING_S
+            if is_recent and len(self._waiting) <= _MAX_WAITING:
                 break
             del self._waiting[oldest]
+            self._groups.release(oldest)
--- a/tests/test_scheduling_slots.py
+++ b/tests/test_scheduling_slots.py
@@ -274,6 +274,22 @@
         assert times.of("a", 2.0).age_s == 1.0
         assert times.of("a", 9.0).work_s == 0.0
 
+    def test_pause_of_a_target_is_not_taken_for_slow_work(self):
+        times = answertimes.AnswerTimes()
+        for _ in range(20):
+            times.record("a", 0.1, 1, 4, 1.0)
+        for _ in range(8):
+            times.record("a", 2.0, 8, 4, 1.0)
+        assert times.of("a", 1.0).work_s < 0.2
+
+    def test_target_that_has_become_slow_is_seen(self):
+        times = answertimes.AnswerTimes()
+        for _ in range(20):
+            times.record("a", 0.1, 1, 4, 1.0)
+        for _ in range(80):
+            times.record("a", 1.0, 1, 4, 1.0)
+        assert times.of("a", 1.0).work_s > 0.9
+
     def test_the_wait_in_a_queue_is_not_counted_as_work(self):
         times = answertimes.AnswerTimes()
         for _ in range(9):
@@ -373,4 +389,4 @@
                 slots.SlotNeed(f"c{number}", number % 200, 1.85), rows, 0.0
             )
         assert len(service._waiting) <= 1024
-        assert len(service._recent) <= 256
+        assert len(service._groups) <= 256
