--- a/src/briarfall/gateway/forwarding/chainsearch.py
+++ b/src/briarfall/gateway/forwarding/chainsearch.py
@@ -5,6 +5,7 @@
 
 from briarfall import exceptions
 from briarfall import ids
+from briarfall.gateway import clocks
 from briarfall.gateway import retryafter
 from briarfall.gateway.forwarding import chainheads
 from briarfall.gateway.forwarding import roomreports
@@ -15,6 +16,7 @@
 from briarfall.gateway.placement import linkadmission
 from briarfall.gateway.placement import paths
 from briarfall.gateway.scheduling import kvreserve
+from briarfall.gateway.scheduling import returns
 from briarfall.gateway.scheduling import waiting
 from briarfall.gateway.targets import targetbackoff
 from briarfall.gateway.targets import targets
@@ -26,6 +28,8 @@
 FULL_LINK_PAUSE = retryafter.UnavailablePeriod(1.0, 4.0)
 # Time after which probes may have found the end of a fault of the links.
 CUT_OFF_PERIOD = retryafter.UnavailablePeriod(0.3, 0.3)
+# Time around which engines that had no room may have some again.
+_NO_ROOM_PERIOD = retryafter.UnavailablePeriod(0.25, 0.5)
 
 
 class CutOffError(exceptions.NoRouteError):
@@ -63,7 +67,7 @@
         )
         self._targets = table
         self._finder = finder
-        self._rng = rng
+        self._returns = returns.ReturnTimes(rng)
 
     def wait_for_chain(self, stream: streamstate.Stream) -> chains.Chain:
         """Returns a chain with free KV capacity, after a short wait if needed.
@@ -101,7 +105,9 @@
         call = stream.call
         while True:
             if call.attempt_count >= _MAX_ATTEMPTS or call.left_s <= 0:
-                raise stream.abandon_error("too many tries")
+                raise stream.abandon_error(
+                    "too many tries", self._told_s(stream, _NO_ROOM_PERIOD)
+                )
             has_time = wait.has_time
             max_fill = self._max_fill(stream)
             if wait.pause_for_order(has_time=has_time, max_fill=max_fill):
@@ -115,7 +121,9 @@
             if not has_time:
                 lack = _describe_lack(stream, rows)
                 wait.report_refused("kv", lack)
-                raise stream.abandon_error(lack)
+                raise stream.abandon_error(
+                    lack, self._told_s(stream, _NO_ROOM_PERIOD)
+                )
             wait.pause_after_look()
 
     def _look(
@@ -189,6 +197,18 @@
             stream.demand_class, has_started=has_started
         )
 
+    def _told_s(
+        self,
+        stream: streamstate.Stream,
+        period: retryafter.UnavailablePeriod,
+    ) -> float:
+        """Returns after how many seconds a stream's caller should return."""
+        call = stream.call
+        need = returns.ReturnNeed(
+            call.service.name, call.urgency, call.caller_left_s
+        )
+        return self._returns.told_s(period, need, clocks.boot_s())
+
     def find_replacement(
         self,
         stream: streamstate.Stream,
@@ -247,7 +267,7 @@
             return
         raise stream.abandon_error(
             "no engine that could begin is reached from here",
-            retryafter.retry_after_s(CUT_OFF_PERIOD, self._rng),
+            self._told_s(stream, CUT_OFF_PERIOD),
         )
 
     def _unreached_heads(
@@ -346,7 +366,7 @@
             )
             raise stream.abandon_error(
                 "the link between zones is full",
-                retryafter.retry_after_s(FULL_LINK_PAUSE, self._rng),
+                self._told_s(stream, FULL_LINK_PAUSE),
             )
         return chain
 
@@ -374,7 +394,7 @@
         raise exceptions.OverloadError(
             "the engines that could begin take no requests now",
             outcome=call.outcome,
-            retry_after_s=retryafter.retry_after_s(period, self._rng),
+            retry_after_s=self._told_s(stream, period),
         )
 
 
--- a/src/briarfall/gateway/instance/instance.py
+++ b/src/briarfall/gateway/instance/instance.py
@@ -246,6 +246,7 @@
                 detector,
                 target_signals,
                 rng,
+                self.metrics,
             ),
             streams.StreamForwarder(
                 platform.header_names,
