--- a/tests/test_scheduling_returns.py
+++ b/tests/test_scheduling_returns.py
@@ -18,6 +18,7 @@
 from briarfall.gateway.forwarding import plaintargets
 from briarfall.gateway.scheduling import returns
 from briarfall.gateway.targets import loads
+from briarfall.gateway.targets import targetbackoff
 from briarfall.gateway.targets import targets
 from tests import test_gateway_decisions
 from tests import test_gateway_streams
@@ -280,9 +281,10 @@
     ):
         service.learn()
         service.fill(60, 60)
-        call = _call(clock.now_s, left_s=1.0, caller_left_s=20.0)
-        # A slot is free in 2.85 s.
-        assert 2.8 < service.refusal(call).retry_after_s < 20 / 3
+        for name in ("a", "b"):
+            targetbackoff.start_backoff(service.table.get(name), 2.0)
+        call = _call(clock.now_s, left_s=4.0, caller_left_s=20.0)
+        assert 2.0 <= service.choice.error(call).retry_after_s < 20 / 3
 
     def test_relayed_call_was_decided_on_where_it_arrived(self, service, clock):
         service.learn()
