--- a/src/briarfall/gateway/forwarding/dispatchgate.py
+++ b/src/briarfall/gateway/forwarding/dispatchgate.py
@@ -294,11 +294,9 @@
     if call.relayed is not None and call.relayed.runs:
         # The peer whose caller it is does not tell whether it has begun.
         is_started = call.route.kind is views.RouteKind.STREAM
-    return retries.RetryNeed(
-        call.urgency,
-        is_started,
-        is_started or call.age_s < call.route.first_byte_slo_s,
-    )
+    aim_s = call.route.first_byte_slo_s
+    is_in_time = is_started or aim_s <= 0 or call.age_s < aim_s
+    return retries.RetryNeed(call.urgency, is_started, is_in_time)
 
 
 def _budget_error(call: calls.Call) -> exceptions.RetryBudgetError:
--- a/src/briarfall/gateway/forwarding/plainadmission.py
+++ b/src/briarfall/gateway/forwarding/plainadmission.py
@@ -19,8 +19,9 @@
 from briarfall.gateway.targets import targets
 from briarfall.gateway.targets import targetstate
 
-# Lowest HTTP status of an answer that says nothing about the time of the work.
-_FIRST_FAILURE_STATUS = 500
+# Lowest HTTP status of an answer that says nothing about the time of the work:
+# a target that refuses a request does no work for it.
+_FIRST_FAILURE_STATUS = 400
 _MAX_SERVICES = 1024
 
 
@@ -226,8 +227,8 @@
 def _key(call: calls.Call) -> str:
     """Returns what identifies a call over its repeats, or an empty string.
 
-    Callers without an account that ask for the same page can't be told apart.
+    Callers without an account can't be told apart.
     """
-    if call.account is None and not call.req.body:
+    if call.account is None:
         return ""
     return crashes.fingerprint(call)
--- a/src/briarfall/gateway/scheduling/slots.py
+++ b/src/briarfall/gateway/scheduling/slots.py
@@ -28,6 +28,9 @@
 # That wait is at least so many times the time of an answer, so that the slots
 # are never idle for it.
 _PATIENT_ROUNDS = 2.0
+# Calls that were too late, within `_RECENT_S`, from which on that holds. Fewer
+# may be those of a single caller with little patience.
+_MIN_TIGHT_CALLS = 4
 # Rounds of admissions, one for each account and urgency of late, after which
 # one that was refused since its last admission is let in.
 _ROUNDS = 8
@@ -132,6 +135,20 @@
         return self.verdict is Verdict.ROOM
 
 
+class _TightCalls(msgspec.Struct):
+    """Calls of one urgency that were too late.
+
+    Attributes:
+        count: Their number.
+        longest_s: The shortest wait for which one of them had time.
+        seen_s: When the last of them came.
+    """
+
+    count: int = 0
+    longest_s: float = float("inf")
+    seen_s: float = float("-inf")
+
+
 _Group = tuple[int, str]
 
 
@@ -232,9 +249,8 @@
             collections.OrderedDict()
         )
         self._admissions = 0
-        # Shortest wait, by urgency, for which calls of late had time and were
-        # too late, and when the last of them came.
-        self._tight: dict[int, tuple[float, float]] = {}
+        # Calls of late that had time for a wait and were too late, by urgency.
+        self._tight: dict[int, _TightCalls] = {}
 
     def decide(
         self, need: SlotNeed, rows: list[TargetSlots], now_s: float
@@ -320,19 +336,21 @@
         The wait of the others is then bounded by it: those with more time can
         come back, and the queues serve as many with a shorter wait.
         """
-        known_s, seen_s = self._tight.get(urgency, (longest_s, now_s))
-        if seen_s >= now_s - _RECENT_S:
-            longest_s = min(longest_s, known_s)
-        self._tight[urgency] = (longest_s, now_s)
+        known = self._tight.get(urgency)
+        if known is None or known.seen_s < now_s - _RECENT_S:
+            known = self._tight[urgency] = _TightCalls()
+        known.count += 1
+        known.longest_s = min(known.longest_s, longest_s)
+        known.seen_s = now_s
 
     def _tightest_s(self, urgency: int, now_s: float) -> float:
         """Returns the shortest such time of calls that are as urgent."""
         tightest_s = float("inf")
-        for other, (longest_s, seen_s) in list(self._tight.items()):
-            if seen_s < now_s - _RECENT_S:
+        for other, known in list(self._tight.items()):
+            if known.seen_s < now_s - _RECENT_S:
                 del self._tight[other]
-            elif other <= urgency:
-                tightest_s = min(tightest_s, longest_s)
+            elif other <= urgency and known.count >= _MIN_TIGHT_CALLS:
+                tightest_s = min(tightest_s, known.longest_s)
         return tightest_s
 
     def _heaviness(self, need: SlotNeed) -> float:
--- a/tests/test_scheduling_slots.py
+++ b/tests/test_scheduling_slots.py
@@ -225,6 +225,20 @@
         late = [row for row in _play(callers) if row.caller.arrives_s > 5.0]
         assert _served(late, deadline_s=0.5) > 0.5
 
+    def test_one_caller_without_patience_leaves_others_their_wait(self):
+        service = slots.ServiceSlots()
+        full = [
+            slots.TargetSlots(
+                "t", _SLOTS, 4 * _SLOTS, answertimes.Estimate(_WORK_S, 0.1)
+            )
+        ]
+        for _ in range(3):
+            hasty = service.decide(slots.SlotNeed("a", 5, 0.25), full, 0.0)
+            assert hasty.verdict is slots.Verdict.TOO_LATE
+        for number in range(12):
+            need = slots.SlotNeed(f"b{number}", 5, 30.0)
+            assert service.decide(need, full, 0.1).is_admitted
+
 
 class TestOrders:
     def _decision(self, *, runs_once: bool, left_s: float) -> slots.Decision:
