Connections of peers cost no caller's unfinished request

Cause: the listeners of callers and of peers shared the function that makes room. A crowded listener of peers refused the slowest request of all, usually a caller's, which freed no connection of peers; the pools of peers keep idle connections, so that this could happen on a calm instance.

Change: bodies belong to the group of their listener, and a listener makes room only among its own. The budget of bytes stays one. The test failed before: a caller with a pause of 0.8 s in its body got 503 when three peers connected.

--- a/src/briarfall/gateway/callers/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -45,7 +45,12 @@
 
 
 class CallerHandler:
-    """Handles the connections of callers."""
+    """Handles the connections of callers and of peers.
+
+    Attributes:
+        caller_bodies: Bodies of callers' requests.
+        peer_bodies: Bodies of requests that peers relay.
+    """
 
     def __init__(
         self,
@@ -76,12 +81,15 @@
         self._stop = stop
         self._metrics = counters
         self._guard = guard
-        self._bodies = body_budget
+        self.caller_bodies = bodybudget.BodyGroup(body_budget)
+        self.peer_bodies = bodybudget.BodyGroup(body_budget)
         self._rng = rng
 
     def serve(self, sock: socket.socket) -> None:
         """Serves a caller's requests on a connection until it is closed."""
-        self._serve(callers.CallerConnection(sock, self._limits, self._bodies))
+        self._serve(
+            callers.CallerConnection(sock, self._limits, self.caller_bodies)
+        )
 
     @listener.refused_with([relaymessages.UNREAD_HEADER])
     def serve_peer(self, sock: socket.socket) -> None:
@@ -90,7 +98,7 @@
         They are served like those of callers, but not relayed again.
         """
         self._serve(
-            peerconnections.PeerConnection(sock, self._limits, self._bodies)
+            peerconnections.PeerConnection(sock, self._limits, self.peer_bodies)
         )
 
     def _serve(self, conn: callers.CallerConnection) -> None:
--- a/src/briarfall/gateway/callers/peerconnections.py
+++ b/src/briarfall/gateway/callers/peerconnections.py
@@ -23,16 +23,16 @@
     Args:
         sock: The accepted socket.
         limits: Limits on size and duration of callers' requests.
-        budget: Memory for the bodies of all requests, or None for no bound.
+        bodies: Bodies of the listener's requests, or None for no bound.
     """
 
     def __init__(
         self,
         sock: socket.socket,
         limits: views.CallerLimits,
-        budget: bodybudget.BodyBudget | None = None,
+        bodies: bodybudget.BodyGroup | None = None,
     ):
-        super().__init__(sock, _with_private_header(limits), budget)
+        super().__init__(sock, _with_private_header(limits), bodies)
         self._call: calls.Call | None = None
         # Whether the peer knows that its request may run only once.
         self._is_announced = False
--- a/src/briarfall/gateway/calls/bodybudget.py
+++ b/src/briarfall/gateway/calls/bodybudget.py
@@ -16,6 +16,7 @@
 # A part of the budget is reserved for bodies up to this length.
 SMALL_BODY_BYTES = 65_536
 _LARGE_SHARE = 0.75
+_UNBOUNDED_BYTES = 1 << 62
 # A body progresses when it has grown by this many bytes. Less is no progress,
 # so that single bytes don't keep a body.
 PROGRESS_BYTES = 65_536
@@ -31,10 +32,12 @@
 
     Args:
         budget: The budget that it belongs to.
+        group: The group in which it was opened, if there is one.
     """
 
-    def __init__(self, budget: "BodyBudget"):
+    def __init__(self, budget: "BodyBudget", group: "BodyGroup | None" = None):
         self._budget = budget
+        self.group = group
         self.size = 0
         self.is_complete = False
         self.is_refused = False
@@ -93,6 +96,29 @@
         self._budget.release(self)
 
 
+class BodyGroup:
+    """The bodies that arrive on the connections of one listener.
+
+    Args:
+        budget: The budget that they share with those of other listeners.
+    """
+
+    def __init__(self, budget: "BodyBudget"):
+        self._budget = budget
+
+    def open(self) -> HeldBody:
+        """Returns the empty body of a request that begins."""
+        return self._budget.open(self)
+
+    def refuse_slowest(self) -> bool:
+        """Refuses the worst request for the sake of a new connection.
+
+        Returns:
+            Whether there was an unfinished one without progress.
+        """
+        return self._budget.refuse_slowest(self)
+
+
 class BodyBudget:
     """The bodies of all requests that an instance holds.
 
@@ -116,9 +142,9 @@
         """Bytes that all bodies hold."""
         return self._held
 
-    def open(self) -> HeldBody:
-        """Returns the empty body of a request that begins."""
-        body = HeldBody(self)
+    def open(self, group: BodyGroup | None = None) -> HeldBody:
+        """Returns the empty body of a request; see `BodyGroup.open`."""
+        body = HeldBody(self, group)
         with self._lock:
             self._bodies.add(body)
         return body
@@ -153,16 +179,15 @@
             self._bodies.remove(body)
             self._held -= body.size
 
-    def refuse_slowest(self) -> bool:
-        """Refuses the worst request for the sake of a new connection.
-
-        Returns:
-            Whether there was an unfinished one without progress.
-        """
+    def refuse_slowest(self, group: BodyGroup | None = None) -> bool:
+        """Refuses the worst request; see `BodyGroup.refuse_slowest`."""
         with self._lock:
             now_s = clocks.boot_s()
             stalled = []
-            for body in self._unfinished():
+            for body in self._bodies:
+                # A request of another listener holds none of its connections.
+                if body.group is not group or body.is_complete:
+                    continue
                 if body.stall_s(now_s) >= _MIN_STALL_S:
                     stalled.append(body)
             if not stalled:
@@ -190,9 +215,6 @@
             return large
         return []
 
-    def _unfinished(self) -> list[HeldBody]:
-        return [body for body in self._bodies if not body.is_complete]
-
     def _refuse_worst(self, bodies: list[HeldBody]) -> None:
         worst = max(bodies, key=_cost_of)
         worst.is_refused = True
@@ -202,6 +224,11 @@
         self.refusals += 1
 
 
+def unbounded() -> BodyGroup:
+    """Returns a group whose bodies have no bound together."""
+    return BodyGroup(BodyBudget(_UNBOUNDED_BYTES))
+
+
 def _cost_of(body: HeldBody) -> tuple[float, int]:
     """Returns bytes times seconds without progress, then the bytes."""
     stall_s = body.stall_s(clocks.boot_s())
--- a/src/briarfall/gateway/calls/callers.py
+++ b/src/briarfall/gateway/calls/callers.py
@@ -21,7 +21,6 @@
 _REFUSAL_POLL_S = 1.0
 # Retry-After of a request that was refused for lack of memory.
 _REFUSED_RETRY_S = 1.0
-_UNBOUNDED_BYTES = 1 << 62
 # The connection is closed if the caller reads nothing for this long.
 _SEND_TIMEOUT_S = 10.0
 # Longest time for one piece of a response, however the caller reads it.
@@ -63,17 +62,17 @@
     Args:
         sock: The accepted socket.
         limits: Limits on size and duration of the caller's requests.
-        budget: Memory for the bodies of all requests, or None for no bound.
+        bodies: Bodies of the listener's requests, or None for no bound.
     """
 
     def __init__(
         self,
         sock: socket.socket,
         limits: views.CallerLimits,
-        budget: bodybudget.BodyBudget | None = None,
+        bodies: bodybudget.BodyGroup | None = None,
     ):
         self.sock = sock
-        self._budget = budget or bodybudget.BodyBudget(_UNBOUNDED_BYTES)
+        self._bodies = bodies or bodybudget.unbounded()
         self._body: bodybudget.HeldBody | None = None
         self.limits = limits
         self._set_limits = limits
@@ -144,7 +143,7 @@
         """Returns the next request with all headers; see `read_request`."""
         self._is_response_due = True
         self.head_headers = None
-        self._body = self._budget.open()
+        self._body = self._bodies.open()
         try:
             return self._read_message(self._body)
         except exceptions.BodyMemoryError as exc:
--- a/src/briarfall/gateway/instance/instance.py
+++ b/src/briarfall/gateway/instance/instance.py
@@ -288,7 +288,7 @@
             name="callers",
             sock=listeners.get(f"{cfg.caller.host}:{cfg.caller.port}"),
             max_connections=bounds.caller_connections,
-            make_room=self.bodies.refuse_slowest,
+            make_room=self._caller_handler.caller_bodies.refuse_slowest,
         )
         self._relay_listener = listener.Listener(
             cfg.peer.host,
@@ -297,7 +297,7 @@
             name="peers",
             sock=peer_sock,
             max_connections=bounds.peer_connections,
-            make_room=self.bodies.refuse_slowest,
+            make_room=self._caller_handler.peer_bodies.refuse_slowest,
         )
         self._status_listener = listener.Listener(
             cfg.status.host,
