Connections close after their response while they are short

Cause: callers keep idle connections for up to the idle timeout, and the bound on connections counts them. As many idle ones as allowed made an instance without any load refuse every further caller with 503; the load balancer sends a client to the same instance again. The same held for the idle pools of peers.

Change: above 0.8 of the allowed connections, a response says Connection: close, as in a planned stop, so that a fifth is left for connections with requests. No announced idle time is broken. The test failed before: the 11th caller of an instance with room for ten idle ones got 503.

--- a/src/briarfall/gateway/callers/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -1,5 +1,6 @@
 """Serves callers: routes each request and sends a response for each outcome."""
 
+import collections.abc
 import random
 import socket
 import threading
@@ -44,6 +45,13 @@
 _SUCCESS_SAMPLE = 0.1
 
 
+_Crowded = collections.abc.Callable[[], bool]
+
+
+def _never() -> bool:
+    return False
+
+
 class CallerHandler:
     """Handles the connections of callers and of peers.
 
@@ -83,8 +91,23 @@
         self._guard = guard
         self.caller_bodies = bodybudget.BodyGroup(body_budget)
         self.peer_bodies = bodybudget.BodyGroup(body_budget)
+        self._are_callers_crowded: _Crowded = _never
+        self._are_peers_crowded: _Crowded = _never
         self._rng = rng
 
+    def watch_crowds(self, of_callers: _Crowded, of_peers: _Crowded) -> None:
+        """Sets what tells when connections are short.
+
+        Connections then close after their response, so that idle ones don't
+        keep new ones from being accepted.
+
+        Args:
+            of_callers: Whether hardly any more callers may connect.
+            of_peers: Whether hardly any more peers may connect.
+        """
+        self._are_callers_crowded = of_callers
+        self._are_peers_crowded = of_peers
+
     def serve(self, sock: socket.socket) -> None:
         """Serves a caller's requests on a connection until it is closed."""
         self._serve(
@@ -140,7 +163,7 @@
         req = conn.read_request()
         if req is None:
             return False
-        if self._stop.closes_connections:
+        if self._stop.closes_connections or self._is_crowded(conn):
             conn.closes_after_response = True
         try:
             self._forward(conn, req)
@@ -157,6 +180,11 @@
             self._answer_error(conn, req, exc)
         return conn.start_next()
 
+    def _is_crowded(self, conn: callers.CallerConnection) -> bool:
+        if conn.relayed is None:
+            return self._are_callers_crowded()
+        return self._are_peers_crowded()
+
     def _forward(
         self, conn: callers.CallerConnection, req: messages.CallerRequest
     ) -> None:
--- a/src/briarfall/gateway/instance/instance.py
+++ b/src/briarfall/gateway/instance/instance.py
@@ -299,6 +299,10 @@
             max_connections=bounds.peer_connections,
             make_room=self._caller_handler.peer_bodies.refuse_slowest,
         )
+        self._caller_handler.watch_crowds(
+            lambda: self._caller_listener.is_crowded,
+            lambda: self._relay_listener.is_crowded,
+        )
         self._status_listener = listener.Listener(
             cfg.status.host,
             cfg.status.port,
--- a/tests/test_gateway_crowdedlisteners.py
+++ b/tests/test_gateway_crowdedlisteners.py
@@ -10,6 +10,7 @@
 
 # Lets callers open 10 connections.
 _MAX_DESCRIPTORS = 220
+_CALLERS = 10
 _PEERS = 3
 # A pause after which a request may be refused to make room.
 _PAUSE_S = 0.8
@@ -27,6 +28,28 @@
         yield found
 
 
+class TestIdleConnections:
+    def test_callers_that_keep_them_open_leave_room_for_others(self, inst):
+        kept = []
+        closed = []
+        for _ in range(_CALLERS + 5):
+            caller = rawcaller.RawCaller(inst.caller_address)
+            kept.append(caller)
+            caller.send(rawcaller.request("/views/x"))
+            answer = caller.read()
+            assert answer.status == 200
+            closed.append(answer.headers.get("connection") == "close")
+            if closed[-1]:
+                assert caller.is_closed
+                testbed.until(
+                    lambda: inst.open_connections < _CALLERS - 1,
+                    "the connection is not counted",
+                )
+        assert not any(closed[: _CALLERS // 2])
+        for caller in kept:
+            caller.close()
+
+
 class TestConnectionsOfPeers:
     def test_they_cost_no_request_of_a_caller(self, inst):
         caller = rawcaller.RawCaller(inst.caller_address)
