Body budget: no look at all bodies at each append within the bounds

Which bodies are refused stays the same; the property test now also checks the share of large bodies. No test failed before: this is a cost, not an outcome.

--- a/src/briarfall/gateway/calls/bodybudget.py
+++ b/src/briarfall/gateway/calls/bodybudget.py
@@ -46,9 +46,9 @@
         self._progress_s = clocks.boot_s()
 
     @property
-    def is_large(self) -> bool:
-        """Whether it takes from the part for large bodies."""
-        return self.size > SMALL_BODY_BYTES
+    def large_size(self) -> int:
+        """Bytes that it takes from the part for large bodies."""
+        return self.size if self.size > SMALL_BODY_BYTES else 0
 
     def stall_s(self, now_s: float) -> float:
         """Returns the time since its last progress, in seconds."""
@@ -136,6 +136,7 @@
         self._lock = threading.Lock()
         self._bodies: set[HeldBody] = set()
         self._held = 0
+        self._held_by_large = 0
 
     @property
     def held(self) -> int:
@@ -153,9 +154,11 @@
         """Adds bytes to a body; see `HeldBody.append`."""
         with self._lock:
             body.check()
+            large_size = body.large_size
             body.grow(data)
             self._held += len(data)
-            if self._held > self.capacity * _LARGE_SHARE:
+            self._held_by_large += body.large_size - large_size
+            if self._is_over():
                 self._refuse_excess()
             body.check()
 
@@ -178,6 +181,7 @@
         if body in self._bodies:
             self._bodies.remove(body)
             self._held -= body.size
+            self._held_by_large -= body.large_size
 
     def refuse_slowest(self, group: BodyGroup | None = None) -> bool:
         """Refuses the worst request; see `BodyGroup.refuse_slowest`."""
@@ -195,6 +199,12 @@
             self._refuse_worst(stalled)
             return True
 
+    def _is_over(self) -> bool:
+        """Whether all bodies, or the large ones, may be too much together."""
+        if self._held > self.capacity:
+            return True
+        return self._held_by_large > self.capacity * _LARGE_SHARE
+
     def _refuse_excess(self) -> None:
         """Refuses unfinished bodies until the others are within the budget."""
         while True:
@@ -209,8 +219,8 @@
         """Returns the bodies that are too much together, or none."""
         if len(holders) > 1 and self._held > self.capacity:
             return holders
-        large = [body for body in holders if body.is_large]
-        used = sum(body.size for body in large)
+        large = [body for body in holders if body.large_size]
+        used = self._held_by_large
         if len(large) > 1 and used > self.capacity * _LARGE_SHARE:
             return large
         return []
--- a/tests/test_gateway_bodybudget.py
+++ b/tests/test_gateway_bodybudget.py
@@ -10,6 +10,7 @@
 
 _CAPACITY = 1_000_000
 _LARGE = 300_000
+_LARGE_SHARE = 0.75
 
 
 @pytest.fixture
@@ -147,6 +148,9 @@
             assert not any(row.is_refused and row.is_complete for row in bodies)
             holders = [row for row in live if row.size]
             assert budget.held <= _CAPACITY or len(holders) == 1
+            large = [row for row in live if row.large_size]
+            used = sum(row.size for row in large)
+            assert used <= _CAPACITY * _LARGE_SHARE or len(large) == 1
 
 
 class TestProcessLimits:
