--- a/src/briarfall/gateway/calls/bodybudget.py
+++ b/src/briarfall/gateway/calls/bodybudget.py
@@ -16,6 +16,7 @@
 # A part of the budget is reserved for bodies up to this length.
 SMALL_BODY_BYTES = 65_536
 _LARGE_SHARE = 0.75
+_UNBOUNDED_BYTES = 1 << 62
 # A body progresses when it has grown by this many bytes. Less is no progress,
 # so that single bytes don't keep a body.
 PROGRESS_BYTES = 65_536
@@ -31,10 +32,12 @@
 
     Args:
         budget: The budget that it belongs to.
+        group: The group in which it was opened, if there is one.
     """
 
-    def __init__(self, budget: "BodyBudget"):
+    def __init__(self, budget: "BodyBudget", group: "BodyGroup | None" = None):
         self._budget = budget
+        self.group = group
         self.size = 0
         self.is_complete = False
         self.is_refused = False
@@ -43,9 +46,9 @@
         self._progress_s = clocks.boot_s()
 
     @property
-    def is_large(self) -> bool:
-        """Whether it takes from the part for large bodies."""
-        return self.size > SMALL_BODY_BYTES
+    def large_size(self) -> int:
+        """Bytes that it takes from the part for large bodies."""
+        return self.size if self.size > SMALL_BODY_BYTES else 0
 
     def stall_s(self, now_s: float) -> float:
         """Returns the time since its last progress, in seconds."""
@@ -93,6 +96,29 @@
         self._budget.release(self)
 
 
+class BodyGroup:
+    """The bodies that arrive on the connections of one listener.
+
+    Args:
+        budget: The budget that they share with those of other listeners.
+    """
+
+    def __init__(self, budget: "BodyBudget"):
+        self._budget = budget
+
+    def open(self) -> HeldBody:
+        """Returns the empty body of a request that begins."""
+        return self._budget.open(self)
+
+    def refuse_slowest(self) -> bool:
+        """Refuses the worst request for the sake of a new connection.
+
+        Returns:
+            Whether there was an unfinished one without progress.
+        """
+        return self._budget.refuse_slowest(self)
+
+
 class BodyBudget:
     """The bodies of all requests that an instance holds.
 
@@ -110,15 +136,16 @@
         self._lock = threading.Lock()
         self._bodies: set[HeldBody] = set()
         self._held = 0
+        self._held_by_large = 0
 
     @property
     def held(self) -> int:
         """Bytes that all bodies hold."""
         return self._held
 
-    def open(self) -> HeldBody:
-        """Returns the empty body of a request that begins."""
-        body = HeldBody(self)
+    def open(self, group: BodyGroup | None = None) -> HeldBody:
+        """Returns the empty body of a request; see `BodyGroup.open`."""
+        body = HeldBody(self, group)
         with self._lock:
             self._bodies.add(body)
         return body
@@ -127,9 +154,11 @@
         """Adds bytes to a body; see `HeldBody.append`."""
         with self._lock:
             body.check()
+            large_size = body.large_size
             body.grow(data)
             self._held += len(data)
-            if self._held > self.capacity * _LARGE_SHARE:
+            self._held_by_large += body.large_size - large_size
+            if self._is_over():
                 self._refuse_excess()
             body.check()
 
@@ -152,17 +181,17 @@
         if body in self._bodies:
             self._bodies.remove(body)
             self._held -= body.size
+            self._held_by_large -= body.large_size
 
-    def refuse_slowest(self) -> bool:
-        """Refuses the worst request for the sake of a new connection.
-
-        Returns:
-            Whether there was an unfinished one without progress.
-        """
+    def refuse_slowest(self, group: BodyGroup | None = None) -> bool:
+        """Refuses the worst request; see `BodyGroup.refuse_slowest`."""
         with self._lock:
             now_s = clocks.boot_s()
             stalled = []
-            for body in self._unfinished():
+            for body in self._bodies:
+                # A request of another listener holds none of its connections.
+                if body.group is not group or body.is_complete:
+                    continue
                 if body.stall_s(now_s) >= _MIN_STALL_S:
                     stalled.append(body)
             if not stalled:
@@ -170,6 +199,12 @@
             self._refuse_worst(stalled)
             return True
 
+    def _is_over(self) -> bool:
+        """Whether all bodies, or the large ones, may be too much together."""
+        if self._held > self.capacity:
+            return True
+        return self._held_by_large > self.capacity * _LARGE_SHARE
+
     def _refuse_excess(self) -> None:
         """Refuses unfinished bodies until the others are within the budget."""
         while True:
@@ -184,15 +219,12 @@
         """Returns the bodies that are too much together, or none."""
         if len(holders) > 1 and self._held > self.capacity:
             return holders
-        large = [body for body in holders if body.is_large]
-        used = sum(body.size for body in large)
+        large = [body for body in holders if body.large_size]
+        used = self._held_by_large
         if len(large) > 1 and used > self.capacity * _LARGE_SHARE:
             return large
         return []
 
-    def _unfinished(self) -> list[HeldBody]:
-        return [body for body in self._bodies if not body.is_complete]
-
     def _refuse_worst(self, bodies: list[HeldBody]) -> None:
         worst = max(bodies, key=_cost_of)
         worst.is_refused = True
@@ -202,6 +234,11 @@
         self.refusals += 1
 
 
+def unbounded() -> BodyGroup:
+    """Returns a group whose bodies have no bound together."""
+    return BodyGroup(BodyBudget(_UNBOUNDED_BYTES))
+
+
 def _cost_of(body: HeldBody) -> tuple[float, int]:
     """Returns bytes times seconds without progress, then the bytes."""
     stall_s = body.stall_s(clocks.boot_s())
--- a/src/briarfall/gateway/instance/instance.py
+++ b/src/briarfall/gateway/instance/instance.py
@@ -289,7 +289,7 @@
             name="callers",
             sock=listeners.get(f"{cfg.caller.host}:{cfg.caller.port}"),
             max_connections=bounds.caller_connections,
-            make_room=self.bodies.refuse_slowest,
+            make_room=self._caller_handler.caller_bodies.refuse_slowest,
         )
         self._relay_listener = listener.Listener(
             cfg.peer.host,
@@ -298,7 +298,11 @@
             name="peers",
             sock=peer_sock,
             max_connections=bounds.peer_connections,
-            make_room=self.bodies.refuse_slowest,
+            make_room=self._caller_handler.peer_bodies.refuse_slowest,
+        )
+        self._caller_handler.watch_crowds(
+            lambda: self._caller_listener.is_crowded,
+            lambda: self._relay_listener.is_crowded,
         )
         self._status_listener = listener.Listener(
             cfg.status.host,
--- a/tests/test_scheduling_returns.py
+++ b/tests/test_scheduling_returns.py
@@ -8,10 +8,12 @@
 import pytest
 
 from briarfall import exceptions
+from briarfall import ids
 from briarfall.gateway import clocks
 from briarfall.gateway import metrics
 from briarfall.gateway import retryafter
 from briarfall.gateway.calls import calls
+from briarfall.gateway.catalogue import views
 from briarfall.gateway.exchanges import messages
 from briarfall.gateway.forwarding import plainadmission
 from briarfall.gateway.forwarding import plainexchanges
@@ -154,6 +156,7 @@
     call.req = messages.CallerRequest(
         b"POST", b"/orders/x", [], fields.pop("body", b"one"), now_s
     )
+    call.account = views.ClientAccount(ids.ClientId("a"))
     call.deadline_s = now_s + fields.pop("left_s", 2.0)
     call.caller_until_s = now_s + fields.pop("caller_left_s", 2.0)
     for key, value in fields.items():
@@ -271,9 +274,11 @@
     ):
         service.learn()
         service.fill(60, 60)
-        assert service.refusal(_call(clock.now_s, body=b"", left_s=1.0))
+        assert service.refusal(
+            _call(clock.now_s, account=None, body=b"", left_s=1.0)
+        )
         service.fill(8, 8)
-        call = _call(clock.now_s, body=b"", left_s=1.0)
+        call = _call(clock.now_s, account=None, body=b"", left_s=1.0)
         assert service.refusal(call) is None
 
     def test_pause_fits_the_callers_time_not_the_timeout_of_the_route(
