--- a/tests/test_gateway_bodybudget.py
+++ b/tests/test_gateway_bodybudget.py
@@ -1,5 +1,7 @@
 """Which request bodies an instance holds, and which ones it refuses."""
 
+import json
+
 from hypothesis import given
 from hypothesis import strategies
 import pytest
@@ -7,6 +9,7 @@
 from briarfall import exceptions
 from briarfall.gateway.calls import bodybudget
 from briarfall.gateway.instance import processlimits
+from briarfall.platform import settings
 
 _CAPACITY = 1_000_000
 _LARGE = 300_000
@@ -159,3 +162,25 @@
         assert 0 < found.body_bytes <= memory_mb * 1_000_000 / 4
         sockets = found.caller_connections + found.peer_connections
         assert 0 < sockets <= descriptors - 200
+
+
+class TestSettingsFile:
+    _FILE = {
+        "node": "i1",
+        "zone": "z1",
+        "ip": "127.0.0.1",
+        "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"},
+        "platform": {"address": "127.0.0.1:3"},
+        "port_range": [7000, 7001],
+    }
+
+    def test_limits_of_the_process(self):
+        limits = {"ram_mb": 152, "max_fds": 900}
+        cfg = settings.parse(
+            json.dumps({**self._FILE, "limits": limits}).encode()
+        )
+        assert (cfg.memory_mb, cfg.max_descriptors) == (152, 900)
+
+    def test_file_without_them_gets_the_defaults(self):
+        cfg = settings.parse(json.dumps(self._FILE).encode())
+        assert (cfg.memory_mb, cfg.max_descriptors) == (250, 1535)
