Unused connections count in the group of their listener

Two merged changes did not fit: the look for connections without a request used the handler's budget, which had become one group a listener.

--- a/src/briarfall/gateway/callers/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -154,7 +154,7 @@
         """
         if conn.status:
             return self._wait_readable(conn, None)
-        unused = self._bodies.open()
+        unused = conn.bodies.open()
         try:
             return self._wait_readable(conn, unused)
         finally:
--- a/src/briarfall/gateway/calls/callers.py
+++ b/src/briarfall/gateway/calls/callers.py
@@ -73,7 +73,8 @@
         bodies: bodybudget.BodyGroup | None = None,
     ):
         self.sock = sock
-        self._bodies = bodies or bodybudget.unbounded()
+        # Memory of the bodies on all connections of the same listener.
+        self.bodies = bodies or bodybudget.unbounded()
         self._body: bodybudget.HeldBody | None = None
         self.limits = limits
         self._set_limits = limits
@@ -144,7 +145,7 @@
         """Returns the next request with all headers; see `read_request`."""
         self._is_response_due = True
         self.head_headers = None
-        self._body = self._bodies.open()
+        self._body = self.bodies.open()
         reader = bodyreading.BodyReader(self._body, self.limits.max_body_bytes)
         try:
             with contextlib.closing(reader):
--- a/src/briarfall/gateway/scheduling/returns.py
+++ b/src/briarfall/gateway/scheduling/returns.py
@@ -11,7 +11,7 @@
 from briarfall.gateway import retryafter
 
 # A caller waits for at most this share of the time that it has left, whatever
-# it is told (PROTOCOL.md, "Answers").
+# it is told.
 HONOURED_SHARE = 1.0 / 3.0
 # Part of the honoured time over which returns are spread that would otherwise
 # all fall at its end.
