--- a/tests/test_gateway_strictestviews.py
+++ b/tests/test_gateway_strictestviews.py
@@ -83,7 +83,7 @@
 
     # Guards against a log that names a version which did not judge the order.
     def test_log_names_the_version_at_the_arrival(self, world, caplog):
-        caplog.set_level(logging.INFO)
+        caplog.set_level(logging.INFO, logger="absl")
         scene = secondruns.Scene(world)
         _send_while_version_changes(scene, secondruns.routes())
 
@@ -101,7 +101,7 @@
 class TestSend:
     # Guards against an instance that is killed and leaves no trace of a run.
     def test_of_an_order_is_logged_before_its_end(self, world, caplog):
-        caplog.set_level(logging.INFO)
+        caplog.set_level(logging.INFO, logger="absl")
         scene = secondruns.Scene(world)
         secondruns.send_order(scene.peer)
         lines = [
--- a/tests/test_scheduling_returns.py
+++ b/tests/test_scheduling_returns.py
@@ -318,7 +318,7 @@
     def test_refusals_are_counted_by_route_and_outcome(
         self, service, clock, caplog
     ):
-        caplog.set_level("INFO")
+        caplog.set_level("INFO", logger="absl")
         service.learn()
         service.fill(60, 60)
         service.refusal(_call(clock.now_s, left_s=1.0))
