--- a/review/scene2.py
+++ b/review/scene2.py
@@ -234,6 +234,31 @@
         fields = stat.rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+    def resident_bytes(self) -> int:
+        """Returns the resident memory of the process, or 0 if it has ended."""
+        path = pathlib.Path(f"/proc/{self._process.pid}/status")
+        try:
+            lines = path.read_text().splitlines()
+        except OSError:
+            return 0
+        for line in lines:
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) * 1024
+        return 0
+
+    def unread_bytes(self) -> int:
+        """Returns the bytes that have come from callers and were not read."""
+        local = f"{int.from_bytes(socket.inet_aton(LOCAL), 'little'):08X}"
+        end = f"{local}:{self.front[1]:04X}"
+        total = 0
+        with pathlib.Path("/proc/net/tcp").open() as file:
+            for line in file:
+                fields = line.split()
+                # Listening sockets have their backlog in this place.
+                if fields[1] == end and fields[3] != "0A":
+                    total += int(fields[4].partition(":")[2], 16)
+        return total
+
     def log_lines(self, text: str) -> list[str]:
         """Returns the lines of its log that hold a text."""
         lines = self._log.read_text(errors="replace").splitlines()
--- a/review/streams2.py
+++ b/review/streams2.py
@@ -1,4 +1,4 @@
-"""Model engines that some requests crash, for the scripts of cases 7 and 8."""
+"""Model engines that some requests crash, for cases 6 and 10."""
 
 import collections.abc
 import json
