--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 # command of the deploy file has put into target/deps.
 set -e
 cd "$(dirname "$0")/.."
-python3 -m compileall -q src/briarfall review/scene2.py
+python3 -m compileall -q src/briarfall review/*2.py
 PYTHONPATH=src:target/deps python3 -c "
 from briarfall.standins.prepared import manifests, store
 "
