--- a/review/scene2.py
+++ b/review/scene2.py
@@ -14,6 +14,7 @@
 import random
 import select
 import shlex
+import signal
 import socket
 import subprocess
 import sys
@@ -725,8 +726,16 @@
         time.sleep(0.1)
 
 
+def _end(number: int, frame: object) -> None:
+    raise CaseError("it was told to end")
+
+
 def run(case: collections.abc.Callable[[], int]) -> None:
-    """Runs a case and exits with its result."""
+    """Runs a case and exits with its result.
+
+    A case that is told to end ends what it has started.
+    """
+    signal.signal(signal.SIGTERM, _end)
     try:
         result = case()
     except CaseError as exc:
