--- a/review/scene3.py
+++ b/review/scene3.py
@@ -94,15 +94,24 @@
     }
 
 
-def free_ports(kind: socket.SocketKind, count: int) -> list[int]:
-    """Returns free loopback ports."""
+def free_ports(count: int) -> list[int]:
+    """Returns loopback ports that are free for connections and datagrams."""
     socks = []
+    ports = []
     try:
-        for _ in range(count):
-            sock = socket.socket(socket.AF_INET, kind)
-            sock.bind(("127.0.0.1", 0))
-            socks.append(sock)
-        return [sock.getsockname()[1] for sock in socks]
+        while len(ports) < count:
+            stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            socks.append(stream)
+            stream.bind(("127.0.0.1", 0))
+            port = stream.getsockname()[1]
+            datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            socks.append(datagram)
+            try:
+                datagram.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            ports.append(port)
+        return ports
     finally:
         for sock in socks:
             sock.close()
@@ -121,8 +130,7 @@
     def __init__(
         self, name: str, zone: str, store_address: str, folder: pathlib.Path
     ):
-        front, ready = free_ports(socket.SOCK_STREAM, 2)
-        (peer,) = free_ports(socket.SOCK_DGRAM, 1)
+        front, ready, peer = free_ports(3)
         self.name = name
         self.front = ("127.0.0.1", front)
         self.ready = ("127.0.0.1", ready)
