--- a/review/scene3.py
+++ b/review/scene3.py
@@ -125,12 +125,19 @@
         zone: Its zone.
         store_address: Address at which it finds the store.
         folder: Folder for settings and log.
+        peer_port: Port for other instances, or 0 for a free one.
     """
 
     def __init__(
-        self, name: str, zone: str, store_address: str, folder: pathlib.Path
+        self,
+        name: str,
+        zone: str,
+        store_address: str,
+        folder: pathlib.Path,
+        peer_port: int = 0,
     ):
         front, ready, peer = free_ports(3)
+        peer = peer_port or peer
         self.name = name
         self.front = ("127.0.0.1", front)
         self.ready = ("127.0.0.1", ready)
@@ -285,7 +292,11 @@
         self.record(f"operator: manifest version={value['version']}")
 
     def start(
-        self, name: str, zone: str = "z1", store_address: str = ""
+        self,
+        name: str,
+        zone: str = "z1",
+        store_address: str = "",
+        peer_port: int = 0,
     ) -> Instance:
         """Starts an instance; returns at once."""
         found = Instance(
@@ -293,6 +304,7 @@
             zone,
             store_address or self.store.address,
             pathlib.Path(self._temporary.name),
+            peer_port,
         )
         self.instances.append(found)
         self.record(f"{name}: started")
