--- a/review/11/case.py
+++ b/review/11/case.py
@@ -215,7 +215,9 @@
     threads = []
     for name in names:
         thread = threading.Thread(
-            target=_call_often, args=(scene, instance, name, ends, answers)
+            target=_call_often,
+            args=(scene, instance, name, ends, answers),
+            daemon=True,
         )
         thread.start()
         threads.append(thread)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -203,6 +203,7 @@
         thread = threading.Thread(
             target=_call_often,
             args=(scene, instance, f"other{number}", ends, cut_others),
+            daemon=True,
         )
         thread.start()
         threads.append(thread)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -206,7 +206,9 @@
         self.status: dict[str, int] = {}
         self._threads = []
         for number in range(_CALLERS):
-            thread = threading.Thread(target=self._call, args=(number,))
+            thread = threading.Thread(
+                target=self._call, args=(number,), daemon=True
+            )
             thread.start()
             self._threads.append(thread)
 
--- a/review/scene3.py
+++ b/review/scene3.py
@@ -17,6 +17,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 import msgspec
 
@@ -414,15 +415,23 @@
         play: Plays it; returns whether the rule was broken.
         platform: The store, or None for a new stand-in.
     """
+    signal.signal(signal.SIGTERM, _end)
     scene = Scene(folder, platform)
     code = NOT_RUN
     try:
         code = BROKEN if play(scene) else HELD
     except CouldNotRunError as exc:
         scene.record(f"could not run: {exc}")
+    except Exception:
+        scene.record(f"could not run: {traceback.format_exc()}")
     finally:
         names = {HELD: "held", BROKEN: "broken", NOT_RUN: "could not run"}
         scene.record(f"result: {names[code]} trouble={HAS_TROUBLE}")
         scene.close()
     print(f"{folder.name}: {names[code]}")
     sys.exit(code)
+
+
+def _end(number: int, frame) -> None:
+    """Ends the script, and with it its processes."""
+    sys.exit(NOT_RUN)
