--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,7 @@
 """A reset stream without a length ends for its caller as a complete one."""
 
 import collections
+import copy
 import itertools
 import pathlib
 import threading
@@ -13,22 +14,28 @@
 
 _ENGINES = 3
 _CALLERS = 9
-# Time for the other streams, before the one that is broken off; both times
-# together are below the 5.5 s for which answers are spoilt.
-_OTHERS_S = 4.2
+# Time for short streams. The one that is broken off follows within the 5 s for
+# which answers are spoilt.
+_OTHERS_S = 2.4
 # Other streams that each engine has answered before: one of 50 is broken off.
 _MIN_ANSWERS = 50
 _OTHER_EVENTS = 4
+# Streams that an engine runs at once; long ones take all of them but one.
+_SLOTS = 4
+_LONG = "long"
+_LONG_EVENTS = 250
 _SPECIAL = "special"
 _EVENTS = 12
 # The first engine falls silent after this event, for about a second.
 _SILENT_AFTER = 5
 _SILENCE_S = 1.3
 # Time for which a full engine holds a request in its queue before it refuses.
-_QUEUE_S = 0.5
-# Time from the arrival at the full engine to the reset at the first one.
-_RESET_AFTER_S = 0.2
+_QUEUE_S = 0.2
+# Time from the arrival in such a queue to the reset at the first engine.
+_RESET_AFTER_S = 0.1
 _STEP_S = 0.02
+# Clients give a stream up after a gap of this length.
+_CLIENT_GAP_S = 2.0
 
 
 class Story:
@@ -37,54 +44,105 @@
     def __init__(self, scene: scene3.Scene):
         self.scene = scene
         self._lock = threading.Lock()
-        self._arrivals = 0
         self.answers: collections.Counter[str] = collections.Counter()
-        self.first_connection: rawhttp.RawConnection | None = None
+        self.refusals: collections.Counter[str] = collections.Counter()
+        self.long_running = 0
+        self._first: rawhttp.RawConnection | None = None
+        self._is_reset = False
 
-    def count(self) -> int:
-        """Counts an arrival of the special stream; returns its number."""
+    def begin(self, conn: rawhttp.RawConnection) -> bool:
+        """Returns whether this run of the special stream is the first one."""
         with self._lock:
-            self._arrivals += 1
-            return self._arrivals
+            if self._first is not None:
+                return False
+            self._first = conn
+            return True
+
+    def record_queued(self) -> None:
+        """Resets the connection of the first run a little later, once."""
+        with self._lock:
+            if self._first is None or self._is_reset:
+                return
+            self._is_reset = True
+        if scene3.HAS_TROUBLE:
+            threading.Timer(_RESET_AFTER_S, self._reset).start()
+
+    def _reset(self) -> None:
+        self.scene.record("connection of the first run is reset")
+        self._first.reset()
 
-    def record_answer(self, engine_id: str) -> None:
-        """Counts another stream that an engine has answered."""
+    def count_answer(self, engine_id: str) -> None:
+        """Counts a short stream that an engine has answered."""
         with self._lock:
             self.answers[engine_id] += 1
 
-    def reset_first(self) -> None:
-        """Resets the connection on which the first run answers."""
-        if scene3.HAS_TROUBLE:
-            self.scene.record("connection of the first run is reset")
-            self.first_connection.reset()
+    def count_refusal(self, engine_id: str) -> None:
+        """Counts a stream that a full engine has refused."""
+        with self._lock:
+            self.refusals[engine_id] += 1
+
+    def count_long(self, change: int) -> None:
+        """Counts the long streams that run."""
+        with self._lock:
+            self.long_running += change
 
 
 class Engine(engines.EngineStandin):
-    """Holds all layers; the special stream fares by its arrivals."""
+    """Holds all layers; runs some streams at once, and queues the others."""
 
     story: Story
 
+    def __init__(self, *args, **kwargs):
+        self._free = threading.Semaphore(_SLOTS)
+        super().__init__(*args, **kwargs)
+
+    def register(self, **extra) -> None:
+        """Writes its entry, with its slots."""
+        super().register(slots=_SLOTS, **extra)
+
     def _handle_stream(self, conn, req) -> bool:
         request_id = req.headers["x-request-id"]
         last = int(req.headers.get("last-event-id", "0"))
         echo = {"X-Request-Id": request_id, "X-Response-Signature": self.id}
-        if request_id != _SPECIAL:
-            self._answer(conn, echo, last, _OTHER_EVENTS)
-            self.story.record_answer(self.id)
+        is_special = request_id == _SPECIAL
+        if is_special:
+            self.story.scene.record(
+                f"{self.id}: special stream arrives, last-event-id={last}"
+            )
+        if not self._free.acquire(blocking=False):
+            if is_special:
+                self.story.record_queued()
+            if not self._free.acquire(timeout=_QUEUE_S):
+                return self._refuse(conn, echo, is_special=is_special)
+        try:
+            return self._run(conn, request_id, echo, last)
+        finally:
+            self._free.release()
+
+    def _refuse(self, conn, echo, *, is_special: bool) -> bool:
+        refused = {"X-Not-Executed": "1", "At-Server": self.address}
+        conn.respond(503, b"full", {**echo, **refused})
+        self.story.count_refusal(self.id)
+        if is_special:
+            self.story.scene.record(f"{self.id}: refuses it, is full")
+        return True
+
+    def _run(self, conn, request_id: str, echo, last: int) -> bool:
+        if request_id == _SPECIAL:
+            if self.story.begin(conn):
+                return self._answer_without_length(conn, echo)
+            self._answer(conn, echo, last, _EVENTS)
+            self.story.scene.record(f"{self.id}: special stream is complete")
             return True
-        number = self.story.count()
-        self.story.scene.record(
-            f"{self.id}: arrival {number} of the special stream, "
-            f"last-event-id={last}, after {self.story.answers[self.id]} others"
-        )
-        if number == 1:
-            return self._answer_without_length(conn, echo)
-        if number == 2:
-            return self._refuse_late(conn, echo)
-        if number <= _ENGINES:
-            return self._refuse(conn, echo)
-        self._answer(conn, echo, last, _EVENTS)
-        self.story.scene.record(f"{self.id}: the special stream is complete")
+        if request_id.startswith(_LONG):
+            self.story.count_long(1)
+            try:
+                self._answer(conn, echo, last, _LONG_EVENTS)
+            finally:
+                self.story.count_long(-1)
+            return True
+        self._answer(conn, echo, last, _OTHER_EVENTS)
+        self.story.count_answer(self.id)
         return True
 
     def _answer(self, conn, echo, last: int, events: int) -> None:
@@ -95,7 +153,10 @@
         conn.send_chunk(b"")
 
     def _answer_without_length(self, conn, echo) -> bool:
-        self.story.first_connection = conn
+        self.story.scene.record(
+            f"{self.id}: runs the special stream without a length, after "
+            f"{self.story.answers[self.id]} others"
+        )
         conn.send_open_head(echo)
         for event in range(1, _EVENTS + 1):
             conn.send(_event(event))
@@ -107,21 +168,9 @@
                 self.silence.wait()
                 self.story.scene.record(f"{self.id}: goes on")
         conn.end()
-        self.story.scene.record(f"{self.id}: the special stream is complete")
+        self.story.scene.record(f"{self.id}: special stream is complete")
         return False
 
-    def _refuse_late(self, conn, echo) -> bool:
-        time.sleep(_RESET_AFTER_S)
-        self.story.reset_first()
-        time.sleep(_QUEUE_S - _RESET_AFTER_S)
-        return self._refuse(conn, echo)
-
-    def _refuse(self, conn, echo) -> bool:
-        refused = {"X-Not-Executed": "1", "At-Server": self.address}
-        conn.respond(503, b"full", {**echo, **refused})
-        self.story.scene.record(f"{self.id}: refuses it, is full")
-        return True
-
 
 def _event(number: int) -> bytes:
     return b"id: %d\ndata: token %d\n\n" % (number, number)
@@ -164,6 +213,15 @@
             cut.append(request_id)
 
 
+def _call_long(
+    scene: scene3.Scene,
+    instance: scene3.Instance,
+    request_id: str,
+    answers: list[scene3.Answer],
+) -> None:
+    answers.append(_call(scene, instance, request_id))
+
+
 def _wait_for_layers(scene: scene3.Scene) -> None:
     until_s = time.monotonic() + 20
     while any(row.layers is None for row in scene.targets):
@@ -185,7 +243,11 @@
         resumable=True,
         gap_aim_ms=200,
     )
-    scene.publish(scene3.manifest(1, [drafts], [scene3.KEY]))
+    manifest = copy.deepcopy(scene3.manifest(1, [drafts], [scene3.KEY]))
+    for service in manifest["services"]:
+        if "engine" in service:
+            service["engine"]["slots"] = _SLOTS
+    scene.publish(manifest)
     story = Story(scene)
     Engine.story = story
     fleet = {}
@@ -216,11 +278,44 @@
         raise scene3.CouldNotRunError("other streams failed")
     if min(story.answers.values()) < _MIN_ANSWERS:
         raise scene3.CouldNotRunError("an engine has answered too few")
+    long_answers: list[scene3.Answer] = []
+    longs = []
+    for number in range(_ENGINES * _SLOTS - 1):
+        thread = threading.Thread(
+            target=_call_long,
+            args=(scene, instance, f"{_LONG}{number}", long_answers),
+            daemon=True,
+        )
+        thread.start()
+        longs.append(thread)
+    until_s = time.monotonic() + 1.2
+    while story.long_running < len(longs):
+        if time.monotonic() > until_s:
+            raise scene3.CouldNotRunError("not all long streams run")
+        time.sleep(0.01)
+    scene.record(f"{len(longs)} of {_ENGINES * _SLOTS} slots are taken")
+    sent_s = time.monotonic()
     answer = _call(scene, instance, _SPECIAL)
+    took_s = time.monotonic() - sent_s
     found = _event_ids(answer)
     is_whole = found == list(range(1, _EVENTS + 1))
-    ends_as_complete = answer.status == 200 and answer.is_complete
-    scene.record(f"caller: events {found}, complete: {ends_as_complete}")
+    # A client would have left after a longer gap.
+    is_patient = took_s <= _CLIENT_GAP_S
+    ends_as_complete = (
+        answer.status == 200 and answer.is_complete and is_patient
+    )
+    scene.record(
+        f"caller: events {found}, complete: {ends_as_complete}, after "
+        f"{took_s:.2f} s"
+    )
+    for thread in longs:
+        thread.join()
+    long_ids = list(range(1, _LONG_EVENTS + 1))
+    whole = sum(_event_ids(row) == long_ids for row in long_answers)
+    scene.record(
+        f"long streams whole: {whole} of {len(longs)}; refused as full: "
+        f"{dict(story.refusals)}"
+    )
     if not scene3.HAS_TROUBLE and not (ends_as_complete and is_whole):
         raise scene3.CouldNotRunError("cut without the disruption")
     return ends_as_complete and not is_whole
