An answer that a reset has cut no longer passes as whole

Cause: the system tells the error that ended a connection once, to whichever call comes first. The send of the rest of a request, the look for data on a suspended exchange, and urllib3's send of a body took it; the read after them then looks like an orderly end, which completes an answer without a length.

Fix: `ResponseSocket` keeps the error that any of its calls is told, and each read at the end of the bytes fails with it. Connections to targets, peers and the store and those of the product's own path use it. EPIPE isn't kept: a target that has ended its answer in order and then closes with bytes of the request unread gives it, while a reset before that end gives ECONNRESET.

`Session.stream` raised urllib3's own error for a failure whose body is cut; it is a `TargetError` now.

--- a/src/briarfall/gateway/exchanges/targetconnection.py
+++ b/src/briarfall/gateway/exchanges/targetconnection.py
@@ -10,6 +10,7 @@
 from briarfall import addresses
 from briarfall import decoding
 from briarfall import exceptions
+from briarfall import responsesockets
 from briarfall import statuslines
 from briarfall.gateway import clocks
 from briarfall.gateway.exchanges import dialing
@@ -196,11 +197,13 @@
         if timeout_s <= 0:
             raise NotSentError(f"{address}: no time left to connect")
         try:
-            self.sock = dialer.connect(endpoint, timeout_s)
+            sock = dialer.connect(endpoint, timeout_s)
         except OSError as exc:
             raise NotSentError(f"{address}: cannot connect: {exc}") from exc
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock.settimeout(None)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(None)
+        # Not every error shows where the response is read.
+        self.sock = responsesockets.adopt(sock)
         self._outgoing = outgoing.OutgoingBytes(self.sock)
 
     @property
--- a/src/briarfall/httpclient.py
+++ b/src/briarfall/httpclient.py
@@ -67,15 +67,9 @@
         resp = self.open(
             method, path, timeout_s=timeout_s, body=body, headers=headers
         )
-        try:
-            data = resp.read()
-        except (urllib3_exceptions.HTTPError, OSError) as exc:
-            resp.close()
-            raise exceptions.TargetError(
-                f"{self.base_url}: response cut off: {exc}"
-            ) from exc
+        reply = self.read(resp)
         resp.release_conn()
-        return Reply(resp.status, data, dict(resp.headers))
+        return reply
 
     def open(
         self,
@@ -116,6 +110,21 @@
                 f"{self.base_url}: call failed: {exc}"
             ) from exc
 
+    def read(self, resp: urllib3.BaseHTTPResponse) -> Reply:
+        """Returns an open response with the rest of its body.
+
+        Raises:
+            TargetError: It was cut off; the request may have been executed.
+        """
+        try:
+            data = resp.read()
+        except (urllib3_exceptions.HTTPError, OSError) as exc:
+            resp.close()
+            raise exceptions.TargetError(
+                f"{self.base_url}: response cut off: {exc}"
+            ) from exc
+        return Reply(resp.status, data, dict(resp.headers))
+
     def start(
         self, method: str, path: str, body: bytes, timeout_s: float
     ) -> connection.HTTPConnection:
--- a/src/briarfall/sessions.py
+++ b/src/briarfall/sessions.py
@@ -208,10 +208,7 @@
         )
         try:
             if resp.status >= 400:
-                data = resp.read()
-                raise error_of(
-                    httpclient.Reply(resp.status, data, dict(resp.headers))
-                )
+                raise error_of(client.read(resp))
             yield from _parse_events(_read_lines(resp))
         finally:
             resp.close()
--- a/src/briarfall/standins/prepared/rawhttp.py
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -36,13 +36,18 @@
     Args:
         sock: Its socket.
         passed: Gates that hold back what is received and sent.
+        max_body_bytes: Bytes of a body that `read` waits for; None for all.
     """
 
     def __init__(
-        self, sock: socket.socket, passed: tuple[gates.Gate, ...] = ()
+        self,
+        sock: socket.socket,
+        passed: tuple[gates.Gate, ...] = (),
+        max_body_bytes: int | None = None,
     ):
         self.sock = sock
         self._gates = passed
+        self._max_body_bytes = max_body_bytes
         self._rest = bytearray()
         self._has_chunks = True
 
@@ -72,6 +77,8 @@
             name, _, value = line.partition(":")
             headers[name.strip().lower()] = value.strip()
         length = int(headers.get("content-length", "0"))
+        if self._max_body_bytes is not None:
+            length = min(length, self._max_body_bytes)
         while len(self._rest) < length:
             data = self._receive()
             if not data:
@@ -81,6 +88,17 @@
         del self._rest[:length]
         return RawRequest(method, target, headers, body)
 
+    def discard(self, size: int) -> None:
+        """Reads so many bytes that `read` has left, or all up to the end."""
+        dropped = min(size, len(self._rest))
+        del self._rest[:dropped]
+        size -= dropped
+        while size > 0:
+            data = self.sock.recv(min(size, _RECEIVE_BYTES))
+            if not data:
+                return
+            size -= len(data)
+
     def send(self, data: bytes) -> None:
         """Sends bytes unchanged, as soon as all gates are open."""
         for gate in self._gates:
@@ -165,6 +183,8 @@
     Attributes:
         idle_timeout_s: Time after which it closes a connection without a
             request; None for never.
+        max_body_bytes: Bytes of a body that are read before the request is
+            handled; None for all.
     """
 
     def __init__(
@@ -180,6 +200,7 @@
         self._open: set[socket.socket] = set()
         self.opened = 0
         self.idle_timeout_s: float | None = None
+        self.max_body_bytes: int | None = None
         self.host = host
         self.port = port
         self._listener: socket.socket | None = None
@@ -218,7 +239,7 @@
         threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock: socket.socket) -> None:
-        conn = RawConnection(sock, self._gates)
+        conn = RawConnection(sock, self._gates, self.max_body_bytes)
         try:
             while self._await_request(sock):
                 req = conn.read()
--- a/src/briarfall/strictheads.py
+++ b/src/briarfall/strictheads.py
@@ -11,6 +11,7 @@
 from urllib3 import connection
 
 from briarfall import exceptions
+from briarfall import responsesockets
 from briarfall import statuslines
 
 _FIRST_FINAL_STATUS = 200
@@ -87,12 +88,26 @@
 
 
 class StrictConnection(http.client.HTTPConnection):
-    """A connection of `http.client` with strict heads."""
+    """A connection of `http.client` that accepts only whole responses."""
 
     response_class = StrictResponse
 
+    def connect(self) -> None:
+        """Opens the connection."""
+        super().connect()
+        self.sock = responsesockets.adopt(self.sock)
+
 
 class StrictPoolConnection(connection.HTTPConnection):
-    """A connection of `urllib3` with strict heads."""
+    """A connection of `urllib3` that accepts only whole responses.
+
+    `urllib3` reads the response also if the request could not be sent to its
+    end.
+    """
 
     response_class = StrictResponse
+
+    def connect(self) -> None:
+        """Opens the connection."""
+        super().connect()
+        self.sock = responsesockets.adopt(self.sock)
