A head with a line that is no field makes no answer in the product's own path

Cause: `http.client` ends the fields at the first line that it can't read, reads lengths by `int` and passes interim heads and trailer sections over unseen; `strictheads.py` checked only the status line and the end of the head.

Fix: `responseheads.check` gives each whole head to h11, whose rules the gateway follows already. Trailer sections are checked too; they may still be missing or cut, since all chunks have arrived by then.

--- a/src/briarfall/exceptions.py
+++ b/src/briarfall/exceptions.py
@@ -291,6 +291,13 @@
     remedy = "operators: check what listens at the target's address"
 
 
+class InvalidHeadError(TargetError):
+    """The head of a response holds a line that HTTP/1 doesn't have."""
+
+    code = "invalid_head"
+    remedy = "operators: check what listens at the target's address"
+
+
 class TargetUnreachableError(TargetError):
     """No byte of the request can have reached the target."""
 
--- a/src/briarfall/strictheads.py
+++ b/src/briarfall/strictheads.py
@@ -1,9 +1,10 @@
-"""HTTP client connections that accept only whole heads with valid statuses.
+"""HTTP client connections that accept only whole and valid responses.
 
 `http.client` takes the end of a connection for the end of the head, so that a
-response cut within its head looks like a complete one with an empty body. It
-also accepts statuses from 600 on, signed digits, and interim responses as final
-ones or without end.
+response cut within its head looks like a complete one with an empty body. At a
+line that is no field it ends the fields, so that a length or coding that
+follows is lost. It also accepts statuses from 600 on, signed digits, and
+interim responses as final ones or without end.
 """
 
 import http.client
@@ -11,16 +12,37 @@
 from urllib3 import connection
 
 from briarfall import exceptions
+from briarfall import responseheads
 from briarfall import responsesockets
 from briarfall import statuslines
 
 _FIRST_FINAL_STATUS = 200
 # Responses before the final one; each announces at most its progress.
 _MAX_INTERIM_RESPONSES = 20
+_MAX_TRAILER_BYTES = 65_536
+_LINE_END = b"\r\n"
+_BLANK_LINES = (_LINE_END, b"\n")
+# The fields of a trailer section are checked as those of a head that begins so.
+_TRAILER_STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+
+
+def _check(head: bytearray) -> None:
+    """Checks the lines of a head or of a trailer section.
+
+    Raises:
+        HTTPException: They are not valid.
+    """
+    try:
+        responseheads.check(bytes(head))
+    except exceptions.InvalidHeadError as exc:
+        raise http.client.HTTPException(exc.message) from exc
 
 
 class _HeadReader:
-    """Reads the lines of a head, which end with a line feed each.
+    """Reads the lines of heads, which end with a line feed each.
+
+    Args:
+        reader: Reads the bytes.
 
     Attributes:
         last_line: The line that was read last.
@@ -30,6 +52,8 @@
         self.last_line = b""
         self._reader = reader
         self._has_read = False
+        # Lines since the last blank one.
+        self._head = bytearray()
 
     def __getattr__(self, name: str):
         return getattr(self._reader, name)
@@ -39,6 +63,7 @@
 
         Raises:
             IncompleteRead: The connection ended within the head.
+            HTTPException: The head that ends with the line is not valid.
         """
         line = self._reader.readline(limit)
         is_cut = not line.endswith(b"\n") and (limit < 0 or len(line) < limit)
@@ -46,17 +71,22 @@
             raise http.client.IncompleteRead(line)
         self._has_read = True
         self.last_line = line
+        self._head += line
+        if line in _BLANK_LINES:
+            _check(self._head)
+            self._head.clear()
         return line
 
 
 class StrictResponse(http.client.HTTPResponse):
-    """A response whose head has to end with its blank line."""
+    """A response whose head has to be valid and to end with its blank line."""
 
     def begin(self) -> None:
         """Reads the head.
 
         Raises:
             IncompleteRead: The connection ended within the head.
+            HTTPException: The head is not valid.
         """
         reader = self.fp
         self.fp = _HeadReader(reader)
@@ -86,6 +116,24 @@
             http.client.parse_headers(self.fp)
         raise http.client.BadStatusLine("interim responses without end")
 
+    def _read_and_discard_trailer(self) -> None:
+        """Reads the trailer section, whose end may be missing.
+
+        All chunks have arrived before it.
+
+        Raises:
+            HTTPException: It is not valid, or too long.
+        """
+        lines = bytearray(_TRAILER_STATUS_LINE)
+        while True:
+            line = self.fp.readline(_MAX_TRAILER_BYTES)
+            if not line.endswith(b"\n") or line in _BLANK_LINES:
+                break
+            lines += line
+            if len(lines) > _MAX_TRAILER_BYTES:
+                raise http.client.LineTooLong("trailer section")
+        _check(lines + _LINE_END)
+
 
 class StrictConnection(http.client.HTTPConnection):
     """A connection of `http.client` that accepts only whole responses."""
--- a/tests/test_strictheads.py
+++ b/tests/test_strictheads.py
@@ -1,4 +1,4 @@
-"""Responses that end within their head."""
+"""Responses whose head is cut or not valid, in the product's own path."""
 
 import contextlib
 import http.client
@@ -6,10 +6,12 @@
 import threading
 
 import pytest
+import urllib3
 
 from briarfall import exceptions
 from briarfall import httpclient
 from briarfall import strictheads
+from tests import headforms
 from tests import statusforms
 
 CUTS = {
@@ -31,7 +33,7 @@
     """Returns a function that serves bytes once; it returns the address."""
     socks = []
 
-    def run(data):
+    def run(data, piece_bytes=headforms.LONGEST_PIECE):
         sock = socket.create_server(("127.0.0.1", 0))
         socks.append(sock)
 
@@ -39,7 +41,10 @@
             conn, _ = sock.accept()
             with conn:
                 conn.recv(65536)
-                conn.sendall(data)
+                conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                with contextlib.suppress(OSError):
+                    for start in range(0, len(data), piece_bytes):
+                        conn.sendall(data[start : start + piece_bytes])
                 # A client that refuses the response resets its connection.
                 with contextlib.suppress(OSError):
                     conn.shutdown(socket.SHUT_WR)
@@ -107,7 +112,85 @@
         assert reply.body == statusforms.BODY
 
 
+class TestFields:
+    # Guards against a parser that ends the fields at the first line it can't
+    # read: a length or coding after it is lost, and another body is read.
+    @headforms.EACH_WAY
+    @headforms.EACH_INVALID
+    def test_of_an_invalid_form_make_no_answer(
+        self, serve, name, is_chunked, piece_bytes
+    ):
+        data = headforms.response(name, is_chunked=is_chunked)
+        client = httpclient.HttpClient(f"http://{serve(data, piece_bytes)}")
+        with pytest.raises(exceptions.TargetError) as caught:
+            client.send("GET", "/", timeout_s=5.0)
+        assert caught.value.outcome is exceptions.Outcome.UNKNOWN
+
+    @pytest.mark.parametrize("status", [b"404", b"429", b"503"])
+    @headforms.EACH_OF_SOME
+    def test_of_an_invalid_form_make_no_failure(self, serve, name, status):
+        line = b"HTTP/1.1 " + status + b" X\r\n"
+        data = headforms.response(name, status_line=line)
+        client = httpclient.HttpClient(f"http://{serve(data)}")
+        with pytest.raises(exceptions.TargetError):
+            client.send("GET", "/", timeout_s=5.0)
+
+    @headforms.EACH_FRAMING
+    @headforms.EACH_INVALID
+    def test_of_an_invalid_form_end_a_started_request(
+        self, serve, name, is_chunked
+    ):
+        data = headforms.response(name, is_chunked=is_chunked)
+        client = httpclient.HttpClient(f"http://{serve(data)}")
+        conn = client.start("GET", "/", b"", 5.0)
+        with pytest.raises(
+            (http.client.HTTPException, urllib3.exceptions.HTTPError, OSError)
+        ):
+            conn.getresponse().read()
+        conn.close()
+
+    # Guards against rules that sound targets don't meet.
+    @headforms.EACH_PIECE
+    @headforms.EACH_VALID
+    def test_of_a_valid_form_make_an_answer(self, serve, name, piece_bytes):
+        data = headforms.valid_response(name)
+        client = httpclient.HttpClient(f"http://{serve(data, piece_bytes)}")
+        reply = client.send("GET", "/", timeout_s=5.0)
+        assert (reply.status, reply.body) == (200, headforms.BODY)
+
+
+_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class TestTrailers:
+    # Guards against a rule that sound targets don't meet: all chunks came.
+    @pytest.mark.parametrize(
+        "trailers",
+        [b"\r\n", b"X-One: 1\r\n\r\n", b"X-One: 1\r\n", b"X-O", b""],
+    )
+    def test_may_be_missing_or_cut(self, serve, trailers):
+        chunks = b"2\r\nok\r\n0\r\n"
+        client = httpclient.HttpClient(
+            f"http://{serve(_CHUNKED + chunks + trailers)}"
+        )
+        reply = client.send("GET", "/", timeout_s=5.0)
+        assert (reply.status, reply.body) == (200, b"ok")
+
+
 class TestStrictConnection:
+    @headforms.EACH_FRAMING
+    @headforms.EACH_OF_SOME
+    def test_callers_of_tests_see_an_invalid_field(
+        self, serve, name, is_chunked
+    ):
+        data = headforms.response(name, is_chunked=is_chunked)
+        host, _, port = serve(data).partition(":")
+        conn = strictheads.StrictConnection(host, int(port), timeout=5.0)
+        conn.request("GET", "/")
+        with pytest.raises(http.client.HTTPException):
+            conn.getresponse().read()
+        conn.close()
+
     @pytest.mark.parametrize("name", CUTS)
     def test_callers_of_tests_see_a_cut_head(self, serve, name):
         host, _, port = serve(CUTS[name]).partition(":")
