A cut or odd chunk size ends no body in the product's own path

Cause: `http.client` reads the sizes by `int`, takes a cut line for a whole one and doesn't look at what follows a chunk.

Fix: sizes are read as those of engines' streams are, from whole lines, and each chunk has to end with its line end. Line feeds alone, extensions, leading zeros and blanks after a size are accepted as before.

--- a/src/briarfall/sockets.py
+++ b/src/briarfall/sockets.py
@@ -135,7 +135,7 @@
                         f"chunk head exceeds {_MAX_CHUNK_HEAD_BYTES} bytes"
                     )
                 break
-            size = _parse_chunk_size(head)
+            size = parse_chunk_size(head)
             self._buffer = tail
             if size == 0:
                 self._ended = True
@@ -145,7 +145,15 @@
         return b"".join(parts)
 
 
-def _parse_chunk_size(head: bytes) -> int:
+def parse_chunk_size(head: bytes) -> int:
+    """Returns the size in the first line of a chunk.
+
+    Args:
+        head: The line, without its end.
+
+    Raises:
+        ValueError: It holds no size.
+    """
     digits = head.partition(b";")[0].strip(b" \t")
     # `int` alone accepts signs, underscores and prefixes too.
     if not _CHUNK_SIZE.fullmatch(digits):
--- a/src/briarfall/strictheads.py
+++ b/src/briarfall/strictheads.py
@@ -3,8 +3,9 @@
 `http.client` takes the end of a connection for the end of the head, so that a
 response cut within its head looks like a complete one with an empty body. At a
 line that is no field it ends the fields, so that a length or coding that
-follows is lost. It also accepts statuses from 600 on, signed digits, and
-interim responses as final ones or without end.
+follows is lost. A chunk size that is cut within leading zeros counts as the
+last chunk. It also accepts statuses from 600 on, signed digits, and interim
+responses as final ones or without end.
 """
 
 import http.client
@@ -14,12 +15,14 @@
 from briarfall import exceptions
 from briarfall import responseheads
 from briarfall import responsesockets
+from briarfall import sockets
 from briarfall import statuslines
 
 _FIRST_FINAL_STATUS = 200
 # Responses before the final one; each announces at most its progress.
 _MAX_INTERIM_RESPONSES = 20
 _MAX_TRAILER_BYTES = 65_536
+_MAX_CHUNK_LINE_BYTES = 65_536
 _LINE_END = b"\r\n"
 _BLANK_LINES = (_LINE_END, b"\n")
 # The fields of a trailer section are checked as those of a head that begins so.
@@ -116,6 +119,33 @@
             http.client.parse_headers(self.fp)
         raise http.client.BadStatusLine("interim responses without end")
 
+    def _get_chunk_left(self) -> int | None:
+        """Returns the bytes left of a chunk, or None after the last one.
+
+        Raises:
+            IncompleteRead: The connection ended, or a line is no chunk size.
+            HTTPException: A chunk does not end with its line end.
+        """
+        if self.chunk_left == 0:
+            if self._safe_read(len(_LINE_END)) != _LINE_END:
+                raise http.client.HTTPException(
+                    "a chunk is longer than its size"
+                )
+            # The base class looks for a line end only after a chunk.
+            self.chunk_left = None
+        return super()._get_chunk_left()
+
+    def _read_next_chunk_size(self) -> int:
+        """Returns the size of the next chunk.
+
+        Raises:
+            ValueError: The line is cut or too long, or holds no size.
+        """
+        line = self.fp.readline(_MAX_CHUNK_LINE_BYTES)
+        if not line.endswith(b"\n"):
+            raise ValueError(f"line of a chunk size is cut: {line[:20]!r}")
+        return sockets.parse_chunk_size(line.rstrip(_LINE_END))
+
     def _read_and_discard_trailer(self) -> None:
         """Reads the trailer section, whose end may be missing.
 
--- a/tests/test_strictheads.py
+++ b/tests/test_strictheads.py
@@ -160,6 +160,50 @@
 
 
 _CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+_ODD_CHUNKS = {
+    "size cut within zeros": b"2\r\nok\r\n00",
+    "size cut before its line feed": b"2\r\nok\r\n0\r",
+    "no last chunk": b"2\r\nok\r\n",
+    "size with a sign": b"+2\r\nok\r\n0\r\n\r\n",
+    "negative size": b"-5\r\nok\r\n0\r\n\r\n",
+    "size of -1": b"-1\r\nok\r\n0\r\n\r\n",
+    "size of -0": b"2\r\nok\r\n-0\r\n\r\n",
+    "size with a prefix": b"0x2\r\nok\r\n0\r\n\r\n",
+    "size with an underscore": b"0_2\r\nok\r\n0\r\n\r\n",
+    "size of two words": b"2 2\r\nok\r\n0\r\n\r\n",
+    "no size": b"\r\nok\r\n0\r\n\r\n",
+    "too long a chunk": b"2\r\nokok\r\n0\r\n\r\n",
+    "bytes in place of a line end": b"2\r\nokXX0\r\n\r\n",
+}
+_CHUNKS = {
+    "one": b"2\r\nok\r\n0\r\n\r\n",
+    "several": b"1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+    "leading zeros": b"0002\r\nok\r\n000\r\n\r\n",
+    "extension": b'2;a=1;b="c"\r\nok\r\n0;a\r\n\r\n',
+    "blank after the size": b"2 \r\nok\r\n0 \r\n\r\n",
+    "line feeds after the sizes": b"2\nok\r\n0\n\n",
+}
+
+
+class TestChunks:
+    # Guards against a cut body that passes as whole, and against an error
+    # without a type.
+    @headforms.EACH_PIECE
+    @pytest.mark.parametrize("name", _ODD_CHUNKS)
+    def test_of_an_odd_form_make_no_answer(self, serve, name, piece_bytes):
+        address = serve(_CHUNKED + _ODD_CHUNKS[name], piece_bytes)
+        client = httpclient.HttpClient(f"http://{address}")
+        with pytest.raises(exceptions.TargetError):
+            client.send("GET", "/", timeout_s=5.0)
+
+    # Guards against rules that sound targets don't meet.
+    @headforms.EACH_PIECE
+    @pytest.mark.parametrize("name", _CHUNKS)
+    def test_of_a_valid_form_make_an_answer(self, serve, name, piece_bytes):
+        address = serve(_CHUNKED + _CHUNKS[name], piece_bytes)
+        client = httpclient.HttpClient(f"http://{address}")
+        reply = client.send("GET", "/", timeout_s=5.0)
+        assert (reply.status, reply.body) == (200, b"ok")
 
 
 class TestTrailers:
