gateway-status reads its answer with the strict client

Seen: `briarfall gateway-status` showed the counters of a response whose head was cut, or held a name with a blank. Fix: it uses `HttpClient`. Two of the three new cases fail without it (status 000 was an error already).

--- a/src/briarfall/cli/gateways.py
+++ b/src/briarfall/cli/gateways.py
@@ -3,6 +3,7 @@
 import urllib3
 
 from briarfall import exceptions
+from briarfall import httpclient
 
 _TIMEOUT_S = 3.0
 _METRICS_PATH = "/metrics"
@@ -14,10 +15,10 @@
     Args:
         address: Host and port of its status listener.
     """
-    url = f"http://{address}{_METRICS_PATH}"
     try:
-        reply = urllib3.request("GET", url, timeout=_TIMEOUT_S, retries=False)
-    except urllib3.exceptions.HTTPError as exc:
+        client = httpclient.HttpClient(f"http://{address}", keep_alive=False)
+        reply = client.send("GET", _METRICS_PATH, timeout_s=_TIMEOUT_S)
+    except (exceptions.TargetError, urllib3.exceptions.HTTPError) as exc:
         raise exceptions.TargetUnreachableError(
             f"cannot read metrics of {address}: {exc}",
             remedy="check the address; the status listener serves the metrics",
@@ -26,7 +27,7 @@
         raise exceptions.TargetError(
             f"metrics of {address}: expected status 200, got {reply.status}"
         )
-    for line in reply.data.decode().splitlines():
+    for line in reply.body.decode().splitlines():
         if line.startswith("#") or "_bucket{" in line or "_created" in line:
             continue
         print(line.removeprefix("briarfall_"))
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -7,6 +7,7 @@
 from briarfall import exceptions
 from briarfall.cli import gateways
 from briarfall.cli import timeline
+from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import testbed
 
 
@@ -61,3 +62,26 @@
     def test_missing_instance_is_a_typed_error(self):
         with pytest.raises(exceptions.TargetUnreachableError):
             gateways.gateway_status("127.0.0.1:1")
+
+    # Guards against counters that are read from a broken response.
+    @pytest.mark.parametrize(
+        "response",
+        [
+            b"HTTP/1.1 200 OK\r\nX-One: 1\r\n",
+            b"HTTP/1.1 000 OK\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX One: 1\r\nContent-Length: 0\r\n\r\n",
+        ],
+        ids=["cut head", "status 000", "blank in a name"],
+    )
+    def test_broken_response_is_a_typed_error(self, response):
+        def handle(conn, _):
+            conn.send(response)
+            conn.end()
+            return False
+
+        server = rawhttp.RawServer(handle)
+        try:
+            with pytest.raises(exceptions.TargetUnreachableError):
+                gateways.gateway_status(server.address)
+        finally:
+            server.close()
