--- a/src/briarfall/sockets.py
+++ b/src/briarfall/sockets.py
@@ -130,10 +130,13 @@
                 continue
             head, separator, tail = self._buffer.partition(b"\r\n")
             if not separator:
-                if len(head) > _MAX_CHUNK_HEAD_BYTES:
-                    raise ValueError(
-                        f"chunk head exceeds {_MAX_CHUNK_HEAD_BYTES} bytes"
-                    )
+                # The line feed behind it may not have arrived.
+                head = head.removesuffix(b"\r")
+            if len(head) > _MAX_CHUNK_HEAD_BYTES:
+                raise ValueError(
+                    f"chunk head exceeds {_MAX_CHUNK_HEAD_BYTES} bytes"
+                )
+            if not separator:
                 break
             size = parse_chunk_size(head)
             self._buffer = tail
--- a/tests/test_odd_numbers.py
+++ b/tests/test_odd_numbers.py
@@ -1,5 +1,6 @@
 """Tests that an odd number in a head or an event ends no thread."""
 
+import contextlib
 import socket
 
 import pytest
@@ -116,3 +117,24 @@
             body = sockets.ChunkedBody(ours, b"")
             with pytest.raises(ValueError):
                 body.receive_some()
+
+    # Guards against a bound that holds only if a head comes in pieces.
+    @pytest.mark.parametrize("piece_bytes", [1, 100, 10_000])
+    @pytest.mark.parametrize(
+        "size, is_too_long", [(1023, False), (1024, False), (1025, True)]
+    )
+    def test_bound_on_a_chunk_head_holds_in_any_pieces(
+        self, piece_bytes, size, is_too_long
+    ):
+        data = b"2;" + b"a" * (size - 2) + b"\r\nok\r\n0\r\n\r\n"
+        ours, theirs = socket.socketpair()
+        received = b""
+        with ours, theirs:
+            body = sockets.ChunkedBody(ours, b"")
+            with contextlib.ExitStack() as stack:
+                if is_too_long:
+                    stack.enter_context(pytest.raises(ValueError))
+                for start in range(0, len(data), piece_bytes):
+                    theirs.sendall(data[start : start + piece_bytes])
+                    received += body.receive(socket.MSG_DONTWAIT) or b""
+        assert received == (b"" if is_too_long else b"ok")
