--- a/tests/test_gateway_statuses.py
+++ b/tests/test_gateway_statuses.py
@@ -38,13 +38,17 @@
 class _Odd:
     """What targets send in place of their responses.
 
+    Args:
+        forms: Module of the forms.
+
     Attributes:
         name: Form of the response, or None for a sound one.
         closes: Whether the connection ends after it.
         extra: Further headers.
     """
 
-    def __init__(self):
+    def __init__(self, forms=statusforms):
+        self._forms = forms
         self.name = None
         self.closes = True
         self.extra = b""
@@ -61,7 +65,7 @@
             row.record_arrival(req)
             row.record_run(req)
             headers = _headers(req.headers["x-request-id"], self.extra)
-            conn.send(statusforms.response(self.name, headers))
+            conn.send(self._forms.response(self.name, headers))
             if self.closes:
                 conn.end()
             return not self.closes
