--- a/src/briarfall/gateway/exchanges/targetconnection.py
+++ b/src/briarfall/gateway/exchanges/targetconnection.py
@@ -202,7 +202,7 @@
             raise NotSentError(f"{address}: cannot connect: {exc}") from exc
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(None)
-        # Not every error shows where the response is read.
+        # A send or a peek may receive the error that a later read would miss.
         self.sock = responsesockets.adopt(sock)
         self._outgoing = outgoing.OutgoingBytes(self.sock)
 
--- a/src/briarfall/responsesockets.py
+++ b/src/briarfall/responsesockets.py
@@ -1,9 +1,9 @@
-"""Sockets that tell each reader that their connection was lost.
+"""Sockets that report a lost connection to each reader.
 
-The system tells the error that ended a connection once, to whichever call
-comes first: also to a send, a look for data or a query of the error. Later
-reads then return no bytes, as after an orderly end, which completes a response
-without a length.
+The system reports the error that ended a connection once, to whichever call
+comes first: also to a send, a peek or a query of the error. Later reads then
+return no bytes, as after an orderly end, which completes a response without a
+length.
 """
 
 import errno
--- a/src/briarfall/strictheads.py
+++ b/src/briarfall/strictheads.py
@@ -179,8 +179,7 @@
 class StrictPoolConnection(connection.HTTPConnection):
     """A connection of `urllib3` that accepts only whole responses.
 
-    `urllib3` reads the response also if the request could not be sent to its
-    end.
+    `urllib3` ignores a reset while it sends a request, and reads the response.
     """
 
     response_class = StrictResponse
--- a/tests/earlyanswers.py
+++ b/tests/earlyanswers.py
@@ -1,7 +1,11 @@
 """Responses that are sent before the body of their request was read."""
 
+import contextlib
 import enum
+import fcntl
 import socket
+import sys
+import termios
 import time
 
 from briarfall.standins.prepared import rawhttp
@@ -12,6 +16,8 @@
 WHOLE = HALF * 2
 # Time for the client to read a part, and to go on sending.
 _PAUSE_S = 0.2
+# Longest wait until a client has received the part.
+_MAX_SEND_S = 10.0
 _RECEIVE_BUFFER_BYTES = 4096
 _PART_BYTES = 50_000
 
@@ -102,6 +108,7 @@
             conn.discard(left)
             conn.sock.close()
             return
+        _await_sent(conn.sock)
         end_s = time.monotonic() + _PAUSE_S
         while time.monotonic() < end_s:
             if self.reading is Reading.ON_AND_ON and left:
@@ -111,3 +118,27 @@
             conn.sock.close()
         else:
             conn.reset()
+
+
+def _await_sent(sock: socket.socket) -> None:
+    """Waits until the client's system has all bytes; a reset drops others."""
+    end_s = time.monotonic() + _MAX_SEND_S
+    while time.monotonic() < end_s:
+        unsent = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4))
+        if not int.from_bytes(unsent, sys.byteorder):
+            return
+        time.sleep(_PAUSE_S / 20)
+
+
+@contextlib.contextmanager
+def servers():
+    """Yields a function that serves early answers; it returns the address."""
+    with contextlib.ExitStack() as stack:
+
+        def start(early: EarlyAnswer) -> str:
+            server = rawhttp.RawServer(early.give)
+            stack.callback(server.close)
+            early.serve(server)
+            return server.address
+
+        yield start
--- a/tests/test_gateway_heads.py
+++ b/tests/test_gateway_heads.py
@@ -5,13 +5,9 @@
 
 import pytest
 
-from briarfall import exceptions
 from briarfall.gateway import clocks
 from briarfall.gateway.calls import relaymessages
-from briarfall.gateway.exchanges import connections
 from briarfall.gateway.exchanges import targetconnection
-from briarfall.gateway.instance import summary
-from briarfall.platform import store
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import testbed
 from tests import headforms
@@ -173,40 +169,25 @@
 class TestOwnRequest:
     """Requests of the gateway itself: store, reports, commands."""
 
-    def _ask(self, address):
-        pool = connections.ConnectionPool()
-        try:
-            return connections.send_request(
-                pool, address, "GET", "/v1/report", b"", 5.0
-            )
-        finally:
-            pool.close()
-
     @headforms.EACH_WAY
     @headforms.EACH_INVALID
     def test_gets_no_answer(self, serve, name, is_chunked, piece_bytes):
         data = headforms.response(name, is_chunked=is_chunked)
         with pytest.raises(targetconnection.InvalidResponseError):
-            self._ask(serve(data, piece_bytes))
+            statuses._ask(serve(data, piece_bytes))
 
     # Guards against rules that sound targets don't meet.
     @headforms.EACH_PIECE
     @headforms.EACH_VALID
     def test_gets_an_answer_of_a_valid_form(self, serve, name, piece_bytes):
         data = headforms.valid_response(name)
-        head, body = self._ask(serve(data, piece_bytes))
+        head, body = statuses._ask(serve(data, piece_bytes))
         assert (head.status, body) == (200, headforms.BODY)
 
     @headforms.EACH_OF_SOME
     def test_to_the_store_fails(self, serve, name):
-        address = serve(headforms.response(name), 2**20)
-        client = store.StoreClient(address, summary.CallCounts(), "test")
-        try:
-            with pytest.raises(exceptions.LogUnavailableError) as caught:
-                client.append("keyed.op", b"x", 5.0)
-        finally:
-            client.close()
-        cause = caught.value.__cause__
+        address = serve(headforms.response(name), headforms.LONGEST_PIECE)
+        cause = statuses._cause_of_failed_append(address)
         assert isinstance(cause, targetconnection.InvalidResponseError)
 
 
--- a/tests/test_gateway_resetanswers.py
+++ b/tests/test_gateway_resetanswers.py
@@ -137,7 +137,7 @@
 
 class TestOrderWhoseAnswerIsReset:
     # Guards against a part of an answer that passes as the whole one, since
-    # the error was told to the sending of the request.
+    # the send of the request has received the error.
     @EACH_STATUS
     @EACH_READING
     def test_has_no_answer(self, scene, early, reading, status):
@@ -189,7 +189,9 @@
         [Ending.CLOSE, Ending.CLOSE_UNREAD],
         ids=lambda ending: ending.value,
     )
-    @pytest.mark.parametrize("is_relayed", [False, True], ids=["", "relayed"])
+    @pytest.mark.parametrize(
+        "is_relayed", [False, True], ids=["direct", "relayed"]
+    )
     def test_has_the_whole_answer(
         self, scene, early, is_relayed, ending, reading, status
     ):
@@ -237,7 +239,7 @@
 
 
 class _Conns:
-    """Two connections of one and the targets' ends of them."""
+    """Two connections of one request, and the targets' ends of them."""
 
     def __init__(self):
         self.deadline_s = clocks.boot_s() + testbed.WAIT_S
@@ -255,8 +257,10 @@
             self.far[-1].read()
 
     def close(self):
-        for row in (*self.near, *self.far):
-            (row.close if row in self.near else row.sock.close)()
+        for conn in self.near:
+            conn.close()
+        for conn in self.far:
+            conn.sock.close()
 
     def begin_other(self):
         """Reads the head and a part of an answer on the second one."""
@@ -291,8 +295,8 @@
         with pytest.raises(targetconnection.OtherConnectionReadyError):
             conn.wait(conns.deadline_s)
 
-    # Guards against a look for data, which is told of the reset in place of
-    # the read.
+    # Guards against a look for data that receives the error in place of the
+    # read.
     @pytest.mark.parametrize("heeds_ends", [True, False])
     def test_that_is_reset_is_cut(self, conns, heeds_ends):
         conns.begin_other()
@@ -397,18 +401,9 @@
 
 @pytest.fixture
 def serve():
-    """Starts a server of early answers; returns its address."""
-    servers = []
-
-    def start(early):
-        server = rawhttp.RawServer(early.give)
-        early.serve(server)
-        servers.append(server)
-        return server.address
-
-    yield start
-    for server in servers:
-        server.close()
+    """Returns a function that serves early answers; it returns the address."""
+    with earlyanswers.servers() as start:
+        yield start
 
 
 class TestOwnRequestWhoseAnswerIsReset:
--- a/tests/test_gateway_statuses.py
+++ b/tests/test_gateway_statuses.py
@@ -319,40 +319,46 @@
         yield run
 
 
+def _ask(address):
+    """Sends a request of the gateway itself; returns head and body."""
+    pool = connections.ConnectionPool()
+    try:
+        return connections.send_request(
+            pool, address, "GET", "/v1/report", b"", 5.0
+        )
+    finally:
+        pool.close()
+
+
+def _cause_of_failed_append(address):
+    """Returns why the store's client can't append to a store."""
+    client = store.StoreClient(address, summary.CallCounts(), "test")
+    try:
+        with pytest.raises(exceptions.LogUnavailableError) as caught:
+            client.append("keyed.op", b"x", 5.0)
+    finally:
+        client.close()
+    return caught.value.__cause__
+
+
 class TestOwnRequest:
     """Requests of the gateway itself: store, reports, commands."""
 
-    def _ask(self, address):
-        pool = connections.ConnectionPool()
-        try:
-            return connections.send_request(
-                pool, address, "GET", "/v1/report", b"", 5.0
-            )
-        finally:
-            pool.close()
-
     @statusforms.EACH_INVALID
     def test_gets_no_answer(self, serve, name):
         with pytest.raises(targetconnection.InvalidResponseError):
-            self._ask(serve(statusforms.response(name)))
+            _ask(serve(statusforms.response(name)))
 
     # Guards against rules that sound targets don't meet.
     @statusforms.EACH_VALID
     def test_gets_an_answer_of_a_valid_form(self, serve, name):
-        head, body = self._ask(serve(statusforms.valid_response(name)))
+        head, body = _ask(serve(statusforms.valid_response(name)))
         assert head.status == statusforms.VALID[name][1]
         assert body == statusforms.BODY
 
     @statusforms.EACH_INVALID
     def test_to_the_store_fails(self, serve, name):
-        address = serve(statusforms.response(name))
-        client = store.StoreClient(address, summary.CallCounts(), "test")
-        try:
-            with pytest.raises(exceptions.LogUnavailableError) as caught:
-                client.append("keyed.op", b"x", 5.0)
-        finally:
-            client.close()
-        cause = caught.value.__cause__
+        cause = _cause_of_failed_append(serve(statusforms.response(name)))
         assert isinstance(cause, targetconnection.InvalidResponseError)
 
 
--- a/tests/test_httpclient_resets.py
+++ b/tests/test_httpclient_resets.py
@@ -9,7 +9,6 @@
 from briarfall.adapters import log
 from briarfall.adapters import service
 from briarfall.adapters import weightstore
-from briarfall.standins.prepared import rawhttp
 from tests import earlyanswers
 
 Ending = earlyanswers.Ending
@@ -29,18 +28,9 @@
 
 @pytest.fixture
 def serve():
-    """Starts a server of early answers; returns its URL."""
-    servers = []
-
-    def start(early):
-        server = rawhttp.RawServer(early.give)
-        early.serve(server)
-        servers.append(server)
-        return f"http://{server.address}"
-
-    yield start
-    for server in servers:
-        server.close()
+    """Returns a function that serves early answers; it returns the URL."""
+    with earlyanswers.servers() as start:
+        yield lambda early: f"http://{start(early)}"
 
 
 @pytest.fixture(params=[True, False], ids=["kept", "new"])
@@ -55,7 +45,7 @@
 
 class TestHttpClient:
     # Guards against a part of an answer that passes as the whole one, since
-    # the error was told to the sending of the request.
+    # the send of the request has received the error.
     @EACH_STATUS
     @EACH_READING
     def test_takes_no_answer_that_is_reset(
--- a/tests/test_responsesockets.py
+++ b/tests/test_responsesockets.py
@@ -71,7 +71,7 @@
 
 
 class TestLostConnection:
-    # Guards against an error that only the first call is told.
+    # Guards against an error that only the first call receives.
     @FIRST_CALLS
     def test_is_no_orderly_end_for_later_reads(self, pair, call):
         sock, far = pair
