--- a/tests/earlyanswers.py
+++ b/tests/earlyanswers.py
@@ -48,12 +48,20 @@
     ALL = "all"
 
 
+class Framing(enum.Enum):
+    """What tells where a body ends."""
+
+    CONNECTION = "connection"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+
+
 class EarlyAnswer:
     """Answers requests before it has read their bodies.
 
     Attributes:
         status: Status of the responses.
-        has_length: Whether they have a length.
+        framing: What tells where their bodies end.
         body: The whole body.
         sent: Length of the part of the body that is sent before a reset.
         ending: How they end.
@@ -63,7 +71,7 @@
 
     def __init__(self, ending=Ending.RESET, reading=Reading.NOTHING):
         self.status = 200
-        self.has_length = False
+        self.framing = Framing.CONNECTION
         self.body = WHOLE
         self.sent = len(HALF)
         self.ending = ending
@@ -87,7 +95,7 @@
             conn.discard(min(left, _PART_BYTES))
         is_cut = self.ending is Ending.RESET
         conn.send(self._head(req))
-        conn.send(self.body[: self.sent] if is_cut else self.body)
+        conn.send(self._framed(self.body[: self.sent] if is_cut else self.body))
         self._end(conn, left)
         return False
 
@@ -95,12 +103,21 @@
         fields = {"Connection": "close", **self.headers}
         if "x-request-id" in req.headers:
             fields["X-Request-Id"] = req.headers["x-request-id"]
-        if self.has_length:
+        if self.framing is Framing.LENGTH:
             fields["Content-Length"] = str(len(self.body))
+        if self.framing is Framing.CHUNKS:
+            fields["Transfer-Encoding"] = "chunked"
         lines = [f"HTTP/1.1 {self.status} X"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
+    def _framed(self, part: bytes) -> bytes:
+        """Returns the bytes of a part of the body, or of the whole one."""
+        if self.framing is not Framing.CHUNKS:
+            return part
+        last = b"0\r\n\r\n" if part == self.body else b""
+        return b"%x\r\n" % len(part) + part + b"\r\n" + last
+
     def _end(self, conn: rawhttp.RawConnection, left: int) -> None:
         if self.ending in (Ending.CLOSE, Ending.CLOSE_UNREAD):
             conn.sock.shutdown(socket.SHUT_WR)
--- a/tests/test_gateway_resetanswers.py
+++ b/tests/test_gateway_resetanswers.py
@@ -22,6 +22,7 @@
 from tests import test_gateway_silence as silence
 
 Ending = earlyanswers.Ending
+Framing = earlyanswers.Framing
 Reading = earlyanswers.Reading
 _DEADLINE_MS = 15_000
 _LOOK_S = 0.05
@@ -53,7 +54,7 @@
         early = self.early
         if early is None:
             early = earlyanswers.EarlyAnswer(Ending.CLOSE, Reading.ALL)
-            early.has_length = True
+            early.framing = Framing.LENGTH
         early.headers = {"X-Response-Signature": self.id}
         return early.give(conn, req)
 
@@ -203,11 +204,18 @@
 
     @EACH_STATUS
     @EACH_READING
+    @pytest.mark.parametrize(
+        "framing",
+        [Framing.LENGTH, Framing.CHUNKS],
+        ids=lambda framing: framing.value,
+    )
+    @pytest.mark.parametrize("body", [earlyanswers.WHOLE, _LONG], ids=len)
     def test_has_an_answer_that_is_as_long_as_it_says(
-        self, scene, early, reading, status
+        self, scene, early, body, framing, reading, status
     ):
         early.reading, early.status = reading, status
-        early.ending, early.has_length = Ending.RESET_WHOLE, True
+        early.ending = Ending.RESET_WHOLE
+        early.framing, early.body = framing, body
         answer = scene.call(scene.direct)
         scene.check_whole(answer, early)
 
--- a/tests/test_httpclient_resets.py
+++ b/tests/test_httpclient_resets.py
@@ -12,6 +12,7 @@
 from tests import earlyanswers
 
 Ending = earlyanswers.Ending
+Framing = earlyanswers.Framing
 Reading = earlyanswers.Reading
 _TIMEOUT_S = 10.0
 _BODY = b"x" * earlyanswers.LONG_BYTES
@@ -81,9 +82,16 @@
         assert (reply.status, reply.body) == (status, earlyanswers.WHOLE)
 
     @EACH_READING
-    def test_takes_one_that_is_as_long_as_it_says(self, serve, client, reading):
+    @pytest.mark.parametrize(
+        "framing",
+        [Framing.LENGTH, Framing.CHUNKS],
+        ids=lambda framing: framing.value,
+    )
+    def test_takes_one_that_is_as_long_as_it_says(
+        self, serve, client, framing, reading
+    ):
         early = earlyanswers.EarlyAnswer(Ending.RESET_WHOLE, reading)
-        early.has_length = True
+        early.framing = framing
         reply = client(serve(early)).send(
             "POST", "/x", timeout_s=_TIMEOUT_S, body=_BODY
         )
