A trailer line that is too long is refused again

Cause: a line without its end was taken for the end of the connection before the bound was looked at.

--- a/src/briarfall/strictheads.py
+++ b/src/briarfall/strictheads.py
@@ -157,11 +157,11 @@
         lines = bytearray(_TRAILER_STATUS_LINE)
         while True:
             line = self.fp.readline(_MAX_TRAILER_BYTES)
+            if len(lines) + len(line) > _MAX_TRAILER_BYTES:
+                raise http.client.LineTooLong("trailer section")
             if not line.endswith(b"\n") or line in _BLANK_LINES:
                 break
             lines += line
-            if len(lines) > _MAX_TRAILER_BYTES:
-                raise http.client.LineTooLong("trailer section")
         _check(lines + _LINE_END)
 
 
--- a/tests/test_strictheads.py
+++ b/tests/test_strictheads.py
@@ -220,6 +220,35 @@
         reply = client.send("GET", "/", timeout_s=5.0)
         assert (reply.status, reply.body) == (200, b"ok")
 
+    # Guards against a line that is left unread on a connection that is kept,
+    # where it begins the next response.
+    @headforms.EACH_PIECE
+    @pytest.mark.parametrize(
+        "trailers",
+        [
+            b"X-One: " + b"a" * 65_536 + b"\r\n\r\n",
+            b"X-One: " + b"a" * 65_529 + b"\r\n\r\n",
+            b"X-One: " + b"a" * 1000 + b"\r\n\r\n",
+        ],
+        ids=["long line", "line as long as a read", "line"],
+    )
+    def test_are_bounded(self, serve, trailers, piece_bytes):
+        chunks = b"2\r\nok\r\n0\r\n"
+        address = serve(_CHUNKED + chunks + trailers, piece_bytes)
+        client = httpclient.HttpClient(f"http://{address}")
+        if len(trailers) < 65_536:
+            assert client.send("GET", "/", timeout_s=5.0).body == b"ok"
+            return
+        with pytest.raises(exceptions.TargetError):
+            client.send("GET", "/", timeout_s=5.0)
+
+    def test_of_many_lines_are_bounded(self, serve):
+        lines = b"X-One: 1\r\n" * 10_000 + b"\r\n"
+        address = serve(_CHUNKED + b"2\r\nok\r\n0\r\n" + lines)
+        client = httpclient.HttpClient(f"http://{address}")
+        with pytest.raises(exceptions.TargetError):
+            client.send("GET", "/", timeout_s=5.0)
+
 
 class TestStrictConnection:
     @headforms.EACH_FRAMING
