A socket without a timeout is adopted without setting one

A connection to a target sets its timeout before it is adopted, so that each new connection set it twice. Behaviour is unchanged; the tests of adoption and of socket options pass.

--- a/src/briarfall/responsesockets.py
+++ b/src/briarfall/responsesockets.py
@@ -107,5 +107,7 @@
     """
     timeout_s = sock.gettimeout()
     found = ResponseSocket(sock.family, sock.type, sock.proto, sock.detach())
-    found.settimeout(timeout_s)
+    # A new socket object has no timeout.
+    if timeout_s is not None:
+        found.settimeout(timeout_s)
     return found
