Tests of statuses, heads and reset answers share scenes, servers and cases

Scenes and servers stood in test_gateway_statuses.py and again in the tests of heads and of gateway-status, the parameters of early answers twice.

--- a/src/briarfall/standins/prepared/rawhttp.py
+++ b/src/briarfall/standins/prepared/rawhttp.py
@@ -89,7 +89,7 @@
         return RawRequest(method, target, headers, body)
 
     def discard(self, size: int) -> None:
-        """Reads so many bytes that `read` has left, or all up to the end."""
+        """Discards so many bytes behind what `read` took, or all of them."""
         dropped = min(size, len(self._rest))
         del self._rest[:dropped]
         size -= dropped
--- a/tests/earlyanswers.py
+++ b/tests/earlyanswers.py
@@ -8,6 +8,8 @@
 import termios
 import time
 
+import pytest
+
 from briarfall.standins.prepared import rawhttp
 
 # More than the system takes for a target that has not read it yet.
@@ -56,6 +58,22 @@
     CHUNKS = "chunks"
 
 
+EACH_READING = pytest.mark.parametrize(
+    "reading", list(Reading), ids=lambda reading: reading.value
+)
+EACH_ORDERLY_ENDING = pytest.mark.parametrize(
+    "ending",
+    [Ending.CLOSE, Ending.CLOSE_UNREAD],
+    ids=lambda ending: ending.value,
+)
+EACH_TOLD_FRAMING = pytest.mark.parametrize(
+    "framing",
+    [Framing.LENGTH, Framing.CHUNKS],
+    ids=lambda framing: framing.value,
+)
+EACH_STATUS = pytest.mark.parametrize("status", [200, 500])
+
+
 class EarlyAnswer:
     """Answers requests before it has read their bodies.
 
--- a/tests/test_gateway_heads.py
+++ b/tests/test_gateway_heads.py
@@ -8,7 +8,6 @@
 from briarfall.gateway import clocks
 from briarfall.gateway.calls import relaymessages
 from briarfall.gateway.exchanges import targetconnection
-from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import testbed
 from tests import headforms
 from tests import test_gateway_peeranswers as peeranswers
@@ -36,26 +35,14 @@
 
 @pytest.fixture(scope="module")
 def direct_scene():
-    with testbed.world() as world:
-        world.publish(testbed.manifest(2, routes=secondruns.routes()))
-        world.rows = [world.service("d0"), world.engine("e0", kind="large")]
-        world.forms = _Forms()
-        world.odd = statuses._Odd(world.forms)
-        world.odd.give(world.rows)
-        inst = world.instance()
-        world.wait_for_targets(*world.rows)
-        world.wait_for_layers()
-        secondruns.wait_for_version(2, inst)
-        yield world
+    with statuses._direct(statuses._Odd(_Forms())) as scene:
+        yield scene
 
 
 @pytest.fixture(scope="module")
 def relayed_scene():
-    with testbed.world() as world:
-        found = secondruns.Scene(world)
-        found.odd = statuses._Odd(_Forms())
-        found.odd.give(found.rows)
-        yield found
+    with statuses._relayed(statuses._Odd(_Forms())) as scene:
+        yield scene
 
 
 def _check_unknown(answer, rows, request_id, name, path):
@@ -102,11 +89,11 @@
     @headforms.EACH_OF_SOME_HEADS
     def test_has_no_such_failure(self, scene, odd, name, status, path):
         odd.name, odd.closes = name, True
-        scene.forms.status = status
+        odd.forms.status = status
         try:
             answer, request_id = statuses._send(scene.instances[0], path)
         finally:
-            scene.forms.status = 200
+            odd.forms.status = 200
         _check_unknown(answer, scene.rows, request_id, name, path)
 
 
@@ -149,20 +136,8 @@
 
 @pytest.fixture
 def serve():
-    """Returns a function that serves pieces; it returns the address."""
-    with contextlib.ExitStack() as stack:
-
-        def run(data, piece_bytes):
-            def handle(conn, _):
-                for start in range(0, len(data), piece_bytes):
-                    conn.send(data[start : start + piece_bytes])
-                conn.end()
-                return False
-
-            server = rawhttp.RawServer(handle)
-            stack.callback(server.close)
-            return server.address
-
+    """Returns a function that serves bytes; it returns the address."""
+    with statuses._servers() as run:
         yield run
 
 
@@ -186,7 +161,7 @@
 
     @headforms.EACH_OF_SOME
     def test_to_the_store_fails(self, serve, name):
-        address = serve(headforms.response(name), headforms.LONGEST_PIECE)
+        address = serve(headforms.response(name))
         cause = statuses._cause_of_failed_append(address)
         assert isinstance(cause, targetconnection.InvalidResponseError)
 
--- a/tests/test_gateway_resetanswers.py
+++ b/tests/test_gateway_resetanswers.py
@@ -29,10 +29,6 @@
 _numbers = itertools.count()
 # Longer than what is read before the caller gets a first part.
 _LONG = b"a" * 400_000
-EACH_READING = pytest.mark.parametrize(
-    "reading", list(Reading), ids=lambda reading: reading.value
-)
-EACH_STATUS = pytest.mark.parametrize("status", [200, 500])
 
 
 class _Desk(registeredtarget.RegisteredTarget):
@@ -139,20 +135,20 @@
 class TestOrderWhoseAnswerIsReset:
     # Guards against a part of an answer that passes as the whole one, since
     # the send of the request has received the error.
-    @EACH_STATUS
-    @EACH_READING
+    @earlyanswers.EACH_STATUS
+    @earlyanswers.EACH_READING
     def test_has_no_answer(self, scene, early, reading, status):
         early.reading, early.status = reading, status
         answer = scene.call(scene.direct)
         scene.check_cut(answer)
 
-    @EACH_READING
+    @earlyanswers.EACH_READING
     def test_has_none_of_which_no_byte_came(self, scene, early, reading):
         early.reading, early.sent = reading, 0
         answer = scene.call(scene.direct)
         scene.check_cut(answer)
 
-    @EACH_READING
+    @earlyanswers.EACH_READING
     def test_ends_as_cut_once_a_part_was_passed_on(self, scene, early, reading):
         early.reading = reading
         early.body, early.sent = _LONG * 2, len(_LONG)
@@ -160,20 +156,20 @@
         assert answer.status == 200
         scene.check_cut(answer)
 
-    @EACH_STATUS
+    @earlyanswers.EACH_STATUS
     def test_has_no_answer_to_a_short_body(self, scene, early, status):
         early.status = status
         answer = scene.call(scene.direct, 600)
         scene.check_cut(answer)
 
-    @EACH_STATUS
-    @EACH_READING
+    @earlyanswers.EACH_STATUS
+    @earlyanswers.EACH_READING
     def test_has_no_answer_through_a_peer(self, scene, early, reading, status):
         early.reading, early.status = reading, status
         answer = scene.call(scene.cut)
         scene.check_cut(answer)
 
-    @EACH_READING
+    @earlyanswers.EACH_READING
     def test_ends_as_cut_through_a_peer(self, scene, early, reading):
         early.reading = reading
         early.body, early.sent = _LONG * 2, len(_LONG)
@@ -183,13 +179,9 @@
 
 class TestOrderWhoseAnswerEndsInOrder:
     # Guards against whole answers that count as cut.
-    @EACH_STATUS
-    @EACH_READING
-    @pytest.mark.parametrize(
-        "ending",
-        [Ending.CLOSE, Ending.CLOSE_UNREAD],
-        ids=lambda ending: ending.value,
-    )
+    @earlyanswers.EACH_STATUS
+    @earlyanswers.EACH_READING
+    @earlyanswers.EACH_ORDERLY_ENDING
     @pytest.mark.parametrize(
         "is_relayed", [False, True], ids=["direct", "relayed"]
     )
@@ -202,13 +194,9 @@
         answer = scene.call(inst)
         scene.check_whole(answer, early)
 
-    @EACH_STATUS
-    @EACH_READING
-    @pytest.mark.parametrize(
-        "framing",
-        [Framing.LENGTH, Framing.CHUNKS],
-        ids=lambda framing: framing.value,
-    )
+    @earlyanswers.EACH_STATUS
+    @earlyanswers.EACH_READING
+    @earlyanswers.EACH_TOLD_FRAMING
     @pytest.mark.parametrize("body", [earlyanswers.WHOLE, _LONG], ids=len)
     def test_has_an_answer_that_is_as_long_as_it_says(
         self, scene, early, body, framing, reading, status
@@ -219,12 +207,8 @@
         answer = scene.call(scene.direct)
         scene.check_whole(answer, early)
 
-    @pytest.mark.parametrize(
-        "ending",
-        [Ending.CLOSE, Ending.CLOSE_UNREAD],
-        ids=lambda ending: ending.value,
-    )
-    @EACH_READING
+    @earlyanswers.EACH_ORDERLY_ENDING
+    @earlyanswers.EACH_READING
     def test_has_a_long_answer(self, scene, early, ending, reading):
         early.reading, early.ending, early.body = reading, ending, _LONG
         answer = scene.call(scene.direct)
@@ -234,7 +218,7 @@
 class TestLookUpWhoseAnswerIsReset:
     # Guards against a part that passes in place of the answer that another
     # target gives.
-    @EACH_READING
+    @earlyanswers.EACH_READING
     def test_is_answered_by_another_target(self, world, reading):
         scene = _Scene(world, 2)
         scene.desks[0].early = earlyanswers.EarlyAnswer(reading=reading)
@@ -417,7 +401,7 @@
 class TestOwnRequestWhoseAnswerIsReset:
     """Requests of the gateway itself: store, reports, commands."""
 
-    @EACH_READING
+    @earlyanswers.EACH_READING
     @pytest.mark.parametrize("size", [0, earlyanswers.LONG_BYTES])
     def test_has_no_answer(self, serve, reading, size):
         early = earlyanswers.EarlyAnswer(reading=reading)
@@ -430,7 +414,7 @@
         finally:
             pool.close()
 
-    @EACH_READING
+    @earlyanswers.EACH_READING
     def test_to_the_store_fails(self, serve, reading):
         early = earlyanswers.EarlyAnswer(reading=reading)
         client = store.StoreClient(serve(early), summary.CallCounts(), "test")
--- a/tests/test_gateway_statuses.py
+++ b/tests/test_gateway_statuses.py
@@ -16,6 +16,7 @@
 from briarfall.standins.prepared import engines
 from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import testbed
+from tests import headforms
 from tests import statusforms
 from tests import test_gateway_peeranswers as peeranswers
 from tests import test_gateway_secondruns as secondruns
@@ -39,16 +40,17 @@
     """What targets send in place of their responses.
 
     Args:
-        forms: Module of the forms.
+        forms: Returns the response of a form.
 
     Attributes:
+        forms: Returns the response of a form.
         name: Form of the response, or None for a sound one.
         closes: Whether the connection ends after it.
         extra: Further headers.
     """
 
     def __init__(self, forms=statusforms):
-        self._forms = forms
+        self.forms = forms
         self.name = None
         self.closes = True
         self.extra = b""
@@ -65,7 +67,7 @@
             row.record_arrival(req)
             row.record_run(req)
             headers = _headers(req.headers["x-request-id"], self.extra)
-            conn.send(self._forms.response(self.name, headers))
+            conn.send(self.forms.response(self.name, headers))
             if self.closes:
                 conn.end()
             return not self.closes
@@ -80,12 +82,13 @@
     assert secondruns.runs(rows, request_id) == 1
 
 
-@pytest.fixture(scope="module")
-def direct_scene():
+@contextlib.contextmanager
+def _direct(odd):
+    """Yields a service, an engine and an instance that reaches them."""
     with testbed.world() as world:
         world.publish(testbed.manifest(2, routes=secondruns.routes()))
         world.rows = [world.service("d0"), world.engine("e0", kind="large")]
-        world.odd = _Odd()
+        world.odd = odd
         world.odd.give(world.rows)
         inst = world.instance()
         world.wait_for_targets(*world.rows)
@@ -94,15 +97,28 @@
         yield world
 
 
-@pytest.fixture(scope="module")
-def relayed_scene():
+@contextlib.contextmanager
+def _relayed(odd):
+    """Yields targets and an instance that reaches them through a peer."""
     with testbed.world() as world:
         found = secondruns.Scene(world)
-        found.odd = _Odd()
+        found.odd = odd
         found.odd.give(found.rows)
         yield found
 
 
+@pytest.fixture(scope="module")
+def direct_scene():
+    with _direct(_Odd()) as scene:
+        yield scene
+
+
+@pytest.fixture(scope="module")
+def relayed_scene():
+    with _relayed(_Odd()) as scene:
+        yield scene
+
+
 @pytest.fixture
 def odd(scene):
     scene.odd.extra = b""
@@ -301,21 +317,29 @@
             assert inst.targets.get(row.id).invalid_responses
 
 
-@pytest.fixture
-def serve():
-    """Returns a function that serves bytes; it returns the address."""
+@contextlib.contextmanager
+def _servers():
+    """Yields a function that serves bytes; it returns the address."""
     with contextlib.ExitStack() as stack:
 
-        def run(data):
+        def run(data, piece_bytes=headforms.LONGEST_PIECE):
             def handle(conn, _):
-                conn.send(data)
+                for start in range(0, len(data), piece_bytes):
+                    conn.send(data[start : start + piece_bytes])
                 conn.end()
                 return False
 
             server = rawhttp.RawServer(handle)
             stack.callback(server.close)
-            return f"{server.host}:{server.port}"
+            return server.address
+
+        yield run
+
 
+@pytest.fixture
+def serve():
+    """Returns a function that serves bytes; it returns the address."""
+    with _servers() as run:
         yield run
 
 
--- a/tests/test_httpclient_resets.py
+++ b/tests/test_httpclient_resets.py
@@ -16,15 +16,6 @@
 Reading = earlyanswers.Reading
 _TIMEOUT_S = 10.0
 _BODY = b"x" * earlyanswers.LONG_BYTES
-EACH_READING = pytest.mark.parametrize(
-    "reading", list(Reading), ids=lambda reading: reading.value
-)
-EACH_STATUS = pytest.mark.parametrize("status", [200, 500])
-_CLOSES = pytest.mark.parametrize(
-    "ending",
-    [Ending.CLOSE, Ending.CLOSE_UNREAD],
-    ids=lambda ending: ending.value,
-)
 
 
 @pytest.fixture
@@ -47,8 +38,8 @@
 class TestHttpClient:
     # Guards against a part of an answer that passes as the whole one, since
     # the send of the request has received the error.
-    @EACH_STATUS
-    @EACH_READING
+    @earlyanswers.EACH_STATUS
+    @earlyanswers.EACH_READING
     def test_takes_no_answer_that_is_reset(
         self, serve, client, reading, status
     ):
@@ -68,9 +59,9 @@
             )
 
     # Guards against whole answers that count as cut.
-    @EACH_STATUS
-    @EACH_READING
-    @_CLOSES
+    @earlyanswers.EACH_STATUS
+    @earlyanswers.EACH_READING
+    @earlyanswers.EACH_ORDERLY_ENDING
     def test_takes_one_that_ends_in_order(
         self, serve, client, ending, reading, status
     ):
@@ -81,12 +72,8 @@
         )
         assert (reply.status, reply.body) == (status, earlyanswers.WHOLE)
 
-    @EACH_READING
-    @pytest.mark.parametrize(
-        "framing",
-        [Framing.LENGTH, Framing.CHUNKS],
-        ids=lambda framing: framing.value,
-    )
+    @earlyanswers.EACH_READING
+    @earlyanswers.EACH_TOLD_FRAMING
     def test_takes_one_that_is_as_long_as_it_says(
         self, serve, client, framing, reading
     ):
@@ -186,8 +173,8 @@
     """What reads answers through the client."""
 
     @pytest.mark.parametrize("read", _READERS, ids=lambda read: read.__name__)
-    @EACH_STATUS
-    @EACH_READING
+    @earlyanswers.EACH_STATUS
+    @earlyanswers.EACH_READING
     def test_takes_no_answer_that_is_reset(self, serve, read, reading, status):
         early = earlyanswers.EarlyAnswer(reading=reading)
         early.status = status
--- a/tests/test_strictheads.py
+++ b/tests/test_strictheads.py
@@ -42,11 +42,10 @@
             with conn:
                 conn.recv(65536)
                 conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                # A client that refuses the response resets its connection.
                 with contextlib.suppress(OSError):
                     for start in range(0, len(data), piece_bytes):
                         conn.sendall(data[start : start + piece_bytes])
-                # A client that refuses the response resets its connection.
-                with contextlib.suppress(OSError):
                     conn.shutdown(socket.SHUT_WR)
                     while conn.recv(65536):
                         continue
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -7,8 +7,8 @@
 from briarfall import exceptions
 from briarfall.cli import gateways
 from briarfall.cli import timeline
-from briarfall.standins.prepared import rawhttp
 from briarfall.standins.prepared import testbed
+from tests import test_gateway_statuses as statuses
 
 
 def line(second: float, message: str, instance="i1") -> str:
@@ -74,14 +74,6 @@
         ids=["cut head", "status 000", "blank in a name"],
     )
     def test_broken_response_is_a_typed_error(self, response):
-        def handle(conn, _):
-            conn.send(response)
-            conn.end()
-            return False
-
-        server = rawhttp.RawServer(handle)
-        try:
+        with statuses._servers() as serve:
             with pytest.raises(exceptions.TargetUnreachableError):
-                gateways.gateway_status(server.address)
-        finally:
-            server.close()
+                gateways.gateway_status(serve(response))
