The store's stand-in bounds its answers as the protocol says

A read returns whole records up to max_kb (1,024 KB by default), a list up to 500 items or 1 MB, in the order of its keys. The stand-in returned everything at once, so that no test could see what a reader makes of a part.

--- a/src/briarfall/standins/prepared/store.py
+++ b/src/briarfall/standins/prepared/store.py
@@ -17,6 +17,10 @@
 WRITE_CALLS = ("log-append",)
 READ_CALLS = ("log-read", "log-newest")
 _MAX_WAIT_S = 30.0
+# Bounds of one answer: records of a read, in KB, and items of a page.
+_READ_KB = 1024
+PAGE_ITEMS = 500
+_PAGE_BYTES = 1_000_000
 
 
 class StoreCopy(msgspec.Struct, frozen=True):
@@ -269,21 +273,50 @@
             reply = json.dumps({"first": first}).encode()
             self._respond(conn, 410, reply, epoch)
             return True
-        body = struct.pack(">QQ", end, first)
-        for record in found:
-            body += struct.pack(">I", len(record)) + record
+        max_bytes = int(query.get("max_kb", _READ_KB)) * 1024
+        body = struct.pack(">QQ", end, first) + _pack_whole(found, max_bytes)
         self._respond(conn, 200, body, epoch)
         return True
 
     def _newest(self, conn, query) -> bool:
         topic = query["topic"]
+        after = query.get("after")
         with self._changed:
             items = []
             for key, (value, offset) in self._keyed.get(topic, {}).items():
+                if after is not None and key <= after:
+                    continue
                 text = base64.b64encode(value).decode()
                 items.append({"key": key, "value": text, "offset": offset})
             end = self._end(topic)
             epoch = self.epoch
-        page = {"items": items, "has_more": False, "end": end}
+        items.sort(key=lambda item: item["key"])
+        count = _page_size(items)
+        page = {
+            "items": items[:count],
+            "has_more": count < len(items),
+            "end": end,
+        }
         self._respond(conn, 200, json.dumps(page).encode(), epoch)
         return True
+
+
+def _pack_whole(records: list[bytes], max_bytes: int) -> bytes:
+    """Returns the first records that fit an answer, and at least one."""
+    body = b""
+    for record in records:
+        packed = struct.pack(">I", len(record)) + record
+        if body and len(body) + len(packed) > max_bytes:
+            break
+        body += packed
+    return body
+
+
+def _page_size(items: list[dict]) -> int:
+    """Returns the number of items that fit a page, and at least one."""
+    size = 0
+    for number, item in enumerate(items[:PAGE_ITEMS]):
+        size += len(item["key"]) + len(item["value"])
+        if number and size > _PAGE_BYTES:
+            return number
+    return min(len(items), PAGE_ITEMS)
--- a/tests/test_platform_standinstore.py
+++ b/tests/test_platform_standinstore.py
@@ -110,3 +110,32 @@
         platform.restore(copy)
         platform.rewrite_lost()
         assert platform.keys("keyed.t") == []
+
+
+class TestBoundsOfAnswers:
+    def test_read_holds_whole_records_up_to_the_longest_answer(self, platform):
+        for _ in range(12):
+            platform.append("t", bytes(100_000))
+        path = "/v1/log-read?topic=t&part=0&from=0"
+        _, body, _ = send(platform, path)
+        assert len(body) == 16 + 10 * 100_004
+        end, first = struct.unpack_from(">QQ", body)
+        assert (end, first) == (12, 0)
+        _, body, _ = send(platform, path + "&max_kb=1")
+        assert len(body) == 16 + 100_004
+
+    @pytest.mark.parametrize(
+        "count, size, pages", [(500, 1, 1), (501, 1, 2), (12, 100_000, 2)]
+    )
+    def test_list_comes_in_pages(self, platform, count, size, pages):
+        for number in range(count):
+            platform.put("keyed.t", f"k{number:04}", bytes(size))
+        keys = []
+        query = "/v1/log-newest?topic=keyed.t&part=0"
+        for number in range(pages):
+            after = f"&after={keys[-1]}" if keys else ""
+            page = json.loads(send(platform, query + after)[1])
+            assert page["end"] == count
+            assert page["has_more"] == (number < pages - 1)
+            keys += [item["key"] for item in page["items"]]
+        assert keys == [f"k{number:04}" for number in range(count)]
