--- a/src/briarfall/exceptions.py
+++ b/src/briarfall/exceptions.py
@@ -144,7 +144,7 @@
 
 
 class LogGapError(BriarfallError, LookupError):
-    """Records before the requested offset are no longer kept."""
+    """Records from the requested offset on can't all be read from the log."""
 
     code = "log_gap"
     status = http.HTTPStatus.GONE
--- a/src/briarfall/gateway/catalogue/catalogue.py
+++ b/src/briarfall/gateway/catalogue/catalogue.py
@@ -206,7 +206,8 @@
         sent_s = clocks.boot_s()
         try:
             read = self._source.wait_newer(self._position, wait_s, _TIMEOUT_S)
-        except exceptions.LogGapError:
+        except exceptions.LogGapError as exc:
+            logging.info("catalogue log has a gap, reading the newest: %s", exc)
             self._read_newest()
             return
         self._apply_read(read, sent_s)
--- a/src/briarfall/gateway/catalogue/sources.py
+++ b/src/briarfall/gateway/catalogue/sources.py
@@ -84,7 +84,7 @@
 
 
 class CatalogueRead(msgspec.Struct, frozen=True):
-    """Result of a read of the catalogue log.
+    """Result of a read of the catalogue log up to its end.
 
     Attributes:
         position: Position of the log at which the next read continues.
@@ -187,8 +187,9 @@
         """Waits up to `wait_s` for a change after `position`.
 
         Raises:
-            LogGapError: Records after `position` are no longer kept, or the
-                position belongs to an earlier epoch of the store.
+            LogGapError: Records after `position` are no longer kept or are
+                more than one read returns, or the position belongs to an
+                earlier epoch of the store.
         """
 
     @abc.abstractmethod
--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -125,7 +125,7 @@
         *,
         wait_s: float = 0.0,
     ) -> tuple[list[bytes], sources.LogPosition]:
-        """Returns records from a position on, and the position after them.
+        """Returns all records from a position on, and the end of the topic.
 
         Args:
             topic: Name of the topic.
@@ -134,8 +134,10 @@
             wait_s: Additional time that the store may wait for a record.
 
         Raises:
-            LogGapError: Records from `start` on are no longer kept, or
-                `start` belongs to an earlier epoch.
+            LogGapError: Records from `start` on are no longer kept, `start`
+                belongs to an earlier epoch, or more records follow than one
+                response holds.
+            LogUnavailableError: The store did not answer.
         """
         if start.epoch < self.tracker.current:
             raise _epoch_error("read", topic, start, self.tracker.current)
@@ -156,12 +158,19 @@
             memoryview(resp.body)[_READ_HEADER.size :]
         )
         next_offset = start.offset + len(records)
-        if records and next_offset > end:
+        if next_offset > end:
             raise self._mismatch_error(
                 f"{len(records)} records from {start.offset} on, but the "
                 f"topic ends at {end}"
             )
-        return records, sources.LogPosition(start.epoch, next_offset)
+        if next_offset < end:
+            raise exceptions.LogGapError(
+                f"store log-read: got the records of {topic} from "
+                f"{start.offset} to {next_offset}, expected all up to {end}; "
+                "read the topic again",
+                next_offset,
+            )
+        return records, sources.LogPosition(start.epoch, end)
 
     def append(
         self,
