--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -85,7 +85,11 @@
     def newest(
         self, topic: str, timeout_s: float
     ) -> tuple[list[KeyedRecord], sources.LogPosition]:
-        """Returns the newest record of each key, and the topic's end.
+        """Returns the newest record of each key, and where to read on.
+
+        The list is as new as the call. It may take several pages, which are
+        no snapshot: a record that is written meanwhile may lack in it, and
+        lies at or after the position.
 
         Raises:
             LogUnavailableError: The store did not answer, its pages have no
@@ -94,20 +98,21 @@
         records = []
         args = {"topic": topic, "part": 0}
         seen = set()
-        epoch = None
+        start = None
         while len(seen) < _MAX_PAGES:
             resp = self._call("GET", "log-newest", args, b"", timeout_s)
-            if epoch not in (None, resp.epoch):
+            if start is not None and start.epoch != resp.epoch:
                 raise exceptions.LogUnavailableError(
                     f"store log-newest: pages of {topic} are of epochs "
-                    f"{epoch} and {resp.epoch}, expected one epoch"
+                    f"{start.epoch} and {resp.epoch}, expected one epoch"
                 )
-            epoch = resp.epoch
             page = self._decode_page(resp.body)
+            if start is None:
+                start = sources.LogPosition(resp.epoch, page.end)
             found = _decode_items(page.items)
             records.extend(found)
-            if not page.has_more or not page.items:
-                return records, sources.LogPosition(epoch, page.end)
+            if not page.has_more:
+                return records, start
             if not found or found[-1].key in seen:
                 break
             args["after"] = found[-1].key
