--- a/src/briarfall/gateway/catalogue/catalogue.py
+++ b/src/briarfall/gateway/catalogue/catalogue.py
@@ -35,6 +35,9 @@
 # Longest time for which a new instance waits for its peers before it serves by
 # the catalogue of a store that was once restored from an older copy.
 _FIRST_LOOK_S = 0.3
+# Version of a source that shows none.
+_NO_VERSION = -1
+_LOG_INTERVAL_S = 10
 
 Fetcher = collections.abc.Callable[[int], bytes]
 PeerWaiter = collections.abc.Callable[[float], None]
@@ -60,6 +63,8 @@
         wait_s: How long a read of the store poller waits for a newer version.
         max_peer_age_s: Age of the view at which the other instances read the
             source as well.
+        confirmed_s: Time on the boot clock, or None. The view is at least as
+            new as the version that was the newest then.
     """
 
     def __init__(
@@ -74,7 +79,9 @@
         self._is_store_poller = is_store_poller
         self.set_key_ttl(key_ttl_s)
         self._has_newer = threading.Event()
-        self._newest_version = -1
+        self._newest_version = _NO_VERSION
+        # Newest version that the source has shown; None if it can't be read.
+        self._shown_version: int | None = _NO_VERSION
         # Consecutive failed reads of the source.
         self._failures = 0
         self._fetcher: Fetcher | None = None
@@ -156,7 +163,8 @@
             self._read(self.wait_s)
             return
         if self.age_s > self.max_peer_age_s:
-            self._read(0.0)
+            # A source that can't confirm the view is not asked in a loop.
+            self._read(0.0 if self._shows_view else self.wait_s)
             return
         self._has_newer.wait(_PEER_POLL_S)
 
@@ -200,7 +208,9 @@
 
     def _read_newest(self) -> None:
         sent_s = clocks.boot_s()
-        self._apply_read(self._source.read_newest(_TIMEOUT_S), sent_s)
+        read = self._source.read_newest(_TIMEOUT_S)
+        self._shown_version = _NO_VERSION
+        self._apply_read(read, sent_s)
 
     def _read(self, wait_s: float) -> None:
         sent_s = clocks.boot_s()
@@ -214,18 +224,43 @@
 
     def _apply_read(self, read: sources.CatalogueRead, sent_s: float) -> None:
         if read.raw is not None:
-            self.apply(read.raw)
+            self._shown_version = self.apply(read.raw)
         self._position = read.position
-        self._failures = 0
+        self._record_answer()
         if self.view is None:
             return
         if self.confirmed_s is None:
             if self._source.epoch > sources.FIRST_EPOCH:
                 self._look_for_newer()
-        self.confirm(sent_s)
+        if self._shows_view:
+            self._advance_confirmed_s(sent_s)
+            return
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            "catalogue not confirmed, the source shows another version as the "
+            "newest version=%d shown=%s",
+            _LOG_INTERVAL_S,
+            self.view.version,
+            self._shown_version,
+        )
+
+    @property
+    def _shows_view(self) -> bool:
+        """Whether the source has shown the version in force, or a newer one.
 
-    def apply(self, raw: bytes) -> None:
-        """Puts a catalogue in force unless its version is not a newer one."""
+        If not, it shows one that can't be read, or was restored from a copy
+        that lacks accepted versions. Which one is the newest is not known then.
+        """
+        if self._shown_version is None:
+            return False
+        return self._shown_version >= self.view.version
+
+    def apply(self, raw: bytes) -> int | None:
+        """Puts a catalogue in force unless its version is not a newer one.
+
+        Returns:
+            Its version, or None if it can't be read.
+        """
         try:
             view = self._source.parse(raw)
         except exceptions.CatalogueError as exc:
@@ -233,10 +268,10 @@
                 "catalogue ignored, the current version stays in force: %s",
                 exc,
             )
-            return
+            return None
         current = self.view
         if current is not None and view.version <= current.version:
-            return
+            return view.version
         self.view = view
         self.raw = raw
         self.has_view.set()
@@ -247,6 +282,7 @@
             sum(len(rows) for rows in view.routes.values()),
             len(view.accounts),
         )
+        return view.version
 
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
@@ -283,16 +319,18 @@
             return
         if version > self.view.version:
             self.record_newer(version)
-        elif version == self.view.version:
+            return
+        # A version that can't be read here is newer than the one in force,
+        # also if a peer of an earlier release says otherwise.
+        if version == self.view.version and self._shown_version is not None:
             self._advance_confirmed_s(sent_s)
 
-    def confirm(self, sent_s: float) -> None:
-        """Records that the view was the newest at a time on the boot clock."""
+    def _record_answer(self) -> None:
+        """Records that the source answers."""
         self._failures = 0
         if self.is_source_lost:
             self.is_source_lost = False
             logging.info("catalogue source regained, reads succeed again")
-        self._advance_confirmed_s(sent_s)
 
     def _advance_confirmed_s(self, sent_s: float) -> None:
         if self.confirmed_s is None or sent_s > self.confirmed_s:
--- /dev/null
+++ b/tests/test_gateway_confirmations.py
@@ -0,0 +1,94 @@
+"""What confirms that the version of the catalogue in force is the newest."""
+
+import threading
+
+import pytest
+
+from briarfall.standins.prepared import store as storestandin
+from briarfall.standins.prepared import testbed
+from tests import cataloguescenes
+
+_CUT_S = cataloguescenes.CUT_S
+_TOPIC = cataloguescenes.TOPIC
+_KEPT_KEYS = (testbed.KEY,)
+_UNREADABLE = b"{}"
+
+
+@pytest.fixture
+def scene(clock):
+    """A scene whose follower has read version 1."""
+    found = cataloguescenes.Scene(clock)
+    found.follower.step()
+    yield found
+    found.close()
+
+
+class TestVersionThatCannotBeRead:
+    # Guards against CONFIG: the version in force was confirmed though a newer
+    # one, which can't be read, may have taken the key away.
+    def test_version_before_it_is_not_confirmed(self, scene):
+        scene.platform.put(_TOPIC, "config", _UNREADABLE)
+        for _ in range(12):
+            scene.clock.now_s += 0.5
+            scene.follower.step()
+        assert scene.follower.view.version == 1
+        assert not scene.follower.is_fresh
+        scene.publish(3, _KEPT_KEYS)
+        scene.follower.step()
+        assert scene.accepts(testbed.KEY)
+
+    # Guards against CONFIG: a peer that has not read it confirmed the one
+    # before.
+    def test_peer_does_not_confirm_the_version_before_it(self, scene):
+        scene.platform.put(_TOPIC, "config", _UNREADABLE)
+        scene.follower.step()
+        scene.clock.now_s += _CUT_S
+        scene.follower.confirm_from_peer(1, scene.clock.now_s)
+        assert not scene.follower.is_fresh
+
+    # Guards against reads of the store in a loop, and keys served late.
+    def test_reads_wait_for_the_next_version(self, clock):
+        scene = cataloguescenes.Scene(clock, is_store_poller=False)
+        try:
+            scene.follower.step()
+            scene.platform.put(_TOPIC, "config", _UNREADABLE)
+            scene.clock.now_s += _CUT_S
+            scene.follower.step()
+            scene.follower.wait_s = 30.0
+            reader = threading.Thread(target=scene.follower.step)
+            reader.start()
+            testbed.until(lambda: scene.platform.waiting, "the read waits")
+            scene.publish(3, _KEPT_KEYS)
+            reader.join()
+            assert scene.accepts(testbed.KEY)
+        finally:
+            scene.close()
+
+
+class TestRestoredStore:
+    # Guards against CONFIG: a copy that lacks the version in force, and maybe
+    # a later one that took a key away, confirmed the one in force.
+    def test_copy_without_the_version_in_force_confirms_nothing(self, scene):
+        copy = scene.platform.snapshot()
+        scene.publish(2)
+        scene.follower.step()
+        scene.publish(3, _KEPT_KEYS)
+        scene.platform.restore(copy)
+        scene.clock.now_s += _CUT_S
+        scene.follower.step()
+        assert scene.follower.view.version == 2
+        assert not scene.follower.is_fresh
+        scene.platform.rewrite_lost()
+        scene.step_until_fresh()
+        assert scene.accepts(testbed.KEY)
+
+    # Guards against CONFIG: the same with a copy from before all versions.
+    def test_copy_without_any_version_confirms_nothing(self, scene):
+        empty = storestandin.StoreCopy({}, {}, {})
+        scene.platform.restore(empty)
+        scene.clock.now_s += _CUT_S
+        scene.follower.step()
+        assert not scene.follower.is_fresh
+        scene.platform.rewrite_lost()
+        scene.follower.step()
+        assert scene.accepts(testbed.KEY)
