--- a/src/briarfall/gateway/catalogue/catalogue.py
+++ b/src/briarfall/gateway/catalogue/catalogue.py
@@ -82,6 +82,8 @@
         self._newest_version = _NO_VERSION
         # Newest version that the source has shown; None if it can't be read.
         self._shown_version: int | None = _NO_VERSION
+        # Held while a version is compared with the one in force and put there.
+        self._view_lock = threading.Lock()
         # Consecutive failed reads of the source.
         self._failures = 0
         self._fetcher: Fetcher | None = None
@@ -269,11 +271,12 @@
                 exc,
             )
             return None
-        current = self.view
-        if current is not None and view.version <= current.version:
-            return view.version
-        self.view = view
-        self.raw = raw
+        with self._view_lock:
+            current = self.view
+            if current is not None and view.version <= current.version:
+                return view.version
+            self.raw = raw
+            self.view = view
         self.has_view.set()
         self._notify_listeners()
         logging.info(
--- a/tests/test_gateway_confirmations.py
+++ b/tests/test_gateway_confirmations.py
@@ -1,5 +1,6 @@
 """What confirms that the version of the catalogue in force is the newest."""
 
+import json
 import threading
 
 import pytest
@@ -92,3 +93,35 @@
         scene.platform.rewrite_lost()
         scene.follower.step()
         assert scene.accepts(testbed.KEY)
+
+
+class TestVersionsOfTwoThreads:
+    # Guards against CONFIG: of two versions that came at the same time, from
+    # the store and from a peer, the older one stayed in force as confirmed.
+    def test_newer_one_stays_in_force(self, scene, monkeypatch):
+        newer = json.dumps(testbed.manifest(3, keys=_KEPT_KEYS)).encode()
+        older = json.dumps(testbed.manifest(2)).encode()
+        follower = scene.follower
+        peer = threading.Thread(target=follower.apply_from_peer, args=[newer])
+        parse = follower._source.parse
+
+        class _Slow:
+            """A view whose version is compared for a while."""
+
+            def __init__(self, view):
+                self._view = view
+
+            def __getattr__(self, name):
+                if name == "version" and not peer.ident:
+                    peer.start()
+                    peer.join(0.3)
+                return getattr(self._view, name)
+
+        def parse_slowly(raw):
+            view = parse(raw)
+            return _Slow(view) if raw == older else view
+
+        monkeypatch.setattr(follower._source, "parse", parse_slowly)
+        follower.apply(older)
+        peer.join()
+        assert follower.view.version == 3
