--- a/src/briarfall/gateway/callers/callerhandler.py
+++ b/src/briarfall/gateway/callers/callerhandler.py
@@ -215,12 +215,14 @@
             raise exceptions.DrainingError(
                 "the instance stops", retry_after_s=_STOPPING_RETRY_S
             )
+        # Read first, so that it holds for this view or an earlier one.
+        is_fresh = self._follower.is_fresh
         view = self._follower.view
         if view is None:
             raise exceptions.NotReadyError(
                 "no catalogue yet", retry_after_s=_STALE_RETRY_S
             )
-        call = self._prepare(conn, req, view)
+        call = self._prepare(conn, req, view, is_fresh=is_fresh)
         if not self._stop.accepts(call.left_s):
             raise exceptions.DrainingError(
                 "the instance stops before the answer could be complete",
@@ -309,8 +311,9 @@
         conn: callers.CallerConnection,
         req: messages.CallerRequest,
         view: views.CatalogueView,
+        *,
+        is_fresh: bool,
     ) -> calls.Call:
-        is_fresh = self._follower.is_fresh
         try:
             route = view.match(req.host, req.path)
             key = (req.header(self._names.account_key) or b"").decode("latin-1")
--- a/tests/test_gateway_confirmations.py
+++ b/tests/test_gateway_confirmations.py
@@ -5,12 +5,14 @@
 
 import pytest
 
+from briarfall.gateway.catalogue import catalogue
 from briarfall.standins.prepared import store as storestandin
 from briarfall.standins.prepared import testbed
 from tests import cataloguescenes
 
 _CUT_S = cataloguescenes.CUT_S
 _TOPIC = cataloguescenes.TOPIC
+_REVOKED_KEY = cataloguescenes.REVOKED_KEY
 _KEPT_KEYS = (testbed.KEY,)
 _UNREADABLE = b"{}"
 
@@ -125,3 +127,31 @@
         follower.apply(older)
         peer.join()
         assert follower.view.version == 3
+
+
+class TestRequestsWhileAVersionComesIntoForce:
+    # Guards against CONFIG: a request was checked by the version from before
+    # a cut, and by the freshness of the one after it.
+    def test_freshness_belongs_to_the_version_that_is_checked(
+        self, world, monkeypatch
+    ):
+        world.publish(testbed.manifest(2, keys=cataloguescenes.BOTH_KEYS))
+        target = world.service("d1")
+        inst = world.instance()
+
+        def call():
+            return testbed.call(inst, "/views/x", key=_REVOKED_KEY).status
+
+        testbed.until(lambda: call() == 200, "version 2 is in force")
+        runs = len(target.ran_ids())
+        newer = json.dumps(testbed.manifest(3)).encode()
+
+        def catch_up(follower):
+            follower.apply(newer)
+            return True
+
+        monkeypatch.setattr(
+            catalogue.CatalogueFollower, "is_fresh", property(catch_up)
+        )
+        assert call() == 401
+        assert len(target.ran_ids()) == runs
