--- a/src/briarfall/gateway/gossip/peerresponder.py
+++ b/src/briarfall/gateway/gossip/peerresponder.py
@@ -82,9 +82,10 @@
         since = request.revision
         if request.incarnation != self._incarnation:
             since = -1
+        # Ages are taken first, so that the version and the changes sent can
+        # only be newer than they say.
+        catalogue_age_ms = _age_ms(self._follower.confirmed_s)
         view = self._follower.view
-        # The age is taken before the changes, so that the changes sent can only
-        # be newer than it says.
         targets_age_ms = _age_ms(self._targets.read_s)
         revision, data = self.packed_changes(since)
         # Taken after them: an epoch that is told too early undoes nothing.
@@ -93,7 +94,7 @@
             number=request.number,
             incarnation=self._incarnation,
             version=view.version if view else -1,
-            catalogue_age_ms=_age_ms(self._follower.confirmed_s),
+            catalogue_age_ms=catalogue_age_ms,
             targets_age_ms=targets_age_ms,
             changes=_part(data, 0),
             parts=_part_count(data),
--- a/tests/test_gateway_confirmations.py
+++ b/tests/test_gateway_confirmations.py
@@ -6,6 +6,9 @@
 import pytest
 
 from briarfall.gateway.catalogue import catalogue
+from briarfall.gateway.gossip import peermessages
+from briarfall.gateway.gossip import peerresponder
+from briarfall.gateway.targets import targets
 from briarfall.standins.prepared import store as storestandin
 from briarfall.standins.prepared import testbed
 from tests import cataloguescenes
@@ -129,6 +132,27 @@
         assert follower.view.version == 3
 
 
+class TestConfirmationsOfPeers:
+    # Guards against CONFIG: the age of a version that came into force while
+    # the answer was made was told as the age of the version before.
+    def test_age_belongs_to_the_version_that_is_told(self, scene, monkeypatch):
+        scene.clock.now_s += _CUT_S
+        scene.publish(2, _KEPT_KEYS)
+        table = targets.TargetTable()
+        responder = peerresponder.PeerResponder(table, scene.follower)
+        changes_since = table.changes_since
+
+        def catch_up(revision):
+            scene.follower.step()
+            return changes_since(revision)
+
+        monkeypatch.setattr(table, "changes_since", catch_up)
+        answer = responder.answer(peermessages.FreshnessRequest(1, 0, -1))
+        assert scene.follower.view.version == 2
+        is_old = answer.catalogue_age_ms >= _CUT_S * 1000
+        assert answer.version == 2 or is_old
+
+
 class TestRequestsWhileAVersionComesIntoForce:
     # Guards against CONFIG: a request was checked by the version from before
     # a cut, and by the freshness of the one after it.
