--- a/src/briarfall/gateway/catalogue/catalogue.py
+++ b/src/briarfall/gateway/catalogue/catalogue.py
@@ -311,12 +311,16 @@
             return True
         return self.is_source_lost and self._newest_version > self.view.version
 
-    def confirm_from_peer(self, version: int, sent_s: float) -> None:
+    def confirm_from_peer(
+        self, version: int, sent_s: float, *, is_proven: bool = False
+    ) -> None:
         """Applies a peer's report that a version was the newest at a time.
 
         Args:
             version: The version that the peer confirmed.
             sent_s: Time of the confirmation on the boot clock, in seconds.
+            is_proven: Whether the peer has read the log to its end. One of an
+                earlier release may still be catching up after a cut.
         """
         if self.view is None:
             return
@@ -325,7 +329,11 @@
             return
         # A version that can't be read here is newer than the one in force,
         # also if a peer of an earlier release says otherwise.
-        if version == self.view.version and self._shown_version is not None:
+        if version < self.view.version or self._shown_version is None:
+            return
+        # An instance whose own view has lapsed may have shared the peer's cut.
+        has_lapsed = self.confirmed_s is not None and not self.is_fresh
+        if is_proven or not has_lapsed:
             self._advance_confirmed_s(sent_s)
 
     def _record_answer(self) -> None:
--- a/src/briarfall/gateway/gossip/peermessages.py
+++ b/src/briarfall/gateway/gossip/peermessages.py
@@ -153,6 +153,8 @@
         since: Revision of the table after which the changes start.
         revision: Revision of the table with which the changes end.
         epoch: Epoch of the store that the peer's target list is of, or -1.
+        reads_to_end: Whether the peer confirms its catalogue only by reads that
+            reached the end of the log, which earlier releases don't.
     """
 
     number: int
@@ -165,6 +167,7 @@
     since: int = -1
     revision: int = -1
     epoch: int = -1
+    reads_to_end: bool = False
 
 
 class PartRequest(
--- a/src/briarfall/gateway/gossip/peerresponder.py
+++ b/src/briarfall/gateway/gossip/peerresponder.py
@@ -101,6 +101,7 @@
             since=since,
             revision=revision,
             epoch=-1 if epoch is None else epoch,
+            reads_to_end=True,
         )
 
     def packed_changes(self, since: int) -> tuple[int, bytes]:
--- a/src/briarfall/gateway/gossip/targetfollower.py
+++ b/src/briarfall/gateway/gossip/targetfollower.py
@@ -226,7 +226,9 @@
         """
         if answer.catalogue_age_ms >= 0:
             confirmed_s = asked_s - answer.catalogue_age_ms / 1000
-            self._follower.confirm_from_peer(answer.version, confirmed_s)
+            self._follower.confirm_from_peer(
+                answer.version, confirmed_s, is_proven=answer.reads_to_end
+            )
         if answer.targets_age_ms < 0:
             return False
         age_s = answer.targets_age_ms / 1000
--- a/tests/test_gateway_confirmations.py
+++ b/tests/test_gateway_confirmations.py
@@ -49,7 +49,7 @@
         scene.platform.put(_TOPIC, "config", _UNREADABLE)
         scene.follower.step()
         scene.clock.now_s += _CUT_S
-        scene.follower.confirm_from_peer(1, scene.clock.now_s)
+        scene.follower.confirm_from_peer(1, scene.clock.now_s, is_proven=True)
         assert not scene.follower.is_fresh
 
     # Guards against reads of the store in a loop, and keys served late.
@@ -152,6 +152,30 @@
         is_old = answer.catalogue_age_ms >= _CUT_S * 1000
         assert answer.version == 2 or is_old
 
+    # Guards against CONFIG: a peer of an earlier release that is catching up
+    # confirmed an old version to an instance that shared its cut.
+    def test_earlier_release_does_not_confirm_after_a_common_cut(self, scene):
+        scene.clock.now_s += _CUT_S
+        scene.follower.confirm_from_peer(1, scene.clock.now_s)
+        assert not scene.follower.is_fresh
+        scene.follower.confirm_from_peer(1, scene.clock.now_s, is_proven=True)
+        assert scene.follower.is_fresh
+
+    # Guards against keys refused beside peers of an earlier release only.
+    def test_earlier_release_confirms_without_a_cut(self, scene):
+        for _ in range(5):
+            scene.clock.now_s += 3.0
+            scene.follower.confirm_from_peer(1, scene.clock.now_s)
+        assert scene.follower.is_fresh
+
+    # Guards against answers that no longer say so of this release.
+    def test_answer_says_that_it_is_proven(self, scene):
+        responder = peerresponder.PeerResponder(
+            targets.TargetTable(), scene.follower
+        )
+        answer = responder.answer(peermessages.FreshnessRequest(1, 0, -1))
+        assert answer.reads_to_end
+
 
 class TestRequestsWhileAVersionComesIntoForce:
     # Guards against CONFIG: a request was checked by the version from before
