--- a/src/briarfall/gateway/catalogue/catalogue.py
+++ b/src/briarfall/gateway/catalogue/catalogue.py
@@ -35,6 +35,8 @@
 # Longest time for which a new instance waits for its peers before it serves by
 # the catalogue of a store that was once restored from an older copy.
 _FIRST_LOOK_S = 0.3
+# Time after a restore in which the operator writes again what the copy lacks.
+_REWRITE_S = 2.2
 # Version of a source that shows none.
 _NO_VERSION = -1
 _LOG_INTERVAL_S = 10
@@ -82,6 +84,9 @@
         self._newest_version = _NO_VERSION
         # Newest version that the source has shown; None if it can't be read.
         self._shown_version: int | None = _NO_VERSION
+        # Epoch of the source, and the time on the boot clock of its first read.
+        self._epoch = sources.FIRST_EPOCH
+        self._epoch_since_s = 0.0
         # Held while a version is compared with the one in force and put there.
         self._view_lock = threading.Lock()
         # Consecutive failed reads of the source.
@@ -212,6 +217,9 @@
         sent_s = clocks.boot_s()
         read = self._source.read_newest(_TIMEOUT_S)
         self._shown_version = _NO_VERSION
+        if self._epoch != self._source.epoch:
+            self._epoch = self._source.epoch
+            self._epoch_since_s = clocks.boot_s()
         self._apply_read(read, sent_s)
 
     def _read(self, wait_s: float) -> None:
@@ -248,14 +256,19 @@
 
     @property
     def _shows_view(self) -> bool:
-        """Whether the source has shown the version in force, or a newer one.
+        """Whether a read of the source shows that the view is the newest.
 
-        If not, it shows one that can't be read, or was restored from a copy
-        that lacks accepted versions. Which one is the newest is not known then.
+        It does not if the newest version can't be read, nor just after a
+        restore from a copy that lacks the version in force: what else it lacks
+        is not known until the operator has written it again.
         """
         if self._shown_version is None:
             return False
-        return self._shown_version >= self.view.version
+        if self._shown_version >= self.view.version:
+            return True
+        is_restored = self._epoch > sources.FIRST_EPOCH
+        age_s = clocks.boot_s() - self._epoch_since_s
+        return not is_restored or age_s >= _REWRITE_S
 
     def apply(self, raw: bytes) -> int | None:
         """Puts a catalogue in force unless its version is not a newer one.
