--- a/src/briarfall/standins/prepared/store.py
+++ b/src/briarfall/standins/prepared/store.py
@@ -303,13 +303,13 @@
 
 def _pack_whole(records: list[bytes], max_bytes: int) -> bytes:
     """Returns the first records that fit an answer, and at least one."""
-    body = b""
+    body = bytearray()
     for record in records:
-        packed = struct.pack(">I", len(record)) + record
-        if body and len(body) + len(packed) > max_bytes:
+        size = 4 + len(record)
+        if body and len(body) + size > max_bytes:
             break
-        body += packed
-    return body
+        body += struct.pack(">I", len(record)) + record
+    return bytes(body)
 
 
 def _page_size(items: list[dict]) -> int:
