--- a/tests/cataloguescenes.py
+++ b/tests/cataloguescenes.py
@@ -1,5 +1,8 @@
 """A store with a manifest, and a follower of the catalogue that reads it."""
 
+import collections.abc
+import contextlib
+
 from briarfall.gateway.catalogue import catalogue
 from briarfall.gateway.instance import summary
 from briarfall.platform import store
@@ -77,3 +80,16 @@
         """Ends the connections and the store."""
         self.client.close()
         self.platform.close()
+
+
+@contextlib.contextmanager
+def opened(
+    clock, *, is_store_poller: bool = True
+) -> collections.abc.Iterator[Scene]:
+    """Opens a scene whose follower has read version 1, and closes it."""
+    scene = Scene(clock, is_store_poller=is_store_poller)
+    try:
+        scene.follower.step()
+        yield scene
+    finally:
+        scene.close()
--- a/tests/test_gateway_catalogueends.py
+++ b/tests/test_gateway_catalogueends.py
@@ -23,11 +23,8 @@
 
 @pytest.fixture
 def scene(clock):
-    """A scene whose follower has read version 1."""
-    found = cataloguescenes.Scene(clock)
-    found.follower.step()
-    yield found
-    found.close()
+    with cataloguescenes.opened(clock) as found:
+        yield found
 
 
 class TestReadThatStopsBeforeTheEnd:
--- a/tests/test_gateway_confirmations.py
+++ b/tests/test_gateway_confirmations.py
@@ -22,11 +22,8 @@
 
 @pytest.fixture
 def scene(clock):
-    """A scene whose follower has read version 1."""
-    found = cataloguescenes.Scene(clock)
-    found.follower.step()
-    yield found
-    found.close()
+    with cataloguescenes.opened(clock) as found:
+        yield found
 
 
 class TestVersionThatCannotBeRead:
@@ -54,9 +51,7 @@
 
     # Guards against reads of the store in a loop, and keys served late.
     def test_reads_wait_for_the_next_version(self, clock):
-        scene = cataloguescenes.Scene(clock, is_store_poller=False)
-        try:
-            scene.follower.step()
+        with cataloguescenes.opened(clock, is_store_poller=False) as scene:
             scene.platform.put(_TOPIC, "config", _UNREADABLE)
             scene.clock.now_s += _CUT_S
             scene.follower.step()
@@ -67,8 +62,6 @@
             scene.publish(3, _KEPT_KEYS)
             reader.join()
             assert scene.accepts(testbed.KEY)
-        finally:
-            scene.close()
 
 
 class TestRestoredStore:
