--- a/scripts/revoked-keys.py
+++ b/scripts/revoked-keys.py
@@ -20,6 +20,7 @@
 
 import scene3
 
+_HOWS = ("cut", "pause")
 _CASE = pathlib.Path(scene3.ROOT, "review", "13", "case.py")
 
 
@@ -34,48 +35,52 @@
 _case = _load_case()
 
 
-class _PausingNetwork:
-    """Stops a process where the case cuts its machine off.
+class _Breaker:
+    """Cuts an instance off, or stops its process in place of that.
 
     Args:
         network: The network of the case.
+        instance: The instance.
         how: `cut` or `pause`.
+
+    Attributes:
+        healed_s: Monotonic time at which the cut or pause ended.
     """
 
-    def __init__(self, network, how: str):
+    def __init__(self, network, instance: scene3.Instance, how: str):
         self._network = network
-        self._how = how
-        self.instance = None
+        self._instance = instance
+        self._is_pause = how == "pause"
         self.healed_s = 0.0
 
     def cut(self) -> None:
         """Begins the cut or the pause."""
-        if self._how == "cut":
+        if self._is_pause:
+            self._instance.signal(signal.SIGSTOP)
+        else:
             self._network.cut()
-            return
-        self.instance.signal(signal.SIGSTOP)
 
     def heal(self) -> None:
         """Ends it."""
         self.healed_s = time.monotonic()
-        if self._how == "cut":
+        if self._is_pause:
+            self._instance.signal(signal.SIGCONT)
+        else:
             self._network.heal()
-            return
-        self.instance.signal(signal.SIGCONT)
 
 
-def _report(played, network, sound, revoked_key: str, name: str) -> None:
+def _report(played, breaker, sound, revoked_key: str, how: str) -> None:
     """Prints the line of a round."""
     served_s = []
     refused_s = []
     for request_id, sent_s in sound.sent_s.items():
-        after_s = sent_s - network.healed_s
+        after_s = sent_s - breaker.healed_s
         if after_s < 0:
             continue
         is_served = sound.status.get(request_id) == 200
         (served_s if is_served else refused_s).append(after_s)
     print(
-        f"{name} {revoked_key}: late {len(played.late)}, sound keys after the "
+        f"{how} {revoked_key}: late {len(played.late)}, sound keys after the "
         f"end: served {len(served_s)}, first after "
         f"{min(served_s, default=-1):.3f} s, refused {len(refused_s)}, last "
         f"after {max(refused_s, default=-1):.3f} s",
@@ -95,8 +100,7 @@
     for row in scene.instances:
         row.wait_ready()
     time.sleep(2.0)
-    breaker = _PausingNetwork(network, how)
-    breaker.instance = inst
+    breaker = _Breaker(network, inst, how)
     version = 2
     for number, key in enumerate(_case._REVOKED_KEYS):
         played = _case.Round(scene, breaker, inst, target)
@@ -111,6 +115,8 @@
 
 def main() -> None:
     """Plays the case as often as asked."""
+    if len(sys.argv) != 3 or sys.argv[1] not in _HOWS:
+        sys.exit(f"got {sys.argv[1:]}, expected one of {_HOWS} and a number")
     how, runs = sys.argv[1], int(sys.argv[2])
     for _ in range(runs):
         with tempfile.TemporaryDirectory() as folder:
--- a/src/briarfall/gateway/catalogue/catalogue.py
+++ b/src/briarfall/gateway/catalogue/catalogue.py
@@ -171,7 +171,7 @@
             return
         if self.age_s > self.max_peer_age_s:
             # A source that can't confirm the view is not asked in a loop.
-            self._read(0.0 if self._shows_view else self.wait_s)
+            self._read(0.0 if self._source_shows_view else self.wait_s)
             return
         self._has_newer.wait(_PEER_POLL_S)
 
@@ -242,7 +242,7 @@
         if self.confirmed_s is None:
             if self._source.epoch > sources.FIRST_EPOCH:
                 self._look_for_newer()
-        if self._shows_view:
+        if self._source_shows_view:
             self._advance_confirmed_s(sent_s)
             return
         logging.log_every_n_seconds(
@@ -255,7 +255,7 @@
         )
 
     @property
-    def _shows_view(self) -> bool:
+    def _source_shows_view(self) -> bool:
         """Whether a read of the source shows that the view is the newest.
 
         It does not if the newest version can't be read, nor just after a
