--- a/src/briarfall/platform/store.py
+++ b/src/briarfall/platform/store.py
@@ -87,9 +87,9 @@
     ) -> tuple[list[KeyedRecord], sources.LogPosition]:
         """Returns the newest record of each key, and where to read on.
 
-        The list is as new as the call. It may take several pages, which are
-        no snapshot: a record that is written meanwhile may lack in it, and
-        lies at or after the position.
+        The list is at least as new as the call. Its pages are no snapshot: a
+        record that is written between them may be missing, and lies at or
+        after the position.
 
         Raises:
             LogUnavailableError: The store did not answer, its pages have no
